--- /dev/null
+++ b/src/libradishnet/placeholder.cpp
@@ -0,0 +1,1 @@
+#include "messagestream.h"
--- /dev/null
+++ b/tests/fakes/manualtaskqueue.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "taskqueue.h"
+
+#include <deque>
+#include <utility>
+
+/// Keeps posted work until the test runs it, in order.
+class ManualTaskQueue : public RadishSwitch::TaskQueue
+{
+public:
+    void post(std::function<void()> task) override
+    {
+        m_tasks.push_back(std::move(task));
+    }
+
+    bool runOne()
+    {
+        if (m_tasks.empty()) {
+            return false;
+        }
+        const std::function<void()> task = std::move(m_tasks.front());
+        m_tasks.pop_front();
+        task();
+        return true;
+    }
+
+    /// Runs everything, also what the tasks post themselves.
+    void runAll()
+    {
+        while (runOne()) { }
+    }
+
+    std::size_t pending() const
+    {
+        return m_tasks.size();
+    }
+
+private:
+    std::deque<std::function<void()>> m_tasks;
+};
