Add the interfaces of transport, HTTP and agents

Cause: entry, agent and stand-ins are written side by side against them. Change: headers only; asyncresult.h joins callbacks and coroutines.

--- /dev/null
+++ b/src/libradishnet/asyncresult.cpp
@@ -0,0 +1,1 @@
+#include "asyncresult.h"
--- /dev/null
+++ b/src/libradishnet/asyncresult.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace RadishSwitch
+{
+
+/// Waits in a coroutine for the one call of a callback, and goes on at the coroutine's own executor.
+///
+/// `start` gets the callback; it may be called on any thread.
+template<typename T, typename Start>
+boost::asio::awaitable<T> awaitCallback(Start start)
+{
+    const auto executor = co_await boost::asio::this_coro::executor;
+    co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void(T)>(
+        [executor](auto handler, Start start) {
+            const auto held = std::make_shared<decltype(handler)>(std::move(handler));
+            start([held, executor](T result) {
+                boost::asio::dispatch(executor, [held, result = std::move(result)]() mutable {
+                    (*held)(std::move(result));
+                });
+            });
+        },
+        boost::asio::use_awaitable, std::move(start));
+}
+
+}
--- /dev/null
+++ b/src/libradishnet/http2transport.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "messagestream.h"
+#include "timerservice.h"
+#include "workerpool.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace RadishSwitch
+{
+
+/// How the processes of a fleet talk to one another.
+struct TransportSettings {
+    /// The secret that all processes of the fleet share; proved at the opening of each stream.
+    std::string fleetKey;
+    Duration connectTimeout = std::chrono::seconds(1);
+    /// A PING goes out this often on each connection.
+    Duration pingInterval = std::chrono::milliseconds(500);
+    /// A connection on which nothing was heard for so long since a PING is taken as silent and given up.
+    Duration pingTimeout = std::chrono::milliseconds(1500);
+};
+
+/// Accepts the fleet's connections and hands each new stream to the handler of its path.
+class Http2MessageServer
+{
+public:
+    using Handler = std::function<void(MessageStreamPointer)>;
+
+    Http2MessageServer(WorkerPool &workers, TransportSettings settings);
+    ~Http2MessageServer();
+
+    /// Sets the handler of a path, before `listen`. The handler gets the stream before its first frame.
+    void handle(const std::string &path, Handler handler);
+
+    /// Binds and accepts. Port 0 takes a free one. InvalidSettings when it can't be bound.
+    absl::Status listen(const std::string &address, std::uint16_t port);
+
+    std::uint16_t port() const;
+
+    /// Closes the listener and all connections.
+    void close();
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+/// The fleet's clients of this process, one for each address.
+class MessageClients
+{
+public:
+    MessageClients(WorkerPool &workers, TransportSettings settings);
+    ~MessageClients();
+
+    std::shared_ptr<MessageClient> client(const std::string &address);
+
+    /// Closes and forgets the client of an address that is gone.
+    void forget(const std::string &address);
+
+private:
+    WorkerPool &m_workers;
+    TransportSettings m_settings;
+    std::mutex m_mutex;
+    std::map<std::string, std::shared_ptr<MessageClient>> m_clients;
+};
+
+}
--- /dev/null
+++ b/src/libradishnet/httpclient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "httpmessages.h"
+#include "timerservice.h"
+#include "workerpool.h"
+
+#include <utility>
+
+#include <absl/status/statusor.h>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+
+namespace RadishSwitch
+{
+
+/// An answer that is read as it comes.
+class HttpResponseStream
+{
+public:
+    virtual ~HttpResponseStream() = default;
+
+    virtual int status() const = 0;
+    virtual const HttpHeaders &headers() const = 0;
+
+    /// The next bytes of the body as soon as there are any; empty at the end. ConnectionLost when it is cut short,
+    /// ConnectionSilent when nothing came within `timeout`.
+    virtual boost::asio::awaitable<absl::StatusOr<std::string>> read(Duration timeout) = 0;
+
+    /// Closes the connection. Safe on any thread; a pending `read` fails.
+    virtual void cancel() = 0;
+};
+
+/// HTTP/1.1 client by Beast that keeps connections for reuse. A failure before any byte of the request was written
+/// has the outcome "not run"; any later one is marked with an unknown outcome.
+class HttpClient
+{
+public:
+    explicit HttpClient(WorkerPool &workers, Duration connectTimeout = std::chrono::seconds(1));
+    ~HttpClient();
+
+    /// Asks "address:port" and reads the whole answer.
+    boost::asio::awaitable<absl::StatusOr<HttpResponse>> fetch(std::string address, HttpRequest request,
+                                                               Duration timeout);
+
+    /// Asks and returns as soon as the answer's head is there.
+    boost::asio::awaitable<absl::StatusOr<std::shared_ptr<HttpResponseStream>>>
+    open(std::string address, HttpRequest request, Duration timeout);
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/libradishnet/httpserver.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "httpmessages.h"
+#include "timerservice.h"
+#include "workerpool.h"
+
+#include <utility>
+
+#include <absl/status/status.h>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace RadishSwitch
+{
+
+struct HttpServerSettings {
+    std::size_t maximumHeaderBytes = 16 * 1024;
+    std::size_t maximumBodyBytes = 8 * 1024 * 1024;
+    /// How long a connection may be idle between requests, or a request's bytes may take to arrive.
+    Duration readTimeout = std::chrono::seconds(60);
+    /// How long a slow reader may take no byte of an answer.
+    Duration writeTimeout = std::chrono::seconds(30);
+    /// PEM files; TLS is on when both are given.
+    std::string certificateFile;
+    std::string privateKeyFile;
+};
+
+/// One request and its answer. All members are used on the exchange's own strand, inside the handler.
+class HttpExchange
+{
+public:
+    virtual ~HttpExchange() = default;
+
+    virtual const HttpRequest &request() const = 0;
+
+    /// "address:port" of the other side.
+    virtual const std::string &peer() const = 0;
+
+    /// Sends a whole answer. ConnectionLost when the other side is gone.
+    virtual boost::asio::awaitable<absl::Status> respond(HttpResponse response) = 0;
+
+    /// Begins an answer of unknown length; `write` returns once the bytes are with the kernel, so a slow reader holds
+    /// its writer back.
+    virtual boost::asio::awaitable<absl::Status> beginStream(int status, HttpHeaders headers) = 0;
+    virtual boost::asio::awaitable<absl::Status> write(std::string data) = 0;
+    virtual boost::asio::awaitable<absl::Status> endStream() = 0;
+
+    /// Ends the connection without ending the answer, so that the caller sees that it is cut short.
+    virtual void abort() = 0;
+};
+
+/// HTTP/1.1 with keep-alive by Beast. Requests past the limits get 413 or 431, malformed ones 400, in the API's error
+/// form; the handler sees whole requests only.
+class HttpServer
+{
+public:
+    using Handler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
+
+    HttpServer(WorkerPool &workers, HttpServerSettings settings, Handler handler);
+    ~HttpServer();
+
+    /// Port 0 takes a free one. InvalidSettings when it can't be bound.
+    absl::Status listen(const std::string &address, std::uint16_t port);
+
+    std::uint16_t port() const;
+
+    /// Takes no new connections, and closes each open one after the request that it is in.
+    void drain();
+
+    /// Requests whose handler has not returned.
+    int requestsInProgress() const;
+
+    /// Closes everything at once.
+    void close();
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+}
--- a/src/libradishnet/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "messagestream.h"
--- /dev/null
+++ b/src/libradishswitch/agentport.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "identifier.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+enum class RunState {
+    Unknown,
+    Running,
+    Done,
+    Failed,
+    /// Never started, and never will.
+    Barred,
+};
+
+/// What an agent remembers of a run.
+struct RunRecord {
+    RequestId request;
+    AttemptId attempt;
+    RunState state = RunState::Unknown;
+    PortionId portion;
+    std::int64_t reservedTokens = 0;
+    std::int64_t chargedTokens = 0;
+    std::string fingerprint;
+    bool isNonIdempotent = false;
+    bool isAnswerKept = false;
+    std::string agentAddress;
+
+    bool operator==(const RunRecord &) const = default;
+};
+
+/// What one agent has charged to a portion. Once told, that agent lets no new run on the portion.
+struct PortionCharges {
+    struct Charge {
+        RequestId request;
+        std::int64_t tokens = 0;
+
+        bool operator==(const Charge &) const = default;
+    };
+
+    PortionId portion;
+    std::vector<Charge> charges;
+    /// Charges older than the agent keeps one by one.
+    std::int64_t foldedTokens = 0;
+    std::vector<RunRecord> running;
+
+    bool operator==(const PortionCharges &) const = default;
+};
+
+/// The agents as the decisions see them. Answers come through the task queue; ConnectionLost or ConnectionSilent when
+/// the agent could not be asked.
+class AgentPort
+{
+public:
+    virtual ~AgentPort() = default;
+
+    /// Every agent that may hold a run: those listed, and those lately gone from the list or heard of in other ways.
+    virtual std::vector<std::string> agentAddresses() const = 0;
+
+    /// Which of these requests does the agent know? With an epoch above zero the agent from then on refuses runs of
+    /// the shard under a lower one.
+    virtual void findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
+                          std::uint64_t epoch,
+                          std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback) = 0;
+
+    /// Closes portions at the agent and tells what was charged to them.
+    virtual void closePortions(const std::string &agentAddress, std::vector<PortionId> portions,
+                               std::function<void(absl::StatusOr<std::vector<PortionCharges>>)> callback) = 0;
+
+    /// Makes sure that the attempt does not start any more, and stops it when `cancel`. Gives its record after that.
+    virtual void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, bool cancel,
+                     std::function<void(absl::StatusOr<RunRecord>)> callback) = 0;
+};
+
+}
