--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Builds everything, release by default. Usage: scripts/build.sh [--sanitize address|thread]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+folder=build
+sanitize=""
+if [ "${1:-}" = --sanitize ]; then
+    sanitize="${2:?--sanitize takes address or thread}"
+    folder="build-$sanitize"
+fi
+cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE=Release -DRADISHSWITCH_SANITIZE="$sanitize" >/dev/null
+cmake --build "$folder" -- --quiet
--- /dev/null
+++ b/src/entry/answerrelay.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "httpserver.h"
+
+#include <absl/status/status.h>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace RadishSwitch
+{
+
+/// Brings one answer to its caller in the caller's form.
+class AnswerRelay
+{
+public:
+    virtual ~AnswerRelay() = default;
+
+    /// The answer's head; called once, also when a later attempt goes on with the answer.
+    virtual void setHead(int status, const std::string &contentType) = 0;
+
+    /// More bytes of the answer. ConnectionLost when the caller is gone.
+    virtual boost::asio::awaitable<absl::Status> append(std::string data) = 0;
+
+    /// The answer is whole and on the bill.
+    virtual boost::asio::awaitable<absl::Status> finish() = 0;
+
+    /// The request was given up.
+    virtual boost::asio::awaitable<void> fail(const absl::Status &status) = 0;
+
+    /// Whether the caller has received any part of the answer, so that only its rest may follow.
+    virtual bool hasDelivered() const = 0;
+};
+
+}
--- /dev/null
+++ b/src/entry/homeservice.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "home.h"
+#include "homesession.h"
+#include "http2transport.h"
+#include "monitor.h"
+
+#include <memory>
+
+namespace RadishSwitch
+{
+
+/// The home's side: serves the requests of this process and, over "/home" streams, those of other entries.
+class HomeService
+{
+public:
+    HomeService(Home &home, Monitor &monitor, TimerService &timers);
+
+    /// A session for a request that arrived at this very process.
+    std::unique_ptr<HomeSession> openLocal();
+
+    /// Serves "/home" streams of other entries.
+    void serve(Http2MessageServer &server);
+
+private:
+    Home &m_home;
+    Monitor &m_monitor;
+    TimerService &m_timers;
+};
+
+}
--- /dev/null
+++ b/src/entry/homesession.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "home.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace RadishSwitch
+{
+
+/// One request's talk with the home of its budget, in this process or another.
+///
+/// A session that is dropped before `settle` leaves the home to find out at the agents what became of the request.
+class HomeSession
+{
+public:
+    using AdmitCallback = std::function<void(absl::StatusOr<AdmitDecision>)>;
+    using SettledCallback = std::function<void(absl::Status)>;
+
+    virtual ~HomeSession() = default;
+
+    /// Once, first. HomeUnreachable when the home can't be asked; nothing ran then.
+    virtual void admit(const AdmitQuestion &question, AdmitCallback callback) = 0;
+
+    virtual void noteDispatched(const AttemptId &attempt, const std::string &agentAddress) = 0;
+
+    /// Once, last. OK when the home has it on its books.
+    virtual void settle(const Settlement &settlement, SettledCallback callback) = 0;
+};
+
+}
--- /dev/null
+++ b/src/entry/homewire.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "fleet.pb.h"
+#include "home.h"
+
+namespace RadishSwitch
+{
+
+/// A question to a home as it travels. The deadline travels as what is left of it, since clocks differ.
+wire::AdmitRequest admitQuestionToWire(const AdmitQuestion &question, Instant now);
+AdmitQuestion admitQuestionFromWire(const wire::AdmitRequest &message, Instant now);
+
+wire::AdmitAnswer admitDecisionToWire(const absl::StatusOr<AdmitDecision> &decision);
+absl::StatusOr<AdmitDecision> admitDecisionFromWire(const wire::AdmitAnswer &message);
+
+}
--- a/src/libradishnet/asyncresult.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "asyncresult.h"
--- a/src/libradishnet/asyncresult.h
+++ b/src/libradishnet/asyncresult.h
@@ -4,7 +4,7 @@
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -16,7 +16,8 @@
 
 /// Waits in a coroutine for the one call of a callback, and goes on at the coroutine's own executor.
 ///
-/// `start` gets the callback; it may be called on any thread.
+/// `start` gets the callback; it may be called on any thread, also under a lock: the coroutine goes on in a task of its
+/// own and never inside the callback, where it could ask for the same lock again and wait for itself.
 template<typename T, typename Start>
 boost::asio::awaitable<T> awaitCallback(Start start)
 {
@@ -25,7 +26,7 @@
         [executor](auto handler, Start start) {
             const auto held = std::make_shared<decltype(handler)>(std::move(handler));
             start([held, executor](T result) {
-                boost::asio::dispatch(executor, [held, result = std::move(result)]() mutable {
+                boost::asio::post(executor, [held, result = std::move(result)]() mutable {
                     (*held)(std::move(result));
                 });
             });
