--- /dev/null
+++ b/src/entry/chatstreamrelay.cpp
@@ -0,0 +1,209 @@
+#include "chatstreamrelay.h"
+
+#include "apierror.h"
+#include "failure.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr char kDone[] = "[DONE]";
+constexpr char kEventStream[] = "text/event-stream";
+
+void appendEvent(std::string &out, const std::string &data)
+{
+    out += "data: ";
+    out += data;
+    out += "\n\n";
+}
+
+// The chunk at a stream's end that carries the usage has no choices. Parsed only when it may be one: a token's chunk
+// has no such member, and there are millions of them.
+bool isUsageChunk(const std::string &data)
+{
+    if (data.find("\"usage\"") == std::string::npos) {
+        return false;
+    }
+    const Json json = Json::parse(data, nullptr, false);
+    return json.is_object() && json.contains("usage") && json["usage"].is_object()
+        && (!json.contains("choices") || json["choices"].empty());
+}
+
+const Json *deltaOf(const Json &json)
+{
+    if (!json.is_object() || !json.contains("choices") || !json["choices"].is_array() || json["choices"].empty()) {
+        return nullptr;
+    }
+    const Json &choice = json["choices"].front();
+    return choice.is_object() && choice.contains("delta") && choice["delta"].is_object() ? &choice["delta"] : nullptr;
+}
+
+std::string contentOf(const std::string &data)
+{
+    const Json json = Json::parse(data, nullptr, false);
+    const Json *delta = deltaOf(json);
+    if (delta == nullptr || !delta->contains("content") || !(*delta)["content"].is_string()) {
+        return {};
+    }
+    return (*delta)["content"].get<std::string>();
+}
+
+std::vector<SseEvent> eventsIn(const std::string &bytes)
+{
+    SseScanner scanner;
+    std::vector<SseEvent> events;
+    (void)scanner.scan(bytes, events);
+    return events;
+}
+
+}
+
+ChatStreamRelay::ChatStreamRelay(HttpExchange &exchange, std::string requestId, bool passesUsage)
+    : m_exchange(exchange)
+    , m_requestId(std::move(requestId))
+    , m_passesUsage(passesUsage)
+{
+}
+
+void ChatStreamRelay::setHead(int status, const std::string &contentType)
+{
+    m_status = status;
+    m_contentType = contentType;
+}
+
+boost::asio::awaitable<absl::Status> ChatStreamRelay::append(std::string data)
+{
+    if (m_status != kOk) {
+        m_errorBody += data;
+        co_return absl::OkStatus();
+    }
+    m_events.clear();
+    if (const absl::Status status = m_scanner.scan(data, m_events); !status.ok()) {
+        co_return status;
+    }
+    std::string out;
+    for (const SseEvent &event : m_events) {
+        take(event, out);
+    }
+    if (out.empty()) {
+        co_return absl::OkStatus();
+    }
+    if (!m_isStreaming) {
+        m_isStreaming = true;
+        HttpHeaders headers {{"Content-Type", kEventStream}, {"Cache-Control", "no-cache"}};
+        headers.add("X-Request-Id", m_requestId);
+        if (const absl::Status status = co_await m_exchange.beginStream(kOk, std::move(headers)); !status.ok()) {
+            co_return status;
+        }
+    }
+    m_delivered += out;
+    co_return co_await m_exchange.write(std::move(out));
+}
+
+boost::asio::awaitable<absl::Status> ChatStreamRelay::finish()
+{
+    if (m_status != kOk) {
+        HttpResponse response {m_status, HttpHeaders {{"Content-Type", m_contentType}}, std::move(m_errorBody)};
+        response.headers.add("X-Request-Id", m_requestId);
+        co_return co_await m_exchange.respond(std::move(response));
+    }
+    std::string out;
+    appendEvent(out, kDone);
+    if (const absl::Status status = co_await m_exchange.write(std::move(out)); !status.ok()) {
+        co_return status;
+    }
+    co_return co_await m_exchange.endStream();
+}
+
+boost::asio::awaitable<void> ChatStreamRelay::fail(const absl::Status &status)
+{
+    if (!m_isStreaming) {
+        (void)co_await m_exchange.respond(errorResponse(status, m_requestId));
+        co_return;
+    }
+    (void)co_await m_exchange.write(errorEvent(status, m_requestId));
+    (void)co_await m_exchange.endStream();
+}
+
+bool ChatStreamRelay::hasDelivered() const
+{
+    return !m_delivered.empty();
+}
+
+void ChatStreamRelay::beginContinuation()
+{
+    m_scanner = SseScanner();
+    m_errorBody.clear();
+    m_isContinuation = hasDelivered();
+}
+
+std::string ChatStreamRelay::deliveredText() const
+{
+    std::string text;
+    for (const SseEvent &event : eventsIn(m_delivered)) {
+        text += contentOf(event.data);
+    }
+    return text;
+}
+
+std::int64_t ChatStreamRelay::deliveredTokens() const
+{
+    std::int64_t n = 0;
+    for (const SseEvent &event : eventsIn(m_delivered)) {
+        n += contentOf(event.data).empty() ? 0 : 1;
+    }
+    return n;
+}
+
+const std::string &ChatStreamRelay::deliveredBytes() const
+{
+    return m_delivered;
+}
+
+void ChatStreamRelay::take(const SseEvent &event, std::string &out)
+{
+    if (event.data == kDone || (!m_passesUsage && isUsageChunk(event.data))) {
+        return;
+    }
+    if (!m_isContinuation) {
+        appendEvent(out, event.data);
+        return;
+    }
+    const std::string data = continued(event.data);
+    if (!data.empty()) {
+        appendEvent(out, data);
+    }
+}
+
+// A caller's library takes a stream's chunks as one completion by their id, and a second opening chunk with a role as
+// a second answer. So a later attempt's chunks get the first one's id, and its opening chunk is left out.
+std::string ChatStreamRelay::continued(const std::string &data) const
+{
+    Json json = Json::parse(data, nullptr, false);
+    const Json *delta = deltaOf(json);
+    const bool isOpening = delta != nullptr && delta->contains("role") && delta->value("content", std::string()).empty();
+    if (isOpening) {
+        return {};
+    }
+    const std::vector<SseEvent> events = eventsIn(m_delivered.substr(0, m_delivered.find("\n\n") + 2));
+    const Json first = events.empty() ? Json() : Json::parse(events.front().data, nullptr, false);
+    if (json.is_object() && first.is_object()) {
+        for (const char *name : {"id", "created"}) {
+            if (first.contains(name)) {
+                json[name] = first[name];
+            }
+        }
+    }
+    return json.is_discarded() ? data : json.dump();
+}
+
+}
--- /dev/null
+++ b/src/entry/chatstreamrelay.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "answerrelay.h"
+#include "ssescanner.h"
+
+#include <string>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// Passes a streamed chat completion on, event by event as they come.
+///
+/// Only whole events go out, so that an answer can be gone on with by another attempt at any point. "[DONE]" is held
+/// until the answer is on the bill.
+class ChatStreamRelay : public AnswerRelay
+{
+public:
+    /// `passesUsage` is whether the caller asked for the usage; the fleet always does.
+    ChatStreamRelay(HttpExchange &exchange, std::string requestId, bool passesUsage);
+
+    void setHead(int status, const std::string &contentType) override;
+    boost::asio::awaitable<absl::Status> append(std::string data) override;
+    boost::asio::awaitable<absl::Status> finish() override;
+    boost::asio::awaitable<void> fail(const absl::Status &status) override;
+    bool hasDelivered() const override;
+
+    /// A later attempt goes on: what is left of a cut event is dropped, and its events take the id of the first.
+    void beginContinuation();
+
+    /// The text that has reached the caller, and in how many tokens.
+    std::string deliveredText() const;
+    std::int64_t deliveredTokens() const;
+
+    /// The bytes of the whole events that have reached the caller.
+    const std::string &deliveredBytes() const;
+
+private:
+    void take(const SseEvent &event, std::string &out);
+    std::string continued(const std::string &data) const;
+
+    HttpExchange &m_exchange;
+    std::string m_requestId;
+    bool m_passesUsage;
+    bool m_isStreaming = false;
+    bool m_isContinuation = false;
+    int m_status = 0;
+    std::string m_contentType;
+    std::string m_errorBody;
+    SseScanner m_scanner;
+    std::vector<SseEvent> m_events;
+    std::string m_delivered;
+};
+
+}
--- /dev/null
+++ b/src/entry/homedirectory.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "homesession.h"
+#include "runplan.h"
+
+namespace RadishSwitch
+{
+
+/// Finds the home of a request's budget and opens a session with it.
+class HomeDirectory
+{
+public:
+    virtual ~HomeDirectory() = default;
+
+    /// Never null; a home that can't be reached shows at `admit`.
+    virtual std::unique_ptr<HomeSession> open(const RunPlan &plan) = 0;
+};
+
+}
--- /dev/null
+++ b/src/entry/requestsession.cpp
@@ -0,0 +1,328 @@
+#include "requestsession.h"
+
+#include "apierror.h"
+#include "asyncresult.h"
+#include "failure.h"
+#include "plainrelay.h"
+#include "wireconversion.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr int kMostAttempts = 4;
+constexpr std::chrono::milliseconds kComeBackSoon(1000);
+/// How long a caller of a second copy of a request waits for the first one to reach an agent.
+constexpr int kMostAdmissions = 2;
+
+Settlement notRun()
+{
+    Settlement settlement;
+    settlement.isNotRun = true;
+    return settlement;
+}
+
+}
+
+RequestSession::RequestSession(SessionServices services, HttpExchange &exchange, RunPlan plan)
+    : m_services(services)
+    , m_exchange(exchange)
+    , m_plan(std::move(plan))
+    , m_deadline(services.timers.now() + std::chrono::milliseconds(m_plan.deadlineMilliseconds))
+{
+    if (m_plan.chat && m_plan.isStreamed) {
+        auto relay
+            = std::make_unique<ChatStreamRelay>(exchange, m_plan.request.value(), m_plan.chat->wantsUsage());
+        m_stream = relay.get();
+        m_relay = std::move(relay);
+    } else {
+        m_relay = std::make_unique<PlainRelay>(exchange, m_plan.request.value());
+    }
+}
+
+boost::asio::awaitable<absl::Status> RequestSession::run()
+{
+    m_services.journal.begin(m_plan.request, m_plan.budget, m_plan.pool);
+    const absl::Status status = co_await serve();
+    m_services.journal.end(m_plan.request, status.ok() ? "ok" : std::string(failureName(failureCode(status))));
+    if (!status.ok()) {
+        note("refused: " + std::string(status.message()));
+        co_await m_relay->fail(status);
+    }
+    co_return status;
+}
+
+boost::asio::awaitable<absl::Status> RequestSession::serve()
+{
+    if (const absl::Status status = co_await enterQueue(); !status.ok()) {
+        co_return status;
+    }
+    absl::StatusOr<AdmitDecision> decision = co_await admit();
+    if (!decision.ok()) {
+        co_return decision.status();
+    }
+    if (DuplicateRun *duplicate = std::get_if<DuplicateRun>(&*decision)) {
+        co_return co_await followDuplicate(std::move(*duplicate));
+    }
+    co_return co_await runAttempts(std::move(std::get<Grant>(*decision)));
+}
+
+boost::asio::awaitable<absl::Status> RequestSession::enterQueue()
+{
+    absl::StatusOr<GatePass> pass = co_await awaitCallback<absl::StatusOr<GatePass>>([this](auto done) {
+        m_services.gate.enter(m_plan, m_deadline, std::move(done));
+    });
+    if (!pass.ok()) {
+        co_return pass.status();
+    }
+    m_pass = std::move(*pass);
+    co_return absl::OkStatus();
+}
+
+boost::asio::awaitable<absl::StatusOr<AdmitDecision>> RequestSession::admit()
+{
+    AdmitQuestion question;
+    question.request = m_plan.request;
+    question.budget = m_plan.budget;
+    question.worstCaseTokens = m_plan.worstCaseTokens;
+    question.fingerprint = m_plan.fingerprint;
+    question.isKeyed = m_plan.isKeyed;
+    question.isNonIdempotent = m_plan.isNonIdempotent;
+    question.deadline = m_deadline;
+    question.pool = m_plan.pool;
+    absl::StatusOr<AdmitDecision> decision = makeFailure(FailureCode::HomeUnreachable, "not asked yet");
+    for (int n = 0; n < kMostAdmissions; ++n) {
+        m_home = m_services.homes.open(m_plan);
+        decision = co_await awaitCallback<absl::StatusOr<AdmitDecision>>(
+            [this, &question](auto done) { m_home->admit(question, std::move(done)); });
+        const bool asksElsewhere = !decision.ok()
+            && (failureCode(decision.status()) == FailureCode::HomeElsewhere
+                || failureCode(decision.status()) == FailureCode::HomeUnreachable);
+        if (!asksElsewhere) {
+            break;
+        }
+    }
+    co_return decision;
+}
+
+boost::asio::awaitable<absl::Status> RequestSession::runAttempts(Grant grant)
+{
+    note("granted " + std::to_string(grant.reservedTokens) + " tokens");
+    while (true) {
+        const absl::StatusOr<RouteChoice> choice = m_services.gate.choose(m_plan, m_excluded);
+        if (!choice.ok()) {
+            m_lastFailure = m_attempts == 0 ? choice.status() : m_lastFailure;
+            break;
+        }
+        ++m_attempts;
+        const AttemptEnd end = co_await runAttempt(grant, *choice);
+        if (end == AttemptEnd::Answered) {
+            Settlement settlement;
+            settlement.chargedTokens = m_charged;
+            co_await settle(settlement);
+            note("billed " + std::to_string(m_charged) + " tokens");
+            co_return co_await m_relay->finish();
+        }
+        m_mayHaveRun = m_mayHaveRun || end != AttemptEnd::NotStarted;
+        if (end == AttemptEnd::GivenUp || !mayTryAgain()) {
+            break;
+        }
+        m_excluded.push_back(choice->endpoint);
+    }
+    if (!m_mayHaveRun) {
+        co_await settle(notRun());
+    }
+    co_return endOfFailedRun();
+}
+
+// A non-idempotent request that may have started is not sent again: the first copy could still take effect, and the
+// caller would get two blinds for one window. Everything else may be tried elsewhere while there is time.
+bool RequestSession::mayTryAgain()
+{
+    if (m_attempts >= kMostAttempts || m_services.timers.now() >= m_deadline) {
+        return false;
+    }
+    if (m_plan.isNonIdempotent && m_mayHaveRun) {
+        return false;
+    }
+    return m_services.gate.mayRetry(m_plan.pool);
+}
+
+boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::runAttempt(const Grant &grant,
+                                                                              const RouteChoice &choice)
+{
+    m_attempt = AttemptId(m_services.random.freshName());
+    note("sent to " + choice.endpoint.value() + " as attempt " + m_attempt.value());
+    m_home->noteDispatched(m_attempt, choice.address);
+    m_services.gate.noteDispatched(choice, m_plan);
+    m_dispatchedAt = m_services.timers.now();
+    const auto executor = co_await boost::asio::this_coro::executor;
+    RunStream stream(m_services.clients.client(choice.address), executor, m_plan.request, m_attempt);
+    if (m_stream != nullptr) {
+        m_stream->beginContinuation();
+        stream.setOffset(m_stream->deliveredBytes().size());
+    }
+    stream.start(runRequest(grant));
+    const AttemptEnd end = co_await follow(stream, choice);
+    m_services.gate.noteFinished(choice, m_plan, end == AttemptEnd::Answered ? RunEnd::Ok : RunEnd::Failed);
+    co_return end;
+}
+
+boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::follow(RunStream &stream, const RouteChoice &choice)
+{
+    while (true) {
+        absl::StatusOr<wire::RunUpdate> update = co_await stream.next(m_deadline, m_services.timers);
+        if (!update.ok()) {
+            m_lastFailure = update.status();
+            if (failureCode(update.status()) == FailureCode::DeadlineExceeded) {
+                co_return AttemptEnd::GivenUp;
+            }
+            co_return co_await makeSureNotRunning(choice);
+        }
+        if (m_dispatchedAt && (update->has_chunk() || update->has_done())) {
+            m_services.gate.noteFirstToken(choice, m_services.timers.now() - *m_dispatchedAt);
+            m_dispatchedAt.reset();
+        }
+        switch (update->update_case()) {
+        case wire::RunUpdate::kRefused:
+            m_lastFailure = failureFromWire(update->refused());
+            if (failureCode(m_lastFailure) == FailureCode::RunUnknown) {
+                co_return co_await makeSureNotRunning(choice);
+            }
+            co_return outcomeOf(m_lastFailure) == RunOutcome::NotRun ? AttemptEnd::NotStarted : AttemptEnd::Failed;
+        case wire::RunUpdate::kHead:
+            m_relay->setHead(update->head().status(), update->head().content_type());
+            break;
+        case wire::RunUpdate::kChunk: {
+            const AttemptEnd end = co_await relayChunks(stream, std::move(*update));
+            if (end != AttemptEnd::Answered) {
+                co_return end;
+            }
+            break;
+        }
+        case wire::RunUpdate::kDone:
+            m_charged = update->done().charged_tokens();
+            m_services.gate.noteLoad(choice, update->done().load());
+            co_return AttemptEnd::Answered;
+        case wire::RunUpdate::kFailed:
+            m_lastFailure = failureFromWire(update->failed());
+            co_return AttemptEnd::Failed;
+        case wire::RunUpdate::kAccepted:
+        case wire::RunUpdate::UPDATE_NOT_SET:
+            break;
+        }
+    }
+}
+
+// Bytes that are there already go out in one write.
+boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::relayChunks(RunStream &stream,
+                                                                               wire::RunUpdate first)
+{
+    const absl::Status status = co_await m_relay->append(std::move(*first.mutable_chunk()->mutable_data()));
+    (void)stream;
+    if (status.ok()) {
+        co_return AttemptEnd::Answered;
+    }
+    m_lastFailure = status;
+    const bool isCallerGone = failureCode(status) == FailureCode::ConnectionLost;
+    co_return isCallerGone ? AttemptEnd::GivenUp : AttemptEnd::Failed;
+}
+
+// The agent does not answer, or knows nothing of the run. Only its own word that the attempt is barred makes "not run"
+// true: the message may still be under way, and would start the run after the caller was told that nothing ran.
+boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::makeSureNotRunning(const RouteChoice &choice)
+{
+    const absl::StatusOr<RunRecord> record
+        = co_await awaitCallback<absl::StatusOr<RunRecord>>([this, &choice](auto done) {
+              const bool cancels = !m_plan.isNonIdempotent;
+              m_services.agents.bar(choice.address, m_plan.request, m_attempt, cancels, std::move(done));
+          });
+    const bool isBarred = record.ok() && record->state == RunState::Barred;
+    note(isBarred ? "barred at the agent" : "the agent could not prove that it did not run");
+    co_return isBarred ? AttemptEnd::NotStarted : AttemptEnd::Failed;
+}
+
+boost::asio::awaitable<absl::Status> RequestSession::followDuplicate(DuplicateRun duplicate)
+{
+    note("joined the run of an earlier copy at " + duplicate.agentAddress);
+    m_pass.release();
+    m_attempt = duplicate.attempt;
+    const auto executor = co_await boost::asio::this_coro::executor;
+    RunStream stream(m_services.clients.client(duplicate.agentAddress), executor, m_plan.request, m_attempt);
+    stream.attach();
+    const AttemptEnd end = co_await follow(stream, RouteChoice {EndpointId(), duplicate.agentAddress});
+    if (end == AttemptEnd::Answered) {
+        co_return co_await m_relay->finish();
+    }
+    m_mayHaveRun = true;
+    co_return endOfFailedRun();
+}
+
+boost::asio::awaitable<void> RequestSession::settle(Settlement settlement)
+{
+    const absl::Status status = co_await awaitCallback<absl::Status>(
+        [this, settlement](auto done) { m_home->settle(settlement, std::move(done)); });
+    if (!status.ok()) {
+        note("the home did not confirm the settlement: " + std::string(status.message()));
+    }
+}
+
+absl::Status RequestSession::endOfFailedRun()
+{
+    const FailureCode code = m_lastFailure.ok() ? FailureCode::EndpointFailed : failureCode(m_lastFailure);
+    const std::string message = m_lastFailure.ok() ? "the run failed" : std::string(m_lastFailure.message());
+    if (!m_mayHaveRun) {
+        return makeFailure(code, message, retryAfterOf(m_lastFailure).value_or(kComeBackSoon));
+    }
+    if (m_plan.isNonIdempotent) {
+        return withUnknownOutcome(makeFailure(FailureCode::OutcomeUnknown, message));
+    }
+    return withUnknownOutcome(makeFailure(code, message, kComeBackSoon));
+}
+
+wire::RunRequest RequestSession::runRequest(const Grant &grant) const
+{
+    wire::RunRequest run;
+    run.set_request_id(m_plan.request.value());
+    run.set_attempt_id(m_attempt.value());
+    run.set_organisation(m_plan.budget.organisation.value());
+    run.set_budget(m_plan.budget.name);
+    run.set_portion_id(grant.portion.value());
+    run.set_shard(grant.shard);
+    run.set_epoch(grant.epoch);
+    run.set_reserved_tokens(grant.reservedTokens);
+    run.set_fingerprint(m_plan.fingerprint);
+    run.set_method(m_plan.method);
+    run.set_target(m_plan.target);
+    run.set_content_type(m_plan.contentType);
+    run.set_chat(m_plan.chat.has_value());
+    run.set_stream(m_plan.isStreamed);
+    run.set_non_idempotent(m_plan.isNonIdempotent);
+    run.set_priority(m_plan.priority);
+    run.set_prompt_tokens_bound(m_plan.promptTokens);
+    run.set_pool(m_plan.pool.value());
+    const Duration left = std::max(m_deadline - m_services.timers.now(), Duration::zero());
+    run.set_deadline_ms(std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+    if (m_stream != nullptr && m_stream->hasDelivered()) {
+        const std::int64_t n = m_stream->deliveredTokens();
+        run.set_prior_completion_tokens(n);
+        run.set_prior_answer(m_stream->deliveredBytes());
+        run.set_body(m_plan.chat->continuationBody(m_stream->deliveredText(), n));
+    } else {
+        run.set_body(m_plan.body);
+    }
+    return run;
+}
+
+void RequestSession::note(std::string text)
+{
+    m_services.journal.note(m_plan.request, std::move(text));
+}
+
+}
--- /dev/null
+++ b/src/entry/requestsession.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "agentport.h"
+#include "answerrelay.h"
+#include "chatstreamrelay.h"
+#include "dispatchgate.h"
+#include "homedirectory.h"
+#include "homesession.h"
+#include "requestjournal.h"
+#include "runplan.h"
+#include "runstream.h"
+
+#include <memory>
+#include <set>
+
+namespace RadishSwitch
+{
+
+/// What a request's session works with; all of it outlives the session.
+struct SessionServices {
+    TimerService &timers;
+    RandomSource &random;
+    MessageClients &clients;
+    AgentPort &agents;
+    HomeDirectory &homes;
+    DispatchGate &gate;
+    RequestJournal &journal;
+};
+
+/// One caller's request from its admission to its settlement.
+///
+/// The way: a place in the pool's queue, the home's grant, an endpoint, the run, the answer to the caller, the
+/// settlement at the home. A session that ends without a settlement leaves it to the home to find out at the agents
+/// what was charged.
+class RequestSession
+{
+public:
+    RequestSession(SessionServices services, HttpExchange &exchange, RunPlan plan);
+
+    /// Serves the request. OK when the caller got its answer; what it was told otherwise.
+    boost::asio::awaitable<absl::Status> run();
+
+private:
+    enum class AttemptEnd {
+        /// The answer is whole, and `m_charged` is its bill.
+        Answered,
+        /// The agent proved that the run did not start there.
+        NotStarted,
+        /// The run started and failed, or its agent cannot be reached any more.
+        Failed,
+        /// The caller is gone or the deadline has passed; nothing more is to be tried.
+        GivenUp,
+    };
+
+    boost::asio::awaitable<absl::Status> serve();
+    boost::asio::awaitable<absl::Status> enterQueue();
+    boost::asio::awaitable<absl::StatusOr<AdmitDecision>> admit();
+    boost::asio::awaitable<absl::Status> runAttempts(Grant grant);
+    boost::asio::awaitable<AttemptEnd> runAttempt(const Grant &grant, const RouteChoice &choice);
+    boost::asio::awaitable<AttemptEnd> follow(RunStream &stream, const RouteChoice &choice);
+    boost::asio::awaitable<AttemptEnd> relayChunks(RunStream &stream, wire::RunUpdate first);
+    boost::asio::awaitable<absl::Status> followDuplicate(DuplicateRun duplicate);
+    boost::asio::awaitable<AttemptEnd> makeSureNotRunning(const RouteChoice &choice);
+    boost::asio::awaitable<void> settle(Settlement settlement);
+    absl::Status endOfFailedRun();
+    bool mayTryAgain();
+    wire::RunRequest runRequest(const Grant &grant) const;
+    void note(std::string text);
+
+    SessionServices m_services;
+    HttpExchange &m_exchange;
+    RunPlan m_plan;
+    Instant m_deadline;
+    std::unique_ptr<AnswerRelay> m_relay;
+    /// The same object as m_relay where the answer is a streamed chat, which a later attempt can go on with.
+    ChatStreamRelay *m_stream = nullptr;
+    std::unique_ptr<HomeSession> m_home;
+    GatePass m_pass;
+    AttemptId m_attempt;
+    std::vector<EndpointId> m_excluded;
+    absl::Status m_lastFailure;
+    std::int64_t m_charged = 0;
+    int m_attempts = 0;
+    bool m_mayHaveRun = false;
+    std::optional<Instant> m_dispatchedAt;
+};
+
+}
