--- /dev/null
+++ b/src/libradishswitch/tablerows.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "endpointgrouprow.h"
+#include "organisationrow.h"
+#include "poolrow.h"
+#include "routerow.h"
+#include "tablekind.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// A row of any kind.
+using TableRow = std::variant<OrganisationRow, PoolRow, RouteRow, EndpointGroupRow>;
+
+TableKind kindOf(const TableRow &row);
+std::string nameOf(const TableRow &row);
+std::uint64_t rowVersionOf(const TableRow &row);
+TableRow withRowVersion(TableRow row, std::uint64_t version);
+
+/// A row of the kind with every member at its default.
+TableRow defaultRow(TableKind kind, const std::string &name);
+
+/// All rows of a table, each kind in order of names.
+struct TableRows {
+    std::vector<OrganisationRow> organisations;
+    std::vector<PoolRow> pools;
+    std::vector<RouteRow> routes;
+    std::vector<EndpointGroupRow> endpointGroups;
+
+    auto operator<=>(const TableRows &) const = default;
+    bool operator==(const TableRows &) const = default;
+
+    std::size_t size() const;
+
+    /// All rows of one kind, or of every kind.
+    std::vector<TableRow> rowsOf(TableKind kind) const;
+    std::vector<TableRow> allRows() const;
+
+    std::optional<TableRow> find(TableKind kind, const std::string &name) const;
+
+    /// The rows with this one put in, in the place of one of the same kind and name.
+    TableRows with(TableRow row) const;
+
+    /// The rows without the one of this kind and name.
+    TableRows without(TableKind kind, const std::string &name) const;
+
+    /// As `with`, in place; for building a table row by row.
+    void put(TableRow row);
+};
+
+}
