--- a/src/entry/fleetagentport.cpp
+++ b/src/entry/fleetagentport.cpp
@@ -1,5 +1,6 @@
 #include "fleetagentport.h"
 
+#include "agentlife.h"
 #include "fleet.pb.h"
 #include "unarycall.h"
 #include "wireconversion.h"
@@ -46,7 +47,9 @@
 void FleetAgentPort::findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
                               std::uint64_t epoch, std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback)
 {
+    const AgentLife life = AgentLife::parse(agentAddress);
     wire::FindRunsRequest message;
+    message.set_agent_incarnation(life.incarnation.value());
     message.set_shard(shard);
     message.set_epoch(epoch);
     for (const RequestId &request : requests) {
@@ -60,14 +63,16 @@
         }
         return records;
     };
-    unaryCall(*m_clients.client(agentAddress), m_timers, "/find", message.SerializeAsString(), kAgentCallTimeout,
+    unaryCall(*m_clients.client(life.address), m_timers, "/find", message.SerializeAsString(), kAgentCallTimeout,
               answering<wire::FindRunsAnswer, std::vector<RunRecord>>(std::move(callback), convert));
 }
 
 void FleetAgentPort::closePortions(const std::string &agentAddress, std::vector<PortionId> portions,
                                    std::function<void(absl::StatusOr<std::vector<PortionCharges>>)> callback)
 {
+    const AgentLife life = AgentLife::parse(agentAddress);
     wire::ClosePortionsRequest message;
+    message.set_agent_incarnation(life.incarnation.value());
     for (const PortionId &portion : portions) {
         message.add_portion_ids(portion.value());
     }
@@ -78,14 +83,16 @@
         }
         return charges;
     };
-    unaryCall(*m_clients.client(agentAddress), m_timers, "/close", message.SerializeAsString(), kAgentCallTimeout,
+    unaryCall(*m_clients.client(life.address), m_timers, "/close", message.SerializeAsString(), kAgentCallTimeout,
               answering<wire::ClosePortionsAnswer, std::vector<PortionCharges>>(std::move(callback), convert));
 }
 
 void FleetAgentPort::bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt,
                          bool cancel, std::function<void(absl::StatusOr<RunRecord>)> callback)
 {
+    const AgentLife life = AgentLife::parse(agentAddress);
     wire::BarRequest message;
+    message.set_agent_incarnation(life.incarnation.value());
     message.set_request_id(request.value());
     message.set_attempt_id(attempt.value());
     message.set_cancel(cancel);
@@ -94,7 +101,7 @@
         record.agentAddress = agentAddress;
         return record;
     };
-    unaryCall(*m_clients.client(agentAddress), m_timers, "/bar", message.SerializeAsString(), kAgentCallTimeout,
+    unaryCall(*m_clients.client(life.address), m_timers, "/bar", message.SerializeAsString(), kAgentCallTimeout,
               answering<wire::RunRecord, RunRecord>(std::move(callback), convert));
 }
 
--- a/src/entry/fleetagentport.h
+++ b/src/entry/fleetagentport.h
@@ -9,7 +9,7 @@
 namespace RadishSwitch
 {
 
-/// Asks agents over the fleet's streams.
+/// Asks agents over the fleet's streams. Addresses are those of AgentLife.
 class FleetAgentPort : public AgentPort
 {
 public:
--- a/src/entry/homedirectory.h
+++ b/src/entry/homedirectory.h
@@ -12,8 +12,9 @@
 public:
     virtual ~HomeDirectory() = default;
 
-    /// Never null; a home that can't be reached shows at `admit`.
-    virtual std::unique_ptr<HomeSession> open(const RunPlan &plan) = 0;
+    /// A session for the `tries`th try at being admitted, counted from zero: after one that failed, another home may be
+    /// asked. Never null; a home that can't be reached shows at `admit`.
+    virtual std::unique_ptr<HomeSession> open(const RunPlan &plan, int tries) = 0;
 };
 
 }
--- a/src/entry/homeservice.cpp
+++ b/src/entry/homeservice.cpp
@@ -15,9 +15,13 @@
 class ServedHomeStream : public std::enable_shared_from_this<ServedHomeStream>
 {
 public:
-    ServedHomeStream(MessageStreamPointer stream, std::unique_ptr<HomeSession> session, TimerService &timers)
+    using OwnerLookup = std::function<std::string(const BudgetId &)>;
+
+    ServedHomeStream(MessageStreamPointer stream, std::unique_ptr<HomeSession> session, OwnerLookup ownerOf,
+                     TimerService &timers)
         : m_stream(std::move(stream))
         , m_session(std::move(session))
+        , m_ownerOf(std::move(ownerOf))
         , m_timers(timers)
     {
     }
@@ -45,8 +49,7 @@
         case wire::HomeRequest::kAdmit:
             return admit(request->admit());
         case wire::HomeRequest::kDispatched:
-            return m_session->noteDispatched(AttemptId(request->dispatched().attempt_id()),
-                                             request->dispatched().agent_address());
+            return noteDispatched(request->dispatched());
         case wire::HomeRequest::kSettle:
             return settle(request->settle());
         case wire::HomeRequest::REQUEST_NOT_SET:
@@ -56,12 +59,27 @@
 
     void admit(const wire::AdmitRequest &message)
     {
-        const auto onDecided = [stream = m_stream](absl::StatusOr<AdmitDecision> decision) {
+        const AdmitQuestion question = admitQuestionFromWire(message, m_timers.now());
+        const auto onDecided = [stream = m_stream, owner = m_ownerOf,
+                                budget = question.budget](absl::StatusOr<AdmitDecision> decision) {
             wire::HomeAnswer answer;
             *answer.mutable_admit() = admitDecisionToWire(decision);
+            if (!decision.ok() && failureCode(decision.status()) == FailureCode::HomeElsewhere) {
+                answer.mutable_admit()->set_owner_address(owner(budget));
+            }
             stream->send(answer.SerializeAsString());
         };
-        m_session->admit(admitQuestionFromWire(message, m_timers.now()), onDecided);
+        m_session->admit(question, onDecided);
+    }
+
+    void noteDispatched(const wire::Dispatched &message)
+    {
+        const AttemptId attempt(message.attempt_id());
+        m_session->noteDispatched(attempt, message.agent_address(), [stream = m_stream, attempt](absl::Status) {
+            wire::HomeAnswer answer;
+            answer.set_dispatched_attempt_id(attempt.value());
+            stream->send(answer.SerializeAsString());
+        });
     }
 
     void settle(const wire::Settle &message)
@@ -77,6 +95,7 @@
 
     MessageStreamPointer m_stream;
     std::unique_ptr<HomeSession> m_session;
+    OwnerLookup m_ownerOf;
     TimerService &m_timers;
 };
 
@@ -94,10 +113,19 @@
     return std::make_unique<LocalHomeSession>(m_home, m_monitor);
 }
 
+std::string HomeService::ownerAddress(const BudgetId &budget)
+{
+    return m_monitor.run([&] {
+        const std::optional<KeyOwner> owner = m_home.ownerOf(m_home.shardOf(budget));
+        return owner ? owner->address : std::string();
+    });
+}
+
 void HomeService::serve(Http2MessageServer &server)
 {
     server.handle("/home", [this](MessageStreamPointer stream) {
-        std::make_shared<ServedHomeStream>(std::move(stream), openLocal(), m_timers)->start();
+        const auto ownerOf = [this](const BudgetId &budget) { return ownerAddress(budget); };
+        std::make_shared<ServedHomeStream>(std::move(stream), openLocal(), ownerOf, m_timers)->start();
     });
 }
 
--- a/src/entry/homeservice.h
+++ b/src/entry/homeservice.h
@@ -19,6 +19,9 @@
     /// A session for a request that arrived at this very process.
     std::unique_ptr<HomeSession> openLocal();
 
+    /// Where the owner of a budget's keyed requests is, as this home last heard; empty when it never did.
+    std::string ownerAddress(const BudgetId &budget);
+
     /// Serves "/home" streams of other entries.
     void serve(Http2MessageServer &server);
 
--- a/src/entry/homesession.h
+++ b/src/entry/homesession.h
@@ -18,17 +18,19 @@
 {
 public:
     using AdmitCallback = std::function<void(absl::StatusOr<AdmitDecision>)>;
-    using SettledCallback = std::function<void(absl::Status)>;
+    using DoneCallback = std::function<void(absl::Status)>;
 
     virtual ~HomeSession() = default;
 
     /// Once, first. HomeUnreachable when the home can't be asked; nothing ran then.
     virtual void admit(const AdmitQuestion &question, AdmitCallback callback) = 0;
 
-    virtual void noteDispatched(const AttemptId &attempt, const std::string &agentAddress) = 0;
+    /// The attempt is about to be sent to this life of an agent. OK when the home has it on its books; an attempt other
+    /// than the grant's own must not be sent before that.
+    virtual void noteDispatched(const AttemptId &attempt, const std::string &agentAddress, DoneCallback callback) = 0;
 
     /// Once, last. OK when the home has it on its books.
-    virtual void settle(const Settlement &settlement, SettledCallback callback) = 0;
+    virtual void settle(const Settlement &settlement, DoneCallback callback) = 0;
 };
 
 }
--- a/src/entry/homewire.cpp
+++ b/src/entry/homewire.cpp
@@ -51,6 +51,7 @@
         message.mutable_granted()->set_shard(grant->shard);
         message.mutable_granted()->set_epoch(grant->epoch);
         message.mutable_granted()->set_reserved_tokens(grant->reservedTokens);
+        message.mutable_granted()->set_attempt_id(grant->attempt.value());
         return message;
     }
     const DuplicateRun &duplicate = std::get<DuplicateRun>(*decision);
@@ -64,7 +65,8 @@
 {
     if (message.has_granted()) {
         const wire::Granted &granted = message.granted();
-        return Grant{PortionId(granted.portion_id()), granted.shard(), granted.epoch(), granted.reserved_tokens()};
+        return Grant{PortionId(granted.portion_id()), granted.shard(), granted.epoch(), granted.reserved_tokens(),
+                     AttemptId(granted.attempt_id())};
     }
     if (message.has_duplicate()) {
         const wire::Duplicate &duplicate = message.duplicate();
--- a/src/entry/localhomesession.cpp
+++ b/src/entry/localhomesession.cpp
@@ -16,7 +16,7 @@
     m_monitor.run([this] {
         m_progress->isDropped = true;
         if (m_progress->isGranted && !m_progress->isSettled) {
-            m_home.abandon(m_request);
+            m_home.abandon(m_request, m_progress->grantedAttempt);
         }
     });
 }
@@ -29,9 +29,12 @@
     m_monitor.run([&] {
         const auto onDecided = [&home = m_home, request = m_request, progress = m_progress,
                                 callback](absl::StatusOr<AdmitDecision> decision) {
-            progress->isGranted = decision.ok() && std::holds_alternative<Grant>(*decision);
+            if (const Grant *grant = decision.ok() ? std::get_if<Grant>(&*decision) : nullptr) {
+                progress->isGranted = true;
+                progress->grantedAttempt = grant->attempt;
+            }
             if (progress->isGranted && progress->isDropped) {
-                home.abandon(request);
+                home.abandon(request, progress->grantedAttempt);
             }
             callback(std::move(decision));
         };
@@ -39,14 +42,14 @@
     });
 }
 
-void LocalHomeSession::noteDispatched(const AttemptId &attempt, const std::string &agentAddress)
+void LocalHomeSession::noteDispatched(const AttemptId &attempt, const std::string &agentAddress,
+                                      DoneCallback callback)
 {
-    m_monitor.run([&] {
-        m_home.noteDispatched(m_request, attempt, agentAddress);
-    });
+    m_monitor.run([&] { m_home.noteDispatched(m_request, attempt, agentAddress); });
+    callback(absl::OkStatus());
 }
 
-void LocalHomeSession::settle(const Settlement &settlement, SettledCallback callback)
+void LocalHomeSession::settle(const Settlement &settlement, DoneCallback callback)
 {
     m_monitor.run([&] {
         m_progress->isSettled = true;
--- a/src/entry/localhomesession.h
+++ b/src/entry/localhomesession.h
@@ -14,8 +14,8 @@
     ~LocalHomeSession() override;
 
     void admit(const AdmitQuestion &question, AdmitCallback callback) override;
-    void noteDispatched(const AttemptId &attempt, const std::string &agentAddress) override;
-    void settle(const Settlement &settlement, SettledCallback callback) override;
+    void noteDispatched(const AttemptId &attempt, const std::string &agentAddress, DoneCallback callback) override;
+    void settle(const Settlement &settlement, DoneCallback callback) override;
 
 private:
     /// Shared with the callback of `admit`, which may outlive the session; used under the home's lock.
@@ -23,6 +23,7 @@
         bool isGranted = false;
         bool isSettled = false;
         bool isDropped = false;
+        AttemptId grantedAttempt;
     };
 
     Home &m_home;
--- a/src/entry/remotehomesession.cpp
+++ b/src/entry/remotehomesession.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr Duration kSettleTimeout = std::chrono::seconds(2);
+constexpr Duration kConfirmationTimeout = std::chrono::seconds(2);
 
 absl::Status unreachable(const absl::Status &cause)
 {
@@ -26,37 +26,38 @@
 class RemoteHomeSession::Conversation : public std::enable_shared_from_this<Conversation>
 {
 public:
+    explicit Conversation(OwnerObserver ownerObserver)
+        : m_ownerObserver(std::move(ownerObserver))
+    {
+    }
+
     void begin(MessageStreamPointer stream, AdmitCallback callback)
     {
         m_stream = std::move(stream);
         m_onAdmitted = std::move(callback);
-        m_stream->start(
-            [self = shared_from_this()](std::string frame) {
-                self->onMessage(frame);
-            },
-            [self = shared_from_this()](absl::Status status) {
-                self->onClosed(status);
-            });
+        m_stream->start([self = shared_from_this()](std::string frame) { self->onMessage(frame); },
+                        [self = shared_from_this()](absl::Status status) { self->onClosed(status); });
     }
 
-    void expectSettled(SettledCallback callback)
+    // One confirmation is awaited at a time: a session dispatches, then settles.
+    void expectDone(DoneCallback callback)
     {
         bool isOver = false;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
             isOver = m_isOver;
             if (!isOver) {
-                m_onSettled = std::move(callback);
+                m_onDone = callback;
             }
         }
         if (isOver) {
-            callback(makeFailure(FailureCode::HomeUnreachable, "the home went away before the settlement"));
+            callback(makeFailure(FailureCode::HomeUnreachable, "the home of the budget went away"));
         }
     }
 
-    void failSettled(const absl::Status &status)
+    void finishDone(const absl::Status &status)
     {
-        if (const SettledCallback callback = taken(m_onSettled)) {
+        if (const DoneCallback callback = taken(m_onDone)) {
             callback(status);
         }
     }
@@ -88,13 +89,16 @@
             m_stream->cancel();
             return;
         }
-        if (answer->has_admit()) {
-            if (const AdmitCallback callback = taken(m_onAdmitted)) {
-                callback(admitDecisionFromWire(answer->admit()));
-            }
+        if (!answer->has_admit()) {
+            finishDone(absl::OkStatus());
             return;
         }
-        failSettled(absl::OkStatus());
+        if (!answer->admit().owner_address().empty()) {
+            m_ownerObserver(answer->admit().owner_address());
+        }
+        if (const AdmitCallback callback = taken(m_onAdmitted)) {
+            callback(admitDecisionFromWire(answer->admit()));
+        }
     }
 
     void onClosed(const absl::Status &status)
@@ -104,19 +108,22 @@
             m_isOver = true;
         }
         failAdmitted(unreachable(status));
-        failSettled(unreachable(status));
+        finishDone(unreachable(status));
     }
 
+    OwnerObserver m_ownerObserver;
     MessageStreamPointer m_stream;
     std::mutex m_mutex;
     bool m_isOver = false;
     AdmitCallback m_onAdmitted;
-    SettledCallback m_onSettled;
+    DoneCallback m_onDone;
 };
 
-RemoteHomeSession::RemoteHomeSession(std::shared_ptr<MessageClient> client, TimerService &timers)
+RemoteHomeSession::RemoteHomeSession(std::shared_ptr<MessageClient> client, TimerService &timers,
+                                     OwnerObserver ownerObserver)
     : m_client(std::move(client))
     , m_timers(timers)
+    , m_ownerObserver(std::move(ownerObserver))
 {
 }
 
@@ -132,7 +139,7 @@
 {
     wire::HomeRequest message;
     *message.mutable_admit() = admitQuestionToWire(question, m_timers.now());
-    m_conversation = std::make_shared<Conversation>();
+    m_conversation = std::make_shared<Conversation>(m_ownerObserver);
     m_conversation->begin(m_client->open("/home", message.SerializeAsString()), std::move(callback));
     const Duration patience = std::max(question.deadline - m_timers.now(), Duration::zero());
     m_timers.after(patience, [conversation = std::weak_ptr(m_conversation)] {
@@ -142,25 +149,32 @@
     });
 }
 
-void RemoteHomeSession::noteDispatched(const AttemptId &attempt, const std::string &agentAddress)
+void RemoteHomeSession::noteDispatched(const AttemptId &attempt, const std::string &agentAddress,
+                                       DoneCallback callback)
 {
     wire::HomeRequest message;
     message.mutable_dispatched()->set_attempt_id(attempt.value());
     message.mutable_dispatched()->set_agent_address(agentAddress);
-    m_conversation->stream()->send(message.SerializeAsString());
+    send(message, std::move(callback));
 }
 
-void RemoteHomeSession::settle(const Settlement &settlement, SettledCallback callback)
+void RemoteHomeSession::settle(const Settlement &settlement, DoneCallback callback)
 {
     wire::HomeRequest message;
     message.mutable_settle()->set_charged_tokens(settlement.chargedTokens);
     message.mutable_settle()->set_not_run(settlement.isNotRun);
     message.mutable_settle()->set_failed(settlement.isFailed);
-    m_conversation->expectSettled(std::move(callback));
+    message.mutable_settle()->set_granted_attempt_id(settlement.grantedAttempt.value());
+    send(message, std::move(callback));
+}
+
+void RemoteHomeSession::send(const wire::HomeRequest &message, DoneCallback callback)
+{
+    m_conversation->expectDone(std::move(callback));
     m_conversation->stream()->send(message.SerializeAsString());
-    m_timers.after(kSettleTimeout, [conversation = std::weak_ptr(m_conversation)] {
+    m_timers.after(kConfirmationTimeout, [conversation = std::weak_ptr(m_conversation)] {
         if (const auto held = conversation.lock()) {
-            held->failSettled(makeFailure(FailureCode::HomeUnreachable, "the home did not confirm the settlement"));
+            held->finishDone(makeFailure(FailureCode::HomeUnreachable, "the home of the budget did not confirm"));
         }
     });
 }
--- a/src/entry/remotehomesession.h
+++ b/src/entry/remotehomesession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "homesession.h"
+#include "fleet.pb.h"
 #include "messagestream.h"
 #include "timerservice.h"
 
@@ -13,18 +14,24 @@
 class RemoteHomeSession : public HomeSession
 {
 public:
-    RemoteHomeSession(std::shared_ptr<MessageClient> client, TimerService &timers);
+    /// Told where the owner of the request's key shard is, when the home asked is not it.
+    using OwnerObserver = std::function<void(const std::string &ownerAddress)>;
+
+    RemoteHomeSession(std::shared_ptr<MessageClient> client, TimerService &timers, OwnerObserver ownerObserver);
     ~RemoteHomeSession() override;
 
     void admit(const AdmitQuestion &question, AdmitCallback callback) override;
-    void noteDispatched(const AttemptId &attempt, const std::string &agentAddress) override;
-    void settle(const Settlement &settlement, SettledCallback callback) override;
+    void noteDispatched(const AttemptId &attempt, const std::string &agentAddress, DoneCallback callback) override;
+    void settle(const Settlement &settlement, DoneCallback callback) override;
 
 private:
     class Conversation;
 
+    void send(const wire::HomeRequest &message, DoneCallback callback);
+
     std::shared_ptr<MessageClient> m_client;
     TimerService &m_timers;
+    OwnerObserver m_ownerObserver;
     std::shared_ptr<Conversation> m_conversation;
 };
 
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -18,8 +18,8 @@
 
 constexpr int kMostAttempts = 4;
 constexpr std::chrono::milliseconds kComeBackSoon(1000);
-/// How long a caller of a second copy of a request waits for the first one to reach an agent.
-constexpr int kMostAdmissions = 2;
+// The home last heard of, the owner that it names, and this process itself.
+constexpr int kMostAdmissions = 3;
 
 Settlement notRun()
 {
@@ -98,7 +98,7 @@
     question.pool = m_plan.pool;
     absl::StatusOr<AdmitDecision> decision = makeFailure(FailureCode::HomeUnreachable, "not asked yet");
     for (int n = 0; n < kMostAdmissions; ++n) {
-        m_home = m_services.homes.open(m_plan);
+        m_home = m_services.homes.open(m_plan, n);
         decision = co_await awaitCallback<absl::StatusOr<AdmitDecision>>(
             [this, &question](auto done) { m_home->admit(question, std::move(done)); });
         const bool asksElsewhere = !decision.ok()
@@ -114,6 +114,7 @@
 boost::asio::awaitable<absl::Status> RequestSession::runAttempts(Grant grant)
 {
     note("granted " + std::to_string(grant.reservedTokens) + " tokens");
+    m_grantedAttempt = grant.attempt;
     while (true) {
         const absl::StatusOr<RouteChoice> choice = m_services.gate.choose(m_plan, m_excluded);
         if (!choice.ok()) {
@@ -157,13 +158,13 @@
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::runAttempt(const Grant &grant,
                                                                               const RouteChoice &choice)
 {
-    m_attempt = AttemptId(m_services.random.freshName());
-    note("sent to " + choice.endpoint.value() + " as attempt " + m_attempt.value());
-    m_home->noteDispatched(m_attempt, choice.address);
+    if (!co_await announceAttempt(choice)) {
+        co_return AttemptEnd::GivenUp;
+    }
     m_services.gate.noteDispatched(choice, m_plan);
     m_dispatchedAt = m_services.timers.now();
     const auto executor = co_await boost::asio::this_coro::executor;
-    RunStream stream(m_services.clients.client(choice.address), executor, m_plan.request, m_attempt);
+    RunStream stream(m_services.clients, AgentLife::parse(choice.address), executor, m_plan.request, m_attempt);
     if (m_stream != nullptr) {
         m_stream->beginContinuation();
         stream.setOffset(m_stream->deliveredBytes().size());
@@ -174,6 +175,26 @@
     co_return end;
 }
 
+// The home learns of an attempt before the agent does, so that it can find the run after this process has died. It
+// knows the first attempt from its grant, and need not be waited for then.
+boost::asio::awaitable<bool> RequestSession::announceAttempt(const RouteChoice &choice)
+{
+    const bool isFirst = m_attempts == 1;
+    m_attempt = isFirst ? m_grantedAttempt : AttemptId(m_services.random.freshName());
+    note("sent to " + choice.endpoint.value() + " as attempt " + m_attempt.value());
+    if (isFirst) {
+        m_home->noteDispatched(m_attempt, choice.address, [](absl::Status) {});
+        co_return true;
+    }
+    const absl::Status status = co_await awaitCallback<absl::Status>([this, &choice](auto done) {
+        m_home->noteDispatched(m_attempt, choice.address, std::move(done));
+    });
+    if (!status.ok()) {
+        m_lastFailure = status;
+    }
+    co_return status.ok();
+}
+
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::follow(RunStream &stream, const RouteChoice &choice)
 {
     while (true) {
@@ -254,7 +275,7 @@
     m_pass.release();
     m_attempt = duplicate.attempt;
     const auto executor = co_await boost::asio::this_coro::executor;
-    RunStream stream(m_services.clients.client(duplicate.agentAddress), executor, m_plan.request, m_attempt);
+    RunStream stream(m_services.clients, AgentLife::parse(duplicate.agentAddress), executor, m_plan.request, m_attempt);
     stream.attach();
     const AttemptEnd end = co_await follow(stream, RouteChoice {EndpointId(), duplicate.agentAddress});
     if (end == AttemptEnd::Answered) {
@@ -266,6 +287,7 @@
 
 boost::asio::awaitable<void> RequestSession::settle(Settlement settlement)
 {
+    settlement.grantedAttempt = m_grantedAttempt;
     const absl::Status status = co_await awaitCallback<absl::Status>(
         [this, settlement](auto done) { m_home->settle(settlement, std::move(done)); });
     if (!status.ok()) {
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -57,6 +57,7 @@
     boost::asio::awaitable<absl::StatusOr<AdmitDecision>> admit();
     boost::asio::awaitable<absl::Status> runAttempts(Grant grant);
     boost::asio::awaitable<AttemptEnd> runAttempt(const Grant &grant, const RouteChoice &choice);
+    boost::asio::awaitable<bool> announceAttempt(const RouteChoice &choice);
     boost::asio::awaitable<AttemptEnd> follow(RunStream &stream, const RouteChoice &choice);
     boost::asio::awaitable<AttemptEnd> relayChunks(RunStream &stream, wire::RunUpdate first);
     boost::asio::awaitable<absl::Status> followDuplicate(DuplicateRun duplicate);
@@ -77,6 +78,7 @@
     std::unique_ptr<HomeSession> m_home;
     GatePass m_pass;
     AttemptId m_attempt;
+    AttemptId m_grantedAttempt;
     std::vector<EndpointId> m_excluded;
     absl::Status m_lastFailure;
     std::int64_t m_charged = 0;
--- a/src/entry/runstream.cpp
+++ b/src/entry/runstream.cpp
@@ -18,9 +18,10 @@
 
 }
 
-RunStream::RunStream(std::shared_ptr<MessageClient> client, boost::asio::any_io_executor executor, RequestId request,
-                     AttemptId attempt)
-    : m_client(std::move(client))
+RunStream::RunStream(MessageClients &clients, const AgentLife &agent, boost::asio::any_io_executor executor,
+                     RequestId request, AttemptId attempt)
+    : m_client(clients.client(agent.address))
+    , m_incarnation(agent.incarnation)
     , m_executor(std::move(executor))
     , m_request(std::move(request))
     , m_attempt(std::move(attempt))
@@ -45,6 +46,7 @@
     message.set_request_id(m_request.value());
     message.set_attempt_id(m_attempt.value());
     message.set_offset(m_offset);
+    message.set_agent_incarnation(m_incarnation.value());
     open("/attach", message.SerializeAsString());
 }
 
--- a/src/entry/runstream.h
+++ b/src/entry/runstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agentlife.h"
 #include "fleet.pb.h"
 #include "http2transport.h"
 #include "identifier.h"
@@ -22,8 +23,8 @@
 class RunStream
 {
 public:
-    RunStream(std::shared_ptr<MessageClient> client, boost::asio::any_io_executor executor, RequestId request,
-              AttemptId attempt);
+    RunStream(MessageClients &clients, const AgentLife &agent, boost::asio::any_io_executor executor,
+              RequestId request, AttemptId attempt);
     ~RunStream();
 
     /// Sends the run to the agent.
@@ -55,6 +56,7 @@
     absl::StatusOr<std::optional<wire::RunUpdate>> accept(const std::string &frame);
 
     std::shared_ptr<MessageClient> m_client;
+    IncarnationId m_incarnation;
     boost::asio::any_io_executor m_executor;
     RequestId m_request;
     AttemptId m_attempt;
