Add the ledger's records, changes and shard writer

Cause: budgets need a record in the platform's store that no partition, pause or lost answer can overdraw. Change: BudgetRecord with its rule settled + granted <= paid, checked on every change; LedgerShard as JSON; one command class a change, idempotent under its own id; ShardWriter coalesces them into conditional updates; Ledger checks the shard count and shares a budget of store calls.

--- /dev/null
+++ b/src/libradishswitch/budgetglance.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "ledgershard.h"
+
+namespace RadishSwitch
+{
+
+/// How a budget stands in the ledger, as a holder needs to know it.
+struct BudgetGlance {
+    std::int64_t free = 0;
+    /// The holder that found too little; empty when none did.
+    IncarnationId wantedBy;
+
+    bool operator==(const BudgetGlance &) const = default;
+};
+
+inline BudgetGlance glanceAt(const LedgerShard &shard, const BudgetId &budget)
+{
+    const BudgetRecord *record = shard.find(budget);
+    if (!record) {
+        return {};
+    }
+    return {record->free(), record->wanted() ? record->wanted()->holder : IncarnationId()};
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/ledger.cpp
@@ -0,0 +1,215 @@
+#include "ledger.h"
+
+#include "failure.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr const char *kShardCountField = "shardCount";
+constexpr int kMaximumDoublings = 16;
+
+}
+
+Ledger::Ledger(ObjectStore &store, TimerService &timers, RandomSource &random, const LedgerSettings &settings)
+    : m_store(store)
+    , m_timers(timers)
+    , m_random(random)
+    , m_settings(settings)
+    , m_calls(timers, settings.storeCallsPerSecond, settings.storeCallBurst)
+{
+}
+
+Ledger::~Ledger()
+{
+    m_timers.cancel(m_metaTimer);
+}
+
+void Ledger::setAwayCallback(AwayCallback callback)
+{
+    m_onAway = std::move(callback);
+}
+
+std::uint32_t Ledger::shardOf(const BudgetId &budget) const
+{
+    return ledgerShardOf(budget, m_settings.shardCount);
+}
+
+std::uint32_t Ledger::shardCount() const
+{
+    return m_settings.shardCount;
+}
+
+void Ledger::submit(const BudgetId &budget, std::shared_ptr<LedgerChange> change, Urgency urgency,
+                    ShardWriter::Callback callback)
+{
+    const std::uint32_t shard = shardOf(budget);
+    whenChecked([this, shard, change = std::move(change), urgency, callback = std::move(callback)]() mutable {
+        if (m_metaState == MetaState::Differs) {
+            return callback(m_metaStatus);
+        }
+        writer(shard).submit(std::move(change), urgency, std::move(callback));
+    });
+}
+
+void Ledger::readShard(std::uint32_t shard, Callback<LedgerShard> callback)
+{
+    whenChecked([this, shard, callback = std::move(callback)]() mutable {
+        if (m_metaState == MetaState::Differs) {
+            return callback(m_metaStatus);
+        }
+        doRead(shard, std::move(callback));
+    });
+}
+
+void Ledger::doRead(std::uint32_t shard, Callback<LedgerShard> callback)
+{
+    auto answer = [alive = std::weak_ptr<int>(m_alive),
+                   callback = std::move(callback)](const absl::StatusOr<StoredObject> &object) {
+        if (alive.expired()) {
+            return;
+        }
+        if (object.ok()) {
+            return callback(LedgerShard::fromJson(object->value));
+        }
+        if (failureCode(object.status()) == FailureCode::ObjectMissing) {
+            return callback(LedgerShard());
+        }
+        callback(object.status());
+    };
+    m_calls.acquire([this, shard, answer = std::move(answer)] {
+        m_store.get(ledgerShardKey(shard), answer);
+    });
+}
+
+bool Ledger::isStoreAway(std::uint32_t shard) const
+{
+    if (m_metaState != MetaState::Agreed) {
+        return m_metaFailures >= m_settings.failuresUntilAway;
+    }
+    const auto it = m_writers.find(shard);
+    return it != m_writers.end() && it->second->isStoreAway();
+}
+
+bool Ledger::isIdle() const
+{
+    return m_waiting.empty() && std::all_of(m_writers.begin(), m_writers.end(), [](const auto &it) {
+               return it.second->isIdle();
+           });
+}
+
+void Ledger::whenChecked(std::function<void()> action)
+{
+    if (m_metaState == MetaState::Agreed || m_metaState == MetaState::Differs) {
+        return action();
+    }
+    m_waiting.push_back(std::move(action));
+    if (m_metaState == MetaState::Unknown) {
+        askMeta();
+    }
+}
+
+void Ledger::askMeta()
+{
+    m_metaState = MetaState::Asking;
+    m_calls.acquire([this] {
+        m_store.get(kLedgerMetaKey,
+                    [this, alive = std::weak_ptr<int>(m_alive)](const absl::StatusOr<StoredObject> &object) {
+                        if (!alive.expired()) {
+                            handleMeta(object);
+                        }
+                    });
+    });
+}
+
+void Ledger::handleMeta(const absl::StatusOr<StoredObject> &object)
+{
+    if (object.ok()) {
+        return compareMeta(object->value);
+    }
+    if (failureCode(object.status()) == FailureCode::ObjectMissing) {
+        return createMeta();
+    }
+    retryMeta();
+}
+
+void Ledger::createMeta()
+{
+    const std::string value = nlohmann::json{{kShardCountField, m_settings.shardCount}}.dump();
+    m_calls.acquire([this, value] {
+        m_store.put(kLedgerMetaKey, value, 0,
+                    [this, alive = std::weak_ptr<int>(m_alive)](const absl::StatusOr<std::uint64_t> &) {
+                        // Whatever the answer is, what the object holds now is what counts: another may have written it
+                        // first.
+                        if (!alive.expired()) {
+                            askMeta();
+                        }
+                    });
+    });
+}
+
+void Ledger::compareMeta(const std::string &value)
+{
+    const nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
+    const bool isReadable =
+        json.is_object() && json.contains(kShardCountField) && json[kShardCountField].is_number_unsigned();
+    if (!isReadable) {
+        m_metaState = MetaState::Differs;
+        m_metaStatus = makeFailure(FailureCode::ObjectMalformed, "ledger/meta is not readable");
+    } else if (json[kShardCountField].get<std::uint64_t>() != m_settings.shardCount) {
+        m_metaState = MetaState::Differs;
+        m_metaStatus = makeFailure(FailureCode::InvalidSettings,
+                                   "the ledger has " + json[kShardCountField].dump() + " shards, the settings say "
+                                       + std::to_string(m_settings.shardCount));
+    } else {
+        m_metaState = MetaState::Agreed;
+    }
+    runWaiting();
+}
+
+void Ledger::retryMeta()
+{
+    ++m_metaFailures;
+    if (m_metaFailures == m_settings.failuresUntilAway && m_onAway) {
+        for (std::uint32_t shard = 0; shard < m_settings.shardCount; ++shard) {
+            m_onAway(shard, true);
+        }
+    }
+    const int doublings = std::min(m_metaFailures - 1, kMaximumDoublings);
+    const Duration whole = std::min(m_settings.longestBackoff, m_settings.firstBackoff * (1 << doublings));
+    const Duration jitter(static_cast<Duration::rep>(m_random.below(whole.count() / 2 + 1)));
+    m_metaTimer = m_timers.after(whole / 2 + jitter, [this] {
+        askMeta();
+    });
+}
+
+void Ledger::runWaiting()
+{
+    const std::vector<std::function<void()>> waiting = std::exchange(m_waiting, {});
+    for (const std::function<void()> &action : waiting) {
+        action();
+    }
+}
+
+ShardWriter &Ledger::writer(std::uint32_t shard)
+{
+    std::unique_ptr<ShardWriter> &writer = m_writers[shard];
+    if (!writer) {
+        const LedgerPorts ports{m_store, m_timers, m_random, m_calls};
+        writer = std::make_unique<ShardWriter>(shard, ports, m_settings, [this, shard](bool isAway) {
+            if (m_onAway) {
+                m_onAway(shard, isAway);
+            }
+        });
+    }
+    return *writer;
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/ledgersettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "timerservice.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace RadishSwitch
+{
+
+/// How the ledger is laid out and how a process writes to it.
+struct LedgerSettings {
+    /// Objects over which the budgets are spread. Fixed for the life of a ledger; kept in "ledger/meta".
+    std::uint32_t shardCount = 1024;
+    /// Calls to the store that this process may make in a second for the ledger, over all shards.
+    double storeCallsPerSecond = 50;
+    /// Calls that may be made at once after a quiet time.
+    double storeCallBurst = 50;
+    /// How long the first change of a batch waits for others, when a request waits for it.
+    Duration urgentDelay = std::chrono::milliseconds(5);
+    /// The same for a change that nobody waits for.
+    Duration relaxedDelay = std::chrono::seconds(1);
+    /// The first pause after a failed call, and the longest. Each is drawn anew between half and the whole.
+    Duration firstBackoff = std::chrono::milliseconds(50);
+    Duration longestBackoff = std::chrono::seconds(10);
+    /// Failed calls in a row after which the store counts as away.
+    int failuresUntilAway = 2;
+    /// Greatest size of an object's value, in bytes.
+    std::size_t objectLimit = 1'000'000;
+
+    bool operator==(const LedgerSettings &) const = default;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/ledgershard.cpp
@@ -0,0 +1,97 @@
+#include "ledgershard.h"
+
+#include "failure.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr std::size_t kMaximumNameLength = 200;
+
+/// The library refuses to write text that is not UTF-8.
+bool isUtf8(const std::string &text)
+{
+    try {
+        nlohmann::json(text).dump();
+        return true;
+    } catch (const nlohmann::json::exception &) {
+        return false;
+    }
+}
+
+}
+
+bool isKeepableName(const std::string &name)
+{
+    if (name.empty() || name.size() > kMaximumNameLength) {
+        return false;
+    }
+    const bool hasControls = std::any_of(name.begin(), name.end(), [](unsigned char c) {
+        return c < 0x20 || c == 0x7f;
+    });
+    return !hasControls && isUtf8(name);
+}
+
+const std::map<BudgetId, BudgetRecord> &LedgerShard::budgets() const
+{
+    return m_budgets;
+}
+
+const BudgetRecord *LedgerShard::find(const BudgetId &budget) const
+{
+    const auto it = m_budgets.find(budget);
+    return it == m_budgets.end() ? nullptr : &it->second;
+}
+
+const std::deque<LedgerAuditEntry> &LedgerShard::audit() const
+{
+    return m_audit;
+}
+
+std::uint64_t LedgerShard::foldedAuditEntries() const
+{
+    return m_foldedAuditEntries;
+}
+
+absl::StatusOr<bool> LedgerShard::create(const BudgetId &budget)
+{
+    const std::string &organisation = budget.organisation.value();
+    if (!isKeepableName(organisation) || !isKeepableName(budget.name) || organisation.find('/') != std::string::npos) {
+        return makeFailure(FailureCode::InvalidRequest, "not a budget's name");
+    }
+    return m_budgets.emplace(budget, BudgetRecord()).second;
+}
+
+absl::Status LedgerShard::change(const BudgetId &budget, const std::function<absl::Status(BudgetRecord &)> &change)
+{
+    const auto it = m_budgets.find(budget);
+    if (it == m_budgets.end()) {
+        return makeFailure(FailureCode::BudgetUnknown, "no budget " + budget.toString());
+    }
+    BudgetRecord changed = it->second;
+    if (const absl::Status status = change(changed); !status.ok()) {
+        return status;
+    }
+    if (const absl::Status status = changed.check(); !status.ok()) {
+        return status;
+    }
+    it->second = std::move(changed);
+    return absl::OkStatus();
+}
+
+void LedgerShard::addAudit(LedgerAuditEntry entry)
+{
+    m_audit.push_back(std::move(entry));
+    while (m_audit.size() > kMaximumAuditEntries) {
+        m_audit.pop_front();
+        ++m_foldedAuditEntries;
+    }
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/returnportionchange.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "ledgerchange.h"
+
+namespace RadishSwitch
+{
+
+/// Gives back what a holder does not need of a portion: all but `keep`, or the whole portion, which ends it.
+class ReturnPortionChange : public LedgerChange
+{
+public:
+    /// Ends the portion: `spent` is settled, the rest is free.
+    ReturnPortionChange(BudgetId budget, PortionId portion, std::int64_t spent);
+
+    /// Lowers the portion to `keep` tokens, `spent` among them.
+    ReturnPortionChange(BudgetId budget, PortionId portion, std::int64_t spent, std::uint64_t sequence,
+                        std::int64_t keep);
+
+    absl::Status apply(LedgerShard &shard) override;
+    std::string describe() const override;
+
+private:
+    BudgetId m_budget;
+    PortionId m_portion;
+    std::int64_t m_spent;
+    std::uint64_t m_sequence = 0;
+    std::int64_t m_keep = 0;
+    bool m_isWhole;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/shardwriter.cpp
@@ -0,0 +1,240 @@
+#include "shardwriter.h"
+
+#include "failure.h"
+#include "ledgerlayout.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+/// Doublings after which a pause no longer grows by itself.
+constexpr int kMaximumDoublings = 20;
+
+}
+
+ShardWriter::ShardWriter(std::uint32_t shard, const LedgerPorts &ports, const LedgerSettings &settings,
+                         AwayCallback onAway)
+    : m_key(ledgerShardKey(shard))
+    , m_ports(ports)
+    , m_settings(settings)
+    , m_onAway(std::move(onAway))
+{
+}
+
+ShardWriter::~ShardWriter()
+{
+    m_ports.timers.cancel(m_timer);
+}
+
+void ShardWriter::submit(std::shared_ptr<LedgerChange> change, Urgency urgency, Callback callback)
+{
+    m_queue.push_back({std::move(change), std::move(callback), absl::OkStatus()});
+    if (!m_isRunning) {
+        schedule(urgency == Urgency::Urgent ? m_settings.urgentDelay : m_settings.relaxedDelay);
+    }
+}
+
+bool ShardWriter::isStoreAway() const
+{
+    return m_isAway;
+}
+
+bool ShardWriter::isIdle() const
+{
+    return m_queue.empty() && m_batch.empty();
+}
+
+void ShardWriter::schedule(Duration delay)
+{
+    const Instant dueAt = m_ports.timers.now() + delay;
+    if (m_timer != 0 && m_dueAt <= dueAt) {
+        return;
+    }
+    m_ports.timers.cancel(m_timer);
+    m_dueAt = dueAt;
+    m_timer = m_ports.timers.after(delay, [this] {
+        m_timer = 0;
+        begin();
+    });
+}
+
+void ShardWriter::begin()
+{
+    m_isRunning = true;
+    m_ports.calls.acquire([this, alive = std::weak_ptr<int>(m_alive)] {
+        if (!alive.expired()) {
+            read();
+        }
+    });
+}
+
+void ShardWriter::read()
+{
+    m_ports.store.get(m_key, guarded<absl::StatusOr<StoredObject>>(&ShardWriter::handleRead));
+}
+
+void ShardWriter::handleRead(const absl::StatusOr<StoredObject> &object)
+{
+    if (object.ok()) {
+        noteContact();
+        absl::StatusOr<LedgerShard> shard = LedgerShard::fromJson(object->value);
+        if (!shard.ok()) {
+            return failBatch(shard.status());
+        }
+        return applyBatch(object->version, *std::move(shard));
+    }
+    if (failureCode(object.status()) == FailureCode::ObjectMissing) {
+        noteContact();
+        return applyBatch(0, LedgerShard());
+    }
+    retryAfterFailure();
+}
+
+void ShardWriter::applyBatch(std::uint64_t version, LedgerShard shard)
+{
+    const std::size_t room = m_isOneByOne ? 1 : m_batch.size() + m_queue.size();
+    while (!m_queue.empty() && m_batch.size() < room) {
+        m_batch.push_back(std::move(m_queue.front()));
+        m_queue.erase(m_queue.begin());
+    }
+    const LedgerShard before = shard;
+    for (Pending &it : m_batch) {
+        it.status = it.change->apply(shard);
+    }
+    if (shard == before) {
+        return finish();
+    }
+    std::string value = shard.toJson();
+    if (value.size() > m_settings.objectLimit) {
+        return handleTooLarge();
+    }
+    m_ports.calls.acquire([this, alive = std::weak_ptr<int>(m_alive), version, value = std::move(value)]() mutable {
+        if (!alive.expired()) {
+            write(version, std::move(value));
+        }
+    });
+}
+
+void ShardWriter::write(std::uint64_t version, std::string value)
+{
+    m_ports.store.put(m_key, std::move(value), version,
+                      guarded<absl::StatusOr<std::uint64_t>>(&ShardWriter::handleWritten));
+}
+
+void ShardWriter::handleWritten(const absl::StatusOr<std::uint64_t> &version)
+{
+    if (version.ok()) {
+        noteContact();
+        return finish();
+    }
+    switch (failureCode(version.status())) {
+    case FailureCode::VersionConflict:
+        return retryAfterConflict();
+    case FailureCode::ObjectTooLarge:
+        return handleTooLarge();
+    case FailureCode::StoreTimeout:
+        // The write may have taken effect. The next round reads it back before it writes anything.
+        return retryAfterConflict();
+    default:
+        return retryAfterFailure();
+    }
+}
+
+void ShardWriter::handleTooLarge()
+{
+    if (m_batch.size() > 1) {
+        // One change that does not fit must not hold up those that make the object smaller.
+        m_queue.insert(m_queue.begin(), std::make_move_iterator(m_batch.begin()),
+                       std::make_move_iterator(m_batch.end()));
+        m_batch.clear();
+        m_isOneByOne = true;
+        return begin();
+    }
+    failBatch(makeFailure(FailureCode::ObjectTooLarge, m_key + " is full"));
+}
+
+void ShardWriter::retryAfterConflict()
+{
+    ++m_conflicts;
+    if (m_conflicts == 1) {
+        return begin();
+    }
+    schedule(drawBackoff());
+}
+
+void ShardWriter::retryAfterFailure()
+{
+    ++m_failures;
+    if (m_failures >= m_settings.failuresUntilAway) {
+        setAway(true);
+    }
+    schedule(drawBackoff());
+}
+
+void ShardWriter::noteContact()
+{
+    m_failures = 0;
+    setAway(false);
+}
+
+void ShardWriter::setAway(bool isAway)
+{
+    if (m_isAway != isAway) {
+        m_isAway = isAway;
+        m_onAway(isAway);
+    }
+}
+
+Duration ShardWriter::drawBackoff()
+{
+    const int doublings = std::min(std::max(m_failures, m_conflicts) - 1, kMaximumDoublings);
+    const Duration whole = std::min(m_settings.longestBackoff, m_settings.firstBackoff * (1 << std::max(doublings, 0)));
+    // Jitter: the shards and processes that failed together must not come back together.
+    return whole / 2 + Duration(static_cast<Duration::rep>(m_ports.random.below(whole.count() / 2 + 1)));
+}
+
+void ShardWriter::finish()
+{
+    std::vector<Pending> done = std::exchange(m_batch, {});
+    m_conflicts = 0;
+    m_isRunning = false;
+    m_isOneByOne = m_isOneByOne && !m_queue.empty();
+    if (!m_queue.empty()) {
+        schedule(m_isOneByOne ? Duration::zero() : m_settings.urgentDelay);
+    }
+    const std::weak_ptr<int> alive = m_alive;
+    for (Pending &it : done) {
+        if (alive.expired()) {
+            return;
+        }
+        it.callback(it.status);
+    }
+}
+
+void ShardWriter::failBatch(const absl::Status &status)
+{
+    if (m_batch.empty()) {
+        m_batch = std::exchange(m_queue, {});
+    }
+    for (Pending &it : m_batch) {
+        it.status = status;
+    }
+    finish();
+}
+
+template<typename T>
+std::function<void(T)> ShardWriter::guarded(void (ShardWriter::*handler)(const T &))
+{
+    return [this, alive = std::weak_ptr<int>(m_alive), handler](const T &answer) {
+        if (!alive.expired()) {
+            (this->*handler)(answer);
+        }
+    };
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/shardwriter.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "ledgerchange.h"
+#include "ledgersettings.h"
+#include "objectstore.h"
+#include "randomsource.h"
+#include "storecallbudget.h"
+
+#include <memory>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+enum class Urgency {
+    /// A request waits for it.
+    Urgent,
+    /// Nobody waits; it may ride along with another write.
+    Relaxed,
+};
+
+/// What a writer needs of the process around it.
+struct LedgerPorts {
+    ObjectStore &store;
+    TimerService &timers;
+    RandomSource &random;
+    StoreCallBudget &calls;
+};
+
+/// Brings the changes of one shard into the store: all that wait go into one conditional update.
+///
+/// Each round reads the object, applies the batch and writes it back if anything changed. A version conflict, a lost
+/// answer and a failed call all lead to the next round, which begins by reading: a change whose write took effect
+/// finds itself applied and changes nothing twice. A change that is submitted is never given up, since a change of
+/// unknown outcome could take effect later; what its owner tells a waiting request is the owner's affair.
+///
+/// Part of the same aggregate as its users: callbacks are called in place, under the same guard.
+class ShardWriter
+{
+public:
+    using Callback = std::function<void(const absl::Status &)>;
+    using AwayCallback = std::function<void(bool isAway)>;
+
+    ShardWriter(std::uint32_t shard, const LedgerPorts &ports, const LedgerSettings &settings, AwayCallback onAway);
+    ~ShardWriter();
+
+    ShardWriter(const ShardWriter &) = delete;
+    ShardWriter &operator=(const ShardWriter &) = delete;
+
+    /// Queues a change. `callback` gets the change's own failure, or OK once the change is in the store, or once the
+    /// store was found to hold it.
+    void submit(std::shared_ptr<LedgerChange> change, Urgency urgency, Callback callback);
+
+    /// Whether several calls in a row have failed.
+    bool isStoreAway() const;
+
+    /// Nothing waits and nothing runs.
+    bool isIdle() const;
+
+private:
+    struct Pending {
+        std::shared_ptr<LedgerChange> change;
+        Callback callback;
+        absl::Status status;
+    };
+
+    void schedule(Duration delay);
+    void begin();
+    void read();
+    void handleRead(const absl::StatusOr<StoredObject> &object);
+    void applyBatch(std::uint64_t version, LedgerShard shard);
+    void write(std::uint64_t version, std::string value);
+    void handleWritten(const absl::StatusOr<std::uint64_t> &version);
+    void handleTooLarge();
+    void retryAfterConflict();
+    void retryAfterFailure();
+    void noteContact();
+    void setAway(bool isAway);
+    Duration drawBackoff();
+    void finish();
+    void failBatch(const absl::Status &status);
+
+    /// A callback for the store that does nothing once this writer is gone.
+    template<typename T>
+    std::function<void(T)> guarded(void (ShardWriter::*handler)(const T &));
+
+    std::string m_key;
+    LedgerPorts m_ports;
+    LedgerSettings m_settings;
+    AwayCallback m_onAway;
+    std::vector<Pending> m_queue;
+    std::vector<Pending> m_batch;
+    bool m_isRunning = false;
+    TimerId m_timer = 0;
+    Instant m_dueAt{};
+    int m_failures = 0;
+    int m_conflicts = 0;
+    bool m_isAway = false;
+    bool m_isOneByOne = false;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/takeportionchange.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "budgetglance.h"
+#include "ledgerchange.h"
+
+namespace RadishSwitch
+{
+
+/// Creates or grows a holder's portion, as far as there is something free. Errors as BudgetRecord::takePortion.
+class TakePortionChange : public LedgerChange
+{
+public:
+    TakePortionChange(BudgetId budget, PortionRequest request);
+
+    absl::Status apply(LedgerShard &shard) override;
+    std::string describe() const override;
+
+    const PortionRequest &request() const;
+
+    /// What the portion holds in all after the change; zero when it was not created.
+    std::int64_t granted() const;
+
+    /// How the budget stood after the change.
+    const BudgetGlance &glance() const;
+
+private:
+    BudgetId m_budget;
+    PortionRequest m_request;
+    std::int64_t m_granted = 0;
+    BudgetGlance m_glance;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/topupchange.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "ledgerchange.h"
+
+namespace RadishSwitch
+{
+
+/// Books a payment; the same payment twice counts once. Errors as BudgetRecord::topUp.
+class TopUpChange : public LedgerChange
+{
+public:
+    TopUpChange(BudgetId budget, PaymentId payment, std::int64_t tokens, std::string operatorName,
+                std::int64_t atMilliseconds);
+
+    absl::Status apply(LedgerShard &shard) override;
+    std::string describe() const override;
+
+private:
+    BudgetId m_budget;
+    PaymentId m_payment;
+    std::int64_t m_tokens;
+    std::string m_operatorName;
+    std::int64_t m_atMilliseconds;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/withholdchange.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "ledgerchange.h"
+
+namespace RadishSwitch
+{
+
+/// Withholds what is not proved of a portion that is being closed.
+class WithholdChange : public LedgerChange
+{
+public:
+    WithholdChange(BudgetId budget, PortionId portion, std::int64_t proved, std::string reason,
+                   std::vector<std::string> missingAgents);
+
+    absl::Status apply(LedgerShard &shard) override;
+    std::string describe() const override;
+
+private:
+    BudgetId m_budget;
+    PortionId m_portion;
+    std::int64_t m_proved;
+    std::string m_reason;
+    std::vector<std::string> m_missingAgents;
+};
+
+}
