Add routing, ceilings, fair queue, retry budget and membership

The entry needs somebody to pick endpoints, hold organisations to their ceilings and find the home of a budget. Adds the aggregates thin: the directory of endpoints with its three sources, three policies behind one interface, ceilings as token buckets, a start-time fair queue that refuses at once, a retry budget, rendezvous homes.

--- /dev/null
+++ b/src/libradishswitch/ceilingmeter.cpp
@@ -0,0 +1,115 @@
+#include "ceilingmeter.h"
+
+#include "failure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr double kBurstSeconds = 1;
+constexpr int kMeanRunWeight = 8;
+constexpr Duration kLongestWait = std::chrono::hours(1);
+
+std::chrono::milliseconds roundedUp(Duration wait)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(std::min(wait, kLongestWait));
+}
+
+}
+
+void CeilingMeter::setCeilings(const OrganisationId &organisation, const OrganisationCeilings &ceilings, Instant now)
+{
+    const auto it = m_meters.find(organisation);
+    if (it != m_meters.end()) {
+        it->second.ceilings = ceilings;
+        return applyPart(it->second, now);
+    }
+    Meter &meter = m_meters[organisation];
+    meter.ceilings = ceilings;
+    applyPart(meter, now);
+}
+
+void CeilingMeter::setParts(double shareOfFleet, Instant now)
+{
+    m_share = std::clamp(shareOfFleet, 0.0, 1.0);
+    for (auto &[organisation, meter] : m_meters) {
+        applyPart(meter, now);
+    }
+}
+
+absl::Status CeilingMeter::admit(const OrganisationId &organisation, std::int64_t tokens, Instant now)
+{
+    const auto it = m_meters.find(organisation);
+    if (it == m_meters.end()) {
+        return absl::OkStatus();
+    }
+    Meter &meter = it->second;
+    const Duration wait = waitFor(meter, tokens, now);
+    if (wait > Duration::zero()) {
+        return makeFailure(FailureCode::CeilingReached, organisation.value() + " has reached its ceiling",
+                           roundedUp(wait));
+    }
+    takeFrom(meter, tokens, now);
+    return absl::OkStatus();
+}
+
+Duration CeilingMeter::waitFor(const Meter &meter, std::int64_t tokens, Instant now) const
+{
+    Duration wait = Duration::zero();
+    if (meter.ceilings.requestsPerSecond > 0) {
+        wait = std::max(wait, meter.requests.waitFor(1, now));
+    }
+    if (meter.ceilings.tokensPerSecond > 0) {
+        wait = std::max(wait, meter.tokens.waitFor(static_cast<double>(tokens), now));
+    }
+    if (meter.ceilings.concurrentRequests > 0 && meter.running >= concurrentPart(meter)) {
+        wait = std::max(wait, meter.meanRun / meter.running);
+    }
+    return wait;
+}
+
+void CeilingMeter::takeFrom(Meter &meter, std::int64_t tokens, Instant now)
+{
+    // A bucket without a ceiling never fills; taking from it would leave a debt for the day on which one is set.
+    if (meter.ceilings.requestsPerSecond > 0) {
+        meter.requests.take(1, now);
+    }
+    if (meter.ceilings.tokensPerSecond > 0) {
+        meter.tokens.take(static_cast<double>(tokens), now);
+    }
+    ++meter.running;
+}
+
+void CeilingMeter::noteFinished(const OrganisationId &organisation, std::int64_t tokens, std::int64_t used,
+                                Duration ran, Instant now)
+{
+    const auto it = m_meters.find(organisation);
+    if (it == m_meters.end()) {
+        return;
+    }
+    Meter &meter = it->second;
+    meter.running = std::max<std::int64_t>(0, meter.running - 1);
+    meter.tokens.giveBack(static_cast<double>(std::max<std::int64_t>(0, tokens - used)), now);
+    meter.meanRun += (ran - meter.meanRun) / kMeanRunWeight;
+}
+
+void CeilingMeter::applyPart(Meter &meter, Instant now)
+{
+    const double requests = meter.ceilings.requestsPerSecond * m_share;
+    const double tokens = meter.ceilings.tokensPerSecond * m_share;
+    meter.requests.setRate(requests, std::max(1.0, requests * kBurstSeconds), now);
+    meter.tokens.setRate(tokens, std::max(1.0, tokens * kBurstSeconds), now);
+}
+
+std::int64_t CeilingMeter::concurrentPart(const Meter &meter) const
+{
+    const double part = static_cast<double>(meter.ceilings.concurrentRequests) * m_share;
+    return std::max<std::int64_t>(1, static_cast<std::int64_t>(part + 1e-9));
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/fairqueue.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "queuedrequest.h"
+#include "servicerate.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+
+#include <compare>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+struct FairQueueSettings {
+    /// Requests that may wait.
+    std::size_t length = 1000;
+    /// Bounds on the time after which a refused caller is told to come back.
+    Duration shortestRetryAfter = std::chrono::milliseconds(200);
+    Duration longestRetryAfter = std::chrono::seconds(30);
+};
+
+/// The requests that wait for slots of one pool: the highest priority first; within a priority the organisations by
+/// their shares, counted in tokens (start-time fair queueing); within an organisation in order of arrival.
+///
+/// A request whose turn will not come before its deadline, by the rate at which the queue has been served, is refused
+/// at once with Overloaded and the time to come back. When the queue is full, the lowest priority gives way, in it the
+/// organisation that has the most waiting for its share, and of that the newest request.
+class FairQueue
+{
+public:
+    explicit FairQueue(FairQueueSettings settings = {});
+
+    /// Takes the request in, or refuses it at once. Taking it in may make others give way: ask `expire` right after.
+    absl::Status enqueue(const QueuedRequest &request, Instant now);
+
+    /// The next request to be served, if there is one; call it when a slot is free.
+    std::optional<QueuedRequest> next(Instant now);
+
+    /// The final answers that have become due: requests that gave way, and those that can't make their deadline any
+    /// more. Call it after each `enqueue` and every 50 ms or so.
+    std::vector<QueueRefusal> expire(Instant now);
+
+    /// Takes out a request whose caller went away. False when it is not waiting.
+    bool remove(const RequestId &request, Instant now);
+
+    /// A served request cost `actual` and not `estimated` tokens: its organisation's turn is moved accordingly.
+    void noteActualCost(const OrganisationId &organisation, int priority, std::int64_t estimated, std::int64_t actual);
+
+    /// How long a request of this kind would wait, by the rate measured. Zero until a rate is known.
+    Duration expectedWait(const QueuedRequest &request, Instant now);
+
+    std::size_t size() const
+    {
+        return m_places.size();
+    }
+
+private:
+    struct Line {
+        std::deque<QueuedRequest> requests;
+        double share = 1;
+        double cost = 0;
+        /// Virtual times of the request at the head and of the one served last.
+        double headStart = 0;
+        double lastFinish = 0;
+    };
+
+    struct Place {
+        int priority = 0;
+        OrganisationId organisation;
+    };
+
+    struct Head {
+        double start = 0;
+        OrganisationId organisation;
+
+        auto operator<=>(const Head &) const = default;
+    };
+
+    /// One priority: a line for each organisation, and the lines by the virtual start of their heads.
+    struct Band {
+        std::map<OrganisationId, Line> lines;
+        std::set<Head> heads;
+        double virtualTime = 0;
+        double cost = 0;
+    };
+
+    using Bands = std::map<int, Band, std::greater<>>;
+
+    void add(const QueuedRequest &request);
+    QueuedRequest take(Band &band, const OrganisationId &organisation, std::size_t index);
+    QueuedRequest serveFirst(Band &band);
+    QueuedRequest takeLeastDeserving();
+    double costAhead(const QueuedRequest &request) const;
+    Duration waitFor(double cost) const;
+    void expireBand(Band &band, double costAbove, Instant now);
+    absl::Status refusal(Duration wait) const;
+    void advance(Instant now);
+
+    const FairQueueSettings m_settings;
+    Bands m_bands;
+    absl::flat_hash_map<RequestId, Place> m_places;
+    std::vector<QueueRefusal> m_refusals;
+    ServiceRate m_rate;
+    double m_typicalCost = 1;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/fleetmembership.cpp
@@ -0,0 +1,232 @@
+#include "fleetmembership.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+// The live entries of all regions are kept under the empty name.
+const std::string kEverywhere;
+
+}
+
+FleetMembership::FleetMembership(TaskQueue &tasks, Instant now, MembershipSettings settings)
+    : m_tasks(tasks)
+    , m_settings(settings)
+    , m_begin(now)
+{
+}
+
+bool FleetMembership::applyHeartbeat(const EntryMember &member, Instant now)
+{
+    std::unique_ptr<MemberState> &state = m_members[member.incarnation];
+    if (state == nullptr) {
+        state = std::make_unique<MemberState>();
+        state->hash = rendezvousHash(member.incarnation.value());
+        supersedeOthers(member);
+        refresh(now);
+    } else if (state->isSuperseded || member.sequence <= state->member.sequence) {
+        return false;
+    }
+    state->member = member;
+    state->lastHeard = now;
+    state->isLost = false;
+    if (state->isLive != shouldLive(*state, now)) {
+        refresh(now);
+    }
+    return true;
+}
+
+void FleetMembership::applyListed(const std::string &address, bool isLeaving, Instant now)
+{
+    m_listings[address] = Listing{isLeaving};
+    refresh(now);
+}
+
+void FleetMembership::applyUnlisted(const std::string &address, Instant now)
+{
+    m_listings.erase(address);
+    refresh(now);
+}
+
+void FleetMembership::noteLost(const IncarnationId &incarnation, Instant now)
+{
+    const auto it = m_members.find(incarnation);
+    if (it != m_members.end()) {
+        it->second->isLost = true;
+        refresh(now);
+    }
+}
+
+void FleetMembership::advance(Instant now)
+{
+    absl::erase_if(m_members, [&](const auto &entry) {
+        return !entry.second->isLive && now - entry.second->lastHeard >= m_settings.unknownDeadAfter;
+    });
+    refresh(now);
+}
+
+std::vector<EntryMember> FleetMembership::liveEntries(const std::string &region) const
+{
+    std::vector<EntryMember> members;
+    for (const LiveEntry &entry : liveOf(region)) {
+        members.push_back(entry.state->member);
+    }
+    return members;
+}
+
+std::size_t FleetMembership::liveCount(const std::string &region) const
+{
+    return liveOf(region).size();
+}
+
+std::optional<EntryMember> FleetMembership::homeOf(std::uint32_t shard, const std::string &region) const
+{
+    const std::vector<LiveEntry> &live = liveOf(region);
+    const auto best = std::ranges::max_element(live, {}, [shard](const LiveEntry &entry) {
+        return rendezvousScore(entry.hash, shard);
+    });
+    return best == live.end() ? std::nullopt : std::optional<EntryMember>(best->state->member);
+}
+
+bool FleetMembership::isDead(const IncarnationId &incarnation, Instant now, const std::string &address) const
+{
+    const auto it = m_members.find(incarnation);
+    const bool isKnown = it != m_members.end();
+    if (isKnown && it->second->isSuperseded) {
+        return now - it->second->lastHeard >= m_settings.suspectAfter;
+    }
+    const std::string &place = isKnown ? it->second->member.address : address;
+    const bool isListed = m_listings.contains(place);
+    if (!isKnown && place.empty()) {
+        return now - m_begin >= m_settings.unknownDeadAfter;
+    }
+    const Duration silence = now - (isKnown ? it->second->lastHeard : m_begin);
+    switch (m_settings.deathRule) {
+    case DeathRule::SilentAndUnlisted:
+        return silence >= m_settings.deadAfter && !isListed;
+    case DeathRule::Unlisted:
+        return silence >= m_settings.suspectAfter && !isListed;
+    case DeathRule::Silent:
+        return silence >= m_settings.deadAfter;
+    }
+    return false;
+}
+
+std::vector<EntryMember> FleetMembership::watchersOfZone(const std::string &zone, std::size_t count) const
+{
+    const std::uint64_t key = rendezvousHash(zone);
+    std::vector<LiveEntry> entries;
+    std::ranges::copy_if(liveOf(kEverywhere), std::back_inserter(entries), [&](const LiveEntry &entry) {
+        return entry.state->member.zone == zone;
+    });
+    std::ranges::sort(entries, std::greater<>(), [key](const LiveEntry &entry) {
+        return rendezvousScore(entry.hash, key);
+    });
+    entries.resize(std::min(count, entries.size()));
+    std::vector<EntryMember> members;
+    for (const LiveEntry &entry : entries) {
+        members.push_back(entry.state->member);
+    }
+    return members;
+}
+
+std::vector<EndpointId> FleetMembership::subsetOf(const std::vector<EndpointId> &endpoints, const IncarnationId &me,
+                                                  std::size_t size) const
+{
+    const auto self = m_members.find(me);
+    if (size >= endpoints.size() || self == m_members.end()) {
+        return endpoints;
+    }
+    const std::vector<LiveEntry> &live = liveOf(self->second->member.region);
+    // Each endpoint picks its entries, so that all endpoints are covered by the same number of them.
+    const std::size_t coverage = (size * live.size() + endpoints.size() - 1) / endpoints.size();
+    std::vector<EndpointId> subset;
+    for (const EndpointId &endpoint : endpoints) {
+        const std::uint64_t key = rendezvousHash(endpoint.value());
+        const std::uint64_t own = rendezvousScore(self->second->hash, key);
+        const auto before = std::ranges::count_if(live, [&](const LiveEntry &entry) {
+            return rendezvousScore(entry.hash, key) > own;
+        });
+        if (static_cast<std::size_t>(before) < coverage) {
+            subset.push_back(endpoint);
+        }
+    }
+    return subset;
+}
+
+void FleetMembership::subscribe(std::function<void()> callback)
+{
+    m_subscribers.push_back(std::move(callback));
+}
+
+bool FleetMembership::shouldLive(const MemberState &state, Instant now) const
+{
+    if (state.isLost || state.isSuperseded || state.member.isLeaving) {
+        return false;
+    }
+    const auto listing = m_listings.find(state.member.address);
+    if (listing != m_listings.end() && listing->second.isLeaving) {
+        return false;
+    }
+    return now - state.lastHeard < m_settings.suspectAfter;
+}
+
+void FleetMembership::supersedeOthers(const EntryMember &member)
+{
+    // Two processes can't listen at one address: a fresh incarnation there proves that the earlier one has ended.
+    for (auto &[incarnation, state] : m_members) {
+        if (incarnation != member.incarnation && state->member.address == member.address) {
+            state->isSuperseded = true;
+        }
+    }
+}
+
+void FleetMembership::refresh(Instant now)
+{
+    bool isChanged = false;
+    for (auto &[incarnation, state] : m_members) {
+        const bool isLive = shouldLive(*state, now);
+        isChanged = isChanged || isLive != state->isLive;
+        state->isLive = isLive;
+    }
+    if (!isChanged) {
+        return;
+    }
+    rebuild();
+    for (const std::function<void()> &subscriber : m_subscribers) {
+        m_tasks.post(subscriber);
+    }
+}
+
+void FleetMembership::rebuild()
+{
+    m_live.clear();
+    for (const auto &[incarnation, state] : m_members) {
+        if (state->isLive) {
+            m_live[state->member.region].push_back({state->hash, state.get()});
+            m_live[kEverywhere].push_back({state->hash, state.get()});
+        }
+    }
+    for (auto &[region, entries] : m_live) {
+        std::ranges::sort(entries, {}, [](const LiveEntry &entry) -> const std::string & {
+            return entry.state->member.address;
+        });
+    }
+}
+
+const std::vector<FleetMembership::LiveEntry> &FleetMembership::liveOf(const std::string &region) const
+{
+    static const std::vector<LiveEntry> kNone;
+    const auto it = m_live.find(region);
+    return it == m_live.end() ? kNone : it->second;
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/leastoutstandingpolicy.cpp
@@ -0,0 +1,21 @@
+#include "leastoutstandingpolicy.h"
+
+namespace RadishSwitch
+{
+
+std::optional<EndpointSlot> LeastOutstandingPolicy::choose(const RouteCandidates &candidates)
+{
+    const std::size_t n = candidates.slots.size();
+    std::optional<EndpointSlot> best;
+    ++m_turn;
+    for (std::size_t i = 0; i < n; ++i) {
+        const EndpointSlot slot = candidates.slots[(m_turn + i) % n];
+        const bool isBetter = !best || candidates.uses[slot].inFlight() < candidates.uses[*best].inFlight();
+        if (isBetter && candidates.isUsable(slot)) {
+            best = slot;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/leastoutstandingpolicy.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "routingpolicy.h"
+
+namespace RadishSwitch
+{
+
+/// The endpoint with the fewest runs of this process under way; among equals, each in turn.
+class LeastOutstandingPolicy : public RoutingPolicy
+{
+public:
+    static constexpr std::string_view kName = "least-outstanding";
+
+    std::string_view name() const override
+    {
+        return kName;
+    }
+
+    std::optional<EndpointSlot> choose(const RouteCandidates &candidates) override;
+
+private:
+    std::size_t m_turn = 0;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/poolrouter.cpp
@@ -0,0 +1,229 @@
+#include "poolrouter.h"
+
+#include "failure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+// How fast the mean of a pool follows its endpoints' reports.
+constexpr double kMeanStep = 0.1;
+
+}
+
+PoolRouter::PoolRouter(EndpointDirectory &directory, RandomSource &random, RoutingSettings routing,
+                       EjectionSettings ejection)
+    : m_directory(directory)
+    , m_random(random)
+    , m_routing(routing)
+    , m_ejection(ejection)
+{
+    m_uses.resize(m_directory.slotLimit());
+    m_directory.setObserver(this);
+}
+
+PoolRouter::~PoolRouter()
+{
+    m_directory.setObserver(nullptr);
+}
+
+absl::StatusOr<RouteChoice> PoolRouter::choose(const RouteQuery &query, Instant now)
+{
+    m_latest = std::max(m_latest, now);
+    RoutingPolicy *policy = policyOf(query.pool, query.policy);
+    if (policy == nullptr) {
+        return makeFailure(FailureCode::InvalidSettings, "no routing policy is named " + query.policy);
+    }
+    const std::optional<EndpointSlot> slot = chooseSlot(*policy, query, now);
+    if (!slot) {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_routing.noEndpointRetryAfter);
+        return makeFailure(FailureCode::NoEndpoint, "no endpoint of pool " + query.pool.value() + " may get work",
+                           wait);
+    }
+    m_hints.noteDispatched(*slot, query.prefixHashes);
+    const EndpointState &state = m_directory.state(*slot);
+    return RouteChoice{state.endpoint, state.address};
+}
+
+void PoolRouter::noteDispatched(const EndpointId &endpoint, std::int64_t tokens, Instant now)
+{
+    m_latest = std::max(m_latest, now);
+    if (EndpointUse *use = useOf(endpoint)) {
+        use->noteDispatched(tokens, now);
+    }
+}
+
+void PoolRouter::noteFirstToken(const EndpointId &endpoint, Duration taken, Instant now)
+{
+    m_latest = std::max(m_latest, now);
+    if (EndpointUse *use = useOf(endpoint)) {
+        use->noteFirstToken(taken, now);
+    }
+}
+
+void PoolRouter::noteFinished(const EndpointId &endpoint, RunEnd end, Instant now)
+{
+    m_latest = std::max(m_latest, now);
+    const std::optional<EndpointSlot> slot = m_directory.slotOf(endpoint);
+    if (!slot) {
+        return;
+    }
+    EndpointUse &use = useOf(*slot);
+    // A run of an earlier incarnation says nothing about the present one.
+    if (use.inFlight() == 0) {
+        return;
+    }
+    use.noteFinished(end);
+    switch (end) {
+    case RunEnd::Ok:
+        use.ejection().noteSucceeded(now);
+        break;
+    case RunEnd::Failed:
+        if (use.ejection().noteFailed(m_ejection, now)) {
+            ejectUnlessFloor(*slot, now);
+        }
+        break;
+    case RunEnd::Refused:
+    case RunEnd::Cancelled:
+        use.ejection().noteNeutral();
+        break;
+    }
+}
+
+std::int64_t PoolRouter::freeSlots(const PoolId &pool) const
+{
+    double capacity = 0;
+    double reportedFree = 0;
+    std::int64_t own = 0;
+    for (const EndpointSlot slot : m_directory.serving(pool, {})) {
+        if (!m_directory.isEligible(slot, m_latest) || m_uses[slot].ejection().isEjected(m_latest)) {
+            continue;
+        }
+        const EndpointLoad &load = m_directory.state(slot).load;
+        const double slots = capacityOf(load, m_routing);
+        const double busy = static_cast<double>(load.running) + load.queued + m_uses[slot].runsSinceReport();
+        capacity += slots;
+        reportedFree += std::max(0.0, slots - std::max(0.0, busy));
+        own += m_uses[slot].inFlight();
+    }
+    const auto part = static_cast<std::int64_t>(std::ceil(capacity * m_shareOfCapacity)) - own;
+    const auto borrowed = static_cast<std::int64_t>(reportedFree * m_shareOfCapacity);
+    return std::max<std::int64_t>({part, borrowed, 0});
+}
+
+void PoolRouter::setShareOfCapacity(double share)
+{
+    m_shareOfCapacity = std::clamp(share, 0.0, 1.0);
+}
+
+std::size_t PoolRouter::eligibleCount(const PoolId &pool, Instant now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_directory.serving(pool, {}), [&](EndpointSlot slot) {
+        return m_directory.isEligible(slot, now);
+    }));
+}
+
+bool PoolRouter::isEjected(const EndpointId &endpoint, Instant now) const
+{
+    const std::optional<EndpointSlot> slot = m_directory.slotOf(endpoint);
+    return slot && *slot < m_uses.size() && m_uses[*slot].ejection().isEjected(now);
+}
+
+void PoolRouter::endpointStarted(EndpointSlot slot, Instant now)
+{
+    m_latest = std::max(m_latest, now);
+    EndpointUse &use = useOf(slot);
+    use = EndpointUse();
+    use.startedAt = now;
+    m_hints.forget(slot);
+}
+
+void PoolRouter::endpointReported(EndpointSlot slot, const std::vector<CacheEvent> &events, Instant now)
+{
+    m_latest = std::max(m_latest, now);
+    const EndpointState &state = m_directory.state(slot);
+    useOf(slot).noteReported(state.loadMeasuredAt);
+    m_hints.applyEvents(slot, events);
+    learnPoolLoad(state);
+}
+
+void PoolRouter::endpointForgotten(EndpointSlot slot)
+{
+    useOf(slot) = EndpointUse();
+    m_hints.forget(slot);
+}
+
+RoutingPolicy *PoolRouter::policyOf(const PoolId &pool, const std::string &name)
+{
+    std::unique_ptr<RoutingPolicy> &policy = m_policies[pool];
+    const std::string_view wanted = name.empty() ? routingPolicyNames().front() : name;
+    if (policy == nullptr || policy->name() != wanted) {
+        policy = makeRoutingPolicy(wanted);
+    }
+    return policy.get();
+}
+
+std::optional<EndpointSlot> PoolRouter::chooseSlot(RoutingPolicy &policy, const RouteQuery &query, Instant now)
+{
+    using Strictness = RouteCandidates::Strictness;
+    const std::vector<EndpointSlot> *slots = &m_directory.serving(query.pool, query.model);
+    if (slots->empty()) {
+        slots = &m_directory.serving(query.pool, baseModelOf(query.model));
+    }
+    m_uses.resize(std::max(m_uses.size(), m_directory.slotLimit()));
+    RouteCandidates candidates{query,     *slots,   m_directory,       m_uses, m_hints, m_poolLoads[query.pool],
+                               m_routing, m_random, Strictness::Usual, now};
+    std::optional<EndpointSlot> slot = policy.choose(candidates);
+    if (!slot) {
+        candidates.strictness = Strictness::AlsoEjected;
+        slot = policy.choose(candidates);
+    }
+    return slot;
+}
+
+void PoolRouter::ejectUnlessFloor(EndpointSlot slot, Instant now)
+{
+    // When the fault is common to all endpoints (a bad model, a lost disk behind them), each of them fails often
+    // enough to be left out. Without a floor the pool would be empty and every request refused, while some succeed.
+    std::size_t eligible = 0;
+    std::size_t ejected = 1;
+    for (const EndpointSlot other : m_directory.serving(m_directory.state(slot).pool, {})) {
+        if (m_directory.isEligible(other, now)) {
+            ++eligible;
+            ejected += other != slot && !useOf(other).ejection().isAllowed(now) ? 1 : 0;
+        }
+    }
+    if (static_cast<double>(ejected) <= m_ejection.ejectedShare * static_cast<double>(eligible)) {
+        useOf(slot).ejection().eject(m_ejection, now);
+    }
+}
+
+void PoolRouter::learnPoolLoad(const EndpointState &state)
+{
+    PoolLoad &mean = m_poolLoads[state.pool];
+    const double runs = static_cast<double>(state.load.running) + state.load.queued;
+    const double utilisation = runs / capacityOf(state.load, m_routing);
+    mean.utilisation += kMeanStep * (utilisation - mean.utilisation);
+    mean.queueSeconds += kMeanStep * (reportedQueueSeconds(state.load, m_routing) - mean.queueSeconds);
+}
+
+EndpointUse &PoolRouter::useOf(EndpointSlot slot)
+{
+    if (slot >= m_uses.size()) {
+        m_uses.resize(slot + 1);
+    }
+    return m_uses[slot];
+}
+
+EndpointUse *PoolRouter::useOf(const EndpointId &endpoint)
+{
+    const std::optional<EndpointSlot> slot = m_directory.slotOf(endpoint);
+    return slot ? &useOf(*slot) : nullptr;
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/poolrouter.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "ejectionsettings.h"
+#include "endpointdirectory.h"
+#include "endpointuse.h"
+#include "prefixcachehints.h"
+#include "randomsource.h"
+#include "routequery.h"
+#include "routingpolicy.h"
+#include "routingsettings.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// Chooses the endpoint for each attempt, by the policy of its pool, and learns from how attempts go.
+///
+/// Observes the directory from its construction to its end. Like the directory it is for one thread at a time, under
+/// the same lock.
+class PoolRouter : private EndpointObserver
+{
+public:
+    PoolRouter(EndpointDirectory &directory, RandomSource &random, RoutingSettings routing = {},
+               EjectionSettings ejection = {});
+    ~PoolRouter() override;
+    PoolRouter(const PoolRouter &) = delete;
+    PoolRouter &operator=(const PoolRouter &) = delete;
+
+    /// The endpoint for the next attempt. Fails with NoEndpoint, and when to come back, if no endpoint of the pool may
+    /// get work; with InvalidSettings for a policy that does not exist.
+    absl::StatusOr<RouteChoice> choose(const RouteQuery &query, Instant now);
+
+    /// An attempt was sent, with its worst case in tokens. Each is followed by one `noteFinished`.
+    void noteDispatched(const EndpointId &endpoint, std::int64_t tokens, Instant now);
+
+    /// The first byte of the answer came, `taken` after the dispatch; also to be told for answers that do not stream.
+    void noteFirstToken(const EndpointId &endpoint, Duration taken, Instant now);
+
+    void noteFinished(const EndpointId &endpoint, RunEnd end, Instant now);
+
+    /// How many more runs this process should have under way in the pool just now: what is left of its part of the
+    /// eligible endpoints' capacity, or its part of what they report free, whichever is more.
+    /// Judged at the latest moment that the router or the directory was told.
+    std::int64_t freeSlots(const PoolId &pool) const;
+
+    /// The part of the endpoints' capacity that is this process's, 1 over the number of entries that use them. The
+    /// entries' parts add up to about one, so that together they do not flood engines whose reports are old.
+    void setShareOfCapacity(double share);
+
+    /// Endpoints of the pool that may get work, ejected ones included.
+    std::size_t eligibleCount(const PoolId &pool, Instant now) const;
+
+    bool isEjected(const EndpointId &endpoint, Instant now) const;
+
+    const PrefixCacheHints &hints() const
+    {
+        return m_hints;
+    }
+
+private:
+    void endpointStarted(EndpointSlot slot, Instant now) override;
+    void endpointReported(EndpointSlot slot, const std::vector<CacheEvent> &events, Instant now) override;
+    void endpointForgotten(EndpointSlot slot) override;
+
+    RoutingPolicy *policyOf(const PoolId &pool, const std::string &name);
+    std::optional<EndpointSlot> chooseSlot(RoutingPolicy &policy, const RouteQuery &query, Instant now);
+    void ejectUnlessFloor(EndpointSlot slot, Instant now);
+    void learnPoolLoad(const EndpointState &state);
+    EndpointUse &useOf(EndpointSlot slot);
+    EndpointUse *useOf(const EndpointId &endpoint);
+
+    EndpointDirectory &m_directory;
+    RandomSource &m_random;
+    const RoutingSettings m_routing;
+    const EjectionSettings m_ejection;
+    PrefixCacheHints m_hints;
+    std::vector<EndpointUse> m_uses;
+    absl::flat_hash_map<PoolId, std::unique_ptr<RoutingPolicy>> m_policies;
+    absl::flat_hash_map<PoolId, PoolLoad> m_poolLoads;
+    double m_shareOfCapacity = 1;
+    Instant m_latest{};
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/retrybudget.cpp
@@ -0,0 +1,53 @@
+#include "retrybudget.h"
+
+#include "failure.h"
+
+#include <algorithm>
+
+namespace RadishSwitch
+{
+
+RetryBudget::RetryBudget(RandomSource &random, RetrySettings settings)
+    : m_random(random)
+    , m_settings(settings)
+    , m_balance(settings.burst)
+{
+}
+
+void RetryBudget::noteFirstAttempt()
+{
+    m_balance = std::min(m_settings.burst, m_balance + m_settings.share);
+}
+
+absl::StatusOr<Duration> RetryBudget::retry(const RetryQuery &query, Instant now)
+{
+    if (!query.isIdempotent && !query.isProvedNotStarted) {
+        return withUnknownOutcome(
+            makeFailure(FailureCode::OutcomeUnknown, "a non-idempotent request may have started"));
+    }
+    if (query.attempts >= m_settings.attempts) {
+        return makeFailure(FailureCode::EndpointFailed, "the request was tried often enough");
+    }
+    const Duration wait = backoff(query.attempts);
+    if (now + wait + query.shortestRun > query.deadline) {
+        return makeFailure(FailureCode::DeadlineExceeded, "no time is left for another attempt");
+    }
+    if (m_balance < 1) {
+        return makeFailure(FailureCode::Overloaded, "too many requests are being retried",
+                           std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.longestBackoff));
+    }
+    m_balance -= 1;
+    return wait;
+}
+
+Duration RetryBudget::backoff(int attempts)
+{
+    constexpr int kMostDoublings = 20;
+    const Duration span = m_settings.firstBackoff * (1 << std::clamp(attempts - 1, 0, kMostDoublings));
+    const Duration longest = std::min(span, m_settings.longestBackoff);
+    // Half of it is fixed and half random: requests that failed together do not come back together.
+    const double factor = 0.5 + 0.5 * m_random.fraction();
+    return Duration(static_cast<Duration::rep>(static_cast<double>(longest.count()) * factor));
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/roundrobinpolicy.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "routingpolicy.h"
+
+namespace RadishSwitch
+{
+
+/// Each endpoint in turn, whatever its load.
+class RoundRobinPolicy : public RoutingPolicy
+{
+public:
+    static constexpr std::string_view kName = "round-robin";
+
+    std::string_view name() const override
+    {
+        return kName;
+    }
+
+    std::optional<EndpointSlot> choose(const RouteCandidates &candidates) override;
+
+private:
+    std::size_t m_turn = 0;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/routecandidates.cpp
@@ -0,0 +1,41 @@
+#include "routecandidates.h"
+
+#include <algorithm>
+
+namespace RadishSwitch
+{
+
+bool RouteCandidates::isUsable(EndpointSlot slot) const
+{
+    if (!directory.isEligible(slot, now)) {
+        return false;
+    }
+    if (strictness == Strictness::Usual && !uses[slot].ejection().isAllowed(now)) {
+        return false;
+    }
+    return query.excluded.empty()
+        || std::ranges::find(query.excluded, directory.state(slot).endpoint) == query.excluded.end();
+}
+
+LoadEstimate RouteCandidates::load(EndpointSlot slot) const
+{
+    return estimateLoad(directory.state(slot), uses[slot], poolLoad, settings, now);
+}
+
+double RouteCandidates::cost(EndpointSlot slot, const LoadEstimate &load) const
+{
+    const std::size_t cached = hints.cachedBlocks(slot, query.prefixHashes);
+    return expectedFirstToken(directory.state(slot), uses[slot], load, cached, query, settings, now);
+}
+
+double RouteCandidates::slowStartShare(EndpointSlot slot) const
+{
+    const Duration lived = now - uses[slot].startedAt;
+    if (lived >= settings.slowStart) {
+        return 1;
+    }
+    const double share = static_cast<double>(lived.count()) / static_cast<double>(settings.slowStart.count());
+    return std::max(share, settings.slowStartFloor);
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/routecandidates.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "endpointdirectory.h"
+#include "endpointuse.h"
+#include "prefixcachehints.h"
+#include "randomsource.h"
+#include "routecost.h"
+
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// What a policy sees of one decision: the endpoints that answer for the model, and what is known of them.
+struct RouteCandidates {
+    /// How far to bend the rules on which endpoints are usable.
+    enum class Strictness {
+        Usual,
+        /// Nothing usual is left: take ejected ones too, rather than have no endpoint at all.
+        AlsoEjected,
+    };
+
+    const RouteQuery &query;
+    const std::vector<EndpointSlot> &slots;
+    const EndpointDirectory &directory;
+    const std::vector<EndpointUse> &uses;
+    const PrefixCacheHints &hints;
+    const PoolLoad &poolLoad;
+    const RoutingSettings &settings;
+    RandomSource &random;
+    Strictness strictness;
+    Instant now;
+
+    bool isUsable(EndpointSlot slot) const;
+    LoadEstimate load(EndpointSlot slot) const;
+    double cost(EndpointSlot slot, const LoadEstimate &load) const;
+    /// The share of its turns that a new endpoint takes, from the floor up to one.
+    double slowStartShare(EndpointSlot slot) const;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/routingsettings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "timerservice.h"
+
+#include <cstddef>
+
+namespace RadishSwitch
+{
+
+/// What the routing policies work with. Times are those that a request feels.
+struct RoutingSettings {
+    /// Endpoints drawn at random for one decision of the default policy.
+    std::size_t draws = 3;
+    /// Draws go on up to as many while the best so far has a queue.
+    std::size_t maximumDraws = 12;
+    /// Endpoints that hold most of the prompt and are weighed besides those drawn.
+    std::size_t affineCandidates = 2;
+    /// An endpoint is not weighed for its cache alone when it is busier than this times the endpoints drawn.
+    double affinityBound = 1.25;
+    /// Added for an endpoint of another availability zone, and of another region.
+    Duration zoneDistance = std::chrono::milliseconds(2);
+    Duration regionDistance = std::chrono::milliseconds(80);
+    /// Added when the adapter has to be loaded first.
+    Duration adapterLoad = std::chrono::seconds(2);
+    /// Added, in proportion, for a full batch, which slows every step.
+    Duration fullBatch = std::chrono::milliseconds(100);
+    /// Speeds and sizes assumed until they are measured.
+    double prefillTokensPerSecond = 8000;
+    double tokensPerSecond = 1000;
+    std::int64_t tokensPerRun = 400;
+    std::uint32_t capacity = 16;
+    /// A load of this age counts half; the rest of the estimate is the pool's mean.
+    Duration loadHalfLife = std::chrono::seconds(2);
+    /// A new endpoint is drawn with growing probability over this span.
+    Duration slowStart = std::chrono::seconds(10);
+    double slowStartFloor = 0.1;
+    /// A caller with no endpoint is told to come back after this.
+    Duration noEndpointRetryAfter = std::chrono::seconds(1);
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/tokenbucket.cpp
@@ -0,0 +1,65 @@
+#include "tokenbucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+// Sums of fractions come out a little low; a cost that is short by less than this is taken.
+constexpr double kTolerance = 1e-6;
+
+}
+
+TokenBucket::TokenBucket(double rate, double burst, Instant now)
+    : m_rate(rate)
+    , m_burst(burst)
+    , m_level(burst)
+    , m_at(now)
+{
+}
+
+Duration TokenBucket::waitFor(double cost, Instant now) const
+{
+    const double missing = std::min(cost, m_burst) - levelAt(now);
+    if (missing <= kTolerance) {
+        return Duration::zero();
+    }
+    if (m_rate <= 0) {
+        return Duration::max();
+    }
+    return Duration(static_cast<Duration::rep>(std::ceil(missing / m_rate * kMicrosecondsPerSecond)));
+}
+
+void TokenBucket::take(double cost, Instant now)
+{
+    m_level = levelAt(now) - cost;
+    m_at = now;
+}
+
+void TokenBucket::giveBack(double amount, Instant now)
+{
+    m_level = std::min(m_burst, levelAt(now) + amount);
+    m_at = now;
+}
+
+void TokenBucket::setRate(double rate, double burst, Instant now)
+{
+    const double taken = m_burst - levelAt(now);
+    m_rate = rate;
+    m_burst = burst;
+    m_level = burst - taken;
+    m_at = now;
+}
+
+double TokenBucket::levelAt(Instant now) const
+{
+    const double passed = static_cast<double>((now - m_at).count()) / kMicrosecondsPerSecond;
+    return std::min(m_burst, m_level + m_rate * std::max(0.0, passed));
+}
+
+}
