--- a/src/entry/homeservice.cpp
+++ b/src/entry/homeservice.cpp
@@ -113,6 +113,11 @@
     return std::make_unique<LocalHomeSession>(m_home, m_monitor);
 }
 
+std::uint32_t HomeService::shardOf(const BudgetId &budget)
+{
+    return m_monitor.run([&] { return m_home.shardOf(budget); });
+}
+
 std::string HomeService::ownerAddress(const BudgetId &budget)
 {
     return m_monitor.run([&] {
--- a/src/entry/homeservice.h
+++ b/src/entry/homeservice.h
@@ -19,6 +19,8 @@
     /// A session for a request that arrived at this very process.
     std::unique_ptr<HomeSession> openLocal();
 
+    std::uint32_t shardOf(const BudgetId &budget);
+
     /// Where the owner of a budget's keyed requests is, as this home last heard; empty when it never did.
     std::string ownerAddress(const BudgetId &budget);
 
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -6,6 +6,8 @@
 #include "plainrelay.h"
 #include "wireconversion.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -16,7 +18,6 @@
 namespace
 {
 
-constexpr int kMostAttempts = 4;
 constexpr std::chrono::milliseconds kComeBackSoon(1000);
 // The home last heard of, the owner that it names, and this process itself.
 constexpr int kMostAdmissions = 3;
@@ -127,14 +128,15 @@
             Settlement settlement;
             settlement.chargedTokens = m_charged;
             co_await settle(settlement);
+            m_pass.release(m_charged);
             note("billed " + std::to_string(m_charged) + " tokens");
             co_return co_await m_relay->finish();
         }
         m_mayHaveRun = m_mayHaveRun || end != AttemptEnd::NotStarted;
-        if (end == AttemptEnd::GivenUp || !mayTryAgain()) {
+        m_excluded.push_back(choice->endpoint);
+        if (end == AttemptEnd::GivenUp || !co_await waitToRetry(end == AttemptEnd::NotStarted)) {
             break;
         }
-        m_excluded.push_back(choice->endpoint);
     }
     if (!m_mayHaveRun) {
         co_await settle(notRun());
@@ -143,16 +145,23 @@
 }
 
 // A non-idempotent request that may have started is not sent again: the first copy could still take effect, and the
-// caller would get two blinds for one window. Everything else may be tried elsewhere while there is time.
-bool RequestSession::mayTryAgain()
+// caller would get two blinds for one window. Everything else may be tried elsewhere while there is time, within the
+// retry budget.
+boost::asio::awaitable<bool> RequestSession::waitToRetry(bool isProvedNotStarted)
 {
-    if (m_attempts >= kMostAttempts || m_services.timers.now() >= m_deadline) {
-        return false;
-    }
-    if (m_plan.isNonIdempotent && m_mayHaveRun) {
-        return false;
+    RetryQuery query;
+    query.attempts = m_attempts;
+    query.isIdempotent = !m_plan.isNonIdempotent;
+    query.isProvedNotStarted = isProvedNotStarted && !m_mayHaveRun;
+    query.deadline = m_deadline;
+    const absl::StatusOr<Duration> backoff = m_services.gate.retry(query);
+    if (!backoff.ok()) {
+        note("not tried again: " + std::string(backoff.status().message()));
+        co_return false;
     }
-    return m_services.gate.mayRetry(m_plan.pool);
+    boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, *backoff);
+    co_await pause.async_wait(boost::asio::use_awaitable);
+    co_return true;
 }
 
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::runAttempt(const Grant &grant,
@@ -161,6 +170,7 @@
     if (!co_await announceAttempt(choice)) {
         co_return AttemptEnd::GivenUp;
     }
+    m_pass.noteDispatched();
     m_services.gate.noteDispatched(choice, m_plan);
     m_dispatchedAt = m_services.timers.now();
     const auto executor = co_await boost::asio::this_coro::executor;
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -64,7 +64,7 @@
     boost::asio::awaitable<AttemptEnd> makeSureNotRunning(const RouteChoice &choice);
     boost::asio::awaitable<void> settle(Settlement settlement);
     absl::Status endOfFailedRun();
-    bool mayTryAgain();
+    boost::asio::awaitable<bool> waitToRetry(bool isProvedNotStarted);
     wire::RunRequest runRequest(const Grant &grant) const;
     void note(std::string text);
 
--- a/src/entry/runplan.cpp
+++ b/src/entry/runplan.cpp
@@ -2,6 +2,7 @@
 
 #include "failure.h"
 #include "fingerprint.h"
+#include "prefixcachehints.h"
 
 #include <charconv>
 #include <utility>
@@ -97,6 +98,7 @@
     plan.isStreamed = chat->isStreamed();
     plan.worstCaseTokens = chat->worstCaseTokens();
     plan.promptTokens = chat->promptTokensBound();
+    plan.prefixHashes = prefixChainHashes(chat->model(), chat->promptText());
     plan.chat = std::move(*chat);
     return absl::OkStatus();
 }
