--- /dev/null
+++ b/src/libradishswitch/namehash.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "identifier.h"
+
+#include <xxhash.h>
+
+#include <cstdint>
+
+namespace RadishSwitch
+{
+
+/// 64 bits that stand for a name where the name itself would take too much memory.
+template<typename Tag>
+std::uint64_t nameHash(const Identifier<Tag> &id)
+{
+    return XXH3_64bits(id.value().data(), id.value().size());
+}
+
+}
