Decide on requests at their home

A request is admitted, found as a duplicate, claimed when it must not run twice, billed or released, and looked for at the agents when its entry is gone. A key shard moves by conditional write; its new owner asks the agents what ran, under an epoch that fences the old one off.

Compiles; no test has run yet.

--- /dev/null
+++ b/src/libradishswitch/backoff.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "randomsource.h"
+#include "timerservice.h"
+
+#include <algorithm>
+
+namespace RadishSwitch
+{
+
+/// The pauses between tries: each twice the last up to a limit, drawn from their upper half so that many who failed
+/// together do not come back together.
+class Backoff
+{
+public:
+    Backoff(Duration first, Duration last)
+        : m_next(first)
+        , m_last(last)
+    {
+    }
+
+    Duration next(RandomSource &random)
+    {
+        const Duration span = m_next;
+        m_next = std::min(m_next * 2, m_last);
+        const auto half = span / 2;
+        return half + Duration(static_cast<Duration::rep>(static_cast<double>(half.count()) * random.fraction()));
+    }
+
+private:
+    Duration m_next;
+    Duration m_last;
+};
+
+}
--- a/src/libradishswitch/home.h
+++ b/src/libradishswitch/home.h
@@ -1,14 +1,20 @@
 #pragma once
 
 #include "admission.h"
+#include "admissionwaiters.h"
 #include "agentport.h"
+#include "billing.h"
+#include "claimbook.h"
 #include "entrydirectory.h"
 #include "keyowner.h"
 #include "keyownership.h"
+#include "keyshards.h"
+#include "lifetoken.h"
 #include "objectstore.h"
 #include "randomsource.h"
 #include "requestregistry.h"
 #include "reservationport.h"
+#include "runresolver.h"
 #include "taskqueue.h"
 #include "timerservice.h"
 
@@ -16,8 +22,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace RadishSwitch
 {
@@ -25,6 +33,7 @@
 struct HomeSettings {
     KeyOwnershipSettings ownership;
     RequestRegistrySettings registry;
+    ClaimBookSettings claims;
     /// How long requests of a shard wait, after it changed hands, for agents that neither answer nor fail.
     Duration holdLimit = std::chrono::seconds(2);
     /// Between two questions to an agent that could not be asked, or whose run goes on: doubles, with jitter.
@@ -32,6 +41,9 @@
     Duration lastBackoff = std::chrono::seconds(10);
     /// How often the parts look after themselves: expiry, agents that joined.
     Duration tick = std::chrono::seconds(1);
+    /// How long a refusal waits for the proof that the id did not run under a later owner; then it goes out as of
+    /// unknown outcome.
+    Duration confirmLimit = std::chrono::milliseconds(500);
     /// What a caller is told when nothing better is known.
     std::chrono::milliseconds retryAfter{2000};
 };
@@ -58,8 +70,6 @@
 class Home
 {
 public:
-    using AdmitCallback = std::function<void(absl::StatusOr<AdmitDecision>)>;
-
     /// `self` names this entry; its epoch is not used.
     Home(const HomePorts &ports, KeyOwner self, HomeSettings settings);
     ~Home();
@@ -103,8 +113,80 @@
     std::size_t openRequests() const;
 
 private:
-    class Private;
-    const std::unique_ptr<Private> d;
+    /// A request on its way to a grant.
+    struct Opening {
+        Admission admission;
+        std::uint32_t shard = 0;
+        std::uint64_t epoch = 0;
+        AttemptId attempt;
+        ReservedPortion reserved;
+        bool isClaimed = false;
+        /// Its entry went away meanwhile: nobody is left to be granted anything.
+        bool isAbandoned = false;
+    };
+
+    using Resolvers = std::map<RequestId, std::unique_ptr<RunResolver>>;
+
+    // Admission, in the order of its steps.
+    void consider(Admission admission);
+    void begin(Admission admission);
+    void lookUpClaim(const RequestId &request);
+    void reserve(const RequestId &request);
+    void claim(const RequestId &request);
+    void grant(const RequestId &request);
+    Opening *openingOf(const RequestId &request, const AttemptId &attempt);
+    void yieldToRival(const RequestId &request);
+    void withdraw(const RequestId &request);
+    void giveUp(const RequestId &request, const absl::Status &status);
+    void refuse(const Admission &admission, std::uint32_t shard, const absl::Status &status);
+    void answerRefusal(const Admission &admission, const absl::Status &status, bool isProven);
+    absl::Status cannotTell() const;
+    absl::Status spentClaim(const AdmitQuestion &question, const Claim &claim) const;
+    void answer(const AdmitCallback &callback, absl::StatusOr<AdmitDecision> decision);
+
+    void wait(Admission admission);
+    void reconsiderWaiters(const RequestId &request);
+
+    // The ends of requests.
+    void end(const RequestId &request, RequestState state, std::int64_t chargedTokens);
+    void endOwn(const RequestId &request, const KnownRequest &known, RequestState state, std::int64_t chargedTokens);
+    void endLost(const RequestId &request);
+    void bill(const RequestId &request, const KnownRequest &known, std::int64_t chargedTokens);
+    void finishAbandoned(const RequestId &request, const RunVerdict &verdict);
+    void resolve(const RequestId &request, std::vector<Dispatch> places, bool cancel);
+    std::unique_ptr<RunResolver> makeResolver(const RequestId &request, std::vector<Dispatch> places, bool cancel,
+                                              RunResolver::Events events);
+    std::vector<Dispatch> possiblePlaces(const KnownRequest &known) const;
+    void answerWaitersStuck(const RequestId &request);
+
+    // News of key shards.
+    void runFound(std::uint32_t shard, const RunRecord &record);
+    void rivalFound(const RunRecord &record);
+    void finishRival(RunRecord record, const RunVerdict &verdict);
+    void shardLost(std::uint32_t shard);
+
+    void tick();
+    void finishStopping();
+
+    const HomePorts m_ports;
+    const KeyOwner m_self;
+    const HomeSettings m_settings;
+    RequestRegistry m_registry;
+    KeyShards m_shards;
+    ClaimBook m_claims;
+    Billing m_billing;
+    std::map<RequestId, Opening> m_openings;
+    AdmissionWaiters m_waiters;
+    /// Own requests that were abandoned, and found ones that still ran.
+    Resolvers m_resolvers;
+    Resolvers m_rivalResolvers;
+    /// Own requests granted and not ended.
+    std::size_t m_granted = 0;
+    bool m_isStopping = false;
+    bool m_isHandedOver = false;
+    std::function<void()> m_stopped;
+    TimerId m_tickTimer = 0;
+    LifeToken m_life;
 };
 
 }
--- a/src/libradishswitch/keyownership.cpp
+++ b/src/libradishswitch/keyownership.cpp
@@ -5,6 +5,8 @@
 #include <xxhash.h>
 
 #include <cstdio>
+#include <memory>
+#include <utility>
 
 namespace RadishSwitch
 {
@@ -25,11 +27,10 @@
     , m_self(std::move(self))
     , m_settings(settings)
     , m_lost(std::move(lost))
-    , m_life(std::make_shared<bool>(true))
 {
-    m_checkTimer = m_timers.every(m_settings.checkInterval, whileAlive([this] {
-                                      checkOwned();
-                                  }));
+    m_checkTimer = m_timers.every(m_settings.checkInterval, m_life.guard([this] {
+        checkOwned();
+    }));
 }
 
 KeyOwnership::~KeyOwnership()
@@ -81,9 +82,9 @@
 void KeyOwnership::readForAcquire(Acquisition acquisition)
 {
     const std::string key = objectKey(acquisition.shard);
-    m_store.get(key, whileAlive([this, acquisition = std::move(acquisition)](const auto &object) {
-                    considerTaking(acquisition, object);
-                }));
+    m_store.get(key, m_life.guard([this, acquisition = std::move(acquisition)](const auto &object) {
+        considerTaking(acquisition, object);
+    }));
 }
 
 void KeyOwnership::considerTaking(Acquisition acquisition, const absl::StatusOr<StoredObject> &object)
@@ -137,7 +138,7 @@
         }
         readForAcquire(acquisition);
     };
-    m_store.put(key, encodeKeyOwner(owner), version, whileAlive(done));
+    m_store.put(key, encodeKeyOwner(owner), version, m_life.guard(done));
 }
 
 absl::StatusOr<KeyOwner> KeyOwnership::learn(std::uint32_t shard, const absl::StatusOr<StoredObject> &object)
@@ -175,9 +176,9 @@
     Confirmation &confirmation = m_confirmations[shard];
     confirmation.isReading = true;
     confirmation.current = std::exchange(confirmation.next, {});
-    m_store.get(objectKey(shard), whileAlive([this, shard](const auto &object) {
-                    finishConfirm(shard, object);
-                }));
+    m_store.get(objectKey(shard), m_life.guard([this, shard](const auto &object) {
+        finishConfirm(shard, object);
+    }));
 }
 
 void KeyOwnership::finishConfirm(std::uint32_t shard, const absl::StatusOr<StoredObject> &object)
--- a/src/libradishswitch/keyownership.h
+++ b/src/libradishswitch/keyownership.h
@@ -2,6 +2,7 @@
 
 #include "entrydirectory.h"
 #include "keyowner.h"
+#include "lifetoken.h"
 #include "objectstore.h"
 #include "timerservice.h"
 
@@ -10,10 +11,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace RadishSwitch
@@ -98,17 +97,6 @@
         std::vector<ConfirmCallback> next;
     };
 
-    /// Wraps a callback so that it is dropped when this object is gone.
-    template<typename F>
-    auto whileAlive(F callback) const
-    {
-        return [life = std::weak_ptr<bool>(m_life), callback = std::move(callback)](auto &&...arguments) mutable {
-            if (!life.expired()) {
-                callback(std::forward<decltype(arguments)>(arguments)...);
-            }
-        };
-    }
-
     bool isSelf(const KeyOwner &owner) const;
     void readForAcquire(Acquisition acquisition);
     void considerTaking(Acquisition acquisition, const absl::StatusOr<StoredObject> &object);
@@ -129,8 +117,7 @@
     std::map<std::uint32_t, Confirmation> m_confirmations;
     bool m_isHandedOver = false;
     TimerId m_checkTimer = 0;
-    /// Answers that arrive after the destruction find it expired.
-    std::shared_ptr<bool> m_life;
+    LifeToken m_life;
 };
 
 }
--- a/src/libradishswitch/requestregistry.cpp
+++ b/src/libradishswitch/requestregistry.cpp
@@ -30,6 +30,26 @@
     return RequestState::NotRun;
 }
 
+/// Of several attempts of one request, which one tells how it stands.
+int rankOf(RequestState state)
+{
+    switch (state) {
+    case RequestState::Failed:
+        return 1;
+    case RequestState::Unknown:
+        return 2;
+    case RequestState::Dispatched:
+        return 3;
+    case RequestState::Done:
+        return 4;
+    case RequestState::Opening:
+    case RequestState::Admitted:
+    case RequestState::NotRun:
+        break;
+    }
+    return 0;
+}
+
 }
 
 RequestRegistry::RequestRegistry(RequestRegistrySettings settings)
@@ -90,7 +110,6 @@
     }
     known->state = state;
     known->chargedTokens = chargedTokens;
-    known->isReserved = false;
     known->expiry = now + m_settings.retention;
     m_expiries.push_back({request, known->expiry});
 }
@@ -100,14 +119,15 @@
     m_requests.erase(request);
 }
 
-bool RequestRegistry::learn(const RunRecord &record, std::uint32_t shard, Instant now)
+void RequestRegistry::learn(const RunRecord &record, std::uint32_t shard, Instant now)
 {
     const RequestState state = stateOf(record);
-    if (state == RequestState::NotRun || find(record.request)) {
-        return false;
+    const KnownRequest *earlier = find(record.request);
+    if (state == RequestState::NotRun || (earlier && rankOf(earlier->state) >= rankOf(state))) {
+        return;
     }
     KnownRequest known;
-    known.state = RequestState::Dispatched;
+    known.state = state;
     known.fingerprint = record.fingerprint;
     known.shard = shard;
     known.isKeyed = true;
@@ -116,11 +136,18 @@
     known.grantedAttempt = record.attempt;
     known.dispatches = {{record.attempt, record.agentAddress}};
     known.portion = record.portion;
-    m_requests.emplace(record.request, std::move(known));
+    m_requests.insert_or_assign(record.request, std::move(known));
     if (state != RequestState::Dispatched) {
         end(record.request, state, record.chargedTokens, now);
     }
-    return true;
+}
+
+void RequestRegistry::forgetShard(std::uint32_t shard)
+{
+    absl::erase_if(m_requests, [shard](const auto &item) {
+        const KnownRequest &known = item.second;
+        return known.isKeyed && known.shard == shard && (known.hasEnded() || !known.isOwn);
+    });
 }
 
 void RequestRegistry::expire(Instant now)
--- a/src/libradishswitch/requestregistry.h
+++ b/src/libradishswitch/requestregistry.h
@@ -49,14 +49,14 @@
     /// Whether this home gave the leave. Otherwise it learned of the run from an agent, and whoever holds the portion
     /// bills it.
     bool isOwn = true;
-    /// Whether tokens are reserved for it here.
-    bool isReserved = false;
+    /// Whether the leave was given while a run of an earlier owner could still turn up.
+    bool isProvisional = false;
     AttemptId grantedAttempt;
     /// In the order in which they were sent; the last holds the answer.
     std::vector<Dispatch> dispatches;
     PortionId portion;
     std::int64_t chargedTokens = 0;
-    /// When it was forgotten at the earliest; set at its end.
+    /// When it is forgotten; set at its end.
     Instant expiry;
 
     bool hasEnded() const
@@ -112,8 +112,12 @@
 
     void forget(const RequestId &request);
 
-    /// Takes in what an agent told of a run that this home did not grant. False when the id was known already.
-    bool learn(const RunRecord &record, std::uint32_t shard, Instant now);
+    /// Forgets what has ended or was learned in a shard that went to another owner, who may have it run again.
+    void forgetShard(std::uint32_t shard);
+
+    /// Takes in what an agent told of a run that this home did not grant. Of several attempts the one that got furthest
+    /// counts.
+    void learn(const RunRecord &record, std::uint32_t shard, Instant now);
 
     /// Forgets what has ended longer ago than the retention.
     void expire(Instant now);
--- /dev/null
+++ b/src/libradishswitch/shardcollector.cpp
@@ -0,0 +1,117 @@
+#include "shardcollector.h"
+
+#include "failure.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+ShardCollector::ShardCollector(AgentPort &agents, TimerService &timers, RandomSource &random, std::uint32_t shard,
+                               std::uint64_t epoch, ShardCollectorSettings settings, Events events)
+    : m_agentPort(agents)
+    , m_timers(timers)
+    , m_random(random)
+    , m_shard(shard)
+    , m_epoch(epoch)
+    , m_settings(settings)
+    , m_events(std::move(events))
+{
+    m_holdTimer = m_timers.after(m_settings.holdLimit, m_life.guard([this] {
+        m_isReleased = true;
+        m_events.changed();
+    }));
+    refresh();
+}
+
+ShardCollector::~ShardCollector()
+{
+    m_timers.cancel(m_holdTimer);
+    for (const auto &[address, agent] : m_agents) {
+        m_timers.cancel(agent.retryTimer);
+    }
+}
+
+void ShardCollector::refresh()
+{
+    const std::vector<std::string> addresses = m_agentPort.agentAddresses();
+    const std::set<std::string> present(addresses.begin(), addresses.end());
+    const std::size_t erased = std::erase_if(m_agents, [&](const auto &item) {
+        if (present.contains(item.first)) {
+            return false;
+        }
+        m_timers.cancel(item.second.retryTimer);
+        return true;
+    });
+    for (const std::string &address : present) {
+        if (!m_agents.contains(address)) {
+            m_agents.emplace(address,
+                             Agent{AgentState::Asked, Backoff(m_settings.firstBackoff, m_settings.lastBackoff)});
+            ask(address);
+        }
+    }
+    if (erased > 0) {
+        m_events.changed();
+    }
+}
+
+bool ShardCollector::isHolding() const
+{
+    return !m_isReleased && std::any_of(m_agents.begin(), m_agents.end(), [](const auto &item) {
+        return item.second.state == AgentState::Asked;
+    });
+}
+
+bool ShardCollector::isComplete() const
+{
+    return std::all_of(m_agents.begin(), m_agents.end(), [](const auto &item) {
+        return item.second.state == AgentState::Answered;
+    });
+}
+
+void ShardCollector::ask(const std::string &address)
+{
+    m_agentPort.findRuns(address, {}, m_shard, m_epoch, m_life.guard([this, address](const auto &runs) {
+        finishAsking(address, runs);
+    }));
+}
+
+void ShardCollector::finishAsking(const std::string &address, const absl::StatusOr<std::vector<RunRecord>> &runs)
+{
+    const auto it = m_agents.find(address);
+    if (it == m_agents.end()) {
+        return;
+    }
+    if (!runs.ok()) {
+        askAgainLater(address, it->second);
+        if (failureCode(runs.status()) == FailureCode::StaleEpoch) {
+            return m_events.deposed();
+        }
+        return m_events.changed();
+    }
+    it->second.state = AgentState::Answered;
+    for (RunRecord record : *runs) {
+        record.agentAddress = address;
+        m_events.found(record);
+    }
+    if (!isHolding()) {
+        m_isReleased = true;
+    }
+    m_events.changed();
+}
+
+void ShardCollector::askAgainLater(const std::string &address, Agent &agent)
+{
+    agent.state = AgentState::Unreachable;
+    agent.retryTimer = m_timers.after(agent.backoff.next(m_random), m_life.guard([this, address] {
+        const auto it = m_agents.find(address);
+        if (it != m_agents.end()) {
+            it->second.retryTimer = 0;
+            ask(address);
+        }
+    }));
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/shardcollector.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "agentport.h"
+#include "backoff.h"
+#include "lifetoken.h"
+#include "randomsource.h"
+#include "timerservice.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace RadishSwitch
+{
+
+struct ShardCollectorSettings {
+    /// How long an agent that neither answers nor fails is waited for before requests go on without it.
+    Duration holdLimit = std::chrono::seconds(2);
+    Duration firstBackoff = std::chrono::milliseconds(100);
+    Duration lastBackoff = std::chrono::seconds(10);
+};
+
+/// Collects from the agents what earlier owners of a key shard had them run, for its new owner.
+///
+/// The question carries the new epoch. An agent that has answered lets no run of an earlier owner start any more, so
+/// its answer stays complete. Until all have answered, an idempotent request may still turn out to have run elsewhere.
+class ShardCollector
+{
+public:
+    struct Events {
+        /// An agent told of a run.
+        std::function<void(const RunRecord &)> found;
+        /// `isHolding` or `isComplete` may have changed.
+        std::function<void()> changed;
+        /// An agent knows of a later owner.
+        std::function<void()> deposed;
+    };
+
+    ShardCollector(AgentPort &agents, TimerService &timers, RandomSource &random, std::uint32_t shard,
+                   std::uint64_t epoch, ShardCollectorSettings settings, Events events);
+    ~ShardCollector();
+
+    ShardCollector(const ShardCollector &) = delete;
+    ShardCollector &operator=(const ShardCollector &) = delete;
+
+    /// Asks the agents that were not asked yet, and drops those that are gone for good: what they knew is lost.
+    void refresh();
+
+    /// Whether requests must wait: agents that may yet answer have not, and the limit has not come.
+    bool isHolding() const;
+
+    /// Whether every agent has answered.
+    bool isComplete() const;
+
+private:
+    enum class AgentState {
+        Asked,
+        Unreachable,
+        Answered,
+    };
+
+    struct Agent {
+        AgentState state = AgentState::Asked;
+        Backoff backoff;
+        TimerId retryTimer = 0;
+    };
+
+    void ask(const std::string &address);
+    void finishAsking(const std::string &address, const absl::StatusOr<std::vector<RunRecord>> &runs);
+    void askAgainLater(const std::string &address, Agent &agent);
+
+    AgentPort &m_agentPort;
+    TimerService &m_timers;
+    RandomSource &m_random;
+    const std::uint32_t m_shard;
+    const std::uint64_t m_epoch;
+    const ShardCollectorSettings m_settings;
+    const Events m_events;
+    std::map<std::string, Agent> m_agents;
+    /// Set once requests went on; agents that join later do not hold them up again.
+    bool m_isReleased = false;
+    TimerId m_holdTimer = 0;
+    LifeToken m_life;
+};
+
+}
--- /dev/null
+++ b/tests/fakes/memoryreservations.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "failure.h"
+#include "reservationport.h"
+#include "taskqueue.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// One portion of tokens against which a home reserves, and the books on what became of each reservation.
+class MemoryReservations : public RadishSwitch::ReservationPort
+{
+public:
+    using RequestId = RadishSwitch::RequestId;
+    using ReservedPortion = RadishSwitch::ReservedPortion;
+
+    MemoryReservations(RadishSwitch::TaskQueue &tasks, std::string portion, std::int64_t tokens)
+        : m_tasks(tasks)
+        , m_portion(std::move(portion))
+        , m_free(tokens)
+    {
+    }
+
+    void reserve(const RequestId &request, const RadishSwitch::BudgetId &, std::int64_t tokens, RadishSwitch::Instant,
+                 std::function<void(absl::StatusOr<ReservedPortion>)> callback) override
+    {
+        absl::StatusOr<ReservedPortion> answer = ReservedPortion{m_portion, tokens};
+        if (m_reserved.contains(request)) {
+            ++m_reservedTwice;
+        } else if (tokens > m_free) {
+            answer = RadishSwitch::makeFailure(RadishSwitch::FailureCode::BudgetExhausted, "nothing left",
+                                               std::chrono::milliseconds(100));
+        } else {
+            m_free -= tokens;
+            m_reserved[request] = tokens;
+        }
+        m_tasks.post([callback = std::move(callback), answer] {
+            callback(answer);
+        });
+    }
+
+    void settle(const RequestId &request, std::int64_t tokens) override
+    {
+        m_free += taken(request) - tokens;
+        m_billed[request].push_back(tokens);
+    }
+
+    void release(const RequestId &request) override
+    {
+        m_free += taken(request);
+    }
+
+    void withhold(const RequestId &request) override
+    {
+        m_withheld += taken(request);
+    }
+
+    std::int64_t free() const
+    {
+        return m_free;
+    }
+
+    std::int64_t withheld() const
+    {
+        return m_withheld;
+    }
+
+    std::int64_t reserved() const
+    {
+        std::int64_t sum = 0;
+        for (const auto &[request, tokens] : m_reserved) {
+            sum += tokens;
+        }
+        return sum;
+    }
+
+    /// How often a request was reserved for that held a reservation already.
+    int reservedTwice() const
+    {
+        return m_reservedTwice;
+    }
+
+    /// Every bill of a request; more than one is a fault.
+    std::vector<std::int64_t> billsOf(const RequestId &request) const
+    {
+        const auto it = m_billed.find(request);
+        return it == m_billed.end() ? std::vector<std::int64_t>() : it->second;
+    }
+
+private:
+    std::int64_t taken(const RequestId &request)
+    {
+        auto node = m_reserved.extract(request);
+        return node.empty() ? 0 : node.mapped();
+    }
+
+    RadishSwitch::TaskQueue &m_tasks;
+    const RadishSwitch::PortionId m_portion;
+    std::int64_t m_free;
+    std::int64_t m_withheld = 0;
+    int m_reservedTwice = 0;
+    std::map<RequestId, std::int64_t> m_reserved;
+    std::map<RequestId, std::vector<std::int64_t>> m_billed;
+};
