Name the resolver's end apart from the router's; alias the wire namespace

Cause: two parts named an enum RunEnd; the entry needs both. Change: ResolvedEnd in the resolver; wire.h aliases the generated namespace.

--- a/src/entry/dispatchgate.h
+++ b/src/entry/dispatchgate.h
@@ -3,7 +3,7 @@
 #include "ceilingmeter.h"
 #include "endpointdirectory.h"
 #include "fairqueue.h"
-#include "fleet.pb.h"
+#include "wire.h"
 #include "monitor.h"
 #include "poolrouter.h"
 #include "retrybudget.h"
--- a/src/entry/fleetagentport.cpp
+++ b/src/entry/fleetagentport.cpp
@@ -1,7 +1,7 @@
 #include "fleetagentport.h"
 
 #include "agentlife.h"
-#include "fleet.pb.h"
+#include "wire.h"
 #include "unarycall.h"
 #include "wireconversion.h"
 
--- a/src/entry/homewire.h
+++ b/src/entry/homewire.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet.pb.h"
+#include "wire.h"
 #include "home.h"
 
 namespace RadishSwitch
--- a/src/entry/peerlinks.cpp
+++ b/src/entry/peerlinks.cpp
@@ -1,6 +1,6 @@
 #include "peerlinks.h"
 
-#include "fleet.pb.h"
+#include "wire.h"
 #include "unarycall.h"
 #include "wireconversion.h"
 
--- a/src/entry/remotehomesession.h
+++ b/src/entry/remotehomesession.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "homesession.h"
-#include "fleet.pb.h"
+#include "wire.h"
 #include "messagestream.h"
 #include "timerservice.h"
 
--- a/src/entry/runstream.h
+++ b/src/entry/runstream.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "agentlife.h"
-#include "fleet.pb.h"
+#include "wire.h"
 #include "http2transport.h"
 #include "identifier.h"
 #include "messagereader.h"
--- a/src/libradishnet/wireconversion.h
+++ b/src/libradishnet/wireconversion.h
@@ -2,7 +2,7 @@
 
 #include "agentport.h"
 #include "failure.h"
-#include "fleet.pb.h"
+#include "wire.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/home.cpp
+++ b/src/libradishswitch/home.cpp
@@ -465,7 +465,7 @@
 void Home::resolve(const RequestId &request, std::vector<Dispatch> places, bool cancel)
 {
     if (places.empty()) {
-        return finishAbandoned(request, {RunEnd::NotRun, 0});
+        return finishAbandoned(request, {ResolvedEnd::NotRun, 0});
     }
     RunResolver::Events events;
     events.ended = [this, request](const RunVerdict &verdict) {
@@ -493,13 +493,13 @@
         return;
     }
     switch (verdict.end) {
-    case RunEnd::NotRun:
+    case ResolvedEnd::NotRun:
         return end(request, RequestState::NotRun, 0);
-    case RunEnd::Done:
+    case ResolvedEnd::Done:
         return end(request, RequestState::Done, verdict.chargedTokens);
-    case RunEnd::Failed:
+    case ResolvedEnd::Failed:
         return end(request, RequestState::Failed, verdict.chargedTokens);
-    case RunEnd::Lost:
+    case ResolvedEnd::Lost:
         return endLost(request);
     }
 }
@@ -561,7 +561,7 @@
 void Home::finishRival(RunRecord record, const RunVerdict &verdict)
 {
     m_rivalResolvers.erase(record.request);
-    record.state = verdict.end == RunEnd::Done ? RunState::Done : RunState::Failed;
+    record.state = verdict.end == ResolvedEnd::Done ? RunState::Done : RunState::Failed;
     record.chargedTokens = verdict.chargedTokens;
     const KnownRequest *known = m_registry.find(record.request);
     if (known && known->isOwn) {
