--- a/src/libradishnet/http2transport.h
+++ b/src/libradishnet/http2transport.h
@@ -21,6 +21,9 @@
     Duration pingInterval = std::chrono::milliseconds(500);
     /// A connection on which nothing was heard for so long since a PING is taken as silent and given up.
     Duration pingTimeout = std::chrono::milliseconds(1500);
+    /// An HTTP/2 connection runs out of stream ids at 2^31. A client that has come so far opens its further streams on
+    /// a new connection, and closes the old one after its last stream.
+    std::int32_t maximumStreamId = 1 << 30;
 };
 
 /// Accepts the fleet's connections and hands each new stream to the handler of its path.
