--- /dev/null
+++ b/src/libradishswitch/budgetholder.cpp
@@ -0,0 +1,316 @@
+#include "budgetholder.h"
+
+#include "failure.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+BudgetHolder::BudgetHolder(Ledger &ledger, TimerService &timers, TaskQueue &tasks, RandomSource &random,
+                           BudgetHolderSettings settings)
+    : m_ledger(ledger)
+    , m_timers(timers)
+    , m_tasks(tasks)
+    , m_random(random)
+    , m_settings(std::move(settings))
+{
+    m_ledger.setAwayCallback([this](std::uint32_t shard, bool isAway) {
+        if (isAway) {
+            handleAway(shard);
+        }
+    });
+    m_wheelTimer = m_timers.every(m_settings.checkpointInterval / kWheelSlots, [this] {
+        checkpointSlot();
+    });
+}
+
+BudgetHolder::~BudgetHolder()
+{
+    m_ledger.setAwayCallback(nullptr);
+    m_timers.cancel(m_wheelTimer);
+    for (Entry *entry : m_withWaiting) {
+        for (const WaitingReservation &it : entry->second.waiting()) {
+            m_timers.cancel(it.timer);
+        }
+    }
+}
+
+void BudgetHolder::reserve(const ReservationRequest &request, ReservationCallback callback)
+{
+    if (request.tokens < 1) {
+        return answer(std::move(callback), makeFailure(FailureCode::InvalidRequest, "a reservation has tokens"));
+    }
+    if (const auto it = m_open.find(request.request); it != m_open.end()) {
+        const HeldPortion *portion = it->second.entry->second.find(it->second.portion);
+        const Instant confirmedAt = portion ? portion->confirmedAt : Instant::min();
+        return answer(std::move(callback), Reservation{portionId(it->second.portion), it->second.tokens, confirmedAt});
+    }
+    if (m_isStopping) {
+        return answer(std::move(callback), makeFailure(FailureCode::Draining, "this process is stopping"));
+    }
+    Entry &entry = entryOf(request.budget);
+    HeldBudget &budget = entry.second;
+    budget.noteReserved(request.tokens, m_timers.now());
+    if (budget.hasWaiting() || budget.current().available() < request.tokens) {
+        return wait(entry, request, std::move(callback));
+    }
+    answer(std::move(callback), grant(entry, request.request, request.tokens));
+    askIfLow(entry);
+}
+
+absl::Status BudgetHolder::settle(const RequestId &request, std::int64_t chargedTokens)
+{
+    const auto it = m_open.find(request);
+    if (it == m_open.end()) {
+        return absl::OkStatus();
+    }
+    const Open open = it->second;
+    m_open.erase(it);
+    if (chargedTokens < 0 || chargedTokens > open.tokens) {
+        close(open, open.tokens);
+        return makeFailure(FailureCode::InvalidRequest, "charged outside of what was reserved");
+    }
+    close(open, chargedTokens);
+    return absl::OkStatus();
+}
+
+void BudgetHolder::release(const RequestId &request)
+{
+    const auto it = m_open.find(request);
+    if (it == m_open.end()) {
+        return;
+    }
+    const Open open = it->second;
+    m_open.erase(it);
+    close(open, 0);
+}
+
+void BudgetHolder::stop(std::function<void()> callback)
+{
+    m_isStopping = true;
+    m_onStopped = std::move(callback);
+    const absl::flat_hash_set<Entry *> withWaiting = m_withWaiting;
+    for (Entry *entry : withWaiting) {
+        refuseAll(*entry, makeFailure(FailureCode::Draining, "this process is stopping"));
+    }
+    for (Entry &entry : m_budgets) {
+        HeldBudget &budget = entry.second;
+        if (!budget.isAsking && budget.current().number != 0) {
+            retire(entry, budget.replaceCurrent({}));
+        }
+    }
+    checkStopped();
+}
+
+std::optional<HeldBudgetStatus> BudgetHolder::budgetStatus(const BudgetId &budget) const
+{
+    const auto it = m_budgets.find(budget);
+    if (it == m_budgets.end()) {
+        return std::nullopt;
+    }
+    const HeldBudget &held = it->second;
+    HeldBudgetStatus status;
+    status.budget = budget;
+    const auto add = [&](const HeldPortion &portion, bool isDraining) {
+        status.portions.push_back(
+            {portionId(portion.number), portion.granted, portion.spent, portion.reserved, isDraining});
+    };
+    if (held.current().number != 0) {
+        add(held.current(), false);
+    }
+    for (const HeldPortion &portion : held.draining()) {
+        add(portion, true);
+    }
+    status.available = held.current().available();
+    status.waiting = held.waitingCount();
+    status.tokensPerSecond = held.tokensPerSecond(m_timers.now(), m_settings);
+    status.isStoreAway = m_ledger.isStoreAway(held.shard());
+    return status;
+}
+
+std::vector<OpenReservation> BudgetHolder::openReservations(const BudgetId &budget) const
+{
+    std::vector<OpenReservation> found;
+    for (const auto &[request, open] : m_open) {
+        if (open.entry->first == budget) {
+            const HeldPortion *portion = open.entry->second.find(open.portion);
+            const Instant confirmedAt = portion ? portion->confirmedAt : Instant::min();
+            found.push_back({request, budget, {portionId(open.portion), open.tokens, confirmedAt}});
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const OpenReservation &a, const OpenReservation &b) {
+        return a.request < b.request;
+    });
+    return found;
+}
+
+std::size_t BudgetHolder::openReservationCount() const
+{
+    return m_open.size();
+}
+
+BudgetHolder::Entry &BudgetHolder::entryOf(const BudgetId &budget)
+{
+    const auto found = m_budgets.find(budget);
+    if (found != m_budgets.end()) {
+        return *found;
+    }
+    Entry &entry = *m_budgets.try_emplace(budget, m_ledger.shardOf(budget), m_timers.now()).first;
+    m_wheel[m_random.below(kWheelSlots)].push_back(&entry);
+    return entry;
+}
+
+Reservation BudgetHolder::grant(Entry &entry, const RequestId &request, std::int64_t tokens)
+{
+    HeldPortion &portion = entry.second.current();
+    portion.reserved += tokens;
+    entry.second.openReservations += 1;
+    m_open.emplace(request, Open{&entry, portion.number, tokens});
+    return Reservation{portionId(portion.number), tokens, portion.confirmedAt};
+}
+
+void BudgetHolder::wait(Entry &entry, const ReservationRequest &request, ReservationCallback callback)
+{
+    if (entry.second.waitingCount() >= m_settings.maximumWaiting) {
+        return answer(
+            std::move(callback),
+            makeFailure(FailureCode::BudgetExhausted, "too many wait for this budget", m_settings.exhaustedRetryAfter));
+    }
+    const TimerId timer = m_timers.after(request.deadline - m_timers.now(), [this, &entry, id = request.request] {
+        handleDeadline(entry, id);
+    });
+    entry.second.waiting().push_back({request, std::move(callback), timer});
+    m_withWaiting.insert(&entry);
+    evaluate(entry);
+}
+
+void BudgetHolder::handleDeadline(Entry &entry, const RequestId &request)
+{
+    std::deque<WaitingReservation> &waiting = entry.second.waiting();
+    const auto it = std::find_if(waiting.begin(), waiting.end(), [&](const WaitingReservation &it) {
+        return it.request.request == request;
+    });
+    if (it == waiting.end()) {
+        return;
+    }
+    const bool isAsking = entry.second.isAsking;
+    answer(std::move(it->callback),
+           isAsking ? makeFailure(FailureCode::BudgetUnavailable, "the ledger did not answer in time",
+                                  m_settings.unavailableRetryAfter)
+                    : makeFailure(FailureCode::BudgetExhausted, "nothing became free in time",
+                                  m_settings.exhaustedRetryAfter));
+    waiting.erase(it);
+    evaluate(entry);
+}
+
+void BudgetHolder::evaluate(Entry &entry)
+{
+    serveWaiting(entry);
+    refuseHopeless(entry);
+    if (!entry.second.hasWaiting()) {
+        m_withWaiting.erase(&entry);
+        return askIfLow(entry);
+    }
+    const bool isWorthAsking = !isFreeKnown(entry.second) || entry.second.lastFree >= entry.second.smallestUseful();
+    if (!entry.second.isAsking && isWorthAsking) {
+        ask(entry, Urgency::Urgent);
+    }
+}
+
+void BudgetHolder::serveWaiting(Entry &entry)
+{
+    HeldBudget &budget = entry.second;
+    while (budget.hasWaiting() && budget.current().available() >= budget.waiting().front().request.tokens) {
+        WaitingReservation served = std::move(budget.waiting().front());
+        budget.waiting().pop_front();
+        m_timers.cancel(served.timer);
+        answer(std::move(served.callback), grant(entry, served.request.request, served.request.tokens));
+    }
+}
+
+void BudgetHolder::refuseHopeless(Entry &entry)
+{
+    if (!entry.second.hasWaiting()) {
+        return;
+    }
+    std::deque<WaitingReservation> kept;
+    for (WaitingReservation &it : entry.second.waiting()) {
+        const std::optional<absl::Status> refusal = refusalOf(entry, it.request.tokens);
+        if (!refusal) {
+            kept.push_back(std::move(it));
+            continue;
+        }
+        m_timers.cancel(it.timer);
+        answer(std::move(it.callback), *refusal);
+    }
+    entry.second.waiting() = std::move(kept);
+}
+
+std::optional<absl::Status> BudgetHolder::refusalOf(const Entry &entry, std::int64_t tokens) const
+{
+    const HeldBudget &budget = entry.second;
+    const std::int64_t missing = tokens - budget.potential();
+    if (missing <= 0) {
+        return std::nullopt;
+    }
+    if (m_ledger.isStoreAway(budget.shard())) {
+        return makeFailure(FailureCode::BudgetUnavailable, "the ledger is away and the portion here is used up",
+                           m_settings.unavailableRetryAfter);
+    }
+    if (budget.isAsking || !isFreeKnown(budget)) {
+        return std::nullopt;
+    }
+    if (budget.isUnknown) {
+        return makeFailure(FailureCode::BudgetUnknown, "no budget " + entry.first.toString());
+    }
+    if (budget.lastFree >= missing) {
+        return std::nullopt;
+    }
+    return makeFailure(FailureCode::BudgetExhausted, "budget " + entry.first.toString() + " is exhausted",
+                       m_settings.exhaustedRetryAfter);
+}
+
+void BudgetHolder::refuseAll(Entry &entry, const absl::Status &status)
+{
+    std::deque<WaitingReservation> waiting = std::exchange(entry.second.waiting(), {});
+    m_withWaiting.erase(&entry);
+    for (WaitingReservation &it : waiting) {
+        m_timers.cancel(it.timer);
+        answer(std::move(it.callback), status);
+    }
+}
+
+void BudgetHolder::close(const Open &open, std::int64_t chargedTokens)
+{
+    Entry &entry = *open.entry;
+    entry.second.openReservations -= 1;
+    if (chargedTokens > 0) {
+        entry.second.noteSpent(chargedTokens, m_timers.now(), m_settings);
+    }
+    HeldPortion *portion = entry.second.find(open.portion);
+    if (!portion) {
+        // Lost to a closer, which counts the charge from what the agents keep.
+        return;
+    }
+    portion->reserved -= open.tokens;
+    portion->spent += chargedTokens;
+    if (portion != &entry.second.current() && portion->reserved == 0) {
+        const HeldPortion drained = *portion;
+        entry.second.remove(drained.number);
+        returnWhole(entry, drained);
+    }
+    if (entry.second.hasWaiting()) {
+        evaluate(entry);
+    }
+}
+
+void BudgetHolder::answer(ReservationCallback callback, absl::StatusOr<Reservation> result)
+{
+    m_tasks.post([callback = std::move(callback), result = std::move(result)] {
+        callback(result);
+    });
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -0,0 +1,322 @@
+#include "budgetholder.h"
+
+#include "failure.h"
+#include "returnportionchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+/// Whether a change failed since its portion is the holder's no longer.
+bool isPortionLost(const absl::Status &status)
+{
+    if (status.ok()) {
+        return false;
+    }
+    return failureCode(status) == FailureCode::PortionClosed || failureCode(status) == FailureCode::BudgetUnknown;
+}
+
+}
+
+bool BudgetHolder::isFreeKnown(const HeldBudget &budget) const
+{
+    return budget.lastFreeAt != Instant::min() && m_timers.now() - budget.lastFreeAt < m_settings.dryRecheckInterval;
+}
+
+void BudgetHolder::askIfLow(Entry &entry)
+{
+    HeldBudget &budget = entry.second;
+    if (budget.isAsking || m_isStopping || budget.isUnknown) {
+        return;
+    }
+    const Instant now = m_timers.now();
+    if (budget.lastAskedAt != Instant::min() && now - budget.lastAskedAt < m_settings.relaxedAskInterval) {
+        return;
+    }
+    const auto wished = static_cast<double>(budget.wishedSize(now, m_settings));
+    if (static_cast<double>(budget.current().available()) < wished * m_settings.lowWaterShare) {
+        ask(entry, Urgency::Relaxed);
+    }
+}
+
+void BudgetHolder::ask(Entry &entry, Urgency urgency)
+{
+    HeldBudget &budget = entry.second;
+    const Instant now = m_timers.now();
+    const HeldPortion &current = budget.current();
+    const bool isFresh = current.number == 0 || now - current.takenAt > m_settings.portionLifetime;
+    const std::uint32_t number = isFresh ? ++m_lastNumber : current.number;
+    const auto change = std::make_shared<TakePortionChange>(entry.first, portionRequest(budget, number));
+    budget.isAsking = true;
+    budget.lastAskedAt = now;
+    ++m_portions;
+    m_ledger.submit(
+        entry.first, change, urgency,
+        [this, alive = std::weak_ptr<int>(m_alive), &entry, change, number, now](const absl::Status &status) {
+            if (!alive.expired()) {
+                handleTaken(entry, *change, number, now, status);
+            }
+        });
+}
+
+PortionRequest BudgetHolder::portionRequest(const HeldBudget &budget, std::uint32_t number) const
+{
+    const HeldPortion &current = budget.current();
+    const std::int64_t wished = budget.wishedSize(m_timers.now(), m_settings);
+    PortionRequest request;
+    request.portion = portionId(number);
+    request.holder = m_settings.incarnation;
+    request.region = m_settings.region;
+    request.sequence = number == current.number ? current.sequence + 1 : 1;
+    request.needed = std::max<std::int64_t>(budget.shortage(), 0);
+    request.smallestUseful = budget.smallestUseful();
+    request.desired =
+        std::max(request.needed + wished - std::max<std::int64_t>(current.available(), 0), request.needed);
+    request.shareOfFree = m_settings.shareOfFree;
+    request.atMilliseconds = m_timers.wallClockMilliseconds();
+    return request;
+}
+
+void BudgetHolder::handleTaken(Entry &entry, const TakePortionChange &change, std::uint32_t number, Instant askedAt,
+                               const absl::Status &status)
+{
+    HeldBudget &budget = entry.second;
+    budget.isAsking = false;
+    --m_portions;
+    if (status.ok()) {
+        budget.isUnknown = false;
+        budget.lastFree = change.glance().free;
+        budget.lastFreeAt = m_timers.now();
+        adopt(entry, change, number, askedAt);
+    } else if (failureCode(status) == FailureCode::PortionClosed) {
+        drop(entry, number);
+    } else if (failureCode(status) == FailureCode::BudgetUnknown) {
+        budget.isUnknown = true;
+        budget.lastFree = 0;
+        budget.lastFreeAt = m_timers.now();
+    } else {
+        refuseAll(entry,
+                  makeFailure(FailureCode::BudgetUnavailable, std::string(status.message()),
+                              m_settings.unavailableRetryAfter));
+    }
+    if (m_isStopping) {
+        if (budget.current().number != 0) {
+            retire(entry, budget.replaceCurrent({}));
+        }
+        return checkStopped();
+    }
+    evaluate(entry);
+}
+
+void BudgetHolder::adopt(Entry &entry, const TakePortionChange &change, std::uint32_t number, Instant askedAt)
+{
+    if (change.granted() == 0) {
+        return;
+    }
+    HeldPortion &current = entry.second.current();
+    if (current.number == number) {
+        current.granted = change.granted();
+        current.sequence = static_cast<std::uint32_t>(change.request().sequence);
+        current.confirmedAt = std::max(current.confirmedAt, askedAt);
+        return;
+    }
+    ++m_portions;
+    HeldPortion fresh;
+    fresh.number = number;
+    fresh.sequence = static_cast<std::uint32_t>(change.request().sequence);
+    fresh.granted = change.granted();
+    fresh.takenAt = askedAt;
+    fresh.confirmedAt = askedAt;
+    const HeldPortion before = entry.second.replaceCurrent(fresh);
+    if (before.number != 0) {
+        retire(entry, before);
+    }
+}
+
+void BudgetHolder::drop(Entry &entry, std::uint32_t number)
+{
+    // Another process has closed the portion, taking this one for dead. What is open on it goes on: the agents keep
+    // the charges, and the closer counts them. Nothing more is reserved against it.
+    if (entry.second.find(number)) {
+        entry.second.remove(number);
+        --m_portions;
+        checkStopped();
+    }
+}
+
+void BudgetHolder::retire(Entry &entry, HeldPortion portion)
+{
+    if (portion.reserved == 0) {
+        return returnWhole(entry, portion);
+    }
+    const std::int64_t surplus = portion.available();
+    if (surplus > 0) {
+        surrender(entry, portion, surplus);
+    }
+    entry.second.addDraining(portion);
+}
+
+void BudgetHolder::returnWhole(Entry &entry, const HeldPortion &portion)
+{
+    const auto change = std::make_shared<ReturnPortionChange>(entry.first, portionId(portion.number), portion.spent);
+    const Urgency urgency = m_isStopping || entry.second.hasWaiting() ? Urgency::Urgent : Urgency::Relaxed;
+    entry.second.pendingChanges += 1;
+    m_ledger.submit(entry.first, change, urgency,
+                    [this, alive = std::weak_ptr<int>(m_alive), &entry](const absl::Status &) {
+                        if (alive.expired()) {
+                            return;
+                        }
+                        // A portion that another has closed meanwhile is gone as well.
+                        entry.second.pendingChanges -= 1;
+                        entry.second.lastFreeAt = Instant::min();
+                        --m_portions;
+                        evaluate(entry);
+                        checkStopped();
+                    });
+}
+
+void BudgetHolder::surrender(Entry &entry, HeldPortion &portion, std::int64_t tokens)
+{
+    portion.granted -= tokens;
+    portion.sequence += 1;
+    const std::uint32_t number = portion.number;
+    const auto change = std::make_shared<ReturnPortionChange>(entry.first, portionId(number), portion.spent,
+                                                              portion.sequence, portion.granted);
+    entry.second.pendingChanges += 1;
+    m_ledger.submit(entry.first, change, Urgency::Relaxed,
+                    [this, alive = std::weak_ptr<int>(m_alive), &entry, number](const absl::Status &status) {
+                        if (alive.expired()) {
+                            return;
+                        }
+                        entry.second.pendingChanges -= 1;
+                        if (isPortionLost(status)) {
+                            drop(entry, number);
+                        }
+                    });
+}
+
+void BudgetHolder::checkpointSlot()
+{
+    m_wheelSlot = (m_wheelSlot + 1) % kWheelSlots;
+    std::vector<Entry *> &slot = m_wheel[m_wheelSlot];
+    std::erase_if(slot, [this](Entry *entry) {
+        checkpoint(*entry);
+        if (!isForgettable(entry->second)) {
+            return false;
+        }
+        const BudgetId budget = entry->first;
+        m_budgets.erase(budget);
+        return true;
+    });
+    const absl::flat_hash_set<Entry *> withWaiting = m_withWaiting;
+    for (Entry *entry : withWaiting) {
+        evaluate(*entry);
+    }
+}
+
+void BudgetHolder::checkpoint(Entry &entry)
+{
+    HeldBudget &budget = entry.second;
+    const HeldPortion current = budget.current();
+    const bool isIdle =
+        current.reserved == 0 && !budget.hasWaiting() && m_timers.now() - budget.lastUsedAt() >= m_settings.idleTime;
+    if (current.number != 0 && isIdle && !budget.isAsking) {
+        retire(entry, budget.replaceCurrent({}));
+    } else if (current.number != 0) {
+        report(entry, current);
+    }
+    for (const HeldPortion &it : budget.draining()) {
+        report(entry, it);
+    }
+}
+
+void BudgetHolder::report(Entry &entry, const HeldPortion &portion)
+{
+    const auto change = std::make_shared<ReportSpendChange>(entry.first, portionId(portion.number), portion.spent);
+    const Instant now = m_timers.now();
+    entry.second.pendingChanges += 1;
+    m_ledger.submit(entry.first, change, Urgency::Relaxed,
+                    [this, alive = std::weak_ptr<int>(m_alive), &entry, change, number = portion.number,
+                     now](const absl::Status &status) {
+                        if (!alive.expired()) {
+                            entry.second.pendingChanges -= 1;
+                            handleReported(entry, *change, number, now, status);
+                        }
+                    });
+}
+
+void BudgetHolder::handleReported(Entry &entry, const ReportSpendChange &change, std::uint32_t number, Instant askedAt,
+                                  const absl::Status &status)
+{
+    HeldBudget &budget = entry.second;
+    HeldPortion *portion = budget.find(number);
+    if (!portion) {
+        return;
+    }
+    if (isPortionLost(status)) {
+        drop(entry, number);
+        return evaluate(entry);
+    }
+    if (!status.ok()) {
+        return;
+    }
+    portion->confirmedAt = std::max(portion->confirmedAt, askedAt);
+    if (portion == &budget.current() && !budget.isAsking && !m_isStopping) {
+        giveBackSurplus(entry, change.glance());
+    }
+}
+
+void BudgetHolder::giveBackSurplus(Entry &entry, const BudgetGlance &glance)
+{
+    HeldBudget &budget = entry.second;
+    const Instant now = m_timers.now();
+    const bool isWantedElsewhere = !glance.wantedBy.isEmpty() && glance.wantedBy != m_settings.incarnation;
+    const std::int64_t wished = budget.wishedSize(now, m_settings);
+    const std::int64_t kept = isWantedElsewhere ? budget.sizeWhenWanted(now, m_settings) : wished;
+    const double limit =
+        isWantedElsewhere ? static_cast<double>(kept) : static_cast<double>(wished) * m_settings.surplusFactor;
+    HeldPortion &portion = budget.current();
+    if (budget.hasWaiting() || static_cast<double>(portion.available()) <= limit) {
+        return;
+    }
+    if (kept == 0 && portion.reserved == 0) {
+        return retire(entry, budget.replaceCurrent({}));
+    }
+    surrender(entry, portion, portion.available() - kept);
+}
+
+bool BudgetHolder::isForgettable(const HeldBudget &budget) const
+{
+    return budget.current().number == 0 && budget.draining().empty() && !budget.hasWaiting() && !budget.isAsking
+        && budget.pendingChanges == 0 && budget.openReservations == 0
+        && m_timers.now() - budget.lastUsedAt() >= m_settings.idleTime;
+}
+
+void BudgetHolder::handleAway(std::uint32_t shard)
+{
+    const absl::flat_hash_set<Entry *> withWaiting = m_withWaiting;
+    for (Entry *entry : withWaiting) {
+        if (entry->second.shard() == shard) {
+            evaluate(*entry);
+        }
+    }
+}
+
+void BudgetHolder::checkStopped()
+{
+    if (m_isStopping && m_portions == 0 && m_onStopped) {
+        m_tasks.post(std::exchange(m_onStopped, nullptr));
+    }
+}
+
+PortionId BudgetHolder::portionId(std::uint32_t number) const
+{
+    return PortionId(m_settings.incarnation.value() + "-" + std::to_string(number));
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/budgetholdersettings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "identifier.h"
+#include "timerservice.h"
+
+#include <cstddef>
+#include <string>
+
+namespace RadishSwitch
+{
+
+/// How a process holds portions of budgets.
+struct BudgetHolderSettings {
+    /// This life of this process; names its portions.
+    IncarnationId incarnation;
+    std::string region;
+    /// How long a portion should last at the present use when the store is away.
+    Duration survivalTime = std::chrono::seconds(90);
+    /// Time over which use is averaged.
+    Duration averagingTime = std::chrono::seconds(30);
+    /// More is asked for when less than this share of the wished size is left.
+    double lowWaterShare = 0.5;
+    /// Share of what is free in the ledger that may be taken beyond what waiting requests need.
+    double shareOfFree = 0.25;
+    /// Requests of the size last seen for which a portion has room at least, whatever the averaged use is.
+    int requestsAhead = 4;
+    /// A portion with more than so many times the wished size gives back the excess.
+    double surplusFactor = 4;
+    /// Use of so long is kept when another holder found too little.
+    Duration survivalTimeWhenWanted = std::chrono::seconds(5);
+    /// How often a portion's spending is written to the ledger, and the ledger looked at.
+    Duration checkpointInterval = std::chrono::seconds(5);
+    /// A portion that nobody used for so long is returned.
+    Duration idleTime = std::chrono::seconds(60);
+    /// An older portion is replaced by a fresh one at the next occasion, so that few agents come and go during the
+    /// life of a portion.
+    Duration portionLifetime = std::chrono::minutes(10);
+    /// For so long after the ledger had too little, it is not asked again.
+    Duration dryRecheckInterval = std::chrono::milliseconds(500);
+    /// At least so long between two requests to the ledger that no request waits for.
+    Duration relaxedAskInterval = std::chrono::seconds(1);
+    /// What callers are told with BudgetExhausted and with BudgetUnavailable.
+    std::chrono::milliseconds exhaustedRetryAfter = std::chrono::seconds(5);
+    std::chrono::milliseconds unavailableRetryAfter = std::chrono::seconds(2);
+    /// Requests of one budget that may wait at once.
+    std::size_t maximumWaiting = 1000;
+};
+
+}
--- a/src/libradishswitch/budgetrecord.cpp
+++ b/src/libradishswitch/budgetrecord.cpp
@@ -179,7 +179,8 @@
     }
     const auto share = static_cast<std::int64_t>(static_cast<double>(available) * request.shareOfFree);
     const std::int64_t grant = std::max(request.needed, std::min(request.desired, share));
-    return std::clamp<std::int64_t>(grant, 0, available);
+    // A share too small for any request is left for the holder that will need it.
+    return grant < request.smallestUseful ? 0 : std::min(grant, available);
 }
 
 absl::Status BudgetRecord::reportSpend(const PortionId &portion, std::int64_t spent)
--- /dev/null
+++ b/src/libradishswitch/heldbudget.cpp
@@ -0,0 +1,173 @@
+#include "heldbudget.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+double secondsOf(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+const std::vector<HeldPortion> kNoPortions;
+
+}
+
+HeldBudget::HeldBudget(std::uint32_t shard, Instant now)
+    : m_shard(shard)
+    , m_averagedAt(now)
+    , m_lastUsedAt(now)
+{
+}
+
+std::uint32_t HeldBudget::shard() const
+{
+    return m_shard;
+}
+
+HeldPortion &HeldBudget::current()
+{
+    return m_current;
+}
+
+const HeldPortion &HeldBudget::current() const
+{
+    return m_current;
+}
+
+HeldPortion HeldBudget::replaceCurrent(const HeldPortion &portion)
+{
+    return std::exchange(m_current, portion);
+}
+
+const std::vector<HeldPortion> &HeldBudget::draining() const
+{
+    return m_extras ? m_extras->draining : kNoPortions;
+}
+
+void HeldBudget::addDraining(const HeldPortion &portion)
+{
+    extras().draining.push_back(portion);
+}
+
+HeldPortion *HeldBudget::find(std::uint32_t number)
+{
+    if (number != 0 && m_current.number == number) {
+        return &m_current;
+    }
+    if (!m_extras) {
+        return nullptr;
+    }
+    const auto it = std::find_if(m_extras->draining.begin(), m_extras->draining.end(), [number](const auto &it) {
+        return it.number == number;
+    });
+    return it == m_extras->draining.end() ? nullptr : &*it;
+}
+
+void HeldBudget::remove(std::uint32_t number)
+{
+    if (m_current.number == number) {
+        m_current = HeldPortion();
+    } else if (m_extras) {
+        std::erase_if(m_extras->draining, [number](const HeldPortion &it) {
+            return it.number == number;
+        });
+    }
+}
+
+std::deque<WaitingReservation> &HeldBudget::waiting()
+{
+    return extras().waiting;
+}
+
+bool HeldBudget::hasWaiting() const
+{
+    return m_extras && !m_extras->waiting.empty();
+}
+
+std::size_t HeldBudget::waitingCount() const
+{
+    return m_extras ? m_extras->waiting.size() : 0;
+}
+
+void HeldBudget::noteReserved(std::int64_t tokens, Instant now)
+{
+    m_lastTokens = tokens;
+    m_lastUsedAt = now;
+}
+
+void HeldBudget::noteSpent(std::int64_t tokens, Instant now, const BudgetHolderSettings &settings)
+{
+    m_tokensPerSecond =
+        tokensPerSecond(now, settings) + static_cast<double>(tokens) / secondsOf(settings.averagingTime);
+    m_averagedAt = now;
+    m_lastUsedAt = now;
+}
+
+double HeldBudget::tokensPerSecond(Instant now, const BudgetHolderSettings &settings) const
+{
+    return m_tokensPerSecond * std::exp(-secondsOf(now - m_averagedAt) / secondsOf(settings.averagingTime));
+}
+
+std::int64_t HeldBudget::wishedSize(Instant now, const BudgetHolderSettings &settings) const
+{
+    const double byUse = tokensPerSecond(now, settings) * secondsOf(settings.survivalTime);
+    return std::max(static_cast<std::int64_t>(byUse), m_lastTokens * settings.requestsAhead);
+}
+
+std::int64_t HeldBudget::sizeWhenWanted(Instant now, const BudgetHolderSettings &settings) const
+{
+    if (now - m_lastUsedAt >= settings.survivalTimeWhenWanted) {
+        return 0;
+    }
+    const double byUse = tokensPerSecond(now, settings) * secondsOf(settings.survivalTimeWhenWanted);
+    return std::max(static_cast<std::int64_t>(byUse), m_lastTokens);
+}
+
+std::int64_t HeldBudget::potential() const
+{
+    std::int64_t sum = m_current.available() + m_current.reserved;
+    for (const HeldPortion &it : draining()) {
+        sum += it.reserved;
+    }
+    return sum;
+}
+
+std::int64_t HeldBudget::smallestUseful() const
+{
+    const std::int64_t useful = hasWaiting() ? m_extras->waiting.front().request.tokens - potential() : m_lastTokens;
+    return std::max<std::int64_t>(useful, 1);
+}
+
+std::int64_t HeldBudget::shortage() const
+{
+    std::int64_t sum = -m_current.available();
+    if (m_extras) {
+        for (const WaitingReservation &it : m_extras->waiting) {
+            sum += it.request.tokens;
+        }
+    }
+    return sum;
+}
+
+Instant HeldBudget::lastUsedAt() const
+{
+    return m_lastUsedAt;
+}
+
+HeldBudget::Extras &HeldBudget::extras()
+{
+    if (!m_extras) {
+        m_extras = std::make_unique<Extras>();
+    }
+    return *m_extras;
+}
+
+}
--- a/src/libradishswitch/ledgershard.cpp
+++ b/src/libradishswitch/ledgershard.cpp
@@ -65,7 +65,9 @@
     if (!isKeepableName(organisation) || !isKeepableName(budget.name) || organisation.find('/') != std::string::npos) {
         return makeFailure(FailureCode::InvalidRequest, "not a budget's name");
     }
-    return m_budgets.emplace(budget, BudgetRecord()).second;
+    const bool isNew = m_budgets.emplace(budget, BudgetRecord()).second;
+    m_isModified = m_isModified || isNew;
+    return isNew;
 }
 
 absl::Status LedgerShard::change(const BudgetId &budget, const std::function<absl::Status(BudgetRecord &)> &change)
@@ -81,12 +83,21 @@
     if (const absl::Status status = changed.check(); !status.ok()) {
         return status;
     }
-    it->second = std::move(changed);
+    if (changed != it->second) {
+        it->second = std::move(changed);
+        m_isModified = true;
+    }
     return absl::OkStatus();
 }
 
+bool LedgerShard::isModified() const
+{
+    return m_isModified;
+}
+
 void LedgerShard::addAudit(LedgerAuditEntry entry)
 {
+    m_isModified = true;
     m_audit.push_back(std::move(entry));
     while (m_audit.size() > kMaximumAuditEntries) {
         m_audit.pop_front();
--- a/src/libradishswitch/ledgershard.h
+++ b/src/libradishswitch/ledgershard.h
@@ -58,9 +58,11 @@
     /// Reads an object's value. ObjectMalformed when it is not what `toJson` writes, or breaks a rule.
     static absl::StatusOr<LedgerShard> fromJson(const std::string &json);
 
-    bool operator==(const LedgerShard &) const = default;
+    /// Whether anything was changed since the shard was read.
+    bool isModified() const;
 
 private:
+    bool m_isModified = false;
     std::map<BudgetId, BudgetRecord> m_budgets;
     std::deque<LedgerAuditEntry> m_audit;
     std::uint64_t m_foldedAuditEntries = 0;
--- /dev/null
+++ b/src/libradishswitch/reservation.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "identifier.h"
+#include "timerservice.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace RadishSwitch
+{
+
+/// A request's worst case, to be set aside before it is sent to any endpoint.
+struct ReservationRequest {
+    RequestId request;
+    BudgetId budget;
+    /// Bound on the tokens that the request can cost.
+    std::int64_t tokens = 0;
+    /// Until then the request may wait for tokens.
+    Instant deadline{};
+
+    bool operator==(const ReservationRequest &) const = default;
+};
+
+/// Tokens set aside for one request.
+struct Reservation {
+    PortionId portion;
+    std::int64_t tokens = 0;
+    /// At or after this moment of the holder's timer service the ledger still had the portion open.
+    ///
+    /// A run may be sent only to agents that were heard of before it. An agent that started later was never told which
+    /// portions are closed: a holder that was paused while its portion was closed would have such an agent run, and
+    /// bill, against tokens that others hold by now. To an older agent the closer has told it.
+    Instant confirmedAt{};
+
+    bool operator==(const Reservation &) const = default;
+};
+
+using ReservationCallback = std::function<void(absl::StatusOr<Reservation>)>;
+
+}
--- a/src/libradishswitch/shardwriter.cpp
+++ b/src/libradishswitch/shardwriter.cpp
@@ -97,16 +97,11 @@
 
 void ShardWriter::applyBatch(std::uint64_t version, LedgerShard shard)
 {
-    const std::size_t room = m_isOneByOne ? 1 : m_batch.size() + m_queue.size();
-    while (!m_queue.empty() && m_batch.size() < room) {
-        m_batch.push_back(std::move(m_queue.front()));
-        m_queue.erase(m_queue.begin());
-    }
-    const LedgerShard before = shard;
+    takeWaiting();
     for (Pending &it : m_batch) {
         it.status = it.change->apply(shard);
     }
-    if (shard == before) {
+    if (!shard.isModified()) {
         return finish();
     }
     std::string value = shard.toJson();
@@ -120,6 +115,14 @@
     });
 }
 
+void ShardWriter::takeWaiting()
+{
+    const std::size_t room = !m_isOneByOne ? m_queue.size() : m_batch.empty() ? 1 : 0;
+    const auto end = m_queue.begin() + static_cast<std::ptrdiff_t>(std::min(room, m_queue.size()));
+    m_batch.insert(m_batch.end(), std::make_move_iterator(m_queue.begin()), std::make_move_iterator(end));
+    m_queue.erase(m_queue.begin(), end);
+}
+
 void ShardWriter::write(std::uint64_t version, std::string value)
 {
     m_ports.store.put(m_key, std::move(value), version,
--- a/src/libradishswitch/shardwriter.h
+++ b/src/libradishswitch/shardwriter.h
@@ -69,6 +69,7 @@
     void read();
     void handleRead(const absl::StatusOr<StoredObject> &object);
     void applyBatch(std::uint64_t version, LedgerShard shard);
+    void takeWaiting();
     void write(std::uint64_t version, std::string value);
     void handleWritten(const absl::StatusOr<std::uint64_t> &version);
     void handleTooLarge();
