--- a/src/libradishswitch/ledgershardformat.cpp
+++ b/src/libradishswitch/ledgershardformat.cpp
@@ -122,12 +122,14 @@
 BudgetRecord recordFromJson(const Json &json)
 {
     std::map<PaymentId, TopUpRecord> topUps;
-    for (const auto &[id, it] : json.value("topUps", Json::object()).items()) {
+    const Json topUpsJson = json.value("topUps", Json::object());
+    for (const auto &[id, it] : topUpsJson.items()) {
         topUps.emplace(PaymentId(id),
                        TopUpRecord{amount(it, "tokens"), it.at("by").get<std::string>(), amount(it, "atMs")});
     }
     std::map<PortionId, PortionRecord> portions;
-    for (const auto &[id, it] : json.value("portions", Json::object()).items()) {
+    const Json portionsJson = json.value("portions", Json::object());
+    for (const auto &[id, it] : portionsJson.items()) {
         portions.emplace(PortionId(id), portionFromJson(it));
     }
     std::optional<WantedMark> wanted;
@@ -184,7 +186,8 @@
         for (const auto &[name, it] : json.at("budgets").items()) {
             shard.m_budgets.emplace(budgetOf(name), recordFromJson(it));
         }
-        for (const Json &it : json.value("audit", Json::array())) {
+        const Json audit = json.value("audit", Json::array());
+        for (const Json &it : audit) {
             shard.m_audit.push_back(auditFromJson(it));
         }
         shard.m_foldedAuditEntries = static_cast<std::uint64_t>(amount(json, "foldedAuditEntries"));
--- /dev/null
+++ b/tests/core/budgetfixture.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "budgetholder.h"
+#include "failure.h"
+#include "ledgereditor.h"
+#include "manualtaskqueue.h"
+#include "memoryobjectstore.h"
+#include "seededrandom.h"
+#include "storelink.h"
+#include "virtualtimerservice.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace RadishSwitch
+{
+
+inline const BudgetId kBudget{OrganisationId("magnolia"), "quotes"};
+
+/// A store, virtual time, and processes that each have their own way to the store.
+class BudgetFixture : public ::testing::Test
+{
+protected:
+    using Seconds = std::chrono::seconds;
+    using Milliseconds = std::chrono::milliseconds;
+
+    /// One process that holds portions.
+    struct Process {
+        Process(BudgetFixture &fixture, const std::string &incarnation, const std::string &region)
+            : link(fixture.store, fixture.tasks, fixture.timers)
+            , ledger(link, fixture.timers, fixture.random, fixture.ledgerSettings)
+        {
+            BudgetHolderSettings settings = fixture.holderSettings;
+            settings.incarnation = IncarnationId(incarnation);
+            settings.region = region;
+            holder.emplace(ledger, fixture.timers, fixture.tasks, fixture.random, settings);
+        }
+
+        StoreLink link;
+        Ledger ledger;
+        std::optional<BudgetHolder> holder;
+    };
+
+    /// What became of a reservation.
+    struct Answer {
+        std::optional<absl::StatusOr<Reservation>> result;
+        Instant at{};
+
+        bool isGranted() const
+        {
+            return result && result->ok();
+        }
+
+        bool isRefusedWith(FailureCode code) const
+        {
+            return result && !result->ok() && failureCode(result->status()) == code;
+        }
+    };
+
+    BudgetFixture()
+    {
+        ledgerSettings.shardCount = 2;
+    }
+
+    std::unique_ptr<Process> start(const std::string &incarnation, const std::string &region = "south")
+    {
+        return std::make_unique<Process>(*this, incarnation, region);
+    }
+
+    /// Lets everything happen for a span of virtual time.
+    void run(Duration span, Duration step = Milliseconds(5))
+    {
+        const Instant end = timers.now() + span;
+        tasks.runAll();
+        while (timers.now() < end) {
+            timers.advance(std::min<Duration>(step, end - timers.now()));
+            tasks.runAll();
+        }
+    }
+
+    void topUp(const std::string &payment, std::int64_t tokens, const BudgetId &budget = kBudget)
+    {
+        editor.createBudget(budget, "operator", [](const absl::Status &) {});
+        editor.topUp(budget, PaymentId(payment), tokens, "operator", [](const auto &) {});
+        run(Seconds(1));
+    }
+
+    std::shared_ptr<Answer> reserve(Process &process, const std::string &request, std::int64_t tokens,
+                                    Duration patience = Seconds(10), const BudgetId &budget = kBudget)
+    {
+        const auto answer = std::make_shared<Answer>();
+        const ReservationRequest asked{RequestId(request), budget, tokens, timers.now() + patience};
+        process.holder->reserve(asked, [this, answer](absl::StatusOr<Reservation> result) {
+            EXPECT_FALSE(answer->result) << "answered twice";
+            answer->result = std::move(result);
+            answer->at = timers.now();
+        });
+        return answer;
+    }
+
+    /// Reserves, runs and settles at once; whether it was granted.
+    bool spend(Process &process, const std::string &request, std::int64_t reserved, std::int64_t charged)
+    {
+        const auto answer = reserve(process, request, reserved);
+        run(Milliseconds(200));
+        if (!answer->isGranted()) {
+            return false;
+        }
+        spent += charged;
+        return process.holder->settle(RequestId(request), charged).ok();
+    }
+
+    BudgetRecord record(const BudgetId &budget = kBudget) const
+    {
+        const auto it = store.objects().find(ledgerShardKey(ledgerShardOf(budget, ledgerSettings.shardCount)));
+        if (it == store.objects().end()) {
+            return {};
+        }
+        const absl::StatusOr<LedgerShard> shard = LedgerShard::fromJson(it->second.value);
+        EXPECT_TRUE(shard.ok()) << shard.status();
+        const BudgetRecord *found = shard.ok() ? shard->find(budget) : nullptr;
+        return found ? *found : BudgetRecord();
+    }
+
+    ManualTaskQueue tasks;
+    VirtualTimerService timers;
+    SeededRandom random;
+    MemoryObjectStore store{tasks};
+    LedgerSettings ledgerSettings;
+    BudgetHolderSettings holderSettings;
+    /// Tokens that the test's requests truly used.
+    std::int64_t spent = 0;
+
+private:
+    LedgerSettings editorSettings() const
+    {
+        LedgerSettings settings;
+        settings.shardCount = 2;
+        return settings;
+    }
+
+protected:
+    Ledger editorLedger{store, timers, random, editorSettings()};
+    LedgerEditor editor{editorLedger, timers, tasks};
+};
+
+}
