--- /dev/null
+++ b/src/measure/report.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// The last line of a scenario: figures gathered from several JSON objects, and what they had to fulfil.
+class Report
+{
+public:
+    Report();
+    ~Report();
+
+    /// Takes the figures of a JSON object in; a later one of the same name replaces an earlier one.
+    absl::Status add(const std::string &json);
+
+    /// Takes in "NAME=VALUE", where the value is JSON, or "NAME=NAME-NAME" or "NAME=NAME/NAME" of known figures.
+    absl::Status addFigure(const std::string &text);
+
+    /// A promise: "NAME OP NAME-or-number" with ==, <= or >=. What does not hold is listed under "broken".
+    /// InvalidRequest when a name is unknown, since a figure that was not measured proves nothing.
+    absl::Status require(const std::string &condition);
+
+    /// A goal, which is listed under "missed" when it was not reached.
+    absl::Status aim(const std::string &condition);
+
+    bool isBroken() const;
+
+    std::string toJson() const;
+
+private:
+    absl::StatusOr<bool> holds(const std::string &condition) const;
+    absl::StatusOr<double> valueOf(const std::string &operand) const;
+
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/measure/reportcommand.cpp
@@ -0,0 +1,37 @@
+#include "reportcommand.h"
+
+#include "truthreader.h"
+
+#include <CLI/CLI.hpp>
+
+namespace RadishSwitch
+{
+
+void ReportCommand::addTo(CLI::App &app)
+{
+    app.add_option("--file", m_files, "File with one JSON object of figures");
+    app.add_option("--figure", m_figures, "NAME=JSON, NAME=NAME-NAME or NAME=NAME/NAME");
+    app.add_option("--require", m_requirements, "Promise: NAME OP NAME-or-number, with ==, <= or >=");
+    app.add_option("--aim", m_aims, "Goal, as --require; a missed one is no failure");
+}
+
+absl::Status ReportCommand::run(Report &report) const
+{
+    absl::Status status;
+    for (const std::string &name : m_files) {
+        const auto text = readFile(name);
+        status.Update(text.ok() ? report.add(*text) : text.status());
+    }
+    for (const std::string &figure : m_figures) {
+        status.Update(report.addFigure(figure));
+    }
+    for (const std::string &requirement : m_requirements) {
+        status.Update(report.require(requirement));
+    }
+    for (const std::string &aim : m_aims) {
+        status.Update(report.aim(aim));
+    }
+    return status;
+}
+
+}
