--- a/src/measure/truthreader.cpp
+++ b/src/measure/truthreader.cpp
@@ -82,7 +82,8 @@
     record.name = name;
     budget.at("paid").get_to(record.paid);
     budget.at("settled").get_to(record.settled);
-    for (const auto &[id, portion] : budget.value("portions", Json::object()).items()) {
+    const Json portions = budget.value("portions", Json::object());
+    for (const auto &[id, portion] : portions.items()) {
         record.portions.push_back(
             LedgerPortion{portion.at("granted").get<std::int64_t>(), portion.at("spent").get<std::int64_t>()});
     }
@@ -138,7 +139,8 @@
         const Json document = Json::parse(text);
         for (const Json &object : document.at("objects")) {
             const Json shard = Json::parse(object.at("value").get<std::string>());
-            for (const auto &[name, budget] : shard.value("budgets", Json::object()).items()) {
+            const Json budgets = shard.value("budgets", Json::object());
+            for (const auto &[name, budget] : budgets.items()) {
                 m_records.ledger.push_back(ledgerBudgetOf(name, budget));
             }
         }
