--- /dev/null
+++ b/tests/core/keyownership_test.cpp
@@ -0,0 +1,227 @@
+#include "failure.h"
+#include "keyownership.h"
+#include "manualtaskqueue.h"
+#include "memoryentrydirectory.h"
+#include "memoryobjectstore.h"
+#include "virtualtimerservice.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+using namespace RadishSwitch;
+
+namespace
+{
+
+constexpr std::uint32_t kShard = 7;
+
+}
+
+class KeyOwnershipTest : public testing::Test
+{
+protected:
+    struct Entry {
+        std::unique_ptr<KeyOwnership> ownership;
+        std::vector<std::uint32_t> lost;
+    };
+
+    std::unique_ptr<Entry> makeEntry(const std::string &name)
+    {
+        auto entry = std::make_unique<Entry>();
+        const KeyOwner self{IncarnationId(name), name + ":1", "south-central", 0};
+        entry->ownership = std::make_unique<KeyOwnership>(m_store, m_timers, m_directory, self, KeyOwnershipSettings{},
+                                                          [lost = &entry->lost](std::uint32_t shard) {
+                                                              lost->push_back(shard);
+                                                          });
+        return entry;
+    }
+
+    absl::StatusOr<KeyOwner> acquire(Entry &entry)
+    {
+        std::optional<absl::StatusOr<KeyOwner>> answer;
+        entry.ownership->acquire(kShard, [&](const auto &owner) {
+            answer = owner;
+        });
+        m_tasks.runAll();
+        return *answer;
+    }
+
+    absl::Status confirm(Entry &entry)
+    {
+        std::optional<absl::Status> answer;
+        entry.ownership->confirm(kShard, [&](const absl::Status &status) {
+            answer = status;
+        });
+        m_tasks.runAll();
+        return *answer;
+    }
+
+    void setDead(const std::string &name)
+    {
+        m_directory.setLiveness(IncarnationId(name), EntryLiveness::Dead);
+    }
+
+    ManualTaskQueue m_tasks;
+    VirtualTimerService m_timers;
+    MemoryObjectStore m_store{m_tasks};
+    MemoryEntryDirectory m_directory;
+    std::unique_ptr<Entry> m_first = makeEntry("first");
+    std::unique_ptr<Entry> m_second = makeEntry("second");
+};
+
+TEST_F(KeyOwnershipTest, acquire_neverOwned_takesFirstEpoch)
+{
+    const auto owner = acquire(*m_first);
+
+    ASSERT_TRUE(owner.ok());
+    EXPECT_EQ(owner->epoch, 1u);
+    EXPECT_EQ(m_first->ownership->epochOf(kShard), 1u);
+}
+
+TEST_F(KeyOwnershipTest, acquire_livingOwner_pointsToItWithoutClaimingAnythingOfTheRequest)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+
+    const auto owner = acquire(*m_second);
+
+    EXPECT_EQ(failureCode(owner.status()), FailureCode::HomeElsewhere);
+    EXPECT_EQ(outcomeOf(owner.status()), RunOutcome::Unknown);
+    EXPECT_EQ(m_second->ownership->ownerOf(kShard)->address, "first:1");
+}
+
+TEST_F(KeyOwnershipTest, acquire_unreachableOwner_isUnknownWithTimeToComeBack)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    m_directory.setLiveness(IncarnationId("first"), EntryLiveness::Unreachable);
+
+    const auto owner = acquire(*m_second);
+
+    EXPECT_EQ(failureCode(owner.status()), FailureCode::OutcomeUnknown);
+    EXPECT_EQ(outcomeOf(owner.status()), RunOutcome::Unknown);
+    EXPECT_TRUE(retryAfterOf(owner.status()).has_value());
+}
+
+// The owner is paused for minutes and taken for dead; another entry takes its shard over. When it goes on it still
+// believes to own the shard, until its next check reads the record. Nobody is hurt meanwhile, since its epoch is
+// refused at the agents; the check is what makes it stop asking them.
+TEST_F(KeyOwnershipTest, check_takenOverWhilePaused_findsOutAndTellsOnce)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    setDead("first");
+    ASSERT_EQ(acquire(*m_second)->epoch, 2u);
+    EXPECT_EQ(m_first->ownership->epochOf(kShard), 1u);
+
+    m_timers.advance(KeyOwnershipSettings().checkInterval);
+    m_tasks.runAll();
+
+    EXPECT_EQ(m_first->ownership->epochOf(kShard), std::nullopt);
+    EXPECT_EQ(m_first->lost, std::vector<std::uint32_t>{kShard});
+    EXPECT_EQ(m_second->ownership->epochOf(kShard), 2u);
+}
+
+// An agent refuses a run as of a stale epoch before the owner's next check: it looks at once.
+TEST_F(KeyOwnershipTest, staleEpochNoted_takenOver_findsOutAtOnce)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    setDead("first");
+    ASSERT_TRUE(acquire(*m_second).ok());
+
+    m_first->ownership->noteStaleEpoch(kShard, 1);
+    m_tasks.runAll();
+
+    EXPECT_EQ(m_first->ownership->epochOf(kShard), std::nullopt);
+}
+
+// The write that takes a shard over has its effect, but its answer is lost. The taker reads the record back, finds
+// its own incarnation there, and owns the shard under the epoch that it wrote, not under a second one.
+TEST_F(KeyOwnershipTest, acquire_answerOfWriteLost_readsBackAndOwns)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    setDead("first");
+    m_store.loseAnswersOfNextWrites(1);
+
+    const auto owner = acquire(*m_second);
+
+    ASSERT_TRUE(owner.ok());
+    EXPECT_EQ(owner->epoch, 2u);
+    EXPECT_EQ(m_store.writes(), 2);
+}
+
+// Two entries see the owner dead at the same moment and both write. The store lets one through; the other reads again
+// and is sent to the winner.
+TEST_F(KeyOwnershipTest, acquire_twoAtOnce_oneOwnsAndTheOtherIsSentThere)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    setDead("first");
+    const auto third = makeEntry("third");
+    std::vector<absl::StatusOr<KeyOwner>> answers;
+    for (Entry *entry : {m_second.get(), third.get()}) {
+        entry->ownership->acquire(kShard, [&](const auto &owner) {
+            answers.push_back(owner);
+        });
+    }
+    m_tasks.runAll();
+
+    ASSERT_EQ(answers.size(), 2u);
+    EXPECT_NE(answers[0].ok(), answers[1].ok());
+    EXPECT_NE(m_second->ownership->epochOf(kShard).has_value(), third->ownership->epochOf(kShard).has_value());
+}
+
+// The store is away for an hour. Whoever owned a shard before goes on owning it: nobody can have taken it.
+TEST_F(KeyOwnershipTest, check_storeAway_ownerStaysOwner)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    m_store.setAway(true);
+
+    m_timers.advance(std::chrono::hours(1));
+    m_tasks.runAll();
+
+    EXPECT_EQ(m_first->ownership->epochOf(kShard), 1u);
+    EXPECT_TRUE(m_first->lost.empty());
+    EXPECT_EQ(failureCode(confirm(*m_first)), FailureCode::StoreUnavailable);
+}
+
+TEST_F(KeyOwnershipTest, confirm_stillOwner_isOk)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+
+    EXPECT_TRUE(confirm(*m_first).ok());
+}
+
+// A read that is under way when a second refusal asks for proof began too early for it: the second gets its own read,
+// and all that come meanwhile share that one.
+TEST_F(KeyOwnershipTest, confirm_whileReadUnderWay_waitsForOneLaterRead)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    const int before = m_store.calls();
+    int confirmed = 0;
+    for (int n = 0; n < 5; ++n) {
+        m_first->ownership->confirm(kShard, [&](const absl::Status &status) {
+            confirmed += status.ok();
+        });
+    }
+    m_tasks.runAll();
+
+    EXPECT_EQ(confirmed, 5);
+    EXPECT_EQ(m_store.calls() - before, 2);
+}
+
+TEST_F(KeyOwnershipTest, handOver_plannedStop_nextTakesAtOnceWithLaterEpoch)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    bool isDone = false;
+    m_first->ownership->handOver([&] {
+        isDone = true;
+    });
+    m_tasks.runAll();
+
+    const auto owner = acquire(*m_second);
+
+    EXPECT_TRUE(isDone);
+    ASSERT_TRUE(owner.ok());
+    EXPECT_EQ(owner->epoch, 2u);
+    EXPECT_EQ(m_first->ownership->epochOf(kShard), std::nullopt);
+}
