--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -211,7 +211,7 @@
     refuseHopeless(entry);
     if (!entry.second.hasWaiting()) {
         m_withWaiting.erase(&entry);
-        return askIfLow(entry);
+        return;
     }
     const bool isWorthAsking = !isFreeKnown(entry.second) || entry.second.lastFree >= entry.second.smallestUseful();
     if (!entry.second.isAsking && isWorthAsking) {
@@ -222,12 +222,16 @@
 void BudgetHolder::serveWaiting(Entry &entry)
 {
     HeldBudget &budget = entry.second;
+    const bool hadWaiting = budget.hasWaiting();
     while (budget.hasWaiting() && budget.current().available() >= budget.waiting().front().request.tokens) {
         WaitingReservation served = std::move(budget.waiting().front());
         budget.waiting().pop_front();
         m_timers.cancel(served.timer);
         answer(std::move(served.callback), grant(entry, served.request.request, served.request.tokens));
     }
+    if (hadWaiting && !budget.hasWaiting()) {
+        askIfLow(entry);
+    }
 }
 
 void BudgetHolder::refuseHopeless(Entry &entry)
--- a/tests/core/budgetfixture.h
+++ b/tests/core/budgetfixture.h
@@ -125,6 +125,16 @@
         return found ? *found : BudgetRecord();
     }
 
+    /// Changes the record in the store as some other process would.
+    void editRecord(const std::function<absl::Status(BudgetRecord &)> &change)
+    {
+        const std::string key = ledgerShardKey(ledgerShardOf(kBudget, ledgerSettings.shardCount));
+        const StoredObject object = store.objects().at(key);
+        LedgerShard shard = LedgerShard::fromJson(object.value).value();
+        ASSERT_TRUE(shard.change(kBudget, change).ok());
+        store.put(key, shard.toJson(), object.version, [](const auto &) {});
+    }
+
     ManualTaskQueue tasks;
     VirtualTimerService timers;
     SeededRandom random;
