Close the portions of dead holders by what the agents prove

Cause: a portion of a dead holder would stay out of reach for ever, and freeing it without proof would overspend. Change: PortionCloser takes the portion away in the ledger, asks every agent, waits for runs that go on, settles what is proved and withholds the rest with reason and agents; a holder replaces portions that are old or that an agent was lost under; tests with agents that fall silent, two closers, a paused holder.

--- a/src/libradishswitch/beginclosechange.h
+++ b/src/libradishswitch/beginclosechange.h
@@ -14,9 +14,13 @@
     absl::Status apply(LedgerShard &shard) override;
     std::string describe() const override;
 
+    /// The portion as it was found; nothing when it is closed already.
+    const std::optional<PortionRecord> &found() const;
+
 private:
     BudgetId m_budget;
     PortionId m_portion;
+    std::optional<PortionRecord> m_found;
 };
 
 }
--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -87,6 +87,11 @@
     close(open, 0);
 }
 
+void BudgetHolder::replacePortions()
+{
+    m_replaceTakenBefore = m_timers.now();
+}
+
 void BudgetHolder::stop(std::function<void()> callback)
 {
     m_isStopping = true;
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgetholder.h
@@ -77,6 +77,10 @@
     /// Ends the reservation of a request that did not run. Again for the same request it does nothing.
     void release(const RequestId &request);
 
+    /// Replaces the portions held now by fresh ones at their next checkpoints. To be called when an agent is lost: its
+    /// charges are known here and nowhere else, and a portion that ends in this process's hands needs no proof.
+    void replacePortions();
+
     /// Planned stop: refuses new reservations, waits for the open ones, returns every portion, then calls back.
     void stop(std::function<void()> callback);
 
@@ -131,6 +135,8 @@
     void report(Entry &entry, const HeldPortion &portion);
     void handleReported(Entry &entry, const ReportSpendChange &change, std::uint32_t number, Instant askedAt,
                         const absl::Status &status);
+    bool isOld(const HeldPortion &portion) const;
+    void replaceIfOld(Entry &entry);
     void giveBackSurplus(Entry &entry, const BudgetGlance &glance);
     bool isForgettable(const HeldBudget &budget) const;
     void handleAway(std::uint32_t shard);
@@ -154,6 +160,7 @@
     std::size_t m_portions = 0;
     std::function<void()> m_onStopped;
     bool m_isStopping = false;
+    Instant m_replaceTakenBefore = Instant::min();
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -49,7 +49,9 @@
     HeldBudget &budget = entry.second;
     const Instant now = m_timers.now();
     const HeldPortion &current = budget.current();
-    const bool isFresh = current.number == 0 || now - current.takenAt > m_settings.portionLifetime;
+    // With requests waiting the portion grows instead: what is left in an old one and what a fresh one would bring
+    // cannot serve one request together.
+    const bool isFresh = current.number == 0 || (isOld(current) && !budget.hasWaiting());
     const std::uint32_t number = isFresh ? ++m_lastNumber : current.number;
     const auto change = std::make_shared<TakePortionChange>(entry.first, portionRequest(budget, number));
     budget.isAsking = true;
@@ -75,8 +77,9 @@
     request.sequence = number == current.number ? current.sequence + 1 : 1;
     request.needed = std::max<std::int64_t>(budget.shortage(), 0);
     request.smallestUseful = budget.smallestUseful();
-    request.desired =
-        std::max(request.needed + wished - std::max<std::int64_t>(current.available(), 0), request.needed);
+    const bool isGrowing = number == current.number;
+    const std::int64_t had = isGrowing ? std::max<std::int64_t>(current.available(), 0) : 0;
+    request.desired = std::max(request.needed + wished - had, request.needed);
     request.shareOfFree = m_settings.shareOfFree;
     request.atMilliseconds = m_timers.wallClockMilliseconds();
     return request;
@@ -229,12 +232,30 @@
         retire(entry, budget.replaceCurrent({}));
     } else if (current.number != 0) {
         report(entry, current);
+        replaceIfOld(entry);
     }
     for (const HeldPortion &it : budget.draining()) {
         report(entry, it);
     }
 }
 
+bool BudgetHolder::isOld(const HeldPortion &portion) const
+{
+    return portion.takenAt < m_replaceTakenBefore || m_timers.now() - portion.takenAt > m_settings.portionLifetime;
+}
+
+void BudgetHolder::replaceIfOld(Entry &entry)
+{
+    HeldBudget &budget = entry.second;
+    if (budget.isAsking || m_isStopping || budget.hasWaiting() || !isOld(budget.current())) {
+        return;
+    }
+    if (m_ledger.isStoreAway(budget.shard())) {
+        return;
+    }
+    ask(entry, Urgency::Relaxed);
+}
+
 void BudgetHolder::report(Entry &entry, const HeldPortion &portion)
 {
     const auto change = std::make_shared<ReportSpendChange>(entry.first, portionId(portion.number), portion.spent);
--- /dev/null
+++ b/src/libradishswitch/portioncloser.cpp
@@ -0,0 +1,329 @@
+#include "portioncloser.h"
+
+#include "finishclosechange.h"
+#include "withholdchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr int kMaximumDoublings = 16;
+
+}
+
+PortionCloser::PortionCloser(Ledger &ledger, AgentPort &agents, TimerService &timers, TaskQueue &tasks,
+                             RandomSource &random, const PortionCloserSettings &settings)
+    : m_ledger(ledger)
+    , m_agents(agents)
+    , m_timers(timers)
+    , m_tasks(tasks)
+    , m_random(random)
+    , m_settings(settings)
+    , m_startedAt(timers.now())
+{
+}
+
+PortionCloser::~PortionCloser()
+{
+    for (const JobPointer &job : m_jobs) {
+        m_timers.cancel(job->timer);
+    }
+}
+
+void PortionCloser::closeHolder(const IncarnationId &holder, std::uint32_t shard, Callback callback)
+{
+    const bool isRunning = std::any_of(m_jobs.begin(), m_jobs.end(), [&](const JobPointer &it) {
+        return it->holder == holder && it->shard == shard;
+    });
+    if (isRunning) {
+        return;
+    }
+    const auto job = std::make_shared<Job>();
+    job->holder = holder;
+    job->shard = shard;
+    job->callback = std::move(callback);
+    job->startedAt = m_timers.now();
+    m_jobs.push_back(job);
+    readShard(job);
+}
+
+std::size_t PortionCloser::openJobs() const
+{
+    return m_jobs.size();
+}
+
+void PortionCloser::readShard(const JobPointer &job)
+{
+    m_ledger.readShard(job->shard, guarded([this, job](const absl::StatusOr<LedgerShard> &shard) {
+                           handleShard(job, shard);
+                       }));
+}
+
+void PortionCloser::handleShard(const JobPointer &job, const absl::StatusOr<LedgerShard> &shard)
+{
+    if (!shard.ok()) {
+        return scheduleRound(job, drawPause(++job->rounds));
+    }
+    job->isListed = true;
+    job->rounds = 0;
+    for (const auto &[budget, record] : shard->budgets()) {
+        for (const auto &[id, portion] : record.portions()) {
+            if (portion.holder == job->holder) {
+                job->portions[id].budget = budget;
+            }
+        }
+    }
+    if (job->portions.empty()) {
+        tell(*job);
+        std::erase(m_jobs, job);
+        return;
+    }
+    const std::map<PortionId, Closing> portions = job->portions;
+    for (const auto &[id, closing] : portions) {
+        begin(job, id, closing.budget);
+    }
+}
+
+void PortionCloser::begin(const JobPointer &job, const PortionId &portion, const BudgetId &budget)
+{
+    const auto change = std::make_shared<BeginCloseChange>(budget, portion);
+    m_ledger.submit(budget, change, Urgency::Urgent, guarded([this, job, portion, change](const absl::Status &status) {
+                        handleBegun(job, portion, *change, status);
+                    }));
+}
+
+void PortionCloser::handleBegun(const JobPointer &job, const PortionId &portion, const BeginCloseChange &change,
+                                const absl::Status &status)
+{
+    const auto it = job->portions.find(portion);
+    if (!status.ok()) {
+        m_timers.after(m_settings.longestPause,
+                       [this, alive = std::weak_ptr<int>(m_alive), job, portion, budget = it->second.budget] {
+                           if (!alive.expired()) {
+                               begin(job, portion, budget);
+                           }
+                       });
+        return;
+    }
+    if (!change.found()) {
+        return settled(job, portion);
+    }
+    // The holder may have changed the portion until now; from now on it cannot.
+    it->second.granted = change.found()->granted;
+    it->second.reported = change.found()->spent;
+    it->second.stage = Stage::Proving;
+    const Duration listening = m_settings.listeningTime - (m_timers.now() - m_startedAt);
+    scheduleRound(job, std::max(listening, Duration::zero()));
+}
+
+void PortionCloser::startRound(const JobPointer &job)
+{
+    for (const std::string &agent : m_agents.agentAddresses()) {
+        job->agents.insert(agent);
+    }
+    ++job->rounds;
+    for (const std::string &agent : job->agents) {
+        const std::vector<PortionId> portions = portionsToAsk(*job, agent);
+        if (!portions.empty()) {
+            job->asked.insert(agent);
+            ask(job, agent, portions);
+        }
+    }
+    if (job->asked.empty()) {
+        judge(job);
+    }
+}
+
+std::vector<PortionId> PortionCloser::portionsToAsk(const Job &job, const std::string &agent) const
+{
+    std::vector<PortionId> portions;
+    for (const auto &[id, closing] : job.portions) {
+        const bool isKnown = closing.proof.hasAnswerOf(agent) && !closing.proof.hasRunsAt(agent);
+        if (closing.stage == Stage::Proving && !isKnown) {
+            portions.push_back(id);
+        }
+    }
+    return portions;
+}
+
+void PortionCloser::ask(const JobPointer &job, const std::string &agent, const std::vector<PortionId> &portions)
+{
+    m_agents.closePortions(agent, portions,
+                           guarded([this, job, agent](const absl::StatusOr<std::vector<PortionCharges>> &charges) {
+                               handleCharges(job, agent, charges);
+                           }));
+}
+
+void PortionCloser::handleCharges(const JobPointer &job, const std::string &agent,
+                                  const absl::StatusOr<std::vector<PortionCharges>> &charges)
+{
+    if (charges.ok()) {
+        job->silentSince.erase(agent);
+        for (const PortionCharges &it : *charges) {
+            if (const auto found = job->portions.find(it.portion); found != job->portions.end()) {
+                found->second.proof.add(agent, it);
+            }
+        }
+    } else {
+        job->silentSince.try_emplace(agent, m_timers.now());
+    }
+    job->asked.erase(agent);
+    if (job->asked.empty()) {
+        judge(job);
+    }
+}
+
+void PortionCloser::judge(const JobPointer &job)
+{
+    for (auto &[id, closing] : job->portions) {
+        if (closing.stage == Stage::Proving) {
+            judgePortion(job, id, closing);
+        }
+    }
+    scheduleRound(job, drawPause(job->rounds));
+}
+
+void PortionCloser::judgePortion(const JobPointer &job, const PortionId &portion, Closing &closing)
+{
+    const std::set<std::string> missing = missingAgents(*job, closing);
+    if (!missing.empty() || job->agents.empty()) {
+        if (isPatienceOver(*job, missing)) {
+            withhold(job, portion, closing, missing.empty() ? "no agent is known" : "agents could not be asked",
+                     missing);
+        }
+        return;
+    }
+    if (hasRuns(*job, closing)) {
+        return;
+    }
+    if (closing.proof.provedTokens() < closing.reported) {
+        // The holder had settled charges that no agent remembers: an agent is gone that nobody told of, and what it
+        // charged after the holder's last word is known to nobody.
+        return withhold(job, portion, closing, "agents remember less than the holder reported", {});
+    }
+    finish(job, portion, closing);
+}
+
+std::set<std::string> PortionCloser::missingAgents(const Job &job, const Closing &closing) const
+{
+    std::set<std::string> missing;
+    for (const std::string &agent : job.agents) {
+        const bool isSilent = job.silentSince.contains(agent);
+        if (!closing.proof.hasAnswerOf(agent) || (isSilent && closing.proof.hasRunsAt(agent))) {
+            missing.insert(agent);
+        }
+    }
+    return missing;
+}
+
+bool PortionCloser::isPatienceOver(const Job &job, const std::set<std::string> &missing) const
+{
+    const Instant limit = m_timers.now() - m_settings.withholdAfter;
+    if (missing.empty()) {
+        // No agent known at all is no proof that none ran anything: this process may not have heard of them yet.
+        return job.startedAt <= limit;
+    }
+    return std::any_of(missing.begin(), missing.end(), [&](const std::string &agent) {
+        const auto it = job.silentSince.find(agent);
+        return it != job.silentSince.end() && it->second <= limit;
+    });
+}
+
+bool PortionCloser::hasRuns(const Job &job, const Closing &closing) const
+{
+    return std::any_of(job.agents.begin(), job.agents.end(), [&](const std::string &agent) {
+        return closing.proof.hasRunsAt(agent);
+    });
+}
+
+void PortionCloser::finish(const JobPointer &job, const PortionId &portion, Closing &closing)
+{
+    closing.stage = Stage::Finishing;
+    const std::int64_t proved = closing.proof.provedTokens();
+    const auto change = std::make_shared<FinishCloseChange>(closing.budget, portion, proved);
+    m_ledger.submit(closing.budget, change, Urgency::Urgent, guarded([this, job, portion](const absl::Status &status) {
+                        handleFinished(job, portion, status);
+                    }));
+}
+
+void PortionCloser::handleFinished(const JobPointer &job, const PortionId &portion, const absl::Status &status)
+{
+    if (status.ok()) {
+        ++job->closed;
+        return settled(job, portion);
+    }
+    job->portions.at(portion).stage = Stage::Proving;
+    scheduleRound(job, drawPause(job->rounds));
+}
+
+void PortionCloser::withhold(const JobPointer &job, const PortionId &portion, Closing &closing,
+                             const std::string &reason, const std::set<std::string> &missing)
+{
+    const std::int64_t proved = std::clamp(closing.proof.provedTokens(), closing.reported, closing.granted);
+    if (closing.isWithheld && closing.withheldProved == proved && closing.withheldFor == missing) {
+        return;
+    }
+    closing.isWithheld = true;
+    closing.withheldProved = proved;
+    closing.withheldFor = missing;
+    const std::vector<std::string> agents(missing.begin(), missing.end());
+    const auto change = std::make_shared<WithholdChange>(closing.budget, portion, proved, reason, agents);
+    m_ledger.submit(closing.budget, change, Urgency::Urgent, guarded([this, job](const absl::Status &) {
+                        tell(*job);
+                    }));
+}
+
+void PortionCloser::scheduleRound(const JobPointer &job, Duration delay)
+{
+    const bool isDone = job->isListed && job->portions.empty();
+    if (job->timer != 0 || isDone) {
+        return;
+    }
+    job->timer = m_timers.after(delay, [this, job] {
+        job->timer = 0;
+        if (!job->isListed) {
+            return readShard(job);
+        }
+        startRound(job);
+    });
+}
+
+Duration PortionCloser::drawPause(int rounds)
+{
+    const int doublings = std::min(std::max(rounds - 1, 0), kMaximumDoublings);
+    const Duration whole = std::min(m_settings.longestPause, m_settings.firstPause * (1 << doublings));
+    return whole / 2 + Duration(static_cast<Duration::rep>(m_random.below(whole.count() / 2 + 1)));
+}
+
+void PortionCloser::settled(const JobPointer &job, const PortionId &portion)
+{
+    job->portions.erase(portion);
+    tell(*job);
+    if (job->portions.empty()) {
+        m_timers.cancel(job->timer);
+        std::erase(m_jobs, job);
+    }
+}
+
+void PortionCloser::tell(const Job &job)
+{
+    CloseReport report;
+    report.closed = job.closed;
+    report.open = job.portions.size();
+    for (const auto &[id, closing] : job.portions) {
+        if (closing.isWithheld) {
+            ++report.withheld;
+            report.withheldTokens += closing.granted - closing.withheldProved;
+        }
+    }
+    m_tasks.post([callback = job.callback, report] {
+        callback(report);
+    });
+}
+
+}
--- /dev/null
+++ b/tests/fakes/fakeagents.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "agentport.h"
+#include "failure.h"
+#include "taskqueue.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+/// Agents in memory: they run, charge, and close portions; each can fall silent or die and forget.
+class FakeAgents : public RadishSwitch::AgentPort
+{
+public:
+    using PortionId = RadishSwitch::PortionId;
+    using RequestId = RadishSwitch::RequestId;
+    using PortionCharges = RadishSwitch::PortionCharges;
+    using RunRecord = RadishSwitch::RunRecord;
+
+    explicit FakeAgents(RadishSwitch::TaskQueue &tasks)
+        : m_tasks(tasks)
+    {
+    }
+
+    void add(const std::string &address)
+    {
+        m_agents[address];
+    }
+
+    /// A silent agent does not answer closers; its runs go on.
+    void setSilent(const std::string &address, bool isSilent)
+    {
+        m_agents[address].isSilent = isSilent;
+    }
+
+    /// Whether the agent started the run; false when it has closed the portion.
+    bool start(const std::string &address, const RequestId &request, const PortionId &portion)
+    {
+        Agent &agent = m_agents[address];
+        if (agent.closed.contains(portion)) {
+            return false;
+        }
+        agent.running[portion].insert(request);
+        return true;
+    }
+
+    void finish(const std::string &address, const RequestId &request, const PortionId &portion, std::int64_t tokens)
+    {
+        Agent &agent = m_agents[address];
+        agent.running[portion].erase(request);
+        agent.charges[portion][request] += tokens;
+    }
+
+    bool isRunning(const std::string &address, const RequestId &request, const PortionId &portion)
+    {
+        return m_agents[address].running[portion].contains(request);
+    }
+
+    int closeCalls() const
+    {
+        return m_closeCalls;
+    }
+
+    std::vector<std::string> agentAddresses() const override
+    {
+        std::vector<std::string> addresses;
+        for (const auto &[address, agent] : m_agents) {
+            addresses.push_back(address);
+        }
+        return addresses;
+    }
+
+    void findRuns(const std::string &, std::vector<RequestId>, std::uint32_t, std::uint64_t,
+                  std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback) override
+    {
+        m_tasks.post([callback = std::move(callback)] {
+            callback(std::vector<RunRecord>());
+        });
+    }
+
+    void closePortions(const std::string &address, std::vector<PortionId> portions,
+                       std::function<void(absl::StatusOr<std::vector<PortionCharges>>)> callback) override
+    {
+        ++m_closeCalls;
+        m_tasks.post([this, address, portions = std::move(portions), callback = std::move(callback)] {
+            if (m_agents[address].isSilent) {
+                return callback(RadishSwitch::makeFailure(RadishSwitch::FailureCode::ConnectionSilent, address));
+            }
+            std::vector<PortionCharges> answer;
+            for (const PortionId &portion : portions) {
+                answer.push_back(close(m_agents[address], portion));
+            }
+            callback(answer);
+        });
+    }
+
+    void bar(const std::string &address, const RequestId &, const RadishSwitch::AttemptId &, bool,
+             std::function<void(absl::StatusOr<RunRecord>)> callback) override
+    {
+        m_tasks.post([address, callback = std::move(callback)] {
+            callback(RadishSwitch::makeFailure(RadishSwitch::FailureCode::RunUnknown, address));
+        });
+    }
+
+private:
+    struct Agent {
+        bool isSilent = false;
+        std::set<PortionId> closed;
+        std::map<PortionId, std::set<RequestId>> running;
+        std::map<PortionId, std::map<RequestId, std::int64_t>> charges;
+    };
+
+    static PortionCharges close(Agent &agent, const PortionId &portion)
+    {
+        agent.closed.insert(portion);
+        PortionCharges charges;
+        charges.portion = portion;
+        for (const auto &[request, tokens] : agent.charges[portion]) {
+            charges.charges.push_back({request, tokens});
+        }
+        for (const RequestId &request : agent.running[portion]) {
+            RunRecord run;
+            run.request = request;
+            run.portion = portion;
+            charges.running.push_back(run);
+        }
+        return charges;
+    }
+
+    RadishSwitch::TaskQueue &m_tasks;
+    std::map<std::string, Agent> m_agents;
+    int m_closeCalls = 0;
+};
