--- /dev/null
+++ b/src/agent/agentserver.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "agentruns.h"
+#include "heartbeatpublisher.h"
+#include "http2transport.h"
+
+#include <memory>
+
+namespace RadishSwitch
+{
+
+/// Serves the agent's paths: /run, /attach, /bar, /find, /close and /heartbeats.
+class AgentServer
+{
+public:
+    AgentServer(std::shared_ptr<AgentRuns> runs, std::shared_ptr<HeartbeatPublisher> heartbeats);
+
+    /// Sets the handlers of all paths.
+    void registerPaths(Http2MessageServer &server) const;
+
+    void serveRun(const MessageStreamPointer &stream) const;
+    void serveAttach(const MessageStreamPointer &stream) const;
+    void serveBar(const MessageStreamPointer &stream) const;
+    void serveFind(const MessageStreamPointer &stream) const;
+    void serveClose(const MessageStreamPointer &stream) const;
+    void serveHeartbeats(const MessageStreamPointer &stream) const;
+
+private:
+    const std::shared_ptr<AgentRuns> m_runs;
+    const std::shared_ptr<HeartbeatPublisher> m_heartbeats;
+};
+
+}
--- /dev/null
+++ b/src/agent/wiremessages.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "fleet.pb.h"
+
+namespace RadishSwitch
+{
+
+namespace wire = ::radishswitch::wire;
+
+}
