--- a/src/entry/agentlinks.cpp
+++ b/src/entry/agentlinks.cpp
@@ -37,8 +37,8 @@
     report.models.assign(message.models().begin(), message.models().end());
     report.adapters.assign(message.adapters().begin(), message.adapters().end());
     for (const wire::CacheEvent &event : message.cache_events()) {
-        report.cacheEvents.push_back({event.sequence(), event.stored(),
-                                      {event.prefix_hashes().begin(), event.prefix_hashes().end()}});
+        report.cacheEvents.push_back(
+            {event.sequence(), event.stored(), {event.prefix_hashes().begin(), event.prefix_hashes().end()}});
     }
     return report;
 }
@@ -64,8 +64,13 @@
             const std::lock_guard<std::mutex> lock(m_mutex);
             m_stream = stream;
         }
-        stream->start([self = shared_from_this()](std::string frame) { self->onHeartbeat(frame); },
-                      [self = shared_from_this()](absl::Status) { self->onClosed(); });
+        stream->start(
+            [self = shared_from_this()](std::string frame) {
+                self->onHeartbeat(frame);
+            },
+            [self = shared_from_this()](absl::Status) {
+                self->onClosed();
+            });
     }
 
     void close()
--- a/src/entry/chatstreamrelay.cpp
+++ b/src/entry/chatstreamrelay.cpp
@@ -99,7 +99,7 @@
     }
     if (!m_isStreaming) {
         m_isStreaming = true;
-        HttpHeaders headers {{"Content-Type", kEventStream}, {"Cache-Control", "no-cache"}};
+        HttpHeaders headers{{"Content-Type", kEventStream}, {"Cache-Control", "no-cache"}};
         headers.add("X-Request-Id", m_requestId);
         if (const absl::Status status = co_await m_exchange.beginStream(kOk, std::move(headers)); !status.ok()) {
             co_return status;
@@ -112,7 +112,7 @@
 boost::asio::awaitable<absl::Status> ChatStreamRelay::finish()
 {
     if (m_status != kOk) {
-        HttpResponse response {m_status, HttpHeaders {{"Content-Type", m_contentType}}, std::move(m_errorBody)};
+        HttpResponse response{m_status, HttpHeaders{{"Content-Type", m_contentType}}, std::move(m_errorBody)};
         response.headers.add("X-Request-Id", m_requestId);
         co_return co_await m_exchange.respond(std::move(response));
     }
@@ -190,7 +190,8 @@
 {
     Json json = Json::parse(data, nullptr, false);
     const Json *delta = deltaOf(json);
-    const bool isOpening = delta != nullptr && delta->contains("role") && delta->value("content", std::string()).empty();
+    const bool isOpening =
+        delta != nullptr && delta->contains("role") && delta->value("content", std::string()).empty();
     if (isOpening) {
         return {};
     }
--- a/src/entry/dispatchgate.cpp
+++ b/src/entry/dispatchgate.cpp
@@ -82,7 +82,9 @@
 
 void DispatchGate::start()
 {
-    m_timer = m_timers.every(kTick, [this] { tick(); });
+    m_timer = m_timers.every(kTick, [this] {
+        tick();
+    });
 }
 
 void DispatchGate::applyTable(const SteeringTable &table)
@@ -90,9 +92,8 @@
     m_monitor.run([&] {
         const Instant now = m_timers.now();
         for (const OrganisationRow &row : table.rows().organisations) {
-            const OrganisationCeilings ceilings {static_cast<double>(row.ceilingRequestsPerSecond),
-                                                 static_cast<double>(row.ceilingTokensPerSecond),
-                                                 row.ceilingConcurrent};
+            const OrganisationCeilings ceilings{static_cast<double>(row.ceilingRequestsPerSecond),
+                                                static_cast<double>(row.ceilingTokensPerSecond), row.ceilingConcurrent};
             m_ceilings.setCeilings(row.name, ceilings, now);
         }
         for (const PoolRow &row : table.rows().pools) {
@@ -121,7 +122,7 @@
             return;
         }
         Pool &pool = poolOf(plan.pool);
-        const Waiting waiting {plan, now, std::move(callback)};
+        const Waiting waiting{plan, now, std::move(callback)};
         if (pool.queue.size() == 0 && m_router.freeSlots(plan.pool) > pool.entering) {
             letIn(pool, waiting);
             return;
@@ -164,8 +165,7 @@
         const Instant now = m_timers.now();
         m_ceilings.noteFinished(pass.m_organisation, pass.m_tokens, used, now - pass.m_since, now);
         Pool &pool = poolOf(pass.m_pool);
-        pool.queue.noteActualCost(pass.m_organisation, pass.m_priority, std::max<std::int64_t>(1, pass.m_tokens),
-                                  used);
+        pool.queue.noteActualCost(pass.m_organisation, pass.m_priority, std::max<std::int64_t>(1, pass.m_tokens), used);
         pool.underWay -= 1;
         pool.entering -= pass.m_isDispatched ? 0 : 1;
         pump(pass.m_pool, pool, now);
@@ -179,7 +179,7 @@
         if (choice.ok()) {
             const EndpointState *state = m_directory.find(choice->endpoint);
             const IncarnationId incarnation = state == nullptr ? IncarnationId() : state->incarnation;
-            choice->address = AgentLife {choice->address, incarnation}.toString();
+            choice->address = AgentLife{choice->address, incarnation}.toString();
         }
         return choice;
     });
@@ -194,7 +194,9 @@
 
 void DispatchGate::noteFirstToken(const RouteChoice &choice, Duration taken)
 {
-    m_monitor.run([&] { m_router.noteFirstToken(choice.endpoint, taken, m_timers.now()); });
+    m_monitor.run([&] {
+        m_router.noteFirstToken(choice.endpoint, taken, m_timers.now());
+    });
 }
 
 void DispatchGate::noteFinished(const RouteChoice &choice, const RunPlan &plan, RunEnd end)
@@ -216,13 +218,17 @@
     load.tokensPerSecond = message.tokens_per_second();
     load.age = std::chrono::milliseconds(message.age_ms());
     if (load.capacity > 0) {
-        m_monitor.run([&] { m_directory.applyLoad(choice.endpoint, load, m_timers.now()); });
+        m_monitor.run([&] {
+            m_directory.applyLoad(choice.endpoint, load, m_timers.now());
+        });
     }
 }
 
 absl::StatusOr<Duration> DispatchGate::retry(const RetryQuery &query)
 {
-    return m_monitor.run([&] { return m_retries.retry(query, m_timers.now()); });
+    return m_monitor.run([&] {
+        return m_retries.retry(query, m_timers.now());
+    });
 }
 
 void DispatchGate::applyReport(const EndpointReport &report)
@@ -236,17 +242,23 @@
 
 void DispatchGate::applyListed(const ListedInstance &instance)
 {
-    m_monitor.run([&] { m_directory.applyListed(instance, m_timers.now()); });
+    m_monitor.run([&] {
+        m_directory.applyListed(instance, m_timers.now());
+    });
 }
 
 void DispatchGate::applyUnlisted(const EndpointId &endpoint)
 {
-    m_monitor.run([&] { m_directory.applyUnlisted(endpoint, m_timers.now()); });
+    m_monitor.run([&] {
+        m_directory.applyUnlisted(endpoint, m_timers.now());
+    });
 }
 
 void DispatchGate::noteConnectionLost(const EndpointId &endpoint)
 {
-    m_monitor.run([&] { m_directory.noteConnectionLost(endpoint, m_timers.now()); });
+    m_monitor.run([&] {
+        m_directory.noteConnectionLost(endpoint, m_timers.now());
+    });
 }
 
 std::vector<std::string> DispatchGate::agentLives() const
@@ -256,7 +268,7 @@
         for (const PoolId &pool : m_directory.pools()) {
             for (const EndpointSlot slot : m_directory.serving(pool, "")) {
                 const EndpointState &state = m_directory.state(slot);
-                lives.push_back(AgentLife {state.address, state.incarnation}.toString());
+                lives.push_back(AgentLife{state.address, state.incarnation}.toString());
             }
         }
         return lives;
--- a/src/entry/dispatchgate.h
+++ b/src/entry/dispatchgate.h
@@ -3,11 +3,11 @@
 #include "ceilingmeter.h"
 #include "endpointdirectory.h"
 #include "fairqueue.h"
-#include "wire.h"
 #include "monitor.h"
 #include "poolrouter.h"
 #include "retrybudget.h"
 #include "runplan.h"
+#include "wire.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/statusor.h>
--- /dev/null
+++ b/src/entry/entry.cpp
@@ -0,0 +1,284 @@
+#include "entry.h"
+
+#include "failure.h"
+#include "log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+const Log kLog("entry");
+
+constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+/// Told to the others before the doors close, so that none of them still sends work here.
+constexpr Duration kLeavingNotice = std::chrono::milliseconds(700);
+/// Entries of each availability zone that watch the table in the store; the others learn it from them.
+constexpr std::size_t kWatchersOfZone = 2;
+
+TransportSettings transportSettings(const EntrySettings &settings)
+{
+    TransportSettings transport;
+    transport.fleetKey = settings.fleet.fleetKey;
+    return transport;
+}
+
+HttpServerSettings serverSettings(const EntrySettings &settings)
+{
+    HttpServerSettings server;
+    server.certificateFile = settings.tlsCertificate;
+    server.privateKeyFile = settings.tlsKey;
+    return server;
+}
+
+MembershipSettings membershipSettings(const EntrySettings &settings)
+{
+    MembershipSettings membership;
+    membership.suspectAfter = std::chrono::seconds(2);
+    membership.deadAfter = settings.deadAfter;
+    return membership;
+}
+
+std::string advertised(const EntrySettings &settings)
+{
+    return settings.advertise == SocketAddress() ? settings.peerListen.toString() : settings.advertise.toString();
+}
+
+}
+
+Entry::Entry(EntrySettings settings)
+    : m_settings(std::move(settings))
+    , m_workers(m_settings.process.workers)
+    , m_timers(m_workers)
+    , m_incarnation(m_random.freshName())
+    , m_address(advertised(m_settings))
+    , m_clients(m_workers, transportSettings(m_settings))
+    , m_peerServer(m_workers, transportSettings(m_settings))
+    , m_store(m_workers, m_settings.fleet.platform.toString())
+    , m_listStore(m_store, m_listMonitor)
+    , m_listTimers(m_timers, m_listMonitor)
+    , m_listed(m_listStore, m_listTimers)
+    , m_membership(m_workers, m_timers.now(), membershipSettings(m_settings))
+    , m_peers(m_clients, m_timers, m_membership, m_membershipMonitor, selfMember())
+    , m_table(m_store, m_timers, m_workers, m_random, m_peers)
+    , m_gate(m_timers, m_random, m_settings.fleet.zone, m_settings.fleet.region)
+    , m_links(m_clients, m_timers, m_gate)
+    , m_agents(m_clients, m_timers,
+               [this] {
+                   return agentAddresses();
+               })
+    , m_entries(m_membership, m_membershipMonitor, m_timers)
+    , m_homeStack(HomeStack::Ports{m_store, m_timers, m_workers, m_random, m_agents, m_entries, *this}, selfOwner(),
+                  static_cast<std::uint32_t>(m_settings.ledgerShards))
+    , m_homeService(m_homeStack.home(), m_homeStack.monitor(), m_timers)
+    , m_homes(m_homeService, m_clients, m_timers, m_membership, m_membershipMonitor, m_address, m_settings.fleet.region)
+    , m_journal(m_timers)
+    , m_door(SessionServices{m_timers, m_random, m_clients, m_agents, m_homes, m_gate, m_journal}, m_table)
+    , m_server(m_workers, serverSettings(m_settings),
+               [this](HttpExchange &exchange) {
+                   return m_door.handle(exchange);
+               })
+    , m_admin(m_workers)
+{
+}
+
+Entry::~Entry()
+{
+    m_server.close();
+    m_peerServer.close();
+    m_workers.stop();
+}
+
+absl::Status Entry::start()
+{
+    followTable();
+    followMembership();
+    followList();
+    m_homeService.serve(m_peerServer);
+    m_peers.serve(m_peerServer, m_table);
+    serveAdmin();
+    m_workers.start();
+    if (const absl::Status status = m_peerServer.listen(m_settings.peerListen.ip(), m_settings.peerListen.port());
+        !status.ok()) {
+        return status;
+    }
+    if (const absl::Status status = m_admin.listen(m_settings.adminListen.ip(), m_settings.adminListen.port());
+        !status.ok()) {
+        return status;
+    }
+    m_gate.start();
+    m_homeStack.start();
+    m_peers.start();
+    m_table.start();
+    m_listMonitor.run([this] {
+        m_listed.start();
+    });
+    const absl::Status status = m_server.listen(m_settings.listen.ip(), m_settings.listen.port());
+    if (status.ok()) {
+        kLog.info("serving", {field("incarnation", m_incarnation.value()), field("peer_address", m_address)});
+    }
+    return status;
+}
+
+WorkerPool &Entry::workers()
+{
+    return m_workers;
+}
+
+std::uint16_t Entry::port() const
+{
+    return m_server.port();
+}
+
+// In order: callers' balancer and peers learn that this entry leaves; requests in progress end; key shards and portions
+// go back. Only then does the process end, so that no answer is cut off and nothing stays withheld.
+void Entry::drain(std::function<void()> callback)
+{
+    kLog.info("leaving", {field("requests_in_progress", m_server.requestsInProgress())});
+    m_drainDeadline = m_timers.now() + m_settings.drainTimeout;
+    m_admin.setReady(false);
+    m_peers.setLeaving();
+    m_timers.after(kLeavingNotice, [this, callback = std::move(callback)]() mutable {
+        m_door.setDraining();
+        m_server.drain();
+        waitForRequests(std::move(callback));
+    });
+}
+
+void Entry::waitForRequests(std::function<void()> callback)
+{
+    const bool isPatient = m_timers.now() < m_drainDeadline;
+    if (m_server.requestsInProgress() > 0 && isPatient) {
+        m_timers.after(kDrainPoll, [this, callback = std::move(callback)]() mutable {
+            waitForRequests(std::move(callback));
+        });
+        return;
+    }
+    handOver(std::move(callback));
+}
+
+// Requests of other entries may still be open at this home; `stop` waits for them. The deadline ends the wait.
+void Entry::handOver(std::function<void()> callback)
+{
+    const auto isDone = std::make_shared<std::atomic<bool>>(false);
+    const auto finish = [this, isDone, callback = std::move(callback)](bool isInTime) {
+        if (isDone->exchange(true)) {
+            return;
+        }
+        kLog.info("left", {field("in_time", isInTime)});
+        callback();
+    };
+    m_timers.after(std::max(m_drainDeadline - m_timers.now(), Duration::zero()), [finish] {
+        finish(false);
+    });
+    m_homeStack.stop([finish] {
+        finish(true);
+    });
+}
+
+HolderStanding Entry::standingOf(const IncarnationId &holder) const
+{
+    Monitor &monitor = const_cast<Monitor &>(m_membershipMonitor);
+    return monitor.run([&] {
+        for (const EntryMember &member : m_membership.liveEntries(std::string())) {
+            if (member.incarnation == holder) {
+                return HolderStanding::Alive;
+            }
+        }
+        return m_membership.isDead(holder, m_timers.now()) ? HolderStanding::Dead : HolderStanding::Missing;
+    });
+}
+
+std::vector<std::uint32_t> Entry::homeShards() const
+{
+    Monitor &monitor = const_cast<Monitor &>(m_membershipMonitor);
+    return monitor.run([&] {
+        std::vector<std::uint32_t> shards;
+        for (std::uint32_t n = 0; n < static_cast<std::uint32_t>(m_settings.ledgerShards); ++n) {
+            const std::optional<EntryMember> home = m_membership.homeOf(n, std::string());
+            if (home && home->incarnation == m_incarnation) {
+                shards.push_back(n);
+            }
+        }
+        return shards;
+    });
+}
+
+EntryMember Entry::selfMember() const
+{
+    EntryMember member;
+    member.incarnation = m_incarnation;
+    member.address = m_address;
+    member.zone = m_settings.fleet.zone;
+    member.region = m_settings.fleet.region;
+    return member;
+}
+
+KeyOwner Entry::selfOwner() const
+{
+    KeyOwner owner;
+    owner.incarnation = m_incarnation;
+    owner.address = m_address;
+    owner.region = m_settings.fleet.region;
+    return owner;
+}
+
+void Entry::followList()
+{
+    m_listed.subscribe([this](const std::vector<PlatformInstance> &present) {
+        m_peers.setListed(present);
+        m_links.setListed(present);
+    });
+}
+
+void Entry::followTable()
+{
+    m_table.subscribe([this](const SteeringTablePointer &table) {
+        kLog.info("table in force", {field("revision", table->revision())});
+        m_gate.applyTable(*table);
+    });
+}
+
+void Entry::followMembership()
+{
+    m_membershipMonitor.run([this] {
+        m_membership.subscribe([this] {
+            const std::size_t n = m_membershipMonitor.run([this] {
+                const auto watchers = m_membership.watchersOfZone(m_settings.fleet.zone, kWatchersOfZone);
+                const bool isWatcher = std::any_of(watchers.begin(), watchers.end(), [this](const auto &member) {
+                    return member.incarnation == m_incarnation;
+                });
+                m_table.setWatching(isWatcher);
+                return m_membership.liveCount(std::string());
+            });
+            m_gate.setLiveEntries(n);
+            m_homeStack.noteMembershipChange();
+        });
+    });
+}
+
+std::vector<std::string> Entry::agentAddresses()
+{
+    const std::vector<std::string> lives = m_gate.agentLives();
+    std::set<std::string> addresses(lives.begin(), lives.end());
+    std::set<std::string> heard;
+    for (const std::string &life : lives) {
+        heard.insert(AgentLife::parse(life).address);
+    }
+    for (const std::string &address : m_listMonitor.run([this] {
+             return m_listed.agentAddresses();
+         })) {
+        if (!heard.contains(address)) {
+            addresses.insert(address);
+        }
+    }
+    return {addresses.begin(), addresses.end()};
+}
+
+}
--- a/src/entry/fleetagentport.cpp
+++ b/src/entry/fleetagentport.cpp
@@ -1,8 +1,8 @@
 #include "fleetagentport.h"
 
 #include "agentlife.h"
-#include "wire.h"
 #include "unarycall.h"
+#include "wire.h"
 #include "wireconversion.h"
 
 namespace RadishSwitch
--- a/src/entry/fleethomedirectory.cpp
+++ b/src/entry/fleethomedirectory.cpp
@@ -8,8 +8,8 @@
 {
 
 FleetHomeDirectory::FleetHomeDirectory(HomeService &local, MessageClients &clients, TimerService &timers,
-                                       FleetMembership &membership, Monitor &membershipMonitor,
-                                       std::string selfAddress, std::string region, std::uint32_t shardCount)
+                                       FleetMembership &membership, Monitor &membershipMonitor, std::string selfAddress,
+                                       std::string region)
     : m_local(local)
     , m_clients(clients)
     , m_timers(timers)
@@ -17,7 +17,6 @@
     , m_membershipMonitor(membershipMonitor)
     , m_selfAddress(std::move(selfAddress))
     , m_region(std::move(region))
-    , m_shardCount(shardCount)
 {
 }
 
@@ -29,7 +28,9 @@
         return m_local.openLocal();
     }
     return std::make_unique<RemoteHomeSession>(m_clients.client(address), m_timers,
-                                               [this, shard](const std::string &owner) { learnOwner(shard, owner); });
+                                               [this, shard](const std::string &owner) {
+                                                   learnOwner(shard, owner);
+                                               });
 }
 
 // The last try is at this process itself, which can always be reached: it takes a portion of its own, and for a keyed
@@ -61,8 +62,9 @@
 
 std::string FleetHomeDirectory::rendezvousHome(std::uint32_t shard, const std::string &region)
 {
-    const std::optional<EntryMember> home
-        = m_membershipMonitor.run([&] { return m_membership.homeOf(shard, region); });
+    const std::optional<EntryMember> home = m_membershipMonitor.run([&] {
+        return m_membership.homeOf(shard, region);
+    });
     return home ? home->address : std::string();
 }
 
@@ -72,8 +74,7 @@
     m_owners[shard] = address;
 }
 
-MembershipEntryDirectory::MembershipEntryDirectory(FleetMembership &membership, Monitor &monitor,
-                                                   TimerService &timers)
+MembershipEntryDirectory::MembershipEntryDirectory(FleetMembership &membership, Monitor &monitor, TimerService &timers)
     : m_membership(membership)
     , m_monitor(monitor)
     , m_timers(timers)
--- a/src/entry/fleethomedirectory.h
+++ b/src/entry/fleethomedirectory.h
@@ -19,8 +19,7 @@
 {
 public:
     FleetHomeDirectory(HomeService &local, MessageClients &clients, TimerService &timers, FleetMembership &membership,
-                       Monitor &membershipMonitor, std::string selfAddress, std::string region,
-                       std::uint32_t shardCount);
+                       Monitor &membershipMonitor, std::string selfAddress, std::string region);
 
     std::unique_ptr<HomeSession> open(const RunPlan &plan, int tries) override;
 
@@ -36,7 +35,6 @@
     Monitor &m_membershipMonitor;
     const std::string m_selfAddress;
     const std::string m_region;
-    const std::uint32_t m_shardCount;
     std::mutex m_mutex;
     absl::flat_hash_map<std::uint32_t, std::string> m_owners;
 };
--- a/src/entry/homeservice.cpp
+++ b/src/entry/homeservice.cpp
@@ -115,7 +115,9 @@
 
 std::uint32_t HomeService::shardOf(const BudgetId &budget)
 {
-    return m_monitor.run([&] { return m_home.shardOf(budget); });
+    return m_monitor.run([&] {
+        return m_home.shardOf(budget);
+    });
 }
 
 std::string HomeService::ownerAddress(const BudgetId &budget)
@@ -129,7 +131,9 @@
 void HomeService::serve(Http2MessageServer &server)
 {
     server.handle("/home", [this](MessageStreamPointer stream) {
-        const auto ownerOf = [this](const BudgetId &budget) { return ownerAddress(budget); };
+        const auto ownerOf = [this](const BudgetId &budget) {
+            return ownerAddress(budget);
+        };
         std::make_shared<ServedHomeStream>(std::move(stream), openLocal(), ownerOf, m_timers)->start();
     });
 }
--- /dev/null
+++ b/src/entry/homestack.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "agentport.h"
+#include "budgetholder.h"
+#include "entrydirectory.h"
+#include "holderreservations.h"
+#include "home.h"
+#include "ledger.h"
+#include "monitor.h"
+#include "portioncloser.h"
+#include "portionsweep.h"
+
+#include <functional>
+
+namespace RadishSwitch
+{
+
+/// What makes an entry a home: the ledger, the holder of portions, the requests, the closing of what the dead left.
+/// One shared table under one lock.
+class HomeStack
+{
+public:
+    struct Ports {
+        ObjectStore &store;
+        TimerService &timers;
+        TaskQueue &tasks;
+        RandomSource &random;
+        AgentPort &agents;
+        const EntryDirectory &entries;
+        const HolderWatch &holders;
+    };
+
+    HomeStack(const Ports &ports, const KeyOwner &self, std::uint32_t shardCount);
+
+    void start();
+
+    Monitor &monitor();
+    Home &home();
+
+    /// The fleet's members have changed.
+    void noteMembershipChange();
+
+    /// Planned stop: hands over key shards and returns portions, then calls back.
+    void stop(std::function<void()> callback);
+
+    std::size_t openRequests();
+    std::size_t openReservations();
+
+private:
+    static BudgetHolderSettings holderSettings(const KeyOwner &self);
+    static LedgerSettings ledgerSettings(std::uint32_t shardCount);
+    static HomeSettings homeSettings(std::uint32_t shardCount);
+
+    Monitor m_monitor;
+    MonitoredObjectStore m_store;
+    MonitoredTimerService m_timers;
+    MonitoredTaskQueue m_tasks;
+    MonitoredAgentPort m_agents;
+    Ledger m_ledger;
+    BudgetHolder m_holder;
+    HolderReservations m_reservations;
+    Home m_home;
+    PortionCloser m_closer;
+    PortionSweep m_sweep;
+};
+
+}
--- a/src/entry/homewire.h
+++ b/src/entry/homewire.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "wire.h"
 #include "home.h"
+#include "wire.h"
 
 namespace RadishSwitch
 {
--- a/src/entry/localhomesession.cpp
+++ b/src/entry/localhomesession.cpp
@@ -42,10 +42,11 @@
     });
 }
 
-void LocalHomeSession::noteDispatched(const AttemptId &attempt, const std::string &agentAddress,
-                                      DoneCallback callback)
+void LocalHomeSession::noteDispatched(const AttemptId &attempt, const std::string &agentAddress, DoneCallback callback)
 {
-    m_monitor.run([&] { m_home.noteDispatched(m_request, attempt, agentAddress); });
+    m_monitor.run([&] {
+        m_home.noteDispatched(m_request, attempt, agentAddress);
+    });
     callback(absl::OkStatus());
 }
 
--- a/src/entry/peerlinks.cpp
+++ b/src/entry/peerlinks.cpp
@@ -1,7 +1,7 @@
 #include "peerlinks.h"
 
-#include "wire.h"
 #include "unarycall.h"
+#include "wire.h"
 #include "wireconversion.h"
 
 #include <set>
@@ -65,10 +65,11 @@
             fresh = m_client->open("/peer", std::move(frame));
             m_stream = fresh;
         }
-        fresh->start([](std::string) {}, [self = shared_from_this()](absl::Status) {
-            const std::lock_guard<std::mutex> lock(self->m_mutex);
-            self->m_stream.reset();
-        });
+        fresh->start([](std::string) {},
+                     [self = shared_from_this()](absl::Status) {
+                         const std::lock_guard<std::mutex> lock(self->m_mutex);
+                         self->m_stream.reset();
+                     });
     }
 
     void close()
@@ -135,7 +136,9 @@
 
 void PeerLinks::start()
 {
-    m_timer = m_timers.every(kHeartbeatInterval, [this] { beat(); });
+    m_timer = m_timers.every(kHeartbeatInterval, [this] {
+        beat();
+    });
 }
 
 void PeerLinks::setListed(const std::vector<PlatformInstance> &instances)
@@ -230,7 +233,9 @@
 
 void PeerLinks::applyHeartbeat(const EntryMember &member)
 {
-    m_monitor.run([&] { m_membership.applyHeartbeat(member, m_timers.now()); });
+    m_monitor.run([&] {
+        m_membership.applyHeartbeat(member, m_timers.now());
+    });
     if (m_follower != nullptr && member.incarnation != m_self.incarnation) {
         m_follower->peerHasRevision(member.tableRevision, member.address);
     }
--- a/src/entry/remotehomesession.cpp
+++ b/src/entry/remotehomesession.cpp
@@ -35,8 +35,13 @@
     {
         m_stream = std::move(stream);
         m_onAdmitted = std::move(callback);
-        m_stream->start([self = shared_from_this()](std::string frame) { self->onMessage(frame); },
-                        [self = shared_from_this()](absl::Status status) { self->onClosed(status); });
+        m_stream->start(
+            [self = shared_from_this()](std::string frame) {
+                self->onMessage(frame);
+            },
+            [self = shared_from_this()](absl::Status status) {
+                self->onClosed(status);
+            });
     }
 
     // One confirmation is awaited at a time: a session dispatches, then settles.
@@ -149,8 +154,7 @@
     });
 }
 
-void RemoteHomeSession::noteDispatched(const AttemptId &attempt, const std::string &agentAddress,
-                                       DoneCallback callback)
+void RemoteHomeSession::noteDispatched(const AttemptId &attempt, const std::string &agentAddress, DoneCallback callback)
 {
     wire::HomeRequest message;
     message.mutable_dispatched()->set_attempt_id(attempt.value());
--- a/src/entry/remotehomesession.h
+++ b/src/entry/remotehomesession.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "homesession.h"
-#include "wire.h"
 #include "messagestream.h"
 #include "timerservice.h"
+#include "wire.h"
 
 #include <mutex>
 
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -38,8 +38,7 @@
     , m_deadline(services.timers.now() + std::chrono::milliseconds(m_plan.deadlineMilliseconds))
 {
     if (m_plan.chat && m_plan.isStreamed) {
-        auto relay
-            = std::make_unique<ChatStreamRelay>(exchange, m_plan.request.value(), m_plan.chat->wantsUsage());
+        auto relay = std::make_unique<ChatStreamRelay>(exchange, m_plan.request.value(), m_plan.chat->wantsUsage());
         m_stream = relay.get();
         m_relay = std::move(relay);
     } else {
@@ -100,8 +99,9 @@
     absl::StatusOr<AdmitDecision> decision = makeFailure(FailureCode::HomeUnreachable, "not asked yet");
     for (int n = 0; n < kMostAdmissions; ++n) {
         m_home = m_services.homes.open(m_plan, n);
-        decision = co_await awaitCallback<absl::StatusOr<AdmitDecision>>(
-            [this, &question](auto done) { m_home->admit(question, std::move(done)); });
+        decision = co_await awaitCallback<absl::StatusOr<AdmitDecision>>([this, &question](auto done) {
+            m_home->admit(question, std::move(done));
+        });
         const bool asksElsewhere = !decision.ok()
             && (failureCode(decision.status()) == FailureCode::HomeElsewhere
                 || failureCode(decision.status()) == FailureCode::HomeUnreachable);
@@ -252,8 +252,7 @@
 }
 
 // Bytes that are there already go out in one write.
-boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::relayChunks(RunStream &stream,
-                                                                               wire::RunUpdate first)
+boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::relayChunks(RunStream &stream, wire::RunUpdate first)
 {
     const absl::Status status = co_await m_relay->append(std::move(*first.mutable_chunk()->mutable_data()));
     (void)stream;
@@ -269,11 +268,11 @@
 // true: the message may still be under way, and would start the run after the caller was told that nothing ran.
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::makeSureNotRunning(const RouteChoice &choice)
 {
-    const absl::StatusOr<RunRecord> record
-        = co_await awaitCallback<absl::StatusOr<RunRecord>>([this, &choice](auto done) {
-              const bool cancels = !m_plan.isNonIdempotent;
-              m_services.agents.bar(choice.address, m_plan.request, m_attempt, cancels, std::move(done));
-          });
+    const absl::StatusOr<RunRecord> record =
+        co_await awaitCallback<absl::StatusOr<RunRecord>>([this, &choice](auto done) {
+            const bool cancels = !m_plan.isNonIdempotent;
+            m_services.agents.bar(choice.address, m_plan.request, m_attempt, cancels, std::move(done));
+        });
     const bool isBarred = record.ok() && record->state == RunState::Barred;
     note(isBarred ? "barred at the agent" : "the agent could not prove that it did not run");
     co_return isBarred ? AttemptEnd::NotStarted : AttemptEnd::Failed;
@@ -287,7 +286,7 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     RunStream stream(m_services.clients, AgentLife::parse(duplicate.agentAddress), executor, m_plan.request, m_attempt);
     stream.attach();
-    const AttemptEnd end = co_await follow(stream, RouteChoice {EndpointId(), duplicate.agentAddress});
+    const AttemptEnd end = co_await follow(stream, RouteChoice{EndpointId(), duplicate.agentAddress});
     if (end == AttemptEnd::Answered) {
         co_return co_await m_relay->finish();
     }
@@ -298,8 +297,9 @@
 boost::asio::awaitable<void> RequestSession::settle(Settlement settlement)
 {
     settlement.grantedAttempt = m_grantedAttempt;
-    const absl::Status status = co_await awaitCallback<absl::Status>(
-        [this, settlement](auto done) { m_home->settle(settlement, std::move(done)); });
+    const absl::Status status = co_await awaitCallback<absl::Status>([this, settlement](auto done) {
+        m_home->settle(settlement, std::move(done));
+    });
     if (!status.ok()) {
         note("the home did not confirm the settlement: " + std::string(status.message()));
     }
--- a/src/entry/runplan.cpp
+++ b/src/entry/runplan.cpp
@@ -20,20 +20,6 @@
 constexpr std::int64_t kLongestDeadlineMilliseconds = 600'000;
 constexpr std::size_t kRequestIdDigits = 32;
 
-absl::StatusOr<const OrganisationRow *> authenticate(const HttpRequest &request, const SteeringTable &table)
-{
-    constexpr std::string_view kBearer = "Bearer ";
-    const std::optional<std::string> header = request.headers.find("Authorization");
-    if (!header || !header->starts_with(kBearer) || header->size() == kBearer.size()) {
-        return makeFailure(FailureCode::MissingKey, "the Authorization header must be \"Bearer\" and an API key");
-    }
-    const OrganisationRow *row = table.organisationOfKey(sha256Hex(header->substr(kBearer.size())));
-    if (row == nullptr) {
-        return makeFailure(FailureCode::UnknownKey, "no organisation has this API key");
-    }
-    return row;
-}
-
 std::string policyName(PoolPolicy policy)
 {
     switch (policy) {
@@ -127,6 +113,20 @@
 
 }
 
+absl::StatusOr<const OrganisationRow *> authenticate(const HttpRequest &request, const SteeringTable &table)
+{
+    constexpr std::string_view kBearer = "Bearer ";
+    const std::optional<std::string> header = request.headers.find("Authorization");
+    if (!header || !header->starts_with(kBearer) || header->size() == kBearer.size()) {
+        return makeFailure(FailureCode::MissingKey, "the Authorization header must be \"Bearer\" and an API key");
+    }
+    const OrganisationRow *row = table.organisationOfKey(sha256Hex(header->substr(kBearer.size())));
+    if (row == nullptr) {
+        return makeFailure(FailureCode::UnknownKey, "no organisation has this API key");
+    }
+    return row;
+}
+
 absl::StatusOr<RunPlan> planRun(const HttpRequest &request, const SteeringTable &table, const std::string &freshName,
                                 double draw)
 {
--- a/src/entry/runplan.h
+++ b/src/entry/runplan.h
@@ -40,6 +40,9 @@
     std::vector<std::uint64_t> prefixHashes;
 };
 
+/// The organisation whose API key the request shows; MissingKey or UnknownKey.
+absl::StatusOr<const OrganisationRow *> authenticate(const HttpRequest &request, const SteeringTable &table);
+
 /// Finds organisation, budget, route and pool of a request and checks its body.
 ///
 /// `freshName` names the request when the caller gave no Idempotency-Key; `draw` from [0, 1) chooses among weighted
--- a/src/entry/runstream.h
+++ b/src/entry/runstream.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "agentlife.h"
-#include "wire.h"
 #include "http2transport.h"
 #include "identifier.h"
 #include "messagereader.h"
+#include "wire.h"
 
 #include <absl/status/statusor.h>
 #include <boost/asio/any_io_executor.hpp>
@@ -23,8 +23,8 @@
 class RunStream
 {
 public:
-    RunStream(MessageClients &clients, const AgentLife &agent, boost::asio::any_io_executor executor,
-              RequestId request, AttemptId attempt);
+    RunStream(MessageClients &clients, const AgentLife &agent, boost::asio::any_io_executor executor, RequestId request,
+              AttemptId attempt);
     ~RunStream();
 
     /// Sends the run to the agent.
--- /dev/null
+++ b/src/libradishswitch/holderreservations.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "budgetholder.h"
+#include "reservationport.h"
+
+namespace RadishSwitch
+{
+
+/// The budgets of this process as its home sees them.
+class HolderReservations : public ReservationPort
+{
+public:
+    explicit HolderReservations(BudgetHolder &holder);
+
+    void reserve(const RequestId &request, const BudgetId &budget, std::int64_t tokens, Instant deadline,
+                 std::function<void(absl::StatusOr<ReservedPortion>)> callback) override;
+    void settle(const RequestId &request, std::int64_t tokens) override;
+    void release(const RequestId &request) override;
+
+    /// The reservation stays open: nothing else can be granted from it, and when the portion is closed it is for the
+    /// agents to prove what was used.
+    void withhold(const RequestId &request) override;
+
+private:
+    BudgetHolder &m_holder;
+};
+
+}
--- a/src/libradishswitch/ledgersettings.h
+++ b/src/libradishswitch/ledgersettings.h
@@ -11,7 +11,7 @@
 /// How the ledger is laid out and how a process writes to it.
 struct LedgerSettings {
     /// Objects over which the budgets are spread. Fixed for the life of a ledger; kept in "ledger/meta".
-    std::uint32_t shardCount = 1024;
+    std::uint32_t shardCount = 64;
     /// Calls to the store that this process may make in a second for the ledger, over all shards.
     double storeCallsPerSecond = 50;
     /// Calls that may be made at once after a quiet time.
