Test admission at a request's home, list a shard's runs at the agents

The new owner of a key shard asks each agent once for all runs of the shard instead of asking all agents for every key: one message an agent and takeover. RunTable::findRuns gives them when no request is named.

--- a/src/libradishswitch/agentport.h
+++ b/src/libradishswitch/agentport.h
@@ -33,6 +33,8 @@
     bool isNonIdempotent = false;
     bool isAnswerKept = false;
     std::string agentAddress;
+    /// The key shard under which it was granted. Only the agent itself needs it.
+    std::uint32_t shard = 0;
 
     bool operator==(const RunRecord &) const = default;
 };
@@ -66,7 +68,8 @@
     virtual std::vector<std::string> agentAddresses() const = 0;
 
     /// Which of these requests does the agent know? With an epoch above zero the agent from then on refuses runs of
-    /// the shard under a lower one.
+    /// the shard under a lower one. With an epoch and no requests named it tells of every keyed run of the shard that
+    /// started and whose full record it still has.
     virtual void findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
                           std::uint64_t epoch,
                           std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback) = 0;
--- a/src/libradishswitch/runtable.cpp
+++ b/src/libradishswitch/runtable.cpp
@@ -45,6 +45,7 @@
     record.isNonIdempotent = start.isNonIdempotent;
     record.isAnswerKept = true;
     record.agentAddress = agentAddress;
+    record.shard = start.shard;
     return record;
 }
 
@@ -94,6 +95,9 @@
     m_runs[start.attempt] = record;
     m_attemptsOfRequest[start.request].push_back(start.attempt);
     m_running.insert(start.attempt);
+    if (start.epoch > 0) {
+        m_attemptsOfShard[start.shard].insert(start.attempt);
+    }
     return RunDecision{RunDecision::Action::Start, record};
 }
 
@@ -148,6 +152,9 @@
         std::uint64_t &lowest = m_lowestEpochOfShard[shard];
         lowest = std::max(lowest, epoch);
     }
+    if (epoch > 0 && requests.empty()) {
+        return runsOfShard(shard);
+    }
     std::vector<RunRecord> found;
     for (const RequestId &request : requests) {
         const std::vector<const RunRecord *> records = recordsOf(request);
@@ -166,6 +173,22 @@
     return found;
 }
 
+std::vector<RunRecord> RunTable::runsOfShard(std::uint32_t shard) const
+{
+    std::vector<RunRecord> found;
+    const auto it = m_attemptsOfShard.find(shard);
+    if (it == m_attemptsOfShard.end()) {
+        return found;
+    }
+    for (const AttemptId &attempt : it->second) {
+        const RunRecord &record = m_runs.at(attempt);
+        if (record.state != RunState::Barred) {
+            found.push_back(record);
+        }
+    }
+    return found;
+}
+
 std::vector<PortionCharges> RunTable::closePortions(const std::vector<PortionId> &portions)
 {
     std::vector<PortionCharges> answers;
@@ -356,6 +379,10 @@
     if (it->second.state != RunState::Barred) {
         m_finished.remember(it->second);
     }
+    const auto shard = m_attemptsOfShard.find(it->second.shard);
+    if (shard != m_attemptsOfShard.end() && shard->second.erase(oldest.attempt) > 0 && shard->second.empty()) {
+        m_attemptsOfShard.erase(shard);
+    }
     m_runs.erase(it);
     const auto attempts = m_attemptsOfRequest.find(oldest.request);
     std::erase(attempts->second, oldest.attempt);
--- a/src/libradishswitch/runtable.h
+++ b/src/libradishswitch/runtable.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,7 +86,8 @@
     RunRecord bar(const RequestId &request, const AttemptId &attempt);
 
     /// All that is known of these requests, oldest attempt first. With an epoch above zero, runs of the shard with a
-    /// lower epoch above zero are refused from now on.
+    /// lower epoch above zero are refused from now on; and with no requests named, all keyed runs of the shard are told
+    /// that started and are still recorded.
     std::vector<RunRecord> findRuns(const std::vector<RequestId> &requests, std::uint32_t shard, std::uint64_t epoch);
 
     /// Refuses new runs on these portions from now on and tells what was charged to each and what still runs on it.
@@ -143,6 +145,7 @@
     absl::StatusOr<RunDecision> startUnseen(const RunStart &start);
     absl::Status whyNotNow(const RunStart &start) const;
     absl::Status refuse(const RunStart &start, absl::Status status);
+    std::vector<RunRecord> runsOfShard(std::uint32_t shard) const;
     void addBarred(const RequestId &request, const AttemptId &attempt);
     void end(RunRecord &record, RunState state);
     void charge(const RunRecord &record);
@@ -155,6 +158,8 @@
     RunTableSettings m_settings;
     absl::flat_hash_map<AttemptId, RunRecord> m_runs;
     absl::flat_hash_map<RequestId, std::vector<AttemptId>> m_attemptsOfRequest;
+    /// Keyed runs that started, for the next owner of their shard.
+    absl::flat_hash_map<std::uint32_t, std::set<AttemptId>> m_attemptsOfShard;
     absl::flat_hash_set<AttemptId> m_running;
     std::deque<Ended> m_ended;
     FinishedRuns m_finished;
--- /dev/null
+++ b/tests/fakes/memoryagents.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "agentport.h"
+#include "courier.h"
+#include "failure.h"
+#include "runtable.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Agents in memory: the real table of runs behind each address, with ways to kill an agent and to cut it off.
+class MemoryAgents
+{
+public:
+    using RunTable = RadishSwitch::RunTable;
+
+    MemoryAgents(const RadishSwitch::TimerService &timers, std::vector<std::string> addresses)
+        : m_listed(addresses.begin(), addresses.end())
+    {
+        for (const std::string &address : addresses) {
+            RadishSwitch::RunTableSettings settings;
+            settings.agentAddress = address;
+            m_tables[address] = std::make_unique<RunTable>(timers, settings);
+        }
+    }
+
+    /// The table behind an address, or null when the agent is dead.
+    RunTable *table(const std::string &address)
+    {
+        const auto it = m_tables.find(address);
+        return it == m_tables.end() ? nullptr : it->second.get();
+    }
+
+    /// Dead, with all that it knew; still listed until `unlist`.
+    void kill(const std::string &address)
+    {
+        m_tables.erase(address);
+    }
+
+    /// Everyone knows that the agent is gone for good.
+    void unlist(const std::string &address)
+    {
+        m_listed.erase(address);
+    }
+
+    /// Cuts an entry off from an agent, or joins them again.
+    void setCut(const std::string &entry, const std::string &address, bool isCut)
+    {
+        if (isCut) {
+            m_cuts.insert({entry, address});
+        } else {
+            m_cuts.erase({entry, address});
+        }
+    }
+
+    bool isReachable(const std::string &entry, const std::string &address) const
+    {
+        return m_tables.contains(address) && !m_cuts.contains({entry, address});
+    }
+
+    const std::set<std::string> &listed() const
+    {
+        return m_listed;
+    }
+
+private:
+    struct Link {
+        std::string entry;
+        std::string address;
+
+        auto operator<=>(const Link &) const = default;
+    };
+
+    std::set<std::string> m_listed;
+    std::set<Link> m_cuts;
+    std::map<std::string, std::unique_ptr<RunTable>> m_tables;
+};
+
+/// The agents as one entry sees them: each question and each answer is a message.
+class MemoryAgentPort : public RadishSwitch::AgentPort
+{
+public:
+    using RunRecord = RadishSwitch::RunRecord;
+    using RequestId = RadishSwitch::RequestId;
+    using AttemptId = RadishSwitch::AttemptId;
+    using PortionId = RadishSwitch::PortionId;
+    using PortionCharges = RadishSwitch::PortionCharges;
+
+    MemoryAgentPort(std::string entry, MemoryAgents &agents, Courier &courier)
+        : m_entry(std::move(entry))
+        , m_agents(agents)
+        , m_courier(courier)
+    {
+    }
+
+    std::vector<std::string> agentAddresses() const override
+    {
+        return {m_agents.listed().begin(), m_agents.listed().end()};
+    }
+
+    void findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
+                  std::uint64_t epoch, std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback) override
+    {
+        const std::string text = "which runs of the shard do you know? (epoch " + std::to_string(epoch) + ")";
+        ask<std::vector<RunRecord>>(
+            agentAddress, text,
+            [requests = std::move(requests), shard, epoch](RadishSwitch::RunTable &table) {
+                return table.findRuns(requests, shard, epoch);
+            },
+            std::move(callback));
+    }
+
+    void closePortions(const std::string &agentAddress, std::vector<PortionId> portions,
+                       std::function<void(absl::StatusOr<std::vector<PortionCharges>>)> callback) override
+    {
+        ask<std::vector<PortionCharges>>(
+            agentAddress, "close portions and tell what was charged",
+            [portions = std::move(portions)](RadishSwitch::RunTable &table) {
+                return table.closePortions(portions);
+            },
+            std::move(callback));
+    }
+
+    void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, bool,
+             std::function<void(absl::StatusOr<RunRecord>)> callback) override
+    {
+        ask<RunRecord>(
+            agentAddress, "do not start " + request.value() + " any more; what became of it?",
+            [request, attempt](RadishSwitch::RunTable &table) {
+                return table.bar(request, attempt);
+            },
+            std::move(callback));
+    }
+
+private:
+    template<typename Answer>
+    using Callback = std::function<void(absl::StatusOr<Answer>)>;
+
+    template<typename Answer>
+    void ask(const std::string &address, const std::string &text,
+             std::function<Answer(RadishSwitch::RunTable &)> question, Callback<Answer> callback)
+    {
+        const auto lost = [callback] {
+            callback(RadishSwitch::makeFailure(RadishSwitch::FailureCode::ConnectionLost, "the agent cannot be asked"));
+        };
+        const auto deliver = [this, address, text, question = std::move(question), callback, lost] {
+            if (!m_agents.isReachable(m_entry, address)) {
+                return m_courier.carry({address, m_entry, "no connection", lost, lost});
+            }
+            Answer answer = question(*m_agents.table(address));
+            m_courier.carry({address, m_entry, "answer: " + text,
+                             [callback, answer = std::move(answer)] {
+                                 callback(answer);
+                             },
+                             lost});
+        };
+        m_courier.carry({m_entry, address, text, deliver, lost});
+    }
+
+    const std::string m_entry;
+    MemoryAgents &m_agents;
+    Courier &m_courier;
+};
