--- a/src/libradishswitch/claimbook.cpp
+++ b/src/libradishswitch/claimbook.cpp
@@ -41,10 +41,10 @@
 void ClaimBook::find(std::uint32_t shard, const RequestId &request, FindCallback callback)
 {
     Book &book = m_books[shard];
-    const auto it = book.claims.find(request);
-    const bool isClaimed = it != book.claims.end() && it->second.state == ClaimState::Claimed;
+    const std::optional<Claim> claim = standingClaim(book, request);
+    const bool isClaimed = claim && claim->state == ClaimState::Claimed;
     if (book.isLoaded && !isClaimed) {
-        return callback(it == book.claims.end() ? std::nullopt : std::optional(it->second));
+        return callback(claim);
     }
     // How a claim of an earlier owner ended may have been written since.
     book.finds.push_back({request, std::move(callback)});
@@ -198,9 +198,25 @@
 void ClaimBook::answerFinds(Book &book)
 {
     for (const Find &find : std::exchange(book.finds, {})) {
-        const auto it = book.claims.find(find.request);
-        find.callback(it == book.claims.end() ? std::nullopt : std::optional(it->second));
+        find.callback(standingClaim(book, find.request));
+    }
+}
+
+/// As the store has it, with what this book has noted and not written yet.
+std::optional<Claim> ClaimBook::standingClaim(const Book &book, const RequestId &request)
+{
+    const auto it = book.claims.find(request);
+    if (it == book.claims.end()) {
+        return std::nullopt;
+    }
+    Claim claim = it->second;
+    for (const auto *notes : {&book.roundNotes, &book.notes}) {
+        const auto note = notes->find(request);
+        if (note != notes->end() && note->second.attempt == claim.attempt) {
+            claim.state = note->second.state;
+        }
     }
+    return claim;
 }
 
 void ClaimBook::succeed(std::uint32_t shard)
--- a/src/libradishswitch/claimbook.h
+++ b/src/libradishswitch/claimbook.h
@@ -114,6 +114,7 @@
     void write(std::uint32_t shard);
     void finishWrite(std::uint32_t shard, const Claims &written, const absl::StatusOr<std::uint64_t> &version);
     Claims withRound(const Book &book) const;
+    static std::optional<Claim> standingClaim(const Book &book, const RequestId &request);
     void answerFinds(Book &book);
     void succeed(std::uint32_t shard);
     void fail(std::uint32_t shard, const absl::Status &status);
