Split the home: admission pipeline, granted requests, proof of refusals

What takes a new request to its grant, what follows a granted one to its end, and the proof behind "not run" are classes of their own now.

--- a/src/libradishswitch/home.h
+++ b/src/libradishswitch/home.h
@@ -1,20 +1,21 @@
 #pragma once
 
 #include "admission.h"
+#include "admissionpipeline.h"
 #include "admissionwaiters.h"
 #include "agentport.h"
-#include "billing.h"
 #include "claimbook.h"
 #include "entrydirectory.h"
+#include "grantedrequests.h"
 #include "keyowner.h"
 #include "keyownership.h"
 #include "keyshards.h"
 #include "lifetoken.h"
 #include "objectstore.h"
 #include "randomsource.h"
+#include "refusalproof.h"
 #include "requestregistry.h"
 #include "reservationport.h"
-#include "runresolver.h"
 #include "taskqueue.h"
 #include "timerservice.h"
 
@@ -22,10 +23,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
-#include <vector>
 
 namespace RadishSwitch
 {
@@ -113,75 +111,32 @@
     std::size_t openRequests() const;
 
 private:
-    /// A request on its way to a grant.
-    struct Opening {
-        Admission admission;
-        std::uint32_t shard = 0;
-        std::uint64_t epoch = 0;
-        AttemptId attempt;
-        ReservedPortion reserved;
-        bool isClaimed = false;
-        /// Its entry went away meanwhile: nobody is left to be granted anything.
-        bool isAbandoned = false;
-    };
-
-    using Resolvers = std::map<RequestId, std::unique_ptr<RunResolver>>;
-
-    // Admission, in the order of its steps.
     void consider(Admission admission);
     void begin(Admission admission);
-    void lookUpClaim(const RequestId &request);
-    void reserve(const RequestId &request);
-    void claim(const RequestId &request);
-    void grant(const RequestId &request);
-    Opening *openingOf(const RequestId &request, const AttemptId &attempt);
-    void yieldToRival(const RequestId &request);
-    void withdraw(const RequestId &request);
-    void giveUp(const RequestId &request, const absl::Status &status);
+    void finishOpening(const Opening &opening, const absl::Status &status);
+    void yieldToRival(const Opening &opening, const RunRecord &rival);
+    void giveBack(const Opening &opening);
     void refuse(const Admission &admission, std::uint32_t shard, const absl::Status &status);
-    void answerRefusal(const Admission &admission, const absl::Status &status, bool isProven);
-    absl::Status cannotTell() const;
-    absl::Status spentClaim(const AdmitQuestion &question, const Claim &claim) const;
     void answer(const AdmitCallback &callback, absl::StatusOr<AdmitDecision> decision);
 
     void wait(Admission admission);
     void reconsiderWaiters(const RequestId &request);
-
-    // The ends of requests.
-    void end(const RequestId &request, RequestState state, std::int64_t chargedTokens);
-    void endOwn(const RequestId &request, const KnownRequest &known, RequestState state, std::int64_t chargedTokens);
-    void endLost(const RequestId &request);
-    void bill(const RequestId &request, const KnownRequest &known, std::int64_t chargedTokens);
-    void finishAbandoned(const RequestId &request, const RunVerdict &verdict);
-    void resolve(const RequestId &request, std::vector<Dispatch> places, bool cancel);
-    std::unique_ptr<RunResolver> makeResolver(const RequestId &request, std::vector<Dispatch> places, bool cancel,
-                                              RunResolver::Events events);
-    std::vector<Dispatch> possiblePlaces(const KnownRequest &known) const;
     void answerWaitersStuck(const RequestId &request);
+    absl::Status cannotTell() const;
 
-    // News of key shards.
-    void runFound(std::uint32_t shard, const RunRecord &record);
-    void rivalFound(const RunRecord &record);
-    void finishRival(RunRecord record, const RunVerdict &verdict);
-    void shardLost(std::uint32_t shard);
-
+    void loseShard(std::uint32_t shard);
     void tick();
     void finishStopping();
 
     const HomePorts m_ports;
-    const KeyOwner m_self;
     const HomeSettings m_settings;
     RequestRegistry m_registry;
     KeyShards m_shards;
     ClaimBook m_claims;
-    Billing m_billing;
-    std::map<RequestId, Opening> m_openings;
+    GrantedRequests m_granted;
     AdmissionWaiters m_waiters;
-    /// Own requests that were abandoned, and found ones that still ran.
-    Resolvers m_resolvers;
-    Resolvers m_rivalResolvers;
-    /// Own requests granted and not ended.
-    std::size_t m_granted = 0;
+    RefusalProof m_refusalProof;
+    AdmissionPipeline m_pipeline;
     bool m_isStopping = false;
     bool m_isHandedOver = false;
     std::function<void()> m_stopped;
