--- /dev/null
+++ b/src/libradishswitch/boundedcall.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "failure.h"
+#include "timerservice.h"
+
+#include <absl/status/statusor.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace RadishSwitch
+{
+
+/// A callback for a call of the store that is called once: with the answer, or with StoreTimeout once `deadline` has
+/// passed without one. An answer that comes later is dropped.
+template<typename T>
+std::function<void(absl::StatusOr<T>)> boundedCall(TimerService &timers, Duration deadline,
+                                                   std::function<void(absl::StatusOr<T>)> callback)
+{
+    const auto isOver = std::make_shared<std::atomic<bool>>(false);
+    const auto once = [isOver, callback = std::move(callback)](const absl::StatusOr<T> &answer) {
+        if (!isOver->exchange(true)) {
+            callback(answer);
+        }
+    };
+    const TimerId timer = timers.after(deadline, [once] {
+        once(makeFailure(FailureCode::StoreTimeout, "the store did not answer"));
+    });
+    return [once, timer, &timers](absl::StatusOr<T> answer) {
+        timers.cancel(timer);
+        once(answer);
+    };
+}
+
+}
--- a/src/libradishswitch/rowchange.cpp
+++ b/src/libradishswitch/rowchange.cpp
@@ -63,7 +63,7 @@
         return makeFailure(FailureCode::MalformedMessage, "a change does not fit its table: " + change.toString());
     }
     if (change.type == RowChangeType::Removed) {
-        rows = rows.without(change.kind, change.name);
+        rows.remove(change.kind, change.name);
         return absl::OkStatus();
     }
     TableRow row = present.value_or(defaultRow(change.kind, change.name));
--- a/src/libradishswitch/tablefollowerstore.cpp
+++ b/src/libradishswitch/tablefollowerstore.cpp
@@ -132,7 +132,6 @@
         retryLater();
         return;
     }
-    m_retryDelay = m_settings.firstRetryDelay;
     m_watchFrom = changes->nextVersion;
     m_nextList = m_timers.now() + jittered(m_settings.relistInterval);
     watch();
@@ -154,6 +153,7 @@
         retryLater();
         return;
     }
+    m_retryDelay = m_settings.firstRetryDelay;
     m_watchFrom = changes->nextVersion;
     if (m_timers.now() >= m_nextList) {
         list();
--- a/src/libradishswitch/tablerows.cpp
+++ b/src/libradishswitch/tablerows.cpp
@@ -202,31 +202,22 @@
     return std::nullopt;
 }
 
-TableRows TableRows::with(TableRow row) const
+void TableRows::remove(TableKind kind, const std::string &name)
 {
-    TableRows changed = *this;
-    changed.put(std::move(row));
-    return changed;
-}
-
-TableRows TableRows::without(TableKind kind, const std::string &name) const
-{
-    TableRows changed = *this;
     switch (kind) {
     case TableKind::Organisation:
-        eraseFrom(changed.organisations, name);
+        eraseFrom(organisations, name);
         break;
     case TableKind::Pool:
-        eraseFrom(changed.pools, name);
+        eraseFrom(pools, name);
         break;
     case TableKind::Route:
-        eraseFrom(changed.routes, name);
+        eraseFrom(routes, name);
         break;
     case TableKind::EndpointGroup:
-        eraseFrom(changed.endpointGroups, name);
+        eraseFrom(endpointGroups, name);
         break;
     }
-    return changed;
 }
 
 void TableRows::put(TableRow row)
--- a/src/libradishswitch/tablerows.h
+++ b/src/libradishswitch/tablerows.h
@@ -43,14 +43,11 @@
 
     std::optional<TableRow> find(TableKind kind, const std::string &name) const;
 
-    /// The rows with this one put in, in the place of one of the same kind and name.
-    TableRows with(TableRow row) const;
-
-    /// The rows without the one of this kind and name.
-    TableRows without(TableKind kind, const std::string &name) const;
-
-    /// As `with`, in place; for building a table row by row.
+    /// Puts a row in, in the place of one of the same kind and name.
     void put(TableRow row);
+
+    /// Takes out the row of this kind and name, if there is one.
+    void remove(TableKind kind, const std::string &name);
 };
 
 }
