--- a/src/measure/call.cpp
+++ b/src/measure/call.cpp
@@ -49,7 +49,7 @@
         call.request.headers.add("Authorization", "Bearer " + call.organisation.key);
     }
     if (m_settings.deadline > Duration::zero()) {
-        call.request.headers.add("X-Deadline-Ms", std::to_string(m_settings.deadline.count() / 1000));
+        call.request.headers.add("Radishswitch-Deadline-Ms", std::to_string(m_settings.deadline.count() / 1000));
     }
     return call;
 }
@@ -116,7 +116,9 @@
     call.expectedPromptTokens = prompt.promptTokens;
     call.expectedCompletionTokens = answer.length(m_settings.maximumTokens);
     call.expectedAnswer = answer.tokens(call.expectedCompletionTokens);
-    call.worstCaseTokens = prompt.promptTokens + m_settings.maximumTokens;
+    // Whoever does not know the tokeniser can only say that a byte is at most one token.
+    const auto overhead = static_cast<std::int64_t>(messages.size()) * ChatPrompt::kTokensPerMessage;
+    call.worstCaseTokens = static_cast<std::int64_t>(prompt.text.size()) + overhead + m_settings.maximumTokens;
 }
 
 void CallFactory::makeServiceCall(Call &call)
--- a/src/measure/caller.cpp
+++ b/src/measure/caller.cpp
@@ -84,6 +84,7 @@
     record.isStreamed = m_call->isStreamed;
     record.contentHash = m_call->contentHash;
     record.worstCaseTokens = m_call->worstCaseTokens;
+    record.trueCostTokens = m_call->expectedPromptTokens + m_call->expectedCompletionTokens;
     record.target = target;
     record.startTime = recordTime();
     const auto stream = co_await m_client.open(target, m_call->request, m_settings.timeout);
--- a/src/measure/spendtruth.h
+++ b/src/measure/spendtruth.h
@@ -36,6 +36,8 @@
     /// for the fleet's own troubles while money and a healthy endpoint were there.
     std::int64_t falseRefusals = 0;
     std::map<std::string, std::int64_t> falseRefusalsByCode;
+    /// The same, held against what the requests would really have cost, which nobody can know before.
+    std::int64_t falseRefusalsAtTrueCost = 0;
     std::int64_t refusals = 0;
 
     bool operator==(const SpendTruth &) const = default;
--- a/src/measure/truthcommand.cpp
+++ b/src/measure/truthcommand.cpp
@@ -46,6 +46,7 @@
         {"late_work", runs.lateWork},
         {"refusals", spend.refusals},
         {"false_refusals_by_code", spend.falseRefusalsByCode},
+        {"false_refusals_at_true_cost", spend.falseRefusalsAtTrueCost},
         {"unknown_outcomes", runs.unknownOutcomes},
         {"refusals_without_outcome", runs.silentRefusals},
         {"repeated_chats", runs.repeatedChats},
--- a/src/measure/tryrecord.cpp
+++ b/src/measure/tryrecord.cpp
@@ -99,6 +99,7 @@
         {"prompt_tokens", record.promptTokens},
         {"completion_tokens", record.completionTokens},
         {"worst_case_tokens", record.worstCaseTokens},
+        {"true_cost_tokens", record.trueCostTokens},
         {"usage_right", record.isUsageRight},
         {"ttft_us", record.firstTokenSpan},
         {"longest_gap_us", record.longestGap},
@@ -131,6 +132,7 @@
         document.at("prompt_tokens").get_to(record.promptTokens);
         document.at("completion_tokens").get_to(record.completionTokens);
         document.at("worst_case_tokens").get_to(record.worstCaseTokens);
+        document.at("true_cost_tokens").get_to(record.trueCostTokens);
         document.at("usage_right").get_to(record.isUsageRight);
         document.at("ttft_us").get_to(record.firstTokenSpan);
         document.at("longest_gap_us").get_to(record.longestGap);
--- a/src/measure/tryrecord.h
+++ b/src/measure/tryrecord.h
@@ -67,8 +67,11 @@
     /// What the answer's usage told; zero when it told nothing.
     std::int64_t promptTokens = 0;
     std::int64_t completionTokens = 0;
-    /// What the request can cost at most: its prompt, as the engine counts it, and its limit.
+    /// What the request can cost at most for one who does not know the tokeniser: the bytes of its prompt, and its
+    /// limit.
     std::int64_t worstCaseTokens = 0;
+    /// What it really costs.
+    std::int64_t trueCostTokens = 0;
     /// Whether the usage was what the answer really cost.
     bool isUsageRight = true;
     std::int64_t firstTokenSpan = 0;
