--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include "apierror.h"
 #include "failure.h"
 #include "log.h"
 
@@ -79,7 +80,7 @@
     , m_homeService(m_homeStack.home(), m_homeStack.monitor(), m_timers)
     , m_homes(m_homeService, m_clients, m_timers, m_membership, m_membershipMonitor, m_address, m_settings.fleet.region)
     , m_journal(m_timers)
-    , m_door(SessionServices{m_timers, m_random, m_clients, m_agents, m_homes, m_gate, m_journal}, m_table)
+    , m_door(SessionServices{m_timers, m_random, m_clients, m_agents, m_homes, m_gate, m_journal}, m_table, m_counts)
     , m_server(m_workers, serverSettings(m_settings),
                [this](HttpExchange &exchange) {
                    return m_door.handle(exchange);
@@ -142,6 +143,7 @@
 {
     kLog.info("leaving", {field("requests_in_progress", m_server.requestsInProgress())});
     m_drainDeadline = m_timers.now() + m_settings.drainTimeout;
+    m_isLeaving = true;
     m_admin.setReady(false);
     m_peers.setLeaving();
     m_timers.after(kLeavingNotice, [this, callback = std::move(callback)]() mutable {
@@ -182,6 +184,50 @@
     });
 }
 
+std::string Entry::statusJson()
+{
+    const HomeStack::Holdings holdings = m_homeStack.holdings();
+    nlohmann::json queues = nlohmann::json::object();
+    nlohmann::json endpoints = nlohmann::json::object();
+    for (const PoolStanding &standing : m_gate.standings()) {
+        queues[standing.pool.value()] = standing.queued;
+        endpoints[standing.pool.value()] = standing.eligibleEndpoints;
+    }
+    return nlohmann::json {{"role", "entry"},
+                           {"incarnation", m_incarnation.value()},
+                           {"address", m_address},
+                           {"region", m_settings.fleet.region},
+                           {"zone", m_settings.fleet.zone},
+                           {"state", m_isLeaving ? "leaving" : "ready"},
+                           {"table_revision", m_table.current()->revision()},
+                           {"in_progress", m_server.requestsInProgress()},
+                           {"open_requests", holdings.openRequests},
+                           {"open_reservations", holdings.openReservations},
+                           {"answered", m_counts.answered()},
+                           {"refusals", m_counts.refusals()},
+                           {"queues", queues},
+                           {"eligible_endpoints", endpoints}}
+        .dump();
+}
+
+HttpResponse Entry::requestStory(const std::string &requestId)
+{
+    const std::optional<RequestStory> story = m_journal.find(RequestId(requestId));
+    if (!story) {
+        return errorResponse(makeFailure(FailureCode::RunUnknown, "this entry knows no such request"), requestId);
+    }
+    nlohmann::json steps = nlohmann::json::array();
+    for (const RequestStep &step : story->steps) {
+        steps.push_back({{"at_ms", step.wallClockMilliseconds}, {"text", step.text}});
+    }
+    const nlohmann::json json {{"request_id", requestId},
+                               {"budget", story->budget.toString()},
+                               {"pool", story->pool.value()},
+                               {"result", story->result.empty() ? "in_progress" : story->result},
+                               {"steps", steps}};
+    return HttpResponse {200, HttpHeaders {{"Content-Type", "application/json"}}, json.dump()};
+}
+
 HolderStanding Entry::standingOf(const IncarnationId &holder) const
 {
     Monitor &monitor = const_cast<Monitor &>(m_membershipMonitor);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -20,6 +20,7 @@
 #include "tablefollower.h"
 #include "workerpool.h"
 
+#include <atomic>
 #include <functional>
 
 namespace RadishSwitch
@@ -54,7 +55,7 @@
     void applySubset();
     void serveAdmin();
     std::string statusJson();
-    HttpResponse requestStory(const std::string &target);
+    HttpResponse requestStory(const std::string &requestId);
     void waitForRequests(std::function<void()> callback);
     void handOver(std::function<void()> callback);
     std::vector<std::string> agentAddresses();
@@ -87,9 +88,11 @@
     HomeService m_homeService;
     FleetHomeDirectory m_homes;
     RequestJournal m_journal;
+    RequestCounts m_counts;
     HttpDoor m_door;
     HttpServer m_server;
     AdminServer m_admin;
+    std::atomic<bool> m_isLeaving = false;
     Instant m_drainDeadline;
 };
 
--- a/src/entry/homestack.cpp
+++ b/src/entry/homestack.cpp
@@ -53,17 +53,10 @@
     });
 }
 
-std::size_t HomeStack::openRequests()
+HomeStack::Holdings HomeStack::holdings()
 {
     return m_monitor.run([this] {
-        return m_home.openRequests();
-    });
-}
-
-std::size_t HomeStack::openReservations()
-{
-    return m_monitor.run([this] {
-        return m_holder.openReservationCount();
+        return Holdings {m_home.openRequests(), m_holder.openReservationCount()};
     });
 }
 
--- a/src/entry/homestack.h
+++ b/src/entry/homestack.h
@@ -43,8 +43,15 @@
     /// Planned stop: hands over key shards and returns portions, then calls back.
     void stop(std::function<void()> callback);
 
-    std::size_t openRequests();
-    std::size_t openReservations();
+    /// What is open here, for status pages.
+    struct Holdings {
+        std::size_t openRequests = 0;
+        std::size_t openReservations = 0;
+
+        bool operator==(const Holdings &) const = default;
+    };
+
+    Holdings holdings();
 
 private:
     static BudgetHolderSettings holderSettings(const KeyOwner &self);
--- a/src/entry/httpdoor.cpp
+++ b/src/entry/httpdoor.cpp
@@ -15,9 +15,10 @@
 
 }
 
-HttpDoor::HttpDoor(SessionServices services, TableFollower &table)
+HttpDoor::HttpDoor(SessionServices services, TableFollower &table, RequestCounts &counts)
     : m_services(services)
     , m_table(table)
+    , m_counts(counts)
 {
 }
 
@@ -33,7 +34,7 @@
     if (m_isDraining) {
         const absl::Status status = makeFailure(
             FailureCode::Draining, "this entry is stopping; another takes the request", kDrainingRetryAfter);
-        (void)co_await exchange.respond(errorResponse(status, freshName));
+        co_await refuse(exchange, status, freshName);
         co_return;
     }
     if (exchange.request().method == "GET" && exchange.request().target == "/v1/models") {
@@ -42,18 +43,30 @@
     }
     absl::StatusOr<RunPlan> plan = planRun(exchange.request(), *table, freshName, m_services.random.fraction());
     if (!plan.ok()) {
-        (void)co_await exchange.respond(errorResponse(plan.status(), freshName));
+        co_await refuse(exchange, plan.status(), freshName);
         co_return;
     }
     RequestSession session(m_services, exchange, std::move(*plan));
-    (void)co_await session.run();
+    const absl::Status status = co_await session.run();
+    if (status.ok()) {
+        m_counts.noteAnswered();
+    } else {
+        m_counts.noteRefused(failureCode(status));
+    }
+}
+
+boost::asio::awaitable<void> HttpDoor::refuse(HttpExchange &exchange, const absl::Status &status,
+                                              const std::string &requestId)
+{
+    m_counts.noteRefused(failureCode(status));
+    (void)co_await exchange.respond(errorResponse(status, requestId));
 }
 
 boost::asio::awaitable<void> HttpDoor::listModels(HttpExchange &exchange, const SteeringTable &table)
 {
     const absl::StatusOr<const OrganisationRow *> organisation = authenticate(exchange.request(), table);
     if (!organisation.ok()) {
-        (void)co_await exchange.respond(errorResponse(organisation.status(), std::string()));
+        co_await refuse(exchange, organisation.status(), std::string());
         co_return;
     }
     nlohmann::json list = nlohmann::json::array();
--- a/src/entry/httpdoor.h
+++ b/src/entry/httpdoor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpserver.h"
+#include "requestcounts.h"
 #include "requestsession.h"
 #include "tablefollower.h"
 
@@ -13,7 +14,7 @@
 class HttpDoor
 {
 public:
-    HttpDoor(SessionServices services, TableFollower &table);
+    HttpDoor(SessionServices services, TableFollower &table, RequestCounts &counts);
 
     /// Serves one request.
     boost::asio::awaitable<void> handle(HttpExchange &exchange);
@@ -24,8 +25,12 @@
 private:
     boost::asio::awaitable<void> listModels(HttpExchange &exchange, const SteeringTable &table);
 
+    boost::asio::awaitable<void> refuse(HttpExchange &exchange, const absl::Status &status,
+                                        const std::string &requestId);
+
     SessionServices m_services;
     TableFollower &m_table;
+    RequestCounts &m_counts;
     std::atomic<bool> m_isDraining = false;
 };
 
--- a/src/libradishswitch/portionsweep.cpp
+++ b/src/libradishswitch/portionsweep.cpp
@@ -68,7 +68,7 @@
     bool isMissing = false;
     std::set<IncarnationId> dead;
     for (const auto &[budget, record] : object->budgets()) {
-        for (const auto &[id, portion] : record.portions) {
+        for (const auto &[id, portion] : record.portions()) {
             const HolderStanding standing = m_watch.standingOf(portion.holder);
             isMissing = isMissing || standing == HolderStanding::Missing;
             if (standing == HolderStanding::Dead) {
