--- /dev/null
+++ b/src/agent/loadreport.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// A change of an engine's prefix cache.
+struct CacheEvent {
+    std::uint64_t sequence = 0;
+    bool isStored = false;
+    std::vector<std::uint64_t> prefixHashes;
+
+    bool operator==(const CacheEvent &) const = default;
+};
+
+/// What an engine tells about itself on `GET /load`.
+struct LoadReport {
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t capacity = 0;
+    std::int64_t queuedTokens = 0;
+    double tokensPerSecond = 0;
+    std::vector<std::string> models;
+    std::vector<std::string> adapters;
+    std::string version;
+    std::vector<CacheEvent> cacheEvents;
+
+    bool operator==(const LoadReport &) const = default;
+};
+
+/// Reads an engine's report. Fields that are missing count as zero or empty; MalformedMessage when one has another
+/// type or a number is out of range.
+absl::StatusOr<LoadReport> parseLoadReport(std::string_view json);
+
+}
--- /dev/null
+++ b/src/agent/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/libradishnet/wireconversion.cpp
@@ -0,0 +1,89 @@
+#include "wireconversion.h"
+
+namespace RadishSwitch
+{
+
+wire::Failure failureToWire(const absl::Status &status)
+{
+    wire::Failure failure;
+    failure.set_code(std::string(failureName(failureCode(status))));
+    failure.set_message(std::string(status.message()));
+    failure.set_outcome_unknown(outcomeOf(status) == RunOutcome::Unknown);
+    if (const auto retryAfter = retryAfterOf(status)) {
+        failure.set_retry_after_ms(retryAfter->count());
+    }
+    return failure;
+}
+
+absl::Status failureFromWire(const wire::Failure &failure)
+{
+    const FailureCode code = failureOfName(failure.code()).value_or(FailureCode::Internal);
+    absl::Status status = failure.retry_after_ms() > 0
+        ? makeFailure(code, failure.message(), std::chrono::milliseconds(failure.retry_after_ms()))
+        : makeFailure(code, failure.message());
+    return failure.outcome_unknown() ? withUnknownOutcome(std::move(status)) : status;
+}
+
+wire::RunRecord runRecordToWire(const RunRecord &record)
+{
+    wire::RunRecord message;
+    message.set_request_id(record.request.value());
+    message.set_attempt_id(record.attempt.value());
+    message.set_state(static_cast<wire::RunState>(record.state));
+    message.set_portion_id(record.portion.value());
+    message.set_reserved_tokens(record.reservedTokens);
+    message.set_charged_tokens(record.chargedTokens);
+    message.set_fingerprint(record.fingerprint);
+    message.set_non_idempotent(record.isNonIdempotent);
+    message.set_answer_kept(record.isAnswerKept);
+    message.set_agent_address(record.agentAddress);
+    return message;
+}
+
+RunRecord runRecordFromWire(const wire::RunRecord &message)
+{
+    RunRecord record;
+    record.request = RequestId(message.request_id());
+    record.attempt = AttemptId(message.attempt_id());
+    record.state = wire::RunState_IsValid(message.state()) ? static_cast<RunState>(message.state()) : RunState::Unknown;
+    record.portion = PortionId(message.portion_id());
+    record.reservedTokens = message.reserved_tokens();
+    record.chargedTokens = message.charged_tokens();
+    record.fingerprint = message.fingerprint();
+    record.isNonIdempotent = message.non_idempotent();
+    record.isAnswerKept = message.answer_kept();
+    record.agentAddress = message.agent_address();
+    return record;
+}
+
+wire::PortionCharges portionChargesToWire(const PortionCharges &charges)
+{
+    wire::PortionCharges message;
+    message.set_portion_id(charges.portion.value());
+    message.set_folded_tokens(charges.foldedTokens);
+    for (const PortionCharges::Charge &charge : charges.charges) {
+        wire::Charge *entry = message.add_charges();
+        entry->set_request_id(charge.request.value());
+        entry->set_tokens(charge.tokens);
+    }
+    for (const RunRecord &record : charges.running) {
+        *message.add_running() = runRecordToWire(record);
+    }
+    return message;
+}
+
+PortionCharges portionChargesFromWire(const wire::PortionCharges &message)
+{
+    PortionCharges charges;
+    charges.portion = PortionId(message.portion_id());
+    charges.foldedTokens = message.folded_tokens();
+    for (const wire::Charge &charge : message.charges()) {
+        charges.charges.push_back({RequestId(charge.request_id()), charge.tokens()});
+    }
+    for (const wire::RunRecord &record : message.running()) {
+        charges.running.push_back(runRecordFromWire(record));
+    }
+    return charges;
+}
+
+}
--- a/src/libradishswitch/agentport.h
+++ b/src/libradishswitch/agentport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "identifier.h"
+#include "timerservice.h"
 
 #include <absl/status/statusor.h>
 
@@ -51,6 +52,9 @@
     /// Charges older than the agent keeps one by one.
     std::int64_t foldedTokens = 0;
     std::vector<RunRecord> running;
+    /// How far back the agent knows every charge: not before its own start. Nothing is proved for a portion that was
+    /// opened earlier; what was charged to it there may be missing.
+    Duration completeFor{};
 
     bool operator==(const PortionCharges &) const = default;
 };
--- a/src/libradishswitch/runtable.cpp
+++ b/src/libradishswitch/runtable.cpp
@@ -176,7 +176,10 @@
         }
         m_closedPortions.insert(nameHash(portion));
         const auto book = m_portions.find(portion);
-        answers.push_back({portion, {}, book == m_portions.end() ? 0 : book->second.foldedTokens, {}});
+        PortionCharges &answer = answers.emplace_back();
+        answer.portion = portion;
+        answer.foldedTokens = book == m_portions.end() ? 0 : book->second.foldedTokens;
+        answer.completeFor = m_timers.now() - m_chargesCompleteSince;
     }
     for (const KeptCharge &kept : m_charges) {
         const auto it = places.find(kept.portion);
--- /dev/null
+++ b/src/libradishwire/wire.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "fleet.pb.h"
+
+/// The messages between the processes of a fleet, under this project's namespace.
+namespace RadishSwitch
+{
+
+namespace wire = ::radishswitch::wire;
+
+}
