--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -63,6 +63,12 @@
     if (request.request_id().empty() || request.attempt_id().empty()) {
         return refuse(stream, request.attempt_id(), makeFailure(FailureCode::InvalidRequest, "an id is missing"));
     }
+    const bool isLate = request.deadline_ms() <= 0;
+    if (isLate
+        && m_table.bar(RequestId(request.request_id()), AttemptId(request.attempt_id())).state == RunState::Barred) {
+        return refuse(stream, request.attempt_id(),
+                      makeFailure(FailureCode::DeadlineExceeded, "the deadline had passed before the run came"));
+    }
     const absl::StatusOr<RunDecision> decision = m_table.start(startOf(request));
     if (!decision.ok()) {
         return refuse(stream, request.attempt_id(), decision.status());
@@ -78,8 +84,12 @@
 void AgentRuns::startRun(const wire::RunRequest &request, const MessageStreamPointer &stream)
 {
     const AttemptId attempt(request.attempt_id());
-    const absl::Status status = m_answers.open(attempt);
+    absl::Status status = m_answers.open(attempt);
+    if (status.ok()) {
+        status = m_answers.append(attempt, request.prior_answer());
+    }
     if (!status.ok()) {
+        m_answers.finish(attempt, {status});
         m_table.noteNotStarted(attempt);
         return refuse(stream, request.attempt_id(), status);
     }
@@ -148,7 +158,7 @@
 {
     wire::RunUpdate update;
     update.set_attempt_id(attempt);
-    *update.mutable_refused() = toWire(status);
+    *update.mutable_refused() = failureToWire(status);
     stream->send(update.SerializeAsString());
     stream->finish();
 }
@@ -216,7 +226,9 @@
     }
     wire::ClosePortionsAnswer answer;
     for (const PortionCharges &charges : m_table.closePortions(portions)) {
-        *answer.add_portions() = toWire(charges);
+        wire::PortionCharges &portion = *answer.add_portions();
+        portion = portionChargesToWire(charges);
+        portion.set_complete_for_ms(std::chrono::duration_cast<std::chrono::milliseconds>(charges.completeFor).count());
     }
     return answer;
 }
@@ -361,7 +373,7 @@
 
 wire::RunRecord AgentRuns::describe(const RunRecord &record) const
 {
-    wire::RunRecord message = toWire(record);
+    wire::RunRecord message = runRecordToWire(record);
     message.set_endpoint(m_settings.endpoint);
     return message;
 }
--- a/src/agent/agentruns.h
+++ b/src/agent/agentruns.h
@@ -8,7 +8,7 @@
 #include "runinprogress.h"
 #include "runtable.h"
 #include "timerservice.h"
-#include "wiremessages.h"
+#include "wire.h"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -29,12 +29,22 @@
     };
 }
 
+template<typename Question>
+bool isForOtherLife(const Question &question, const IncarnationId &incarnation)
+{
+    return !question.agent_incarnation().empty() && question.agent_incarnation() != incarnation.value();
+}
+
 /// Answers one question with one frame.
 template<typename Question, typename Answer>
-void serveQuestion(const MessageStreamPointer &stream, std::function<Answer(const Question &)> answer)
+void serveQuestion(const MessageStreamPointer &stream, const IncarnationId &incarnation,
+                   std::function<Answer(const Question &)> answer)
 {
-    const auto take = [answer = std::move(answer)](const Question &question, const MessageStreamPointer &stream) {
-        stream->send(answer(question).SerializeAsString());
+    const auto take = [answer = std::move(answer), incarnation](const Question &question,
+                                                                const MessageStreamPointer &stream) {
+        if (!isForOtherLife(question, incarnation)) {
+            stream->send(answer(question).SerializeAsString());
+        }
         stream->finish();
     };
     stream->start(onFirstMessage<Question>(stream, take), [](const absl::Status &) {});
@@ -49,9 +59,11 @@
 
 }
 
-AgentServer::AgentServer(std::shared_ptr<AgentRuns> runs, std::shared_ptr<HeartbeatPublisher> heartbeats)
+AgentServer::AgentServer(std::shared_ptr<AgentRuns> runs, std::shared_ptr<HeartbeatPublisher> heartbeats,
+                         IncarnationId incarnation)
     : m_runs(std::move(runs))
     , m_heartbeats(std::move(heartbeats))
+    , m_incarnation(std::move(incarnation))
 {
 }
 
@@ -80,7 +92,11 @@
 
 void AgentServer::serveAttach(const MessageStreamPointer &stream) const
 {
-    const auto take = [runs = m_runs](const wire::AttachRequest &request, const MessageStreamPointer &stream) {
+    const auto take = [runs = m_runs, incarnation = m_incarnation](const wire::AttachRequest &request,
+                                                                   const MessageStreamPointer &stream) {
+        if (isForOtherLife(request, incarnation)) {
+            return stream->finish();
+        }
         runs->attach(request, stream);
     };
     stream->start(onFirstMessage<wire::AttachRequest>(stream, take), onRunStreamClosed(m_runs, stream.get()));
@@ -88,14 +104,15 @@
 
 void AgentServer::serveBar(const MessageStreamPointer &stream) const
 {
-    serveQuestion<wire::BarRequest, wire::RunRecord>(stream, [runs = m_runs](const wire::BarRequest &request) {
-        return runs->bar(request);
-    });
+    serveQuestion<wire::BarRequest, wire::RunRecord>(stream, m_incarnation,
+                                                     [runs = m_runs](const wire::BarRequest &request) {
+                                                         return runs->bar(request);
+                                                     });
 }
 
 void AgentServer::serveFind(const MessageStreamPointer &stream) const
 {
-    serveQuestion<wire::FindRunsRequest, wire::FindRunsAnswer>(stream,
+    serveQuestion<wire::FindRunsRequest, wire::FindRunsAnswer>(stream, m_incarnation,
                                                                [runs = m_runs](const wire::FindRunsRequest &request) {
                                                                    return runs->find(request);
                                                                });
@@ -104,7 +121,7 @@
 void AgentServer::serveClose(const MessageStreamPointer &stream) const
 {
     serveQuestion<wire::ClosePortionsRequest, wire::ClosePortionsAnswer>(
-        stream, [runs = m_runs](const wire::ClosePortionsRequest &request) {
+        stream, m_incarnation, [runs = m_runs](const wire::ClosePortionsRequest &request) {
             return runs->close(request);
         });
 }
--- a/src/agent/answerreader.cpp
+++ b/src/agent/answerreader.cpp
@@ -50,13 +50,16 @@
         update.mutable_head()->set_content_type(answer->head->contentType);
         send(update);
     }
-    if (sendBytes(answers, onDrained) && answer->end && !m_isFinished) {
+    if (m_isHeadSent && !sendBytes(answers, onDrained)) {
+        return;
+    }
+    if (answer->end) {
         sendEnd(*answer->end, load);
         finish();
     }
 }
 
-// True when all the bytes that there are have gone out.
+// True when all the bytes that there are have gone out, and the end may follow.
 bool AnswerReader::sendBytes(const AnswerBuffer &answers, const std::function<void()> &onDrained)
 {
     for (;;) {
@@ -88,12 +91,14 @@
     if (end.status.ok()) {
         update.mutable_done()->set_prompt_tokens(end.promptTokens);
         update.mutable_done()->set_completion_tokens(end.completionTokens);
-        update.mutable_done()->set_charged_tokens(end.chargedTokens);
+        // The charge is on the portion of the attempt that ran. Told to another attempt's entry, it would be settled
+        // against that one's reservation as well, and the request billed twice.
+        update.mutable_done()->set_charged_tokens(m_askedAttempt == m_attempt ? end.chargedTokens : 0);
         *update.mutable_done()->mutable_load() = load;
     } else if (outcomeOf(end.status) == RunOutcome::NotRun) {
-        *update.mutable_refused() = toWire(end.status);
+        *update.mutable_refused() = failureToWire(end.status);
     } else {
-        *update.mutable_failed() = toWire(end.status);
+        *update.mutable_failed() = failureToWire(end.status);
     }
     send(update);
 }
@@ -101,7 +106,7 @@
 void AnswerReader::sendFailed(const absl::Status &status)
 {
     wire::RunUpdate update;
-    *update.mutable_failed() = toWire(status);
+    *update.mutable_failed() = failureToWire(status);
     send(update);
 }
 
--- a/src/agent/answerreader.h
+++ b/src/agent/answerreader.h
@@ -2,7 +2,7 @@
 
 #include "answerbuffer.h"
 #include "messagestream.h"
-#include "wiremessages.h"
+#include "wire.h"
 
 #include <cstdint>
 #include <functional>
@@ -18,7 +18,7 @@
 {
 public:
     /// Sends the answer of `attempt` from `offset` on. Frames name `askedAttempt`, by which the other side knows its
-    /// own stream; they differ when the request ran already under another attempt.
+    /// own stream. They differ when the request ran already under another attempt; then the asked one is charged zero.
     AnswerReader(MessageStreamPointer stream, AttemptId attempt, AttemptId askedAttempt, std::uint64_t offset);
 
     /// Tells which attempt's answer follows.
--- a/src/agent/endpointmonitor.h
+++ b/src/agent/endpointmonitor.h
@@ -4,7 +4,7 @@
 #include "loadreport.h"
 #include "taskqueue.h"
 #include "timerservice.h"
-#include "wiremessages.h"
+#include "wire.h"
 
 #include <cstdint>
 #include <deque>
--- a/src/agent/heartbeatpublisher.h
+++ b/src/agent/heartbeatpublisher.h
@@ -3,7 +3,7 @@
 #include "endpointmonitor.h"
 #include "messagestream.h"
 #include "timerservice.h"
-#include "wiremessages.h"
+#include "wire.h"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/agent/runinprogress.cpp
+++ b/src/agent/runinprogress.cpp
@@ -36,6 +36,7 @@
     : m_isChat(request.chat())
     , m_reservedTokens(request.reserved_tokens())
     , m_priorTokens(std::max<std::int64_t>(request.prior_completion_tokens(), 0))
+    , m_priorBytes(request.prior_answer().size())
 {
 }
 
@@ -58,7 +59,7 @@
     return status.ok() ? status : endpointFailed(std::string(status.message()));
 }
 
-RunResult RunInProgress::finish(const absl::Status &end, std::string_view body)
+RunResult RunInProgress::finish(const absl::Status &end, std::string_view answer)
 {
     // A connection that breaks after "[DONE]" has cut nothing off.
     const bool isWhole = end.ok() || (m_isStreamed && m_meter.isComplete());
@@ -66,7 +67,7 @@
         return failed(end);
     }
     if (m_isChat && isSuccess(m_status)) {
-        return finishChat(body);
+        return finishChat(answer.substr(m_priorBytes));
     }
     RunResult result;
     result.usedTokens = m_isChat || isServerError(m_status) ? 0 : m_reservedTokens;
@@ -129,11 +130,8 @@
 
 Duration runDeadline(const wire::RunRequest &request)
 {
-    if (request.deadline_ms() <= 0) {
-        return kLongestRun;
-    }
-    return std::min<Duration>(std::chrono::milliseconds(std::min<std::int64_t>(request.deadline_ms(), 86'400'000)),
-                              kLongestRun);
+    const Duration::rep longest = std::chrono::duration_cast<std::chrono::milliseconds>(kLongestRun).count();
+    return std::chrono::milliseconds(std::clamp<Duration::rep>(request.deadline_ms(), 0, longest));
 }
 
 }
--- a/src/agent/runinprogress.h
+++ b/src/agent/runinprogress.h
@@ -4,7 +4,7 @@
 #include "chatmeter.h"
 #include "endpoint.h"
 #include "timerservice.h"
-#include "wiremessages.h"
+#include "wire.h"
 
 #include <absl/status/status.h>
 
@@ -43,8 +43,8 @@
     /// Follows a streamed completion; the errors of `ChatMeter`.
     absl::Status takeBytes(std::string_view bytes);
 
-    /// Judges the end. `body` is all that came.
-    RunResult finish(const absl::Status &end, std::string_view body);
+    /// Judges the end. `answer` is all that is kept: what an earlier attempt delivered, and what came here.
+    RunResult finish(const absl::Status &end, std::string_view answer);
 
     /// What the endpoint is asked, with the time that it may take.
     static EndpointRequest endpointRequest(const wire::RunRequest &request, Duration firstByteTimeout,
@@ -61,12 +61,13 @@
     bool m_isChat;
     std::int64_t m_reservedTokens;
     std::int64_t m_priorTokens;
+    std::size_t m_priorBytes;
     int m_status = 0;
     bool m_isStreamed = false;
     ChatMeter m_meter;
 };
 
-/// The time that a run may take; a request without a deadline gets the longest.
+/// The time that a run may take: up to its request's deadline, within a bound.
 Duration runDeadline(const wire::RunRequest &request);
 
 }
--- a/tests/radishswitch-agent/agentruns_test.cpp
+++ b/tests/radishswitch-agent/agentruns_test.cpp
@@ -145,6 +145,7 @@
     EXPECT_EQ(retried.front().accepted().attempt_id(), "a");
     EXPECT_EQ(retried.front().attempt_id(), "b");
     EXPECT_EQ(bytesOf(retried), bytes);
+    EXPECT_EQ(retried.back().done().charged_tokens(), 0);
     EXPECT_EQ(m_endpoint.calls.size(), 1u);
     EXPECT_EQ(bytesOf(attach("r", "a", 10)->take<wire::RunUpdate>(), 10), bytes.substr(10));
 }
@@ -252,6 +253,31 @@
     EXPECT_TRUE(m_endpoint.calls.empty());
 }
 
+// Another engine died after it had delivered a part, and this one continues. A caller that retries later gets the whole
+// answer from here, the other engine's part included.
+TEST_F(AgentRunsTest, run_continuesEarlierAnswer_keepsItWhole)
+{
+    wire::RunRequest request = chatRequest("r", "a");
+    request.set_prior_answer(kToken);
+    request.set_prior_completion_tokens(1);
+    const Stream stream = run(request);
+    EXPECT_EQ(stream->take<wire::RunUpdate>().size(), 1u);
+    answer({kUsage, kDone});
+    end();
+
+    EXPECT_TRUE(stream->take<wire::RunUpdate>().at(0).has_head());
+    EXPECT_EQ(bytesOf(attach("r", "a", 0)->take<wire::RunUpdate>()), std::string(kToken) + kUsage + kDone);
+}
+
+TEST_F(AgentRunsTest, run_deadlinePassedOnTheWay_isRefusedAndBarred)
+{
+    wire::RunRequest request = chatRequest("r", "a");
+    request.set_deadline_ms(0);
+
+    EXPECT_EQ(run(request)->take<wire::RunUpdate>().back().refused().code(), "deadline_exceeded");
+    EXPECT_EQ(bar("r", "a", false).state(), wire::RUN_BARRED);
+}
+
 TEST_F(AgentRunsTest, attach_answerDropped_saysSoAndNotThatNothingRan)
 {
     run(chatRequest("r", "a"));
--- a/tests/radishswitch-agent/agentserver_test.cpp
+++ b/tests/radishswitch-agent/agentserver_test.cpp
@@ -18,7 +18,8 @@
         std::make_shared<EndpointMonitor>(m_endpoint, m_timers, EndpointMonitorSettings());
     std::shared_ptr<AgentRuns> m_runs =
         std::make_shared<AgentRuns>(m_endpoint, *m_monitor, m_timers, AgentRunsSettings());
-    AgentServer m_server{m_runs, std::make_shared<HeartbeatPublisher>(*m_monitor, m_timers, wire::AgentHeartbeat())};
+    AgentServer m_server{m_runs, std::make_shared<HeartbeatPublisher>(*m_monitor, m_timers, wire::AgentHeartbeat()),
+                         IncarnationId("this-life")};
     std::shared_ptr<FakeMessageStream> m_stream = std::make_shared<FakeMessageStream>();
 };
 
@@ -41,6 +42,7 @@
     wire::RunRequest request;
     request.set_request_id("r");
     request.set_attempt_id("a");
+    request.set_deadline_ms(1000);
     m_server.serveRun(m_stream);
     m_stream->receive(request.SerializeAsString());
     request.set_request_id("r2");
@@ -69,3 +71,23 @@
     EXPECT_EQ(m_stream->take<wire::RunRecord>().at(0).state(), wire::RUN_BARRED);
     EXPECT_TRUE(m_stream->isFinished);
 }
+
+// The agent was started anew at its old address. It has never seen the run that its earlier life took, so its "barred"
+// would make the entry say "not run" of a request that ran.
+TEST_F(AgentServerTest, serve_questionToEarlierLife_isLeftWithoutAnswer)
+{
+    wire::BarRequest bar;
+    bar.set_request_id("r");
+    bar.set_attempt_id("a");
+    bar.set_agent_incarnation("earlier-life");
+    m_server.serveBar(m_stream);
+    m_stream->receive(bar.SerializeAsString());
+    wire::AttachRequest attach;
+    attach.set_agent_incarnation("earlier-life");
+    const auto attached = std::make_shared<FakeMessageStream>();
+    m_server.serveAttach(attached);
+    attached->receive(attach.SerializeAsString());
+
+    EXPECT_TRUE(m_stream->isFinished && m_stream->sent.empty());
+    EXPECT_TRUE(attached->isFinished && attached->sent.empty());
+}
--- a/tests/radishswitch-agent/endpointmonitor_test.cpp
+++ b/tests/radishswitch-agent/endpointmonitor_test.cpp
@@ -26,7 +26,10 @@
 
     void report(const std::string &json)
     {
-        m_endpoint.answerFetch(EndpointDocument{{200, "application/json"}, json});
+        EndpointDocument document;
+        document.head.status = 200;
+        document.body = json;
+        m_endpoint.answerFetch(std::move(document));
     }
 
     void failPoll()
--- a/tests/radishswitch-agent/runinprogress_test.cpp
+++ b/tests/radishswitch-agent/runinprogress_test.cpp
@@ -46,6 +46,13 @@
 
 const AnswerHead kJson{200, "application/json"};
 const AnswerHead kEvents{200, "text/event-stream; charset=utf-8"};
+const AnswerHead kText{200, "text/plain"};
+
+AnswerHead withStatus(AnswerHead head, int status)
+{
+    head.status = status;
+    return head;
+}
 
 INSTANTIATE_TEST_SUITE_P(
     Endings, RunInProgressTest,
@@ -56,12 +63,12 @@
         EndingCase{"errorAsCompletion", true, kJson, R"({"error":{}})", FailureCode::EndpointFailed, 0},
         EndingCase{"malformedEvents", true, kEvents, "data: {\"usage\":7}\n\n", FailureCode::EndpointFailed, 0},
         EndingCase{"streamCutShort", true, kEvents, "data: {}\n\ndata: [DO", FailureCode::EndpointFailed, 0},
-        EndingCase{"badChatRequest", true, {400, "application/json"}, R"({"error":{}})", {}, 0},
-        EndingCase{"engineOverloaded", true, {503, ""}, "", FailureCode::EndpointFailed, 0},
-        EndingCase{"engineLimits", true, {429, ""}, "", FailureCode::EndpointFailed, 0},
+        EndingCase{"badChatRequest", true, withStatus(kJson, 400), R"({"error":{}})", {}, 0},
+        EndingCase{"engineOverloaded", true, withStatus(kText, 503), "", FailureCode::EndpointFailed, 0},
+        EndingCase{"engineLimits", true, withStatus(kText, 429), "", FailureCode::EndpointFailed, 0},
         EndingCase{"serviceCall", false, kJson, "anything", {}, 100},
-        EndingCase{"serviceSaysNotFound", false, {404, "text/plain"}, "no", {}, 100},
-        EndingCase{"serviceFails", false, {500, "text/plain"}, "oops", {}, 0}),
+        EndingCase{"serviceSaysNotFound", false, withStatus(kText, 404), "no", {}, 100},
+        EndingCase{"serviceFails", false, withStatus(kText, 500), "oops", {}, 0}),
     [](const auto &info) {
         return info.param.name;
     });
