--- a/src/libradishswitch/tableeditor.cpp
+++ b/src/libradishswitch/tableeditor.cpp
@@ -14,14 +14,15 @@
 {
 
 struct HistoryReading {
-    std::int64_t sinceWallClockMs = 0;
+    HistoryRange range;
     std::vector<AuditRecord> records;
 
-    /// Takes records that are given oldest first; false once one is older than asked for.
+    /// Takes records that are given oldest first; false once the range ends.
     bool take(const std::vector<AuditRecord> &oldestFirst)
     {
         for (auto it = oldestFirst.rbegin(); it != oldestFirst.rend(); ++it) {
-            if (it->wallClockMs < sinceWallClockMs) {
+            const bool isFull = range.maximumRecords != 0 && records.size() >= range.maximumRecords;
+            if (isFull || it->wallClockMs < range.sinceWallClockMs || it->revision < range.sinceRevision) {
                 return false;
             }
             records.push_back(*it);
@@ -70,17 +71,17 @@
         ->start();
 }
 
-void TableEditor::history(std::int64_t sinceWallClockMs,
+void TableEditor::history(const HistoryRange &range,
                           std::function<void(absl::StatusOr<std::vector<AuditRecord>>)> callback)
 {
     const TableHistory archives(m_store, m_timers, m_settings.callDeadline);
-    read([archives, sinceWallClockMs, callback](absl::StatusOr<TableDocument> document) {
+    read([archives, range, callback](absl::StatusOr<TableDocument> document) {
         if (!document.ok()) {
             callback(document.status());
             return;
         }
         const auto reading = std::make_shared<HistoryReading>();
-        reading->sinceWallClockMs = sinceWallClockMs;
+        reading->range = range;
         const bool goesOn = reading->take(document->recent);
         archives.walk(
             goesOn ? document->newestArchive : 0,
--- a/src/libradishswitch/tableeditor.h
+++ b/src/libradishswitch/tableeditor.h
@@ -45,6 +45,16 @@
     std::uint64_t onRevision = 0;
 };
 
+/// How far back audit records are wanted. Each bound ends the reading; zero is no bound.
+struct HistoryRange {
+    std::int64_t sinceWallClockMs = 0;
+    /// Records of this revision and later ones.
+    std::uint64_t sinceRevision = 0;
+    std::size_t maximumRecords = 0;
+
+    bool operator==(const HistoryRange &) const = default;
+};
+
 /// Makes accepted changes: each is one conditional write of the table with its audit record.
 ///
 /// Racing editors: edits of different rows both go in, by reading and applying again; of two edits of one row the later
@@ -70,8 +80,8 @@
     /// is none, or of a newer program's form.
     void submit(TableEdit edit, std::function<void(absl::StatusOr<AuditRecord>)> callback);
 
-    /// Audit records from the newest back to the first at or after the moment, newest first.
-    void history(std::int64_t sinceWallClockMs, std::function<void(absl::StatusOr<std::vector<AuditRecord>>)> callback);
+    /// Audit records of the range, newest first.
+    void history(const HistoryRange &range, std::function<void(absl::StatusOr<std::vector<AuditRecord>>)> callback);
 
 private:
     ObjectStore &m_store;
--- /dev/null
+++ b/src/radishctl/commandcontext.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "adminport.h"
+#include "exitcode.h"
+#include "globaloptions.h"
+#include "objectstore.h"
+#include "output.h"
+#include "randomsource.h"
+#include "tabledocument.h"
+#include "taskqueue.h"
+#include "timerservice.h"
+#include "waiter.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace RadishSwitch
+{
+
+/// What a command works with. The members must outlive it.
+struct CommandEnvironment {
+    ObjectStore &store;
+    TimerService &timers;
+    TaskQueue &tasks;
+    RandomSource &random;
+    AdminPort &admin;
+    Waiter &waiter;
+};
+
+/// One command on its way: its surroundings, its options, its output.
+class CommandContext
+{
+public:
+    CommandContext(CommandEnvironment environment, GlobalOptions options, std::ostream &out, std::ostream &err);
+
+    const CommandEnvironment &environment() const;
+    const GlobalOptions &options() const;
+    Output &output();
+
+    /// Waits for the one call of the callback that `start` gets.
+    template<typename T>
+    absl::StatusOr<T> await(const std::function<void(std::function<void(absl::StatusOr<T>)>)> &start)
+    {
+        const auto result = std::make_shared<std::optional<absl::StatusOr<T>>>();
+        m_environment.waiter.wait([&start, result](const std::function<void()> &done) {
+            start([result, done](absl::StatusOr<T> answer) {
+                *result = std::move(answer);
+                done();
+            });
+        });
+        return **std::move(result);
+    }
+
+    /// The same for work that gives no value.
+    absl::Status awaitStatus(const std::function<void(std::function<void(absl::Status)>)> &start);
+
+    /// The table as the store has it.
+    absl::StatusOr<TableDocument> readTable();
+
+    /// Prints the failure and gives the exit code for it.
+    ExitCode fail(const absl::Status &status);
+
+private:
+    CommandEnvironment m_environment;
+    GlobalOptions m_options;
+    Output m_output;
+};
+
+}
--- /dev/null
+++ b/src/radishctl/exitcode.cpp
@@ -0,0 +1,24 @@
+#include "exitcode.h"
+
+#include "failure.h"
+
+namespace RadishSwitch
+{
+
+ExitCode exitCodeOf(const absl::Status &status)
+{
+    if (status.ok()) {
+        return ExitCode::Ok;
+    }
+    switch (failureCode(status)) {
+    case FailureCode::RowConflict:
+    case FailureCode::VersionConflict:
+        return ExitCode::Conflict;
+    case FailureCode::InvalidSettings:
+        return ExitCode::Usage;
+    default:
+        return ExitCode::Failed;
+    }
+}
+
+}
--- /dev/null
+++ b/src/radishctl/globaloptions.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "timerservice.h"
+
+#include <string>
+
+namespace RadishSwitch
+{
+
+enum class OutputFormat {
+    Table,
+    Json,
+};
+
+/// What every verb takes.
+struct GlobalOptions {
+    /// "ip:port" of the platform's object API.
+    std::string platform;
+    /// Who is working, for the audit trail.
+    std::string operatorName;
+    /// From where, for the audit trail.
+    std::string fromWhere;
+    OutputFormat output = OutputFormat::Table;
+
+    bool operator==(const GlobalOptions &) const = default;
+};
+
+}
--- a/tests/core/tableeditor_test.cpp
+++ b/tests/core/tableeditor_test.cpp
@@ -85,7 +85,7 @@
     std::vector<AuditRecord> history()
     {
         std::vector<AuditRecord> records;
-        m_editor.history(0, [&records](const absl::StatusOr<std::vector<AuditRecord>> &answer) {
+        m_editor.history({}, [&records](const absl::StatusOr<std::vector<AuditRecord>> &answer) {
             ASSERT_TRUE(answer.ok()) << answer.status();
             records = *answer;
         });
