Search small configurations of the ledger, fence late writes of the dead

Cause: the search found a portion that belongs to nobody: a holder is killed with its write on the way, the closer looks and finds nothing, the write lands. Change: a breadth-first search over the real aggregates; closing a holder writes the shard in any case, so that a write made for an older version fails, and finds the portions inside that same write.

--- a/src/libradishswitch/beginclosechange.cpp
+++ b/src/libradishswitch/beginclosechange.cpp
@@ -5,29 +5,41 @@
 namespace RadishSwitch
 {
 
-BeginCloseChange::BeginCloseChange(BudgetId budget, PortionId portion)
-    : m_budget(std::move(budget))
-    , m_portion(std::move(portion))
+BeginCloseChange::BeginCloseChange(IncarnationId holder)
+    : m_holder(std::move(holder))
 {
 }
 
 absl::Status BeginCloseChange::apply(LedgerShard &shard)
 {
-    return shard.change(m_budget, [&](BudgetRecord &it) {
-        const auto portion = it.portions().find(m_portion);
-        m_found = portion == it.portions().end() ? std::nullopt : std::optional(portion->second);
-        return it.beginClose(m_portion);
-    });
+    m_found.clear();
+    for (const auto &[budget, record] : shard.budgets()) {
+        for (const auto &[id, portion] : record.portions()) {
+            if (portion.holder == m_holder) {
+                m_found.push_back({budget, id, portion});
+            }
+        }
+    }
+    for (const Found &it : m_found) {
+        const absl::Status status = shard.change(it.budget, [&](BudgetRecord &record) {
+            return record.beginClose(it.portion);
+        });
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    shard.addFence();
+    return absl::OkStatus();
 }
 
-const std::optional<PortionRecord> &BeginCloseChange::found() const
+std::string BeginCloseChange::describe() const
 {
-    return m_found;
+    return "begin to close the portions of " + m_holder.value();
 }
 
-std::string BeginCloseChange::describe() const
+const std::vector<BeginCloseChange::Found> &BeginCloseChange::found() const
 {
-    return "begin to close " + m_portion.value() + " of " + m_budget.toString();
+    return m_found;
 }
 
 }
--- a/src/libradishswitch/beginclosechange.h
+++ b/src/libradishswitch/beginclosechange.h
@@ -5,22 +5,33 @@
 namespace RadishSwitch
 {
 
-/// Takes a portion away from its holder, before the agents are asked what it spent.
+/// Takes all portions of one holder in a shard away from it, before the agents are asked what was spent.
+///
+/// Writes the shard even if the holder has no portion there. A write of the holder may be on its way when it dies, and
+/// land after the closer has looked: its portion would then belong to nobody for ever. Every such write names the
+/// version that it was made for, so one write after the holder's death makes it fail.
 class BeginCloseChange : public LedgerChange
 {
 public:
-    BeginCloseChange(BudgetId budget, PortionId portion);
+    struct Found {
+        BudgetId budget;
+        PortionId portion;
+        PortionRecord record;
+
+        bool operator==(const Found &) const = default;
+    };
+
+    explicit BeginCloseChange(IncarnationId holder);
 
     absl::Status apply(LedgerShard &shard) override;
     std::string describe() const override;
 
-    /// The portion as it was found; nothing when it is closed already.
-    const std::optional<PortionRecord> &found() const;
+    /// The holder's portions, as they are from now on.
+    const std::vector<Found> &found() const;
 
 private:
-    BudgetId m_budget;
-    PortionId m_portion;
-    std::optional<PortionRecord> m_found;
+    IncarnationId m_holder;
+    std::vector<Found> m_found;
 };
 
 }
--- a/src/libradishswitch/ledger.cpp
+++ b/src/libradishswitch/ledger.cpp
@@ -50,7 +50,12 @@
 void Ledger::submit(const BudgetId &budget, std::shared_ptr<LedgerChange> change, Urgency urgency,
                     ShardWriter::Callback callback)
 {
-    const std::uint32_t shard = shardOf(budget);
+    submit(shardOf(budget), std::move(change), urgency, std::move(callback));
+}
+
+void Ledger::submit(std::uint32_t shard, std::shared_ptr<LedgerChange> change, Urgency urgency,
+                    ShardWriter::Callback callback)
+{
     whenChecked([this, shard, change = std::move(change), urgency, callback = std::move(callback)]() mutable {
         if (m_metaState == MetaState::Differs) {
             return callback(m_metaStatus);
--- a/src/libradishswitch/ledger.h
+++ b/src/libradishswitch/ledger.h
@@ -33,8 +33,12 @@
     std::uint32_t shardOf(const BudgetId &budget) const;
     std::uint32_t shardCount() const;
 
-    /// Brings a change of a budget into its shard. InvalidSettings when the shard count is not the ledger's; else as
+    /// Brings a change into a shard. InvalidSettings when the shard count is not the ledger's; else as
     /// ShardWriter::submit.
+    void submit(std::uint32_t shard, std::shared_ptr<LedgerChange> change, Urgency urgency,
+                ShardWriter::Callback callback);
+
+    /// Brings a change of a budget into its shard, as above.
     void submit(const BudgetId &budget, std::shared_ptr<LedgerChange> change, Urgency urgency,
                 ShardWriter::Callback callback);
 
--- a/src/libradishswitch/ledgershard.cpp
+++ b/src/libradishswitch/ledgershard.cpp
@@ -95,6 +95,17 @@
     return m_isModified;
 }
 
+void LedgerShard::addFence()
+{
+    ++m_fences;
+    m_isModified = true;
+}
+
+std::uint64_t LedgerShard::fences() const
+{
+    return m_fences;
+}
+
 void LedgerShard::addAudit(LedgerAuditEntry entry)
 {
     m_isModified = true;
--- a/src/libradishswitch/ledgershard.h
+++ b/src/libradishswitch/ledgershard.h
@@ -52,6 +52,10 @@
 
     void addAudit(LedgerAuditEntry entry);
 
+    /// Counts one more closing of a holder's portions, so that the object changes whatever else it holds.
+    void addFence();
+    std::uint64_t fences() const;
+
     /// The object's value: JSON that people can read.
     std::string toJson() const;
 
@@ -66,6 +70,7 @@
     std::map<BudgetId, BudgetRecord> m_budgets;
     std::deque<LedgerAuditEntry> m_audit;
     std::uint64_t m_foldedAuditEntries = 0;
+    std::uint64_t m_fences = 0;
 };
 
 }
--- a/src/libradishswitch/ledgershardformat.cpp
+++ b/src/libradishswitch/ledgershardformat.cpp
@@ -175,6 +175,7 @@
         json["audit"].push_back(auditToJson(entry));
     }
     json["foldedAuditEntries"] = m_foldedAuditEntries;
+    json["fences"] = m_fences;
     return json.dump(kIndent, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -191,6 +192,7 @@
             shard.m_audit.push_back(auditFromJson(it));
         }
         shard.m_foldedAuditEntries = static_cast<std::uint64_t>(amount(json, "foldedAuditEntries"));
+        shard.m_fences = static_cast<std::uint64_t>(amount(json, "fences"));
     } catch (const Json::exception &) {
         return malformed("not the expected JSON");
     } catch (const FormatError &) {
--- a/src/libradishswitch/portioncloser.cpp
+++ b/src/libradishswitch/portioncloser.cpp
@@ -49,7 +49,7 @@
     job->callback = std::move(callback);
     job->startedAt = m_timers.now();
     m_jobs.push_back(job);
-    readShard(job);
+    begin(job);
 }
 
 std::size_t PortionCloser::openJobs() const
@@ -57,66 +57,31 @@
     return m_jobs.size();
 }
 
-void PortionCloser::readShard(const JobPointer &job)
+void PortionCloser::begin(const JobPointer &job)
 {
-    m_ledger.readShard(job->shard, guarded([this, job](const absl::StatusOr<LedgerShard> &shard) {
-                           handleShard(job, shard);
-                       }));
+    const auto change = std::make_shared<BeginCloseChange>(job->holder);
+    m_ledger.submit(job->shard, change, Urgency::Urgent, guarded([this, job, change](const absl::Status &status) {
+                        handleBegun(job, *change, status);
+                    }));
 }
 
-void PortionCloser::handleShard(const JobPointer &job, const absl::StatusOr<LedgerShard> &shard)
+void PortionCloser::handleBegun(const JobPointer &job, const BeginCloseChange &change, const absl::Status &status)
 {
-    if (!shard.ok()) {
-        return scheduleRound(job, drawPause(++job->rounds));
+    if (!status.ok()) {
+        return scheduleRound(job, m_settings.longestPause);
     }
-    job->isListed = true;
-    job->rounds = 0;
-    for (const auto &[budget, record] : shard->budgets()) {
-        for (const auto &[id, portion] : record.portions()) {
-            if (portion.holder == job->holder) {
-                job->portions[id].budget = budget;
-            }
-        }
+    job->isBegun = true;
+    for (const BeginCloseChange::Found &it : change.found()) {
+        Closing &closing = job->portions[it.portion];
+        closing.budget = it.budget;
+        closing.granted = it.record.granted;
+        closing.reported = it.record.spent;
     }
     if (job->portions.empty()) {
         tell(*job);
         std::erase(m_jobs, job);
         return;
     }
-    const std::map<PortionId, Closing> portions = job->portions;
-    for (const auto &[id, closing] : portions) {
-        begin(job, id, closing.budget);
-    }
-}
-
-void PortionCloser::begin(const JobPointer &job, const PortionId &portion, const BudgetId &budget)
-{
-    const auto change = std::make_shared<BeginCloseChange>(budget, portion);
-    m_ledger.submit(budget, change, Urgency::Urgent, guarded([this, job, portion, change](const absl::Status &status) {
-                        handleBegun(job, portion, *change, status);
-                    }));
-}
-
-void PortionCloser::handleBegun(const JobPointer &job, const PortionId &portion, const BeginCloseChange &change,
-                                const absl::Status &status)
-{
-    const auto it = job->portions.find(portion);
-    if (!status.ok()) {
-        m_timers.after(m_settings.longestPause,
-                       [this, alive = std::weak_ptr<int>(m_alive), job, portion, budget = it->second.budget] {
-                           if (!alive.expired()) {
-                               begin(job, portion, budget);
-                           }
-                       });
-        return;
-    }
-    if (!change.found()) {
-        return settled(job, portion);
-    }
-    // The holder may have changed the portion until now; from now on it cannot.
-    it->second.granted = change.found()->granted;
-    it->second.reported = change.found()->spent;
-    it->second.stage = Stage::Proving;
     const Duration listening = m_settings.listeningTime - (m_timers.now() - m_startedAt);
     scheduleRound(job, std::max(listening, Duration::zero()));
 }
@@ -280,14 +245,14 @@
 
 void PortionCloser::scheduleRound(const JobPointer &job, Duration delay)
 {
-    const bool isDone = job->isListed && job->portions.empty();
+    const bool isDone = job->isBegun && job->portions.empty();
     if (job->timer != 0 || isDone) {
         return;
     }
     job->timer = m_timers.after(delay, [this, job] {
         job->timer = 0;
-        if (!job->isListed) {
-            return readShard(job);
+        if (!job->isBegun) {
+            return begin(job);
         }
         startRound(job);
     });
--- a/src/libradishswitch/portioncloser.h
+++ b/src/libradishswitch/portioncloser.h
@@ -44,9 +44,12 @@
     PortionCloser(const PortionCloser &) = delete;
     PortionCloser &operator=(const PortionCloser &) = delete;
 
-    /// Closes every portion that `holder` has in a shard, and goes on until each is settled. `callback` comes through
-    /// the task queue each time a portion was settled or withheld; when there is no portion, once. Asked again for the
-    /// same holder and shard while that goes on, it does nothing more and drops `callback`.
+    /// Closes every portion that `holder` has in a shard now, and goes on until each is settled. `callback` comes
+    /// through the task queue each time a portion was settled or withheld; when there is no portion, once. Asked again
+    /// for the same holder and shard while that goes on, it does nothing more and drops `callback`.
+    ///
+    /// A holder that was closed while it lived may take fresh portions afterwards; when it does die, it must be closed
+    /// again.
     void closeHolder(const IncarnationId &holder, std::uint32_t shard, Callback callback);
 
     /// Holders and shards that are being worked on.
@@ -54,8 +57,6 @@
 
 private:
     enum class Stage {
-        /// BeginClose is on its way.
-        Beginning,
         Proving,
         /// FinishClose is on its way.
         Finishing,
@@ -63,7 +64,7 @@
 
     struct Closing {
         BudgetId budget;
-        Stage stage = Stage::Beginning;
+        Stage stage = Stage::Proving;
         std::int64_t granted = 0;
         std::int64_t reported = 0;
         PortionProof proof;
@@ -77,7 +78,7 @@
         std::uint32_t shard = 0;
         Callback callback;
         Instant startedAt{};
-        bool isListed = false;
+        bool isBegun = false;
         std::map<PortionId, Closing> portions;
         /// Every agent ever heard of during the job: one that has left the list may still hold runs.
         std::set<std::string> agents;
@@ -91,11 +92,8 @@
 
     using JobPointer = std::shared_ptr<Job>;
 
-    void readShard(const JobPointer &job);
-    void handleShard(const JobPointer &job, const absl::StatusOr<LedgerShard> &shard);
-    void begin(const JobPointer &job, const PortionId &portion, const BudgetId &budget);
-    void handleBegun(const JobPointer &job, const PortionId &portion, const BeginCloseChange &change,
-                     const absl::Status &status);
+    void begin(const JobPointer &job);
+    void handleBegun(const JobPointer &job, const BeginCloseChange &change, const absl::Status &status);
     void startRound(const JobPointer &job);
     std::vector<PortionId> portionsToAsk(const Job &job, const std::string &agent) const;
     void ask(const JobPointer &job, const std::string &agent, const std::vector<PortionId> &portions);
--- a/tests/core/ledgershard_test.cpp
+++ b/tests/core/ledgershard_test.cpp
@@ -211,11 +211,14 @@
                 }).ok());
     EXPECT_EQ(take(request("b", 1, 400, 400)), 40);
 
+    shard.addFence();
+
     const absl::StatusOr<LedgerShard> read = LedgerShard::fromJson(shard.toJson());
 
     ASSERT_TRUE(read.ok()) << read.status();
     EXPECT_EQ(read->budgets(), shard.budgets());
     EXPECT_EQ(read->audit(), shard.audit());
+    EXPECT_EQ(read->fences(), 1u);
     EXPECT_EQ(read->toJson(), shard.toJson());
 }
 
--- /dev/null
+++ b/tests/core/searchworld.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include "budgetholder.h"
+#include "failure.h"
+#include "fakeagents.h"
+#include "ledgereditor.h"
+#include "manualtaskqueue.h"
+#include "portioncloser.h"
+#include "seededrandom.h"
+#include "virtualtimerservice.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// The store of a searched world. A write waits until the search chooses its outcome; a read is answered as soon as
+/// the process asks.
+class SearchStore : public ObjectStore
+{
+public:
+    struct Shared {
+        std::map<std::string, StoredObject> objects;
+        std::uint64_t version = 0;
+    };
+
+    SearchStore(Shared &shared, TaskQueue &tasks)
+        : m_shared(shared)
+        , m_tasks(tasks)
+    {
+    }
+
+    bool hasWrite() const
+    {
+        return m_write.has_value();
+    }
+
+    /// Carries the waiting write out; the process hears of it unless `isAnswerLost`.
+    void carryOut(bool isAnswerLost)
+    {
+        const Write write = *std::exchange(m_write, std::nullopt);
+        StoredObject &object = m_shared.objects[write.key];
+        if (object.version != write.expectedVersion) {
+            return write.callback(makeFailure(FailureCode::VersionConflict, write.key));
+        }
+        object = StoredObject{write.key, write.value, ++m_shared.version};
+        if (isAnswerLost) {
+            return write.callback(makeFailure(FailureCode::StoreTimeout, write.key));
+        }
+        write.callback(object.version);
+    }
+
+    /// The waiting write has no effect; the process hears that the store is away, or that it timed out.
+    void refuse(FailureCode code)
+    {
+        std::exchange(m_write, std::nullopt)->callback(makeFailure(code, "refused"));
+    }
+
+    void get(const std::string &key, Callback<StoredObject> callback) override
+    {
+        m_tasks.post([this, key, callback = std::move(callback)] {
+            const auto it = m_shared.objects.find(key);
+            const bool isThere = it != m_shared.objects.end() && it->second.version != 0;
+            reads = XXH64(isThere ? it->second.value.data() : "", isThere ? it->second.value.size() : 0, reads);
+            callback(isThere ? absl::StatusOr<StoredObject>(it->second) : makeFailure(FailureCode::ObjectMissing, key));
+        });
+    }
+
+    void put(const std::string &key, std::string value, std::uint64_t expectedVersion,
+             Callback<std::uint64_t> callback) override
+    {
+        m_write = Write{key, std::move(value), expectedVersion, std::move(callback)};
+    }
+
+    void remove(const std::string &, std::uint64_t, std::function<void(absl::Status)>) override
+    {
+    }
+    void list(const std::string &, Callback<StoreChanges>) override
+    {
+    }
+    void watch(const std::string &, std::uint64_t, Callback<StoreChanges>) override
+    {
+    }
+
+    /// Digest of everything that was read.
+    std::uint64_t reads = 0;
+
+private:
+    struct Write {
+        std::string key;
+        std::string value;
+        std::uint64_t expectedVersion;
+        Callback<std::uint64_t> callback;
+    };
+
+    Shared &m_shared;
+    TaskQueue &m_tasks;
+    std::optional<Write> m_write;
+};
+
+/// One thing that may happen next.
+struct SearchAction {
+    enum Kind {
+        Offer,
+        Dispatch,
+        Finish,
+        Settle,
+        TopUp,
+        Close,
+        Tick,
+        Write,
+        Agent,
+        // Faults, of which a path has a bounded number.
+        LoseAnswer,
+        RefuseWrite,
+        Kill,
+        SilenceAgent,
+    };
+
+    Kind kind;
+    int subject = 0;
+
+    bool isFault() const
+    {
+        return kind >= LoseAnswer;
+    }
+};
+
+/// A small fleet over the real aggregates: two holders, a closer, an operator, one agent, three requests and two
+/// top-ups. Each process has a clock of its own that moves only when the search lets it, so a pause of any length is
+/// one of the orders searched.
+class SearchWorld
+{
+public:
+    enum class Stage {
+        NotOffered,
+        Waiting,
+        Granted,
+        Running,
+        Finished,
+        Settled,
+        Refused,
+    };
+
+    explicit SearchWorld(int faults);
+
+    std::vector<SearchAction> enabled() const;
+    void apply(const SearchAction &action);
+
+    /// Two worlds with the same digest have had the same inputs in the same order at each process, and so are alike.
+    std::uint64_t digest() const;
+
+    /// What must hold in every state; empty when it does.
+    std::string brokenPromise() const;
+
+    /// Lets everything run to its end without further faults; empty when each request was answered, all portions are
+    /// settled, and exactly what the agent charged is settled.
+    std::string stuckAfterFairRun();
+
+private:
+    static constexpr int kHolders = 2;
+    static constexpr int kCloser = 2;
+    static constexpr int kOperator = 3;
+    static constexpr int kTicksOfOneStep = 20;
+
+    struct Actor {
+        explicit Actor(SearchStore::Shared &shared);
+
+        ManualTaskQueue tasks;
+        VirtualTimerService timers;
+        SeededRandom random;
+        SearchStore store;
+        std::unique_ptr<Ledger> ledger;
+        std::unique_ptr<BudgetHolder> holder;
+        std::unique_ptr<PortionCloser> closer;
+        std::unique_ptr<LedgerEditor> editor;
+        std::uint64_t history = 0;
+    };
+
+    struct Request {
+        int holder;
+        std::int64_t tokens;
+        std::int64_t charge;
+        Stage stage = Stage::NotOffered;
+        PortionId portion;
+    };
+
+    RequestId id(int request) const;
+    void offer(int request);
+    void dispatch(int request);
+    void tick(Actor &actor);
+    void topUp(int payment);
+    void settleDown(Actor &actor);
+    BudgetRecord record() const;
+    bool isEverythingDone() const;
+
+    FakeAgents m_agents;
+    SearchStore::Shared m_shared;
+    mutable ManualTaskQueue m_agentTasks;
+    std::vector<std::unique_ptr<Actor>> m_actors;
+    std::vector<Request> m_requests;
+    std::array<int, 2> m_toldPayments{};
+    std::array<bool, kHolders> m_isClosing{};
+    std::array<bool, kHolders> m_isDead{};
+    bool m_isAgentSilent = false;
+    int m_faults;
+    std::int64_t m_charged = 0;
+};
+
+}
