--- a/src/radishctl/commandcontext.cpp
+++ b/src/radishctl/commandcontext.cpp
@@ -28,16 +28,15 @@
     return m_output;
 }
 
-absl::Status CommandContext::awaitStatus(const std::function<void(std::function<void(absl::Status)>)> &start)
+absl::Status CommandContext::awaitBoundedStatus(const std::function<void(std::function<void(absl::Status)>)> &start)
 {
-    const auto result = std::make_shared<absl::Status>();
-    m_environment.waiter.wait([&start, result](const std::function<void()> &done) {
-        start([result, done](absl::Status status) {
-            *result = std::move(status);
-            done();
+    const absl::StatusOr<bool> result =
+        awaitBounded<bool>([&start](std::function<void(absl::StatusOr<bool>)> callback) {
+            start([callback = std::move(callback)](const absl::Status &status) {
+                callback(status.ok() ? absl::StatusOr<bool>(true) : absl::StatusOr<bool>(status));
+            });
         });
-    });
-    return *result;
+    return result.status();
 }
 
 absl::StatusOr<TableDocument> CommandContext::readTable()
--- a/src/radishctl/commandcontext.h
+++ b/src/radishctl/commandcontext.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "adminport.h"
+#include "boundedcall.h"
 #include "exitcode.h"
 #include "globaloptions.h"
+#include "ledgereditor.h"
 #include "objectstore.h"
 #include "output.h"
 #include "randomsource.h"
@@ -26,6 +28,7 @@
     TimerService &timers;
     TaskQueue &tasks;
     RandomSource &random;
+    LedgerEditor &budgets;
     AdminPort &admin;
     Waiter &waiter;
 };
@@ -54,8 +57,18 @@
         return **std::move(result);
     }
 
-    /// The same for work that gives no value.
-    absl::Status awaitStatus(const std::function<void(std::function<void(absl::Status)>)> &start);
+    /// As `await`, and StoreTimeout after a minute: a change of the ledger is tried for ever, but an operator does not
+    /// wait so long.
+    template<typename T>
+    absl::StatusOr<T> awaitBounded(const std::function<void(std::function<void(absl::StatusOr<T>)>)> &start)
+    {
+        return await<T>([this, &start](std::function<void(absl::StatusOr<T>)> callback) {
+            start(boundedCall<T>(m_environment.timers, kLongestWait, std::move(callback)));
+        });
+    }
+
+    /// As `awaitBounded`, for work that gives no value.
+    absl::Status awaitBoundedStatus(const std::function<void(std::function<void(absl::Status)>)> &start);
 
     /// The table as the store has it.
     absl::StatusOr<TableDocument> readTable();
@@ -64,6 +77,8 @@
     ExitCode fail(const absl::Status &status);
 
 private:
+    static constexpr Duration kLongestWait = std::chrono::minutes(1);
+
     CommandEnvironment m_environment;
     GlobalOptions m_options;
     Output m_output;
--- a/src/radishctl/fleetlist.cpp
+++ b/src/radishctl/fleetlist.cpp
@@ -31,7 +31,7 @@
     }
     const nlohmann::json json = nlohmann::json::parse(answer->body, nullptr, false);
     const bool isSuccess = answer->status >= 200 && answer->status < 300;
-    if (!isSuccess || json.is_discarded()) {
+    if (!isSuccess || !json.is_object()) {
         return makeFailure(FailureCode::MalformedMessage,
                            absl::StrCat(address, " answered with ", answer->status, ": ", answer->body.substr(0, 200)));
     }
--- a/src/radishctl/globaloptions.h
+++ b/src/radishctl/globaloptions.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "timerservice.h"
-
+#include <cstdint>
 #include <string>
 
 namespace RadishSwitch
@@ -21,6 +20,7 @@
     /// From where, for the audit trail.
     std::string fromWhere;
     OutputFormat output = OutputFormat::Table;
+    std::uint32_t ledgerShards = 1024;
 
     bool operator==(const GlobalOptions &) const = default;
 };
--- a/src/radishctl/statusreport.cpp
+++ b/src/radishctl/statusreport.cpp
@@ -22,6 +22,12 @@
     return json.is_number() ? json.get<std::int64_t>() : 0;
 }
 
+/// How many there are, of a number or of a list.
+nlohmann::json countOrSize(const nlohmann::json &json)
+{
+    return json.is_array() ? nlohmann::json(json.size()) : json;
+}
+
 /// Adds up {"name": number} members over all processes.
 std::map<std::string, std::int64_t> sums(const std::vector<InstanceStatus> &statuses, const char *member)
 {
@@ -75,7 +81,8 @@
                                                     : nlohmann::json("unreachable, listed as " + it.instance.state);
         sheet.rows.push_back({it.instance.name, it.instance.role, it.instance.region, it.instance.zone, state,
                               told(it, "table_revision"), told(it, "incarnation"), told(it, "in_progress"),
-                              told(it, "portions"), told(it, "portion_tokens"), told(it, "withheld_tokens")});
+                              countOrSize(told(it, "portions")), told(it, "portion_tokens"),
+                              told(it, "withheld_tokens")});
     }
     return sheet;
 }
