--- a/src/libradishswitch/tableproblem.cpp
+++ b/src/libradishswitch/tableproblem.cpp
@@ -68,7 +68,8 @@
     std::string text = std::to_string(problems.size()) + (problems.size() == 1 ? " problem" : " problems");
     for (std::size_t n = 0; n < std::min(problems.size(), kMaximumProblems); ++n) {
         list.push_back(toJson(problems[n]));
-        text += "\n" + problems[n].toString();
+        text += '\n';
+        text += problems[n].toString();
     }
     absl::Status status = makeFailure(FailureCode::TableInvalid, text);
     status.SetPayload(kProblemsPayload, absl::Cord(dumped(list)));
