--- /dev/null
+++ b/src/libradishnet/httpconnection.cpp
@@ -0,0 +1,244 @@
+#include "httpconnection.h"
+
+#include "failure.h"
+#include "socketaddress.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+
+namespace RadishSwitch
+{
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::uint32_t kMaximumHeaderBytes = 64 * 1024;
+constexpr std::uint64_t kMaximumBodyBytes = 256 * 1024 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
+/// A stream waits inside the read for most of its life, so that this is memory of each open stream.
+constexpr std::size_t kStreamReadBytes = 4 * 1024;
+
+auto awaitInto(beast::error_code &ec)
+{
+    return net::redirect_error(net::use_awaitable, ec);
+}
+
+http::request<http::string_body> messageOf(const HttpRequest &request, const std::string &address)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    for (const auto &[name, value] : request.headers.fields()) {
+        message.insert(name, value);
+    }
+    if (message.find(http::field::host) == message.end()) {
+        message.set(http::field::host, address);
+    }
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+}
+
+HttpConnection::HttpConnection(net::io_context &context, std::string address)
+    : m_strand(net::make_strand(context.get_executor()))
+    , m_socket(m_strand)
+    , m_address(std::move(address))
+    , m_watchdog(m_strand, [this] {
+        close();
+    })
+{
+}
+
+HttpConnection::Strand HttpConnection::strand() const
+{
+    return m_strand;
+}
+
+const std::string &HttpConnection::address() const
+{
+    return m_address;
+}
+
+net::awaitable<absl::Status> HttpConnection::connect(Duration timeout)
+{
+    const absl::StatusOr<SocketAddress> target = parseSocketAddress(m_address);
+    if (!target.ok()) {
+        co_return target.status();
+    }
+    beast::error_code ec;
+    const net::ip::tcp::endpoint endpoint(net::ip::make_address(target->ip()), target->port());
+    m_watchdog.expireAfter(timeout);
+    co_await m_socket.async_connect(endpoint, awaitInto(ec));
+    if (ec && m_watchdog.isExpired()) {
+        co_return makeFailure(FailureCode::ConnectionSilent, m_address + " took no connection in time");
+    }
+    if (ec) {
+        co_return makeFailure(FailureCode::ConnectionLost, m_address + " can't be reached: " + ec.message());
+    }
+    m_socket.set_option(net::ip::tcp::no_delay(true), ec);
+    co_return absl::OkStatus();
+}
+
+net::awaitable<absl::Status> HttpConnection::send(const HttpRequest &request)
+{
+    beast::error_code ec;
+    const auto message = messageOf(request, m_address);
+    m_parser.reset();
+    const std::size_t n = co_await http::async_write(m_socket, message, awaitInto(ec));
+    if (!ec) {
+        co_return absl::OkStatus();
+    }
+    const absl::Status status = failure("sending", ec);
+    // Bytes that the kernel took may have reached the other side whatever happened afterwards.
+    co_return n == 0 ? status : withUnknownOutcome(status);
+}
+
+net::awaitable<absl::Status> HttpConnection::receiveHead(bool hasBody)
+{
+    beast::error_code ec;
+    m_parser.emplace();
+    m_parser->header_limit(kMaximumHeaderBytes);
+    m_parser->body_limit(kMaximumBodyBytes);
+    m_parser->skip(!hasBody);
+    co_await http::async_read_header(m_socket, m_buffer, *m_parser, awaitInto(ec));
+    co_return ec ? withUnknownOutcome(failure("reading", ec)) : absl::OkStatus();
+}
+
+net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveSome(Duration timeout)
+{
+    std::array<char, kStreamReadBytes> buf;
+    beast::error_code ec;
+    m_watchdog.expireAfter(timeout);
+    while (!m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = buf.data();
+        body.size = buf.size();
+        co_await http::async_read_some(m_socket, m_buffer, *m_parser, awaitInto(ec));
+        const std::size_t n = buf.size() - body.size;
+        if (ec && ec != http::error::need_buffer) {
+            co_return withUnknownOutcome(failure("reading", ec));
+        }
+        if (n > 0) {
+            m_watchdog.clear();
+            co_return std::string(buf.data(), n);
+        }
+    }
+    m_watchdog.clear();
+    co_return std::string();
+}
+
+net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveAll()
+{
+    std::string data;
+    std::array<char, kReadBytes> buf;
+    beast::error_code ec;
+    while (!m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = buf.data();
+        body.size = buf.size();
+        co_await http::async_read(m_socket, m_buffer, *m_parser, awaitInto(ec));
+        data.append(buf.data(), buf.size() - body.size);
+        if (ec && ec != http::error::need_buffer) {
+            co_return withUnknownOutcome(failure("reading", ec));
+        }
+    }
+    co_return data;
+}
+
+absl::Status HttpConnection::failure(const std::string &step, beast::error_code ec) const
+{
+    if (m_watchdog.isExpired()) {
+        return makeFailure(FailureCode::ConnectionSilent, m_address + " was silent while " + step);
+    }
+    if (ec == http::error::body_limit || ec == http::error::header_limit) {
+        return makeFailure(FailureCode::MessageTooLarge, m_address + " sent too much: " + ec.message());
+    }
+    if (ec.category() == http::make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream
+        && ec != http::error::partial_message) {
+        return makeFailure(FailureCode::MalformedMessage, m_address + " sent no HTTP/1.1: " + ec.message());
+    }
+    return makeFailure(FailureCode::ConnectionLost, m_address + " was lost while " + step + ": " + ec.message());
+}
+
+void HttpConnection::expireAfter(Duration span)
+{
+    m_watchdog.expireAfter(span);
+}
+
+void HttpConnection::clearDeadline()
+{
+    m_watchdog.clear();
+}
+
+void HttpConnection::close()
+{
+    beast::error_code ec;
+    m_socket.close(ec);
+}
+
+bool HttpConnection::isOpen() const
+{
+    return m_socket.is_open();
+}
+
+int HttpConnection::status() const
+{
+    return static_cast<int>(m_parser->get().result_int());
+}
+
+HttpHeaders HttpConnection::headers() const
+{
+    HttpHeaders headers;
+    for (const auto &field : m_parser->get()) {
+        headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
+bool HttpConnection::hasHeard() const
+{
+    return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+}
+
+bool HttpConnection::isKeptAlive() const
+{
+    return m_parser && m_parser->is_done() && m_parser->keep_alive();
+}
+
+bool HttpConnection::wasIdle() const
+{
+    return m_idleSince != Clock::time_point();
+}
+
+bool HttpConnection::isReusable()
+{
+    char c = 0;
+    if (!m_socket.is_open() || m_buffer.size() > 0) {
+        return false;
+    }
+    const ssize_t n = ::recv(m_socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpConnection::setIdleSince(Clock::time_point moment)
+{
+    m_idleSince = moment;
+}
+
+HttpConnection::Clock::time_point HttpConnection::idleSince() const
+{
+    return m_idleSince;
+}
+
+}
--- /dev/null
+++ b/src/libradishnet/httpconnection.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "httpclient.h"
+#include "watchdog.h"
+
+#include <utility>
+
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <optional>
+
+namespace RadishSwitch
+{
+
+/// One connection of the client, used by one request at a time. What reads or writes is used on the connection's
+/// strand; the rest also by the owner of a connection on which nothing is going on.
+class HttpConnection
+{
+public:
+    using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+    using Clock = std::chrono::steady_clock;
+
+    HttpConnection(boost::asio::io_context &context, std::string address);
+
+    Strand strand() const;
+    const std::string &address() const;
+
+    boost::asio::awaitable<absl::Status> connect(Duration timeout);
+    boost::asio::awaitable<absl::Status> send(const HttpRequest &request);
+    boost::asio::awaitable<absl::Status> receiveHead(bool hasBody);
+    boost::asio::awaitable<absl::StatusOr<std::string>> receiveAll();
+    /// The next bytes of the body; empty at its end.
+    boost::asio::awaitable<absl::StatusOr<std::string>> receiveSome(Duration timeout);
+
+    /// The deadline of everything up to the next call.
+    void expireAfter(Duration span);
+    void clearDeadline();
+    void close();
+
+    bool isOpen() const;
+    int status() const;
+    HttpHeaders headers() const;
+
+    /// Whether any byte of an answer came since the last request went out.
+    bool hasHeard() const;
+
+    /// Whether the answer was read whole and the other side keeps the connection open.
+    bool isKeptAlive() const;
+
+    /// Whether the connection was taken from among the idle ones.
+    bool wasIdle() const;
+
+    /// Whether nothing came on the idle connection: neither its end nor bytes that nobody asked for.
+    bool isReusable();
+
+    void setIdleSince(Clock::time_point moment);
+    Clock::time_point idleSince() const;
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    absl::Status failure(const std::string &step, boost::beast::error_code ec) const;
+
+    const Strand m_strand;
+    boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand> m_socket;
+    const std::string m_address;
+    Watchdog m_watchdog;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    Clock::time_point m_idleSince;
+};
+
+}
--- /dev/null
+++ b/src/libradishnet/httpserver.cpp
@@ -0,0 +1,263 @@
+#include "httpserver.h"
+
+#include "httpsession.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <mutex>
+#include <unordered_set>
+
+namespace RadishSwitch
+{
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace
+{
+
+const Log kLog("http");
+
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+std::string nameOf(const tcp::endpoint &endpoint)
+{
+    const std::string address = endpoint.address().to_string();
+    const std::string port = std::to_string(endpoint.port());
+    return endpoint.address().is_v6() ? "[" + address + "]:" + port : address + ":" + port;
+}
+
+}
+
+class HttpServer::Private : public std::enable_shared_from_this<HttpServer::Private>
+{
+public:
+    Private(WorkerPool &workers, HttpServerSettings settings, Handler handler)
+        : strand(net::make_strand(workers.context().get_executor()))
+        , acceptor(strand)
+        , ioContext(workers.context())
+        , context(std::make_shared<HttpSessionContext>())
+    {
+        context->settings = std::move(settings);
+        context->handler = std::move(handler);
+    }
+
+    absl::Status openTls();
+    absl::Status bind(const std::string &address, std::uint16_t wantedPort);
+    net::awaitable<void> accept();
+    void serve(ServerSocket socket);
+    net::awaitable<void> runSession(std::shared_ptr<HttpSessionBase> session);
+    void closeListener();
+    void forEachSession(void (HttpSessionBase::*member)());
+    /// With the mutex held.
+    void tellIfDrained();
+
+    ConnectionStrand strand;
+    net::basic_socket_acceptor<tcp, ConnectionStrand> acceptor;
+    net::io_context &ioContext;
+    std::optional<net::ssl::context> tls;
+    std::shared_ptr<HttpSessionContext> context;
+    std::uint16_t port = 0;
+
+    mutable std::mutex mutex;
+    bool isDraining = false;
+    std::function<void()> onDrained;
+    std::unordered_set<std::shared_ptr<HttpSessionBase>> sessions;
+};
+
+absl::Status HttpServer::Private::openTls()
+{
+    const HttpServerSettings &settings = context->settings;
+    if (settings.certificateFile.empty() != settings.privateKeyFile.empty()) {
+        return makeFailure(FailureCode::InvalidSettings, "TLS needs both a certificate and a private key");
+    }
+    if (settings.certificateFile.empty()) {
+        return absl::OkStatus();
+    }
+    boost::system::error_code ec;
+    tls.emplace(net::ssl::context::tls_server);
+    tls->set_options(net::ssl::context::default_workarounds | net::ssl::context::no_tlsv1
+                     | net::ssl::context::no_tlsv1_1);
+    tls->use_certificate_chain_file(settings.certificateFile, ec);
+    if (ec) {
+        return makeFailure(FailureCode::InvalidSettings,
+                           "the certificate " + settings.certificateFile + " can't be used: " + ec.message());
+    }
+    tls->use_private_key_file(settings.privateKeyFile, net::ssl::context::pem, ec);
+    if (ec) {
+        return makeFailure(FailureCode::InvalidSettings,
+                           "the private key " + settings.privateKeyFile + " can't be used: " + ec.message());
+    }
+    return absl::OkStatus();
+}
+
+absl::Status HttpServer::Private::bind(const std::string &address, std::uint16_t wantedPort)
+{
+    const std::string name = address + ":" + std::to_string(wantedPort);
+    boost::system::error_code ec;
+    const net::ip::address ip = net::ip::make_address(address, ec);
+    if (ec) {
+        return makeFailure(FailureCode::InvalidSettings, "'" + address + "' isn't an IP number");
+    }
+    const tcp::endpoint endpoint(ip, wantedPort);
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec) {
+        acceptor.set_option(net::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        acceptor.listen(net::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return makeFailure(FailureCode::InvalidSettings, "can't listen on " + name + ": " + ec.message());
+    }
+    port = acceptor.local_endpoint(ec).port();
+    return absl::OkStatus();
+}
+
+net::awaitable<void> HttpServer::Private::accept()
+{
+    net::steady_timer pause(strand);
+    while (acceptor.is_open()) {
+        boost::system::error_code ec;
+        ServerSocket socket = co_await acceptor.async_accept(net::make_strand(ioContext.get_executor()),
+                                                             net::redirect_error(net::use_awaitable, ec));
+        if (!ec) {
+            serve(std::move(socket));
+            continue;
+        }
+        if (ec == net::error::operation_aborted) {
+            co_return;
+        }
+        // Out of descriptors, accept fails at once and for as long as connections stay open: without a pause the
+        // worker would spin here and the connections that could end would not be served.
+        kLog.warning("accept failed", {field("error", ec.message())});
+        pause.expires_after(kAcceptPause);
+        co_await pause.async_wait(net::redirect_error(net::use_awaitable, ec));
+    }
+}
+
+void HttpServer::Private::serve(ServerSocket socket)
+{
+    boost::system::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    const tcp::endpoint remote = socket.remote_endpoint(ec);
+    if (ec) {
+        return;
+    }
+    std::shared_ptr<HttpSessionBase> session;
+    if (tls) {
+        session = std::make_shared<HttpSession<ServerTlsStream>>(ServerTlsStream(std::move(socket), *tls),
+                                                                 nameOf(remote), context);
+    } else {
+        session = std::make_shared<HttpSession<ServerSocket>>(std::move(socket), nameOf(remote), context);
+    }
+    {
+        const std::lock_guard lock(mutex);
+        if (isDraining) {
+            return;
+        }
+        sessions.insert(session);
+    }
+    net::co_spawn(session->strand(), runSession(session), net::detached);
+}
+
+net::awaitable<void> HttpServer::Private::runSession(std::shared_ptr<HttpSessionBase> session)
+{
+    const auto self = shared_from_this();
+    co_await session->run();
+    const std::lock_guard lock(mutex);
+    sessions.erase(session);
+    tellIfDrained();
+}
+
+void HttpServer::Private::tellIfDrained()
+{
+    if (isDraining && sessions.empty() && onDrained) {
+        net::post(ioContext, std::exchange(onDrained, nullptr));
+    }
+}
+
+void HttpServer::Private::closeListener()
+{
+    net::post(strand, [self = shared_from_this()] {
+        boost::system::error_code ec;
+        self->acceptor.close(ec);
+    });
+}
+
+void HttpServer::Private::forEachSession(void (HttpSessionBase::*member)())
+{
+    const std::lock_guard lock(mutex);
+    isDraining = true;
+    for (const auto &session : sessions) {
+        net::post(session->strand(), [session, member] {
+            (session.get()->*member)();
+        });
+    }
+}
+
+HttpServer::HttpServer(WorkerPool &workers, HttpServerSettings settings, Handler handler)
+    : d(std::make_shared<Private>(workers, std::move(settings), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    close();
+}
+
+absl::Status HttpServer::listen(const std::string &address, std::uint16_t port)
+{
+    absl::Status status = d->openTls();
+    if (status.ok()) {
+        status = d->bind(address, port);
+    }
+    if (status.ok()) {
+        net::co_spawn(
+            d->strand,
+            [self = d]() -> net::awaitable<void> {
+                co_await self->accept();
+            },
+            net::detached);
+    }
+    return status;
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return d->port;
+}
+
+void HttpServer::drain(std::function<void()> onDrained)
+{
+    d->closeListener();
+    d->forEachSession(&HttpSessionBase::drain);
+    const std::lock_guard lock(d->mutex);
+    d->onDrained = std::move(onDrained);
+    d->tellIfDrained();
+}
+
+int HttpServer::openConnections() const
+{
+    const std::lock_guard lock(d->mutex);
+    return static_cast<int>(d->sessions.size());
+}
+
+int HttpServer::requestsInProgress() const
+{
+    return d->context->requestsInProgress;
+}
+
+void HttpServer::close()
+{
+    d->closeListener();
+    d->forEachSession(&HttpSessionBase::close);
+}
+
+}
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -22,6 +22,9 @@
     Duration readTimeout = std::chrono::seconds(60);
     /// How long a slow reader may take no byte of an answer.
     Duration writeTimeout = std::chrono::seconds(30);
+    /// A connection that is idle when the server drains is closed after so long: a request that is on its way to it is
+    /// still answered.
+    Duration drainGrace = std::chrono::seconds(1);
     /// PEM files; TLS is on when both are given.
     std::string certificateFile;
     std::string privateKeyFile;
@@ -52,7 +55,8 @@
 };
 
 /// HTTP/1.1 with keep-alive by Beast. Requests past the limits get 413 or 431, malformed ones 400, in the API's error
-/// form; the handler sees whole requests only.
+/// form; the handler sees whole requests only. A handler that returns without an answer gives a 500; one that returns
+/// inside a stream cuts it. The handler's own objects must outlive the workers.
 class HttpServer
 {
 public:
@@ -66,8 +70,11 @@
 
     std::uint16_t port() const;
 
-    /// Takes no new connections, and closes each open one after the request that it is in.
-    void drain();
+    /// Takes no new connections, and closes each open one after the request that it is in. `onDrained` is called once
+    /// on a worker when none is left.
+    void drain(std::function<void()> onDrained = {});
+
+    int openConnections() const;
 
     /// Requests whose handler has not returned.
     int requestsInProgress() const;
--- /dev/null
+++ b/src/libradishnet/httpsession.cpp
@@ -0,0 +1,375 @@
+#include "httpsession.h"
+
+namespace RadishSwitch
+{
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+const Log kLog("http");
+
+auto awaitInto(beast::error_code &ec)
+{
+    return net::redirect_error(net::use_awaitable, ec);
+}
+
+HttpHeaders headersOf(const http::fields &fields)
+{
+    HttpHeaders headers;
+    for (const auto &field : fields) {
+        headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
+absl::Status failureOfParse(beast::error_code ec)
+{
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+        return makeFailure(FailureCode::HeaderTooLarge, "the header is larger than is taken here");
+    }
+    if (ec == http::error::body_limit) {
+        return makeFailure(FailureCode::BodyTooLarge, "the body is larger than is taken here");
+    }
+    return makeFailure(FailureCode::InvalidRequest, "the request is not HTTP/1.1: " + ec.message());
+}
+
+bool isMalformed(beast::error_code ec)
+{
+    return ec.category() == http::make_error_code(http::error::bad_method).category()
+        && ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
+/// Counts a request in progress for as long as it stands.
+class ProgressGuard
+{
+public:
+    explicit ProgressGuard(std::atomic<int> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+
+    ~ProgressGuard()
+    {
+        --m_count;
+    }
+
+    ProgressGuard(const ProgressGuard &) = delete;
+    ProgressGuard &operator=(const ProgressGuard &) = delete;
+
+private:
+    std::atomic<int> &m_count;
+};
+
+}
+
+template<typename Stream>
+HttpSession<Stream>::HttpSession(Stream stream, std::string peer, std::shared_ptr<HttpSessionContext> context)
+    : m_stream(std::move(stream))
+    , m_peer(std::move(peer))
+    , m_context(std::move(context))
+    , m_watchdog(m_stream.get_executor(), [this] {
+        expire();
+    })
+{
+}
+
+template<typename Stream>
+ConnectionStrand HttpSession<Stream>::strand()
+{
+    return beast::get_lowest_layer(m_stream).get_executor();
+}
+
+template<typename Stream>
+net::awaitable<void> HttpSession<Stream>::run()
+{
+    bool isOpen = co_await handshake();
+    while (isOpen) {
+        isOpen = co_await serveOne();
+    }
+    co_await shutDown();
+}
+
+template<typename Stream>
+net::awaitable<bool> HttpSession<Stream>::handshake()
+{
+    if constexpr (kIsTls) {
+        beast::error_code ec;
+        m_watchdog.expireAfter(m_context->settings.readTimeout);
+        co_await m_stream.async_handshake(net::ssl::stream_base::server, awaitInto(ec));
+        if (ec) {
+            kLog.debug("handshake failed", {field("peer", m_peer), field("error", ec.message())});
+            close();
+        }
+        co_return !ec;
+    }
+    co_return true;
+}
+
+template<typename Stream>
+net::awaitable<bool> HttpSession<Stream>::serveOne()
+{
+    const beast::error_code ec = co_await readRequest();
+    if (ec) {
+        if (isMalformed(ec) && !m_isClosed) {
+            co_await refuse(ec);
+        }
+        co_return false;
+    }
+    takeRequest();
+    const ProgressGuard guard(m_context->requestsInProgress);
+    co_await callHandler();
+    co_return m_isKeptAlive && !m_isClosed;
+}
+
+template<typename Stream>
+net::awaitable<beast::error_code> HttpSession<Stream>::readRequest()
+{
+    beast::error_code ec;
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_context->settings.maximumHeaderBytes));
+    m_parser->body_limit(m_context->settings.maximumBodyBytes);
+    m_watchdog.expireAfter(m_isDraining ? m_context->settings.drainGrace : m_context->settings.readTimeout);
+    m_isReading = true;
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(ec));
+    if (!ec && beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+        ec = co_await sendContinue();
+    }
+    if (!ec && !m_parser->is_done()) {
+        co_await http::async_read(m_stream, m_buffer, *m_parser, awaitInto(ec));
+    }
+    m_isReading = false;
+    m_watchdog.clear();
+    co_return ec;
+}
+
+template<typename Stream>
+net::awaitable<beast::error_code> HttpSession<Stream>::sendContinue()
+{
+    beast::error_code ec;
+    http::response<http::empty_body> message(http::status::continue_, 11);
+    co_await http::async_write(m_stream, message, awaitInto(ec));
+    co_return ec;
+}
+
+template<typename Stream>
+void HttpSession<Stream>::takeRequest()
+{
+    auto message = m_parser->release();
+    m_request.method = std::string(message.method_string());
+    m_request.target = std::string(message.target());
+    m_request.headers = headersOf(message);
+    m_request.body = std::move(message.body());
+    m_version = message.version();
+    m_isKeptAlive = message.keep_alive();
+    m_answer = AnswerState::None;
+    m_parser.reset();
+}
+
+template<typename Stream>
+net::awaitable<void> HttpSession<Stream>::refuse(beast::error_code ec)
+{
+    m_request = HttpRequest();
+    m_isKeptAlive = false;
+    m_answer = AnswerState::None;
+    const absl::Status failure = failureOfParse(ec);
+    kLog.debug("request refused", {field("peer", m_peer), field("code", failureName(failureCode(failure)))});
+    (void)co_await respond(makeErrorResponse(failure));
+}
+
+template<typename Stream>
+net::awaitable<void> HttpSession<Stream>::callHandler()
+{
+    try {
+        co_await m_context->handler(*this);
+    } catch (const std::exception &e) {
+        kLog.error("handler threw", {field("target", m_request.target), field("error", e.what())});
+    }
+    if (m_answer == AnswerState::None && !m_isClosed) {
+        (void)co_await respond(makeErrorResponse(
+            withUnknownOutcome(makeFailure(FailureCode::Internal, "the request was left without an answer"))));
+    }
+    if (m_answer == AnswerState::Streaming) {
+        abort();
+    }
+}
+
+// A close with unread bytes of the other side makes the kernel reset the connection, and the reset can overtake the
+// answer: the caller of a refused upload would see a broken connection in place of its 413. So the sending side is
+// ended first, and what still comes is read and dropped for a bounded time.
+template<typename Stream>
+net::awaitable<void> HttpSession<Stream>::shutDown()
+{
+    if (m_isClosed) {
+        co_return;
+    }
+    beast::error_code ec;
+    m_watchdog.expireAfter(kLingerTimeout);
+    if constexpr (kIsTls) {
+        co_await m_stream.async_shutdown(awaitInto(ec));
+    }
+    auto &socket = beast::get_lowest_layer(m_stream);
+    socket.shutdown(net::socket_base::shutdown_send, ec);
+    std::array<char, 4096> discarded;
+    while (!ec) {
+        co_await socket.async_read_some(net::buffer(discarded), awaitInto(ec));
+    }
+    close();
+}
+
+template<typename Stream>
+void HttpSession<Stream>::drain()
+{
+    m_isDraining = true;
+    if (isBetweenRequests()) {
+        m_watchdog.expireAfter(m_context->settings.drainGrace);
+    }
+}
+
+template<typename Stream>
+bool HttpSession<Stream>::isBetweenRequests() const
+{
+    return m_isReading && m_parser && !m_parser->got_some();
+}
+
+template<typename Stream>
+void HttpSession<Stream>::expire()
+{
+    // A request whose first bytes came within the grace of a drain is taken whole: the caller can't know.
+    if (m_isDraining && m_isReading && m_parser->got_some() && !m_isExtended) {
+        m_isExtended = true;
+        m_watchdog.expireAfter(m_context->settings.readTimeout);
+        return;
+    }
+    close();
+}
+
+template<typename Stream>
+void HttpSession<Stream>::close()
+{
+    m_isClosed = true;
+    beast::error_code ec;
+    beast::get_lowest_layer(m_stream).close(ec);
+}
+
+template<typename Stream>
+void HttpSession<Stream>::abort()
+{
+    m_answer = AnswerState::Done;
+    close();
+}
+
+template<typename Stream>
+const HttpRequest &HttpSession<Stream>::request() const
+{
+    return m_request;
+}
+
+template<typename Stream>
+const std::string &HttpSession<Stream>::peer() const
+{
+    return m_peer;
+}
+
+template<typename Stream>
+template<typename Body>
+void HttpSession<Stream>::prepare(http::response<Body> &message, int status, const HttpHeaders &headers)
+{
+    message.version(m_version);
+    message.result(static_cast<unsigned>(status));
+    for (const auto &[name, value] : headers.fields()) {
+        message.insert(name, value);
+    }
+    m_isKeptAlive = m_isKeptAlive && !m_isDraining && message.keep_alive();
+    message.keep_alive(m_isKeptAlive);
+}
+
+template<typename Stream>
+net::awaitable<absl::Status> HttpSession<Stream>::respond(HttpResponse response)
+{
+    beast::error_code ec;
+    m_answer = AnswerState::Done;
+    m_watchdog.expireAfter(m_context->settings.writeTimeout);
+    if (m_request.method == "HEAD") {
+        http::response<http::empty_body> message;
+        prepare(message, response.status, response.headers);
+        message.content_length(response.body.size());
+        co_await http::async_write(m_stream, message, awaitInto(ec));
+    } else {
+        http::response<http::string_body> message;
+        prepare(message, response.status, response.headers);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        co_await http::async_write(m_stream, message, awaitInto(ec));
+    }
+    co_return outcomeOfWrite(ec);
+}
+
+template<typename Stream>
+net::awaitable<absl::Status> HttpSession<Stream>::beginStream(int status, HttpHeaders headers)
+{
+    beast::error_code ec;
+    m_answer = AnswerState::Streaming;
+    // HTTP/1.0 has no chunks: there the end of the connection ends the body.
+    m_isKeptAlive = m_isKeptAlive && m_version >= 11;
+    http::response<http::empty_body> message;
+    prepare(message, status, headers);
+    message.chunked(m_version >= 11);
+    http::response_serializer<http::empty_body> serializer(message);
+    m_watchdog.expireAfter(m_context->settings.writeTimeout);
+    co_await http::async_write_header(m_stream, serializer, awaitInto(ec));
+    co_return outcomeOfWrite(ec);
+}
+
+template<typename Stream>
+net::awaitable<absl::Status> HttpSession<Stream>::write(std::string data)
+{
+    beast::error_code ec;
+    if (data.empty()) {
+        // An empty chunk would end the answer.
+        co_return absl::OkStatus();
+    }
+    m_watchdog.expireAfter(m_context->settings.writeTimeout);
+    if (m_version >= 11) {
+        co_await net::async_write(m_stream, http::make_chunk(net::buffer(data)), awaitInto(ec));
+    } else {
+        co_await net::async_write(m_stream, net::buffer(data), awaitInto(ec));
+    }
+    co_return outcomeOfWrite(ec);
+}
+
+template<typename Stream>
+net::awaitable<absl::Status> HttpSession<Stream>::endStream()
+{
+    beast::error_code ec;
+    m_answer = AnswerState::Done;
+    m_watchdog.expireAfter(m_context->settings.writeTimeout);
+    if (m_version >= 11) {
+        co_await net::async_write(m_stream, http::make_chunk_last(), awaitInto(ec));
+    }
+    co_return outcomeOfWrite(ec);
+}
+
+template<typename Stream>
+absl::Status HttpSession<Stream>::outcomeOfWrite(beast::error_code ec)
+{
+    const bool wasSlow = m_watchdog.isExpired();
+    m_watchdog.clear();
+    if (!ec) {
+        return absl::OkStatus();
+    }
+    close();
+    if (wasSlow) {
+        return makeFailure(FailureCode::ConnectionLost, "the reader " + m_peer + " took no byte for too long");
+    }
+    return makeFailure(FailureCode::ConnectionLost, "the reader " + m_peer + " is gone: " + ec.message());
+}
+
+template class HttpSession<ServerSocket>;
+template class HttpSession<ServerTlsStream>;
+
+}
--- /dev/null
+++ b/src/libradishnet/httpsession.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "failure.h"
+#include "httperror.h"
+#include "httpserver.h"
+#include "log.h"
+#include "watchdog.h"
+
+#include <utility>
+
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/stream_traits.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <atomic>
+#include <optional>
+
+namespace RadishSwitch
+{
+
+using ConnectionStrand = boost::asio::strand<boost::asio::io_context::executor_type>;
+using ServerSocket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, ConnectionStrand>;
+using ServerTlsStream = boost::asio::ssl::stream<ServerSocket>;
+
+/// What the sessions of a server have in common. Immutable but for the count.
+struct HttpSessionContext {
+    HttpServerSettings settings;
+    HttpServer::Handler handler;
+    std::atomic<int> requestsInProgress = 0;
+};
+
+/// One connection of a server, whatever its stream. All members are used on the connection's strand.
+class HttpSessionBase
+{
+public:
+    virtual ~HttpSessionBase() = default;
+
+    virtual ConnectionStrand strand() = 0;
+    virtual boost::asio::awaitable<void> run() = 0;
+    virtual void drain() = 0;
+    virtual void close() = 0;
+};
+
+/// Serves the requests of one connection, one after the other.
+template<typename Stream>
+class HttpSession : public HttpSessionBase, public HttpExchange
+{
+public:
+    HttpSession(Stream stream, std::string peer, std::shared_ptr<HttpSessionContext> context);
+
+    ConnectionStrand strand() override;
+    boost::asio::awaitable<void> run() override;
+    void drain() override;
+    void close() override;
+
+    const HttpRequest &request() const override;
+    const std::string &peer() const override;
+    boost::asio::awaitable<absl::Status> respond(HttpResponse response) override;
+    boost::asio::awaitable<absl::Status> beginStream(int status, HttpHeaders headers) override;
+    boost::asio::awaitable<absl::Status> write(std::string data) override;
+    boost::asio::awaitable<absl::Status> endStream() override;
+    void abort() override;
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    enum class AnswerState {
+        None,
+        Streaming,
+        Done,
+    };
+
+    static constexpr bool kIsTls = std::is_same_v<Stream, ServerTlsStream>;
+    static constexpr Duration kLingerTimeout = std::chrono::seconds(2);
+
+    boost::asio::awaitable<bool> handshake();
+    boost::asio::awaitable<bool> serveOne();
+    boost::asio::awaitable<boost::beast::error_code> readRequest();
+    boost::asio::awaitable<boost::beast::error_code> sendContinue();
+    boost::asio::awaitable<void> refuse(boost::beast::error_code ec);
+    boost::asio::awaitable<void> callHandler();
+    boost::asio::awaitable<void> shutDown();
+    template<typename Body>
+    void prepare(boost::beast::http::response<Body> &message, int status, const HttpHeaders &headers);
+    void takeRequest();
+    void expire();
+    bool isBetweenRequests() const;
+    absl::Status outcomeOfWrite(boost::beast::error_code ec);
+
+    Stream m_stream;
+    const std::string m_peer;
+    const std::shared_ptr<HttpSessionContext> m_context;
+    Watchdog m_watchdog;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    HttpRequest m_request;
+    unsigned m_version = 11;
+    AnswerState m_answer = AnswerState::None;
+    bool m_isReading = false;
+    bool m_isKeptAlive = false;
+    bool m_isDraining = false;
+    bool m_isExtended = false;
+    bool m_isClosed = false;
+};
+
+extern template class HttpSession<ServerSocket>;
+extern template class HttpSession<ServerTlsStream>;
+
+}
--- /dev/null
+++ b/src/standins/platform/platformserver.cpp
@@ -0,0 +1,505 @@
+#include "platformserver.h"
+
+#include "failure.h"
+#include "httperror.h"
+#include "log.h"
+#include "urlcoding.h"
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace RadishSwitch
+{
+
+namespace net = boost::asio;
+
+namespace
+{
+
+const Log kLog("platform");
+
+constexpr char kObjects[] = "/objects";
+constexpr char kControl[] = "/standin/";
+constexpr char kVersionHeader[] = "X-Object-Version";
+constexpr Duration kWatchTimeout = std::chrono::seconds(10);
+constexpr Duration kSilence = std::chrono::hours(24);
+constexpr std::chrono::milliseconds kLimitRetryAfter{200};
+
+Instant now()
+{
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// Waits for `span`, or less when the timer is cancelled.
+net::awaitable<void> waitFor(net::steady_timer &timer, Duration span)
+{
+    boost::system::error_code ec;
+    timer.expires_after(span);
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+}
+
+net::awaitable<void> pauseFor(Duration span)
+{
+    if (span > Duration::zero()) {
+        net::steady_timer timer(co_await net::this_coro::executor);
+        co_await waitFor(timer, span);
+    }
+}
+
+HttpResponse makeJsonResponse(std::string body)
+{
+    return HttpResponse{200, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+HttpResponse makeVersionResponse(std::uint64_t version, std::string body)
+{
+    return HttpResponse{200, {{kVersionHeader, std::to_string(version)}}, std::move(body)};
+}
+
+HttpResponse makeChangesResponse(const StoreChanges &changes)
+{
+    nlohmann::json objects = nlohmann::json::array();
+    for (const StoredObject &object : changes.objects) {
+        objects.push_back({{"key", object.key}, {"version", object.version}, {"value", object.value}});
+    }
+    return makeJsonResponse(nlohmann::json{{"version", changes.nextVersion}, {"objects", objects}}.dump());
+}
+
+HttpResponse makeAwayResponse()
+{
+    return makeErrorResponse(makeFailure(FailureCode::StoreUnavailable, "the platform is away"));
+}
+
+/// The statuses of the object API are those of HTTP's conditional requests.
+HttpResponse makeObjectError(const absl::Status &failure)
+{
+    HttpResponse response = makeErrorResponse(failure);
+    if (failureCode(failure) == FailureCode::VersionConflict) {
+        response.status = 412;
+    }
+    return response;
+}
+
+bool isText(const std::string &value)
+{
+    try {
+        (void)nlohmann::json(value).dump();
+        return true;
+    } catch (const nlohmann::json::type_error &) {
+        return false;
+    }
+}
+
+}
+
+/// A call of the object API, taken from its request.
+struct PlatformServer::Call {
+    CallKind kind = CallKind::Get;
+    /// The key, or the prefix of a list or watch.
+    std::string key;
+    std::string value;
+    /// Zero: there must be none.
+    std::uint64_t expectedVersion = 0;
+    std::uint64_t fromVersion = 0;
+};
+
+PlatformServer::PlatformServer(WorkerPool &workers, PlatformSettings settings)
+    : m_workers(workers)
+    , m_settings(std::move(settings))
+    , m_listTimer(workers.context())
+    , m_faults(m_settings.faults)
+    , m_random(m_settings.seed)
+{
+}
+
+PlatformServer::~PlatformServer() = default;
+
+std::unique_ptr<HttpServer> PlatformServer::makeServer()
+{
+    HttpServerSettings settings;
+    settings.drainGrace = std::chrono::milliseconds(50);
+    return std::make_unique<HttpServer>(m_workers, settings, [this](HttpExchange &exchange) {
+        return serve(exchange);
+    });
+}
+
+absl::Status PlatformServer::listen()
+{
+    m_objects = makeServer();
+    absl::Status status = m_objects->listen(m_settings.address, m_settings.port);
+    m_port = m_objects->port();
+    if (status.ok() && m_settings.hasControlPort) {
+        m_control = makeServer();
+        status = m_control->listen(m_settings.address, m_settings.controlPort);
+    }
+    return status;
+}
+
+std::uint16_t PlatformServer::port() const
+{
+    return m_port;
+}
+
+std::uint16_t PlatformServer::controlPort() const
+{
+    return m_control ? m_control->port() : m_port;
+}
+
+void PlatformServer::stop(std::function<void()> onStopped)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isStopping = true;
+    for (const Waiter &waiter : m_waiters) {
+        wake(waiter);
+    }
+    if (m_control) {
+        m_control->drain();
+    }
+    if (m_objects) {
+        m_objects->drain(std::move(onStopped));
+    } else {
+        m_workers.post(std::move(onStopped));
+    }
+}
+
+net::awaitable<void> PlatformServer::serve(HttpExchange &exchange)
+{
+    const HttpRequest &request = exchange.request();
+    const std::optional<UrlTarget> target = UrlTarget::parse(request.target);
+    if (target && target->path().starts_with(kControl)) {
+        (void)co_await exchange.respond(serveControl(request, target->path().substr(sizeof kControl - 1)));
+        co_return;
+    }
+    const absl::StatusOr<Call> call = readCall(request);
+    if (!call.ok()) {
+        (void)co_await exchange.respond(makeErrorResponse(call.status()));
+        co_return;
+    }
+    if (std::optional<HttpResponse> refusal = refuse(*call)) {
+        (void)co_await exchange.respond(std::move(*refusal));
+        co_return;
+    }
+    if (call->kind == CallKind::Watch) {
+        co_await serveWatch(exchange, *call);
+    } else {
+        co_await serveObjects(exchange, *call);
+    }
+}
+
+net::awaitable<void> PlatformServer::serveObjects(HttpExchange &exchange, const Call &call)
+{
+    Duration latency;
+    Duration answerLatency;
+    {
+        const std::lock_guard lock(m_mutex);
+        latency = m_faults.latency;
+        answerLatency = m_faults.answerLatency;
+    }
+    co_await pauseFor(latency);
+    HttpResponse response = run(call);
+    if (response.status == 200 && takesAnswerAway(call)) {
+        exchange.abort();
+        co_return;
+    }
+    co_await pauseFor(answerLatency);
+    co_await answer(exchange, std::move(response));
+}
+
+net::awaitable<void> PlatformServer::serveWatch(HttpExchange &exchange, const Call &call)
+{
+    StoreChanges changes;
+    Waiter waiter;
+    waiter.prefix = call.key;
+    waiter.timer = std::make_shared<net::steady_timer>(co_await net::this_coro::executor);
+    std::list<Waiter>::iterator it;
+    bool waits;
+    {
+        const std::lock_guard lock(m_mutex);
+        waiter.isSilent = m_faults.silentWatches;
+        changes = m_table.changesAfter(call.key, call.fromVersion);
+        waits = (changes.objects.empty() || waiter.isSilent) && !m_isStopping;
+        it = m_waiters.insert(m_waiters.end(), waiter);
+    }
+    if (waits) {
+        co_await waitFor(*waiter.timer, waiter.isSilent ? kSilence : kWatchTimeout);
+    }
+    bool isAway;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_waiters.erase(it);
+        isAway = m_faults.away != FaultPlan::Away::No;
+        changes = m_table.changesAfter(call.key, call.fromVersion);
+    }
+    if (isAway && !waiter.isSilent) {
+        (void)co_await exchange.respond(makeAwayResponse());
+        co_return;
+    }
+    if (waiter.isSilent) {
+        exchange.abort();
+        co_return;
+    }
+    co_await answer(exchange, makeChangesResponse(changes));
+}
+
+net::awaitable<void> PlatformServer::answer(HttpExchange &exchange, HttpResponse response)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_statistics.countAnswer(response.body.size());
+    }
+    (void)co_await exchange.respond(std::move(response));
+}
+
+absl::StatusOr<PlatformServer::Call> PlatformServer::readCall(const HttpRequest &request)
+{
+    Call call;
+    const std::optional<UrlTarget> target = UrlTarget::parse(request.target);
+    if (!target) {
+        return makeFailure(FailureCode::InvalidRequest, "the target isn't a path with a query");
+    }
+    if (target->path() == kObjects && request.method == "GET") {
+        const bool isWatch = target->parameter("watch") == "1";
+        call.kind = isWatch ? CallKind::Watch : CallKind::List;
+        call.key = target->parameter("prefix").value_or("");
+        if (isWatch && !absl::SimpleAtoi(target->parameter("from").value_or(""), &call.fromVersion)) {
+            return makeFailure(FailureCode::InvalidRequest, "'from' must be a version");
+        }
+        return call;
+    }
+    const std::string start = std::string(kObjects) + "/";
+    if (!target->path().starts_with(start) || target->path().size() == start.size()) {
+        return makeFailure(FailureCode::UnknownRoute, "there is no " + target->path());
+    }
+    call.key = target->path().substr(start.size());
+    if (request.method == "GET") {
+        return call;
+    }
+    if (request.method != "PUT" && request.method != "DELETE") {
+        return makeFailure(FailureCode::InvalidRequest, "objects take GET, PUT and DELETE");
+    }
+    call.kind = request.method == "PUT" ? CallKind::Put : CallKind::Delete;
+    call.value = request.body;
+    const bool mustBeNew = request.headers.find("If-None-Match") == "*";
+    const std::string version = request.headers.find("If-Match").value_or("");
+    if (!mustBeNew && (!absl::SimpleAtoi(version, &call.expectedVersion) || call.expectedVersion == 0)) {
+        return makeFailure(FailureCode::InvalidRequest, "a write needs 'If-Match: VERSION' or 'If-None-Match: *'");
+    }
+    if (call.key.starts_with(InstanceList::kPrefix)) {
+        return makeFailure(FailureCode::InvalidRequest, "the list of instances is read-only");
+    }
+    if (!isText(call.key) || !isText(call.value)) {
+        return makeFailure(FailureCode::InvalidRequest, "keys and values must be UTF-8");
+    }
+    return call;
+}
+
+std::optional<HttpResponse> PlatformServer::refuse(const Call &call)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool writes = isWrite(call.kind);
+    if (m_faults.away != FaultPlan::Away::No) {
+        m_statistics.countAway();
+        return makeAwayResponse();
+    }
+    const int limit = writes ? m_faults.writesPerSecond : m_faults.readsPerSecond;
+    if (!(writes ? m_writeRate : m_readRate).take(limit, now())) {
+        m_statistics.countLimited();
+        return makeErrorResponse(makeFailure(FailureCode::CeilingReached, "too many calls a second", kLimitRetryAfter));
+    }
+    m_statistics.count(call.kind, call.key, call.value.size(), now());
+    return std::nullopt;
+}
+
+HttpResponse PlatformServer::run(const Call &call)
+{
+    const std::lock_guard lock(m_mutex);
+    switch (call.kind) {
+    case CallKind::Put:
+        return write(call);
+    case CallKind::Delete:
+        return remove(call);
+    default:
+        return read(call);
+    }
+}
+
+HttpResponse PlatformServer::read(const Call &call)
+{
+    const bool isStale = m_faults.staleReads > Duration::zero();
+    const Instant moment = now() - m_faults.staleReads;
+    if (call.kind == CallKind::List) {
+        return makeChangesResponse(isStale ? m_table.listAt(call.key, moment) : m_table.list(call.key));
+    }
+    absl::StatusOr<StoredObject> object = isStale ? m_table.getAt(call.key, moment) : m_table.get(call.key);
+    if (!object.ok()) {
+        return makeObjectError(object.status());
+    }
+    return makeVersionResponse(object->version, std::move(object->value));
+}
+
+HttpResponse PlatformServer::write(const Call &call)
+{
+    const absl::StatusOr<std::uint64_t> version = m_table.put(call.key, call.value, call.expectedVersion, now());
+    if (!version.ok()) {
+        return makeObjectError(version.status());
+    }
+    wakeWatchers(call.key);
+    return makeVersionResponse(*version, "");
+}
+
+HttpResponse PlatformServer::remove(const Call &call)
+{
+    const absl::Status status = m_table.remove(call.key, call.expectedVersion, now());
+    if (!status.ok()) {
+        return makeObjectError(status);
+    }
+    wakeWatchers(call.key);
+    return HttpResponse();
+}
+
+bool PlatformServer::takesAnswerAway(const Call &call)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!isWrite(call.kind)) {
+        return false;
+    }
+    if (m_faults.loseAnswers > 0) {
+        --m_faults.loseAnswers;
+        m_statistics.countLostAnswer();
+        return true;
+    }
+    const bool isLost = std::uniform_real_distribution<>()(m_random) < m_faults.loseAnswerShare;
+    if (isLost) {
+        m_statistics.countLostAnswer();
+    }
+    return isLost;
+}
+
+HttpResponse PlatformServer::serveControl(const HttpRequest &request, const std::string &path)
+{
+    absl::Status status =
+        makeFailure(FailureCode::UnknownRoute, request.method + " " + request.target + " isn't known");
+    if (request.method == "GET" && path == "stats") {
+        const std::lock_guard lock(m_mutex);
+        return makeJsonResponse(m_statistics.toJson());
+    }
+    if (request.method == "POST" && path == "instances") {
+        status = feedInstance(request.body);
+    }
+    if (request.method == "POST" && path == "faults") {
+        status = setFaults(request.body);
+    }
+    if (!status.ok() && !(request.method == "GET" && path == "faults")) {
+        return makeErrorResponse(status);
+    }
+    const std::lock_guard lock(m_mutex);
+    return makeJsonResponse(m_faults.toJson());
+}
+
+absl::Status PlatformServer::setFaults(const std::string &text)
+{
+    FaultPlan::Away before;
+    FaultPlan::Away after;
+    {
+        const std::lock_guard lock(m_mutex);
+        FaultPlan merged = m_faults;
+        const absl::Status status = merged.merge(text);
+        if (!status.ok()) {
+            return status;
+        }
+        if (merged.away == FaultPlan::Away::Refused && !m_control) {
+            return makeFailure(FailureCode::InvalidRequest, "connections are refused only with --control-port");
+        }
+        before = m_faults.away;
+        after = merged.away;
+        m_faults = merged;
+        if (after != FaultPlan::Away::No) {
+            wakeAllWatchers();
+        }
+        kLog.info("faults set", {field("faults", merged.toJson())});
+    }
+    if ((before == FaultPlan::Away::Refused) != (after == FaultPlan::Away::Refused)) {
+        setRefusing(after == FaultPlan::Away::Refused);
+    }
+    return absl::OkStatus();
+}
+
+void PlatformServer::setRefusing(bool refuses)
+{
+    const std::lock_guard lock(m_mutex);
+    if (refuses) {
+        m_objects.reset();
+        return;
+    }
+    m_objects = makeServer();
+    const absl::Status status = m_objects->listen(m_settings.address, m_port);
+    if (!status.ok()) {
+        kLog.error("can't listen again", {field("error", std::string(status.message()))});
+    }
+}
+
+absl::Status PlatformServer::feedInstance(const std::string &text)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const absl::Status status = m_instances.feed(text, now() + m_faults.listLag);
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    showDueInstances();
+    return absl::OkStatus();
+}
+
+void PlatformServer::showDueInstances()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const std::string &key : m_instances.showDue(m_table, now())) {
+        wakeWatchers(key);
+    }
+    armListTimer();
+}
+
+void PlatformServer::armListTimer()
+{
+    const std::optional<Instant> due = m_instances.nextDue();
+    if (!due || m_isStopping) {
+        return;
+    }
+    m_listTimer.expires_after(*due - now());
+    m_listTimer.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            showDueInstances();
+        }
+    });
+}
+
+void PlatformServer::wakeWatchers(const std::string &key)
+{
+    for (const Waiter &waiter : m_waiters) {
+        if (!waiter.isSilent && key.starts_with(waiter.prefix)) {
+            wake(waiter);
+        }
+    }
+}
+
+void PlatformServer::wakeAllWatchers()
+{
+    for (const Waiter &waiter : m_waiters) {
+        if (!waiter.isSilent) {
+            wake(waiter);
+        }
+    }
+}
+
+void PlatformServer::wake(const Waiter &waiter)
+{
+    net::post(waiter.timer->get_executor(), [timer = waiter.timer] {
+        timer->cancel();
+    });
+}
+
+}
--- /dev/null
+++ b/tests/net/httpserver_test.cpp
@@ -0,0 +1,298 @@
+#include "asyncresult.h"
+#include "failure.h"
+#include "loopbackfixture.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+
+using namespace RadishSwitch;
+
+namespace
+{
+
+boost::asio::awaitable<void> echo(HttpExchange &exchange)
+{
+    HttpResponse response;
+    response.headers.add("X-Peer", exchange.peer());
+    response.body = exchange.request().method + " " + exchange.request().target + " " + exchange.request().body;
+    (void)co_await exchange.respond(std::move(response));
+}
+
+HttpRequest post(std::string body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.body = std::move(body);
+    return request;
+}
+
+std::string errorCodeOf(const std::string &body)
+{
+    const auto document = nlohmann::json::parse(body, nullptr, false);
+    const bool isError = document.is_object() && document.contains("error") && document["error"].contains("message")
+        && document["error"].contains("type");
+    return isError ? document["error"].value("code", "") : "";
+}
+
+}
+
+class HttpServerTest : public LoopbackFixture
+{
+};
+
+TEST_F(HttpServerTest, request_withBody_reachesHandlerWhole)
+{
+    const auto response = fetch(serve(echo), post("hello"));
+
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->body, "POST / hello");
+}
+
+TEST_F(HttpServerTest, connection_afterAnswer_servesNextRequest)
+{
+    const std::string address = serve(echo);
+
+    const auto first = fetch(address);
+    const auto second = fetch(address);
+
+    ASSERT_TRUE(first.ok() && second.ok());
+    EXPECT_EQ(first->headers.find("x-peer"), second->headers.find("x-peer"));
+}
+
+struct BadInput {
+    const char *name;
+    std::string bytes;
+    int status;
+    std::string code;
+};
+
+class HttpDoorTest : public LoopbackFixture, public testing::WithParamInterface<BadInput>
+{
+};
+
+TEST_P(HttpDoorTest, badInput_isRefusedWithTypedErrorAndNeverReachesHandler)
+{
+    // The caller sends something that is no whole request inside the limits. It gets a typed error, or a closed
+    // connection where nothing can be answered; the handler sees nothing of it, and the next caller is served.
+    std::atomic<int> handled = 0;
+    HttpServerSettings settings;
+    settings.maximumHeaderBytes = 1024;
+    settings.maximumBodyBytes = 1000;
+    HttpServer &server = start(
+        [&handled](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+            ++handled;
+            co_await echo(exchange);
+        },
+        settings);
+
+    const std::string answer = exchangeRaw(server.port(), GetParam().bytes);
+
+    const std::string body = answer.substr(std::min(answer.size(), answer.find("\r\n\r\n") + 4));
+    const std::string statusLine = "HTTP/1.1 " + std::to_string(GetParam().status) + " ";
+    EXPECT_EQ(handled, 0);
+    EXPECT_EQ(answer.empty(), GetParam().status == 0) << answer;
+    EXPECT_TRUE(GetParam().status == 0 || answer.starts_with(statusLine)) << answer;
+    EXPECT_EQ(errorCodeOf(body), GetParam().code);
+    EXPECT_TRUE(fetch(addressOf(server)).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Door, HttpDoorTest,
+    testing::Values(
+        BadInput{"noHttp", "hello\r\n\r\n", 400, "invalid_request"},
+        BadInput{"binary", std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\x00\r\n\r\n", 16), 400,
+                 "invalid_request"},
+        BadInput{"wrongVersion", "GET / HTTP/7.0\r\n\r\n", 400, "invalid_request"},
+        BadInput{"spaceInName", "GET / HTTP/1.1\r\nHo st: a\r\n\r\n", 400, "invalid_request"},
+        BadInput{"controlInValue", std::string("GET / HTTP/1.1\r\nHost: a\0b\r\n\r\n", 29), 400, "invalid_request"},
+        BadInput{"lengthNotNumber", "POST / HTTP/1.1\r\nContent-Length: ten\r\n\r\n", 400, "invalid_request"},
+        BadInput{"lengthNegative", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400, "invalid_request"},
+        BadInput{"lengthTwice", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400,
+                 "invalid_request"},
+        BadInput{"lengthAndChunked",
+                 "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400,
+                 "invalid_request"},
+        BadInput{"badChunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, "invalid_request"},
+        BadInput{"headerTooLarge", "GET / HTTP/1.1\r\nX-Long: " + std::string(2000, 'a') + "\r\n\r\n", 431,
+                 "header_too_large"},
+        BadInput{"targetTooLong", "GET /" + std::string(2000, 'a') + " HTTP/1.1\r\n\r\n", 431, "header_too_large"},
+        BadInput{"bodyTooLarge", "POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'a'), 413,
+                 "body_too_large"},
+        BadInput{"chunksTooLarge",
+                 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'a')
+                     + "\r\n0\r\n\r\n",
+                 413, "body_too_large"},
+        BadInput{"bodyCutShort", "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc", 0, ""},
+        BadInput{"headerCutShort", "GET / HTTP/1.1\r\nHost:", 0, ""}, BadInput{"nothing", "", 0, ""}),
+    [](const auto &info) {
+        return std::string(info.param.name);
+    });
+
+TEST_F(HttpServerTest, upload_farAboveLimit_getsItsRefusalAndNotAReset)
+{
+    // The caller is still sending when the refusal goes out. A close with its bytes unread would make the kernel reset
+    // the connection and drop the 413 that the caller has not read yet.
+    HttpServerSettings settings;
+    settings.maximumBodyBytes = 1000;
+
+    for (int n = 0; n < 20; ++n) {
+        const auto response = fetch(serve(echo, settings), post(std::string(4 * 1024 * 1024, 'a')));
+
+        ASSERT_TRUE(response.ok()) << response.status();
+        EXPECT_EQ(response->status, 413);
+    }
+}
+
+TEST_F(HttpServerTest, handler_throws_callerGetsTypedErrorWithUnknownOutcome)
+{
+    const auto response = fetch(serve([](HttpExchange &) -> boost::asio::awaitable<void> {
+        throw std::runtime_error("a bug");
+        co_return;
+    }));
+
+    ASSERT_TRUE(response.ok());
+    EXPECT_EQ(response->status, 500);
+    EXPECT_EQ(nlohmann::json::parse(response->body)["error"]["outcome"], "unknown");
+}
+
+TEST_F(HttpServerTest, stream_readAsItComes_givesAllBytesInOrder)
+{
+    constexpr int kPieces = 2000;
+    const std::string address = serve([](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        HttpHeaders headers;
+        headers.add("Content-Type", "text/event-stream");
+        (void)co_await exchange.beginStream(200, headers);
+        for (int n = 0; n < kPieces; ++n) {
+            (void)co_await exchange.write(std::to_string(n) + ";");
+        }
+        (void)co_await exchange.endStream();
+    });
+    std::string expected;
+    for (int n = 0; n < kPieces; ++n) {
+        expected += std::to_string(n) + ";";
+    }
+
+    const auto stream = wait(client.open(address, {}, kLong));
+
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_EQ((*stream)->headers().find("content-type"), "text/event-stream");
+    std::string got;
+    for (;;) {
+        const auto piece = wait((*stream)->read(kLong));
+        ASSERT_TRUE(piece.ok()) << piece.status();
+        if (piece->empty()) {
+            break;
+        }
+        got += *piece;
+    }
+    EXPECT_EQ(got, expected);
+}
+
+TEST_F(HttpServerTest, stream_readerTakesNothing_holdsWriterBackAndIsGivenUp)
+{
+    // A caller opens a stream and stops reading. The writer must not go on filling memory for it: its writes wait once
+    // the kernel's buffers are full, and past the write timeout the caller is given up as gone.
+    constexpr std::size_t kPiece = 1024 * 1024;
+    constexpr std::size_t kMost = 256 * kPiece;
+    std::promise<std::pair<absl::Status, std::size_t>> outcome;
+    HttpServerSettings settings;
+    settings.writeTimeout = kShort;
+    const std::string address = serve(
+        [&outcome](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+            std::size_t written = 0;
+            absl::Status status = co_await exchange.beginStream(200, HttpHeaders());
+            while (status.ok() && written < kMost) {
+                status = co_await exchange.write(std::string(kPiece, 'a'));
+                written += kPiece;
+            }
+            outcome.set_value({status, written});
+        },
+        settings);
+
+    const auto stream = wait(client.open(address, {}, kLong));
+    const auto [status, written] = outcome.get_future().get();
+
+    EXPECT_EQ(failureCode(status), FailureCode::ConnectionLost);
+    EXPECT_LT(written, kMost);
+}
+
+TEST_F(HttpServerTest, stream_handlerReturnsInside_readerSeesItCutAndNotEnded)
+{
+    const std::string address = serve([](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        (void)co_await exchange.beginStream(200, HttpHeaders());
+        (void)co_await exchange.write("half an ans");
+    });
+
+    const auto response = fetch(address);
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionLost);
+    EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
+}
+
+TEST_F(HttpServerTest, drain_requestInProgress_isAnsweredAndThenAllIsClosed)
+{
+    // The operator stops the process while a request runs and another connection is idle. The running request gets
+    // its whole answer, both connections close, and nobody can connect any more.
+    using Resume = std::function<void(bool)>;
+    std::promise<Resume> started;
+    std::promise<void> drained;
+    HttpServerSettings settings;
+    settings.drainGrace = kShort;
+    HttpServer &server = start(
+        [&](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+            if (exchange.request().target == "/slow") {
+                (void)co_await awaitCallback<bool>([&started](Resume resume) {
+                    started.set_value(std::move(resume));
+                });
+            }
+            co_await echo(exchange);
+        },
+        settings);
+    HttpRequest slow;
+    slow.target = "/slow";
+    auto answer =
+        boost::asio::co_spawn(workers.context(), client.fetch(addressOf(server), slow, kLong), boost::asio::use_future);
+    const Resume resume = started.get_future().get();
+    EXPECT_EQ(server.requestsInProgress(), 1);
+
+    server.drain([&drained] {
+        drained.set_value();
+    });
+    resume(true);
+
+    const auto response = answer.get();
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->headers.find("connection"), "close");
+    drained.get_future().wait();
+    EXPECT_EQ(failureCode(fetch(addressOf(server)).status()), FailureCode::ConnectionLost);
+}
+
+TEST_F(HttpServerTest, drain_requestOnIdleConnection_isStillAnswered)
+{
+    // A client sends its next request on a kept connection at the moment at which the server begins to drain. Closed
+    // at once, the connection would swallow a request that the client can't know to be lost.
+    HttpServer &server = start(echo);
+    ASSERT_TRUE(fetch(addressOf(server)).ok());
+
+    server.drain();
+    const auto response = fetch(addressOf(server), post("late"));
+
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->body, "POST / late");
+}
+
+TEST_F(HttpServerTest, listen_wrongAddressOrMissingCertificate_isInvalidSettings)
+{
+    HttpServerSettings tls;
+    tls.certificateFile = "/nonexistent.pem";
+    HttpServer oneFile(workers, tls, echo);
+    tls.privateKeyFile = "/nonexistent.key";
+    HttpServer noFiles(workers, tls, echo);
+    HttpServer plain(workers, {}, echo);
+
+    EXPECT_EQ(failureCode(plain.listen("localhost", 0)), FailureCode::InvalidSettings);
+    EXPECT_EQ(failureCode(oneFile.listen("127.0.0.1", 0)), FailureCode::InvalidSettings);
+    EXPECT_EQ(failureCode(noFiles.listen("127.0.0.1", 0)), FailureCode::InvalidSettings);
+}
