--- a/src/libradishswitch/ceilingmeter.cpp
+++ b/src/libradishswitch/ceilingmeter.cpp
@@ -15,6 +15,16 @@
 constexpr int kMeanRunWeight = 8;
 constexpr Duration kLongestWait = std::chrono::hours(1);
 
+void setRate(TokenBucket &bucket, double rate, Instant now)
+{
+    const double burst = std::max(1.0, rate * kBurstSeconds);
+    if (bucket.rate() > 0) {
+        bucket.setRate(rate, burst, now);
+    } else {
+        bucket = TokenBucket(rate, burst, now);
+    }
+}
+
 std::chrono::milliseconds roundedUp(Duration wait)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(std::min(wait, kLongestWait));
@@ -100,10 +110,8 @@
 
 void CeilingMeter::applyPart(Meter &meter, Instant now)
 {
-    const double requests = meter.ceilings.requestsPerSecond * m_share;
-    const double tokens = meter.ceilings.tokensPerSecond * m_share;
-    meter.requests.setRate(requests, std::max(1.0, requests * kBurstSeconds), now);
-    meter.tokens.setRate(tokens, std::max(1.0, tokens * kBurstSeconds), now);
+    setRate(meter.requests, meter.ceilings.requestsPerSecond * m_share, now);
+    setRate(meter.tokens, meter.ceilings.tokensPerSecond * m_share, now);
 }
 
 std::int64_t CeilingMeter::concurrentPart(const Meter &meter) const
--- a/src/libradishswitch/ceilingmeter.h
+++ b/src/libradishswitch/ceilingmeter.h
@@ -25,7 +25,8 @@
 ///
 /// The stated error, as long as the parts of all processes add up to no more than one. Requests: in any span of T
 /// seconds the fleet admits at most `ceiling * T` plus a burst, which is one second's worth of the ceiling, but no less
-/// than one request in each process, since a smaller part would never admit anything. Tokens: the same with one
+/// than one request in each process, since a smaller part would never admit anything; and a process that joins in that
+/// span brings its part of the burst once more. Tokens: the same with one
 /// second's worth of tokens, where a request counts with its worst case from its admission and with its true use from
 /// its end; so a span may also take what requests under way at its beginning had reserved and did not use, and one
 /// request larger than the burst. Concurrent requests: the ceiling, but no less than one request in each process.
--- a/src/libradishswitch/fairqueue.cpp
+++ b/src/libradishswitch/fairqueue.cpp
@@ -13,11 +13,20 @@
 {
 
 constexpr double kMicrosecondsPerSecond = 1e6;
+// A request is let in if its wait takes up to this part of its patience. In steady overload the queue grows until the
+// next request is refused; without a margin, a rate that turns out a little lower than measured would make those at the
+// end of the queue miss their deadlines after they have waited for nearly all of it.
+constexpr double kAdmissionMargin = 0.8;
 // A request that was let in is given up only when it misses its deadline by a margin: the measured rate wavers.
 constexpr double kExpiryMargin = 0.8;
 constexpr double kTypicalCostStep = 0.1;
 constexpr Duration kLongestWait = std::chrono::hours(1);
 
+Duration scaled(Duration span, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
 }
 
 FairQueue::FairQueue(FairQueueSettings settings)
@@ -30,7 +39,7 @@
     advance(now);
     m_typicalCost += kTypicalCostStep * (static_cast<double>(request.cost) - m_typicalCost);
     const Duration wait = waitFor(costAhead(request));
-    if (now + wait > request.deadline) {
+    if (wait > scaled(request.deadline - now, kAdmissionMargin)) {
         return refusal(wait);
     }
     add(request);
@@ -215,8 +224,7 @@
         double ahead = 0;
         for (std::size_t i = 0; i < line.requests.size();) {
             const Duration wait = waitFor(costAbove + backlog.servedAt(ahead / line.share));
-            const auto hoped = Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * kExpiryMargin));
-            if (now + hoped <= line.requests[i].deadline) {
+            if (now + scaled(wait, kExpiryMargin) <= line.requests[i].deadline) {
                 ahead += static_cast<double>(line.requests[i].cost);
                 ++i;
                 continue;
--- a/src/libradishswitch/tokenbucket.cpp
+++ b/src/libradishswitch/tokenbucket.cpp
@@ -49,10 +49,9 @@
 
 void TokenBucket::setRate(double rate, double burst, Instant now)
 {
-    const double taken = m_burst - levelAt(now);
+    m_level = std::min(burst, levelAt(now));
     m_rate = rate;
     m_burst = burst;
-    m_level = burst - taken;
     m_at = now;
 }
 
--- a/src/libradishswitch/tokenbucket.h
+++ b/src/libradishswitch/tokenbucket.h
@@ -12,6 +12,7 @@
 {
 public:
     TokenBucket() = default;
+    /// Begins full.
     TokenBucket(double rate, double burst, Instant now);
 
     /// How long until `cost` can be taken; zero when it can be now.
@@ -20,9 +21,14 @@
     void take(double cost, Instant now);
     void giveBack(double amount, Instant now);
 
-    /// Changes rate and burst, and keeps what was taken: a ceiling that is set anew does not hand out a fresh burst.
+    /// Changes rate and burst. What is in the bucket stays, up to the new burst: changing a rate hands nothing out.
     void setRate(double rate, double burst, Instant now);
 
+    double rate() const
+    {
+        return m_rate;
+    }
+
 private:
     double levelAt(Instant now) const;
 
