--- a/src/libradishswitch/fleetmembership.cpp
+++ b/src/libradishswitch/fleetmembership.cpp
@@ -27,18 +27,21 @@
 bool FleetMembership::applyHeartbeat(const EntryMember &member, Instant now)
 {
     std::unique_ptr<MemberState> &state = m_members[member.incarnation];
-    if (state == nullptr) {
+    const bool isNew = state == nullptr;
+    if (isNew) {
         state = std::make_unique<MemberState>();
         state->hash = rendezvousHash(member.incarnation.value());
-        supersedeOthers(member);
-        refresh(now);
     } else if (state->isSuperseded || member.sequence <= state->member.sequence) {
         return false;
     }
     state->member = member;
     state->lastHeard = now;
     state->isLost = false;
-    if (state->isLive != shouldLive(*state, now)) {
+    if (isNew) {
+        state->firstHeard = now;
+        state->isSuccessor = supersedeOthers(member);
+    }
+    if (isNew || state->isLive != shouldLive(*state, now)) {
         refresh(now);
     }
     return true;
@@ -46,7 +49,11 @@
 
 void FleetMembership::applyListed(const std::string &address, bool isLeaving, Instant now)
 {
-    m_listings[address] = Listing{isLeaving};
+    Listing &listing = m_listings[address];
+    if (isLeaving && !listing.isLeaving) {
+        listing.leavingSince = now;
+    }
+    listing.isLeaving = isLeaving;
     refresh(now);
 }
 
@@ -172,21 +179,31 @@
     if (state.isLost || state.isSuperseded || state.member.isLeaving) {
         return false;
     }
-    const auto listing = m_listings.find(state.member.address);
-    if (listing != m_listings.end() && listing->second.isLeaving) {
+    return !isListedAsLeaving(state, now) && now - state.lastHeard < m_settings.suspectAfter;
+}
+
+bool FleetMembership::isListedAsLeaving(const MemberState &state, Instant now) const
+{
+    const auto it = m_listings.find(state.member.address);
+    if (it == m_listings.end() || !it->second.isLeaving) {
         return false;
     }
-    return now - state.lastHeard < m_settings.suspectAfter;
+    // After a restart at the same address a list that lags still shows the earlier incarnation's leaving.
+    const bool isOldWord = state.isSuccessor && it->second.leavingSince <= state.firstHeard;
+    return !isOldWord || now - state.firstHeard >= m_settings.listLag;
 }
 
-void FleetMembership::supersedeOthers(const EntryMember &member)
+bool FleetMembership::supersedeOthers(const EntryMember &member)
 {
     // Two processes can't listen at one address: a fresh incarnation there proves that the earlier one has ended.
+    bool isAny = false;
     for (auto &[incarnation, state] : m_members) {
         if (incarnation != member.incarnation && state->member.address == member.address) {
             state->isSuperseded = true;
+            isAny = true;
         }
     }
+    return isAny;
 }
 
 void FleetMembership::refresh(Instant now)
--- a/src/libradishswitch/fleetmembership.h
+++ b/src/libradishswitch/fleetmembership.h
@@ -33,6 +33,8 @@
     /// An incarnation that was never heard of is held for dead after this process has listened for as long.
     Duration unknownDeadAfter = std::chrono::minutes(10);
     DeathRule deathRule = DeathRule::SilentAndUnlisted;
+    /// How far the platform's list may lag: for as long after a restart, a "leaving" from before it is not believed.
+    Duration listLag = std::chrono::seconds(10);
 };
 
 /// The entries of the fleet, from their heartbeats, their silence and the platform's list.
@@ -87,7 +89,10 @@
     struct MemberState {
         EntryMember member;
         std::uint64_t hash = 0;
+        Instant firstHeard{};
         Instant lastHeard{};
+        /// Whether an earlier incarnation was heard at its address.
+        bool isSuccessor = false;
         bool isLost = false;
         bool isSuperseded = false;
         bool isLive = false;
@@ -95,6 +100,7 @@
 
     struct Listing {
         bool isLeaving = false;
+        Instant leavingSince{};
     };
 
     struct LiveEntry {
@@ -103,7 +109,9 @@
     };
 
     bool shouldLive(const MemberState &state, Instant now) const;
-    void supersedeOthers(const EntryMember &member);
+    /// Gives whether there were any.
+    bool supersedeOthers(const EntryMember &member);
+    bool isListedAsLeaving(const MemberState &state, Instant now) const;
     void refresh(Instant now);
     void rebuild();
     const std::vector<LiveEntry> &liveOf(const std::string &region) const;
