Search from four situations and along random paths

Cause: breadth first from the start alone reaches few states with both holders at work. Change: the search begins from four situations; long random paths of the same case beside it; the store's first contents are made once.

--- a/tests/core/ledgersearch_test.cpp
+++ b/tests/core/ledgersearch_test.cpp
@@ -12,37 +12,37 @@
 namespace
 {
 
+using Action = SearchAction;
+
 constexpr const char *kDepthVariable = "RADISHSWITCH_SEARCH_DEPTH";
-constexpr int kDepthInTests = 6;
+constexpr const char *kWalksVariable = "RADISHSWITCH_SEARCH_WALKS";
+constexpr int kDepthInTests = 4;
+constexpr int kWalksInTests = 200;
+constexpr int kStepsOfAWalk = 60;
 constexpr int kFaults = 2;
 
-/// The choices that lead from the start to a state: one place in the list of enabled actions for each step.
-using Path = std::vector<std::uint8_t>;
+using Path = std::vector<Action>;
 
 struct SearchResult {
     std::size_t states = 0;
     std::size_t transitions = 0;
-    int depth = 0;
     /// The first path to a broken promise or a stuck end, and what is wrong there.
     std::string failure;
 };
 
-int searchDepth()
+int numberFrom(const char *variable, int otherwise)
 {
-    const char *depth = std::getenv(kDepthVariable);
-    return depth ? std::atoi(depth) : kDepthInTests;
+    const char *text = std::getenv(variable);
+    return text ? std::atoi(text) : otherwise;
 }
 
 std::string described(const Path &path)
 {
-    static constexpr std::array kNames{"offer", "dispatch", "finish", "settle",       "top-up", "close",  "tick",
-                                       "write", "agent",    "lose",   "refuse-write", "kill",   "silence"};
-    SearchWorld world(kFaults);
+    static constexpr std::array kNames{"offer", "dispatch", "finish",      "settle",       "top-up", "close",  "tick",
+                                       "write", "agent",    "lose-answer", "refuse-write", "kill",   "silence"};
     std::string text;
-    for (const std::uint8_t choice : path) {
-        const SearchAction action = world.enabled()[choice];
+    for (const Action &action : path) {
         text += std::string(" ") + kNames[action.kind] + ":" + std::to_string(action.subject);
-        world.apply(action);
     }
     return text;
 }
@@ -50,39 +50,49 @@
 std::unique_ptr<SearchWorld> replay(const Path &path)
 {
     auto world = std::make_unique<SearchWorld>(kFaults);
-    for (const std::uint8_t choice : path) {
-        world->apply(world->enabled()[choice]);
+    for (const Action &action : path) {
+        world->apply(action);
     }
     return world;
 }
 
-/// Breadth first, so that the first path found to a fault is one of the shortest. The aggregates cannot be copied, so
-/// each state is reached again from the start by its choices.
-SearchResult search(int depth)
+std::string failureAt(SearchWorld &world, const Path &path)
+{
+    std::string failure = world.brokenPromise();
+    failure = failure.empty() ? world.stuckAfterFairRun() : failure;
+    return failure.empty() ? "" : failure + " after" + described(path);
+}
+
+/// Breadth first from the end of `start`, so that the first path found to a fault is one of the shortest. The
+/// aggregates cannot be copied, so each state is reached again from the beginning by its choices.
+SearchResult search(const Path &start, int depth)
 {
+    struct Reached {
+        Path path;
+        std::vector<Action> enabled;
+    };
+
     SearchResult result;
     absl::flat_hash_set<std::uint64_t> seen;
-    std::vector<Path> frontier{{}};
-    for (result.depth = 0; result.depth < depth && !frontier.empty(); ++result.depth) {
-        std::vector<Path> next;
-        for (const Path &path : frontier) {
-            const std::size_t choices = replay(path)->enabled().size();
-            for (std::size_t i = 0; i < choices; ++i) {
-                Path longer = path;
-                longer.push_back(static_cast<std::uint8_t>(i));
+    std::vector<Reached> frontier{{start, replay(start)->enabled()}};
+    for (int i = 0; i < depth; ++i) {
+        std::vector<Reached> next;
+        for (const Reached &reached : frontier) {
+            for (const Action &action : reached.enabled) {
+                Path longer = reached.path;
+                longer.push_back(action);
                 const std::unique_ptr<SearchWorld> world = replay(longer);
                 ++result.transitions;
                 if (!seen.insert(world->digest()).second) {
                     continue;
                 }
                 ++result.states;
-                result.failure = world->brokenPromise();
-                result.failure = result.failure.empty() ? world->stuckAfterFairRun() : result.failure;
+                std::vector<Action> enabled = world->enabled();
+                result.failure = failureAt(*world, longer);
                 if (!result.failure.empty()) {
-                    result.failure += " after" + described(longer);
                     return result;
                 }
-                next.push_back(std::move(longer));
+                next.push_back({std::move(longer), std::move(enabled)});
             }
         }
         frontier = std::move(next);
@@ -90,18 +100,67 @@
     return result;
 }
 
+/// One path of random choices, far deeper than the search can go.
+std::string walk(std::uint64_t seed)
+{
+    SeededRandom random(seed);
+    SearchWorld world(kFaults);
+    Path path;
+    for (int i = 0; i < kStepsOfAWalk; ++i) {
+        const std::vector<Action> enabled = world.enabled();
+        if (enabled.empty()) {
+            break;
+        }
+        path.push_back(enabled[random.below(enabled.size())]);
+        world.apply(path.back());
+        if (const std::string broken = world.brokenPromise(); !broken.empty()) {
+            return broken + " after" + described(path);
+        }
+    }
+    return failureAt(world, path);
+}
+
+/// Both holders have a portion, one request runs and another is granted.
+const Path kBothHold{{Action::Offer, 0}, {Action::Tick, 0}, {Action::Write, 0}, {Action::Dispatch, 0},
+                     {Action::Offer, 1}, {Action::Tick, 1}, {Action::Write, 1}};
+
+Path operator+(Path path, const Path &more)
+{
+    path.insert(path.end(), more.begin(), more.end());
+    return path;
+}
+
+/// The same, and the first holder, which lives, is being closed.
+const Path kFirstIsClosing = kBothHold + Path{{Action::Close, 0}, {Action::Tick, 2}, {Action::Write, 2}};
+
+/// The first holder's portion is used up, and a request waits there while the ledger is asked.
+const Path kFirstIsShort = kBothHold + Path{{Action::Offer, 2}, {Action::Tick, 0}};
+
 }
 
 // Two holders, an operator, a closer and an agent share one budget of 100 tokens. Three requests, two payments each
 // told twice, two faults: answers lost, writes refused, a holder killed, a living holder closed, the agent silent. In
-// every order of these up to a depth no more is spent than was paid, and from every state reached a fair run ends with
-// each request answered and exactly what was charged settled. A deeper run is asked for by RADISHSWITCH_SEARCH_DEPTH.
+// every order of these up to a depth, from each of four situations, no more is spent than was paid, and from every
+// state reached a fair run ends with each request answered and exactly what was charged settled.
 TEST(LedgerSearchTest, everyOrderOfASmallCase_upToADepth_keepsAllPromises)
 {
-    const SearchResult result = search(searchDepth());
+    const int depth = numberFrom(kDepthVariable, kDepthInTests);
+    for (const Path &start : {Path(), kBothHold, kFirstIsClosing, kFirstIsShort}) {
+        const SearchResult result = search(start, depth);
+        std::printf("search: %d steps beyond %zu, %zu states, %zu transitions\n", depth, start.size(), result.states,
+                    result.transitions);
+        ASSERT_EQ(result.failure, "");
+    }
+}
 
-    std::printf("search: depth %d, %zu states, %zu transitions\n", result.depth, result.states, result.transitions);
-    EXPECT_EQ(result.failure, "");
+// The same fleet on long random paths, the same ones on each run.
+TEST(LedgerSearchTest, longRandomPaths_ofTheSameCase_keepAllPromises)
+{
+    const int walks = numberFrom(kWalksVariable, kWalksInTests);
+    for (int i = 1; i <= walks; ++i) {
+        ASSERT_EQ(walk(static_cast<std::uint64_t>(i)), "") << "walk " << i;
+    }
+    std::printf("search: %d random paths of %d steps\n", walks, kStepsOfAWalk);
 }
 
 }
--- a/tests/core/searchworld.cpp
+++ b/tests/core/searchworld.cpp
@@ -38,8 +38,26 @@
 {
 }
 
+const SearchStore::Shared &SearchWorld::storeAtFirst()
+{
+    static const SearchStore::Shared shared = [] {
+        SearchStore::Shared store;
+        Actor creator(store);
+        LedgerEditor editor(*creator.ledger, creator.timers, creator.tasks);
+        editor.createBudget(kBudget, "ann", [](const absl::Status &) {});
+        editor.topUp(kBudget, PaymentId("first"), kPaidAtFirst, "ann", [](const auto &) {});
+        for (int i = 0; i < kFairRounds && !creator.ledger->isIdle(); ++i) {
+            creator.tasks.runAll();
+            creator.store.hasWrite() ? creator.store.carryOut(false) : static_cast<void>(creator.timers.fireNext());
+        }
+        return store;
+    }();
+    return shared;
+}
+
 SearchWorld::SearchWorld(int faults)
     : m_agents(m_agentTasks)
+    , m_shared(storeAtFirst())
     , m_requests{{0, 60, 60}, {1, 50, 20}, {0, 60, 40}}
     , m_faults(faults)
 {
@@ -47,14 +65,6 @@
     for (int i = 0; i <= kOperator; ++i) {
         m_actors.push_back(std::make_unique<Actor>(m_shared));
     }
-    Actor &creator = *m_actors[kOperator];
-    creator.editor = std::make_unique<LedgerEditor>(*creator.ledger, creator.timers, creator.tasks);
-    creator.editor->createBudget(kBudget, "ann", [](const absl::Status &) {});
-    creator.editor->topUp(kBudget, PaymentId("first"), kPaidAtFirst, "ann", [](const auto &) {});
-    for (int i = 0; i < kFairRounds && !(creator.ledger->isIdle() && !creator.store.hasWrite()); ++i) {
-        settleDown(creator);
-        creator.store.hasWrite() ? creator.store.carryOut(false) : tick(creator);
-    }
     for (int i = 0; i < kHolders; ++i) {
         Actor &it = *m_actors[i];
         it.holder = std::make_unique<BudgetHolder>(*it.ledger, it.timers, it.tasks, it.random, holderSettings(i));
@@ -64,6 +74,9 @@
     settings.listeningTime = Duration::zero();
     closer.closer =
         std::make_unique<PortionCloser>(*closer.ledger, m_agents, closer.timers, closer.tasks, closer.random, settings);
+    Actor &operatorActor = *m_actors[kOperator];
+    operatorActor.editor =
+        std::make_unique<LedgerEditor>(*operatorActor.ledger, operatorActor.timers, operatorActor.tasks);
 }
 
 std::vector<SearchAction> SearchWorld::enabled() const
@@ -203,7 +216,7 @@
 
 std::string SearchWorld::brokenPromise() const
 {
-    const BudgetRecord record = this->record();
+    const BudgetRecord &record = this->record();
     std::int64_t committed = m_charged;
     for (const Request &it : m_requests) {
         committed += it.stage == Stage::Running ? it.tokens : 0;
@@ -318,10 +331,14 @@
     actor.tasks.runAll();
 }
 
-BudgetRecord SearchWorld::record() const
+const BudgetRecord &SearchWorld::record() const
 {
-    const auto it = m_shared.objects.find("ledger/0000");
-    return *LedgerShard::fromJson(it->second.value).value().find(kBudget);
+    const StoredObject &object = m_shared.objects.at("ledger/0000");
+    if (object.version != m_recordVersion) {
+        m_record = *LedgerShard::fromJson(object.value).value().find(kBudget);
+        m_recordVersion = object.version;
+    }
+    return m_record;
 }
 
 bool SearchWorld::isEverythingDone() const
--- a/tests/core/searchworld.h
+++ b/tests/core/searchworld.h
@@ -130,6 +130,8 @@
     {
         return kind >= LoseAnswer;
     }
+
+    bool operator==(const SearchAction &) const = default;
 };
 
 /// A small fleet over the real aggregates: two holders, a closer, an operator, one agent, three requests and two
@@ -191,13 +193,14 @@
         PortionId portion;
     };
 
+    static const SearchStore::Shared &storeAtFirst();
     RequestId id(int request) const;
     void offer(int request);
     void dispatch(int request);
     void tick(Actor &actor);
     void topUp(int payment);
     void settleDown(Actor &actor);
-    BudgetRecord record() const;
+    const BudgetRecord &record() const;
     bool isEverythingDone() const;
 
     FakeAgents m_agents;
@@ -211,6 +214,8 @@
     bool m_isAgentSilent = false;
     int m_faults;
     std::int64_t m_charged = 0;
+    mutable BudgetRecord m_record;
+    mutable std::uint64_t m_recordVersion = 0;
 };
 
 }
