--- a/src/standins/engine/chatrun.cpp
+++ b/src/standins/engine/chatrun.cpp
@@ -161,7 +161,8 @@
 
 asio::awaitable<EngineRunState> ChatRun::generate()
 {
-    Clock::time_point due = Clock::now();
+    // Reading the prompt gives the first token.
+    Clock::time_point due = Clock::now() - m_engine.tokenInterval();
     std::int64_t index = m_begin;
     while (index < m_end) {
         due += m_engine.tokenInterval();
--- /dev/null
+++ b/tests/standins/relaylink_test.cpp
@@ -0,0 +1,178 @@
+#include "relaylink.h"
+
+#include "standinprogram.h"
+#include "workerpool.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+
+using namespace RadishSwitch;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// A client and a server with the relay between them, on real sockets. Each step waits for what must come; what must
+/// not come is looked for after something later has come.
+class RelayLinkTest : public testing::Test
+{
+protected:
+    struct Connection {
+        tcp::socket client;
+        tcp::socket server;
+    };
+
+    RelayLinkTest()
+        : m_acceptor(m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_workers(1)
+        , m_link(m_workers,
+                 LinkSettings{"127.0.0.1:0", "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()), "g"})
+    {
+    }
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(m_link.listen().ok());
+        m_workers.start();
+    }
+
+    void TearDown() override
+    {
+        m_workers.stop();
+    }
+
+    tcp::socket connectClient()
+    {
+        const auto address = parseListenAddress(m_link.address());
+        tcp::socket client(m_context);
+        client.connect(tcp::endpoint(asio::ip::make_address(address->address), address->port));
+        return client;
+    }
+
+    Connection connect()
+    {
+        tcp::socket client = connectClient();
+        return Connection{std::move(client), m_acceptor.accept()};
+    }
+
+    /// On the relay's own thread, as its control door does it.
+    void apply(const std::string &document)
+    {
+        std::promise<void> done;
+        m_workers.post([&] {
+            m_link.apply(*faultOrderOfJson(document));
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    static void send(tcp::socket &from, const std::string &text)
+    {
+        asio::write(from, asio::buffer(text));
+    }
+
+    static std::string receive(tcp::socket &at, std::size_t size)
+    {
+        std::string text(size, ' ');
+        boost::system::error_code ec;
+        text.resize(asio::read(at, asio::buffer(text), ec));
+        return ec ? "error after " + text : text;
+    }
+
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    WorkerPool m_workers;
+    RelayLink m_link;
+};
+
+TEST_F(RelayLinkTest, noFault_bytesSent_comeThroughBothWaysInOrder)
+{
+    Connection it = connect();
+
+    send(it.client, "ask");
+    EXPECT_EQ(receive(it.server, 3), "ask");
+    apply(R"({"delay_ms":5})");
+    send(it.server, "ans");
+    send(it.server, "wer");
+    EXPECT_EQ(receive(it.client, 6), "answer");
+
+    it.client.shutdown(tcp::socket::shutdown_send);
+    EXPECT_EQ(receive(it.server, 1), "error after ");
+}
+
+TEST_F(RelayLinkTest, linkCut_openAndNewConnections_areReset)
+{
+    Connection it = connect();
+    send(it.client, "a");
+    ASSERT_EQ(receive(it.server, 1), "a");
+
+    apply(R"({"cut":true})");
+
+    EXPECT_EQ(receive(it.client, 1), "error after ");
+    EXPECT_EQ(receive(it.server, 1), "error after ");
+    tcp::socket late = connectClient();
+    EXPECT_EQ(receive(late, 1), "error after ");
+
+    apply("{}");
+    Connection again = connect();
+    send(again.client, "b");
+    EXPECT_EQ(receive(again.server, 1), "b");
+}
+
+TEST_F(RelayLinkTest, openConnectionsSwallowed_newOnesOpened_onlyTheNewOnesCarry)
+{
+    Connection old = connect();
+    send(old.client, "a");
+    ASSERT_EQ(receive(old.server, 1), "a");
+
+    apply(R"({"swallow":"both"})");
+    send(old.client, "lost");
+    send(old.server, "lost");
+    Connection fresh = connect();
+    send(fresh.client, "b");
+    EXPECT_EQ(receive(fresh.server, 1), "b");
+    send(fresh.server, "c");
+    EXPECT_EQ(receive(fresh.client, 1), "c");
+
+    EXPECT_EQ(old.server.available(), 0U);
+    EXPECT_EQ(old.client.available(), 0U);
+}
+
+TEST_F(RelayLinkTest, oneWaySwallowed_bytesSent_onlyTheOtherWayCarries)
+{
+    Connection it = connect();
+    send(it.client, "a");
+    ASSERT_EQ(receive(it.server, 1), "a");
+
+    apply(R"({"swallow":"to_target"})");
+    send(it.client, "lost");
+    send(it.server, "b");
+
+    EXPECT_EQ(receive(it.client, 1), "b");
+    EXPECT_EQ(it.server.available(), 0U);
+}
+
+TEST_F(RelayLinkTest, newConnectionsSwallowed_openedAfter_carryNothingAndOldOnesDo)
+{
+    Connection old = connect();
+    apply(R"({"swallow_new":true})");
+
+    tcp::socket late = connectClient();
+    send(late, "lost");
+    send(old.client, "a");
+
+    EXPECT_EQ(receive(old.server, 1), "a");
+    EXPECT_EQ(late.available(), 0U);
+}
+
+TEST(FaultOrderTest, badOrders_read_areErrors)
+{
+    for (const char *document : {"", "[1]", R"({"cut":"yes"})", R"({"swallow":"some"})", R"({"burn":true})"}) {
+        EXPECT_FALSE(faultOrderOfJson(document).ok()) << document;
+    }
+    EXPECT_FALSE(linkSettingsOfFlag("127.0.0.1:1").ok());
+    EXPECT_FALSE(linkSettingsOfFlag("127.0.0.1:1=nowhere").ok());
+    EXPECT_EQ(*linkSettingsOfFlag("127.0.0.1:1=127.0.0.1:2,g"), (LinkSettings{"127.0.0.1:1", "127.0.0.1:2", "g"}));
+}
