Look for swallowed bytes at both ends in the relay's test

The test of swallow_new passed with the swallowing taken out (trial): it looked at the end where nothing could arrive. It now fails then, and passes with it.

--- a/tests/standins/relaylink_test.cpp
+++ b/tests/standins/relaylink_test.cpp
@@ -159,12 +159,14 @@
     Connection old = connect();
     apply(R"({"swallow_new":true})");
 
-    tcp::socket late = connectClient();
-    send(late, "lost");
+    Connection late = connect();
+    send(late.client, "lost");
+    send(late.server, "lost");
     send(old.client, "a");
 
     EXPECT_EQ(receive(old.server, 1), "a");
-    EXPECT_EQ(late.available(), 0U);
+    EXPECT_EQ(late.server.available(), 0U);
+    EXPECT_EQ(late.client.available(), 0U);
 }
 
 TEST(FaultOrderTest, badOrders_read_areErrors)
