--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -36,6 +36,7 @@
     fi
     next_port=$((20000 + RANDOM % 10000))
     : >"$work/events"
+    : >"$work/warm.log"
     trap 'end_all $?' EXIT
     trap 'exit 2' INT TERM
 }
@@ -257,13 +258,18 @@
     curl -sf -m 2 "http://${admin_of[$1]}/readyz"
 }
 
-# chat_works ENTRY KEY: whether a request is answered there.
+# chat_works ENTRY ORGANISATION: whether a request is answered there. It is put down as any other, since it is billed.
 chat_works()
 {
-    curl -sf -m 5 -H "Authorization: Bearer $2" -H 'Content-Type: application/json' -o /dev/null \
-        --data-binary '{"model":"standin","max_tokens":1,"messages":[{"role":"user","content":"ready?"}]}' \
-        "http://${address_of[$1]}/v1/chat/completions"
+    local file=$work/warm.try
+    rm -f "$file"
+    warm_ups=$((warm_ups + 1))
+    "$measure" load --name "warm-$warm_ups" --log "$file" --target "${address_of[$1]}" \
+        --organisation "$2,$(key_of "$2"),$2/main" --requests 1 --callers 1 --tries 1 --seconds 5 >/dev/null
+    grep -q '"outcome":"whole"' "$file" || return 1
+    cat "$file" >>"$work/warm.log"
 }
+warm_ups=0
 
 ctl()
 {
@@ -271,7 +277,7 @@
         2>>"$work/radishctl.err" || fail "radishctl $*: $(tail -n 1 "$work/radishctl.err")"
 }
 
-# record_of NAME: where an engine's or a service's runs are written.
+# gather: reads the ledger from the platform.
 gather()
 {
     ask "${address_of[platform]}" '/objects?prefix=ledger/' >"$work/ledger.json" || fail "no ledger to read"
@@ -287,7 +293,7 @@
     for file in "$work"/service-*.runs; do
         [ ! -f "$file" ] || flags+=(--service-runs "$file")
     done
-    for file in "$@"; do
+    for file in warm "$@"; do
         flags+=(--log "$work/$file.log")
     done
     "$measure" truth "${flags[@]}" --ledger "$work/ledger.json" --events "$work/events" >"$work/truth.json" \
@@ -307,3 +313,127 @@
     "$measure" report --figure "scenario=\"$scenario\"" "$@" || status=$?
     exit "$status"
 }
+
+# organisation NAME [CELLS...]: a row of the table whose key is known here.
+organisation()
+{
+    local name=$1 digest
+    shift
+    digest=$(printf %s "$(key_of "$name")" | sha256sum)
+    ctl org create "$name" --no-key "keys=sha256:${digest%% *}" "$@"
+}
+
+key_of()
+{
+    echo "rs-measure-key-of-$1"
+}
+
+# budget ORGANISATION/NAME TOKENS: creates it and pays in.
+budget()
+{
+    ctl budget create "$1"
+    top_up "$1" "$2"
+}
+
+payments=0
+# top_up ORGANISATION/NAME TOKENS
+top_up()
+{
+    payments=$((payments + 1))
+    # Written down before it is done: money that arrives a moment early is not taken for overspending.
+    event top_up "$1" "$2"
+    ctl budget topup "$1" "$2" --payment "payment-$payments"
+}
+
+# standard_table ORGANISATION...: one pool of engines, one of services, routes for all, a budget each.
+standard_table()
+{
+    local name
+    ctl pool create llm serves=chat models=standin
+    ctl pool create shop serves=service "non_idempotent=POST /orders"
+    ctl route create chat model=standin pool=llm
+    ctl route create shop model=shop pool=shop
+    for name in "$@"; do
+        organisation "$name"
+        budget "$name/main" "${budget_tokens:-10000000}"
+    done
+}
+
+# standard_fleet ENGINES ENTRIES: engines in pool llm, one service in pool shop, zones taken in turn, one region.
+standard_fleet()
+{
+    local n zones=(hall-a hall-b hall-c)
+    for ((n = 1; n <= $1; ++n)); do
+        start_engine "engine-$n" "${engine_flags[@]}"
+        start_agent "agent-$n" engine "${endpoint_for[engine-$n]:-${address_of[engine-$n]}}" llm south \
+            "${zones[n % 3]}"
+    done
+    start_service service-1
+    start_agent agent-shop service "${address_of[service-1]}" shop south hall-a
+    for ((n = 1; n <= $2; ++n)); do
+        start_entry "entry-$n" south "${zones[n % 3]}"
+    done
+}
+engine_flags=(--slots 32 --tokens-per-second 100)
+declare -A endpoint_for=()
+
+# await_fleet ENTRIES ORGANISATION: until each entry answers.
+await_fleet()
+{
+    local n
+    for ((n = 1; n <= $1; ++n)); do
+        wait_for 20 entry_is_ready "entry-$n"
+        wait_for 20 chat_works "entry-$n" "$2"
+    done
+}
+
+# targets_of NAME...: sets `targets` to the load's flags for these entries.
+targets_of()
+{
+    local name
+    targets=()
+    for name in "$@"; do
+        targets+=(--target "${address_of[$name]},${admin_of[$name]}")
+    done
+}
+
+# callers_of ORGANISATION...: sets `callers` to the load's flags for their callers.
+callers_of()
+{
+    local name
+    callers=()
+    for name in "$@"; do
+        callers+=(--organisation "$name,$(key_of "$name"),$name/main")
+    done
+}
+
+# begin_load NAME FLAGS...: in the background; its figures go to $work/NAME.json and its tries to $work/NAME.log.
+begin_load()
+{
+    local name=$1
+    shift
+    : >"$work/$name.log"
+    "$measure" load --name "$name" --log "$work/$name.log" "$@" >"$work/$name.json" 2>"$work/$name.err" &
+    pid_of[$name]=$!
+}
+
+# end_load NAME: waits for the last answer.
+end_load()
+{
+    local status=0
+    wait "${pid_of[$1]}" || status=$?
+    unset "pid_of[$1]"
+    [ $status -eq 0 ] || fail "the load $1 ended with $status: $(tail -n 1 "$work/$1.err")"
+}
+
+# stop_entries NAME...: planned stops, after which every live portion must be settled.
+stop_entries()
+{
+    local name
+    for name in "$@"; do
+        event stop_begin "$name"
+        stop "$name"
+        event stop_end "$name"
+        [ "$exit_code" -eq 0 ] || fail "$name ended with $exit_code after a planned stop"
+    done
+}
