Let the relay cut off one side alone, by the callers' addresses

A partition keeps a process in reach of its own side while the other side's connections to it are silent. Test: oneSideCutOff_otherSideConnects.

--- a/src/standins/relay/relayconnection.cpp
+++ b/src/standins/relay/relayconnection.cpp
@@ -1,5 +1,6 @@
 #include "relayconnection.h"
 
+#include <absl/strings/match.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -43,13 +44,14 @@
 {
 }
 
-RelayConnection::RelayConnection(Socket client, const LinkFaults &linkFaults)
+RelayConnection::RelayConnection(Socket client)
     : m_client(std::move(client))
     , m_target(m_client.get_executor())
-    , m_linkFaults(linkFaults)
     , m_toTarget(m_client, m_target)
     , m_fromTarget(m_target, m_client)
 {
+    boost::system::error_code ec;
+    m_clientAddress = m_client.remote_endpoint(ec).address().to_string();
 }
 
 asio::awaitable<void> RelayConnection::run(tcp::endpoint target)
@@ -74,6 +76,11 @@
     m_fromTarget.isSwallowed = m_fromTarget.isSwallowed || swallow == Swallow::FromTarget || swallow == Swallow::Both;
 }
 
+void RelayConnection::setDelay(Duration delay)
+{
+    m_delay = delay;
+}
+
 void RelayConnection::reset()
 {
     resetSocket(m_client);
@@ -89,6 +96,11 @@
     return m_client.is_open();
 }
 
+bool RelayConnection::isFrom(const std::string &prefix) const
+{
+    return absl::StartsWith(m_clientAddress, prefix);
+}
+
 asio::awaitable<void> RelayConnection::readAll(Direction &direction)
 {
     std::array<char, kReadBytes> buf;
@@ -101,7 +113,7 @@
         if (ec && ec != asio::error::eof && !direction.isSwallowed) {
             reset();
         }
-        direction.pieces.push_back(Piece{Clock::now() + m_linkFaults.delay, std::string(buf.data(), ec ? 0 : n)});
+        direction.pieces.push_back(Piece{Clock::now() + m_delay, std::string(buf.data(), ec ? 0 : n)});
         direction.queuedBytes += n;
         direction.changed.cancel();
         if (ec) {
--- a/src/standins/relay/relayconnection.h
+++ b/src/standins/relay/relayconnection.h
@@ -19,7 +19,7 @@
 class RelayConnection : public std::enable_shared_from_this<RelayConnection>
 {
 public:
-    RelayConnection(boost::asio::ip::tcp::socket client, const LinkFaults &linkFaults);
+    explicit RelayConnection(boost::asio::ip::tcp::socket client);
 
     /// Connects to the target and carries bytes both ways until the end.
     boost::asio::awaitable<void> run(boost::asio::ip::tcp::endpoint target);
@@ -27,11 +27,17 @@
     /// From now on drops the bytes and the end of a direction. Neither side is told.
     void swallow(Swallow swallow);
 
+    /// Time that bytes take from now on, each way.
+    void setDelay(Duration delay);
+
     /// Resets both sides.
     void reset();
 
     bool isOpen() const;
 
+    /// Whether the client's IP number begins with this.
+    bool isFrom(const std::string &prefix) const;
+
 private:
     using Clock = boost::asio::steady_timer::clock_type;
     using Socket = boost::asio::ip::tcp::socket;
@@ -61,7 +67,8 @@
 
     Socket m_client;
     Socket m_target;
-    const LinkFaults &m_linkFaults;
+    std::string m_clientAddress;
+    Duration m_delay = Duration::zero();
     Direction m_toTarget;
     Direction m_fromTarget;
 };
--- a/src/standins/relay/relayfaults.cpp
+++ b/src/standins/relay/relayfaults.cpp
@@ -16,6 +16,8 @@
         value.get_to(order.group);
     } else if (name == "link") {
         value.get_to(order.link);
+    } else if (name == "from") {
+        value.get_to(order.from);
     } else if (name == "cut") {
         value.get_to(order.faults.isCut);
     } else if (name == "swallow_new") {
--- a/src/standins/relay/relayfaults.h
+++ b/src/standins/relay/relayfaults.h
@@ -35,6 +35,9 @@
     /// empty.
     std::string group;
     std::string link;
+    /// Only connections from addresses that begin with this are touched; empty for all. So one side of a partition is
+    /// cut off from a process that its own side still reaches.
+    std::string from;
     LinkFaults faults;
     /// What happens from now on to the connections that are open now; new ones are not touched.
     Swallow swallow = Swallow::Nothing;
@@ -42,8 +45,8 @@
     bool operator==(const FaultOrder &) const = default;
 };
 
-/// Reads {"group" or "link", "cut", "swallow": "to_target"|"from_target"|"both", "swallow_new", "delay_ms"}. What is
-/// not named is off; connections that are silent stay so. InvalidRequest for anything else.
+/// Reads {"group" or "link", "from", "cut", "swallow": "to_target"|"from_target"|"both", "swallow_new", "delay_ms"}.
+/// What is not named is off; connections that are silent stay so. InvalidRequest for anything else.
 absl::StatusOr<FaultOrder> faultOrderOfJson(const std::string &document);
 
 }
--- a/src/standins/relay/relaylink.cpp
+++ b/src/standins/relay/relaylink.cpp
@@ -98,19 +98,24 @@
 
 void RelayLink::apply(const FaultOrder &order)
 {
-    m_faults = order.faults;
+    m_order = order;
     for (const auto &weak : m_connections) {
         const auto connection = weak.lock();
-        if (!connection) {
-            continue;
-        }
-        connection->swallow(order.swallow);
-        if (m_faults.isCut) {
-            connection->reset();
+        if (connection && connection->isFrom(order.from)) {
+            connection->swallow(order.swallow);
+            strike(*connection);
         }
     }
 }
 
+void RelayLink::strike(RelayConnection &connection) const
+{
+    connection.setDelay(m_order.faults.delay);
+    if (m_order.faults.isCut) {
+        connection.reset();
+    }
+}
+
 int RelayLink::openConnections() const
 {
     return static_cast<int>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &weak) {
@@ -130,14 +135,14 @@
         std::erase_if(m_connections, [](const auto &weak) {
             return weak.expired();
         });
-        const auto connection = std::make_shared<RelayConnection>(std::move(client), m_faults);
+        const auto connection = std::make_shared<RelayConnection>(std::move(client));
         m_connections.push_back(connection);
-        if (m_faults.isCut) {
-            connection->reset();
-            continue;
+        if (connection->isFrom(m_order.from)) {
+            strike(*connection);
+            connection->swallow(m_order.faults.isSwallowingNew ? Swallow::Both : Swallow::Nothing);
         }
-        if (m_faults.isSwallowingNew) {
-            connection->swallow(Swallow::Both);
+        if (!connection->isOpen()) {
+            continue;
         }
         asio::co_spawn(m_workers.context(), connection->run(m_target), [connection](std::exception_ptr) {});
     }
--- a/src/standins/relay/relaylink.h
+++ b/src/standins/relay/relaylink.h
@@ -47,12 +47,14 @@
 
 private:
     boost::asio::awaitable<void> accept();
+    void strike(RelayConnection &connection) const;
 
     WorkerPool &m_workers;
     LinkSettings m_settings;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::endpoint m_target;
-    LinkFaults m_faults;
+    /// The last order; new connections meet its faults.
+    FaultOrder m_order;
     std::vector<std::weak_ptr<RelayConnection>> m_connections;
 };
 
--- a/tests/standins/relaylink_test.cpp
+++ b/tests/standins/relaylink_test.cpp
@@ -43,17 +43,17 @@
         m_workers.stop();
     }
 
-    tcp::socket connectClient()
+    tcp::socket connectClient(const std::string &from = "127.0.0.1")
     {
         const auto address = parseListenAddress(m_link.address());
-        tcp::socket client(m_context);
+        tcp::socket client(m_context, tcp::endpoint(asio::ip::make_address(from), 0));
         client.connect(tcp::endpoint(asio::ip::make_address(address->address), address->port));
         return client;
     }
 
-    Connection connect()
+    Connection connect(const std::string &from = "127.0.0.1")
     {
-        tcp::socket client = connectClient();
+        tcp::socket client = connectClient(from);
         return Connection{std::move(client), m_acceptor.accept()};
     }
 
@@ -169,6 +169,23 @@
     EXPECT_EQ(late.client.available(), 0U);
 }
 
+TEST_F(RelayLinkTest, oneSideCutOff_otherSideConnects_onlyTheFirstIsSilent)
+{
+    Connection near = connect();
+    Connection far = connect("127.0.0.2");
+    const std::string order = R"({"from":"127.0.0.2","swallow":"both","swallow_new":true})";
+
+    apply(order);
+    Connection late = connect("127.0.0.2");
+    for (Connection *it : {&far, &late, &near}) {
+        send(it->client, "a");
+    }
+
+    EXPECT_EQ(receive(near.server, 1), "a");
+    EXPECT_EQ(far.server.available(), 0U);
+    EXPECT_EQ(late.server.available(), 0U);
+}
+
 TEST(FaultOrderTest, badOrders_read_areErrors)
 {
     for (const char *document : {"", "[1]", R"({"cut":"yes"})", R"({"swallow":"some"})", R"({"burn":true})"}) {
