--- a/src/measure/truthcommand.cpp
+++ b/src/measure/truthcommand.cpp
@@ -1,5 +1,6 @@
 #include "truthcommand.h"
 
+#include "baselines.h"
 #include "runtruth.h"
 #include "spendtruth.h"
 #include "truthreader.h"
@@ -33,6 +34,11 @@
     const RequestHistories histories(records);
     const RunTruth runs = computeRunTruth(records, histories);
     const SpendTruth spend = computeSpendTruth(records, histories);
+    const BaselineFigures baselines = replayBaselines(records, histories);
+    const nlohmann::ordered_json baseline{
+        {"split_false_refusals", baselines.splitFalseRefusals},
+        {"store_false_refusals", baselines.storeFalseRefusals},
+    };
     const nlohmann::ordered_json document{
         {"requests", runs.requests},
         {"answered", runs.answered},
@@ -63,6 +69,9 @@
         {"overdrawn_tokens", spend.overdrawnTokens},
         {"paid_mismatch_tokens", spend.paidMismatchTokens},
         {"stall_at_faults_p95_ms", stallAtFaults(records)},
+        {"baseline", baseline},
+        {"split_false_refusals", baselines.splitFalseRefusals},
+        {"store_false_refusals", baselines.storeFalseRefusals},
     };
     return document.dump();
 }
--- a/src/measure/truthreader.cpp
+++ b/src/measure/truthreader.cpp
@@ -32,6 +32,9 @@
     EventName{ScenarioEventKind::StopBegin, "stop_begin"},
     EventName{ScenarioEventKind::StopEnd, "stop_end"},
     EventName{ScenarioEventKind::Fault, "fault"},
+    EventName{ScenarioEventKind::DoorSide, "door_side"},
+    EventName{ScenarioEventKind::StoreDown, "store_down"},
+    EventName{ScenarioEventKind::StoreUp, "store_up"},
 };
 
 absl::Status malformed(const std::string &what)
--- a/src/measure/truthrecords.h
+++ b/src/measure/truthrecords.h
@@ -61,6 +61,11 @@
     StopEnd,
     /// A fault that callers may notice as a pause.
     Fault,
+    /// The door at `subject` lies on the side `tokens` of a partition, counted from 0.
+    DoorSide,
+    /// No process of the fleet reaches the platform's store, or all do again.
+    StoreDown,
+    StoreUp,
 };
 
 /// What a scenario did, and when.
--- a/tests/standins/truth_test.cpp
+++ b/tests/standins/truth_test.cpp
@@ -1,3 +1,4 @@
+#include "baselines.h"
 #include "runtruth.h"
 #include "spendtruth.h"
 #include "truthreader.h"
@@ -367,3 +368,25 @@
     ASSERT_EQ(reader.records().ledger.size(), 1U);
     EXPECT_EQ(reader.records().ledger[0], (LedgerBudget{"shop/main", 10, 3, {LedgerPortion{5, 2}}}));
 }
+
+TEST(BaselinesTest, budgetUsedOnOneSideAlone_replayed_splitStrandsHalf)
+{
+    TruthRecords records = goodRecords();
+    records.tries.clear();
+    for (int n = 0; n < 6; ++n) {
+        records.tries.push_back(wholeTry("chat-" + std::to_string(n), CallKind::Chat, n * kSecond));
+        records.tries.back().target = "near";
+        records.tries.back().trueCostTokens = 100;
+    }
+    records.events = {ScenarioEvent{0, ScenarioEventKind::TopUp, "shop/main", 600},
+                      ScenarioEvent{0, ScenarioEventKind::DoorSide, "near", 0},
+                      ScenarioEvent{0, ScenarioEventKind::DoorSide, "far", 1},
+                      ScenarioEvent{kSecond, ScenarioEventKind::StoreDown, "", 0},
+                      ScenarioEvent{2 * kSecond, ScenarioEventKind::StoreUp, "", 0}};
+
+    const BaselineFigures figures = replayBaselines(records, RequestHistories(records));
+
+    // 300 on this side serve two requests of at most 140; the other four come while 400 are left.
+    EXPECT_EQ(figures.splitFalseRefusals, 4);
+    EXPECT_EQ(figures.storeFalseRefusals, 1);
+}
