--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -192,13 +192,27 @@
     start "$name" standin-relay --listen "${address_of[$name]}" "${flags[@]}"
 }
 
+# reserve NAME [IP]: gives a program its addresses, so that a relay can be put before it; the start of a program that
+# has none does it too.
+declare -A peer_of=()
+reserve()
+{
+    local ip=${2:-127.0.0.1}
+    [ -z "${address_of[$1]:-}" ] || return 0
+    take_port
+    address_of[$1]=$ip:$port
+    take_port
+    peer_of[$1]=$ip:$port
+    take_port
+    admin_of[$1]=$ip:$port
+}
+
 # start_engine NAME [FLAGS...]
 start_engine()
 {
     local name=$1
     shift
-    take_port
-    address_of[$name]=127.0.0.1:$port
+    reserve "$name"
     start "$name" standin-engine --listen "${address_of[$name]}" --name "$name" --record "$work/$name.runs" "$@"
     event endpoint_up "$name"
 }
@@ -208,8 +222,7 @@
 {
     local name=$1
     shift
-    take_port
-    address_of[$name]=127.0.0.1:$port
+    reserve "$name"
     start "$name" standin-service --listen "${address_of[$name]}" --name "$name" --record "$work/$name.runs" "$@"
 }
 
@@ -218,13 +231,9 @@
 {
     local name=$1 kind=$2 endpoint=$3 pool=$4 region=$5 zone=$6
     shift 6
-    if [ -z "${address_of[$name]:-}" ]; then
-        take_port
-        address_of[$name]=127.0.0.1:$port
-        take_port
-        admin_of[$name]=127.0.0.1:$port
-    fi
+    reserve "$name"
     start "$name" radishswitch-agent --listen "${address_of[$name]}" --admin-listen "${admin_of[$name]}" \
+        --advertise "${listed_as[$name]:-${address_of[$name]}}" \
         --endpoint "$endpoint" --endpoint-kind "$kind" --pool "$pool" --region "$region" --zone "$zone" \
         --platform "${platform_for[$region]:-${address_of[platform]}}" --fleet-key "$fleet_key" "$@"
     register "$name" agent "${listed_as[$name]:-${address_of[$name]}}" "${admin_of[$name]}" "$zone" "$region" "$pool" live
@@ -234,21 +243,13 @@
 declare -A listed_as=()
 
 # start_entry NAME REGION ZONE [FLAGS...]
-declare -A peer_of=()
 start_entry()
 {
     local name=$1 region=$2 zone=$3
     shift 3
-    if [ -z "${address_of[$name]:-}" ]; then
-        take_port
-        address_of[$name]=127.0.0.1:$port
-        take_port
-        peer_of[$name]=127.0.0.1:$port
-        take_port
-        admin_of[$name]=127.0.0.1:$port
-    fi
+    reserve "$name"
     start "$name" radishswitch-entry --listen "${address_of[$name]}" --peer-listen "${peer_of[$name]}" \
-        --admin-listen "${admin_of[$name]}" --platform "${platform_for[$region]:-${address_of[platform]}}" \
+        --advertise "${listed_as[$name]:-${peer_of[$name]}}" --admin-listen "${admin_of[$name]}" --platform "${platform_for[$region]:-${address_of[platform]}}" \
         --region "$region" --zone "$zone" --fleet-key "$fleet_key" "$@"
     register "$name" entry "${listed_as[$name]:-${peer_of[$name]}}" "${admin_of[$name]}" "$zone" "$region" "" live
 }
@@ -342,7 +343,7 @@
     payments=$((payments + 1))
     # Written down before it is done: money that arrives a moment early is not taken for overspending.
     event top_up "$1" "$2"
-    ctl budget topup "$1" "$2" --payment "payment-$payments"
+    ctl budget topup "$1" --tokens "$2" --payment-id "payment-$payments"
 }
 
 # standard_table ORGANISATION...: one pool of engines, one of services, routes for all, a budget each.
@@ -369,7 +370,7 @@
             "${zones[n % 3]}"
     done
     start_service service-1
-    start_agent agent-shop service "${address_of[service-1]}" shop south hall-a
+    start_agent agent-shop service "${address_of[service-1]}" shop south hall-a --health-target /livez
     for ((n = 1; n <= $2; ++n)); do
         start_entry "entry-$n" south "${zones[n % 3]}"
     done
--- a/src/measure/report.cpp
+++ b/src/measure/report.cpp
@@ -114,6 +114,9 @@
     if (parts.size() != 3) {
         return invalid("no condition: " + condition);
     }
+    if (isNull(parts[0]) || isNull(parts[2])) {
+        return false;
+    }
     const auto left = valueOf(parts[0]);
     const auto right = valueOf(parts[2]);
     if (!left.ok() || !right.ok()) {
@@ -131,6 +134,12 @@
     return invalid("no comparison: " + condition);
 }
 
+bool Report::isNull(const std::string &operand) const
+{
+    const auto it = d->figures.find(operand);
+    return it != d->figures.end() && it->is_null();
+}
+
 absl::StatusOr<double> Report::valueOf(const std::string &operand) const
 {
     double n = 0;
--- a/src/measure/report.h
+++ b/src/measure/report.h
@@ -20,7 +20,8 @@
     /// Takes the figures of a JSON object in; a later one of the same name replaces an earlier one.
     absl::Status add(const std::string &json);
 
-    /// Takes in "NAME=VALUE", where the value is JSON, or "NAME=NAME-NAME" or "NAME=NAME/NAME" of known figures.
+    /// Takes in "NAME=VALUE", where the value is JSON, or "NAME=NAME-NAME" or "NAME=NAME/NAME" of known figures. What
+    /// is divided by zero is null, and no condition on it holds.
     absl::Status addFigure(const std::string &text);
 
     /// A promise: "NAME OP NAME-or-number" with ==, <= or >=. What does not hold is listed under "broken".
@@ -36,6 +37,7 @@
 
 private:
     absl::StatusOr<bool> holds(const std::string &condition) const;
+    bool isNull(const std::string &operand) const;
     absl::StatusOr<double> valueOf(const std::string &operand) const;
 
     class Private;
--- a/tests/standins/report_test.cpp
+++ b/tests/standins/report_test.cpp
@@ -47,6 +47,16 @@
     EXPECT_FALSE(m_report.add("not JSON").ok());
 }
 
+TEST_F(ReportTest, shareOfNothing_required_doesNotHold)
+{
+    EXPECT_TRUE(m_report.addFigure("none=0").ok());
+    EXPECT_TRUE(m_report.addFigure("share=answered/none").ok());
+    EXPECT_TRUE(m_report.require("share <= 1").ok());
+
+    EXPECT_TRUE(m_report.isBroken());
+    EXPECT_TRUE(json()["share"].is_null());
+}
+
 TEST_F(ReportTest, figures_added_areTakenOrWorkedOut)
 {
     EXPECT_TRUE(m_report.addFigure("seed=5").ok());
