--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,6 +8,7 @@
 kept=
 next_port=0
 fleet_key=measurement-fleet-key-0123456789
+ledger_shards=16
 
 fail()
 {
@@ -250,7 +251,7 @@
     reserve "$name"
     start "$name" radishswitch-entry --listen "${address_of[$name]}" --peer-listen "${peer_of[$name]}" \
         --advertise "${listed_as[$name]:-${peer_of[$name]}}" --admin-listen "${admin_of[$name]}" --platform "${platform_for[$region]:-${address_of[platform]}}" \
-        --region "$region" --zone "$zone" --fleet-key "$fleet_key" "$@"
+        --region "$region" --zone "$zone" --fleet-key "$fleet_key" --ledger-shards "$ledger_shards" "$@"
     register "$name" entry "${listed_as[$name]:-${peer_of[$name]}}" "${admin_of[$name]}" "$zone" "$region" "" live
 }
 
@@ -274,7 +275,7 @@
 
 ctl()
 {
-    "$bin/radishctl" --platform "${address_of[platform]}" --operator measure "$@" >>"$work/radishctl.out" \
+    "$bin/radishctl" --platform "${address_of[platform]}" --operator measure --ledger-shards "$ledger_shards" "$@" >>"$work/radishctl.out" \
         2>>"$work/radishctl.err" || fail "radishctl $*: $(tail -n 1 "$work/radishctl.err")"
 }
 
@@ -343,7 +344,7 @@
     payments=$((payments + 1))
     # Written down before it is done: money that arrives a moment early is not taken for overspending.
     event top_up "$1" "$2"
-    ctl budget topup "$1" --tokens "$2" --payment-id "payment-$payments"
+    ctl topup "$1" --tokens "$2" --payment-id "payment-$payments"
 }
 
 # standard_table ORGANISATION...: one pool of engines, one of services, routes for all, a budget each.
@@ -438,3 +439,26 @@
         [ "$exit_code" -eq 0 ] || fail "$name ended with $exit_code after a planned stop"
     done
 }
+
+# cpu_ms NAME: processor time of a program so far, in milliseconds.
+cpu_ms()
+{
+    local stat
+    stat=$(<"/proc/${pid_of[$1]}/stat")
+    # The name in brackets may hold spaces; what is wanted stands behind it.
+    # shellcheck disable=SC2086
+    set -- ${stat##*) }
+    echo $(((${12} + ${13}) * 1000 / $(getconf CLK_TCK)))
+}
+
+# rss_kb NAME: resident memory of a program, in kilobytes.
+rss_kb()
+{
+    awk '/^VmRSS:/ {print $2}' "/proc/${pid_of[$1]}/status"
+}
+
+# loopback_bytes: what all programs of the machine sent over loopback so far.
+loopback_bytes()
+{
+    awk '/^ *lo:/ {sub(/.*:/, ""); print $1}' /proc/net/dev
+}
--- a/src/measure/report.cpp
+++ b/src/measure/report.cpp
@@ -6,6 +6,9 @@
 #include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace RadishSwitch
 {
 
@@ -14,11 +17,38 @@
 
 using Json = nlohmann::ordered_json;
 
+constexpr char kOperations[] = "+-*/";
+
 absl::Status invalid(const std::string &what)
 {
     return makeFailure(FailureCode::InvalidRequest, what);
 }
 
+double applied(char operation, double left, double right)
+{
+    switch (operation) {
+    case '+':
+        return left + right;
+    case '-':
+        return left - right;
+    case '*':
+        return left * right;
+    default:
+        return left / right;
+    }
+}
+
+void takeNumbers(Json &figures, const std::string &name, const Json &value)
+{
+    if (value.is_number()) {
+        figures[name] = value;
+    } else if (value.is_object()) {
+        for (const auto &[key, inner] : value.items()) {
+            takeNumbers(figures, name.empty() ? key : name + "_" + key, inner);
+        }
+    }
+}
+
 }
 
 class Report::Private
@@ -46,6 +76,16 @@
     return absl::OkStatus();
 }
 
+absl::Status Report::addNumbers(const std::string &prefix, const std::string &json)
+{
+    const Json object = Json::parse(json, nullptr, false);
+    if (!object.is_object()) {
+        return invalid("no JSON object: " + json);
+    }
+    takeNumbers(d->figures, prefix, object);
+    return absl::OkStatus();
+}
+
 absl::Status Report::addFigure(const std::string &text)
 {
     const auto equals = text.find('=');
@@ -59,24 +99,32 @@
         d->figures[name] = json;
         return absl::OkStatus();
     }
-    const auto place = value.find_first_of("-/");
-    if (place == std::string::npos) {
-        return invalid("neither JSON nor a sum: " + text);
+    const auto result = workOut(value);
+    if (!result.ok()) {
+        return result.status();
     }
-    const auto left = valueOf(value.substr(0, place));
-    const auto right = valueOf(value.substr(place + 1));
-    if (!left.ok() || !right.ok()) {
-        return left.ok() ? right.status() : left.status();
-    }
-    const bool isDifference = value[place] == '-';
-    if (!isDifference && *right == 0) {
-        d->figures[name] = nullptr;
-        return absl::OkStatus();
-    }
-    d->figures[name] = isDifference ? *left - *right : *left / *right;
+    d->figures[name] = std::isfinite(*result) ? Json(*result) : Json(nullptr);
     return absl::OkStatus();
 }
 
+absl::StatusOr<double> Report::workOut(const std::string &formula) const
+{
+    double result = 0;
+    char operation = '+';
+    std::size_t begin = 0;
+    while (begin <= formula.size()) {
+        const std::size_t end = std::min(formula.find_first_of(kOperations, begin), formula.size());
+        const auto operand = valueOf(formula.substr(begin, end - begin));
+        if (!operand.ok()) {
+            return operand.status();
+        }
+        result = applied(operation, result, *operand);
+        operation = end < formula.size() ? formula[end] : '+';
+        begin = end + 1;
+    }
+    return result;
+}
+
 absl::Status Report::require(const std::string &condition)
 {
     const auto isHeld = holds(condition);
--- a/src/measure/report.h
+++ b/src/measure/report.h
@@ -20,8 +20,12 @@
     /// Takes the figures of a JSON object in; a later one of the same name replaces an earlier one.
     absl::Status add(const std::string &json);
 
-    /// Takes in "NAME=VALUE", where the value is JSON, or "NAME=NAME-NAME" or "NAME=NAME/NAME" of known figures. What
-    /// is divided by zero is null, and no condition on it holds.
+    /// Takes in all numbers of a JSON object, those of inner objects too, under their names joined by "_" and with
+    /// `prefix` in front.
+    absl::Status addNumbers(const std::string &prefix, const std::string &json);
+
+    /// Takes in "NAME=VALUE", where the value is JSON, or "NAME=A+B-C*D/E" of known figures and numbers, worked out
+    /// from left to right without precedence. What is divided by zero is null, and no condition on it holds.
     absl::Status addFigure(const std::string &text);
 
     /// A promise: "NAME OP NAME-or-number" with ==, <= or >=. What does not hold is listed under "broken".
@@ -37,6 +41,7 @@
 
 private:
     absl::StatusOr<bool> holds(const std::string &condition) const;
+    absl::StatusOr<double> workOut(const std::string &formula) const;
     bool isNull(const std::string &operand) const;
     absl::StatusOr<double> valueOf(const std::string &operand) const;
 
--- a/src/measure/reportcommand.h
+++ b/src/measure/reportcommand.h
@@ -26,6 +26,7 @@
 
 private:
     std::vector<std::string> m_files;
+    std::vector<std::string> m_numbers;
     std::vector<std::string> m_figures;
     std::vector<std::string> m_requirements;
     std::vector<std::string> m_aims;
--- a/tests/standins/report_test.cpp
+++ b/tests/standins/report_test.cpp
@@ -62,9 +62,16 @@
     EXPECT_TRUE(m_report.addFigure("seed=5").ok());
     EXPECT_TRUE(m_report.addFigure("missing=requests-answered").ok());
     EXPECT_TRUE(m_report.addFigure("share=answered/requests").ok());
-    EXPECT_FALSE(m_report.addFigure("more=requests+answered").ok());
+    EXPECT_TRUE(m_report.addFigure("sum=requests+answered*2").ok());
+    EXPECT_FALSE(m_report.addFigure("more=requests+unknown").ok());
+    EXPECT_FALSE(m_report.addFigure("less=requests-").ok());
+    EXPECT_TRUE(m_report.addNumbers("at", R"({"a":1,"b":{"c":2,"d":"x"}})").ok());
 
     EXPECT_EQ(json()["seed"], 5);
+    EXPECT_EQ(json()["sum"], 38.0);
+    EXPECT_EQ(json()["at_a"], 1);
+    EXPECT_EQ(json()["at_b_c"], 2);
+    EXPECT_FALSE(json().contains("at_b_d"));
     EXPECT_EQ(json()["missing"], 1.0);
     EXPECT_EQ(json()["share"], 0.9);
 }
