--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -85,7 +87,7 @@
                [this](HttpExchange &exchange) {
                    return m_door.handle(exchange);
                })
-    , m_admin(m_workers)
+    , m_admin(m_workers, m_metrics)
 {
 }
 
@@ -113,6 +115,7 @@
         !status.ok()) {
         return status;
     }
+    m_admin.setReady(true);
     m_gate.start();
     m_homeStack.start();
     m_peers.start();
@@ -184,6 +187,62 @@
     });
 }
 
+void Entry::setDrainOrdered(std::function<void()> callback)
+{
+    m_onDrainOrdered = std::move(callback);
+}
+
+void Entry::serveAdmin()
+{
+    constexpr char kStories[] = "/requests/";
+    m_admin.handle("/status", [this](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        HttpResponse response{200, HttpHeaders{{"Content-Type", "application/json"}}, statusJson()};
+        (void)co_await exchange.respond(std::move(response));
+    });
+    m_admin.handle(kStories, [this](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        (void)co_await exchange.respond(requestStory(exchange.request().target.substr(sizeof kStories - 1)));
+    });
+    m_admin.handle("/drain", [this](HttpExchange &exchange) {
+        return drainOnOrder(exchange);
+    });
+    m_metrics.beforeCollection([this] {
+        updateMetrics();
+    });
+}
+
+boost::asio::awaitable<void> Entry::drainOnOrder(HttpExchange &exchange)
+{
+    if (exchange.request().method != "POST") {
+        const absl::Status status = makeFailure(FailureCode::InvalidRequest, "a drain is ordered by POST");
+        (void)co_await exchange.respond(errorResponse(status, std::string()));
+        co_return;
+    }
+    HttpResponse response{202, HttpHeaders{{"Content-Type", "application/json"}}, R"({"state":"leaving"})"};
+    (void)co_await exchange.respond(std::move(response));
+    if (m_onDrainOrdered) {
+        m_onDrainOrdered();
+    }
+}
+
+void Entry::updateMetrics()
+{
+    m_metrics.gauge("radishswitch_requests_in_progress", "Requests whose answer is not finished.")
+        .set(m_server.requestsInProgress());
+    m_metrics.gauge("radishswitch_table_revision", "Revision of the table in force.")
+        .set(static_cast<double>(m_table.current()->revision()));
+    m_metrics.gauge("radishswitch_requests_answered", "Requests answered since the start.")
+        .set(static_cast<double>(m_counts.answered()));
+    for (const auto &[cause, n] : m_counts.refusals()) {
+        m_metrics
+            .gauge("radishswitch_requests_refused", "Requests refused since the start, by cause.", {{"cause", cause}})
+            .set(static_cast<double>(n));
+    }
+    for (const PoolStanding &standing : m_gate.standings()) {
+        m_metrics.gauge("radishswitch_queued", "Requests that wait for a pool.", {{"pool", standing.pool.value()}})
+            .set(static_cast<double>(standing.queued));
+    }
+}
+
 std::string Entry::statusJson()
 {
     const HomeStack::Holdings holdings = m_homeStack.holdings();
@@ -193,20 +252,20 @@
         queues[standing.pool.value()] = standing.queued;
         endpoints[standing.pool.value()] = standing.eligibleEndpoints;
     }
-    return nlohmann::json {{"role", "entry"},
-                           {"incarnation", m_incarnation.value()},
-                           {"address", m_address},
-                           {"region", m_settings.fleet.region},
-                           {"zone", m_settings.fleet.zone},
-                           {"state", m_isLeaving ? "leaving" : "ready"},
-                           {"table_revision", m_table.current()->revision()},
-                           {"in_progress", m_server.requestsInProgress()},
-                           {"open_requests", holdings.openRequests},
-                           {"open_reservations", holdings.openReservations},
-                           {"answered", m_counts.answered()},
-                           {"refusals", m_counts.refusals()},
-                           {"queues", queues},
-                           {"eligible_endpoints", endpoints}}
+    return nlohmann::json{{"role", "entry"},
+                          {"incarnation", m_incarnation.value()},
+                          {"address", m_address},
+                          {"region", m_settings.fleet.region},
+                          {"zone", m_settings.fleet.zone},
+                          {"state", m_isLeaving ? "leaving" : "ready"},
+                          {"table_revision", m_table.current()->revision()},
+                          {"in_progress", m_server.requestsInProgress()},
+                          {"open_requests", holdings.openRequests},
+                          {"open_reservations", holdings.openReservations},
+                          {"answered", m_counts.answered()},
+                          {"refusals", m_counts.refusals()},
+                          {"queues", queues},
+                          {"eligible_endpoints", endpoints}}
         .dump();
 }
 
@@ -220,12 +279,12 @@
     for (const RequestStep &step : story->steps) {
         steps.push_back({{"at_ms", step.wallClockMilliseconds}, {"text", step.text}});
     }
-    const nlohmann::json json {{"request_id", requestId},
-                               {"budget", story->budget.toString()},
-                               {"pool", story->pool.value()},
-                               {"result", story->result.empty() ? "in_progress" : story->result},
-                               {"steps", steps}};
-    return HttpResponse {200, HttpHeaders {{"Content-Type", "application/json"}}, json.dump()};
+    const nlohmann::json json{{"request_id", requestId},
+                              {"budget", story->budget.toString()},
+                              {"pool", story->pool.value()},
+                              {"result", story->result.empty() ? "in_progress" : story->result},
+                              {"steps", steps}};
+    return HttpResponse{200, HttpHeaders{{"Content-Type", "application/json"}}, json.dump()};
 }
 
 HolderStanding Entry::standingOf(const IncarnationId &holder) const
@@ -279,10 +338,32 @@
 {
     m_listed.subscribe([this](const std::vector<PlatformInstance> &present) {
         m_peers.setListed(present);
+        applySubset(present);
         m_links.setListed(present);
     });
 }
 
+// Links to every agent from every entry would cost 410 x 1,300 heartbeats at full size; each entry keeps a subset of
+// each pool, such that all entries together cover each endpoint about equally often.
+void Entry::applySubset(const std::vector<PlatformInstance> &present)
+{
+    std::map<std::string, std::vector<EndpointId>> byPool;
+    for (const PlatformInstance &instance : present) {
+        if (instance.role == InstanceRole::Agent) {
+            byPool[instance.pool].push_back(EndpointId(instance.name));
+        }
+    }
+    std::set<EndpointId> subset;
+    m_membershipMonitor.run([&] {
+        for (const auto &[pool, endpoints] : byPool) {
+            const auto size = static_cast<std::size_t>(m_settings.agentSubset);
+            const auto chosen = m_membership.subsetOf(endpoints, m_incarnation, size);
+            subset.insert(chosen.begin(), chosen.end());
+        }
+    });
+    m_links.setSubset(std::move(subset));
+}
+
 void Entry::followTable()
 {
     m_table.subscribe([this](const SteeringTablePointer &table) {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -14,6 +14,7 @@
 #include "httpobjectstore.h"
 #include "httpserver.h"
 #include "listedinstances.h"
+#include "metrics.h"
 #include "peerlinks.h"
 #include "requestjournal.h"
 #include "systemrandom.h"
@@ -40,6 +41,9 @@
     /// when all is done, or the drain timeout has passed.
     void drain(std::function<void()> callback);
 
+    /// Called when an operator orders this entry to drain; before `start`.
+    void setDrainOrdered(std::function<void()> callback);
+
     WorkerPool &workers();
     std::uint16_t port() const;
 
@@ -52,8 +56,10 @@
     void followList();
     void followTable();
     void followMembership();
-    void applySubset();
+    void applySubset(const std::vector<PlatformInstance> &present);
     void serveAdmin();
+    boost::asio::awaitable<void> drainOnOrder(HttpExchange &exchange);
+    void updateMetrics();
     std::string statusJson();
     HttpResponse requestStory(const std::string &requestId);
     void waitForRequests(std::function<void()> callback);
@@ -91,9 +97,11 @@
     RequestCounts m_counts;
     HttpDoor m_door;
     HttpServer m_server;
+    Metrics m_metrics;
     AdminServer m_admin;
     std::atomic<bool> m_isLeaving = false;
     Instant m_drainDeadline;
+    std::function<void()> m_onDrainOrdered;
 };
 
 }
--- a/src/entry/homestack.cpp
+++ b/src/entry/homestack.cpp
@@ -56,7 +56,7 @@
 HomeStack::Holdings HomeStack::holdings()
 {
     return m_monitor.run([this] {
-        return Holdings {m_home.openRequests(), m_holder.openReservationCount()};
+        return Holdings{m_home.openRequests(), m_holder.openReservationCount()};
     });
 }
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdio>
 #include <future>
+#include <mutex>
 
 int main(int argc, char **argv)
 {
@@ -18,7 +19,16 @@
 
     Entry entry(settings);
     std::promise<void> left;
-    const Signals signals(entry.workers(), [&] { entry.drain([&left] { left.set_value(); }); });
+    std::once_flag drains;
+    const auto drain = [&] {
+        std::call_once(drains, [&] {
+            entry.drain([&left] {
+                left.set_value();
+            });
+        });
+    };
+    entry.setDrainOrdered(drain);
+    const Signals signals(entry.workers(), drain);
     if (const absl::Status status = entry.start(); !status.ok()) {
         std::fprintf(stderr, "radishswitch-entry: %s\n", std::string(status.message()).c_str());
         return 2;
--- a/src/entry/requestcounts.h
+++ b/src/entry/requestcounts.h
@@ -27,7 +27,7 @@
     static constexpr std::size_t kCodes = static_cast<std::size_t>(FailureCode::InvalidSettings) + 1;
 
     std::atomic<std::uint64_t> m_answered = 0;
-    std::array<std::atomic<std::uint64_t>, kCodes> m_refused {};
+    std::array<std::atomic<std::uint64_t>, kCodes> m_refused{};
 };
 
 }
