--- a/src/libradishswitch/admission.h
+++ b/src/libradishswitch/admission.h
@@ -39,6 +39,9 @@
     /// The id under which the first attempt must be made: the home can bar it at the agents when the entry dies before
     /// it told where it sent the run. A further attempt has a fresh id and is sent only after the home has noted it.
     AttemptId attempt;
+    /// Whether a run that an earlier owner of the key granted may still turn up, and be billed instead. Goes into the
+    /// run, so that the agent keeps its charge apart.
+    bool isProvisional = false;
 
     bool operator==(const Grant &) const = default;
 };
--- a/src/libradishswitch/agentport.h
+++ b/src/libradishswitch/agentport.h
@@ -35,6 +35,10 @@
     std::string agentAddress;
     /// The key shard under which it was granted. Only the agent itself needs it.
     std::uint32_t shard = 0;
+    /// The epoch of the key owner that granted it. Of two charges of one request the one of the lower epoch stands.
+    std::uint64_t epoch = 0;
+    /// Granted while a run of an earlier owner could still turn up.
+    bool isProvisional = false;
 
     bool operator==(const RunRecord &) const = default;
 };
@@ -52,6 +56,9 @@
     std::vector<Charge> charges;
     /// Charges older than the agent keeps one by one.
     std::int64_t foldedTokens = 0;
+    /// Charges of provisional runs, in neither of the above. The same requests may be billed by an earlier run, which
+    /// only the portion's holder could find out; without it they must be withheld.
+    std::int64_t provisionalTokens = 0;
     std::vector<RunRecord> running;
 
     bool operator==(const PortionCharges &) const = default;
--- a/src/libradishswitch/grantedrequests.cpp
+++ b/src/libradishswitch/grantedrequests.cpp
@@ -19,19 +19,30 @@
     , m_random(random)
     , m_settings(settings)
     , m_events(std::move(events))
+    , m_roster(agents, timers)
     , m_billing(reservations)
 {
 }
 
-void GrantedRequests::add(const Opening &opening)
+Grant GrantedRequests::add(const Opening &opening)
 {
     const AdmitQuestion &question = opening.admission.question;
     KnownRequest *known = m_registry.find(question.request);
     known->state = RequestState::Admitted;
     known->portion = opening.reserved.portion;
+    known->epoch = opening.epoch;
+    known->grantedAt = m_timers.now();
     // A claim proves that no earlier owner had it run; without one a run may still turn up.
     known->isProvisional = question.isKeyed && !question.isNonIdempotent && !m_shards.isComplete(opening.shard);
     ++m_granted;
+    Grant grant;
+    grant.portion = opening.reserved.portion;
+    grant.shard = opening.shard;
+    grant.epoch = opening.epoch;
+    grant.reservedTokens = opening.reserved.tokens;
+    grant.attempt = opening.attempt;
+    grant.isProvisional = known->isProvisional;
+    return grant;
 }
 
 void GrantedRequests::noteDispatched(const RequestId &request, const AttemptId &attempt,
@@ -126,13 +137,14 @@
 }
 
 /// Where the run may be: where it was sent, or else anywhere.
-std::vector<Dispatch> GrantedRequests::possiblePlaces(const KnownRequest &known) const
+std::vector<Dispatch> GrantedRequests::possiblePlaces(const KnownRequest &known)
 {
     if (!known.dispatches.empty()) {
         return known.dispatches;
     }
+    m_roster.refresh();
     std::vector<Dispatch> places;
-    for (const std::string &address : m_agents.agentAddresses()) {
+    for (const std::string &address : m_roster.since(known.grantedAt)) {
         places.push_back({known.grantedAttempt, address});
     }
     return places;
@@ -206,7 +218,7 @@
             return it.attempt == record.attempt;
         });
         if (!isOurs && record.attempt != known->grantedAttempt) {
-            addRival(record);
+            addRival(*known, record);
         }
         return;
     }
@@ -216,8 +228,14 @@
     }
 }
 
-void GrantedRequests::addRival(const RunRecord &record)
+/// Of two owners that both had the request run, the earlier one bills it. Without that order each of two that find each
+/// other's charge would take its own bill back, and nobody would be billed.
+void GrantedRequests::addRival(const KnownRequest &known, const RunRecord &record)
 {
+    const bool isOfLaterOwner = known.epoch > 0 && record.epoch > known.epoch;
+    if (isOfLaterOwner) {
+        return m_shards.ownership().noteStaleEpoch(known.shard, known.epoch);
+    }
     m_billing.noteRival(record);
     if (record.state != RunState::Running) {
         return;
@@ -269,6 +287,11 @@
     m_billing.release(request);
 }
 
+void GrantedRequests::refresh()
+{
+    m_roster.refresh();
+}
+
 void GrantedRequests::completeShard(std::uint32_t shard)
 {
     m_billing.resume(shard);
--- a/src/libradishswitch/grantedrequests.h
+++ b/src/libradishswitch/grantedrequests.h
@@ -3,6 +3,7 @@
 #include "admission.h"
 #include "admissionpipeline.h"
 #include "agentport.h"
+#include "agentroster.h"
 #include "billing.h"
 #include "claimbook.h"
 #include "keyshards.h"
@@ -37,7 +38,8 @@
                     ReservationPort &reservations, TimerService &timers, RandomSource &random,
                     RunResolverSettings settings, Events events);
 
-    void add(const Opening &opening);
+    /// Notes the grant of an opening, and gives it.
+    Grant add(const Opening &opening);
 
     /// As in Home.
     void noteDispatched(const RequestId &request, const AttemptId &attempt, const std::string &agentAddress);
@@ -60,6 +62,9 @@
     /// All agents have told what they know of the shard.
     void completeShard(std::uint32_t shard);
 
+    /// Looks for agents that have come and gone; every second or so.
+    void refresh();
+
     /// The shard has gone to another owner.
     void loseShard(std::uint32_t shard);
 
@@ -76,11 +81,11 @@
 
     void resolve(const RequestId &request, std::vector<Dispatch> places, bool cancel);
     void finishResolving(const RequestId &request, const RunVerdict &verdict);
-    std::vector<Dispatch> possiblePlaces(const KnownRequest &known) const;
+    std::vector<Dispatch> possiblePlaces(const KnownRequest &known);
     std::unique_ptr<RunResolver> makeResolver(const RequestId &request, std::vector<Dispatch> places, bool cancel,
                                               RunResolver::Events events);
 
-    void addRival(const RunRecord &record);
+    void addRival(const KnownRequest &known, const RunRecord &record);
     void finishRival(RunRecord record, const RunVerdict &verdict);
 
     RequestRegistry &m_registry;
@@ -91,6 +96,7 @@
     RandomSource &m_random;
     const RunResolverSettings m_settings;
     const Events m_events;
+    AgentRoster m_roster;
     Billing m_billing;
     /// Own requests that were abandoned, and learned ones that still ran.
     Resolvers m_resolvers;
--- a/src/libradishswitch/home.cpp
+++ b/src/libradishswitch/home.cpp
@@ -160,9 +160,7 @@
         return answer(opening.admission.callback,
                       withUnknownOutcome(makeFailure(FailureCode::HomeElsewhere, "the key shard has moved")));
     }
-    m_granted.add(opening);
-    answer(opening.admission.callback,
-           Grant{opening.reserved.portion, opening.shard, opening.epoch, opening.reserved.tokens, opening.attempt});
+    answer(opening.admission.callback, m_granted.add(opening));
 }
 
 /// An agent that could not be asked before has told of a run of this request: it is a duplicate after all.
@@ -273,6 +271,7 @@
 {
     m_registry.expire(m_ports.timers.now());
     m_shards.refresh();
+    m_granted.refresh();
     finishStopping();
 }
 
--- a/src/libradishswitch/requestregistry.h
+++ b/src/libradishswitch/requestregistry.h
@@ -44,6 +44,8 @@
     RequestState state = RequestState::Opening;
     std::string fingerprint;
     std::uint32_t shard = 0;
+    /// Under which it was granted here.
+    std::uint64_t epoch = 0;
     bool isKeyed = false;
     bool isNonIdempotent = false;
     /// Whether this home gave the leave. Otherwise it learned of the run from an agent, and whoever holds the portion
@@ -52,6 +54,7 @@
     /// Whether the leave was given while a run of an earlier owner could still turn up.
     bool isProvisional = false;
     AttemptId grantedAttempt;
+    Instant grantedAt;
     /// In the order in which they were sent; the last holds the answer.
     std::vector<Dispatch> dispatches;
     PortionId portion;
--- a/src/libradishswitch/runtable.cpp
+++ b/src/libradishswitch/runtable.cpp
@@ -46,6 +46,8 @@
     record.isAnswerKept = true;
     record.agentAddress = agentAddress;
     record.shard = start.shard;
+    record.epoch = start.epoch;
+    record.isProvisional = start.isProvisional;
     return record;
 }
 
@@ -199,7 +201,12 @@
         }
         m_closedPortions.insert(nameHash(portion));
         const auto book = m_portions.find(portion);
-        answers.push_back({portion, {}, book == m_portions.end() ? 0 : book->second.foldedTokens, {}});
+        PortionCharges &answer = answers.emplace_back();
+        answer.portion = portion;
+        if (book != m_portions.end()) {
+            answer.foldedTokens = book->second.foldedTokens;
+            answer.provisionalTokens = book->second.provisionalTokens;
+        }
     }
     for (const KeptCharge &kept : m_charges) {
         const auto it = places.find(kept.portion);
@@ -343,7 +350,12 @@
     if (record.chargedTokens <= 0) {
         return;
     }
-    m_portions[record.portion].chargedAt = m_timers.now();
+    PortionBook &book = m_portions[record.portion];
+    book.chargedAt = m_timers.now();
+    if (record.isProvisional) {
+        book.provisionalTokens += record.chargedTokens;
+        return;
+    }
     m_charges.push_back({m_timers.now(), record.portion, {record.request, record.chargedTokens}});
     while (m_charges.size() > m_settings.maximumCharges) {
         foldOldestCharge();
--- a/src/libradishswitch/runtable.h
+++ b/src/libradishswitch/runtable.h
@@ -29,6 +29,8 @@
     std::int64_t reservedTokens = 0;
     std::string fingerprint;
     bool isNonIdempotent = false;
+    /// As in Grant.
+    bool isProvisional = false;
 
     bool operator==(const RunStart &) const = default;
 };
@@ -139,6 +141,7 @@
     };
     struct PortionBook {
         std::int64_t foldedTokens = 0;
+        std::int64_t provisionalTokens = 0;
         Instant chargedAt;
     };
 
--- a/tests/core/homeabandon_test.cpp
+++ b/tests/core/homeabandon_test.cpp
@@ -205,3 +205,36 @@
     EXPECT_EQ(first->home->openRequests(), 0u);
     EXPECT_FALSE(asked->isAnswered());
 }
+
+// The entry sends an order to an agent, and dies before the home heard where. The agent is gone as well when the home
+// looks for the run. It finds it at none of the others, which proves nothing: the order may have been placed.
+TEST_F(HomeAbandonTest, abandon_agentGoneSinceTheGrant_isNotTakenForNotRun)
+{
+    const AdmitQuestion question = order("r");
+    const Grant grant = ask(*first, question)->grant();
+    ASSERT_TRUE(fleet.start(question, grant, "agent-1").ok());
+    fleet.agents.kill("agent-1");
+    fleet.agents.unlist("agent-1");
+
+    first->home->abandon(question.request, grant.attempt);
+    fleet.advance(std::chrono::seconds(1));
+
+    EXPECT_EQ(ask(*first, question)->failure(), FailureCode::OutcomeUnknown);
+    EXPECT_EQ(first->reservations.withheld(), kWorstCase);
+}
+
+// The stream of an earlier grant breaks late, when the caller's retry holds the grant. The retry's attempt must not be
+// barred by that.
+TEST_F(HomeAbandonTest, abandon_ofEarlierGrant_leavesLaterGrant)
+{
+    const AdmitQuestion question = keyed("r");
+    const Grant grant = ask(*first, question)->grant();
+    first->home->settle(question.request, {0, true, false, grant.attempt});
+    const Grant again = ask(*first, question)->grant();
+
+    first->home->abandon(question.request, grant.attempt);
+    fleet.settle();
+
+    EXPECT_TRUE(fleet.start(question, again, "agent-1").ok());
+    EXPECT_EQ(first->reservations.reserved(), kWorstCase);
+}
--- a/tests/core/hometakeover_test.cpp
+++ b/tests/core/hometakeover_test.cpp
@@ -252,3 +252,131 @@
 
     EXPECT_EQ(failureCode(fleet.start(question, stale, "agent-2").status()), FailureCode::StaleEpoch);
 }
+
+// The new owner grants while an agent cannot be asked, and dies before it settled. The request may have been billed by
+// the run of the earlier owner; only the new one could have found that out. So its agents keep the charge apart, and
+// whoever closes its portion withholds it.
+TEST_F(HomeTakeoverTest, grant_whileAgentCutOff_isChargedApart)
+{
+    ask(*first, keyed("other"));
+    setDead(*first, *second);
+    fleet.agents.setCut("second", "agent-2", true);
+    const AdmitQuestion question = keyed("r");
+    const Grant grant = startRun(*second, question, "agent-1");
+    finishRun(grant, "agent-1");
+
+    EXPECT_TRUE(grant.isProvisional);
+    const auto closed = fleet.agents.table("agent-1")->closePortions({grant.portion});
+    EXPECT_EQ(closed.front().provisionalTokens, kUsed);
+    EXPECT_TRUE(closed.front().charges.empty());
+}
+
+// Each of two entries took the other for dead, and both had the same request run while agents could not be asked. When
+// the agents are back each finds the other's charge. The earlier owner bills; if both gave way nobody would.
+TEST_F(HomeTakeoverTest, settle_twoOwnersHadItRun_theEarlierBills)
+{
+    ask(*second, keyed("other"));
+    setDead(*second, *first);
+    setDead(*first, *second);
+    for (const std::string entry : {"first", "second"}) {
+        fleet.agents.setCut(entry, "agent-1", true);
+        fleet.agents.setCut(entry, "agent-2", true);
+    }
+    const AdmitQuestion question = keyed("r");
+    const Grant earlier = startRun(*first, question, "agent-1");
+    second->home->noteStaleEpoch(earlier.shard, 1);
+    fleet.settle();
+    const Grant later = startRun(*second, question, "agent-2");
+    ASSERT_LT(earlier.epoch, later.epoch);
+    finishRun(earlier, "agent-1");
+    finishRun(later, "agent-2");
+    first->home->settle(question.request, {kUsed, false, false, earlier.attempt});
+    second->home->settle(question.request, {kUsed, false, false, later.attempt});
+    for (const std::string entry : {"first", "second"}) {
+        fleet.agents.setCut(entry, "agent-1", false);
+        fleet.agents.setCut(entry, "agent-2", false);
+    }
+    fleet.advance(std::chrono::seconds(4));
+
+    EXPECT_EQ(bills(*first, question), std::vector<std::int64_t>{kUsed});
+    EXPECT_TRUE(bills(*second, question).empty());
+}
+
+// The shard goes to another owner while a request is on its way to a grant. The old owner grants nothing any more and
+// gives back what it reserved.
+TEST_F(HomeTakeoverTest, admit_shardLostOnTheWay_isSentElsewhereAndFreed)
+{
+    ask(*first, keyed("other"));
+    setDead(*first, *second);
+    ask(*second, keyed("another"));
+    first->reservations.setHolding(true);
+    const Asked asked = ask(*first, keyed("r"));
+    first->home->noteStaleEpoch(first->home->shardOf(keyed("r").budget), 1);
+    fleet.settle();
+
+    first->reservations.setHolding(false);
+    fleet.settle();
+
+    EXPECT_EQ(asked->failure(), FailureCode::HomeElsewhere);
+    EXPECT_EQ(first->reservations.reserved(), kWorstCase);
+}
+
+// An agent that could not be asked tells of the run just while its retry is being admitted: the retry is sent there.
+TEST_F(HomeTakeoverTest, admit_earlierRunTurnsUpOnTheWay_attaches)
+{
+    const AdmitQuestion question = keyed("r");
+    const Grant old = startRun(*first, question, "agent-2");
+    kill(first, *second);
+    fleet.agents.setCut("second", "agent-2", true);
+    ask(*second, keyed("other"));
+    second->reservations.setHolding(true);
+    const Asked retry = ask(*second, question);
+    fleet.agents.setCut("second", "agent-2", false);
+    fleet.advance(std::chrono::seconds(2));
+    ASSERT_FALSE(retry->isAnswered());
+
+    second->reservations.setHolding(false);
+    fleet.settle();
+
+    EXPECT_EQ(retry->duplicate().attempt, old.attempt);
+    EXPECT_EQ(second->reservations.free(), SmallFleet::kTokens - kWorstCase);
+}
+
+// An owner that lost its shard and gets it back must not go by what it knew before: another owner decided meanwhile.
+TEST_F(HomeTakeoverTest, admit_shardLostAndRegained_goesByTheAgentsNotByOldMemory)
+{
+    const AdmitQuestion question = keyed("r");
+    const Grant failed = startRun(*first, question, "agent-1");
+    fleet.agents.table("agent-1")->noteFailed(failed.attempt);
+    first->home->settle(question.request, {0, false, true, failed.attempt});
+    setDead(*first, *second);
+    const Grant grant = startRun(*second, question, "agent-2");
+    finishRun(grant, "agent-2");
+    second->home->settle(question.request, {kUsed, false, false, grant.attempt});
+    first->home->noteStaleEpoch(failed.shard, failed.epoch);
+    fleet.settle();
+    setDead(*second, *first);
+
+    EXPECT_EQ(ask(*first, question)->duplicate().attempt, grant.attempt);
+}
+
+// A request granted on a guess ends after its home lost the shard: nobody can find out any more whether it was billed
+// elsewhere, so its tokens are withheld.
+TEST_F(HomeTakeoverTest, settle_provisionalAfterShardWasLost_withholds)
+{
+    ask(*first, keyed("other"));
+    setDead(*first, *second);
+    fleet.agents.setCut("second", "agent-2", true);
+    const AdmitQuestion question = keyed("r");
+    const Grant grant = startRun(*second, question, "agent-1");
+    const auto third = fleet.makeEntry("third");
+    setDead(*second, *third);
+    ask(*third, keyed("another"));
+    second->home->noteStaleEpoch(grant.shard, grant.epoch);
+    fleet.settle();
+
+    second->home->settle(question.request, {kUsed, false, false, grant.attempt});
+
+    EXPECT_TRUE(bills(*second, question).empty());
+    EXPECT_EQ(second->reservations.withheld(), kWorstCase);
+}
--- a/tests/fakes/memoryagents.h
+++ b/tests/fakes/memoryagents.h
@@ -57,6 +57,11 @@
         }
     }
 
+    bool isAlive(const std::string &address) const
+    {
+        return m_tables.contains(address);
+    }
+
     bool isReachable(const std::string &entry, const std::string &address) const
     {
         return m_tables.contains(address) && !m_cuts.contains({entry, address});
--- a/tests/fakes/memoryreservations.h
+++ b/tests/fakes/memoryreservations.h
@@ -36,9 +36,23 @@
             m_free -= tokens;
             m_reserved[request] = tokens;
         }
-        m_tasks.post([callback = std::move(callback), answer] {
+        auto task = [callback = std::move(callback), answer] {
             callback(answer);
-        });
+        };
+        if (m_isHolding) {
+            m_held.push_back(std::move(task));
+        } else {
+            m_tasks.post(std::move(task));
+        }
+    }
+
+    /// While holding, answers wait.
+    void setHolding(bool isHolding)
+    {
+        m_isHolding = isHolding;
+        for (auto &task : std::exchange(m_held, {})) {
+            m_tasks.post(std::move(task));
+        }
     }
 
     void settle(const RequestId &request, std::int64_t tokens) override
@@ -101,6 +115,8 @@
     std::int64_t m_free;
     std::int64_t m_withheld = 0;
     int m_reservedTwice = 0;
+    bool m_isHolding = false;
+    std::vector<std::function<void()>> m_held;
     std::map<RequestId, std::int64_t> m_reserved;
     std::map<RequestId, std::vector<std::int64_t>> m_billed;
 };
--- a/tests/fakes/smallfleet.h
+++ b/tests/fakes/smallfleet.h
@@ -127,6 +127,7 @@
         start.reservedTokens = grant.reservedTokens;
         start.fingerprint = question.fingerprint;
         start.isNonIdempotent = question.isNonIdempotent;
+        start.isProvisional = grant.isProvisional;
         return agents.table(agent)->start(start);
     }
 
