--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -26,6 +26,7 @@
     start.reservedTokens = request.reserved_tokens();
     start.fingerprint = request.fingerprint();
     start.isNonIdempotent = request.non_idempotent();
+    start.isProvisional = request.provisional();
     return start;
 }
 
@@ -226,9 +227,7 @@
     }
     wire::ClosePortionsAnswer answer;
     for (const PortionCharges &charges : m_table.closePortions(portions)) {
-        wire::PortionCharges &portion = *answer.add_portions();
-        portion = portionChargesToWire(charges);
-        portion.set_complete_for_ms(std::chrono::duration_cast<std::chrono::milliseconds>(charges.completeFor).count());
+        *answer.add_portions() = portionChargesToWire(charges);
     }
     return answer;
 }
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -328,6 +328,7 @@
     run.set_portion_id(grant.portion.value());
     run.set_shard(grant.shard);
     run.set_epoch(grant.epoch);
+    run.set_provisional(grant.isProvisional);
     run.set_reserved_tokens(grant.reservedTokens);
     run.set_fingerprint(m_plan.fingerprint);
     run.set_method(m_plan.method);
--- a/src/libradishnet/wireconversion.cpp
+++ b/src/libradishnet/wireconversion.cpp
@@ -37,6 +37,9 @@
     message.set_non_idempotent(record.isNonIdempotent);
     message.set_answer_kept(record.isAnswerKept);
     message.set_agent_address(record.agentAddress);
+    message.set_shard(record.shard);
+    message.set_epoch(record.epoch);
+    message.set_provisional(record.isProvisional);
     return message;
 }
 
@@ -53,6 +56,9 @@
     record.isNonIdempotent = message.non_idempotent();
     record.isAnswerKept = message.answer_kept();
     record.agentAddress = message.agent_address();
+    record.shard = message.shard();
+    record.epoch = message.epoch();
+    record.isProvisional = message.provisional();
     return record;
 }
 
@@ -61,6 +67,8 @@
     wire::PortionCharges message;
     message.set_portion_id(charges.portion.value());
     message.set_folded_tokens(charges.foldedTokens);
+    message.set_provisional_tokens(charges.provisionalTokens);
+    message.set_complete_for_ms(std::chrono::duration_cast<std::chrono::milliseconds>(charges.completeFor).count());
     for (const PortionCharges::Charge &charge : charges.charges) {
         wire::Charge *entry = message.add_charges();
         entry->set_request_id(charge.request.value());
@@ -77,6 +85,8 @@
     PortionCharges charges;
     charges.portion = PortionId(message.portion_id());
     charges.foldedTokens = message.folded_tokens();
+    charges.provisionalTokens = message.provisional_tokens();
+    charges.completeFor = std::chrono::milliseconds(message.complete_for_ms());
     for (const wire::Charge &charge : message.charges()) {
         charges.charges.push_back({RequestId(charge.request_id()), charge.tokens()});
     }
