Prove the transport's promises and end streams that nobody holds

Cause: silence, back-pressure, refusals and lifetimes of the transport were written and not tested; streams left open held their connection for ever when the workers' context ended, and a server's stream let go without finish() kept its caller waiting. A stream whose last holder is gone finishes once it has nothing to tell. Handlers that are destroyed without having run make their connection let go of its streams. The closing callback gets the status itself, no shared copy.

--- a/src/libradishnet/http2connection.cpp
+++ b/src/libradishnet/http2connection.cpp
@@ -23,6 +23,34 @@
 
 }
 
+/// Keeps a connection for a handler that waits. A handler is destroyed without having run only when the workers'
+/// context is; then the connection lets go of its streams, which hold it in turn and would keep each other for ever.
+class Http2Connection::Hold
+{
+public:
+    explicit Hold(std::shared_ptr<Http2Connection> connection)
+        : m_connection(std::move(connection))
+    {
+    }
+
+    Hold(Hold &&) = default;
+
+    ~Hold()
+    {
+        if (m_connection) {
+            m_connection->abandon();
+        }
+    }
+
+    std::shared_ptr<Http2Connection> take()
+    {
+        return std::move(m_connection);
+    }
+
+private:
+    std::shared_ptr<Http2Connection> m_connection;
+};
+
 Http2Connection::Http2Connection(WorkerPool &workers, TransportSettings settings, Side side, ClosedCallback onClosed)
     : m_settings(std::move(settings))
     , m_proof(m_settings.fleetKey)
@@ -34,6 +62,25 @@
 {
 }
 
+/// The handler of an asynchronous operation: runs `work` with the operation's results, then writes what came of it.
+template<typename Work>
+auto Http2Connection::batchHandler(Work work)
+{
+    return [hold = Hold(shared_from_this()), work = std::move(work)](auto... results) mutable {
+        const std::shared_ptr<Http2Connection> self = hold.take();
+        self->m_isInBatch = true;
+        work(*self, results...);
+        self->flush();
+        self->m_isInBatch = false;
+    };
+}
+
+template<typename Work>
+void Http2Connection::postBatch(Work work)
+{
+    boost::asio::post(m_strand, batchHandler(std::move(work)));
+}
+
 Http2Connection::Socket &Http2Connection::socket()
 {
     return m_socket;
@@ -42,32 +89,34 @@
 void Http2Connection::accept(HandlerLookup handlers)
 {
     m_handlers = std::move(handlers);
-    boost::asio::post(m_strand, [self = shared_from_this()] {
-        self->runBatch([&] {
-            self->begin();
-        });
+    postBatch([](Http2Connection &self) {
+        self.begin();
     });
 }
 
 void Http2Connection::connect(const boost::asio::ip::tcp::endpoint &endpoint)
 {
-    boost::asio::post(m_strand, [self = shared_from_this(), endpoint] {
-        if (self->m_isClosed) {
-            return;
-        }
-        self->armTimer(self->m_settings.connectTimeout);
-        self->m_socket.async_connect(endpoint, [self](error_code ec) {
-            self->runBatch([&] {
-                if (ec) {
-                    self->shut(makeFailure(FailureCode::ConnectionLost, "connecting failed: " + ec.message()));
-                } else {
-                    self->begin();
-                }
-            });
-        });
+    postBatch([endpoint](Http2Connection &self) {
+        self.beginConnecting(endpoint);
     });
 }
 
+void Http2Connection::beginConnecting(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    if (m_isClosed) {
+        return;
+    }
+    armTimer(m_settings.connectTimeout);
+    m_socket.async_connect(endpoint, batchHandler([](Http2Connection &self, const error_code &ec) {
+                               if (ec) {
+                                   self.shut(
+                                       makeFailure(FailureCode::ConnectionLost, "connecting failed: " + ec.message()));
+                               } else {
+                                   self.begin();
+                               }
+                           }));
+}
+
 bool Http2Connection::isUsable() const
 {
     return m_isUsable;
@@ -78,17 +127,20 @@
     return m_wasHeard;
 }
 
-Http2StreamPointer Http2Connection::open(const std::string &path, std::string firstFrame)
+MessageStreamPointer Http2Connection::open(const std::string &path, std::string firstFrame)
 {
     auto stream = std::make_shared<Http2Stream>(shared_from_this(), Side::Client, path);
     stream->send(std::move(firstFrame));
-    return stream;
+    return Http2Stream::handle(std::move(stream));
 }
 
 void Http2Connection::schedule(Http2StreamPointer stream)
 {
     {
         const std::lock_guard lock(m_pendingMutex);
+        if (m_isAbandoned) {
+            return;
+        }
         m_pending.push_back(std::move(stream));
         if (std::exchange(m_isWakeDue, true)) {
             return;
@@ -97,29 +149,16 @@
     if (m_strand.running_in_this_thread() && m_isInBatch) {
         return;
     }
-    boost::asio::post(m_strand, [self = shared_from_this()] {
-        self->runBatch([] {});
-    });
+    postBatch([](Http2Connection &) {});
 }
 
 void Http2Connection::close()
 {
-    boost::asio::post(m_strand, [self = shared_from_this()] {
-        self->runBatch([&] {
-            self->shut(makeFailure(FailureCode::ConnectionLost, "the connection was closed on this side"));
-        });
+    postBatch([](Http2Connection &self) {
+        self.shut(makeFailure(FailureCode::ConnectionLost, "the connection was closed on this side"));
     });
 }
 
-template<typename Work>
-void Http2Connection::runBatch(Work work)
-{
-    m_isInBatch = true;
-    work();
-    flush();
-    m_isInBatch = false;
-}
-
 void Http2Connection::flush()
 {
     for (int round = 0; round < kMaximumRounds; ++round) {
@@ -129,9 +168,7 @@
             return;
         }
     }
-    boost::asio::post(m_strand, [self = shared_from_this()] {
-        self->runBatch([] {});
-    });
+    postBatch([](Http2Connection &) {});
 }
 
 bool Http2Connection::servePending()
@@ -191,37 +228,44 @@
     if (m_isClosed || !m_isConnected || m_isWriting) {
         return false;
     }
-    m_output.clear();
-    const absl::Status status = m_session->pull(m_output, kOutputBytes);
+    // One buffer a thread serves all connections, of which a process has thousands, mostly idle.
+    thread_local std::string output;
+    output.clear();
+    const absl::Status status = m_session->pull(output, kOutputBytes);
     if (!status.ok()) {
         shut(status);
         return true;
     }
-    if (m_output.empty()) {
+    if (output.empty()) {
         return false;
     }
     error_code ec;
-    const std::size_t n = m_socket.write_some(boost::asio::buffer(m_output), ec);
+    const std::size_t n = m_socket.write_some(boost::asio::buffer(output), ec);
     if (ec && ec != boost::asio::error::would_block) {
         shut(makeFailure(FailureCode::ConnectionLost, "writing failed: " + ec.message()));
-    } else if (n < m_output.size()) {
-        writeRest(n);
+    } else if (n < output.size()) {
+        writeLater(output.substr(n));
     }
     return true;
 }
 
-void Http2Connection::writeRest(std::size_t written)
+void Http2Connection::writeLater(std::string rest)
 {
     m_isWriting = true;
-    const auto rest = boost::asio::buffer(m_output) + written;
-    boost::asio::async_write(m_socket, rest, [self = shared_from_this()](error_code ec, std::size_t) {
-        self->runBatch([&] {
-            self->m_isWriting = false;
-            if (ec) {
-                self->shut(makeFailure(FailureCode::ConnectionLost, "writing failed: " + ec.message()));
-            }
-        });
-    });
+    m_unwritten = std::move(rest);
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_unwritten),
+                             batchHandler([](Http2Connection &self, const error_code &ec, std::size_t) {
+                                 self.restWritten(ec);
+                             }));
+}
+
+void Http2Connection::restWritten(const error_code &ec)
+{
+    m_isWriting = false;
+    m_unwritten = {};
+    if (ec) {
+        shut(makeFailure(FailureCode::ConnectionLost, "writing failed: " + ec.message()));
+    }
 }
 
 void Http2Connection::begin()
@@ -247,11 +291,10 @@
 
 void Http2Connection::read()
 {
-    m_socket.async_read_some(boost::asio::buffer(m_input), [self = shared_from_this()](error_code ec, std::size_t n) {
-        self->runBatch([&] {
-            self->inputRead(ec, n);
-        });
-    });
+    m_socket.async_read_some(boost::asio::buffer(m_input),
+                             batchHandler([](Http2Connection &self, const error_code &ec, std::size_t n) {
+                                 self.inputRead(ec, n);
+                             }));
 }
 
 void Http2Connection::inputRead(const error_code &ec, std::size_t n)
@@ -280,13 +323,11 @@
 void Http2Connection::armTimer(Duration delay)
 {
     m_timer.expires_after(delay);
-    m_timer.async_wait([self = shared_from_this()](error_code ec) {
+    m_timer.async_wait(batchHandler([](Http2Connection &self, const error_code &ec) {
         if (!ec) {
-            self->runBatch([&] {
-                self->timerFired();
-            });
+            self.timerFired();
         }
-    });
+    }));
 }
 
 void Http2Connection::timerFired()
@@ -373,6 +414,30 @@
     m_handlers = nullptr;
 }
 
+void Http2Connection::abandon()
+{
+    std::vector<Http2StreamPointer> streams;
+    {
+        const std::lock_guard lock(m_pendingMutex);
+        m_isAbandoned = true;
+        streams.swap(m_pending);
+    }
+    m_isUsable = false;
+    m_isClosed = true;
+    streams.insert(streams.end(), m_waiting.begin(), m_waiting.end());
+    m_waiting.clear();
+    if (m_session) {
+        const std::vector<Http2StreamPointer> open = m_session->takeStreams();
+        streams.insert(streams.end(), open.begin(), open.end());
+        m_session.reset();
+    }
+    m_handlers = nullptr;
+    m_onClosed = nullptr;
+    for (const Http2StreamPointer &stream : streams) {
+        stream->abandon();
+    }
+}
+
 absl::StatusOr<Http2StreamPointer> Http2Connection::createStream(const StreamRequest &request)
 {
     const Http2MessageServer::Handler *handler = m_handlers ? m_handlers(request.path) : nullptr;
@@ -387,7 +452,7 @@
 
 void Http2Connection::streamOpened(const Http2StreamPointer &stream)
 {
-    (*m_handlers(stream->path()))(stream);
+    (*m_handlers(stream->path()))(Http2Stream::handle(stream));
 }
 
 void Http2Connection::goAwayReceived()
--- a/src/libradishnet/http2connection.h
+++ b/src/libradishnet/http2connection.h
@@ -56,7 +56,7 @@
     bool wasHeard() const;
 
     /// Opens a client's stream.
-    Http2StreamPointer open(const std::string &path, std::string firstFrame);
+    MessageStreamPointer open(const std::string &path, std::string firstFrame);
 
     void schedule(Http2StreamPointer stream) override;
 
@@ -70,14 +70,20 @@
 private:
     using Clock = std::chrono::steady_clock;
 
+    class Hold;
+
+    template<typename Work>
+    auto batchHandler(Work work);
     template<typename Work>
-    void runBatch(Work work);
+    void postBatch(Work work);
     void flush();
     bool servePending();
     void serve(const Http2StreamPointer &stream);
     void openOnSession(const Http2StreamPointer &stream);
     bool write();
-    void writeRest(std::size_t written);
+    void writeLater(std::string rest);
+    void restWritten(const boost::system::error_code &ec);
+    void beginConnecting(const boost::asio::ip::tcp::endpoint &endpoint);
     void begin();
     void read();
     void inputRead(const boost::system::error_code &ec, std::size_t n);
@@ -87,6 +93,7 @@
     bool hasUnreadInput() const;
     bool closeIfUnused();
     void shut(absl::Status status);
+    void abandon();
 
     const TransportSettings m_settings;
     const StreamProof m_proof;
@@ -96,10 +103,11 @@
     Timer m_timer;
     std::atomic<bool> m_isUsable = true;
 
-    /// Guards the two lines that follow. No other lock is taken under it.
+    /// Guards the three lines that follow. No other lock is taken under it.
     std::mutex m_pendingMutex;
     std::vector<Http2StreamPointer> m_pending;
     bool m_isWakeDue = false;
+    bool m_isAbandoned = false;
 
     ClosedCallback m_onClosed;
     HandlerLookup m_handlers;
@@ -107,7 +115,7 @@
     std::vector<Http2StreamPointer> m_waiting;
     std::vector<Http2StreamPointer> m_serving;
     std::vector<char> m_input;
-    std::string m_output;
+    std::string m_unwritten;
     bool m_isInBatch = false;
     bool m_isConnected = false;
     bool m_isClosed = false;
--- a/src/libradishnet/http2stream.cpp
+++ b/src/libradishnet/http2stream.cpp
@@ -14,6 +14,14 @@
 {
 }
 
+MessageStreamPointer Http2Stream::handle(Http2StreamPointer stream)
+{
+    MessageStream *const pointer = stream.get();
+    return MessageStreamPointer(pointer, [stream = std::move(stream)](MessageStream *) {
+        stream->release();
+    });
+}
+
 void Http2Stream::start(MessageCallback onMessage, ClosedCallback onClosed)
 {
     m_onMessage = std::move(onMessage);
@@ -102,6 +110,9 @@
 {
     const std::lock_guard lock(m_mutex);
     m_isScheduled = false;
+    if (m_isReleased) {
+        finishReleased();
+    }
     if (m_isOversized) {
         setFault(FailureCode::MessageTooLarge, "the frame to send is too large");
     } else if (m_isCancelled) {
@@ -219,6 +230,34 @@
     }
 }
 
+void Http2Stream::abandon()
+{
+    std::vector<Waiter> waiters;
+    const MessageCallback onMessage = std::exchange(m_onMessage, nullptr);
+    const ClosedCallback onClosed = std::exchange(m_onClosed, nullptr);
+    const std::lock_guard lock(m_mutex);
+    m_isSendingOver = true;
+    waiters.swap(m_waiters);
+}
+
+void Http2Stream::release()
+{
+    m_isReleased = true;
+    scheduleLocked(std::unique_lock(m_mutex));
+}
+
+/// Called with the lock held. A stream that was started and not closed yet still has something to tell.
+void Http2Stream::finishReleased()
+{
+    if (!m_isStarted) {
+        m_onMessage = [](const std::string &) {};
+        m_onClosed = [](const absl::Status &) {};
+        m_isStarted = true;
+        m_isFinishing = true;
+    }
+    m_isFinishing = m_isFinishing || m_isClosedTold;
+}
+
 void Http2Stream::scheduleLocked(std::unique_lock<std::mutex> lock)
 {
     if (std::exchange(m_isScheduled, true)) {
@@ -283,7 +322,7 @@
         // The server's answer is complete: an HTTP/2 stream with this direction left open would stay for ever.
         finish();
     }
-    onClosed(*m_end);
+    onClosed(std::move(*m_end));
 }
 
 }
--- a/src/libradishnet/http2stream.h
+++ b/src/libradishnet/http2stream.h
@@ -48,6 +48,10 @@
 
     Http2Stream(std::shared_ptr<StreamScheduler> scheduler, Side side, std::string path);
 
+    /// What users of the stream hold. The connection holds the stream itself, so that one which nobody holds goes on to
+    /// call back; but nobody can finish it any more, so that is done here as soon as it has nothing to tell.
+    static MessageStreamPointer handle(Http2StreamPointer stream);
+
     void start(MessageCallback onMessage, ClosedCallback onClosed) override;
     void send(std::string frame) override;
     std::size_t queuedBytes() const override;
@@ -99,12 +103,17 @@
     /// Calls back those who wait for the queue to drain, where it has.
     void callWaiters();
 
+    /// The threads of the connection have ended: nothing is called back any more.
+    void abandon();
+
 private:
     struct Waiter {
         std::size_t bytes;
         std::function<void()> callback;
     };
 
+    void release();
+    void finishReleased();
     void scheduleLocked(std::unique_lock<std::mutex> lock);
     bool canHandOver() const;
     bool hasDrainedWaiter() const;
@@ -120,6 +129,7 @@
     std::atomic<bool> m_isStarted = false;
     std::atomic<bool> m_isPaused = false;
     std::atomic<bool> m_isCancelled = false;
+    std::atomic<bool> m_isReleased = false;
 
     /// Guards what follows, up to the blank line. No other lock is taken under it.
     mutable std::mutex m_mutex;
--- a/tests/net/messagestreamfixture.h
+++ b/tests/net/messagestreamfixture.h
@@ -57,7 +57,12 @@
     /// The server's side of the one stream that a test opens on "/keep".
     MessageStreamPointer takeKept()
     {
-        std::future<MessageStreamPointer> future = kept.get_future();
+        return takeStream(kept);
+    }
+
+    static MessageStreamPointer takeStream(std::promise<MessageStreamPointer> &promise)
+    {
+        std::future<MessageStreamPointer> future = promise.get_future();
         if (future.wait_for(StreamRecorder::kPatience) != std::future_status::ready) {
             ADD_FAILURE() << "no stream has come";
             return nullptr;
