--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -63,6 +63,7 @@
     std::uint16_t port = 0;
 
     mutable std::mutex mutex;
+    bool isListening = false;
     bool isDraining = false;
     std::function<void()> onDrained;
     std::unordered_set<std::shared_ptr<HttpSessionBase>> sessions;
@@ -178,7 +179,7 @@
 
 void HttpServer::Private::tellIfDrained()
 {
-    if (isDraining && sessions.empty() && onDrained) {
+    if (isDraining && !isListening && sessions.empty() && onDrained) {
         net::post(ioContext, std::exchange(onDrained, nullptr));
     }
 }
@@ -188,6 +189,9 @@
     net::post(strand, [self = shared_from_this()] {
         boost::system::error_code ec;
         self->acceptor.close(ec);
+        const std::lock_guard lock(self->mutex);
+        self->isListening = false;
+        self->tellIfDrained();
     });
 }
 
@@ -219,6 +223,7 @@
         status = d->bind(address, port);
     }
     if (status.ok()) {
+        d->isListening = true;
         net::co_spawn(
             d->strand,
             [self = d]() -> net::awaitable<void> {
@@ -236,11 +241,12 @@
 
 void HttpServer::drain(std::function<void()> onDrained)
 {
-    d->closeListener();
+    {
+        const std::lock_guard lock(d->mutex);
+        d->onDrained = std::move(onDrained);
+    }
     d->forEachSession(&HttpSessionBase::drain);
-    const std::lock_guard lock(d->mutex);
-    d->onDrained = std::move(onDrained);
-    d->tellIfDrained();
+    d->closeListener();
 }
 
 int HttpServer::openConnections() const
--- /dev/null
+++ b/tests/net/httpclient_test.cpp
@@ -0,0 +1,211 @@
+#include "failure.h"
+#include "loopbackfixture.h"
+
+#include <boost/asio/read_until.hpp>
+
+#include <thread>
+
+using namespace RadishSwitch;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+HttpRequest requestOf(const std::string &method)
+{
+    HttpRequest request;
+    request.method = method;
+    return request;
+}
+
+}
+
+/// A server by hand, one connection after the other, for what a proper server never does.
+class HttpClientTest : public LoopbackFixture
+{
+protected:
+    /// What is done with a connection once its request was read.
+    using Step = std::function<void(tcp::socket &)>;
+
+    HttpClientTest()
+        : m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+    }
+
+    ~HttpClientTest() override
+    {
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    /// Accepts a connection for each step, and reads one request on it first.
+    std::string acceptEach(std::vector<Step> steps)
+    {
+        m_thread = std::thread([this, steps = std::move(steps)] {
+            for (const Step &step : steps) {
+                tcp::socket socket(m_context);
+                m_acceptor.accept(socket);
+                readRequest(socket);
+                step(socket);
+            }
+        });
+        return address();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    static void readRequest(tcp::socket &socket)
+    {
+        std::string buf;
+        boost::system::error_code ec;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(buf), "\r\n\r\n", ec);
+    }
+
+    static Step send(std::string bytes)
+    {
+        return [bytes = std::move(bytes)](tcp::socket &socket) {
+            boost::asio::write(socket, boost::asio::buffer(bytes));
+        };
+    }
+
+    /// Waits until the client gives the connection up.
+    static void waitForEnd(tcp::socket &socket)
+    {
+        readRequest(socket);
+    }
+
+private:
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+TEST_F(HttpClientTest, connection_refused_isNotRun)
+{
+    std::string gone;
+    {
+        boost::asio::io_context context;
+        const tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+        gone = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    const auto response = fetch(gone);
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionLost);
+    EXPECT_EQ(outcomeOf(response.status()), RunOutcome::NotRun);
+}
+
+TEST_F(HttpClientTest, address_notAnIpNumber_isInvalidSettings)
+{
+    EXPECT_EQ(failureCode(fetch("localhost:80").status()), FailureCode::InvalidSettings);
+}
+
+TEST_F(HttpClientTest, server_closesWithoutAnswer_outcomeIsUnknown)
+{
+    // The server reads the request, does who knows what, and dies. The caller must not take that for "not run".
+    const auto response = fetch(acceptEach({[](tcp::socket &) {}}), requestOf("POST"));
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionLost);
+    EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
+}
+
+TEST_F(HttpClientTest, server_neverAnswers_isSilentWithUnknownOutcome)
+{
+    const auto response = fetch(acceptEach({waitForEnd}), requestOf("POST"), kShort);
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionSilent);
+    EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
+}
+
+TEST_F(HttpClientTest, server_answersNoHttp_isMalformed)
+{
+    const auto response = fetch(acceptEach({send("SSH-2.0-nothing here\r\n\r\n")}));
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::MalformedMessage);
+    EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
+}
+
+TEST_F(HttpClientTest, answer_shorterThanItsLength_isLostAndNotShortened)
+{
+    const auto response = fetch(acceptEach({send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")}));
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionLost);
+}
+
+TEST_F(HttpClientTest, answer_withoutLength_endsWithConnection)
+{
+    const auto response = fetch(acceptEach({send("HTTP/1.0 200 OK\r\n\r\nabc")}));
+
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->body, "abc");
+}
+
+class IdleConnectionTest : public HttpClientTest
+{
+protected:
+    static constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+
+    /// Answers once, and closes when the next request is there, unanswered: what a server does that closes an idle
+    /// connection while a request is on its way to it.
+    static void answerOnceThenClose(tcp::socket &socket)
+    {
+        send(kAnswer)(socket);
+        readRequest(socket);
+    }
+};
+
+TEST_F(IdleConnectionTest, closedUnderSafeRequest_isReplacedWithoutCallerNoticing)
+{
+    const std::string address = acceptEach({answerOnceThenClose, send(kAnswer)});
+    ASSERT_TRUE(fetch(address).ok());
+
+    EXPECT_TRUE(fetch(address, requestOf("GET")).ok());
+}
+
+TEST_F(IdleConnectionTest, closedUnderUnsafeRequest_isNeverSentAgain)
+{
+    // A second POST could run twice what the server took before it closed: the caller gets "unknown" and decides.
+    const std::string address = acceptEach({answerOnceThenClose});
+    ASSERT_TRUE(fetch(address).ok());
+
+    const auto response = fetch(address, requestOf("POST"));
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionLost);
+    EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
+}
+
+TEST_F(HttpClientTest, stream_fallsSilent_readTimesOutAndTellsSo)
+{
+    const std::string address = acceptEach({[](tcp::socket &socket) {
+        send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")(socket);
+        waitForEnd(socket);
+    }});
+
+    const auto stream = wait(client.open(address, {}, kLong));
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    const auto first = wait((*stream)->read(kLong));
+    const auto second = wait((*stream)->read(kShort));
+
+    ASSERT_TRUE(first.ok()) << first.status();
+    EXPECT_EQ(*first, "abc");
+    EXPECT_EQ(failureCode(second.status()), FailureCode::ConnectionSilent);
+}
+
+TEST_F(HttpClientTest, stream_cancelled_pendingReadFailsAtOnce)
+{
+    const std::string address = acceptEach({[](tcp::socket &socket) {
+        send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")(socket);
+        waitForEnd(socket);
+    }});
+    const auto stream = wait(client.open(address, {}, kLong));
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    auto read = boost::asio::co_spawn(workers.context(), (*stream)->read(kLong), boost::asio::use_future);
+
+    (*stream)->cancel();
+
+    EXPECT_EQ(failureCode(read.get().status()), FailureCode::ConnectionLost);
+}
