Keep a closure out of a co_await expression that g++ 12 destroys twice

Cause: awaitCallback wrote its closure inside the co_await. g++ 12 destroys such a temporary twice, which frees the executor's strand under the other users: heap-use-after-free in the address sanitizer, and an abort in about one of 45 runs of net-tests in the release build.

Change: the closure is a named local.

--- a/src/libradishnet/asyncresult.h
+++ b/src/libradishnet/asyncresult.h
@@ -4,7 +4,7 @@
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -16,21 +16,24 @@
 
 /// Waits in a coroutine for the one call of a callback, and goes on at the coroutine's own executor.
 ///
-/// `start` gets the callback; it may be called on any thread.
+/// `start` gets the callback; it may be called on any thread, also under a lock: the coroutine goes on in a task of its
+/// own and never inside the callback, where it could ask for the same lock again and wait for itself.
 template<typename T, typename Start>
 boost::asio::awaitable<T> awaitCallback(Start start)
 {
     const auto executor = co_await boost::asio::this_coro::executor;
-    co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void(T)>(
-        [executor](auto handler, Start start) {
-            const auto held = std::make_shared<decltype(handler)>(std::move(handler));
-            start([held, executor](T result) {
-                boost::asio::dispatch(executor, [held, result = std::move(result)]() mutable {
-                    (*held)(std::move(result));
-                });
+    // Named, and not written inside the co_await: g++ 12 destroys a temporary closure of a co_await expression twice,
+    // which frees the executor that it holds while others use it.
+    const auto initiation = [executor](auto handler, Start start) {
+        const auto held = std::make_shared<decltype(handler)>(std::move(handler));
+        start([held, executor](T result) {
+            boost::asio::post(executor, [held, result = std::move(result)]() mutable {
+                (*held)(std::move(result));
             });
-        },
-        boost::asio::use_awaitable, std::move(start));
+        });
+    };
+    co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void(T)>(
+        initiation, boost::asio::use_awaitable, std::move(start));
 }
 
 }
