--- a/src/libradishnet/asyncresult.h
+++ b/src/libradishnet/asyncresult.h
@@ -22,16 +22,18 @@
 boost::asio::awaitable<T> awaitCallback(Start start)
 {
     const auto executor = co_await boost::asio::this_coro::executor;
-    co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void(T)>(
-        [executor](auto handler, Start start) {
-            const auto held = std::make_shared<decltype(handler)>(std::move(handler));
-            start([held, executor](T result) {
-                boost::asio::post(executor, [held, result = std::move(result)]() mutable {
-                    (*held)(std::move(result));
-                });
+    // Named, and not written inside the co_await: g++ 12 destroys a temporary closure of a co_await expression twice,
+    // which frees the executor that it holds while others use it.
+    const auto initiation = [executor](auto handler, Start start) {
+        const auto held = std::make_shared<decltype(handler)>(std::move(handler));
+        start([held, executor](T result) {
+            boost::asio::post(executor, [held, result = std::move(result)]() mutable {
+                (*held)(std::move(result));
             });
-        },
-        boost::asio::use_awaitable, std::move(start));
+        });
+    };
+    co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void(T)>(
+        initiation, boost::asio::use_awaitable, std::move(start));
 }
 
 }
