--- a/tests/core/shardwriter_test.cpp
+++ b/tests/core/shardwriter_test.cpp
@@ -85,6 +85,20 @@
     EXPECT_EQ(store.writes(), 2);
 }
 
+// The write itself is lost on the way. The writer sees the same timeout as for a lost answer, and must not take it for
+// done: the payment would be missing although the operator was told that it is booked.
+TEST_F(ShardWriterTest, submit_writeLostOnTheWay_readsBackAndWritesAgain)
+{
+    submit(writer, create(1));
+    run(Seconds(1));
+    link.loseNextWrites(3);
+    const auto status = submit(writer, topUp(1, "p", 5));
+    run(Seconds(5));
+
+    EXPECT_TRUE(status->value().ok());
+    EXPECT_EQ(stored().find(budget(1))->paid(), 5);
+}
+
 // Two processes write to one shard at the same moment. Both have read version 1; the second write meets a conflict,
 // reads again and goes in on top of the first. Without the version one of the two payments would be lost.
 TEST_F(ShardWriterTest, submit_twoWritersAtOnce_bothGoIn)
--- a/tests/fakes/storelink.h
+++ b/tests/fakes/storelink.h
@@ -36,6 +36,12 @@
         m_lostAnswers = n;
     }
 
+    /// The next `n` writes through this link are lost on the way: no effect, and a timeout.
+    void loseNextWrites(int n)
+    {
+        m_lostWrites = n;
+    }
+
     int calls() const
     {
         return m_calls;
@@ -61,6 +67,13 @@
             return;
         }
         ++m_writes;
+        if (m_lostWrites > 0) {
+            --m_lostWrites;
+            m_tasks.post([callback = std::move(callback), key] {
+                callback(RadishSwitch::makeFailure(RadishSwitch::FailureCode::StoreTimeout, key));
+            });
+            return;
+        }
         if (m_lostAnswers > 0) {
             --m_lostAnswers;
             callback = [callback = std::move(callback), key](const auto &) {
@@ -124,6 +137,7 @@
     RadishSwitch::Duration m_delay = RadishSwitch::Duration::zero();
     bool m_isCut = false;
     int m_lostAnswers = 0;
+    int m_lostWrites = 0;
     int m_calls = 0;
     int m_writes = 0;
 };
