--- a/src/libradishswitch/home.cpp
+++ b/src/libradishswitch/home.cpp
@@ -192,7 +192,10 @@
         return answer(admission.callback, status);
     }
     // An agent that could not be asked may be running it. An order would have left a claim.
-    if (!question.isNonIdempotent && !m_shards.isComplete(shard)) {
+    const bool isUnsure = !question.isNonIdempotent && !m_shards.isComplete(shard);
+    const FailureCode code = failureCode(status);
+    const bool isStoreAway = code == FailureCode::StoreUnavailable || code == FailureCode::StoreTimeout;
+    if (isUnsure || isStoreAway) {
         return answer(admission.callback, withUnknownOutcome(status));
     }
     m_refusalProof.seek(shard, m_life.guard([this, admission, status](bool isProven) {
--- a/tests/fakes/memoryagents.h
+++ b/tests/fakes/memoryagents.h
@@ -110,7 +110,8 @@
     void findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
                   std::uint64_t epoch, std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback) override
     {
-        const std::string text = "which runs of the shard do you know? (epoch " + std::to_string(epoch) + ")";
+        const std::string text =
+            "which runs of the key shard do you know? refuse those of owners before epoch " + std::to_string(epoch);
         ask<std::vector<RunRecord>>(
             agentAddress, text,
             [requests = std::move(requests), shard, epoch](RadishSwitch::RunTable &table) {
@@ -123,7 +124,7 @@
                        std::function<void(absl::StatusOr<std::vector<PortionCharges>>)> callback) override
     {
         ask<std::vector<PortionCharges>>(
-            agentAddress, "close portions and tell what was charged",
+            agentAddress, "let no run on these portions any more; what was charged to them?",
             [portions = std::move(portions)](RadishSwitch::RunTable &table) {
                 return table.closePortions(portions);
             },
@@ -141,10 +142,50 @@
             std::move(callback));
     }
 
+    static std::string told(const RunRecord &record)
+    {
+        switch (record.state) {
+        case RadishSwitch::RunState::Unknown:
+            return record.request.value() + " is not known";
+        case RadishSwitch::RunState::Running:
+            return record.request.value() + " is running";
+        case RadishSwitch::RunState::Done:
+            return record.request.value() + " is done, " + std::to_string(record.chargedTokens) + " tokens";
+        case RadishSwitch::RunState::Failed:
+            return record.request.value() + " failed";
+        case RadishSwitch::RunState::Barred:
+            return record.request.value() + " did not run and never will";
+        }
+        return "";
+    }
+
 private:
     template<typename Answer>
     using Callback = std::function<void(absl::StatusOr<Answer>)>;
 
+    static std::string told(const std::vector<RunRecord> &records)
+    {
+        std::string text;
+        for (const RunRecord &record : records) {
+            text += (text.empty() ? "" : "; ") + told(record);
+        }
+        return text.empty() ? "none" : text;
+    }
+
+    static std::string told(const std::vector<PortionCharges> &portions)
+    {
+        std::int64_t tokens = 0;
+        std::size_t running = 0;
+        for (const PortionCharges &portion : portions) {
+            tokens += portion.foldedTokens;
+            running += portion.running.size();
+            for (const PortionCharges::Charge &charge : portion.charges) {
+                tokens += charge.tokens;
+            }
+        }
+        return std::to_string(tokens) + " tokens charged, " + std::to_string(running) + " still running";
+    }
+
     template<typename Answer>
     void ask(const std::string &address, const std::string &text,
              std::function<Answer(RadishSwitch::RunTable &)> question, Callback<Answer> callback)
@@ -152,12 +193,13 @@
         const auto lost = [callback] {
             callback(RadishSwitch::makeFailure(RadishSwitch::FailureCode::ConnectionLost, "the agent cannot be asked"));
         };
-        const auto deliver = [this, address, text, question = std::move(question), callback, lost] {
+        const auto deliver = [this, address, question = std::move(question), callback, lost] {
             if (!m_agents.isReachable(m_entry, address)) {
                 return m_courier.carry({address, m_entry, "no connection", lost, lost});
             }
             Answer answer = question(*m_agents.table(address));
-            m_courier.carry({address, m_entry, "answer: " + text,
+            const std::string text = told(answer);
+            m_courier.carry({address, m_entry, text,
                              [callback, answer = std::move(answer)] {
                                  callback(answer);
                              },
