Show a request's story, eligible endpoints and sums of budgets

The entry tells the way of a request step by step, and the endpoints that it would send work to; radishctl prints both.

--- a/src/radishctl/fleetlist.cpp
+++ b/src/radishctl/fleetlist.cpp
@@ -64,7 +64,7 @@
         }
         FleetInstance it{member(json, "name"), member(json, "role"),   member(json, "address"), member(json, "admin"),
                          member(json, "zone"), member(json, "region"), member(json, "pool"),    member(json, "state")};
-        if (!it.admin.empty() && (role.empty() || it.role == role)) {
+        if (role.empty() || it.role == role) {
             fleet.push_back(std::move(it));
         }
     }
@@ -97,7 +97,13 @@
                     done();
                 }
             };
-            context.environment().admin.ask(instances[n].admin, "GET", kStatusTarget, take);
+            if (instances[n].admin.empty()) {
+                context.environment().tasks.post([take] {
+                    take(makeFailure(FailureCode::ConnectionLost, "it lists no admin address"));
+                });
+            } else {
+                context.environment().admin.ask(instances[n].admin, "GET", kStatusTarget, take);
+            }
         }
     });
     std::vector<InstanceStatus> statuses;
--- a/src/radishctl/fleetlist.h
+++ b/src/radishctl/fleetlist.h
@@ -31,7 +31,7 @@
 };
 
 /// The processes of the platform's list in order of names; entries alone with `role` "entry". The list lags: it may
-/// name what is gone and miss what has just come. Entries without an admin address are left out.
+/// name what is gone and miss what has just come.
 absl::StatusOr<std::vector<FleetInstance>> readFleet(CommandContext &context, const std::string &role);
 
 /// Asks one admin port. NotFound answers become RunUnknown, other ones that are no success MalformedMessage.
--- a/src/radishctl/fleetverbs.cpp
+++ b/src/radishctl/fleetverbs.cpp
@@ -27,6 +27,18 @@
     });
 }
 
+/// The way of a request at one entry, a line a step.
+std::string storyText(const std::string &entry, const nlohmann::json &story)
+{
+    std::string text = absl::StrCat(entry, ": ", story.value("result", "unknown"), ", budget ",
+                                    story.value("budget", "unknown"), ", pool ", story.value("pool", "unknown"));
+    for (const nlohmann::json &step : story.value("steps", nlohmann::json::array())) {
+        absl::StrAppend(&text, "\n  ", formatWallClock(step.value("at_ms", std::int64_t{0})), "  ",
+                        step.value("text", ""));
+    }
+    return text;
+}
+
 }
 
 void FleetVerbs::addTo(CLI::App &parent, Command &chosen)
@@ -37,6 +49,7 @@
                                 chosen, [this](CommandContext &context) {
                                     return status(context);
                                 });
+    showing->add_flag("--budgets", m_withBudgets, "Add the sums of all budgets; reads the whole ledger");
     showing->add_flag("-w,--watch", m_watches, "Redraw until interrupted");
     showing->add_option("--interval", m_intervalSeconds, "Seconds between two redraws")->capture_default_str();
     showing->add_option("--redraws", m_redraws, "End after so many; 0 goes on")->capture_default_str();
@@ -100,7 +113,18 @@
     if (!document.ok()) {
         return context.fail(document.status());
     }
-    StatusReport(*document, readStatuses(context, *fleet)).print(context.output());
+    StatusReport report(*document, readStatuses(context, *fleet));
+    if (m_withBudgets) {
+        using Budgets = std::vector<BudgetSummary>;
+        const auto budgets = context.awaitBounded<Budgets>([&](LedgerEditor::Callback<Budgets> done) {
+            context.environment().budgets.list(OrganisationId(), std::move(done));
+        });
+        if (!budgets.ok()) {
+            return context.fail(budgets.status());
+        }
+        report.setBudgets(*budgets);
+    }
+    report.print(context.output());
     return ExitCode::Ok;
 }
 
@@ -132,7 +156,7 @@
     return ExitCode::Ok;
 }
 
-/// A request is known where it came in, and at the home of its budget; the first entry that knows it tells.
+/// A request is remembered by the entry where it came in, and by others that it touched.
 ExitCode FleetVerbs::why(CommandContext &context) const
 {
     if (!isPlainName(m_name)) {
@@ -142,27 +166,25 @@
     if (!entries.ok()) {
         return context.fail(entries.status());
     }
-    Sheet sheet{{"entry", "state", "cause", "organisation", "when", "detail"}, {}};
-    std::vector<std::string> unasked;
+    nlohmann::json stories = nlohmann::json::array();
+    std::string text;
+    std::string unasked;
     for (const FleetInstance &entry : *entries) {
-        const absl::StatusOr<nlohmann::json> answer = askAdmin(context, entry.admin, "GET", "/requests/" + m_name);
-        if (answer.ok()) {
-            sheet.rows.push_back({entry.name, answer->value("state", nlohmann::json()),
-                                  answer->value("cause", nlohmann::json()),
-                                  answer->value("organisation", nlohmann::json()),
-                                  answer->value("when", nlohmann::json()), answer->value("detail", nlohmann::json())});
-        } else if (failureCode(answer.status()) != FailureCode::RunUnknown) {
-            unasked.push_back(entry.name);
+        absl::StatusOr<nlohmann::json> story = askAdmin(context, entry.admin, "GET", "/requests/" + m_name);
+        if (story.ok()) {
+            absl::StrAppend(&text, text.empty() ? "" : "\n", storyText(entry.name, *story));
+            (*story)["entry"] = entry.name;
+            stories.push_back(*std::move(story));
+        } else if (failureCode(story.status()) != FailureCode::RunUnknown) {
+            absl::StrAppend(&unasked, "; ", entry.name, " could not be asked");
         }
     }
-    if (sheet.rows.empty()) {
-        std::string text = absl::StrCat("none of ", entries->size(), " entries remembers request ", m_name);
-        for (const std::string &name : unasked) {
-            absl::StrAppend(&text, "; ", name, " could not be asked");
-        }
-        return context.fail(makeFailure(FailureCode::RunUnknown, text));
+    if (stories.empty()) {
+        return context.fail(
+            makeFailure(FailureCode::RunUnknown,
+                        absl::StrCat("none of ", entries->size(), " entries remembers request ", m_name, unasked)));
     }
-    context.output().print(sheet);
+    context.output().print(stories, text);
     return ExitCode::Ok;
 }
 
--- a/src/radishctl/fleetverbs.h
+++ b/src/radishctl/fleetverbs.h
@@ -27,6 +27,7 @@
     absl::StatusOr<FleetInstance> findInstance(CommandContext &context) const;
 
     std::string m_name;
+    bool m_withBudgets = false;
     bool m_watches = false;
     double m_intervalSeconds = 2;
     int m_redraws = 0;
--- a/src/radishctl/globaloptions.h
+++ b/src/radishctl/globaloptions.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ledgersettings.h"
+
 #include <cstdint>
 #include <string>
 
@@ -20,7 +22,8 @@
     /// From where, for the audit trail.
     std::string fromWhere;
     OutputFormat output = OutputFormat::Table;
-    std::uint32_t ledgerShards = 1024;
+    /// As the entries are set.
+    std::uint32_t ledgerShards = LedgerSettings().shardCount;
 
     bool operator==(const GlobalOptions &) const = default;
 };
--- a/src/radishctl/tablewaitverb.cpp
+++ b/src/radishctl/tablewaitverb.cpp
@@ -1,5 +1,6 @@
 #include "tablewaitverb.h"
 
+#include "failure.h"
 #include "fleetlist.h"
 
 #include <absl/strings/str_cat.h>
@@ -78,6 +79,10 @@
         }
         entries = *listed;
     }
+    // "All of none" would let a pipeline go on while nothing serves.
+    if (entries.empty()) {
+        return context.fail(makeFailure(FailureCode::ObjectMissing, "the platform lists no entry"));
+    }
     TimerService &timers = context.environment().timers;
     const Instant deadline = timers.now() + Duration(static_cast<Duration::rep>(m_seconds * 1e6));
     std::vector<Laggard> laggards = laggardsOf(readStatuses(context, entries), m_revision);
--- a/tests/radishctl/radishctl_test.cpp
+++ b/tests/radishctl/radishctl_test.cpp
@@ -373,6 +373,11 @@
     EXPECT_EQ(run({"audit", "--since", "yesterday"}), ExitCode::Usage);
 }
 
+TEST_F(RadishctlTest, tableWait_noEntryListed_isNoSuccess)
+{
+    EXPECT_EQ(run({"table", "wait", "1"}), ExitCode::Failed);
+}
+
 TEST_F(RadishctlTest, tableWait_untilTheLastEntryHasIt_endsWell)
 {
     list("entry-1", "entry", "10.0.0.1:9");
@@ -413,7 +418,7 @@
            {{"table_revision", 1},
             {"state", "ready"},
             {"queues", {{"drape", 7}}},
-            {"portions", nlohmann::json::array({1, 2})},
+            {"eligible_endpoints", {{"drape", 1}}},
             {"refusals", {{"budget_exhausted", 3}}}});
     answer("GET 10.0.0.3:9/status", {{"state", "leaving"}});
 
@@ -423,8 +428,10 @@
     EXPECT_EQ(status.at("pools").at(0).at("endpoints"), 2);
     EXPECT_EQ(status.at("pools").at(0).at("leaving"), 1);
     EXPECT_EQ(status.at("pools").at(0).at("queued"), 7);
+    EXPECT_EQ(status.at("pools").at(0).at("fewest_eligible"), 1);
     EXPECT_EQ(status.at("refusals").at(0).at("count"), 3);
     EXPECT_EQ(status.at("instances").at(1).at("state"), "unreachable, listed as live");
+    EXPECT_EQ(runJson({"status", "--budgets"}).at("budgets").at("withheld"), 0);
     EXPECT_EQ(run({"status", "--watch", "--redraws", "3"}), ExitCode::Ok);
     EXPECT_THAT(m_out.str(), HasSubstr("budget_exhausted"));
 }
@@ -435,11 +442,19 @@
     list("entry-2", "entry", "10.0.0.2:9");
     answer("POST 10.0.0.2:9/drain", {{"state", "draining"}});
     answer("GET 10.0.0.1:9/requests/req-7", nlohmann::json::object(), 404);
-    answer("GET 10.0.0.2:9/requests/req-7", {{"state", "refused"}, {"cause", "budget_exhausted"}});
+    answer("GET 10.0.0.2:9/requests/req-7",
+           {{"result", "budget_exhausted"},
+            {"budget", "magnolia/main"},
+            {"pool", "drape"},
+            {"steps", {{{"at_ms", 1000}, {"text", "refused by the home"}}}}});
 
     EXPECT_EQ(run({"drain", "entry-2"}), ExitCode::Ok) << m_err.str();
     EXPECT_EQ(run({"drain", "entry-9"}), ExitCode::Failed);
-    EXPECT_EQ(runJson({"why", "req-7"}).at(0).at("cause"), "budget_exhausted");
+    EXPECT_EQ(runJson({"why", "req-7"}).at(0).at("result"), "budget_exhausted");
+    EXPECT_EQ(run({"why", "req-7"}), ExitCode::Ok);
+    EXPECT_EQ(m_out.str(),
+              "entry-2: budget_exhausted, budget magnolia/main, pool drape\n"
+              "  1970-01-01T00:00:01Z  refused by the home\n");
     answer("GET 10.0.0.1:9/requests/req-8", nlohmann::json::object(), 404);
     EXPECT_EQ(run({"why", "req-8"}), ExitCode::Failed);
     EXPECT_THAT(m_err.str(), HasSubstr("entry-2 could not be asked"));
