--- a/src/measure/report.cpp
+++ b/src/measure/report.cpp
@@ -55,6 +55,7 @@
 {
 public:
     Json figures = Json::object();
+    Json picked = Json::object();
     Json broken = Json::array();
     Json missed = Json::array();
 };
@@ -143,6 +144,20 @@
     return isHeld.status();
 }
 
+absl::Status Report::pick(const std::string &name)
+{
+    const bool isPrefix = !name.empty() && name.back() == '*';
+    const std::string wanted = isPrefix ? name.substr(0, name.size() - 1) : name;
+    bool isFound = false;
+    for (const auto &[key, value] : d->figures.items()) {
+        if (key == wanted || (isPrefix && key.starts_with(wanted))) {
+            d->picked[key] = value;
+            isFound = true;
+        }
+    }
+    return isFound ? absl::OkStatus() : invalid("no such figure: " + name);
+}
+
 bool Report::isBroken() const
 {
     return !d->broken.empty();
@@ -150,7 +165,7 @@
 
 std::string Report::toJson() const
 {
-    Json document = d->figures;
+    Json document = d->picked.empty() ? d->figures : d->picked;
     document["broken"] = d->broken;
     document["missed"] = d->missed;
     return document.dump();
--- a/src/measure/report.h
+++ b/src/measure/report.h
@@ -35,6 +35,10 @@
     /// A goal, which is listed under "missed" when it was not reached.
     absl::Status aim(const std::string &condition);
 
+    /// Only figures that are picked are printed, as soon as one is. A name that ends with "*" stands for all that begin
+    /// so. InvalidRequest when there is none.
+    absl::Status pick(const std::string &name);
+
     bool isBroken() const;
 
     std::string toJson() const;
--- a/src/measure/reportcommand.h
+++ b/src/measure/reportcommand.h
@@ -28,6 +28,7 @@
     std::vector<std::string> m_files;
     std::vector<std::string> m_numbers;
     std::vector<std::string> m_figures;
+    std::vector<std::string> m_picks;
     std::vector<std::string> m_requirements;
     std::vector<std::string> m_aims;
 };
--- a/tests/standins/report_test.cpp
+++ b/tests/standins/report_test.cpp
@@ -57,6 +57,15 @@
     EXPECT_TRUE(json()["share"].is_null());
 }
 
+TEST_F(ReportTest, figuresPicked_printed_standAlone)
+{
+    EXPECT_TRUE(m_report.pick("req*").ok());
+    EXPECT_FALSE(m_report.pick("unknown").ok());
+
+    EXPECT_EQ(json()["requests"], 10);
+    EXPECT_FALSE(json().contains("answered"));
+}
+
 TEST_F(ReportTest, figures_added_areTakenOrWorkedOut)
 {
     EXPECT_TRUE(m_report.addFigure("seed=5").ok());
