--- a/src/standins/common/standinprogram.cpp
+++ b/src/standins/common/standinprogram.cpp
@@ -1,53 +1,26 @@
 #include "standinprogram.h"
 
-#include <absl/strings/numbers.h>
+#include "signals.h"
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
-#include <csignal>
 #include <iostream>
-#include <limits>
+#include <latch>
 
 namespace RadishSwitch
 {
 
-namespace
-{
-
-sigset_t stopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
-}
-
-absl::StatusOr<ListenAddress> parseListenAddress(const std::string &text)
-{
-    const auto colon = text.rfind(':');
-    std::uint32_t port = 0;
-    if (colon == std::string::npos || !absl::SimpleAtoi(text.substr(colon + 1), &port)
-        || port > std::numeric_limits<std::uint16_t>::max()) {
-        return makeFailure(FailureCode::InvalidSettings, "no address:port: " + text);
-    }
-    return ListenAddress{text.substr(0, colon), static_cast<std::uint16_t>(port)};
-}
-
-void blockStopSignals()
-{
-    const sigset_t signals = stopSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-}
-
-void announceAndWaitForStop(const std::string &address, std::uint16_t port)
+void runUntilStopped(WorkerPool &workers, const SocketAddress &address)
 {
-    std::cout << "listening " << address << ":" << port << std::endl;
-    const sigset_t signals = stopSignals();
-    int n = 0;
-    sigwait(&signals, &n);
+    std::latch stopped(1);
+    const Signals signals(workers, [&stopped] {
+        stopped.count_down();
+    });
+    workers.start();
+    std::cout << "listening " << address.toString() << std::endl;
+    stopped.wait();
+    workers.stop();
 }
 
 std::int64_t recordTime()
--- a/src/standins/common/standinprogram.h
+++ b/src/standins/common/standinprogram.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "failure.h"
 #include "httpmessages.h"
-
-#include <absl/status/statusor.h>
+#include "socketaddress.h"
+#include "workerpool.h"
 
 #include <cstdint>
 #include <string>
@@ -11,22 +10,9 @@
 namespace RadishSwitch
 {
 
-/// Where a stand-in listens.
-struct ListenAddress {
-    std::string address;
-    std::uint16_t port = 0;
-
-    bool operator==(const ListenAddress &) const = default;
-};
-
-/// Reads "address:port". InvalidSettings when it is none.
-absl::StatusOr<ListenAddress> parseListenAddress(const std::string &text);
-
-/// Blocks SIGTERM and SIGINT in the calling thread and those it starts. To be called before any thread starts.
-void blockStopSignals();
-
-/// Tells on the standard output that the program is ready, and waits for SIGTERM or SIGINT.
-void announceAndWaitForStop(const std::string &address, std::uint16_t port);
+/// Starts the workers, tells on the standard output where the program listens, and returns after SIGTERM or SIGINT,
+/// with the workers stopped.
+void runUntilStopped(WorkerPool &workers, const SocketAddress &address);
 
 /// Microseconds since 1970. Stand-ins and the measuring tool run on one machine and stamp their records with it.
 std::int64_t recordTime();
--- a/src/standins/engine/engineserver.cpp
+++ b/src/standins/engine/engineserver.cpp
@@ -2,6 +2,7 @@
 
 #include "chatrun.h"
 #include "failure.h"
+#include "standinprogram.h"
 
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
@@ -41,9 +42,9 @@
 {
 }
 
-absl::Status EngineServer::listen(const ListenAddress &address)
+absl::Status EngineServer::listen(const SocketAddress &address)
 {
-    return m_server.listen(address.address, address.port);
+    return m_server.listen(address.ip(), address.port());
 }
 
 std::uint16_t EngineServer::port() const
--- a/src/standins/engine/engineserver.h
+++ b/src/standins/engine/engineserver.h
@@ -2,7 +2,7 @@
 
 #include "engine.h"
 #include "httpserver.h"
-#include "standinprogram.h"
+#include "socketaddress.h"
 #include "workerpool.h"
 
 #include <utility>
@@ -22,7 +22,7 @@
 public:
     EngineServer(WorkerPool &workers, const EngineSettings &settings);
 
-    absl::Status listen(const ListenAddress &address);
+    absl::Status listen(const SocketAddress &address);
     std::uint16_t port() const;
 
 private:
--- a/src/standins/engine/main.cpp
+++ b/src/standins/engine/main.cpp
@@ -1,5 +1,6 @@
 #include "engineserver.h"
 #include "programflags.h"
+#include "socketaddress.h"
 #include "standinprogram.h"
 #include "workerpool.h"
 
@@ -56,19 +57,16 @@
     settings.loadLag = std::chrono::milliseconds(loadLag);
     settings.cacheEventDelay = std::chrono::milliseconds(eventDelay);
 
-    const auto address = parseListenAddress(listen);
+    const auto address = parseSocketAddress(listen);
     if (!address.ok()) {
         return reportBadSettings(app, address.status());
     }
-    blockStopSignals();
     WorkerPool workers(threads);
     EngineServer server(workers, settings);
     const absl::Status status = server.listen(*address);
     if (!status.ok()) {
         return reportBadSettings(app, status);
     }
-    workers.start();
-    announceAndWaitForStop(address->address, server.port());
-    workers.stop();
+    runUntilStopped(workers, SocketAddress(address->ip(), server.port()));
     return 0;
 }
--- a/src/standins/relay/main.cpp
+++ b/src/standins/relay/main.cpp
@@ -1,5 +1,6 @@
 #include "programflags.h"
 #include "relayserver.h"
+#include "socketaddress.h"
 #include "standinprogram.h"
 #include "workerpool.h"
 
@@ -28,19 +29,16 @@
         }
         links.push_back(*link);
     }
-    const auto address = parseListenAddress(control);
+    const auto address = parseSocketAddress(control);
     if (!address.ok()) {
         return reportBadSettings(app, address.status());
     }
-    blockStopSignals();
     WorkerPool workers(1);
     RelayServer server(workers, links);
     const absl::Status status = server.listen(*address);
     if (!status.ok()) {
         return reportBadSettings(app, status);
     }
-    workers.start();
-    announceAndWaitForStop(address->address, server.port());
-    workers.stop();
+    runUntilStopped(workers, SocketAddress(address->ip(), server.port()));
     return 0;
 }
--- a/src/standins/relay/relaylink.cpp
+++ b/src/standins/relay/relaylink.cpp
@@ -1,7 +1,7 @@
 #include "relaylink.h"
 
 #include "failure.h"
-#include "standinprogram.h"
+#include "socketaddress.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,16 +22,16 @@
 
 absl::StatusOr<tcp::endpoint> endpointOf(const std::string &text)
 {
-    const auto parsed = parseListenAddress(text);
+    const auto parsed = parseSocketAddress(text);
     if (!parsed.ok()) {
         return parsed.status();
     }
     boost::system::error_code ec;
-    const auto address = asio::ip::make_address(parsed->address, ec);
+    const auto address = asio::ip::make_address(parsed->ip(), ec);
     if (ec) {
         return makeFailure(FailureCode::InvalidSettings, "no IP number: " + text);
     }
-    return tcp::endpoint(address, parsed->port);
+    return tcp::endpoint(address, parsed->port());
 }
 
 }
--- a/src/standins/relay/relayserver.cpp
+++ b/src/standins/relay/relayserver.cpp
@@ -1,4 +1,5 @@
 #include "relayserver.h"
+#include "standinprogram.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,7 +16,7 @@
     }
 }
 
-absl::Status RelayServer::listen(const ListenAddress &control)
+absl::Status RelayServer::listen(const SocketAddress &control)
 {
     for (const auto &link : m_links) {
         const absl::Status status = link->listen();
@@ -23,7 +24,7 @@
             return status;
         }
     }
-    return m_control.listen(control.address, control.port);
+    return m_control.listen(control.ip(), control.port());
 }
 
 std::uint16_t RelayServer::port() const
--- a/src/standins/relay/relayserver.h
+++ b/src/standins/relay/relayserver.h
@@ -2,7 +2,7 @@
 
 #include "httpserver.h"
 #include "relaylink.h"
-#include "standinprogram.h"
+#include "socketaddress.h"
 #include "workerpool.h"
 
 #include <utility>
@@ -23,7 +23,7 @@
 public:
     RelayServer(WorkerPool &workers, const std::vector<LinkSettings> &links);
 
-    absl::Status listen(const ListenAddress &control);
+    absl::Status listen(const SocketAddress &control);
     std::uint16_t port() const;
 
 private:
--- a/src/standins/service/main.cpp
+++ b/src/standins/service/main.cpp
@@ -1,5 +1,6 @@
 #include "programflags.h"
 #include "serviceserver.h"
+#include "socketaddress.h"
 #include "standinprogram.h"
 #include "workerpool.h"
 
@@ -23,19 +24,16 @@
     if (const auto code = parseFlags(app, argc, argv)) {
         return *code;
     }
-    const auto address = parseListenAddress(listen);
+    const auto address = parseSocketAddress(listen);
     if (!address.ok()) {
         return reportBadSettings(app, address.status());
     }
-    blockStopSignals();
     WorkerPool workers(threads);
     ServiceServer server(workers, name, capacity, recordFile);
     const absl::Status status = server.listen(*address);
     if (!status.ok()) {
         return reportBadSettings(app, status);
     }
-    workers.start();
-    announceAndWaitForStop(address->address, server.port());
-    workers.stop();
+    runUntilStopped(workers, SocketAddress(address->ip(), server.port()));
     return 0;
 }
--- a/src/standins/service/serviceserver.cpp
+++ b/src/standins/service/serviceserver.cpp
@@ -2,6 +2,7 @@
 
 #include "contenthash.h"
 #include "serviceanswer.h"
+#include "standinprogram.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -42,9 +43,9 @@
 {
 }
 
-absl::Status ServiceServer::listen(const ListenAddress &address)
+absl::Status ServiceServer::listen(const SocketAddress &address)
 {
-    return m_server.listen(address.address, address.port);
+    return m_server.listen(address.ip(), address.port());
 }
 
 std::uint16_t ServiceServer::port() const
--- a/src/standins/service/serviceserver.h
+++ b/src/standins/service/serviceserver.h
@@ -3,7 +3,7 @@
 #include "executionrecords.h"
 #include "httpserver.h"
 #include "servicefaults.h"
-#include "standinprogram.h"
+#include "socketaddress.h"
 #include "workerpool.h"
 
 #include <utility>
@@ -23,7 +23,7 @@
 public:
     ServiceServer(WorkerPool &workers, std::string name, int capacity, const std::string &recordFile);
 
-    absl::Status listen(const ListenAddress &address);
+    absl::Status listen(const SocketAddress &address);
     std::uint16_t port() const;
 
 private:
--- a/tests/standins/relaylink_test.cpp
+++ b/tests/standins/relaylink_test.cpp
@@ -1,6 +1,6 @@
 #include "relaylink.h"
 
-#include "standinprogram.h"
+#include "socketaddress.h"
 #include "workerpool.h"
 
 #include <boost/asio/connect.hpp>
@@ -45,9 +45,9 @@
 
     tcp::socket connectClient(const std::string &from = "127.0.0.1")
     {
-        const auto address = parseListenAddress(m_link.address());
+        const auto address = parseSocketAddress(m_link.address());
         tcp::socket client(m_context, tcp::endpoint(asio::ip::make_address(from), 0));
-        client.connect(tcp::endpoint(asio::ip::make_address(address->address), address->port));
+        client.connect(tcp::endpoint(asio::ip::make_address(address->ip()), address->port()));
         return client;
     }
 
