Let a process's connections come from its own IP number

A partition between two groups of processes on one machine can only be made when the relay between them sees who asks.

--- a/src/libradishnet/http2connection.cpp
+++ b/src/libradishnet/http2connection.cpp
@@ -1,6 +1,7 @@
 #include "http2connection.h"
 
 #include "failure.h"
+#include "sourceaddress.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -56,6 +57,12 @@
             return;
         }
         self->armTimer(self->m_settings.connectTimeout);
+        if (const error_code ec = openFrom(self->m_socket, self->m_settings.sourceAddress)) {
+            self->runBatch([&] {
+                self->shut(makeFailure(FailureCode::ConnectionLost, "no such source address: " + ec.message()));
+            });
+            return;
+        }
         self->m_socket.async_connect(endpoint, [self](error_code ec) {
             self->runBatch([&] {
                 if (ec) {
--- a/src/libradishnet/http2transport.h
+++ b/src/libradishnet/http2transport.h
@@ -16,6 +16,8 @@
 struct TransportSettings {
     /// The secret that all processes of the fleet share; proved at the opening of each stream.
     std::string fleetKey;
+    /// The IP number from which connections are made; empty leaves it to the kernel.
+    std::string sourceAddress;
     Duration connectTimeout = std::chrono::seconds(1);
     /// A PING goes out this often on each connection.
     Duration pingInterval = std::chrono::milliseconds(500);
