--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -297,7 +297,7 @@
 boost::asio::awaitable<void> RequestSession::settle(Settlement settlement)
 {
     settlement.grantedAttempt = m_grantedAttempt;
-    const absl::Status status = co_await awaitCallback<absl::Status>([this, settlement](auto done) {
+    const absl::Status status = co_await awaitCallback<absl::Status>([this, &settlement](auto done) {
         m_home->settle(settlement, std::move(done));
     });
     if (!status.ok()) {
--- a/src/libradishnet/adminserver.cpp
+++ b/src/libradishnet/adminserver.cpp
@@ -58,15 +58,24 @@
 {
     const std::string &target = exchange.request().target;
     const std::string path = target.substr(0, target.find('?'));
-    const auto it = m_handlers.find(path);
-    if (it != m_handlers.end()) {
-        co_await it->second(exchange);
+    if (const HttpServer::Handler *handler = handlerOf(path)) {
+        co_await (*handler)(exchange);
         co_return;
     }
     HttpResponse response = answerOf(path);
     (void)co_await exchange.respond(std::move(response));
 }
 
+const HttpServer::Handler *AdminServer::handlerOf(const std::string &path) const
+{
+    const auto it = m_handlers.find(path);
+    if (it != m_handlers.end()) {
+        return &it->second;
+    }
+    const auto folder = m_handlers.find(path.substr(0, path.rfind('/') + 1));
+    return folder == m_handlers.end() ? nullptr : &folder->second;
+}
+
 HttpResponse AdminServer::answerOf(const std::string &path) const
 {
     if (path == "/metrics") {
--- a/src/libradishnet/adminserver.h
+++ b/src/libradishnet/adminserver.h
@@ -17,7 +17,7 @@
 public:
     AdminServer(WorkerPool &workers, Metrics &metrics);
 
-    /// Adds a path, before `listen`. The query is not part of it.
+    /// Adds a path, before `listen`. The query is not part of it. A path that ends in "/" takes every name under it.
     void handle(const std::string &path, HttpServer::Handler handler);
 
     /// Port 0 takes a free one. InvalidSettings when it can't be bound.
@@ -32,6 +32,7 @@
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    const HttpServer::Handler *handlerOf(const std::string &path) const;
     HttpResponse answerOf(const std::string &path) const;
 
     Metrics &m_metrics;
--- a/src/libradishnet/http2connection.cpp
+++ b/src/libradishnet/http2connection.cpp
@@ -1,6 +1,7 @@
 #include "http2connection.h"
 
 #include "failure.h"
+#include "sourceaddress.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -107,6 +108,10 @@
         return;
     }
     armTimer(m_settings.connectTimeout);
+    if (const error_code ec = openFrom(m_socket, m_settings.sourceAddress)) {
+        shut(makeFailure(FailureCode::ConnectionLost, "no such source address: " + ec.message()));
+        return;
+    }
     m_socket.async_connect(endpoint, batchHandler([](Http2Connection &self, const error_code &ec) {
                                if (ec) {
                                    self.shut(
