Let the gate use the queue's rooms and exact parts of capacity

Cause: routing now divides endpoints' slots exactly among live entries and keeps the last ones for a higher priority; the gate passed by the queue when it was empty. Change: every request goes through the queue; rank among live entries.

--- a/src/entry/dispatchgate.cpp
+++ b/src/entry/dispatchgate.cpp
@@ -103,12 +103,11 @@
     });
 }
 
-void DispatchGate::setLiveEntries(std::size_t n)
+void DispatchGate::setPlaceAmongEntries(std::size_t rank, std::size_t count)
 {
-    const double share = 1.0 / static_cast<double>(std::max<std::size_t>(1, n));
     m_monitor.run([&] {
-        m_ceilings.setParts(share, m_timers.now());
-        m_router.setShareOfCapacity(share);
+        m_ceilings.setParts(1.0 / static_cast<double>(count), m_timers.now());
+        m_router.setPartOfCapacity(rank, count);
     });
 }
 
@@ -123,10 +122,6 @@
         }
         Pool &pool = poolOf(plan.pool);
         const Waiting waiting{plan, now, std::move(callback)};
-        if (pool.queue.size() == 0 && m_router.freeSlots(plan.pool) > pool.entering) {
-            letIn(pool, waiting);
-            return;
-        }
         QueuedRequest queued;
         queued.request = RequestId(std::to_string(++m_tickets));
         queued.organisation = plan.budget.organisation;
@@ -146,8 +141,8 @@
             return;
         }
         pool.waiting.emplace(queued.request, waiting);
-        refuseExpired(pool, now);
         pump(plan.pool, pool, now);
+        refuseExpired(pool, now);
     });
 }
 
@@ -298,8 +293,14 @@
 
 void DispatchGate::pump(const PoolId &id, Pool &pool, Instant now)
 {
-    while (pool.queue.size() > 0 && m_router.freeSlots(id) > pool.entering) {
-        const std::optional<QueuedRequest> next = pool.queue.next(now);
+    while (pool.queue.size() > 0) {
+        // Those let in and not sent yet are not in the router's count.
+        PoolRoom room = m_router.room(id);
+        room.free -= pool.entering;
+        if (room.free <= 0) {
+            return;
+        }
+        const std::optional<QueuedRequest> next = pool.queue.next(now, room);
         if (!next) {
             return;
         }
--- a/src/entry/dispatchgate.h
+++ b/src/entry/dispatchgate.h
@@ -78,8 +78,9 @@
     /// Takes over the organisations' ceilings and the pools' queue lengths.
     void applyTable(const SteeringTable &table);
 
-    /// Sets this entry's part of the fleet's ceilings and of the endpoints' capacity.
-    void setLiveEntries(std::size_t n);
+    /// Sets this entry's part of the fleet's ceilings and of the endpoints' capacity: it is number `rank`, from zero,
+    /// of `count` live entries; `count` is at least one.
+    void setPlaceAmongEntries(std::size_t rank, std::size_t count);
 
     /// Waits for a place. Refuses at once with CeilingReached or Overloaded, each with the time to come back; a request
     /// that waits is refused as soon as it can't make its deadline.
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -376,20 +376,29 @@
 {
     m_membershipMonitor.run([this] {
         m_membership.subscribe([this] {
-            const std::size_t n = m_membershipMonitor.run([this] {
-                const auto watchers = m_membership.watchersOfZone(m_settings.fleet.zone, kWatchersOfZone);
-                const bool isWatcher = std::any_of(watchers.begin(), watchers.end(), [this](const auto &member) {
-                    return member.incarnation == m_incarnation;
-                });
-                m_table.setWatching(isWatcher);
-                return m_membership.liveCount(std::string());
-            });
-            m_gate.setLiveEntries(n);
-            m_homeStack.noteMembershipChange();
+            takeMembership();
         });
     });
 }
 
+void Entry::takeMembership()
+{
+    const auto isSelf = [this](const EntryMember &member) {
+        return member.incarnation == m_incarnation;
+    };
+    std::vector<EntryMember> live;
+    m_membershipMonitor.run([&] {
+        live = m_membership.liveEntries(std::string());
+        const auto watchers = m_membership.watchersOfZone(m_settings.fleet.zone, kWatchersOfZone);
+        m_table.setWatching(std::any_of(watchers.begin(), watchers.end(), isSelf));
+    });
+    const auto self = std::find_if(live.begin(), live.end(), isSelf);
+    if (self != live.end()) {
+        m_gate.setPlaceAmongEntries(static_cast<std::size_t>(self - live.begin()), live.size());
+    }
+    m_homeStack.noteMembershipChange();
+}
+
 std::vector<std::string> Entry::agentAddresses()
 {
     const std::vector<std::string> lives = m_gate.agentLives();
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -56,6 +56,7 @@
     void followList();
     void followTable();
     void followMembership();
+    void takeMembership();
     void applySubset(const std::vector<PlatformInstance> &present);
     void serveAdmin();
     boost::asio::awaitable<void> drainOnOrder(HttpExchange &exchange);
--- a/src/entry/homewire.cpp
+++ b/src/entry/homewire.cpp
@@ -66,7 +66,7 @@
 {
     if (message.has_granted()) {
         const wire::Granted &granted = message.granted();
-        return Grant{PortionId(granted.portion_id()), granted.shard(), granted.epoch(), granted.reserved_tokens(),
+        return Grant{PortionId(granted.portion_id()), granted.shard(),      granted.epoch(), granted.reserved_tokens(),
                      AttemptId(granted.attempt_id()), granted.provisional()};
     }
     if (message.has_duplicate()) {
