--- a/src/libradishnet/httpclient.cpp
+++ b/src/libradishnet/httpclient.cpp
@@ -148,7 +148,8 @@
     }
 
     /// Connects where needed, sends, and reads the answer's head.
-    net::awaitable<absl::Status> ask(ConnectionPointer connection, const HttpRequest &request, Clock::time_point end)
+    net::awaitable<absl::Status> ask(ConnectionPointer connection, const HttpRequest &request, Clock::time_point end,
+                                     const HttpCancellation *cancellation = nullptr)
     {
         if (!connection->isOpen()) {
             const Duration timeout = std::min(connectTimeout, remaining(end));
@@ -157,6 +158,10 @@
                 co_return status;
             }
         }
+        // A cancellation from here on closes a connection that is open, and the sending or reading fails.
+        if (cancellation != nullptr && cancellation->isCancelled()) {
+            co_return makeFailure(FailureCode::ConnectionLost, "the request was cancelled before it was sent");
+        }
         connection->expireAfter(remaining(end));
         absl::Status status = co_await connection->send(request);
         if (status.ok()) {
@@ -233,21 +238,56 @@
 }
 
 net::awaitable<absl::StatusOr<std::shared_ptr<HttpResponseStream>>>
-HttpClient::open(std::string address, HttpRequest request, Duration timeout)
+HttpClient::open(std::string address, HttpRequest request, Duration timeout,
+                 std::shared_ptr<HttpCancellation> cancellation)
 {
     const auto self = d;
     const Clock::time_point end = Clock::now() + timeout;
+    if (!cancellation) {
+        cancellation = std::make_shared<HttpCancellation>();
+    }
     for (;;) {
         const ConnectionPointer connection = self->connectionTo(address);
-        const absl::Status status =
-            co_await net::co_spawn(connection->strand(), self->ask(connection, request, end), net::use_awaitable);
+        cancellation->setClose([connection] {
+            net::post(connection->strand(), [connection] {
+                connection->close();
+            });
+        });
+        const absl::Status status = co_await net::co_spawn(
+            connection->strand(), self->ask(connection, request, end, cancellation.get()), net::use_awaitable);
+        cancellation->setClose({});
         if (status.ok()) {
             co_return std::make_shared<ResponseStream>(connection, self->pool);
         }
-        if (!Private::canAskAgain(*connection, request, status)) {
+        if (cancellation->isCancelled() || !Private::canAskAgain(*connection, request, status)) {
             co_return status;
         }
     }
 }
 
+void HttpCancellation::cancel()
+{
+    std::function<void()> close;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isCancelled = true;
+        close = m_close;
+    }
+    if (close) {
+        close();
+    }
+}
+
+bool HttpCancellation::isCancelled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isCancelled;
+}
+
+void HttpCancellation::setClose(std::function<void()> close)
+{
+    const std::lock_guard lock(m_mutex);
+    m_close = std::move(close);
+}
+
 }
--- a/src/libradishnet/httpclient.h
+++ b/src/libradishnet/httpclient.h
@@ -9,7 +9,9 @@
 #include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
+#include <mutex>
 
 namespace RadishSwitch
 {
@@ -31,6 +33,24 @@
     virtual void cancel() = 0;
 };
 
+/// Gives up an `open` whose answer's head has not come. Safe on any thread.
+class HttpCancellation
+{
+public:
+    /// Closes the connection on which the answer is awaited; nothing is sent on another one after that.
+    void cancel();
+    bool isCancelled() const;
+
+private:
+    friend class HttpClient;
+
+    void setClose(std::function<void()> close);
+
+    mutable std::mutex m_mutex;
+    std::function<void()> m_close;
+    bool m_isCancelled = false;
+};
+
 /// HTTP/1.1 client by Beast that keeps connections for reuse. A failure before any byte of the request was written
 /// has the outcome "not run"; any later one is marked with an unknown outcome.
 class HttpClient
@@ -43,9 +63,10 @@
     boost::asio::awaitable<absl::StatusOr<HttpResponse>> fetch(std::string address, HttpRequest request,
                                                                Duration timeout);
 
-    /// Asks and returns as soon as the answer's head is there.
+    /// Asks and returns as soon as the answer's head is there. ConnectionLost when it is cancelled before that.
     boost::asio::awaitable<absl::StatusOr<std::shared_ptr<HttpResponseStream>>>
-    open(std::string address, HttpRequest request, Duration timeout);
+    open(std::string address, HttpRequest request, Duration timeout,
+         std::shared_ptr<HttpCancellation> cancellation = nullptr);
 
 private:
     class Private;
