--- a/benchmarks/messagestream.cpp
+++ b/benchmarks/messagestream.cpp
@@ -3,7 +3,12 @@
 #include <benchmark/benchmark.h>
 
 #include <atomic>
+#include <ctime>
+#include <fstream>
 #include <semaphore>
+#include <thread>
+
+#include <unistd.h>
 
 using namespace RadishSwitch;
 
@@ -21,6 +26,15 @@
     return settings;
 }
 
+double residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    statm >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
 /// Answers each frame with one and finishes, as an agent does with a small request.
 void answer(const MessageStreamPointer &stream)
 {
@@ -213,3 +227,34 @@
     ->MeasureProcessCPUTime()
     ->UseRealTime()
     ->Unit(benchmark::kMillisecond);
+
+/// What connections cost that only probe one another, both ends counted in.
+BENCHMARK_DEFINE_F(LoopbackFixture, idleConnections)(benchmark::State &state)
+{
+    constexpr std::chrono::seconds kSpan(4);
+    const auto connections = state.range(0);
+    const double bytesBefore = residentBytes();
+    std::vector<std::unique_ptr<MessageClients>> idle;
+    std::atomic<std::int64_t> connecting = connections;
+    for (int n = 0; n < connections; ++n) {
+        idle.push_back(std::make_unique<MessageClients>(*workers, settings()));
+        const MessageStreamPointer stream = idle.back()->client(client->address())->open("/answer", "");
+        stream->start([](const std::string &) {},
+                      [&](const absl::Status &) {
+                          if (--connecting == 0) {
+                              done.release();
+                          }
+                      });
+    }
+    done.acquire();
+    state.counters["bytes_per_connection"] = (residentBytes() - bytesBefore) / static_cast<double>(connections);
+    std::clock_t used = 0;
+    for (auto _ : state) {
+        const std::clock_t before = std::clock();
+        std::this_thread::sleep_for(kSpan);
+        used += std::clock() - before;
+    }
+    const double spans = static_cast<double>(state.iterations() * connections * kSpan.count());
+    state.counters["cpu_us_per_connection_second"] = 1e6 * static_cast<double>(used) / CLOCKS_PER_SEC / spans;
+}
+BENCHMARK_REGISTER_F(LoopbackFixture, idleConnections)->Arg(500)->Iterations(1)->UseRealTime();
--- a/src/libradishnet/http2connection.cpp
+++ b/src/libradishnet/http2connection.cpp
@@ -21,6 +21,17 @@
 /// A batch that would go on for longer lets other connections have the thread.
 constexpr int kMaximumRounds = 8;
 
+Instant present()
+{
+    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
+    return Instant(std::chrono::duration_cast<Duration>(sinceEpoch));
+}
+
+ConnectionProbe::Habit probeHabit(Http2Connection::Side side)
+{
+    return side == Http2Connection::Side::Client ? ConnectionProbe::Habit::Always : ConnectionProbe::Habit::WhenQuiet;
+}
+
 }
 
 /// Keeps a connection for a handler that waits. A handler is destroyed without having run only when the workers'
@@ -59,6 +70,7 @@
     , m_socket(m_strand)
     , m_timer(m_strand)
     , m_onClosed(std::move(onClosed))
+    , m_probe(probeHabit(side), m_settings.pingInterval, m_settings.pingTimeout)
 {
 }
 
@@ -307,8 +319,7 @@
         return;
     }
     m_wasHeard = true;
-    m_wasHeardSinceProbe = true;
-    m_unansweredSince.reset();
+    m_probe.heard();
     const absl::Status status = m_session->receive(std::string_view(m_input.data(), n));
     if (!status.ok()) {
         shut(status);
@@ -342,33 +353,19 @@
     }
 }
 
-/// A connection that something between the two ends has lost track of stays open for good on both sides, and its
-/// streams would wait for ever. A PING that nothing answers shows it; since both sides probe, it is enough that each
-/// finds out when it can't hear the other.
 void Http2Connection::probe()
 {
-    const Clock::time_point now = Clock::now();
-    if (m_unansweredSince && hasUnreadInput()) {
-        // This process was the one that stood still.
-        m_unansweredSince = now;
-    }
-    if (m_unansweredSince && now - *m_unansweredSince >= m_settings.pingTimeout) {
+    switch (m_probe.step(present(), hasUnreadInput())) {
+    case ConnectionProbe::Step::GiveUp:
         shut(makeFailure(FailureCode::ConnectionSilent, "nothing was heard since a PING"));
         return;
-    }
-    // The client's PINGs tell a server enough.
-    const bool isDue = m_side == Side::Client || !m_wasHeardSinceProbe;
-    if (!m_unansweredSince && isDue) {
+    case ConnectionProbe::Step::SendPing:
         m_session->ping();
-        m_unansweredSince = now;
-    }
-    m_wasHeardSinceProbe = false;
-    Duration delay = m_settings.pingInterval;
-    if (m_unansweredSince) {
-        const auto untilTimeout = *m_unansweredSince + m_settings.pingTimeout - now;
-        delay = std::min(delay, std::chrono::ceil<Duration>(untilTimeout));
+        break;
+    case ConnectionProbe::Step::Wait:
+        break;
     }
-    armTimer(delay);
+    armTimer(m_probe.untilNext(present()));
 }
 
 bool Http2Connection::hasUnreadInput() const
--- a/src/libradishnet/http2connection.h
+++ b/src/libradishnet/http2connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionprobe.h"
 #include "http2session.h"
 #include "http2transport.h"
 #include "streamproof.h"
@@ -12,7 +13,6 @@
 
 #include <atomic>
 #include <mutex>
-#include <optional>
 #include <vector>
 
 namespace RadishSwitch
@@ -68,8 +68,6 @@
     void goAwayReceived() override;
 
 private:
-    using Clock = std::chrono::steady_clock;
-
     class Hold;
 
     template<typename Work>
@@ -121,8 +119,7 @@
     bool m_isClosed = false;
     bool m_isWriting = false;
     bool m_wasHeard = false;
-    bool m_wasHeardSinceProbe = false;
-    std::optional<Clock::time_point> m_unansweredSince;
+    ConnectionProbe m_probe;
 };
 
 }
--- a/src/libradishnet/http2transport.h
+++ b/src/libradishnet/http2transport.h
@@ -12,7 +12,7 @@
 namespace RadishSwitch
 {
 
-/// How the processes of a fleet talk to one another.
+/// How the processes of a fleet talk to one another. The workers outlive servers, clients and streams.
 struct TransportSettings {
     /// The secret that all processes of the fleet share; proved at the opening of each stream.
     std::string fleetKey;
@@ -43,7 +43,7 @@
 
     std::uint16_t port() const;
 
-    /// Closes the listener and all connections.
+    /// Closes the listener and all connections. A handler that has begun on a worker may still run afterwards.
     void close();
 
 private:
--- a/src/libradishnet/messagestream.h
+++ b/src/libradishnet/messagestream.h
@@ -14,16 +14,24 @@
 /// One stream between two processes of the fleet, both ways: whole frames, in order, under flow control.
 ///
 /// All members may be called on any thread. Callbacks come one at a time, never from inside a call of a member, and
-/// end with the closing one. A frame is at most kMaximumFrameBytes; a larger one closes the stream with
+/// end with the closing one. They come on the strand of the stream's connection: one that takes long holds up all
+/// streams of that connection. A frame is at most kMaximumFrameBytes; a larger one closes the stream with
 /// MessageTooLarge.
+///
+/// A stream whose last pointer is gone goes on to call back, and finishes by itself once it has closed; one that was
+/// never started finishes at once and drops what comes.
 class MessageStream
 {
 public:
     static constexpr std::size_t kMaximumFrameBytes = 16 * 1024 * 1024;
 
     using MessageCallback = std::function<void(std::string frame)>;
-    /// OK when the other side finished in order; ConnectionLost, ConnectionSilent, Unauthenticated or
-    /// MalformedMessage otherwise.
+    /// OK when the other side finished in order, behind its last frame; ConnectionLost, ConnectionSilent,
+    /// Unauthenticated, MalformedMessage or MessageTooLarge otherwise, also ahead of frames that a pause kept back. On
+    /// the client's side a failure has the outcome "not run" where nothing of the stream was sent or the other side
+    /// refused it; any other is marked with an unknown outcome.
+    ///
+    /// A client's stream is over then. A server's goes on to send after an OK, until it finishes itself.
     using ClosedCallback = std::function<void(absl::Status)>;
 
     virtual ~MessageStream() = default;
@@ -31,7 +39,7 @@
     /// Must be called once, before anything is received; frames that came earlier are kept and handed over then.
     virtual void start(MessageCallback onMessage, ClosedCallback onClosed) = 0;
 
-    /// Queues a frame. After the stream's end it is dropped: the closing callback tells.
+    /// Queues a frame. After the stream's end it is dropped, and `queuedBytes` stays zero: the closing callback tells.
     virtual void send(std::string frame) = 0;
 
     /// Bytes queued here that the other side's window has not let through.
