Hold an agent's streams until they have closed

Cause: a run sent over an open connection never reached the agent's table. The agent's handler let go of its stream, whose callbacks held it weakly; since the transport ends streams that nobody holds, the frame was dropped. Change: the closing callback holds the stream; the agent says when it listens.

--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -47,13 +47,15 @@
         }
         stream->finish();
     };
-    stream->start(onFirstMessage<Question>(stream, take), [](const absl::Status &) {});
+    // Held until it has closed: a handler that lets go of its stream has no more use for it.
+    stream->start(onFirstMessage<Question>(stream, take), [stream](const absl::Status &) {});
 }
 
-MessageStream::ClosedCallback onRunStreamClosed(std::shared_ptr<AgentRuns> runs, const MessageStream *stream)
+// Holds the stream until it has closed.
+MessageStream::ClosedCallback onRunStreamClosed(std::shared_ptr<AgentRuns> runs, const MessageStreamPointer &stream)
 {
     return [runs = std::move(runs), stream](const absl::Status &status) {
-        runs->noteStreamClosed(stream, status);
+        runs->noteStreamClosed(stream.get(), status);
     };
 }
 
@@ -87,7 +89,7 @@
     const auto take = [runs = m_runs](const wire::RunRequest &request, const MessageStreamPointer &stream) {
         runs->run(request, stream);
     };
-    stream->start(onFirstMessage<wire::RunRequest>(stream, take), onRunStreamClosed(m_runs, stream.get()));
+    stream->start(onFirstMessage<wire::RunRequest>(stream, take), onRunStreamClosed(m_runs, stream));
 }
 
 void AgentServer::serveAttach(const MessageStreamPointer &stream) const
@@ -99,7 +101,7 @@
         }
         runs->attach(request, stream);
     };
-    stream->start(onFirstMessage<wire::AttachRequest>(stream, take), onRunStreamClosed(m_runs, stream.get()));
+    stream->start(onFirstMessage<wire::AttachRequest>(stream, take), onRunStreamClosed(m_runs, stream));
 }
 
 void AgentServer::serveBar(const MessageStreamPointer &stream) const
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -31,6 +31,7 @@
         std::cerr << "radishswitch-agent: " << status.message() << '\n';
         return kInvalidSettingsExitCode;
     }
+    std::cout << "listening " << settings.listen.toString() << std::endl;
     const Signals signals(program.workers(), [&program] {
         program.leave();
     });
