Open the agent's admin door and hold streams until their first frame

Cause: the transport now finishes a server's stream that nobody holds, and the agent's handlers held theirs weakly until the first frame came; a closed stream was named by its address, which another stream may have by then.

--- a/src/agent/agentprogram.h
+++ b/src/agent/agentprogram.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "adminserver.h"
+#include "agentmetrics.h"
 #include "agentruns.h"
 #include "agentsettings.h"
 #include "asiotimerservice.h"
@@ -10,6 +12,7 @@
 #include "httpendpoint.h"
 #include "workerpool.h"
 
+#include <atomic>
 #include <future>
 #include <memory>
 #include <mutex>
@@ -28,6 +31,7 @@
     absl::Status start();
 
     /// Begins to leave: tells every listener at once, takes no new run, and lets those in progress end and be fetched.
+    /// Only the first call counts.
     void leave();
 
     /// Waits until the agent has left. Gives how many runs the drain timeout cut off.
@@ -36,6 +40,11 @@
     WorkerPool &workers();
 
 private:
+    absl::Status listen();
+    void serveAdmin();
+    boost::asio::awaitable<void> drainOnOrder(HttpExchange &exchange);
+    std::string statusJson() const;
+    void updateMetrics();
     void watchDrain();
     wire::AgentHeartbeat identity(const IncarnationId &incarnation) const;
     AgentRunsSettings runsSettings() const;
@@ -46,10 +55,15 @@
     AsioTimerService m_timers;
     HttpClient m_client;
     HttpEndpoint m_endpoint;
+    Metrics m_metrics;
+    AgentMetrics m_agentMetrics;
+    AdminServer m_admin;
     std::shared_ptr<EndpointMonitor> m_monitor;
     std::shared_ptr<AgentRuns> m_runs;
     std::shared_ptr<HeartbeatPublisher> m_heartbeats;
     std::unique_ptr<Http2MessageServer> m_server;
+    std::once_flag m_leaveOnce;
+    std::atomic<bool> m_isLeaving = false;
     Instant m_leavingSince;
     std::once_flag m_leftOnce;
     std::promise<int> m_left;
--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -1,6 +1,7 @@
 #include "agentruns.h"
 
 #include "failure.h"
+#include "log.h"
 #include "wireconversion.h"
 
 #include <utility>
@@ -11,6 +12,8 @@
 namespace
 {
 
+const Log kLog("runs");
+
 constexpr Duration kExpiryInterval = std::chrono::seconds(5);
 /// A caller whose entry was lost comes back within this time; a leaving agent waits so long for it.
 constexpr Duration kFetchGrace = std::chrono::seconds(5);
@@ -38,9 +41,11 @@
 
 }
 
-AgentRuns::AgentRuns(Endpoint &endpoint, EndpointMonitor &monitor, TimerService &timers, AgentRunsSettings settings)
+AgentRuns::AgentRuns(Endpoint &endpoint, EndpointMonitor &monitor, AgentMetrics &metrics, TimerService &timers,
+                     AgentRunsSettings settings)
     : m_endpoint(endpoint)
     , m_monitor(monitor)
+    , m_metrics(metrics)
     , m_timers(timers)
     , m_settings(std::move(settings))
     , m_table(timers, tableSettings(m_settings))
@@ -76,6 +81,7 @@
     if (decision->action == RunDecision::Action::Start) {
         return startRun(request, stream);
     }
+    m_metrics.noteAttached();
     const AttemptId asked(request.attempt_id());
     addReader(stream, std::make_shared<AnswerReader>(stream, decision->record.attempt, asked, 0),
               decision->record.request);
@@ -93,9 +99,11 @@
         m_table.noteNotStarted(attempt);
         return refuse(stream, request.attempt_id(), status);
     }
+    m_metrics.noteStarted();
     m_monitor.noteRunStarted(request.reserved_tokens());
     addReader(stream, std::make_shared<AnswerReader>(stream, attempt, attempt, 0), RequestId(request.request_id()));
     auto run = std::make_unique<RunInProgress>(request);
+    run->startedAt = m_timers.now();
     run->deadlineTimer = m_timers.after(runDeadline(request), [weak = weak_from_this(), attempt] {
         if (const auto self = weak.lock()) {
             self->abandon(attempt, makeFailure(FailureCode::DeadlineExceeded, "the request's deadline has passed"));
@@ -142,20 +150,23 @@
         m_table.bar(requestId, AttemptId(request.attempt_id()));
         return refuse(stream, request.attempt_id(), makeFailure(FailureCode::RunUnknown, "no such run is known here"));
     }
+    m_metrics.noteAttached();
     const AttemptId asked(request.attempt_id());
     addReader(stream, std::make_shared<AnswerReader>(stream, record.attempt, asked, request.offset()), requestId);
 }
 
-void AgentRuns::addReader(const MessageStreamPointer &stream, ReaderPointer reader, const RequestId &request)
+void AgentRuns::addReader(const MessageStreamPointer &stream, AnswerReaders::ReaderPointer reader,
+                          const RequestId &request)
 {
+    const AttemptId attempt = reader->attempt();
     reader->sendAccepted(request);
-    m_attached[stream.get()] = reader;
-    m_readers[reader->attempt()].push_back(reader);
-    pumpAll(reader->attempt());
+    m_readers.add(stream.get(), std::move(reader));
+    pumpAll(attempt);
 }
 
 void AgentRuns::refuse(const MessageStreamPointer &stream, const std::string &attempt, const absl::Status &status)
 {
+    m_metrics.noteRefused(status);
     wire::RunUpdate update;
     update.set_attempt_id(attempt);
     *update.mutable_refused() = failureToWire(status);
@@ -166,24 +177,7 @@
 void AgentRuns::noteStreamClosed(const MessageStream *stream, const absl::Status &status)
 {
     const std::lock_guard lock(m_mutex);
-    const auto it = m_attached.find(stream);
-    if (it == m_attached.end()) {
-        return;
-    }
-    const ReaderPointer reader = it->second;
-    m_attached.erase(it);
-    // The other side has only ended its own direction: it asks no more, but goes on reading.
-    if (status.ok() && !reader->isFinished()) {
-        return;
-    }
-    const auto readers = m_readers.find(reader->attempt());
-    if (readers == m_readers.end()) {
-        return;
-    }
-    std::erase(readers->second, reader);
-    if (readers->second.empty()) {
-        m_readers.erase(readers);
-    }
+    m_readers.noteClosed(stream, status);
 }
 
 wire::RunRecord AgentRuns::bar(const wire::BarRequest &request)
@@ -242,8 +236,7 @@
 bool AgentRuns::isIdle() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_table.runningCount() == 0 && m_attached.empty() && m_readers.empty()
-        && !m_answers.hasUnfetchedSince(kFetchGrace);
+    return m_table.runningCount() == 0 && m_readers.isEmpty() && !m_answers.hasUnfetchedSince(kFetchGrace);
 }
 
 int AgentRuns::runningCount() const
@@ -282,6 +275,10 @@
     if (it == m_runs.end()) {
         return;
     }
+    if (!std::exchange(it->second->hasBytes, true)) {
+        m_metrics.noteFirstByte(m_timers.now() - it->second->startedAt);
+    }
+    m_metrics.noteBytes(bytes.size());
     absl::Status status = m_answers.append(attempt, bytes);
     noteDropped();
     if (status.ok()) {
@@ -322,40 +319,44 @@
 
 void AgentRuns::endRun(const AttemptId &attempt, const RunResult &result)
 {
+    const std::unique_ptr<RunInProgress> run = std::move(m_runs.at(attempt));
+    m_runs.erase(attempt);
+    m_timers.cancel(run->deadlineTimer);
+    m_monitor.noteRunEnded();
     AnswerEnd end{result.status, result.promptTokens, result.completionTokens, 0};
     if (result.status.ok()) {
         end.chargedTokens = m_table.noteDone(attempt, result.usedTokens);
-    } else if (outcomeOf(result.status) == RunOutcome::NotRun) {
-        m_table.noteNotStarted(attempt);
+        m_metrics.noteDone(m_timers.now() - run->startedAt, end.chargedTokens);
     } else {
-        m_table.noteFailed(attempt);
+        noteNotDone(attempt, result.status);
     }
-    m_timers.cancel(m_runs.at(attempt)->deadlineTimer);
-    m_runs.erase(attempt);
-    m_monitor.noteRunEnded();
     m_answers.finish(attempt, std::move(end));
     noteDropped();
     pumpAll(attempt);
 }
 
-void AgentRuns::pumpAll(const AttemptId &attempt)
+void AgentRuns::noteNotDone(const AttemptId &attempt, const absl::Status &status)
 {
-    const auto it = m_readers.find(attempt);
-    if (it == m_readers.end()) {
-        return;
+    kLog.info("run failed",
+              {field("attempt", attempt.value()), field("cause", failureName(failureCode(status))),
+               field("reason", std::string(status.message()))});
+    if (outcomeOf(status) == RunOutcome::NotRun) {
+        m_table.noteNotStarted(attempt);
+        m_metrics.noteRefused(status);
+    } else {
+        m_table.noteFailed(attempt);
+        m_metrics.noteFailed(status);
     }
-    for (const ReaderPointer &reader : it->second) {
+}
+
+void AgentRuns::pumpAll(const AttemptId &attempt)
+{
+    m_readers.pumpAll(attempt, [this](const AnswerReaders::ReaderPointer &reader) {
         pump(reader);
-    }
-    std::erase_if(it->second, [](const ReaderPointer &reader) {
-        return reader->isFinished();
     });
-    if (it->second.empty()) {
-        m_readers.erase(it);
-    }
 }
 
-void AgentRuns::pump(const ReaderPointer &reader)
+void AgentRuns::pump(const AnswerReaders::ReaderPointer &reader)
 {
     const KeptAnswer *answer = m_answers.find(reader->attempt());
     const bool isEnded = answer != nullptr && answer->end.has_value();
--- a/src/agent/agentruns.h
+++ b/src/agent/agentruns.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "agentmetrics.h"
 #include "answerbuffer.h"
-#include "answerreader.h"
+#include "answerreaders.h"
 #include "endpoint.h"
 #include "endpointmonitor.h"
 #include "messagestream.h"
@@ -43,7 +44,8 @@
 class AgentRuns : public std::enable_shared_from_this<AgentRuns>
 {
 public:
-    AgentRuns(Endpoint &endpoint, EndpointMonitor &monitor, TimerService &timers, AgentRunsSettings settings);
+    AgentRuns(Endpoint &endpoint, EndpointMonitor &monitor, AgentMetrics &metrics, TimerService &timers,
+              AgentRunsSettings settings);
 
     /// Begins to drop what has been kept for long enough.
     void start();
@@ -71,25 +73,25 @@
     std::size_t keptBytes() const;
 
 private:
-    using ReaderPointer = std::shared_ptr<AnswerReader>;
-
     void startRun(const wire::RunRequest &request, const MessageStreamPointer &stream);
     EndpointCallbacks callbacksFor(const AttemptId &attempt);
-    void addReader(const MessageStreamPointer &stream, ReaderPointer reader, const RequestId &request);
+    void addReader(const MessageStreamPointer &stream, AnswerReaders::ReaderPointer reader, const RequestId &request);
     void refuse(const MessageStreamPointer &stream, const std::string &attempt, const absl::Status &status);
     void takeHead(const AttemptId &attempt, AnswerHead head);
     void takeBytes(const AttemptId &attempt, const std::string &bytes);
     void takeEnd(const AttemptId &attempt, const absl::Status &status);
     void abandon(const AttemptId &attempt, const absl::Status &status);
     void endRun(const AttemptId &attempt, const RunResult &result);
+    void noteNotDone(const AttemptId &attempt, const absl::Status &status);
     void pumpAll(const AttemptId &attempt);
-    void pump(const ReaderPointer &reader);
+    void pump(const AnswerReaders::ReaderPointer &reader);
     wire::RunRecord describe(const RunRecord &record) const;
     void noteDropped();
     void expire();
 
     Endpoint &m_endpoint;
     EndpointMonitor &m_monitor;
+    AgentMetrics &m_metrics;
     TimerService &m_timers;
     const AgentRunsSettings m_settings;
 
@@ -97,9 +99,7 @@
     RunTable m_table;
     AnswerBuffer m_answers;
     absl::flat_hash_map<AttemptId, std::unique_ptr<RunInProgress>> m_runs;
-    absl::flat_hash_map<AttemptId, std::vector<ReaderPointer>> m_readers;
-    /// By stream, until that has closed.
-    absl::flat_hash_map<const MessageStream *, ReaderPointer> m_attached;
+    AnswerReaders m_readers;
 };
 
 }
--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -10,14 +10,14 @@
 {
 
 /// Gives the first frame of a stream, parsed, to `take`; a stream whose first frame can't be parsed is cancelled.
-/// Later frames are ignored: each path takes one question.
+/// Later frames are ignored: each path takes one question. Until the first frame the callback alone holds the stream.
 template<typename Message>
-MessageStream::MessageCallback onFirstMessage(const MessageStreamPointer &stream,
+MessageStream::MessageCallback onFirstMessage(MessageStreamPointer stream,
                                               std::function<void(const Message &, const MessageStreamPointer &)> take)
 {
-    return [weak = std::weak_ptr(stream), take = std::move(take), isTaken = false](const std::string &frame) mutable {
-        const MessageStreamPointer stream = weak.lock();
-        if (!stream || std::exchange(isTaken, true)) {
+    return [held = std::move(stream), take = std::move(take)](const std::string &frame) mutable {
+        const MessageStreamPointer stream = std::exchange(held, nullptr);
+        if (!stream) {
             return;
         }
         Message message;
@@ -50,10 +50,13 @@
     stream->start(onFirstMessage<Question>(stream, take), [](const absl::Status &) {});
 }
 
-MessageStream::ClosedCallback onRunStreamClosed(std::shared_ptr<AgentRuns> runs, const MessageStream *stream)
+/// A stream that nobody holds any more has no reader; another one may lie at its address by now.
+MessageStream::ClosedCallback onRunStreamClosed(std::shared_ptr<AgentRuns> runs, const MessageStreamPointer &stream)
 {
-    return [runs = std::move(runs), stream](const absl::Status &status) {
-        runs->noteStreamClosed(stream, status);
+    return [runs = std::move(runs), weak = std::weak_ptr(stream)](const absl::Status &status) {
+        if (const MessageStreamPointer stream = weak.lock()) {
+            runs->noteStreamClosed(stream.get(), status);
+        }
     };
 }
 
@@ -87,7 +90,7 @@
     const auto take = [runs = m_runs](const wire::RunRequest &request, const MessageStreamPointer &stream) {
         runs->run(request, stream);
     };
-    stream->start(onFirstMessage<wire::RunRequest>(stream, take), onRunStreamClosed(m_runs, stream.get()));
+    stream->start(onFirstMessage<wire::RunRequest>(stream, take), onRunStreamClosed(m_runs, stream));
 }
 
 void AgentServer::serveAttach(const MessageStreamPointer &stream) const
@@ -99,7 +102,7 @@
         }
         runs->attach(request, stream);
     };
-    stream->start(onFirstMessage<wire::AttachRequest>(stream, take), onRunStreamClosed(m_runs, stream.get()));
+    stream->start(onFirstMessage<wire::AttachRequest>(stream, take), onRunStreamClosed(m_runs, stream));
 }
 
 void AgentServer::serveBar(const MessageStreamPointer &stream) const
--- a/src/agent/agentsettings.cpp
+++ b/src/agent/agentsettings.cpp
@@ -37,7 +37,8 @@
             settings.endpointKind = n == 0 ? EndpointKind::Engine : EndpointKind::Service;
         },
         "engine", "A model engine with the OpenAI-compatible API, or a plain HTTP service");
-    parser.add("endpoint-name", settings.endpointName, "The endpoint's name in the fleet; its address when not given");
+    parser.add("name", settings.name,
+               "The instance's name in the platform's list; the endpoint's address if not given");
     parser.add("pool", settings.pool, "The pool to which the endpoint belongs");
     parser.require("pool");
     parser.add("models", *models, "Models that the endpoint serves, apart by commas, where it does not tell");
--- a/src/agent/agentsettings.h
+++ b/src/agent/agentsettings.h
@@ -20,8 +20,9 @@
     SocketAddress adminListen{"127.0.0.1", 7301};
     SocketAddress endpoint;
     EndpointKind endpointKind = EndpointKind::Engine;
-    /// The endpoint's name in the fleet; its address when it is not given.
-    std::string endpointName;
+    /// The instance's name in the platform's list, by which the fleet joins what it hears; the endpoint's address when
+    /// it is not given.
+    std::string name;
     std::string pool;
     std::vector<std::string> models;
     int capacity = 0;
--- a/src/agent/runinprogress.h
+++ b/src/agent/runinprogress.h
@@ -52,6 +52,8 @@
 
     std::shared_ptr<EndpointCall> call;
     TimerId deadlineTimer = 0;
+    Instant startedAt;
+    bool hasBytes = false;
 
 private:
     RunResult failed(const absl::Status &status) const;
--- a/tests/radishswitch-agent/agentruns_test.cpp
+++ b/tests/radishswitch-agent/agentruns_test.cpp
@@ -97,8 +97,10 @@
     FakeEndpoint m_endpoint;
     std::shared_ptr<EndpointMonitor> m_monitor =
         std::make_shared<EndpointMonitor>(m_endpoint, m_timers, EndpointMonitorSettings());
+    Metrics m_registry;
+    AgentMetrics m_metrics{m_registry};
     std::shared_ptr<AgentRuns> m_runs = std::make_shared<AgentRuns>(
-        m_endpoint, *m_monitor, m_timers, AgentRunsSettings{.address = "127.0.0.1:7300", .endpoint = "e1"});
+        m_endpoint, *m_monitor, m_metrics, m_timers, AgentRunsSettings{.address = "127.0.0.1:7300", .endpoint = "e1"});
     const absl::Status m_lost = makeFailure(FailureCode::ConnectionLost, "gone");
 };
 
--- a/tests/radishswitch-agent/agentserver_test.cpp
+++ b/tests/radishswitch-agent/agentserver_test.cpp
@@ -16,8 +16,10 @@
     FakeEndpoint m_endpoint;
     std::shared_ptr<EndpointMonitor> m_monitor =
         std::make_shared<EndpointMonitor>(m_endpoint, m_timers, EndpointMonitorSettings());
+    Metrics m_registry;
+    AgentMetrics m_metrics{m_registry};
     std::shared_ptr<AgentRuns> m_runs =
-        std::make_shared<AgentRuns>(m_endpoint, *m_monitor, m_timers, AgentRunsSettings());
+        std::make_shared<AgentRuns>(m_endpoint, *m_monitor, m_metrics, m_timers, AgentRunsSettings());
     AgentServer m_server{m_runs, std::make_shared<HeartbeatPublisher>(*m_monitor, m_timers, wire::AgentHeartbeat()),
                          IncarnationId("this-life")};
     std::shared_ptr<FakeMessageStream> m_stream = std::make_shared<FakeMessageStream>();
@@ -44,6 +46,8 @@
     request.set_attempt_id("a");
     request.set_deadline_ms(1000);
     m_server.serveRun(m_stream);
+    // Held until its first frame: a stream that nobody holds is finished by the transport.
+    EXPECT_GT(m_stream.use_count(), 1);
     m_stream->receive(request.SerializeAsString());
     request.set_request_id("r2");
     request.set_attempt_id("a2");
