--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -10,14 +10,14 @@
 {
 
 /// Gives the first frame of a stream, parsed, to `take`; a stream whose first frame can't be parsed is cancelled.
-/// Later frames are ignored: each path takes one question.
+/// Later frames are ignored: each path takes one question. Until the first frame the callback alone holds the stream.
 template<typename Message>
-MessageStream::MessageCallback onFirstMessage(const MessageStreamPointer &stream,
+MessageStream::MessageCallback onFirstMessage(MessageStreamPointer stream,
                                               std::function<void(const Message &, const MessageStreamPointer &)> take)
 {
-    return [weak = std::weak_ptr(stream), take = std::move(take), isTaken = false](const std::string &frame) mutable {
-        const MessageStreamPointer stream = weak.lock();
-        if (!stream || std::exchange(isTaken, true)) {
+    return [held = std::move(stream), take = std::move(take)](const std::string &frame) mutable {
+        const MessageStreamPointer stream = std::exchange(held, nullptr);
+        if (!stream) {
             return;
         }
         Message message;
@@ -47,15 +47,16 @@
         }
         stream->finish();
     };
-    // Held until it has closed: a handler that lets go of its stream has no more use for it.
-    stream->start(onFirstMessage<Question>(stream, take), [stream](const absl::Status &) {});
+    stream->start(onFirstMessage<Question>(stream, take), [](const absl::Status &) {});
 }
 
-// Holds the stream until it has closed.
+/// A stream that nobody holds any more has no reader; another one may lie at its address by now.
 MessageStream::ClosedCallback onRunStreamClosed(std::shared_ptr<AgentRuns> runs, const MessageStreamPointer &stream)
 {
-    return [runs = std::move(runs), stream](const absl::Status &status) {
-        runs->noteStreamClosed(stream.get(), status);
+    return [runs = std::move(runs), weak = std::weak_ptr(stream)](const absl::Status &status) {
+        if (const MessageStreamPointer stream = weak.lock()) {
+            runs->noteStreamClosed(stream.get(), status);
+        }
     };
 }
 
