Hear of key owners by a watch

A request for a shard that another entry owns read the owner's record at the store each time it was asked here. In a partition every such request would have: thousands a second against a store that gives two thousand. Owners are known from one watch a process now; 1,000 refusals cost no call (a test).

--- a/src/libradishswitch/keyownership.cpp
+++ b/src/libradishswitch/keyownership.cpp
@@ -2,6 +2,7 @@
 
 #include "failure.h"
 
+#include <absl/strings/numbers.h>
 #include <xxhash.h>
 
 #include <cstdio>
@@ -17,25 +18,44 @@
 /// A conditional write that lost against another is tried again after a read; more often than this means a crowd.
 constexpr int kAcquireTries = 4;
 
+constexpr char kPrefix[] = "keyowners/";
+
+std::optional<std::uint32_t> shardOfKey(const std::string &key)
+{
+    std::uint32_t shard = 0;
+    if (!absl::SimpleAtoi(key.substr(std::string(kPrefix).size()), &shard)) {
+        return std::nullopt;
+    }
+    return shard;
+}
+
 }
 
-KeyOwnership::KeyOwnership(ObjectStore &store, TimerService &timers, const EntryDirectory &entries, KeyOwner self,
-                           KeyOwnershipSettings settings, LostCallback lost)
+KeyOwnership::KeyOwnership(ObjectStore &store, TimerService &timers, RandomSource &random,
+                           const EntryDirectory &entries, KeyOwner self, KeyOwnershipSettings settings,
+                           LostCallback lost)
     : m_store(store)
     , m_timers(timers)
+    , m_random(random)
     , m_entries(entries)
     , m_self(std::move(self))
     , m_settings(settings)
     , m_lost(std::move(lost))
+    , m_backoff(settings.firstBackoff, settings.lastBackoff)
 {
     m_checkTimer = m_timers.every(m_settings.checkInterval, m_life.guard([this] {
         checkOwned();
+        replaceSilentWatch();
     }));
+    if (m_settings.isWatching) {
+        listAll();
+    }
 }
 
 KeyOwnership::~KeyOwnership()
 {
     m_timers.cancel(m_checkTimer);
+    m_timers.cancel(m_listTimer);
 }
 
 std::string KeyOwnership::objectKey(std::uint32_t shard)
@@ -74,8 +94,21 @@
     return it->second.owner;
 }
 
+bool KeyOwnership::isTakenByOther(const KeyOwner &owner) const
+{
+    return !owner.incarnation.isEmpty() && !isSelf(owner)
+        && m_entries.livenessOf(owner.incarnation, owner.region) != EntryLiveness::Dead;
+}
+
 void KeyOwnership::acquire(std::uint32_t shard, AcquireCallback callback)
 {
+    const std::optional<KeyOwner> known = ownerOf(shard);
+    if (m_settings.isWatching && known && isTakenByOther(*known)) {
+        if (!m_listedAt || m_timers.now() - *m_listedAt > m_settings.listLifetime) {
+            listAll();
+        }
+        return callback(refusalFor(*known));
+    }
     readForAcquire({shard, kAcquireTries, std::move(callback)});
 }
 
@@ -101,9 +134,7 @@
     if (isSelf(*owner)) {
         return acquisition.callback(*owner);
     }
-    const bool isFree =
-        owner->incarnation.isEmpty() || m_entries.livenessOf(owner->incarnation, owner->region) == EntryLiveness::Dead;
-    if (!isFree || m_isHandedOver) {
+    if (isTakenByOther(*owner) || m_isHandedOver) {
         return acquisition.callback(refusalFor(*owner));
     }
     writeSelf(std::move(acquisition), owner->epoch, object->version);
@@ -214,6 +245,80 @@
     }
 }
 
+void KeyOwnership::listAll()
+{
+    if (m_isListing) {
+        return;
+    }
+    m_isListing = true;
+    m_timers.cancel(m_listTimer);
+    m_store.list(kPrefix, m_life.guard([this](const auto &changes) {
+        finishListing(changes);
+    }));
+}
+
+void KeyOwnership::finishListing(const absl::StatusOr<StoreChanges> &changes)
+{
+    m_isListing = false;
+    m_listedAt = m_timers.now();
+    if (!changes.ok()) {
+        return listAgainLater();
+    }
+    m_backoff = Backoff(m_settings.firstBackoff, m_settings.lastBackoff);
+    takeIn(changes->objects);
+    if (!m_isWatchOpen) {
+        watch(changes->nextVersion);
+    }
+}
+
+void KeyOwnership::watch(std::uint64_t fromVersion)
+{
+    m_isWatchOpen = true;
+    const auto heard = [this, number = ++m_watchNumber](const absl::StatusOr<StoreChanges> &changes) {
+        if (number != m_watchNumber) {
+            return;
+        }
+        m_isWatchOpen = false;
+        if (!changes.ok()) {
+            return listAgainLater();
+        }
+        m_listedAt = m_timers.now();
+        takeIn(changes->objects);
+        watch(changes->nextVersion);
+    };
+    m_store.watch(kPrefix, fromVersion, m_life.guard(heard));
+}
+
+/// A watch can go silent for good while new calls work. Nothing is lost by that but time: who owns what would be
+/// learned by refusals only.
+void KeyOwnership::replaceSilentWatch()
+{
+    const bool isSilent = m_listedAt && m_timers.now() - *m_listedAt > m_settings.checkInterval * 2;
+    if (m_settings.isWatching && isSilent) {
+        ++m_watchNumber;
+        m_isWatchOpen = false;
+        listAll();
+    }
+}
+
+void KeyOwnership::listAgainLater()
+{
+    m_timers.cancel(m_listTimer);
+    m_listTimer = m_timers.after(m_backoff.next(m_random), m_life.guard([this] {
+        listAll();
+    }));
+}
+
+void KeyOwnership::takeIn(const std::vector<StoredObject> &objects)
+{
+    for (const StoredObject &object : objects) {
+        const auto shard = shardOfKey(object.key);
+        if (shard && object.version > 0) {
+            (void)learn(*shard, object);
+        }
+    }
+}
+
 void KeyOwnership::handOver(std::function<void()> callback)
 {
     m_isHandedOver = true;
--- a/src/libradishswitch/keyownership.h
+++ b/src/libradishswitch/keyownership.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "backoff.h"
 #include "entrydirectory.h"
 #include "keyowner.h"
 #include "lifetoken.h"
 #include "objectstore.h"
+#include "randomsource.h"
 #include "timerservice.h"
 
 #include <absl/status/status.h>
@@ -21,8 +23,15 @@
 struct KeyOwnershipSettings {
     /// The same all over the fleet, for ever: a change would send the retries of a key to another owner.
     std::uint32_t shardCount = 256;
-    /// How often an owner reads its own records back. Not needed for safety: agents refuse what a deposed owner grants.
-    Duration checkInterval = std::chrono::seconds(5);
+    /// Whether to hear of all changes by a watch; one waiting call a process.
+    bool isWatching = true;
+    /// How often an owner reads its own records back, should the watch have gone silent. Not needed for safety: agents
+    /// refuse what a deposed owner grants.
+    Duration checkInterval = std::chrono::seconds(30);
+    /// How old the list of owners may be when a request is refused by it; an older one is fetched anew meanwhile.
+    Duration listLifetime = std::chrono::seconds(10);
+    Duration firstBackoff = std::chrono::milliseconds(200);
+    Duration lastBackoff = std::chrono::seconds(10);
     /// What a caller is told when the owner cannot be asked.
     std::chrono::milliseconds retryAfter{2000};
 };
@@ -33,6 +42,9 @@
 /// free, or when its owner is seen dead. No lease and no clock guards it; the epoch does, at the agents. So an owner
 /// that cannot reach the store stays owner, and one that was deposed unaware does no harm until it finds out.
 ///
+/// Who owns the other shards is heard by a watch, so that a request for a shard that another entry owns costs the store
+/// nothing, also while a partition lasts and thousands of them come each second.
+///
 /// Single-threaded; the answers of the store and the timers must come under the same guard as the calls.
 class KeyOwnership
 {
@@ -42,8 +54,8 @@
     using LostCallback = std::function<void(std::uint32_t shard)>;
 
     /// `self` names this entry; its epoch is not used. `lost` is called when a shard turns out to have gone to another.
-    KeyOwnership(ObjectStore &store, TimerService &timers, const EntryDirectory &entries, KeyOwner self,
-                 KeyOwnershipSettings settings, LostCallback lost);
+    KeyOwnership(ObjectStore &store, TimerService &timers, RandomSource &random, const EntryDirectory &entries,
+                 KeyOwner self, KeyOwnershipSettings settings, LostCallback lost);
     ~KeyOwnership();
 
     KeyOwnership(const KeyOwnership &) = delete;
@@ -106,9 +118,18 @@
     absl::StatusOr<KeyOwner> learn(std::uint32_t shard, const absl::StatusOr<StoredObject> &object);
     absl::Status refusalFor(const KeyOwner &owner) const;
     void checkOwned();
+    bool isTakenByOther(const KeyOwner &owner) const;
+
+    void listAll();
+    void finishListing(const absl::StatusOr<StoreChanges> &changes);
+    void watch(std::uint64_t fromVersion);
+    void listAgainLater();
+    void replaceSilentWatch();
+    void takeIn(const std::vector<StoredObject> &objects);
 
     ObjectStore &m_store;
     TimerService &m_timers;
+    RandomSource &m_random;
     const EntryDirectory &m_entries;
     const KeyOwner m_self;
     const KeyOwnershipSettings m_settings;
@@ -116,6 +137,13 @@
     std::map<std::uint32_t, Known> m_known;
     std::map<std::uint32_t, Confirmation> m_confirmations;
     bool m_isHandedOver = false;
+    bool m_isListing = false;
+    bool m_isWatchOpen = false;
+    /// An answer of an earlier watch than this one is dropped.
+    std::uint64_t m_watchNumber = 0;
+    std::optional<Instant> m_listedAt;
+    Backoff m_backoff;
+    TimerId m_listTimer = 0;
     TimerId m_checkTimer = 0;
     LifeToken m_life;
 };
--- a/src/libradishswitch/keyshards.cpp
+++ b/src/libradishswitch/keyshards.cpp
@@ -23,7 +23,7 @@
     , m_random(random)
     , m_collectorSettings(collector)
     , m_events(std::move(events))
-    , m_ownership(store, timers, entries, std::move(self), ownership, [this](std::uint32_t shard) {
+    , m_ownership(store, timers, random, entries, std::move(self), ownership, [this](std::uint32_t shard) {
         lose(shard);
     })
 {
--- a/tests/core/keyownership_test.cpp
+++ b/tests/core/keyownership_test.cpp
@@ -3,6 +3,7 @@
 #include "manualtaskqueue.h"
 #include "memoryentrydirectory.h"
 #include "memoryobjectstore.h"
+#include "seededrandom.h"
 #include "virtualtimerservice.h"
 
 #include <gtest/gtest.h>
@@ -28,11 +29,14 @@
         std::vector<std::uint32_t> lost;
     };
 
-    std::unique_ptr<Entry> makeEntry(const std::string &name)
+    /// An entry that hears nothing of the store's changes, unless it watches.
+    std::unique_ptr<Entry> makeEntry(const std::string &name, bool isWatching = false)
     {
+        KeyOwnershipSettings settings;
+        settings.isWatching = isWatching;
         auto entry = std::make_unique<Entry>();
         const KeyOwner self{IncarnationId(name), name + ":1", "south-central", 0};
-        entry->ownership = std::make_unique<KeyOwnership>(m_store, m_timers, m_directory, self, KeyOwnershipSettings{},
+        entry->ownership = std::make_unique<KeyOwnership>(m_store, m_timers, m_random, m_directory, self, settings,
                                                           [lost = &entry->lost](std::uint32_t shard) {
                                                               lost->push_back(shard);
                                                           });
@@ -67,6 +71,7 @@
     ManualTaskQueue m_tasks;
     VirtualTimerService m_timers;
     MemoryObjectStore m_store{m_tasks};
+    SeededRandom m_random;
     MemoryEntryDirectory m_directory;
     std::unique_ptr<Entry> m_first = makeEntry("first");
     std::unique_ptr<Entry> m_second = makeEntry("second");
@@ -225,3 +230,74 @@
     EXPECT_EQ(owner->epoch, 2u);
     EXPECT_EQ(m_first->ownership->epochOf(kShard), std::nullopt);
 }
+
+TEST_F(KeyOwnershipTest, watch_shardTakenOver_findsOutWithoutAsking)
+{
+    const auto watcher = makeEntry("watcher", true);
+    m_tasks.runAll();
+    ASSERT_TRUE(acquire(*watcher).ok());
+    setDead("watcher");
+    ASSERT_TRUE(acquire(*m_second).ok());
+    m_tasks.runAll();
+
+    EXPECT_EQ(watcher->lost, std::vector<std::uint32_t>{kShard});
+    EXPECT_EQ(watcher->ownership->ownerOf(kShard)->address, "second:1");
+}
+
+// Two regions are apart, and thousands of requests a second reach entries that cannot ask the owner. Who owns the shard
+// is known from the watch: none of these requests goes to the store.
+TEST_F(KeyOwnershipTest, acquire_ownerKnownFromWatch_asksNoStore)
+{
+    ASSERT_TRUE(acquire(*m_first).ok());
+    const auto watcher = makeEntry("watcher", true);
+    m_tasks.runAll();
+    m_directory.setLiveness(IncarnationId("first"), EntryLiveness::Unreachable);
+    const int before = m_store.calls();
+
+    for (int n = 0; n < 1000; ++n) {
+        EXPECT_EQ(failureCode(acquire(*watcher).status()), FailureCode::OutcomeUnknown);
+    }
+
+    EXPECT_EQ(m_store.calls(), before);
+}
+
+// The store is away when the entry starts, and for an hour. It asks again with growing pauses and hears of the owners
+// when the store is back.
+TEST_F(KeyOwnershipTest, watch_storeAwayForAnHour_asksSeldomAndRecovers)
+{
+    constexpr int kSeconds = 3600;
+    constexpr int kCalls = 600;
+    ASSERT_TRUE(acquire(*m_first).ok());
+    m_store.setAway(true);
+    const auto watcher = makeEntry("watcher", true);
+    const int before = m_store.calls();
+    for (int n = 0; n < kSeconds; ++n) {
+        m_timers.advance(std::chrono::seconds(1));
+        m_tasks.runAll();
+    }
+    // The first owner looks after its record meanwhile, twice a minute.
+    EXPECT_LT(m_store.calls() - before, kCalls + kSeconds / 30);
+
+    m_store.setAway(false);
+    m_timers.advance(std::chrono::seconds(20));
+    m_tasks.runAll();
+
+    ASSERT_TRUE(watcher->ownership->ownerOf(kShard).has_value());
+    EXPECT_EQ(watcher->ownership->ownerOf(kShard)->address, "first:1");
+}
+
+// The connection on which a watch waits has gone silent for good. The entry does not wait for ever: it lists again.
+TEST_F(KeyOwnershipTest, watch_silentForGood_isReplaced)
+{
+    const auto watcher = makeEntry("watcher", true);
+    m_tasks.runAll();
+    m_store.dropWatches();
+    ASSERT_TRUE(acquire(*m_first).ok());
+    for (int n = 0; n < 4; ++n) {
+        m_timers.advance(KeyOwnershipSettings().checkInterval);
+        m_tasks.runAll();
+    }
+
+    ASSERT_TRUE(watcher->ownership->ownerOf(kShard).has_value());
+    EXPECT_EQ(watcher->ownership->ownerOf(kShard)->address, "first:1");
+}
--- a/tests/core/requestworld.cpp
+++ b/tests/core/requestworld.cpp
@@ -18,6 +18,7 @@
     settings.claims.lastBackoff = std::chrono::seconds(2);
     settings.tick = std::chrono::seconds(20);
     settings.ownership.checkInterval = std::chrono::seconds(40);
+    settings.ownership.isWatching = false;
     return settings;
 }
 
--- a/tests/fakes/memoryobjectstore.h
+++ b/tests/fakes/memoryobjectstore.h
@@ -34,6 +34,12 @@
         m_lostAnswers = n;
     }
 
+    /// Watches that wait now never hear of anything, as when something between the two ends has lost track of them.
+    void dropWatches()
+    {
+        m_watchers.clear();
+    }
+
     int calls() const
     {
         return m_calls;
--- a/tests/fakes/smallfleet.h
+++ b/tests/fakes/smallfleet.h
@@ -91,6 +91,8 @@
     explicit SmallFleet(const RadishSwitch::HomeSettings &settings = {})
         : m_settings(settings)
     {
+        // The worst case: an entry hears of no change in the store by itself.
+        m_settings.ownership.isWatching = false;
     }
 
     std::unique_ptr<SmallEntry> makeEntry(const std::string &name)
@@ -138,6 +140,6 @@
     PromptCourier courier{tasks};
 
 private:
-    const RadishSwitch::HomeSettings m_settings;
+    RadishSwitch::HomeSettings m_settings;
     std::uint64_t m_seed = 0;
 };
--- a/tests/golden/requestsession.cpp
+++ b/tests/golden/requestsession.cpp
@@ -15,6 +15,14 @@
 constexpr Duration kStoreDelay = std::chrono::milliseconds(2);
 constexpr char kCaller[] = "shop";
 
+/// Without the watch of the owners, which would fill the sessions with what they are not about.
+HomeSettings settings()
+{
+    HomeSettings settings;
+    settings.ownership.isWatching = false;
+    return settings;
+}
+
 }
 
 struct RequestSession::Entry {
@@ -26,7 +34,7 @@
         , reservations(name, portion, session.recorder)
         , home(std::make_unique<Home>(
               HomePorts{session.timers, session.tasks, random, store, agents, reservations, directory},
-              KeyOwner{IncarnationId(name), name, "south-central", 0}, HomeSettings{}))
+              KeyOwner{IncarnationId(name), name, "south-central", 0}, settings()))
     {
     }
 
