--- a/src/libradishswitch/requestregistry.cpp
+++ b/src/libradishswitch/requestregistry.cpp
@@ -8,10 +8,11 @@
 namespace
 {
 
-/// A failed run that cost something has had its one bill, so it can't run for another.
+/// A failed run that cost something has had its one bill, so it can't run for another. A non-idempotent one that failed
+/// is Unknown, not Failed.
 bool mayRunAgain(const KnownRequest &known)
 {
-    return known.state == RequestState::Failed && !known.isNonIdempotent && known.chargedTokens == 0;
+    return known.state == RequestState::Failed && known.chargedTokens == 0;
 }
 
 RequestState stateOf(const RunRecord &record)
--- a/src/libradishswitch/requestregistry.h
+++ b/src/libradishswitch/requestregistry.h
@@ -23,6 +23,7 @@
     Admitted,
     Dispatched,
     Done,
+    /// Started and failed; idempotent.
     Failed,
     /// Certainly not run; may run again. Not kept.
     NotRun,
