Let dead agents hold up neither requests nor bills

Addresses of agents stay known for an hour after the platform drops them, as of agents that may hold a run. A new owner took each for one that may still answer: requests waited 2 s at every takeover, their bills up to an hour with the whole reservation held, and an abandoned request was withheld. An agent that is not listed and cannot be asked is dead now (AgentPort::isGone). An owner that knows of no agent at all takes nothing for proved.

--- a/src/libradishswitch/agentport.h
+++ b/src/libradishswitch/agentport.h
@@ -4,6 +4,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -74,6 +75,14 @@
     /// Every agent that may hold a run: those listed, and those lately gone from the list or heard of in other ways.
     virtual std::vector<std::string> agentAddresses() const = 0;
 
+    /// Whether the platform does not list the agent any more. It may still be ending its runs; but one that cannot be
+    /// asked either is taken for dead, with all that it knew.
+    virtual bool isGone(const std::string &agentAddress) const
+    {
+        const std::vector<std::string> addresses = agentAddresses();
+        return std::find(addresses.begin(), addresses.end(), agentAddress) == addresses.end();
+    }
+
     /// Which of these requests does the agent know? With an epoch above zero the agent from then on refuses runs of
     /// the shard under a lower one. With an epoch and no requests named it tells of every keyed run of the shard that
     /// started and whose full record it still has.
--- a/src/libradishswitch/agentroster.cpp
+++ b/src/libradishswitch/agentroster.cpp
@@ -14,8 +14,12 @@
 
 void AgentRoster::refresh()
 {
-    const std::vector<std::string> addresses = m_agents.agentAddresses();
-    const std::set<std::string> earlier = std::exchange(m_present, {addresses.begin(), addresses.end()});
+    const std::set<std::string> earlier = std::exchange(m_present, {});
+    for (const std::string &address : m_agents.agentAddresses()) {
+        if (!m_agents.isGone(address)) {
+            m_present.insert(address);
+        }
+    }
     const Instant now = m_timers.now();
     std::erase_if(m_gone, [now](const Gone &gone) {
         return now - gone.noticed > kMemory;
--- a/src/libradishswitch/agentroster.h
+++ b/src/libradishswitch/agentroster.h
@@ -10,7 +10,8 @@
 namespace RadishSwitch
 {
 
-/// The agents of the fleet with those that are gone, to know where a run may have been sent since some moment.
+/// The agents that the platform lists, with those that it listed lately, to know where a run may have been sent since
+/// some moment.
 ///
 /// An entry that dies before it told where it sent a run may have sent it to an agent that has gone since. Who looks
 /// only at the agents of today finds the run nowhere, takes it as not run and repeats an order that was placed.
--- a/src/libradishswitch/runresolver.cpp
+++ b/src/libradishswitch/runresolver.cpp
@@ -81,7 +81,7 @@
         return;
     }
     if (!record.ok()) {
-        if (isGone(m_places[n].dispatch.agentAddress)) {
+        if (m_agents.isGone(m_places[n].dispatch.agentAddress)) {
             return settlePlace(n, {RunEnd::Lost, 0});
         }
         askAgainLater(n);
@@ -129,10 +129,4 @@
     }
 }
 
-bool RunResolver::isGone(const std::string &agentAddress) const
-{
-    const auto addresses = m_agents.agentAddresses();
-    return std::find(addresses.begin(), addresses.end(), agentAddress) == addresses.end();
-}
-
 }
--- a/src/libradishswitch/runresolver.h
+++ b/src/libradishswitch/runresolver.h
@@ -78,7 +78,6 @@
     void finishAsking(std::size_t n, const absl::StatusOr<RunRecord> &record);
     void askAgainLater(std::size_t n);
     void settlePlace(std::size_t n, const RunVerdict &verdict);
-    bool isGone(const std::string &agentAddress) const;
 
     AgentPort &m_agents;
     TimerService &m_timers;
--- a/src/libradishswitch/shardcollector.cpp
+++ b/src/libradishswitch/shardcollector.cpp
@@ -43,12 +43,14 @@
             return false;
         }
         m_timers.cancel(item.second.retryTimer);
+        m_open -= isOpen(item.second.state) ? 1 : 0;
         return true;
     });
     for (const std::string &address : present) {
         if (!m_agents.contains(address)) {
             m_agents.emplace(address,
                              Agent{AgentState::Asked, Backoff(m_settings.firstBackoff, m_settings.lastBackoff)});
+            ++m_open;
             ask(address);
         }
     }
@@ -59,16 +61,30 @@
 
 bool ShardCollector::isHolding() const
 {
-    return !m_isReleased && std::any_of(m_agents.begin(), m_agents.end(), [](const auto &item) {
-        return item.second.state == AgentState::Asked;
-    });
+    if (m_isReleased) {
+        return false;
+    }
+    return m_agents.empty() || std::any_of(m_agents.begin(), m_agents.end(), [this](const auto &item) {
+               return item.second.state == AgentState::Asked && !m_agentPort.isGone(item.first);
+           });
 }
 
 bool ShardCollector::isComplete() const
 {
-    return std::all_of(m_agents.begin(), m_agents.end(), [](const auto &item) {
-        return item.second.state == AgentState::Answered;
-    });
+    // An entry that knows of no agent has not heard of them yet.
+    return m_open == 0 && !m_agents.empty();
+}
+
+bool ShardCollector::isOpen(AgentState state)
+{
+    return state == AgentState::Asked || state == AgentState::Unreachable;
+}
+
+void ShardCollector::setState(Agent &agent, AgentState state)
+{
+    m_open -= isOpen(agent.state) ? 1 : 0;
+    agent.state = state;
+    m_open += isOpen(agent.state) ? 1 : 0;
 }
 
 void ShardCollector::ask(const std::string &address)
@@ -91,7 +107,7 @@
         }
         return m_events.changed();
     }
-    it->second.state = AgentState::Answered;
+    setState(it->second, AgentState::Answered);
     for (RunRecord record : *runs) {
         record.agentAddress = address;
         m_events.found(record);
@@ -104,7 +120,7 @@
 
 void ShardCollector::askAgainLater(const std::string &address, Agent &agent)
 {
-    agent.state = AgentState::Unreachable;
+    setState(agent, m_agentPort.isGone(address) ? AgentState::Dead : AgentState::Unreachable);
     agent.retryTimer = m_timers.after(agent.backoff.next(m_random), m_life.guard([this, address] {
         const auto it = m_agents.find(address);
         if (it != m_agents.end()) {
--- a/src/libradishswitch/shardcollector.h
+++ b/src/libradishswitch/shardcollector.h
@@ -44,19 +44,21 @@
     ShardCollector(const ShardCollector &) = delete;
     ShardCollector &operator=(const ShardCollector &) = delete;
 
-    /// Asks the agents that were not asked yet, and drops those that are gone for good: what they knew is lost.
+    /// Asks the agents that were not asked yet, and drops those that are not known any more.
     void refresh();
 
     /// Whether requests must wait: agents that may yet answer have not, and the limit has not come.
     bool isHolding() const;
 
-    /// Whether every agent has answered.
+    /// Whether every agent has answered, but for the dead.
     bool isComplete() const;
 
 private:
     enum class AgentState {
         Asked,
         Unreachable,
+        /// Not to be asked, and not in the platform's list: what it knew is lost.
+        Dead,
         Answered,
     };
 
@@ -69,6 +71,8 @@
     void ask(const std::string &address);
     void finishAsking(const std::string &address, const absl::StatusOr<std::vector<RunRecord>> &runs);
     void askAgainLater(const std::string &address, Agent &agent);
+    void setState(Agent &agent, AgentState state);
+    static bool isOpen(AgentState state);
 
     AgentPort &m_agentPort;
     TimerService &m_timers;
@@ -78,6 +82,8 @@
     const ShardCollectorSettings m_settings;
     const Events m_events;
     std::map<std::string, Agent> m_agents;
+    /// Agents that may still tell of a run.
+    std::size_t m_open = 0;
     /// Set once requests went on; agents that join later do not hold them up again.
     bool m_isReleased = false;
     TimerId m_holdTimer = 0;
--- a/tests/core/homeabandon_test.cpp
+++ b/tests/core/homeabandon_test.cpp
@@ -238,3 +238,19 @@
     EXPECT_TRUE(fleet.start(question, again, "agent-1").ok());
     EXPECT_EQ(first->reservations.reserved(), kWorstCase);
 }
+
+// An agent that had died before the request was granted cannot have got it, although its address is remembered still.
+TEST_F(HomeAbandonTest, abandon_agentDeadBeforeTheGrant_isNoDoubt)
+{
+    fleet.agents.kill("agent-2");
+    fleet.agents.setGone("agent-2");
+    fleet.advance(std::chrono::seconds(2));
+    const AdmitQuestion question = order("r");
+    const Grant grant = ask(*first, question)->grant();
+
+    first->home->abandon(question.request, grant.attempt);
+    fleet.settle();
+
+    EXPECT_EQ(first->reservations.free(), SmallFleet::kTokens);
+    EXPECT_EQ(ask(*first, question)->grant().reservedTokens, kWorstCase);
+}
--- a/tests/core/hometakeover_test.cpp
+++ b/tests/core/hometakeover_test.cpp
@@ -380,3 +380,73 @@
     EXPECT_TRUE(bills(*second, question).empty());
     EXPECT_EQ(second->reservations.withheld(), kWorstCase);
 }
+
+// A takeover after agents have died: the platform lists them no more, but their addresses are remembered for an hour,
+// as of agents that may hold a run. They hold nothing up, and no bill waits an hour for them.
+TEST_F(HomeTakeoverTest, admit_deadAgentsStillRemembered_goesOnWithoutThem)
+{
+    ask(*first, keyed("other"));
+    kill(first, *second);
+    fleet.agents.kill("agent-2");
+    fleet.agents.setGone("agent-2");
+    const AdmitQuestion question = keyed("r");
+    const Grant grant = startRun(*second, question, "agent-1");
+    fleet.settle();
+
+    second->home->settle(question.request, {kUsed, false, false, grant.attempt});
+
+    EXPECT_EQ(bills(*second, question), std::vector<std::int64_t>{kUsed});
+}
+
+// An agent that is leaving ends its runs after the platform has dropped it from its list. It answers, so it counts.
+TEST_F(HomeTakeoverTest, admit_leavingAgentStillAnswers_itsRunIsFound)
+{
+    const AdmitQuestion question = keyed("r");
+    const Grant grant = startRun(*first, question, "agent-2");
+    kill(first, *second);
+    fleet.agents.setGone("agent-2");
+
+    EXPECT_EQ(ask(*second, question)->duplicate().attempt, grant.attempt);
+}
+
+// An entry that has just started takes a shard over before it has heard of any agent. Nothing is proved by asking
+// nobody: it waits, and what it grants then is provisional.
+TEST_F(HomeTakeoverTest, admit_noAgentKnownYet_provesNothing)
+{
+    startRun(*first, keyed("r"), "agent-1");
+    kill(first, *second);
+    fleet.agents.unlist("agent-1");
+    fleet.agents.unlist("agent-2");
+    const Asked retry = ask(*second, keyed("r"));
+    EXPECT_FALSE(retry->isAnswered());
+
+    fleet.advance(HomeSettings().holdLimit);
+
+    EXPECT_TRUE(retry->grant().isProvisional);
+}
+
+// The connection to an agent has gone silent: neither an answer nor a failure comes. Requests wait for it, but not for
+// long, and then go on without what it knows. One that the platform does not list any more is not waited for at all.
+TEST_F(HomeTakeoverTest, admit_agentSilent_isHeldNoLongerThanTheLimit)
+{
+    ask(*first, keyed("other"));
+    kill(first, *second);
+    fleet.agents.setSilent("agent-2");
+    const Asked held = ask(*second, keyed("r"));
+    fleet.advance(HomeSettings().holdLimit / 2);
+    EXPECT_FALSE(held->isAnswered());
+
+    fleet.advance(HomeSettings().holdLimit / 2);
+
+    EXPECT_TRUE(held->grant().isProvisional);
+}
+
+TEST_F(HomeTakeoverTest, admit_agentSilentAndNotListed_isNotHeld)
+{
+    ask(*first, keyed("other"));
+    kill(first, *second);
+    fleet.agents.setSilent("agent-2");
+    fleet.agents.setGone("agent-2");
+
+    EXPECT_TRUE(ask(*second, keyed("r"))->grant().isProvisional);
+}
--- a/tests/fakes/memoryagents.h
+++ b/tests/fakes/memoryagents.h
@@ -47,6 +47,17 @@
         m_listed.erase(address);
     }
 
+    /// The platform does not list the agent any more, but it is remembered as one that may hold runs.
+    void setGone(const std::string &address)
+    {
+        m_gone.insert(address);
+    }
+
+    bool isGone(const std::string &address) const
+    {
+        return m_gone.contains(address) || !m_listed.contains(address);
+    }
+
     /// Cuts an entry off from an agent, or joins them again.
     void setCut(const std::string &entry, const std::string &address, bool isCut)
     {
@@ -62,6 +73,17 @@
         return m_tables.contains(address);
     }
 
+    /// Messages to the agent vanish from now on: neither an answer nor a failure comes back.
+    void setSilent(const std::string &address)
+    {
+        m_silent.insert(address);
+    }
+
+    bool isSilent(const std::string &address) const
+    {
+        return m_silent.contains(address);
+    }
+
     bool isReachable(const std::string &entry, const std::string &address) const
     {
         return m_tables.contains(address) && !m_cuts.contains({entry, address});
@@ -81,6 +103,8 @@
     };
 
     std::set<std::string> m_listed;
+    std::set<std::string> m_gone;
+    std::set<std::string> m_silent;
     std::set<Link> m_cuts;
     std::map<std::string, std::unique_ptr<RunTable>> m_tables;
 };
@@ -107,6 +131,11 @@
         return {m_agents.listed().begin(), m_agents.listed().end()};
     }
 
+    bool isGone(const std::string &agentAddress) const override
+    {
+        return m_agents.isGone(agentAddress);
+    }
+
     void findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
                   std::uint64_t epoch, std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback) override
     {
@@ -194,6 +223,9 @@
             callback(RadishSwitch::makeFailure(RadishSwitch::FailureCode::ConnectionLost, "the agent cannot be asked"));
         };
         const auto deliver = [this, address, question = std::move(question), callback, lost] {
+            if (m_agents.isSilent(address)) {
+                return;
+            }
             if (!m_agents.isReachable(m_entry, address)) {
                 return m_courier.carry({address, m_entry, "no connection", lost, lost});
             }
