--- a/tests/core/home_test.cpp
+++ b/tests/core/home_test.cpp
@@ -201,6 +201,23 @@
     EXPECT_EQ(retry->outcome(), RunOutcome::Unknown);
 }
 
+// As above, but the store does not answer at all. The refusal is not held back for the proof: it goes out after half a
+// second, without saying "not run".
+TEST_F(HomeTest, admit_noBudgetWhileStoreSilent_isAnsweredWithinTheLimit)
+{
+    ask(*first, keyed("other"));
+    fleet.store.setSilent(true);
+    AdmitQuestion question = keyed("r");
+    question.worstCaseTokens = SmallFleet::kTokens + 1;
+    const Asked asked = ask(*first, question);
+
+    fleet.advance(HomeSettings().confirmLimit);
+
+    ASSERT_TRUE(asked->isAnswered());
+    EXPECT_EQ(asked->failure(), FailureCode::BudgetExhausted);
+    EXPECT_EQ(asked->outcome(), RunOutcome::Unknown);
+}
+
 // The store is away. An order can't be claimed, so it is refused at once, with the time to come back. Whether an
 // earlier try of the same key ran under another owner can't be proved without the store either, so the answer does not
 // say "not run".
--- a/tests/core/requestworld.h
+++ b/tests/core/requestworld.h
@@ -85,6 +85,7 @@
     /// The store as one entry sees it: what it answers is part of what happened to the entry.
     class WatchedStore;
 
+    static std::string otherEntry(const std::string &entry);
     bool isAlive(const std::string &name) const;
     void note(const std::string &part, const std::string &what);
     void send(std::string from, std::string to, std::string text, std::function<void()> deliver,
--- a/tests/fakes/memoryobjectstore.h
+++ b/tests/fakes/memoryobjectstore.h
@@ -28,6 +28,12 @@
         m_isAway = away;
     }
 
+    /// While silent, calls take effect but are never answered.
+    void setSilent(bool silent)
+    {
+        m_isSilent = silent;
+    }
+
     /// The next `n` writes take effect, but their answers are lost: the writer gets StoreTimeout.
     void loseAnswersOfNextWrites(int n)
     {
@@ -149,6 +155,9 @@
     template<typename T, typename Answer>
     void answer(std::function<void(absl::StatusOr<T>)> callback, Answer answer)
     {
+        if (m_isSilent) {
+            return;
+        }
         m_tasks.post([callback = std::move(callback), answer = absl::StatusOr<T>(std::move(answer))] {
             callback(answer);
         });
@@ -184,6 +193,7 @@
     std::vector<Watcher> m_watchers;
     std::uint64_t m_version = 0;
     bool m_isAway = false;
+    bool m_isSilent = false;
     int m_lostAnswers = 0;
     int m_calls = 0;
     int m_writes = 0;
