--- a/src/libradishswitch/routecost.cpp
+++ b/src/libradishswitch/routecost.cpp
@@ -24,6 +24,13 @@
     return state.zone == query.zone ? 0 : seconds(settings.zoneDistance);
 }
 
+/// About the mean of what a normally distributed number has above zero.
+double positivePart(double mean, double variance)
+{
+    constexpr double kShape = 0.64;
+    return (mean + std::sqrt(mean * mean + kShape * variance)) / 2;
+}
+
 bool isAdapterMissing(const EndpointState &state, const std::string &model)
 {
     if (model.find(kAdapterSeparator) == std::string::npos) {
@@ -70,7 +77,10 @@
     LoadEstimate estimate;
     estimate.runs = use.inFlight() + trust * others + (1 - trust) * othersMean;
     estimate.utilisation = estimate.runs / capacity;
-    const double queued = std::max(0.0, estimate.runs + 1 - capacity);
+    // Others have started and ended runs there since; a few slots free by the report may be none by now.
+    const double othersRuns = othersShare * std::min(pool.utilisation, 1.0) * capacity;
+    const double variance = 2 * othersRuns * std::min(1.0, age / pool.runSeconds);
+    const double queued = positivePart(estimate.runs + 1 - capacity, variance);
     estimate.seconds =
         queued * pool.runSeconds / capacity + std::min(estimate.utilisation, 1.0) * seconds(settings.fullBatch);
     // Others start `utilisation * capacity / runSeconds` runs a second here, each of them good for
