Decide on orders to engines under a fenced lease

Cause: some engines carry out any order; a holder that was paused would undo what its successor ordered, and a rollout by two holders would load twice.

Change: a lease object with fencing numbers that judges by no clock but its own, a gate for the agent that lets orders take effect in one order only, and a planner that rolls a version out to a few endpoints at a time, keeps capacity and stays inside the weight store's rate. Not wired into a program yet.

Result: tests of a paused holder's late order, a lost answer, a store that is away, an agent that has just started, a lost zone in a rollout.

--- /dev/null
+++ b/tests/core/poolorders_test.cpp
@@ -0,0 +1,225 @@
+#include "failure.h"
+#include "leaseholder.h"
+#include "manualtaskqueue.h"
+#include "memoryobjectstore.h"
+#include "ordergate.h"
+#include "poolorders.h"
+#include "virtualtimerservice.h"
+
+#include <gtest/gtest.h>
+
+using namespace RadishSwitch;
+using namespace std::chrono_literals;
+
+class LeaseHolderTest : public testing::Test
+{
+protected:
+    void pass(Duration span)
+    {
+        for (Duration gone{}; gone < span; gone += 500ms) {
+            m_timers.advance(500ms);
+            m_tasks.runAll();
+        }
+    }
+
+    VirtualTimerService m_timers;
+    /// A paused process: its clock runs, its timers do not fire until it goes on.
+    VirtualTimerService m_pausedTimers;
+    ManualTaskQueue m_tasks;
+    MemoryObjectStore m_store{m_tasks};
+    LeaseHolder m_first{m_store, m_pausedTimers, "orders/drape-llm", IncarnationId("first")};
+    LeaseHolder m_rival{m_store, m_timers, "orders/drape-llm", IncarnationId("rival")};
+};
+
+TEST_F(LeaseHolderTest, start_noLeaseYet_isHeldByOne)
+{
+    m_first.start();
+    m_tasks.runAll();
+    m_rival.start();
+    m_tasks.runAll();
+
+    EXPECT_EQ(m_first.fence(), 1u);
+    EXPECT_EQ(m_rival.fence(), std::nullopt);
+}
+
+// The holder is paused in the middle of an order and knows nothing of it. Its rival sees the lease unchanged for ten
+// seconds, takes it and orders version 3. The first goes on and sends its order for version 2: an engine that ignores
+// fencing numbers would go back.
+TEST_F(LeaseHolderTest, holderPaused_lateOrder_isRefusedAtTheAgent)
+{
+    m_first.start();
+    m_tasks.runAll();
+    const EndpointOrder late{PoolId("drape-llm"), EndpointId("a"), *m_first.fence(), 1, OrderKind::SetVersion, "2"};
+    m_rival.start();
+    pass(15s);
+    ASSERT_EQ(m_rival.fence(), 2u);
+    OrderGate gate;
+    gate.setFence(1);
+
+    EXPECT_TRUE(gate.admit({PoolId("drape-llm"), EndpointId("a"), 2, 1, OrderKind::SetVersion, "3"}).ok());
+    EXPECT_EQ(failureCode(gate.admit(late)), FailureCode::StaleFence);
+
+    m_pausedTimers.advance(15s);
+    m_tasks.runAll();
+    EXPECT_EQ(m_first.fence(), std::nullopt);
+}
+
+TEST_F(LeaseHolderTest, fence_holderCannotReachTheStore_stopsBeforeARivalCanStart)
+{
+    m_rival.start();
+    m_tasks.runAll();
+    ASSERT_TRUE(m_rival.fence().has_value());
+    m_store.setAway(true);
+    pass(6s);
+
+    EXPECT_EQ(m_rival.fence(), std::nullopt);
+}
+
+// The holder can read the store, but the answers to its writes are lost. It must not go on by what it reads: a rival
+// whose writes go through may be about to take over.
+TEST_F(LeaseHolderTest, fence_renewalsNotConfirmed_isNotTrusted)
+{
+    m_rival.start();
+    m_tasks.runAll();
+    ASSERT_TRUE(m_rival.fence().has_value());
+    m_store.loseAnswersOfNextWrites(100);
+    pass(6s);
+
+    EXPECT_EQ(m_rival.fence(), std::nullopt);
+}
+
+TEST_F(LeaseHolderTest, fence_renewed_isKeptAndStaysTheSame)
+{
+    m_rival.start();
+    pass(60s);
+
+    EXPECT_EQ(m_rival.fence(), 1u);
+}
+
+// The write that takes the lease goes well and its answer is lost. Read as a failure, the lease would lie idle until
+// somebody takes it over from a holder that does not know that it holds it.
+TEST_F(LeaseHolderTest, start_answerOfTheWriteLost_isHeldAfterReadingBack)
+{
+    m_store.loseAnswersOfNextWrites(1);
+    m_rival.start();
+    m_tasks.runAll();
+    EXPECT_EQ(m_rival.fence(), std::nullopt);
+
+    pass(3s);
+    EXPECT_EQ(m_rival.fence(), 1u);
+}
+
+TEST_F(LeaseHolderTest, release_rivalWaiting_takesOverAtItsNextLook)
+{
+    m_first.start();
+    m_tasks.runAll();
+    m_rival.start();
+    m_tasks.runAll();
+    m_first.release();
+    pass(3s);
+
+    EXPECT_EQ(m_first.fence(), std::nullopt);
+    EXPECT_EQ(m_rival.fence(), 2u);
+}
+
+// An agent has restarted and forgotten which fences it saw. The first order that comes may be a late one.
+TEST(OrderGateTest, admit_fenceNotKnownYet_isRefused)
+{
+    OrderGate gate;
+    const EndpointOrder order{PoolId("p"), EndpointId("a"), 7, 1, OrderKind::LoadAdapter, "x"};
+    EXPECT_EQ(failureCode(gate.admit(order)), FailureCode::StaleFence);
+
+    gate.setFence(7);
+    EXPECT_TRUE(gate.admit(order).ok());
+    EXPECT_EQ(failureCode(gate.admit(order)), FailureCode::StaleFence);
+}
+
+class PoolOrdersTest : public testing::Test
+{
+protected:
+    void report(int i, const std::string &version, bool isEligible = true, bool isChanging = false)
+    {
+        m_orders.applyReported({EndpointId(std::to_string(i)), version, {}, isEligible, isChanging});
+    }
+
+    VirtualTimerService m_timers;
+    PoolOrders m_orders{PoolId("drape-llm"), m_timers.now(), {.loadsPerSecond = 1}};
+};
+
+// Twelve endpoints get a new version, each of which takes 30 s to load it and serves nothing meanwhile. All at once
+// would stop the pool and flood the weight store.
+TEST_F(PoolOrdersTest, rollout_twelveEndpoints_fewAtATimeInsideTheRate)
+{
+    std::map<int, Instant> loading;
+    m_orders.setWanted({"2", {}});
+    for (int i = 0; i < 12; ++i) {
+        report(i, "1");
+    }
+    Instant last{};
+    for (int second = 0; second < 600 && !m_orders.isDone(); ++second) {
+        m_timers.advance(1s);
+        for (const EndpointOrder &order : m_orders.next(5, m_timers.now())) {
+            EXPECT_GE(m_timers.now() - last, 1s);
+            last = m_timers.now();
+            loading[std::stoi(order.endpoint.value())] = last + 30s;
+        }
+        EXPECT_LE(loading.size(), 2u);
+        std::erase_if(loading, [this](const auto &entry) {
+            const bool isDone = entry.second <= m_timers.now();
+            report(entry.first, isDone ? "2" : "1", isDone, !isDone);
+            return isDone;
+        });
+    }
+
+    EXPECT_TRUE(m_orders.isDone());
+}
+
+// A zone is lost in the middle of a rollout, with a third of the pool. What still serves is all there is.
+TEST_F(PoolOrdersTest, rollout_thirdOfThePoolLost_waitsBeforeTakingMoreAway)
+{
+    m_orders.setWanted({"2", {}});
+    for (int i = 0; i < 12; ++i) {
+        report(i, i < 4 ? "2" : "1", i >= 4);
+    }
+    m_timers.advance(10s);
+    EXPECT_TRUE(m_orders.next(1, m_timers.now()).empty());
+
+    for (int i = 0; i < 4; ++i) {
+        report(i, "2");
+    }
+    EXPECT_EQ(m_orders.next(1, m_timers.now()).size(), 1u);
+}
+
+// The lease changes hands while two endpoints carry out orders of the earlier holder. The new one knows nothing of
+// those but what the agents report.
+TEST_F(PoolOrdersTest, next_ordersOfAnEarlierHolderUnderWay_givesNoMore)
+{
+    m_orders.setWanted({"2", {}});
+    for (int i = 0; i < 12; ++i) {
+        report(i, "1", i >= 2, i < 2);
+    }
+    EXPECT_TRUE(m_orders.next(2, m_timers.now()).empty());
+    m_timers.advance(10s);
+    EXPECT_TRUE(m_orders.next(2, m_timers.now()).empty());
+}
+
+TEST_F(PoolOrdersTest, next_adaptersDiffer_unloadsFirstAndThenLoads)
+{
+    m_orders.setWanted({"", {"blinds"}});
+    m_orders.applyReported({EndpointId("e"), "1", {"curtains"}});
+    m_timers.advance(1s);
+    std::vector<EndpointOrder> orders = m_orders.next(1, m_timers.now());
+    ASSERT_EQ(orders.size(), 1u);
+    EXPECT_EQ(orders[0].kind, OrderKind::UnloadAdapter);
+    EXPECT_TRUE(m_orders.next(1, m_timers.now()).empty());
+
+    m_orders.applyReported({EndpointId("e"), "1", {}});
+    orders = m_orders.next(1, m_timers.now());
+    ASSERT_EQ(orders.size(), 1u);
+    EXPECT_EQ(orders[0].kind, OrderKind::LoadAdapter);
+    m_orders.noteFailed(EndpointId("e"), m_timers.now());
+    m_timers.advance(9s);
+    EXPECT_TRUE(m_orders.next(1, m_timers.now()).empty());
+    m_timers.advance(1s);
+    EXPECT_EQ(m_orders.next(1, m_timers.now()).size(), 1u);
+}
