--- a/src/libradishswitch/tablefollower.h
+++ b/src/libradishswitch/tablefollower.h
@@ -19,12 +19,17 @@
 {
 
 struct TableFollowerSettings {
-    /// A watch that has not answered for so long is given up and asked anew, whatever its connection says.
-    Duration watchDeadline = std::chrono::seconds(5);
-    /// The same for listing.
+    /// A watch that has not answered for so long is given up and asked anew, whatever its connection says. The shorter
+    /// one is for small tables: each watch that is still open at the store brings the whole table when it changes, so a
+    /// large one is asked for less often, in proportion to its size.
+    Duration shortestWatchDeadline = std::chrono::seconds(2);
+    Duration longestWatchDeadline = std::chrono::seconds(12);
+    /// Up to this size a table is small.
+    std::size_t smallTableBytes = 64 * 1024;
+    /// As the deadline of a watch, for listing.
     Duration callDeadline = std::chrono::seconds(2);
     /// A watcher lists about this often even if its watches look healthy; jittered.
-    Duration relistInterval = std::chrono::seconds(60);
+    Duration relistInterval = std::chrono::minutes(5);
     /// Waits between failed calls, doubled up to the maximum; jittered.
     Duration firstRetryDelay = std::chrono::milliseconds(100);
     Duration maximumRetryDelay = std::chrono::seconds(3);
--- a/src/libradishswitch/tablefollower_p.h
+++ b/src/libradishswitch/tablefollower_p.h
@@ -52,6 +52,8 @@
     // These take the mutex themselves.
     void install(HeldTablePointer newer, Source source, std::size_t bytes);
     void takeFromStore(const StoreChanges &changes);
+    bool noteObject(const StoredObject &object);
+    void takeTable(const std::string &bytes);
     void onListed(std::uint64_t step, const absl::StatusOr<StoreChanges> &changes);
     void onWatched(std::uint64_t step, const absl::StatusOr<StoreChanges> &changes);
     void onPulled(std::uint64_t pull, const std::string &peer, const absl::StatusOr<std::string> &bytes);
@@ -63,6 +65,7 @@
     bool shouldAskStore() const;
     void list();
     void watch();
+    void watchOn();
     void retryLater();
     void beginStep(Duration deadline, void (Private::*onDeadline)());
     void endStep();
@@ -71,6 +74,7 @@
     void endPull(const std::string &peer);
     void postDelivery(SubscriptionId id);
     Duration jittered(Duration span);
+    Duration watchDeadline() const;
 
     ObjectStore &m_store;
     TimerService &m_timers;
@@ -93,6 +97,9 @@
     bool m_isStepping = false;
     TimerId m_stepTimer = 0;
     std::uint64_t m_watchFrom = 0;
+    /// The store's version and the size of the table that it gave last.
+    std::uint64_t m_seenVersion = 0;
+    std::size_t m_seenBytes = 0;
     Instant m_nextList{};
     Instant m_stepBegan{};
     Duration m_retryDelay{};
--- a/src/libradishswitch/tablefollowerstore.cpp
+++ b/src/libradishswitch/tablefollowerstore.cpp
@@ -1,8 +1,7 @@
 #include "tablefollower_p.h"
 
-#include "failure.h"
-
 #include <algorithm>
+#include <utility>
 
 // The follower's exchange with the store: list once, then watch, and list again now and then.
 
@@ -78,7 +77,7 @@
     }
     // The connection under a watch can go silent for good while new ones work. Nothing then tells the watcher that it
     // waits in vain, so it never waits longer than its own deadline; the next call goes out anew.
-    beginStep(m_settings.watchDeadline, &Private::list);
+    beginStep(watchDeadline(), &Private::watchOn);
     ++m_status.storeCalls;
     m_store.watch(kTableKey, m_watchFrom,
                   [self = weak_from_this(), step = m_step](absl::StatusOr<StoreChanges> changes) {
@@ -88,6 +87,22 @@
                   });
 }
 
+Duration TableFollower::Private::watchDeadline() const
+{
+    const Duration inProportion =
+        m_settings.shortestWatchDeadline * static_cast<Duration::rep>(m_seenBytes / m_settings.smallTableBytes);
+    return std::clamp(inProportion, m_settings.shortestWatchDeadline, m_settings.longestWatchDeadline);
+}
+
+void TableFollower::Private::watchOn()
+{
+    if (m_timers.now() >= m_nextList) {
+        list();
+    } else {
+        watch();
+    }
+}
+
 void TableFollower::Private::giveUpStep()
 {
     m_status.isStoreAnswering = false;
@@ -105,19 +120,31 @@
 {
     for (const StoredObject &object : changes.objects) {
         // A removed table is no accepted change: the last one stays in force.
-        if (object.key != kTableKey || object.version == 0) {
-            continue;
-        }
-        absl::StatusOr<TableDocument> document = TableDocument::decode(object.value);
-        if (document.ok()) {
-            install(HeldTable::of(*std::move(document)), Source::Store, object.value.size());
-        } else {
-            const std::lock_guard lock(m_mutex);
-            ++m_status.malformedIgnored;
+        if (object.key == kTableKey && object.version != 0 && noteObject(object)) {
+            takeTable(object.value);
         }
     }
 }
 
+/// Whether the object is another than the one seen last; watches that were given up bring the same one again.
+bool TableFollower::Private::noteObject(const StoredObject &object)
+{
+    const std::lock_guard lock(m_mutex);
+    m_seenBytes = object.value.size();
+    return std::exchange(m_seenVersion, object.version) != object.version;
+}
+
+void TableFollower::Private::takeTable(const std::string &bytes)
+{
+    absl::StatusOr<TableDocument> document = TableDocument::decode(bytes);
+    if (document.ok()) {
+        install(HeldTable::of(*std::move(document)), Source::Store, bytes.size());
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    ++m_status.malformedIgnored;
+}
+
 void TableFollower::Private::onListed(std::uint64_t step, const absl::StatusOr<StoreChanges> &changes)
 {
     if (changes.ok()) {
@@ -155,11 +182,7 @@
     }
     m_retryDelay = m_settings.firstRetryDelay;
     m_watchFrom = changes->nextVersion;
-    if (m_timers.now() >= m_nextList) {
-        list();
-    } else {
-        watch();
-    }
+    watchOn();
 }
 
 }
--- a/tests/core/tablefollower_test.cpp
+++ b/tests/core/tablefollower_test.cpp
@@ -139,13 +139,26 @@
     write(tableAt(2, 300));
     ASSERT_EQ(m_follower.current()->revision(), 2u);
 
-    m_path.forgeLists(kTableKey, tableAt(1, 100).encode(), 1);
     for (int n = 0; n < 100; ++n) {
+        m_path.forgeLists(kTableKey, tableAt(1, 100).encode(), 1000 + n);
         pass(1s);
         ASSERT_EQ(m_follower.current()->revision(), 2u);
         ASSERT_EQ(shareIn(m_follower), 300);
     }
-    EXPECT_GT(m_follower.status().staleIgnored, 0u);
+    EXPECT_GT(m_follower.status().staleIgnored, 20u);
+}
+
+TEST_F(TableFollowerTest, watch_ofALargeTable_isAskedAnewLessOften)
+{
+    TableDocument large = tableAt(1);
+    large.recent.resize(1);
+    large.recent[0].why = std::string(500'000, 'x');
+    write(large);
+    startWatching(m_follower);
+    pass(60s);
+
+    EXPECT_LE(m_path.watches(), 6);
+    EXPECT_EQ(m_path.lists(), 1);
 }
 
 TEST_F(TableFollowerTest, offer_olderTableOfAPeer_neverReverts)
