--- a/src/libradishswitch/tableeditoperation.cpp
+++ b/src/libradishswitch/tableeditoperation.cpp
@@ -362,9 +362,10 @@
     if (!m_mayBeApplied) {
         return cause;
     }
-    return withUnknownOutcome(makeFailure(
+    const absl::Status failure = makeFailure(
         FailureCode::StoreTimeout,
-        absl::StrCat("change ", m_edit.changeId, " may or may not be in the table; send it again under this id")));
+        absl::StrCat("change ", m_edit.changeId, " may or may not be in the table; send it again under this id"));
+    return withChangeId(withUnknownOutcome(failure), m_edit.changeId);
 }
 
 void TableEditOperation::finish(absl::StatusOr<AuditRecord> result)
--- a/src/libradishswitch/tableeditor.cpp
+++ b/src/libradishswitch/tableeditor.cpp
@@ -5,7 +5,7 @@
 #include "tableeditoperation.h"
 #include "tablehistory.h"
 
-#include <algorithm>
+#include <absl/strings/cord.h>
 
 namespace RadishSwitch
 {
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr char kChangeIdPayload[] = "radishswitch/change-id";
+
 struct HistoryReading {
     HistoryRange range;
     std::vector<AuditRecord> records;
@@ -33,6 +35,18 @@
 
 }
 
+std::string changeIdOf(const absl::Status &status)
+{
+    const auto payload = status.GetPayload(kChangeIdPayload);
+    return payload ? std::string(*payload) : std::string();
+}
+
+absl::Status withChangeId(absl::Status failure, const std::string &changeId)
+{
+    failure.SetPayload(kChangeIdPayload, absl::Cord(changeId));
+    return failure;
+}
+
 absl::StatusOr<TableDocument> documentOf(const absl::StatusOr<StoredObject> &object)
 {
     if (object.ok()) {
--- a/src/libradishswitch/tableeditor.h
+++ b/src/libradishswitch/tableeditor.h
@@ -91,6 +91,12 @@
     TableEditorSettings m_settings;
 };
 
+/// The change id that a failure of unknown outcome names, or an empty text.
+std::string changeIdOf(const absl::Status &status);
+
+/// As `failure`, naming the change id.
+absl::Status withChangeId(absl::Status failure, const std::string &changeId);
+
 /// The table's document from an answer of the store to reading `kTableKey`.
 absl::StatusOr<TableDocument> documentOf(const absl::StatusOr<StoredObject> &object);
 
--- a/src/radishctl/output.cpp
+++ b/src/radishctl/output.cpp
@@ -2,6 +2,7 @@
 
 #include "failure.h"
 #include "rowconflict.h"
+#include "tableeditor.h"
 #include "tablejson.h"
 #include "tableproblem.h"
 
@@ -74,6 +75,9 @@
     nlohmann::json json{{"code", std::string(failureName(failureCode(status)))},
                         {"message", std::string(status.message())},
                         {"outcome", outcomeOf(status) == RunOutcome::Unknown ? "unknown" : "not_done"}};
+    if (const std::string changeId = changeIdOf(status); !changeId.empty()) {
+        json["change_id"] = changeId;
+    }
     for (const TableProblem &problem : tableProblemsOf(status)) {
         json["problems"].push_back(problemToJson(problem));
     }
