--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -216,6 +216,7 @@
     refuseHopeless(entry);
     if (!entry.second.hasWaiting()) {
         m_withWaiting.erase(&entry);
+        entry.second.releaseUnused();
         return;
     }
     const bool isWorthAsking = !isFreeKnown(entry.second) || entry.second.lastFree >= entry.second.smallestUseful();
--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/heldbudget.cpp
@@ -92,6 +92,13 @@
     return m_extras && !m_extras->waiting.empty();
 }
 
+void HeldBudget::releaseUnused()
+{
+    if (m_extras && m_extras->draining.empty() && m_extras->waiting.empty()) {
+        m_extras.reset();
+    }
+}
+
 std::size_t HeldBudget::waitingCount() const
 {
     return m_extras ? m_extras->waiting.size() : 0;
--- a/src/libradishswitch/heldbudget.h
+++ b/src/libradishswitch/heldbudget.h
@@ -62,6 +62,10 @@
 
     std::deque<WaitingReservation> &waiting();
     bool hasWaiting() const;
+
+    /// Frees what only a busy budget needs, if there is nothing in it. References from `waiting` end here.
+    void releaseUnused();
+
     std::size_t waitingCount() const;
 
     /// Notes a reservation of `tokens`.
