--- a/tests/core/budgetfixture.h
+++ b/tests/core/budgetfixture.h
@@ -125,6 +125,13 @@
         return found ? *found : BudgetRecord();
     }
 
+    /// The record keeps its rule, and what was truly used is within what was paid.
+    void expectLedgerHolds() const
+    {
+        EXPECT_TRUE(record().check().ok());
+        EXPECT_LE(spent, record().paid());
+    }
+
     /// Changes the record in the store as some other process would.
     void editRecord(const std::function<absl::Status(BudgetRecord &)> &change)
     {
