Withhold parts of a portion, and what young agents or provisional runs cannot prove

Cause: a reservation whose use nobody can prove stayed open for ever and kept its process from stopping; agents now tell how far back they know their charges and what provisional runs charged. Change: the holder parts such tokens off into a withheld record of their own; the closer withholds when an agent is younger than the portion, and only the provisional tokens where that is all that is open.

--- a/src/libradishswitch/agentport.h
+++ b/src/libradishswitch/agentport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "identifier.h"
+#include "timerservice.h"
 
 #include <absl/status/statusor.h>
 
@@ -33,6 +34,12 @@
     bool isNonIdempotent = false;
     bool isAnswerKept = false;
     std::string agentAddress;
+    /// The key shard under which it was granted. Only the agent itself needs it.
+    std::uint32_t shard = 0;
+    /// The epoch of the key owner that granted it. Of two charges of one request the one of the lower epoch stands.
+    std::uint64_t epoch = 0;
+    /// Granted while a run of an earlier owner could still turn up.
+    bool isProvisional = false;
 
     bool operator==(const RunRecord &) const = default;
 };
@@ -50,7 +57,13 @@
     std::vector<Charge> charges;
     /// Charges older than the agent keeps one by one.
     std::int64_t foldedTokens = 0;
+    /// Charges of provisional runs, in neither of the above. The same requests may be billed by an earlier run, which
+    /// only the portion's holder could find out; without it they must be withheld.
+    std::int64_t provisionalTokens = 0;
     std::vector<RunRecord> running;
+    /// How far back the agent knows every charge: not before its own start. Nothing is proved for a portion that was
+    /// opened earlier; what was charged to it there may be missing.
+    Duration completeFor{};
 
     bool operator==(const PortionCharges &) const = default;
 };
@@ -66,7 +79,8 @@
     virtual std::vector<std::string> agentAddresses() const = 0;
 
     /// Which of these requests does the agent know? With an epoch above zero the agent from then on refuses runs of
-    /// the shard under a lower one.
+    /// the shard under a lower one. With an epoch and no requests named it tells of every keyed run of the shard that
+    /// started and whose full record it still has.
     virtual void findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
                           std::uint64_t epoch,
                           std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback) = 0;
--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -87,6 +87,29 @@
     close(open, 0);
 }
 
+void BudgetHolder::withhold(const RequestId &request)
+{
+    const auto it = m_open.find(request);
+    if (it == m_open.end()) {
+        return;
+    }
+    const Open open = it->second;
+    m_open.erase(it);
+    Entry &entry = *open.entry;
+    entry.second.openReservations -= 1;
+    HeldPortion *portion = entry.second.find(open.portion);
+    if (!portion) {
+        // Lost to a closer, which withholds by itself what the agents cannot prove.
+        return;
+    }
+    portion->reserved -= open.tokens;
+    withholdPart(entry, *portion, open.tokens, request);
+    returnIfDrained(entry, *portion);
+    if (entry.second.hasWaiting()) {
+        evaluate(entry);
+    }
+}
+
 void BudgetHolder::replacePortions()
 {
     m_replaceTakenBefore = m_timers.now();
@@ -306,11 +329,7 @@
     }
     portion->reserved -= open.tokens;
     portion->spent += chargedTokens;
-    if (portion != &entry.second.current() && portion->reserved == 0) {
-        const HeldPortion drained = *portion;
-        entry.second.remove(drained.number);
-        returnWhole(entry, drained);
-    }
+    returnIfDrained(entry, *portion);
     if (entry.second.hasWaiting()) {
         evaluate(entry);
     }
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgetholder.h
@@ -77,6 +77,10 @@
     /// Ends the reservation of a request that did not run. Again for the same request it does nothing.
     void release(const RequestId &request);
 
+    /// Ends a reservation without billing it: nobody can prove what was used. Its tokens go out of use, and show up in
+    /// the ledger as withheld until an operator releases them. Again for the same request it does nothing.
+    void withhold(const RequestId &request);
+
     /// Replaces the portions held now by fresh ones at their next checkpoints. To be called when an agent is lost: its
     /// charges are known here and nowhere else, and a portion that ends in this process's hands needs no proof.
     void replacePortions();
@@ -105,6 +109,13 @@
         std::int64_t tokens;
     };
 
+    /// What was asked of the ledger: which portion, when, and what the holder had of it by then.
+    struct Asked {
+        std::uint32_t number = 0;
+        Instant at{};
+        std::int64_t granted = 0;
+    };
+
     // budgetholder.cpp: requests.
     Entry &entryOf(const BudgetId &budget);
     Reservation grant(Entry &entry, const RequestId &request, std::int64_t tokens);
@@ -123,13 +134,15 @@
     void askIfLow(Entry &entry);
     void ask(Entry &entry, Urgency urgency);
     PortionRequest portionRequest(const HeldBudget &budget, std::uint32_t number) const;
-    void handleTaken(Entry &entry, const TakePortionChange &change, std::uint32_t number, Instant askedAt,
-                     const absl::Status &status);
-    void adopt(Entry &entry, const TakePortionChange &change, std::uint32_t number, Instant askedAt);
+    void handleTaken(Entry &entry, const TakePortionChange &change, const Asked &asked, const absl::Status &status);
+    void adopt(Entry &entry, const TakePortionChange &change, const Asked &asked);
     void drop(Entry &entry, std::uint32_t number);
     void retire(Entry &entry, HeldPortion portion);
     void returnWhole(Entry &entry, const HeldPortion &portion);
     void surrender(Entry &entry, HeldPortion &portion, std::int64_t tokens);
+    void withholdPart(Entry &entry, HeldPortion &portion, std::int64_t tokens, const RequestId &request);
+    void submitRelaxed(Entry &entry, std::uint32_t number, std::shared_ptr<LedgerChange> change);
+    void returnIfDrained(Entry &entry, const HeldPortion &portion);
     void checkpointSlot();
     void checkpoint(Entry &entry);
     void report(Entry &entry, const HeldPortion &portion);
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -2,6 +2,7 @@
 
 #include "failure.h"
 #include "returnportionchange.h"
+#include "withholdpartchange.h"
 
 #include <algorithm>
 #include <utility>
@@ -54,16 +55,20 @@
     const bool isFresh = current.number == 0 || (isOld(current) && !budget.hasWaiting());
     const std::uint32_t number = isFresh ? ++m_lastNumber : current.number;
     const auto change = std::make_shared<TakePortionChange>(entry.first, portionRequest(budget, number));
+    Asked asked{number, now, 0};
+    if (!isFresh) {
+        asked.granted = current.granted;
+        budget.current().sequence += 1;
+    }
     budget.isAsking = true;
     budget.lastAskedAt = now;
     ++m_portions;
-    m_ledger.submit(
-        entry.first, change, urgency,
-        [this, alive = std::weak_ptr<int>(m_alive), &entry, change, number, now](const absl::Status &status) {
-            if (!alive.expired()) {
-                handleTaken(entry, *change, number, now, status);
-            }
-        });
+    m_ledger.submit(entry.first, change, urgency,
+                    [this, alive = std::weak_ptr<int>(m_alive), &entry, change, asked](const absl::Status &status) {
+                        if (!alive.expired()) {
+                            handleTaken(entry, *change, asked, status);
+                        }
+                    });
 }
 
 PortionRequest BudgetHolder::portionRequest(const HeldBudget &budget, std::uint32_t number) const
@@ -85,7 +90,7 @@
     return request;
 }
 
-void BudgetHolder::handleTaken(Entry &entry, const TakePortionChange &change, std::uint32_t number, Instant askedAt,
+void BudgetHolder::handleTaken(Entry &entry, const TakePortionChange &change, const Asked &asked,
                                const absl::Status &status)
 {
     HeldBudget &budget = entry.second;
@@ -95,9 +100,9 @@
         budget.isUnknown = false;
         budget.lastFree = change.glance().free;
         budget.lastFreeAt = m_timers.now();
-        adopt(entry, change, number, askedAt);
+        adopt(entry, change, asked);
     } else if (failureCode(status) == FailureCode::PortionClosed) {
-        drop(entry, number);
+        drop(entry, asked.number);
     } else if (failureCode(status) == FailureCode::BudgetUnknown) {
         budget.isUnknown = true;
         budget.lastFree = 0;
@@ -116,25 +121,25 @@
     evaluate(entry);
 }
 
-void BudgetHolder::adopt(Entry &entry, const TakePortionChange &change, std::uint32_t number, Instant askedAt)
+void BudgetHolder::adopt(Entry &entry, const TakePortionChange &change, const Asked &asked)
 {
     if (change.granted() == 0) {
         return;
     }
     HeldPortion &current = entry.second.current();
-    if (current.number == number) {
-        current.granted = change.granted();
-        current.sequence = static_cast<std::uint32_t>(change.request().sequence);
-        current.confirmedAt = std::max(current.confirmedAt, askedAt);
+    if (current.number == asked.number) {
+        // Parts may have been given away since the question went out, so that what it added is what counts.
+        current.granted += change.granted() - asked.granted;
+        current.confirmedAt = std::max(current.confirmedAt, asked.at);
         return;
     }
     ++m_portions;
     HeldPortion fresh;
-    fresh.number = number;
+    fresh.number = asked.number;
     fresh.sequence = static_cast<std::uint32_t>(change.request().sequence);
     fresh.granted = change.granted();
-    fresh.takenAt = askedAt;
-    fresh.confirmedAt = askedAt;
+    fresh.takenAt = asked.at;
+    fresh.confirmedAt = asked.at;
     const HeldPortion before = entry.second.replaceCurrent(fresh);
     if (before.number != 0) {
         retire(entry, before);
@@ -183,15 +188,39 @@
                     });
 }
 
+void BudgetHolder::returnIfDrained(Entry &entry, const HeldPortion &portion)
+{
+    if (&portion == &entry.second.current() || portion.reserved > 0) {
+        return;
+    }
+    const HeldPortion drained = portion;
+    entry.second.remove(drained.number);
+    returnWhole(entry, drained);
+}
+
 void BudgetHolder::surrender(Entry &entry, HeldPortion &portion, std::int64_t tokens)
 {
     portion.granted -= tokens;
     portion.sequence += 1;
-    const std::uint32_t number = portion.number;
-    const auto change = std::make_shared<ReturnPortionChange>(entry.first, portionId(number), portion.spent,
-                                                              portion.sequence, portion.granted);
+    submitRelaxed(entry, portion.number,
+                  std::make_shared<ReturnPortionChange>(entry.first, portionId(portion.number), portion.spent,
+                                                        portion.sequence, portion.granted));
+}
+
+void BudgetHolder::withholdPart(Entry &entry, HeldPortion &portion, std::int64_t tokens, const RequestId &request)
+{
+    portion.granted -= tokens;
+    portion.sequence += 1;
+    const std::string reason = "nobody can prove what request " + request.value() + " used";
+    submitRelaxed(entry, portion.number,
+                  std::make_shared<WithholdPartChange>(entry.first, portionId(portion.number), portion.sequence, tokens,
+                                                       reason, m_timers.wallClockMilliseconds()));
+}
+
+void BudgetHolder::submitRelaxed(Entry &entry, std::uint32_t number, std::shared_ptr<LedgerChange> change)
+{
     entry.second.pendingChanges += 1;
-    m_ledger.submit(entry.first, change, Urgency::Relaxed,
+    m_ledger.submit(entry.first, std::move(change), m_isStopping ? Urgency::Urgent : Urgency::Relaxed,
                     [this, alive = std::weak_ptr<int>(m_alive), &entry, number](const absl::Status &status) {
                         if (alive.expired()) {
                             return;
--- a/src/libradishswitch/budgetrecord.cpp
+++ b/src/libradishswitch/budgetrecord.cpp
@@ -254,8 +254,8 @@
     return absl::OkStatus();
 }
 
-absl::Status BudgetRecord::withhold(const PortionId &portion, std::int64_t proved, const std::string &reason,
-                                    const std::vector<std::string> &missingAgents)
+absl::Status BudgetRecord::withhold(const PortionId &portion, std::int64_t proved, std::optional<std::int64_t> unproved,
+                                    const std::string &reason, const std::vector<std::string> &missingAgents)
 {
     const auto it = m_portions.find(portion);
     if (it == m_portions.end()) {
@@ -266,11 +266,40 @@
     }
     it->second.state = PortionState::Withheld;
     it->second.spent = std::max(it->second.spent, std::min(proved, it->second.granted));
+    if (unproved) {
+        it->second.granted = std::min(it->second.granted, it->second.spent + *unproved);
+        clearSatisfiedMark();
+    }
     it->second.reason = reason;
     it->second.missingAgents = missingAgents;
     return absl::OkStatus();
 }
 
+absl::Status BudgetRecord::withholdPart(const PortionId &portion, std::uint64_t sequence, const PortionId &part,
+                                        std::int64_t tokens, const std::string &reason, std::int64_t atMilliseconds)
+{
+    const absl::StatusOr<PortionRecord *> record = openPortion(portion);
+    if (!record.ok()) {
+        return record.status();
+    }
+    if ((*record)->sequence >= sequence) {
+        return absl::OkStatus();
+    }
+    if (tokens < 1 || tokens > (*record)->granted - (*record)->spent) {
+        return invalid("no such part of the portion is unspent");
+    }
+    (*record)->sequence = sequence;
+    (*record)->granted -= tokens;
+    PortionRecord withheld;
+    withheld.region = (*record)->region;
+    withheld.granted = tokens;
+    withheld.state = PortionState::Withheld;
+    withheld.takenAtMilliseconds = atMilliseconds;
+    withheld.reason = reason;
+    m_portions.emplace(part, std::move(withheld));
+    return absl::OkStatus();
+}
+
 absl::Status BudgetRecord::releaseWithheld(const PortionId &portion)
 {
     const auto it = m_portions.find(portion);
--- a/src/libradishswitch/budgetrecord.h
+++ b/src/libradishswitch/budgetrecord.h
@@ -134,9 +134,15 @@
     /// Settles a closing or withheld portion at what is proved. A portion that is gone is closed already.
     absl::Status finishClose(const PortionId &portion, std::int64_t proved);
 
-    /// Withholds what is not proved of a closing portion, with the reason.
-    absl::Status withhold(const PortionId &portion, std::int64_t proved, const std::string &reason,
-                          const std::vector<std::string> &missingAgents);
+    /// Withholds what is not proved of a closing portion, with the reason: all of it, or no more than `unproved` when
+    /// that bound is known; the rest is free then.
+    absl::Status withhold(const PortionId &portion, std::int64_t proved, std::optional<std::int64_t> unproved,
+                          const std::string &reason, const std::vector<std::string> &missingAgents);
+
+    /// Parts `tokens` from an open portion and withholds them under a name of their own, for an operator to release.
+    /// They have no holder, and no closer can prove anything about them.
+    absl::Status withholdPart(const PortionId &portion, std::uint64_t sequence, const PortionId &part,
+                              std::int64_t tokens, const std::string &reason, std::int64_t atMilliseconds);
 
     /// Settles a withheld portion at what is proved. ObjectMissing when there is none such.
     absl::Status releaseWithheld(const PortionId &portion);
--- a/src/libradishswitch/portioncloser.cpp
+++ b/src/libradishswitch/portioncloser.cpp
@@ -40,7 +40,7 @@
     const bool isRunning = std::any_of(m_jobs.begin(), m_jobs.end(), [&](const JobPointer &it) {
         return it->holder == holder && it->shard == shard;
     });
-    if (isRunning) {
+    if (isRunning || holder.isEmpty()) {
         return;
     }
     const auto job = std::make_shared<Job>();
@@ -76,6 +76,7 @@
         closing.budget = it.budget;
         closing.granted = it.record.granted;
         closing.reported = it.record.spent;
+        closing.takenAtMilliseconds = it.record.takenAtMilliseconds;
     }
     if (job->portions.empty()) {
         tell(*job);
@@ -171,9 +172,24 @@
         // charged after the holder's last word is known to nobody.
         return withhold(job, portion, closing, "agents remember less than the holder reported", {});
     }
+    const std::set<std::string> younger = closing.proof.agentsYoungerThan(ageOf(closing));
+    if (!younger.empty()) {
+        return withhold(job, portion, closing, "agents started after the portion was taken", younger);
+    }
+    if (const std::int64_t unproved = closing.proof.provisionalTokens(); unproved > 0) {
+        return withhold(job, portion, closing, "requests may be billed by other runs", {}, unproved);
+    }
     finish(job, portion, closing);
 }
 
+// The clock of the holder's instance and that of this one are compared here, against the rule that wall clocks decide
+// nothing. It can only withhold what would be settled otherwise, and free nothing.
+Duration PortionCloser::ageOf(const Closing &closing) const
+{
+    const std::int64_t age = m_timers.wallClockMilliseconds() - closing.takenAtMilliseconds;
+    return std::chrono::milliseconds(std::max<std::int64_t>(age, 0));
+}
+
 std::set<std::string> PortionCloser::missingAgents(const Job &job, const Closing &closing) const
 {
     std::set<std::string> missing;
@@ -227,9 +243,11 @@
 }
 
 void PortionCloser::withhold(const JobPointer &job, const PortionId &portion, Closing &closing,
-                             const std::string &reason, const std::set<std::string> &missing)
+                             const std::string &reason, const std::set<std::string> &missing,
+                             std::optional<std::int64_t> unproved)
 {
     const std::int64_t proved = std::clamp(closing.proof.provedTokens(), closing.reported, closing.granted);
+    closing.granted = std::min(closing.granted, unproved ? proved + *unproved : closing.granted);
     if (closing.isWithheld && closing.withheldProved == proved && closing.withheldFor == missing) {
         return;
     }
@@ -237,7 +255,7 @@
     closing.withheldProved = proved;
     closing.withheldFor = missing;
     const std::vector<std::string> agents(missing.begin(), missing.end());
-    const auto change = std::make_shared<WithholdChange>(closing.budget, portion, proved, reason, agents);
+    const auto change = std::make_shared<WithholdChange>(closing.budget, portion, proved, unproved, reason, agents);
     m_ledger.submit(closing.budget, change, Urgency::Urgent, guarded([this, job](const absl::Status &) {
                         tell(*job);
                     }));
--- a/src/libradishswitch/portioncloser.h
+++ b/src/libradishswitch/portioncloser.h
@@ -48,6 +48,8 @@
     /// through the task queue each time a portion was settled or withheld; when there is no portion, once. Asked again
     /// for the same holder and shard while that goes on, it does nothing more and drops `callback`.
     ///
+    /// Tokens that a holder withheld itself have no holder and are left alone: for an empty `holder` nothing is done.
+    ///
     /// A holder that was closed while it lived may take fresh portions afterwards; when it does die, it must be closed
     /// again.
     void closeHolder(const IncarnationId &holder, std::uint32_t shard, Callback callback);
@@ -67,6 +69,7 @@
         Stage stage = Stage::Proving;
         std::int64_t granted = 0;
         std::int64_t reported = 0;
+        std::int64_t takenAtMilliseconds = 0;
         PortionProof proof;
         bool isWithheld = false;
         std::int64_t withheldProved = 0;
@@ -106,8 +109,10 @@
     bool hasRuns(const Job &job, const Closing &closing) const;
     void finish(const JobPointer &job, const PortionId &portion, Closing &closing);
     void handleFinished(const JobPointer &job, const PortionId &portion, const absl::Status &status);
+    /// Withholds all that is not proved, or no more than `unproved` when that bound is known.
     void withhold(const JobPointer &job, const PortionId &portion, Closing &closing, const std::string &reason,
-                  const std::set<std::string> &missing);
+                  const std::set<std::string> &missing, std::optional<std::int64_t> unproved = std::nullopt);
+    Duration ageOf(const Closing &closing) const;
     void scheduleRound(const JobPointer &job, Duration delay);
     Duration drawPause(int rounds);
     void settled(const JobPointer &job, const PortionId &portion);
--- a/src/libradishswitch/portionproof.cpp
+++ b/src/libradishswitch/portionproof.cpp
@@ -21,6 +21,26 @@
     return it != m_answers.end() && !it->second.running.empty();
 }
 
+std::int64_t PortionProof::provisionalTokens() const
+{
+    std::int64_t sum = 0;
+    for (const auto &[address, charges] : m_answers) {
+        sum += charges.provisionalTokens;
+    }
+    return sum;
+}
+
+std::set<std::string> PortionProof::agentsYoungerThan(Duration age) const
+{
+    std::set<std::string> addresses;
+    for (const auto &[address, charges] : m_answers) {
+        if (charges.completeFor < age) {
+            addresses.insert(address);
+        }
+    }
+    return addresses;
+}
+
 std::int64_t PortionProof::provedTokens() const
 {
     std::map<RequestId, std::int64_t> greatest;
--- a/src/libradishswitch/withholdchange.cpp
+++ b/src/libradishswitch/withholdchange.cpp
@@ -5,11 +5,13 @@
 namespace RadishSwitch
 {
 
-WithholdChange::WithholdChange(BudgetId budget, PortionId portion, std::int64_t proved, std::string reason,
+WithholdChange::WithholdChange(BudgetId budget, PortionId portion, std::int64_t proved,
+                               std::optional<std::int64_t> unproved, std::string reason,
                                std::vector<std::string> missingAgents)
     : m_budget(std::move(budget))
     , m_portion(std::move(portion))
     , m_proved(proved)
+    , m_unproved(unproved)
     , m_reason(std::move(reason))
     , m_missingAgents(std::move(missingAgents))
 {
@@ -18,7 +20,7 @@
 absl::Status WithholdChange::apply(LedgerShard &shard)
 {
     return shard.change(m_budget, [&](BudgetRecord &it) {
-        return it.withhold(m_portion, m_proved, m_reason, m_missingAgents);
+        return it.withhold(m_portion, m_proved, m_unproved, m_reason, m_missingAgents);
     });
 }
 
--- a/src/libradishswitch/withholdchange.h
+++ b/src/libradishswitch/withholdchange.h
@@ -9,8 +9,8 @@
 class WithholdChange : public LedgerChange
 {
 public:
-    WithholdChange(BudgetId budget, PortionId portion, std::int64_t proved, std::string reason,
-                   std::vector<std::string> missingAgents);
+    WithholdChange(BudgetId budget, PortionId portion, std::int64_t proved, std::optional<std::int64_t> unproved,
+                   std::string reason, std::vector<std::string> missingAgents);
 
     absl::Status apply(LedgerShard &shard) override;
     std::string describe() const override;
@@ -19,6 +19,7 @@
     BudgetId m_budget;
     PortionId m_portion;
     std::int64_t m_proved;
+    std::optional<std::int64_t> m_unproved;
     std::string m_reason;
     std::vector<std::string> m_missingAgents;
 };
--- /dev/null
+++ b/src/libradishswitch/withholdpartchange.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "ledgerchange.h"
+
+namespace RadishSwitch
+{
+
+/// A holder sets tokens of its portion aside for good, since nobody can prove what the request used that they were
+/// reserved for. An operator may release them. PortionClosed when the portion is closed or gone.
+class WithholdPartChange : public LedgerChange
+{
+public:
+    WithholdPartChange(BudgetId budget, PortionId portion, std::uint64_t sequence, std::int64_t tokens,
+                       std::string reason, std::int64_t atMilliseconds);
+
+    absl::Status apply(LedgerShard &shard) override;
+    std::string describe() const override;
+
+private:
+    BudgetId m_budget;
+    PortionId m_portion;
+    std::uint64_t m_sequence;
+    std::int64_t m_tokens;
+    std::string m_reason;
+    std::int64_t m_atMilliseconds;
+};
+
+}
--- a/tests/core/budgetholder_test.cpp
+++ b/tests/core/budgetholder_test.cpp
@@ -227,6 +227,52 @@
     EXPECT_EQ(record().settled(), 500);
 }
 
+// Nobody can prove what a request used. Its tokens must neither be billed nor given to others, and must not keep the
+// process from stopping; they wait in the ledger for an operator.
+TEST_F(BudgetHolderTest, withhold_usedTokensUnknown_keepsThemOutOfUseUntilReleased)
+{
+    topUp("p", 1000);
+    const auto process = start("h1");
+    reserve(*process, "r", 100);
+    reserve(*process, "s", 100);
+    run(Seconds(1));
+    process->holder->withhold(RequestId("r"));
+    process->holder->withhold(RequestId("r"));
+    process->link.loseAnswersOfNextWrites(1);
+    EXPECT_TRUE(process->holder->settle(RequestId("s"), 60).ok());
+    bool isStopped = false;
+    process->holder->stop([&] {
+        isStopped = true;
+    });
+    run(Seconds(10));
+
+    EXPECT_TRUE(isStopped);
+    EXPECT_EQ(record().settled(), 60);
+    EXPECT_EQ(record().withheld(), 100);
+    EXPECT_EQ(record().free(), 840);
+    ASSERT_EQ(record().portions().size(), 1u);
+    const PortionId part = record().portions().begin()->first;
+    editor.releaseWithheld(kBudget, part, "ann", "engine's log says it never ran", [](const absl::Status &) {});
+    run(Seconds(1));
+    EXPECT_EQ(record().free(), 940);
+}
+
+TEST_F(BudgetHolderTest, withhold_whileMoreIsAskedFor_countsBoth)
+{
+    topUp("p", 1000);
+    const auto process = start("h1");
+    reserve(*process, "r", 100);
+    run(Seconds(1));
+    const auto more = reserve(*process, "s", 400);
+    process->holder->withhold(RequestId("r"));
+    run(Seconds(3));
+
+    ASSERT_TRUE(more->isGranted());
+    EXPECT_EQ(record().withheld(), 100);
+    const HeldBudgetStatus::Portion held = process->holder->budgetStatus(kBudget)->portions.at(0);
+    EXPECT_EQ(record().portions().at(held.portion).granted, held.granted);
+}
+
 TEST_F(BudgetHolderTest, editor_listAndShow_tellWhatTheLedgerHolds)
 {
     topUp("p", 1000);
--- a/tests/core/ledgershard_test.cpp
+++ b/tests/core/ledgershard_test.cpp
@@ -207,7 +207,7 @@
                     return it.beginClose(a);
                 }).ok());
     ASSERT_TRUE(change([&](BudgetRecord &it) {
-                    return it.withhold(a, 5, "agent silent", {"10.0.0.1:70"});
+                    return it.withhold(a, 5, std::nullopt, "agent silent", {"10.0.0.1:70"});
                 }).ok());
     EXPECT_EQ(take(request("b", 1, 400, 400)), 40);
 
--- a/tests/core/portioncloser_test.cpp
+++ b/tests/core/portioncloser_test.cpp
@@ -149,6 +149,36 @@
     EXPECT_EQ(record().portions().at(portion).spent, 50);
 }
 
+// An agent was replaced after the portion was taken, and the one before took its charges with it. What it had charged
+// is known to nobody, so the portion is withheld although every agent of today has answered.
+TEST_F(PortionCloserTest, closeHolder_agentStartedAfterwards_withholds)
+{
+    const PortionId portion = dispatch("r", "a1", 100);
+    run(Seconds(20));
+    holder.reset();
+    agents.setCompleteFor("a2", Seconds(5));
+    const auto closer = close();
+    agents.finish("a1", RequestId("r"), portion, 20);
+    run(Seconds(20));
+
+    EXPECT_EQ(record().portions().at(portion).state, PortionState::Withheld);
+    EXPECT_EQ(record().portions().at(portion).missingAgents, std::vector<std::string>{"a2"});
+}
+
+TEST_F(PortionCloserTest, closeHolder_provisionalCharges_withholdsOnlyThem)
+{
+    const PortionId portion = dispatch("r", "a1", 100);
+    complete("r", "a1", portion, 70);
+    agents.setProvisionalTokens("a2", 30);
+    holder.reset();
+    const auto closer = close();
+    run(Seconds(20));
+
+    EXPECT_EQ(record().withheld(), 30);
+    EXPECT_EQ(record().free(), 900);
+    EXPECT_EQ(closer->report.withheldTokens, 30);
+}
+
 TEST_F(PortionCloserTest, closeHolder_noAgentKnown_withholds)
 {
     FakeAgents nobody(tasks);
--- a/tests/fakes/fakeagents.h
+++ b/tests/fakes/fakeagents.h
@@ -27,6 +27,18 @@
         m_agents[address];
     }
 
+    /// The agent knows charges only so far back, since it started anew.
+    void setCompleteFor(const std::string &address, RadishSwitch::Duration span)
+    {
+        m_agents[address].completeFor = span;
+    }
+
+    /// Each portion has so many tokens charged by provisional runs there.
+    void setProvisionalTokens(const std::string &address, std::int64_t tokens)
+    {
+        m_agents[address].provisionalTokens = tokens;
+    }
+
     /// A silent agent does not answer closers; its runs go on.
     void setSilent(const std::string &address, bool isSilent)
     {
@@ -107,6 +119,8 @@
 private:
     struct Agent {
         bool isSilent = false;
+        RadishSwitch::Duration completeFor = RadishSwitch::Duration::max();
+        std::int64_t provisionalTokens = 0;
         std::set<PortionId> closed;
         std::map<PortionId, std::set<RequestId>> running;
         std::map<PortionId, std::map<RequestId, std::int64_t>> charges;
@@ -125,6 +139,8 @@
         agent.closed.insert(portion);
         PortionCharges charges;
         charges.portion = portion;
+        charges.completeFor = agent.completeFor;
+        charges.provisionalTokens = agent.provisionalTokens;
         for (const auto &[request, tokens] : agent.charges[portion]) {
             charges.charges.push_back({request, tokens});
         }
