Write seldom for budgets that are far from running low

Cause: each call carries a whole shard, 182 KB at 360,000 budgets over 1,024 shards; a checkpoint of every active budget each 5 s would cost the store some 400 writes a second and a node far more than 16 KB a second (worked out). Change: budgets that run low keep the short intervals, all others checkpoint every 120 s and let their changes ride along for 15 s; a request that comes to wait for such a change sends it out at once. Benchmarks of reading and writing a shard.

--- a/benchmarks/budgets.cpp
+++ b/benchmarks/budgets.cpp
@@ -5,6 +5,7 @@
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
 #include "seededrandom.h"
+#include "takeportionchange.h"
 #include "topupchange.h"
 #include "virtualtimerservice.h"
 
@@ -164,6 +165,46 @@
     state.counters["bytes_per_budget"] = loaded.bytesPerBudget;
 }
 
+/// A shard as it is at 360,000 budgets over 1,024 shards: each budget with one payment and one portion.
+LedgerShard usualShard()
+{
+    constexpr std::int64_t budgetsOfAShard = 352;
+    LedgerShard shard;
+    for (std::int64_t i = 0; i < budgetsOfAShard; ++i) {
+        const BudgetId budget = budgetOf(i);
+        CreateBudgetChange(budget, "operator", 0).apply(shard).IgnoreError();
+        TopUpChange(budget, PaymentId("payment-2026-" + std::to_string(i)), kPaid, "operator", 0)
+            .apply(shard)
+            .IgnoreError();
+        PortionRequest request;
+        request.portion = PortionId("0123456789abcdef-" + std::to_string(i));
+        request.holder = IncarnationId("0123456789abcdef");
+        request.region = "south-central";
+        request.desired = kPaid / 10;
+        TakePortionChange(budget, request).apply(shard).IgnoreError();
+    }
+    return shard;
+}
+
+void readShard(benchmark::State &state)
+{
+    const std::string json = usualShard().toJson();
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(LedgerShard::fromJson(json).ok());
+    }
+    state.counters["bytes"] = static_cast<double>(json.size());
+}
+
+void writeShard(benchmark::State &state)
+{
+    const LedgerShard shard = usualShard();
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(shard.toJson().size());
+    }
+}
+
+BENCHMARK(readShard)->Unit(benchmark::kMillisecond);
+BENCHMARK(writeShard)->Unit(benchmark::kMillisecond);
 BENCHMARK(reserveAndSettle)->Arg(1000)->Arg(36'000)->Arg(360'000)->Iterations(200'000)->Unit(benchmark::kMicrosecond);
 
 }
--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -242,6 +242,9 @@
         entry.second.releaseUnused();
         return;
     }
+    if (entry.second.isAsking || entry.second.pendingChanges > 0) {
+        m_ledger.hurry(entry.second.shard());
+    }
     const bool isWorthAsking = !isFreeKnown(entry.second) || entry.second.lastFree >= entry.second.smallestUseful();
     if (!entry.second.isAsking && isWorthAsking) {
         ask(entry, Urgency::Urgent);
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgetholder.h
@@ -131,6 +131,9 @@
 
     // budgetholderledger.cpp: what goes to the ledger and comes back.
     bool isFreeKnown(const HeldBudget &budget) const;
+    bool isLow(const HeldBudget &budget) const;
+    Urgency calmUrgency(const HeldBudget &budget) const;
+    bool isReportDue(const HeldBudget &budget, const HeldPortion &portion) const;
     void askIfLow(Entry &entry);
     void ask(Entry &entry, Urgency urgency);
     PortionRequest portionRequest(const HeldBudget &budget, std::uint32_t number) const;
@@ -141,7 +144,7 @@
     void returnWhole(Entry &entry, const HeldPortion &portion);
     void surrender(Entry &entry, HeldPortion &portion, std::int64_t tokens);
     void withholdPart(Entry &entry, HeldPortion &portion, std::int64_t tokens, const RequestId &request);
-    void submitRelaxed(Entry &entry, std::uint32_t number, std::shared_ptr<LedgerChange> change);
+    void submitCalm(Entry &entry, std::uint32_t number, std::shared_ptr<LedgerChange> change);
     void returnIfDrained(Entry &entry, const HeldPortion &portion);
     void checkpointSlot();
     void checkpoint(Entry &entry);
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -29,6 +29,21 @@
     return budget.lastFreeAt != Instant::min() && m_timers.now() - budget.lastFreeAt < m_settings.dryRecheckInterval;
 }
 
+bool BudgetHolder::isLow(const HeldBudget &budget) const
+{
+    return budget.lastFree < budget.wishedSize(m_timers.now(), m_settings) * m_settings.lowBudgetFactor;
+}
+
+Urgency BudgetHolder::calmUrgency(const HeldBudget &budget) const
+{
+    return isLow(budget) ? Urgency::Soon : Urgency::Relaxed;
+}
+
+bool BudgetHolder::isReportDue(const HeldBudget &budget, const HeldPortion &portion) const
+{
+    return isLow(budget) || m_timers.now() - portion.confirmedAt >= m_settings.relaxedCheckpointInterval;
+}
+
 void BudgetHolder::askIfLow(Entry &entry)
 {
     HeldBudget &budget = entry.second;
@@ -39,9 +54,10 @@
     if (budget.lastAskedAt != Instant::min() && now - budget.lastAskedAt < m_settings.relaxedAskInterval) {
         return;
     }
-    const auto wished = static_cast<double>(budget.wishedSize(now, m_settings));
-    if (static_cast<double>(budget.current().available()) < wished * m_settings.lowWaterShare) {
-        ask(entry, Urgency::Relaxed);
+    const auto lowWater = static_cast<double>(budget.wishedSize(now, m_settings)) * m_settings.lowWaterShare;
+    const auto available = static_cast<double>(budget.current().available());
+    if (available < lowWater) {
+        ask(entry, available < lowWater / 2 ? Urgency::Soon : calmUrgency(budget));
     }
 }
 
@@ -172,7 +188,8 @@
 void BudgetHolder::returnWhole(Entry &entry, const HeldPortion &portion)
 {
     const auto change = std::make_shared<ReturnPortionChange>(entry.first, portionId(portion.number), portion.spent);
-    const Urgency urgency = m_isStopping || entry.second.hasWaiting() ? Urgency::Urgent : Urgency::Relaxed;
+    const bool isAwaited = m_isStopping || entry.second.hasWaiting();
+    const Urgency urgency = isAwaited ? Urgency::Urgent : calmUrgency(entry.second);
     entry.second.pendingChanges += 1;
     m_ledger.submit(entry.first, change, urgency,
                     [this, alive = std::weak_ptr<int>(m_alive), &entry](const absl::Status &) {
@@ -202,9 +219,9 @@
 {
     portion.granted -= tokens;
     portion.sequence += 1;
-    submitRelaxed(entry, portion.number,
-                  std::make_shared<ReturnPortionChange>(entry.first, portionId(portion.number), portion.spent,
-                                                        portion.sequence, portion.granted));
+    submitCalm(entry, portion.number,
+               std::make_shared<ReturnPortionChange>(entry.first, portionId(portion.number), portion.spent,
+                                                     portion.sequence, portion.granted));
 }
 
 void BudgetHolder::withholdPart(Entry &entry, HeldPortion &portion, std::int64_t tokens, const RequestId &request)
@@ -212,15 +229,15 @@
     portion.granted -= tokens;
     portion.sequence += 1;
     const std::string reason = "nobody can prove what request " + request.value() + " used";
-    submitRelaxed(entry, portion.number,
-                  std::make_shared<WithholdPartChange>(entry.first, portionId(portion.number), portion.sequence, tokens,
-                                                       reason, m_timers.wallClockMilliseconds()));
+    submitCalm(entry, portion.number,
+               std::make_shared<WithholdPartChange>(entry.first, portionId(portion.number), portion.sequence, tokens,
+                                                    reason, m_timers.wallClockMilliseconds()));
 }
 
-void BudgetHolder::submitRelaxed(Entry &entry, std::uint32_t number, std::shared_ptr<LedgerChange> change)
+void BudgetHolder::submitCalm(Entry &entry, std::uint32_t number, std::shared_ptr<LedgerChange> change)
 {
     entry.second.pendingChanges += 1;
-    m_ledger.submit(entry.first, std::move(change), m_isStopping ? Urgency::Urgent : Urgency::Relaxed,
+    m_ledger.submit(entry.first, std::move(change), m_isStopping ? Urgency::Urgent : calmUrgency(entry.second),
                     [this, alive = std::weak_ptr<int>(m_alive), &entry, number](const absl::Status &status) {
                         if (alive.expired()) {
                             return;
@@ -282,15 +299,18 @@
     if (m_ledger.isStoreAway(budget.shard())) {
         return;
     }
-    ask(entry, Urgency::Relaxed);
+    ask(entry, calmUrgency(budget));
 }
 
 void BudgetHolder::report(Entry &entry, const HeldPortion &portion)
 {
+    if (!isReportDue(entry.second, portion)) {
+        return;
+    }
     const auto change = std::make_shared<ReportSpendChange>(entry.first, portionId(portion.number), portion.spent);
     const Instant now = m_timers.now();
     entry.second.pendingChanges += 1;
-    m_ledger.submit(entry.first, change, Urgency::Relaxed,
+    m_ledger.submit(entry.first, change, calmUrgency(entry.second),
                     [this, alive = std::weak_ptr<int>(m_alive), &entry, change, number = portion.number,
                      now](const absl::Status &status) {
                         if (!alive.expired()) {
@@ -316,6 +336,7 @@
         return;
     }
     portion->confirmedAt = std::max(portion->confirmedAt, askedAt);
+    budget.lastFree = change.glance().free;
     if (portion == &budget.current() && !budget.isAsking && !m_isStopping) {
         giveBackSurplus(entry, change.glance());
     }
--- a/src/libradishswitch/budgetholdersettings.h
+++ b/src/libradishswitch/budgetholdersettings.h
@@ -15,7 +15,7 @@
     IncarnationId incarnation;
     std::string region;
     /// How long a portion should last at the present use when the store is away.
-    Duration survivalTime = std::chrono::seconds(90);
+    Duration survivalTime = std::chrono::seconds(120);
     /// Time over which use is averaged.
     Duration averagingTime = std::chrono::seconds(30);
     /// More is asked for when less than this share of the wished size is left.
@@ -28,8 +28,12 @@
     double surplusFactor = 4;
     /// Use of so long is kept when another holder found too little.
     Duration survivalTimeWhenWanted = std::chrono::seconds(5);
-    /// How often a portion's spending is written to the ledger, and the ledger looked at.
+    /// How often the spending of a budget that runs low is written to the ledger, and the ledger looked at.
     Duration checkpointInterval = std::chrono::seconds(5);
+    /// The same for all others.
+    Duration relaxedCheckpointInterval = std::chrono::seconds(120);
+    /// A budget runs low when less than so many times the wished size of the portion here is free in the ledger.
+    std::int64_t lowBudgetFactor = 4;
     /// A portion that nobody used for so long is returned.
     Duration idleTime = std::chrono::seconds(60);
     /// An older portion is replaced by a fresh one at the next occasion, so that few agents come and go during the
--- a/src/libradishswitch/ledger.cpp
+++ b/src/libradishswitch/ledger.cpp
@@ -64,6 +64,13 @@
     });
 }
 
+void Ledger::hurry(std::uint32_t shard)
+{
+    if (const auto it = m_writers.find(shard); it != m_writers.end()) {
+        it->second->hurry();
+    }
+}
+
 void Ledger::readShard(std::uint32_t shard, Callback<LedgerShard> callback)
 {
     whenChecked([this, shard, callback = std::move(callback)]() mutable {
--- a/src/libradishswitch/ledger.h
+++ b/src/libradishswitch/ledger.h
@@ -42,6 +42,9 @@
     void submit(const BudgetId &budget, std::shared_ptr<LedgerChange> change, Urgency urgency,
                 ShardWriter::Callback callback);
 
+    /// A request waits by now for what was submitted to this shard.
+    void hurry(std::uint32_t shard);
+
     /// Reads a shard as it is now; an empty one when there is no such object. StoreUnavailable, StoreTimeout,
     /// ObjectMalformed, InvalidSettings.
     void readShard(std::uint32_t shard, Callback<LedgerShard> callback);
--- a/src/libradishswitch/ledgersettings.h
+++ b/src/libradishswitch/ledgersettings.h
@@ -18,8 +18,11 @@
     double storeCallBurst = 50;
     /// How long the first change of a batch waits for others, when a request waits for it.
     Duration urgentDelay = std::chrono::milliseconds(5);
-    /// The same for a change that nobody waits for.
-    Duration relaxedDelay = std::chrono::seconds(1);
+    /// The same for a change of a budget that runs low.
+    Duration soonDelay = std::chrono::seconds(1);
+    /// The same for a change that nobody waits for. Each call carries a whole shard, so that what many budgets have to
+    /// say in that time costs as much as what one has.
+    Duration relaxedDelay = std::chrono::seconds(15);
     /// The first pause after a failed call, and the longest. Each is drawn anew between half and the whole.
     Duration firstBackoff = std::chrono::milliseconds(50);
     Duration longestBackoff = std::chrono::seconds(10);
--- a/src/libradishswitch/shardwriter.cpp
+++ b/src/libradishswitch/shardwriter.cpp
@@ -35,10 +35,30 @@
 {
     m_queue.push_back({std::move(change), std::move(callback), absl::OkStatus()});
     if (!m_isRunning) {
-        schedule(urgency == Urgency::Urgent ? m_settings.urgentDelay : m_settings.relaxedDelay);
+        schedule(delayOf(urgency));
     }
 }
 
+void ShardWriter::hurry()
+{
+    if (!m_isRunning && !m_queue.empty()) {
+        schedule(m_settings.urgentDelay);
+    }
+}
+
+Duration ShardWriter::delayOf(Urgency urgency) const
+{
+    switch (urgency) {
+    case Urgency::Urgent:
+        return m_settings.urgentDelay;
+    case Urgency::Soon:
+        return m_settings.soonDelay;
+    case Urgency::Relaxed:
+        break;
+    }
+    return m_settings.relaxedDelay;
+}
+
 bool ShardWriter::isStoreAway() const
 {
     return m_isAway;
--- a/src/libradishswitch/shardwriter.h
+++ b/src/libradishswitch/shardwriter.h
@@ -15,6 +15,8 @@
 enum class Urgency {
     /// A request waits for it.
     Urgent,
+    /// Others are short of what it gives back, or it tells of a budget that runs low.
+    Soon,
     /// Nobody waits; it may ride along with another write.
     Relaxed,
 };
@@ -51,6 +53,9 @@
     /// store was found to hold it.
     void submit(std::shared_ptr<LedgerChange> change, Urgency urgency, Callback callback);
 
+    /// A request waits by now for what was submitted: it no longer rides along but goes out.
+    void hurry();
+
     /// Whether several calls in a row have failed.
     bool isStoreAway() const;
 
@@ -64,6 +69,7 @@
         absl::Status status;
     };
 
+    Duration delayOf(Urgency urgency) const;
     void schedule(Duration delay);
     void begin();
     void read();
--- a/tests/core/budgetfixture.h
+++ b/tests/core/budgetfixture.h
@@ -63,6 +63,10 @@
     BudgetFixture()
     {
         ledgerSettings.shardCount = 2;
+        // Most tests look at one budget, and so at what a budget that runs low does.
+        ledgerSettings.relaxedDelay = ledgerSettings.soonDelay;
+        holderSettings.relaxedCheckpointInterval = holderSettings.checkpointInterval;
+        holderSettings.survivalTime = Seconds(90);
     }
 
     std::unique_ptr<Process> start(const std::string &incarnation, const std::string &region = "south")
--- a/tests/core/budgetholder_test.cpp
+++ b/tests/core/budgetholder_test.cpp
@@ -207,6 +207,21 @@
     EXPECT_EQ(record().settled(), spent);
 }
 
+TEST_F(BudgetHolderTest, checkpoint_budgetFarFromDry_writesSeldom)
+{
+    ledgerSettings.relaxedDelay = LedgerSettings().relaxedDelay;
+    holderSettings.relaxedCheckpointInterval = BudgetHolderSettings().relaxedCheckpointInterval;
+    topUp("p", 100'000'000);
+    const auto process = start("h1");
+    for (int i = 0; i < 600; ++i) {
+        ASSERT_TRUE(spend(*process, std::to_string(i), 100, 80));
+        run(Milliseconds(800), Milliseconds(20));
+    }
+    // 600 requests in ten minutes: a refill each 45 s or so, and a checkpoint in between.
+    EXPECT_LE(process->link.writes(), 30);
+    expectLedgerHolds();
+}
+
 TEST_F(BudgetHolderTest, replacePortions_agentLost_settlesWhatIsHeldAndTakesAFreshPortion)
 {
     topUp("p", 1'000'000);
