--- a/tests/core/budgetfixture.h
+++ b/tests/core/budgetfixture.h
@@ -63,6 +63,10 @@
     BudgetFixture()
     {
         ledgerSettings.shardCount = 2;
+        // Most tests look at one budget, and so at what a budget that runs low does.
+        ledgerSettings.relaxedDelay = ledgerSettings.soonDelay;
+        holderSettings.relaxedCheckpointInterval = holderSettings.checkpointInterval;
+        holderSettings.survivalTime = Seconds(90);
     }
 
     std::unique_ptr<Process> start(const std::string &incarnation, const std::string &region = "south")
@@ -125,6 +129,13 @@
         return found ? *found : BudgetRecord();
     }
 
+    /// The record keeps its rule, and what was truly used is within what was paid.
+    void expectLedgerHolds() const
+    {
+        EXPECT_TRUE(record().check().ok());
+        EXPECT_LE(spent, record().paid());
+    }
+
     /// Changes the record in the store as some other process would.
     void editRecord(const std::function<absl::Status(BudgetRecord &)> &change)
     {
