Pass orders on to the endpoint from the latest holder only

Cause: some engines ignore fencing numbers, so that a holder which was paused past its lease could still change what they serve.

Change: path /order. FenceGate admits the pool's own orders with a fence no lower than the last; an order names the agent's life, since a new life has forgotten the fences it saw. OrderForwarder passes them on one after another. Endpoint::fetch takes any method and body.

--- a/src/agent/agentprogram.cpp
+++ b/src/agent/agentprogram.cpp
@@ -58,7 +58,8 @@
     TransportSettings transport;
     transport.fleetKey = m_settings.fleet.fleetKey;
     m_server = std::make_unique<Http2MessageServer>(m_workers, transport);
-    AgentServer(m_runs, m_heartbeats, incarnation).registerPaths(*m_server);
+    m_orders = std::make_shared<OrderForwarder>(m_endpoint, FenceGate(PoolId(m_settings.pool), incarnation));
+    AgentServer(m_runs, m_heartbeats, m_orders, incarnation).registerPaths(*m_server);
     serveAdmin();
     m_workers.start();
     m_runs->start();
--- a/src/agent/agentprogram.h
+++ b/src/agent/agentprogram.h
@@ -10,6 +10,7 @@
 #include "http2transport.h"
 #include "httpclient.h"
 #include "httpendpoint.h"
+#include "orderforwarder.h"
 #include "workerpool.h"
 
 #include <atomic>
@@ -61,6 +62,7 @@
     std::shared_ptr<EndpointMonitor> m_monitor;
     std::shared_ptr<AgentRuns> m_runs;
     std::shared_ptr<HeartbeatPublisher> m_heartbeats;
+    std::shared_ptr<OrderForwarder> m_orders;
     std::unique_ptr<Http2MessageServer> m_server;
     std::once_flag m_leaveOnce;
     std::atomic<bool> m_isLeaving = false;
--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -63,9 +63,10 @@
 }
 
 AgentServer::AgentServer(std::shared_ptr<AgentRuns> runs, std::shared_ptr<HeartbeatPublisher> heartbeats,
-                         IncarnationId incarnation)
+                         std::shared_ptr<OrderForwarder> orders, IncarnationId incarnation)
     : m_runs(std::move(runs))
     , m_heartbeats(std::move(heartbeats))
+    , m_orders(std::move(orders))
     , m_incarnation(std::move(incarnation))
 {
 }
@@ -82,6 +83,7 @@
     handle("/bar", &AgentServer::serveBar);
     handle("/find", &AgentServer::serveFind);
     handle("/close", &AgentServer::serveClose);
+    handle("/order", &AgentServer::serveOrder);
     handle("/heartbeats", &AgentServer::serveHeartbeats);
 }
 
@@ -129,6 +131,17 @@
         });
 }
 
+void AgentServer::serveOrder(const MessageStreamPointer &stream) const
+{
+    const auto take = [orders = m_orders](const wire::OrderRequest &order, const MessageStreamPointer &stream) {
+        orders->execute(order, [stream](const wire::OrderAnswer &answer) {
+            stream->send(answer.SerializeAsString());
+            stream->finish();
+        });
+    };
+    stream->start(onFirstMessage<wire::OrderRequest>(stream, take), [](const absl::Status &) {});
+}
+
 void AgentServer::serveHeartbeats(const MessageStreamPointer &stream) const
 {
     m_heartbeats->addListener(stream);
--- a/src/agent/endpoint.h
+++ b/src/agent/endpoint.h
@@ -51,6 +51,16 @@
     std::function<void(absl::Status)> onEnd;
 };
 
+/// A small question that is not a run.
+struct EndpointQuery {
+    std::string method = "GET";
+    std::string target;
+    std::string contentType;
+    std::string body;
+
+    bool operator==(const EndpointQuery &) const = default;
+};
+
 /// A small answer that was read whole, whatever its status.
 struct EndpointDocument {
     AnswerHead head;
@@ -66,8 +76,8 @@
     /// Asks the endpoint for a run.
     virtual std::shared_ptr<EndpointCall> call(EndpointRequest request, EndpointCallbacks callbacks) = 0;
 
-    /// Asks for a small document, with GET. The callback never comes from inside the call.
-    virtual void fetch(const std::string &target, Duration timeout,
+    /// Asks for a small document. The callback never comes from inside the call.
+    virtual void fetch(EndpointQuery query, Duration timeout,
                        std::function<void(absl::StatusOr<EndpointDocument>)> callback) = 0;
 };
 
--- a/src/agent/endpointmonitor.cpp
+++ b/src/agent/endpointmonitor.cpp
@@ -112,7 +112,8 @@
 
 void EndpointMonitor::poll()
 {
-    std::string target = m_settings.healthTarget;
+    EndpointQuery query;
+    query.target = m_settings.healthTarget;
     std::int64_t startedTokens = 0;
     {
         const std::lock_guard lock(m_mutex);
@@ -121,14 +122,15 @@
         }
         startedTokens = m_startedTokens;
         if (m_settings.kind == EndpointKind::Engine) {
-            target = "/load?since=" + std::to_string(m_lastSequence);
+            query.target = "/load?since=" + std::to_string(m_lastSequence);
         }
     }
-    m_endpoint.fetch(target, m_settings.pollTimeout, [weak = weak_from_this(), startedTokens](const auto &answer) {
-        if (const auto self = weak.lock()) {
-            self->takeAnswer(startedTokens, answer);
-        }
-    });
+    m_endpoint.fetch(std::move(query), m_settings.pollTimeout,
+                     [weak = weak_from_this(), startedTokens](const auto &answer) {
+                         if (const auto self = weak.lock()) {
+                             self->takeAnswer(startedTokens, answer);
+                         }
+                     });
 }
 
 void EndpointMonitor::takeAnswer(std::int64_t startedTokensAtPoll, const absl::StatusOr<EndpointDocument> &answer)
--- a/src/agent/httpendpoint.cpp
+++ b/src/agent/httpendpoint.cpp
@@ -114,11 +114,16 @@
     std::shared_ptr<HttpResponseStream> m_stream;
 };
 
-asio::awaitable<void> fetchDocument(HttpClient &client, std::string address, std::string target, Duration timeout,
+asio::awaitable<void> fetchDocument(HttpClient &client, std::string address, EndpointQuery query, Duration timeout,
                                     std::function<void(absl::StatusOr<EndpointDocument>)> callback)
 {
     HttpRequest request;
-    request.target = std::move(target);
+    request.method = std::move(query.method);
+    request.target = std::move(query.target);
+    if (!query.contentType.empty()) {
+        request.headers.add("Content-Type", std::move(query.contentType));
+    }
+    request.body = std::move(query.body);
     absl::StatusOr<HttpResponse> response = co_await client.fetch(std::move(address), std::move(request), timeout);
     if (!response.ok()) {
         callback(response.status());
@@ -146,12 +151,12 @@
     return call;
 }
 
-void HttpEndpoint::fetch(const std::string &target, Duration timeout,
+void HttpEndpoint::fetch(EndpointQuery query, Duration timeout,
                          std::function<void(absl::StatusOr<EndpointDocument>)> callback)
 {
     const auto strand = asio::make_strand(m_workers.context());
-    asio::post(strand, [strand, this, target, timeout, callback = std::move(callback)]() mutable {
-        asio::co_spawn(strand, fetchDocument(m_client, m_address, target, timeout, std::move(callback)),
+    asio::post(strand, [strand, this, query = std::move(query), timeout, callback = std::move(callback)]() mutable {
+        asio::co_spawn(strand, fetchDocument(m_client, m_address, std::move(query), timeout, std::move(callback)),
                        asio::detached);
     });
 }
--- a/src/agent/httpendpoint.h
+++ b/src/agent/httpendpoint.h
@@ -17,7 +17,7 @@
 
     std::shared_ptr<EndpointCall> call(EndpointRequest request, EndpointCallbacks callbacks) override;
 
-    void fetch(const std::string &target, Duration timeout,
+    void fetch(EndpointQuery query, Duration timeout,
                std::function<void(absl::StatusOr<EndpointDocument>)> callback) override;
 
 private:
--- a/tests/radishswitch-agent/agentserver_test.cpp
+++ b/tests/radishswitch-agent/agentserver_test.cpp
@@ -12,6 +12,34 @@
 class AgentServerTest : public testing::Test
 {
 protected:
+    using Stream = std::shared_ptr<FakeMessageStream>;
+
+    Stream order(std::uint64_t fence, const std::string &incarnation = "this-life")
+    {
+        wire::OrderRequest order;
+        order.set_pool("pool");
+        order.set_fence(fence);
+        order.set_agent_incarnation(incarnation);
+        order.set_action("load_adapter");
+        order.set_name("quotes");
+        const auto stream = std::make_shared<FakeMessageStream>();
+        m_server.serveOrder(stream);
+        stream->receive(order.SerializeAsString());
+        return stream;
+    }
+
+    static std::string failureOf(const Stream &stream)
+    {
+        return stream->take<wire::OrderAnswer>().at(0).failure().code();
+    }
+
+    void answerOrder(int status)
+    {
+        EndpointDocument document;
+        document.head.status = status;
+        m_endpoint.answerFetch(std::move(document));
+    }
+
     VirtualTimerService m_timers;
     FakeEndpoint m_endpoint;
     std::shared_ptr<EndpointMonitor> m_monitor =
@@ -20,8 +48,10 @@
     AgentMetrics m_metrics{m_registry};
     std::shared_ptr<AgentRuns> m_runs =
         std::make_shared<AgentRuns>(m_endpoint, *m_monitor, m_metrics, m_timers, AgentRunsSettings());
-    AgentServer m_server{m_runs, std::make_shared<HeartbeatPublisher>(*m_monitor, m_timers, wire::AgentHeartbeat()),
-                         IncarnationId("this-life")};
+    AgentServer m_server{
+        m_runs, std::make_shared<HeartbeatPublisher>(*m_monitor, m_timers, wire::AgentHeartbeat()),
+        std::make_shared<OrderForwarder>(m_endpoint, FenceGate(PoolId("pool"), IncarnationId("this-life"))),
+        IncarnationId("this-life")};
     std::shared_ptr<FakeMessageStream> m_stream = std::make_shared<FakeMessageStream>();
 };
 
@@ -29,7 +59,7 @@
 {
     using Serve = void (AgentServer::*)(const MessageStreamPointer &) const;
     for (const Serve serve : {&AgentServer::serveRun, &AgentServer::serveAttach, &AgentServer::serveBar,
-                              &AgentServer::serveFind, &AgentServer::serveClose}) {
+                              &AgentServer::serveFind, &AgentServer::serveClose, &AgentServer::serveOrder}) {
         const auto stream = std::make_shared<FakeMessageStream>();
         (m_server.*serve)(stream);
         stream->receive("\xff\xff not a message");
@@ -95,3 +125,33 @@
     EXPECT_TRUE(m_stream->isFinished && m_stream->sent.empty());
     EXPECT_TRUE(attached->isFinished && attached->sent.empty());
 }
+
+// Two holders of one pool: the first was paused, its lease lapsed, the second gave its orders. The first wakes and
+// sends the order that it had in mind, to an engine that ignores fencing numbers.
+TEST_F(AgentServerTest, serveOrder_holderWokenAfterItsLease_isRefusedWithoutAskingTheEndpoint)
+{
+    const Stream second = order(6);
+    answerOrder(200);
+    EXPECT_EQ(failureOf(second), "");
+
+    EXPECT_EQ(failureOf(order(5)), "stale_fence");
+    EXPECT_EQ(failureOf(order(7, "earlier-life")), "stale_fence");
+
+    ASSERT_EQ(m_endpoint.queries.size(), 1u);
+    EXPECT_EQ(m_endpoint.queries[0].target, "/orders");
+    EXPECT_EQ(m_endpoint.queries[0].body, R"({"action":"load_adapter","fence":6,"name":"quotes"})");
+}
+
+TEST_F(AgentServerTest, serveOrder_severalAtOnce_reachTheEndpointOneAfterAnother)
+{
+    const Stream first = order(5);
+    const Stream second = order(6);
+    EXPECT_EQ(m_endpoint.queries.size(), 1u);
+
+    answerOrder(409);
+    EXPECT_EQ(m_endpoint.queries.size(), 2u);
+    m_endpoint.answerFetch(makeFailure(FailureCode::ConnectionSilent, "no answer"));
+
+    EXPECT_EQ(failureOf(first), "stale_fence");
+    EXPECT_EQ(failureOf(second), "endpoint_failed");
+}
--- a/tests/radishswitch-agent/endpointmonitor_test.cpp
+++ b/tests/radishswitch-agent/endpointmonitor_test.cpp
@@ -98,7 +98,7 @@
 {
     start();
     m_timers.advance(3s);
-    EXPECT_EQ(m_endpoint.targets.size(), 1u);
+    EXPECT_EQ(m_endpoint.queries.size(), 1u);
 }
 
 TEST_F(EndpointMonitorTest, cacheEvents_newOnes_areToldOnceAndAskedForFromThere)
@@ -111,7 +111,7 @@
     EXPECT_EQ(first[0].cache_events(0).prefix_hashes(1), 18446744073709551615u);
     m_timers.advance(500ms);
 
-    EXPECT_EQ(m_endpoint.targets.back(), "/load?since=6");
+    EXPECT_EQ(m_endpoint.queries.back().target, "/load?since=6");
     EXPECT_EQ(heard().at(0).cache_events_size(), 0);
 }
 
--- a/tests/radishswitch-agent/fakeendpoint.h
+++ b/tests/radishswitch-agent/fakeendpoint.h
@@ -33,9 +33,9 @@
         return call;
     }
 
-    void fetch(const std::string &target, RadishSwitch::Duration, FetchCallback callback) override
+    void fetch(RadishSwitch::EndpointQuery query, RadishSwitch::Duration, FetchCallback callback) override
     {
-        targets.push_back(target);
+        queries.push_back(std::move(query));
         m_fetches.push_back(std::move(callback));
     }
 
@@ -47,7 +47,7 @@
     }
 
     std::vector<std::shared_ptr<Call>> calls;
-    std::vector<std::string> targets;
+    std::vector<RadishSwitch::EndpointQuery> queries;
 
 private:
     std::deque<FetchCallback> m_fetches;
--- a/tests/radishswitch-agent/httpendpoint_test.cpp
+++ b/tests/radishswitch-agent/httpendpoint_test.cpp
@@ -212,7 +212,9 @@
     });
     HttpEndpoint endpoint(m_workers, m_client, address);
     std::promise<absl::StatusOr<EndpointDocument>> answer;
-    endpoint.fetch("/load?since=4", 30s, [&](absl::StatusOr<EndpointDocument> document) {
+    EndpointQuery query;
+    query.target = "/load?since=4";
+    endpoint.fetch(query, 30s, [&](absl::StatusOr<EndpointDocument> document) {
         answer.set_value(std::move(document));
     });
 
