Serve until the balancer knows; be ready only with table and list

Cause: drain measured 164 tries refused as draining and 2 as unknown_key: the entry refused at once when told to stop, and said ready before it had the table. A crash under retries came from an aggregate inside a co_await expression. Change: a notice during which everything is served; readiness waits for table, list and first heartbeats; a leaving home sends askers elsewhere.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -235,7 +235,7 @@
     reserve "$name"
     start "$name" radishswitch-agent --listen "${address_of[$name]}" --admin-listen "${admin_of[$name]}" \
         --advertise "${listed_as[$name]:-${address_of[$name]}}" \
-        --endpoint "$endpoint" --endpoint-kind "$kind" --pool "$pool" --region "$region" --zone "$zone" \
+        --name "$name" --endpoint "$endpoint" --endpoint-kind "$kind" --pool "$pool" --region "$region" --zone "$zone" \
         --platform "${platform_for[$region]:-${address_of[platform]}}" --fleet-key "$fleet_key" "$@"
     register "$name" agent "${listed_as[$name]:-${address_of[$name]}}" "${admin_of[$name]}" "$zone" "$region" "$pool" live
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -20,8 +20,9 @@
 const Log kLog("entry");
 
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
-/// Told to the others before the doors close, so that none of them still sends work here.
-constexpr Duration kLeavingNotice = std::chrono::milliseconds(700);
+constexpr Duration kReadyPoll = std::chrono::milliseconds(100);
+/// Between the platform's list and the first heartbeats of the agents that it names.
+constexpr Duration kFirstHeartbeats = std::chrono::milliseconds(500);
 /// Entries of each availability zone that watch the table in the store; the others learn it from them.
 constexpr std::size_t kWatchersOfZone = 2;
 
@@ -115,7 +116,6 @@
         !status.ok()) {
         return status;
     }
-    m_admin.setReady(true);
     m_gate.start();
     m_homeStack.start();
     m_peers.start();
@@ -125,6 +125,7 @@
     });
     const absl::Status status = m_server.listen(m_settings.listen.ip(), m_settings.listen.port());
     if (status.ok()) {
+        becomeReady();
         kLog.info("serving", {field("incarnation", m_incarnation.value()), field("peer_address", m_address)});
     }
     return status;
@@ -140,8 +141,25 @@
     return m_server.port();
 }
 
-// In order: callers' balancer and peers learn that this entry leaves; requests in progress end; key shards and portions
-// go back. Only then does the process end, so that no answer is cut off and nothing stays withheld.
+// An entry that takes callers before it has the table knows none of their keys and refuses them all. So the balancer
+// is told "ready" only once the table and the list of instances are there and the agents have had time to report.
+void Entry::becomeReady()
+{
+    if (m_isLeaving) {
+        return;
+    }
+    const bool hasList = m_listMonitor.run([this] { return !m_listed.present().empty(); });
+    if (hasList && m_table.current()->revision() > 0) {
+        m_timers.after(kFirstHeartbeats, [this] { m_admin.setReady(!m_isLeaving); });
+        return;
+    }
+    m_timers.after(kReadyPoll, [this] { becomeReady(); });
+}
+
+// In order: the balancer and the peers learn that this entry leaves, and stop sending; requests in progress end; key
+// shards and portions go back. Until the balancer has had its notice everything that still comes is served: a refusal
+// then would reach a caller who did nothing wrong. Only at the end does the process go, so that no answer is cut off
+// and nothing stays withheld.
 void Entry::drain(std::function<void()> callback)
 {
     kLog.info("leaving", {field("requests_in_progress", m_server.requestsInProgress())});
@@ -149,8 +167,7 @@
     m_isLeaving = true;
     m_admin.setReady(false);
     m_peers.setLeaving();
-    m_timers.after(kLeavingNotice, [this, callback = std::move(callback)]() mutable {
-        m_door.setDraining();
+    m_timers.after(m_settings.drainNotice, [this, callback = std::move(callback)]() mutable {
         m_server.drain();
         waitForRequests(std::move(callback));
     });
@@ -165,6 +182,7 @@
         });
         return;
     }
+    m_door.setDraining();
     handOver(std::move(callback));
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -53,6 +53,7 @@
 
     EntryMember selfMember() const;
     KeyOwner selfOwner() const;
+    void becomeReady();
     void followList();
     void followTable();
     void followMembership();
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -34,6 +34,7 @@
     parser.addNumber("ledger-shards", settings.ledgerShards, 1, kMostLedgerShards,
                      "objects over which budgets are spread; fixed for the life of a ledger");
     parser.add("drain-timeout", settings.drainTimeout, "how long a planned stop waits for what is in progress");
+    parser.add("drain-notice", settings.drainNotice, "how long it goes on serving after it has said that it leaves");
     parser.addNumber("agent-subset", settings.agentSubset, 1, kLargestSubset,
                      "agents of each pool with which this entry keeps links");
     parser.add("dead-after", settings.deadAfter, "silence after which an unlisted entry's portions are closed");
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -23,6 +23,8 @@
     int ledgerShards = 64;
     /// A planned stop waits no longer than this for what is in progress.
     Duration drainTimeout = std::chrono::seconds(120);
+    /// How long a leaving entry goes on serving, so that the balancer has time to see that it is not ready.
+    Duration drainNotice = std::chrono::seconds(2);
     /// Agents with which this entry keeps links in each pool.
     int agentSubset = 64;
     /// An entry that is silent for so long, and not listed, is held for dead and its portions are closed.
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -22,6 +22,12 @@
 // The home last heard of, the owner that it names, and this process itself.
 constexpr int kMostAdmissions = 3;
 
+// The home asked is not the one, is not there, or is leaving: another may decide.
+bool isForAnotherHome(FailureCode code)
+{
+    return code == FailureCode::HomeElsewhere || code == FailureCode::HomeUnreachable || code == FailureCode::Draining;
+}
+
 Settlement notRun()
 {
     Settlement settlement;
@@ -102,10 +108,7 @@
         decision = co_await awaitCallback<absl::StatusOr<AdmitDecision>>([this, &question](auto done) {
             m_home->admit(question, std::move(done));
         });
-        const bool asksElsewhere = !decision.ok()
-            && (failureCode(decision.status()) == FailureCode::HomeElsewhere
-                || failureCode(decision.status()) == FailureCode::HomeUnreachable);
-        if (!asksElsewhere) {
+        if (decision.ok() || !isForAnotherHome(failureCode(decision.status()))) {
             break;
         }
     }
@@ -139,7 +142,8 @@
         }
     }
     if (!m_mayHaveRun) {
-        co_await settle(notRun());
+        const Settlement settlement = notRun();
+        co_await settle(settlement);
     }
     co_return endOfFailedRun();
 }
@@ -286,7 +290,9 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     RunStream stream(m_services.clients, AgentLife::parse(duplicate.agentAddress), executor, m_plan.request, m_attempt);
     stream.attach();
-    const AttemptEnd end = co_await follow(stream, RouteChoice{EndpointId(), duplicate.agentAddress});
+    // Named: g++ 12 destroys an aggregate made inside a co_await expression twice.
+    const RouteChoice choice{EndpointId(), duplicate.agentAddress};
+    const AttemptEnd end = co_await follow(stream, choice);
     if (end == AttemptEnd::Answered) {
         co_return co_await m_relay->finish();
     }
