--- a/src/libradishswitch/grantedrequests.cpp
+++ b/src/libradishswitch/grantedrequests.cpp
@@ -153,7 +153,7 @@
 void GrantedRequests::resolve(const RequestId &request, std::vector<Dispatch> places, bool cancel)
 {
     if (places.empty()) {
-        return finishResolving(request, {RunEnd::NotRun, 0});
+        return finishResolving(request, {ResolvedEnd::NotRun, 0});
     }
     RunResolver::Events events;
     events.ended = [this, request](const RunVerdict &verdict) {
@@ -180,13 +180,13 @@
         return;
     }
     switch (verdict.end) {
-    case RunEnd::NotRun:
+    case ResolvedEnd::NotRun:
         return end(request, RequestState::NotRun, 0);
-    case RunEnd::Done:
+    case ResolvedEnd::Done:
         return end(request, RequestState::Done, verdict.chargedTokens);
-    case RunEnd::Failed:
+    case ResolvedEnd::Failed:
         return end(request, RequestState::Failed, verdict.chargedTokens);
-    case RunEnd::Lost:
+    case ResolvedEnd::Lost:
         return endLost(request);
     }
 }
@@ -253,7 +253,7 @@
 void GrantedRequests::finishRival(RunRecord record, const RunVerdict &verdict)
 {
     m_rivalResolvers.erase(record.request);
-    record.state = verdict.end == RunEnd::Done ? RunState::Done : RunState::Failed;
+    record.state = verdict.end == ResolvedEnd::Done ? RunState::Done : RunState::Failed;
     record.chargedTokens = verdict.chargedTokens;
     const KnownRequest *known = m_registry.find(record.request);
     if (known && known->isOwn) {
--- a/src/libradishswitch/runresolver.cpp
+++ b/src/libradishswitch/runresolver.cpp
@@ -15,21 +15,21 @@
 /// an answer.
 RunVerdict combined(const RunVerdict &a, const RunVerdict &b)
 {
-    const auto weight = [](RunEnd end) {
+    const auto weight = [](ResolvedEnd end) {
         switch (end) {
-        case RunEnd::NotRun:
+        case ResolvedEnd::NotRun:
             return 0;
-        case RunEnd::Failed:
+        case ResolvedEnd::Failed:
             return 1;
-        case RunEnd::Lost:
+        case ResolvedEnd::Lost:
             return 2;
-        case RunEnd::Done:
+        case ResolvedEnd::Done:
             return 3;
         }
         return 0;
     };
     RunVerdict verdict = weight(a.end) >= weight(b.end) ? a : b;
-    if (verdict.end == RunEnd::Failed) {
+    if (verdict.end == ResolvedEnd::Failed) {
         verdict.chargedTokens = std::max(a.chargedTokens, b.chargedTokens);
     }
     return verdict;
@@ -82,7 +82,7 @@
     }
     if (!record.ok()) {
         if (m_agents.isGone(m_places[n].dispatch.agentAddress)) {
-            return settlePlace(n, {RunEnd::Lost, 0});
+            return settlePlace(n, {ResolvedEnd::Lost, 0});
         }
         askAgainLater(n);
         if (!m_isStuck) {
@@ -93,11 +93,11 @@
     }
     switch (record->state) {
     case RunState::Done:
-        return settlePlace(n, {RunEnd::Done, record->chargedTokens});
+        return settlePlace(n, {ResolvedEnd::Done, record->chargedTokens});
     case RunState::Failed:
-        return settlePlace(n, {RunEnd::Failed, record->chargedTokens});
+        return settlePlace(n, {ResolvedEnd::Failed, record->chargedTokens});
     case RunState::Barred:
-        return settlePlace(n, {RunEnd::NotRun, 0});
+        return settlePlace(n, {ResolvedEnd::NotRun, 0});
     case RunState::Running:
     case RunState::Unknown:
         return askAgainLater(n);
@@ -120,7 +120,7 @@
         return place.isSettled;
     });
     // The attempts follow one another, so the one that gave the whole answer is the last.
-    if (isAllSettled || verdict.end == RunEnd::Done) {
+    if (isAllSettled || verdict.end == ResolvedEnd::Done) {
         m_hasEnded = true;
         // The one that is told may destroy this resolver.
         const auto ended = m_events.ended;
--- a/src/libradishswitch/runresolver.h
+++ b/src/libradishswitch/runresolver.h
@@ -14,7 +14,7 @@
 namespace RadishSwitch
 {
 
-enum class RunEnd {
+enum class ResolvedEnd {
     /// Barred wherever it could have started: it did not run and never will.
     NotRun,
     Done,
@@ -26,7 +26,7 @@
 
 /// What became of a request whose entry is gone.
 struct RunVerdict {
-    RunEnd end = RunEnd::NotRun;
+    ResolvedEnd end = ResolvedEnd::NotRun;
     std::int64_t chargedTokens = 0;
 
     bool operator==(const RunVerdict &) const = default;
