Build the balancer's probe outside the co_await

With doors that are probed the load died with 'free(): invalid pointer': g++ 12 destroys an aggregate made inside a co_await expression twice.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -267,8 +267,11 @@
     rm -f "$file"
     warm_ups=$((warm_ups + 1))
     "$measure" load --name "warm-$warm_ups" --log "$file" --target "${address_of[$1]}" \
-        --organisation "$2,$(key_of "$2"),$2/main" --requests 1 --callers 1 --tries 1 --seconds 5 >/dev/null
-    grep -q '"outcome":"whole"' "$file" || return 1
+        --organisation "$2,$(key_of "$2"),$2/main" --requests 1 --callers 1 --tries 1 --seconds 5 --timeout-seconds 5 >/dev/null
+    if ! grep -q '"outcome":"whole"' "$file"; then
+        cat "$file" >>"$work/warm.refused"
+        return 1
+    fi
     cat "$file" >>"$work/warm.log"
 }
 warm_ups=0
--- a/src/measure/balancer.cpp
+++ b/src/measure/balancer.cpp
@@ -49,9 +49,11 @@
     if (address.empty()) {
         co_return;
     }
+    // Named, and not written inside the co_await: g++ 12 destroys an aggregate that is made there twice.
+    const HttpRequest probe{"GET", "/readyz", {}, ""};
     asio::steady_timer timer(co_await asio::this_coro::executor);
     for (;;) {
-        const auto response = co_await m_client.fetch(address, HttpRequest{"GET", "/readyz", {}, ""}, kProbeTimeout);
+        const auto response = co_await m_client.fetch(address, probe, kProbeTimeout);
         {
             const std::lock_guard lock(m_mutex);
             m_doors[index].isReady = response.ok() && response->status == 200;
