--- a/src/measure/balancer.cpp
+++ b/src/measure/balancer.cpp
@@ -49,11 +49,11 @@
     if (address.empty()) {
         co_return;
     }
-    // Named, and not written inside the co_await: g++ 12 destroys an aggregate that is made there twice.
-    const HttpRequest probe{"GET", "/readyz", {}, ""};
     asio::steady_timer timer(co_await asio::this_coro::executor);
     for (;;) {
-        const auto response = co_await m_client.fetch(address, probe, kProbeTimeout);
+        // Named: g++ 12 destroys an aggregate made inside a co_await expression twice.
+        HttpRequest request{"GET", "/readyz", {}, ""};
+        const auto response = co_await m_client.fetch(address, std::move(request), kProbeTimeout);
         {
             const std::lock_guard lock(m_mutex);
             m_doors[index].isReady = response.ok() && response->status == 200;
