--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -311,11 +311,12 @@
     --require 'false_not_run == 0' --require 'lost_or_mixed_answers == 0' --require 'cut_off_by_stop == 0'
     --require 'late_work == 0' --require 'wrong_continuations == 0' --require 'wrong_usage == 0')
 
-# report FLAGS...: the last line. Ends the script with what it found.
+# report FLAGS...: the last line. Ends the script with what it found. What the records tell goes before what a load saw.
 report()
 {
     local status=0
-    "$measure" report --figure "scenario=\"$scenario\"" "$@" || status=$?
+    "$measure" report --file "$work/truth.json" "$@" --file "$work/truth.json" --figure "scenario=\"$scenario\"" \
+        || status=$?
     exit "$status"
 }
 
--- a/scripts/scenarios/drain.sh
+++ b/scripts/scenarios/drain.sh
@@ -38,5 +38,5 @@
 stop_entries entry-1 entry-2 entry-3
 gather
 judge drain
-report --file "$work/drain.json" --file "$work/truth.json" --figure "restarts=$restarts" \
+report --file "$work/drain.json" --figure "restarts=$restarts" \
     "${promises[@]}" --require 'withheld_tokens == 0' --aim 'answered == requests' --aim 'false_refusals == 0'
--- a/scripts/scenarios/ledger-rates.sh
+++ b/scripts/scenarios/ledger-rates.sh
@@ -63,4 +63,4 @@
         --figure "${kind}_per_request=requests_$kind-base_$kind/40" --pick "${kind}_per_*")
 done
 "$measure" report "${numbers[@]}" "${chosen[@]}" >"$work/slopes.json"
-report --file "$work/truth.json" --numbers "=$work/slopes.json" "${promises[@]}" --require 'false_refusals == 0'
+report --numbers "=$work/slopes.json" "${promises[@]}" --require 'false_refusals == 0'
--- a/scripts/scenarios/overload.sh
+++ b/scripts/scenarios/overload.sh
@@ -84,7 +84,7 @@
 for name in gold silver bronze greedy; do
     picks+=(--pick "at30_${name}_share" --pick "base30_${name}_share")
 done
-report "${files[@]}" --file "$work/truth.json" "${sums[@]}" "${wanted[@]}" \
+report "${files[@]}" "${sums[@]}" "${wanted[@]}" \
     --figure goodput_kept=at30_tokens_per_second/at10_tokens_per_second \
     --figure urgent_slowed=at30_urgent_ttft_p95_ms/at07_urgent_ttft_p95_ms \
     "${picks[@]}" "${promises[@]}" --aim 'goodput_kept >= 0.9' --aim 'urgent_slowed <= 2' \
--- a/scripts/scenarios/router-death.sh
+++ b/scripts/scenarios/router-death.sh
@@ -27,6 +27,6 @@
 stop_entries entry-1 entry-2 entry-3
 gather
 judge death
-report --file "$work/death.json" --file "$work/truth.json" --figure "deaths=$deaths" \
+report --file "$work/death.json" --figure "deaths=$deaths" \
     --figure withheld_share=withheld_tokens/paid_tokens \
     "${promises[@]}" --require 'withheld_share <= 0.01' --aim 'answered == requests'
--- a/scripts/scenarios/scale.sh
+++ b/scripts/scenarios/scale.sh
@@ -79,6 +79,6 @@
     figures+=(--figure "${figure}_per_node=${figure}_128-${figure}_32/96"
         --figure "${figure}_at_1710=${figure}_per_node*1582+${figure}_128")
 done
-report "${figures[@]}" --file "$work/truth.json" "${promises[@]}" \
+report "${figures[@]}" "${promises[@]}" \
     --aim 'entry_core_percent_at_1710 <= 2.1' --aim 'agent_core_percent_at_1710 <= 2.1' \
     --aim 'entry_mb_at_1710 <= 256' --aim 'agent_mb_at_1710 <= 256' --aim 'node_kb_per_second_at_1710 <= 16'
--- a/scripts/scenarios/silent.sh
+++ b/scripts/scenarios/silent.sh
@@ -45,5 +45,5 @@
 stop_entries entry-1 entry-2
 gather
 judge silent
-report --file "$work/silent.json" --file "$work/truth.json" --figure "swallowed=$swallowed" \
+report --file "$work/silent.json" --figure "swallowed=$swallowed" \
     "${promises[@]}" --require 'stall_at_faults_p95_ms <= 4000' --aim 'answered == requests'
--- a/scripts/scenarios/speed.sh
+++ b/scripts/scenarios/speed.sh
@@ -58,7 +58,7 @@
     small_agent_cpu_seconds small_entry_cpu_seconds streams_entry_cpu_seconds streams_agent_cpu_seconds; do
     picks+=(--pick "$figure")
 done
-report "${figures[@]}" --numbers "=$work/direct.json" --file "$work/truth.json" \
+report "${figures[@]}" --numbers "=$work/direct.json" \
     --figure "small_per_entry_core=small_requests_per_second*small_seconds/small_entry_cpu_seconds" \
     --figure "small_per_agent_core=small_requests_per_second*small_seconds/small_agent_cpu_seconds" \
     --figure "streams_tokens_per_entry_core=streams_tokens_per_second*streams_seconds/streams_entry_cpu_seconds" \
--- a/scripts/scenarios/steady.sh
+++ b/scripts/scenarios/steady.sh
@@ -21,8 +21,7 @@
 stop_entries entry-1 entry-2
 gather
 judge steady
-"$measure" report --file "$work/direct.json" >"$work/direct-figures.json"
-report --file "$work/direct-figures.json" --file "$work/steady.json" --file "$work/truth.json" \
+report --file "$work/direct.json" --file "$work/steady.json" \
     --figure added_ttft_p50_ms=ttft_p50_ms-direct_ttft_p50_ms \
     "${promises[@]}" --require 'answered == requests' --require 'false_refusals == 0' \
     --require 'withheld_tokens == 0' --require 'requests >= 200' --aim 'requests >= 300' \
--- a/scripts/scenarios/store-outage.sh
+++ b/scripts/scenarios/store-outage.sh
@@ -27,6 +27,6 @@
 stop_entries entry-1 entry-2
 gather
 judge outage
-report --file "$work/outage.json" --file "$work/truth.json" --figure "outage_seconds=$outage" \
+report --file "$work/outage.json" --figure "outage_seconds=$outage" \
     --figure false_refusal_share=false_refusals/requests \
     "${promises[@]}" --require 'false_refusal_share <= 0.01'
