--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -267,8 +267,11 @@
     rm -f "$file"
     warm_ups=$((warm_ups + 1))
     "$measure" load --name "warm-$warm_ups" --log "$file" --target "${address_of[$1]}" \
-        --organisation "$2,$(key_of "$2"),$2/main" --requests 1 --callers 1 --tries 1 --seconds 5 >/dev/null
-    grep -q '"outcome":"whole"' "$file" || return 1
+        --organisation "$2,$(key_of "$2"),$2/main" --requests 1 --callers 1 --tries 1 --seconds 5 --timeout-seconds 5 >/dev/null
+    if ! grep -q '"outcome":"whole"' "$file"; then
+        cat "$file" >>"$work/warm.refused"
+        return 1
+    fi
     cat "$file" >>"$work/warm.log"
 }
 warm_ups=0
@@ -308,11 +311,12 @@
     --require 'false_not_run == 0' --require 'lost_or_mixed_answers == 0' --require 'cut_off_by_stop == 0'
     --require 'late_work == 0' --require 'wrong_continuations == 0' --require 'wrong_usage == 0')
 
-# report FLAGS...: the last line. Ends the script with what it found.
+# report FLAGS...: the last line. Ends the script with what it found. What the records tell goes before what a load saw.
 report()
 {
     local status=0
-    "$measure" report --figure "scenario=\"$scenario\"" "$@" || status=$?
+    "$measure" report --file "$work/truth.json" "$@" --file "$work/truth.json" --figure "scenario=\"$scenario\"" \
+        || status=$?
     exit "$status"
 }
 
