Offer mutual TLS between processes

Cause: the proof of the fleet's key keeps strangers out, but who reads the wire between zones reads prompts and can replay a proof. Change: with a certificate, a key and an authority in the settings every connection is TLS 1.3, each side shows its certificate, ALPN h2; off by default. Where files are missing nothing goes out in plain text, and listening says which file. A connection that is being closed takes no further stream: one opened right after close() was lost with it.

--- a/src/libradishnet/http2connection.cpp
+++ b/src/libradishnet/http2connection.cpp
@@ -3,7 +3,6 @@
 #include "failure.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 #include <algorithm>
 
@@ -21,12 +20,22 @@
 /// A batch that would go on for longer lets other connections have the thread.
 constexpr int kMaximumRounds = 8;
 
+absl::Status lost(const std::string &what, const error_code &ec)
+{
+    return makeFailure(FailureCode::ConnectionLost, what + ": " + ec.message());
+}
+
 Instant present()
 {
     const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
     return Instant(std::chrono::duration_cast<Duration>(sinceEpoch));
 }
 
+ByteChannel::Side channelSide(Http2Connection::Side side)
+{
+    return side == Http2Connection::Side::Client ? ByteChannel::Side::Client : ByteChannel::Side::Server;
+}
+
 ConnectionProbe::Habit probeHabit(Http2Connection::Side side)
 {
     return side == Http2Connection::Side::Client ? ConnectionProbe::Habit::Always : ConnectionProbe::Habit::WhenQuiet;
@@ -62,12 +71,13 @@
     std::shared_ptr<Http2Connection> m_connection;
 };
 
-Http2Connection::Http2Connection(WorkerPool &workers, TransportSettings settings, Side side, ClosedCallback onClosed)
+Http2Connection::Http2Connection(WorkerPool &workers, TransportSettings settings, std::shared_ptr<TlsContext> tls,
+                                 Side side, ClosedCallback onClosed)
     : m_settings(std::move(settings))
     , m_proof(m_settings.fleetKey)
     , m_side(side)
     , m_strand(workers.context().get_executor())
-    , m_socket(m_strand)
+    , m_channel(m_strand, std::move(tls), channelSide(side))
     , m_timer(m_strand)
     , m_onClosed(std::move(onClosed))
     , m_probe(probeHabit(side), m_settings.pingInterval, m_settings.pingTimeout)
@@ -93,16 +103,19 @@
     boost::asio::post(m_strand, batchHandler(std::move(work)));
 }
 
-Http2Connection::Socket &Http2Connection::socket()
+ByteChannel::Socket &Http2Connection::socket()
 {
-    return m_socket;
+    return m_channel.socket();
 }
 
 void Http2Connection::accept(HandlerLookup handlers)
 {
     m_handlers = std::move(handlers);
     postBatch([](Http2Connection &self) {
-        self.begin();
+        if (!self.m_isClosed) {
+            self.armTimer(self.m_settings.connectTimeout);
+            self.secure();
+        }
     });
 }
 
@@ -119,14 +132,33 @@
         return;
     }
     armTimer(m_settings.connectTimeout);
-    m_socket.async_connect(endpoint, batchHandler([](Http2Connection &self, const error_code &ec) {
-                               if (ec) {
-                                   self.shut(
-                                       makeFailure(FailureCode::ConnectionLost, "connecting failed: " + ec.message()));
-                               } else {
-                                   self.begin();
-                               }
-                           }));
+    m_channel.socket().async_connect(endpoint, batchHandler([](Http2Connection &self, const error_code &ec) {
+                                         if (ec) {
+                                             self.shut(lost("connecting failed", ec));
+                                         } else {
+                                             self.secure();
+                                         }
+                                     }));
+}
+
+/// Goes through TLS's handshake where the fleet has certificates.
+void Http2Connection::secure()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_channel.configure();
+    if (!m_channel.isEncrypted()) {
+        begin();
+        return;
+    }
+    m_channel.asyncHandshake(batchHandler([](Http2Connection &self, const error_code &ec) {
+        if (ec) {
+            self.shut(lost("the TLS handshake failed", ec));
+        } else {
+            self.begin();
+        }
+    }));
 }
 
 bool Http2Connection::isUsable() const
@@ -166,6 +198,8 @@
 
 void Http2Connection::close()
 {
+    // At once, so that a stream opened after this call goes to another connection.
+    m_isUsable = false;
     postBatch([](Http2Connection &self) {
         self.shut(makeFailure(FailureCode::ConnectionLost, "the connection was closed on this side"));
     });
@@ -252,9 +286,9 @@
         return false;
     }
     error_code ec;
-    const std::size_t n = m_socket.write_some(boost::asio::buffer(output), ec);
-    if (ec && ec != boost::asio::error::would_block) {
-        shut(makeFailure(FailureCode::ConnectionLost, "writing failed: " + ec.message()));
+    const std::size_t n = m_channel.writeNow(boost::asio::buffer(output), ec);
+    if (ec) {
+        shut(lost("writing failed", ec));
     } else if (n < output.size()) {
         writeLater(output.substr(n));
     }
@@ -265,10 +299,10 @@
 {
     m_isWriting = true;
     m_unwritten = std::move(rest);
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_unwritten),
-                             batchHandler([](Http2Connection &self, const error_code &ec, std::size_t) {
-                                 self.restWritten(ec);
-                             }));
+    m_channel.asyncWrite(boost::asio::buffer(m_unwritten),
+                         batchHandler([](Http2Connection &self, const error_code &ec, std::size_t) {
+                             self.restWritten(ec);
+                         }));
 }
 
 void Http2Connection::restWritten(const error_code &ec)
@@ -276,7 +310,7 @@
     m_isWriting = false;
     m_unwritten = {};
     if (ec) {
-        shut(makeFailure(FailureCode::ConnectionLost, "writing failed: " + ec.message()));
+        shut(lost("writing failed", ec));
     }
 }
 
@@ -285,9 +319,6 @@
     if (m_isClosed) {
         return;
     }
-    error_code ec;
-    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
-    m_socket.non_blocking(true, ec);
     m_session = std::make_unique<Http2Session>(m_side, *this);
     m_input.resize(kInputBytes);
     m_isConnected = true;
@@ -303,10 +334,10 @@
 
 void Http2Connection::read()
 {
-    m_socket.async_read_some(boost::asio::buffer(m_input),
-                             batchHandler([](Http2Connection &self, const error_code &ec, std::size_t n) {
-                                 self.inputRead(ec, n);
-                             }));
+    m_channel.asyncRead(boost::asio::buffer(m_input),
+                        batchHandler([](Http2Connection &self, const error_code &ec, std::size_t n) {
+                            self.inputRead(ec, n);
+                        }));
 }
 
 void Http2Connection::inputRead(const error_code &ec, std::size_t n)
@@ -315,7 +346,7 @@
         return;
     }
     if (ec) {
-        shut(makeFailure(FailureCode::ConnectionLost, "the other side closed the connection: " + ec.message()));
+        shut(lost("the other side closed the connection", ec));
         return;
     }
     m_wasHeard = true;
@@ -355,7 +386,7 @@
 
 void Http2Connection::probe()
 {
-    switch (m_probe.step(present(), hasUnreadInput())) {
+    switch (m_probe.step(present(), m_channel.hasUnreadInput())) {
     case ConnectionProbe::Step::GiveUp:
         shut(makeFailure(FailureCode::ConnectionSilent, "nothing was heard since a PING"));
         return;
@@ -368,12 +399,6 @@
     armTimer(m_probe.untilNext(present()));
 }
 
-bool Http2Connection::hasUnreadInput() const
-{
-    error_code ec;
-    return m_socket.available(ec) > 0;
-}
-
 bool Http2Connection::closeIfUnused()
 {
     if (m_isClosed || !m_isConnected || m_isWriting) {
@@ -394,8 +419,7 @@
     }
     m_isUsable = false;
     m_timer.cancel();
-    error_code ec;
-    m_socket.close(ec);
+    m_channel.close();
     std::vector<Http2StreamPointer> streams = std::exchange(m_waiting, {});
     if (m_session) {
         for (Http2StreamPointer &stream : m_session->takeStreams()) {
--- a/src/libradishnet/http2connection.h
+++ b/src/libradishnet/http2connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bytechannel.h"
 #include "connectionprobe.h"
 #include "http2session.h"
 #include "http2transport.h"
@@ -7,9 +8,7 @@
 
 #include <utility>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 
 #include <atomic>
 #include <mutex>
@@ -28,8 +27,7 @@
 {
 public:
     using Side = Http2Stream::Side;
-    using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
-    using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
+    using Strand = ByteChannel::Strand;
     using Timer = boost::asio::basic_waitable_timer<std::chrono::steady_clock,
                                                     boost::asio::wait_traits<std::chrono::steady_clock>, Strand>;
 
@@ -38,10 +36,12 @@
     /// Comes once, on the strand.
     using ClosedCallback = std::function<void(Http2Connection &)>;
 
-    Http2Connection(WorkerPool &workers, TransportSettings settings, Side side, ClosedCallback onClosed);
+    /// `tls` is null for plain TCP.
+    Http2Connection(WorkerPool &workers, TransportSettings settings, std::shared_ptr<TlsContext> tls, Side side,
+                    ClosedCallback onClosed);
 
     /// Where an acceptor puts the connection that it took.
-    Socket &socket();
+    ByteChannel::Socket &socket();
 
     /// Begins to work on the accepted socket.
     void accept(HandlerLookup handlers);
@@ -82,13 +82,13 @@
     void writeLater(std::string rest);
     void restWritten(const boost::system::error_code &ec);
     void beginConnecting(const boost::asio::ip::tcp::endpoint &endpoint);
+    void secure();
     void begin();
     void read();
     void inputRead(const boost::system::error_code &ec, std::size_t n);
     void armTimer(Duration delay);
     void timerFired();
     void probe();
-    bool hasUnreadInput() const;
     bool closeIfUnused();
     void shut(absl::Status status);
     void abandon();
@@ -97,7 +97,7 @@
     const StreamProof m_proof;
     const Side m_side;
     Strand m_strand;
-    Socket m_socket;
+    ByteChannel m_channel;
     Timer m_timer;
     std::atomic<bool> m_isUsable = true;
 
--- a/src/libradishnet/http2messageclient.cpp
+++ b/src/libradishnet/http2messageclient.cpp
@@ -39,9 +39,11 @@
 
 }
 
-Http2MessageClient::Http2MessageClient(WorkerPool &workers, TransportSettings settings, std::string address)
+Http2MessageClient::Http2MessageClient(WorkerPool &workers, TransportSettings settings,
+                                       absl::StatusOr<std::shared_ptr<TlsContext>> tls, std::string address)
     : m_workers(workers)
     , m_settings(std::move(settings))
+    , m_tls(std::move(tls))
     , m_address(std::move(address))
     , m_random(std::random_device()())
 {
@@ -89,8 +91,10 @@
             self->connectionClosed(connection.wasHeard());
         }
     };
-    auto connection = std::make_shared<Http2Connection>(m_workers, m_settings, Http2Connection::Side::Client, onClosed);
-    if (const std::optional<tcp::endpoint> endpoint = parseEndpoint(m_address)) {
+    auto connection = std::make_shared<Http2Connection>(m_workers, m_settings, m_tls.value_or(nullptr),
+                                                        Http2Connection::Side::Client, onClosed);
+    const std::optional<tcp::endpoint> endpoint = parseEndpoint(m_address);
+    if (endpoint && m_tls.ok()) {
         connection->connect(*endpoint);
     } else {
         connection->close();
--- a/src/libradishnet/http2messageclient.h
+++ b/src/libradishnet/http2messageclient.h
@@ -15,7 +15,9 @@
 class Http2MessageClient : public MessageClient, public std::enable_shared_from_this<Http2MessageClient>
 {
 public:
-    Http2MessageClient(WorkerPool &workers, TransportSettings settings, std::string address);
+    /// `tls` is null for plain TCP. Where it is a failure no connection is made.
+    Http2MessageClient(WorkerPool &workers, TransportSettings settings, absl::StatusOr<std::shared_ptr<TlsContext>> tls,
+                       std::string address);
     ~Http2MessageClient() override;
 
     MessageStreamPointer open(const std::string &path, std::string firstFrame) override;
@@ -31,6 +33,7 @@
 
     WorkerPool &m_workers;
     const TransportSettings m_settings;
+    const absl::StatusOr<std::shared_ptr<TlsContext>> m_tls;
     const std::string m_address;
 
     /// Guards what follows. No other lock is taken under it.
--- a/src/libradishnet/http2messageserver.cpp
+++ b/src/libradishnet/http2messageserver.cpp
@@ -41,6 +41,11 @@
 
     absl::Status listen(const std::string &address, std::uint16_t port)
     {
+        absl::StatusOr<std::shared_ptr<TlsContext>> tls = TlsContext::load(m_settings);
+        if (!tls.ok()) {
+            return tls.status();
+        }
+        m_tls = *std::move(tls);
         error_code ec;
         const tcp::endpoint endpoint(boost::asio::ip::make_address(address, ec), port);
         if (!ec) {
@@ -128,7 +133,7 @@
                 self->forget(connection.shared_from_this());
             }
         };
-        return std::make_shared<Http2Connection>(m_workers, m_settings, Http2Connection::Side::Server, onClosed);
+        return std::make_shared<Http2Connection>(m_workers, m_settings, m_tls, Http2Connection::Side::Server, onClosed);
     }
 
     void take(const ConnectionPointer &connection)
@@ -161,6 +166,7 @@
     const TransportSettings m_settings;
     /// Written before `listen`, read by all connections after it.
     std::map<std::string, Handler> m_handlers;
+    std::shared_ptr<TlsContext> m_tls;
     std::uint16_t m_port = 0;
 
     Strand m_strand;
--- a/src/libradishnet/http2transport.h
+++ b/src/libradishnet/http2transport.h
@@ -4,6 +4,8 @@
 #include "timerservice.h"
 #include "workerpool.h"
 
+#include <absl/status/statusor.h>
+
 #include <map>
 #include <memory>
 #include <mutex>
@@ -24,6 +26,11 @@
     /// An HTTP/2 connection runs out of stream ids at 2^31. A client that has come so far opens its further streams on
     /// a new connection, and closes the old one after its last stream.
     std::int32_t maximumStreamId = 1 << 30;
+    /// PEM files of this process's certificate and key, and of the authority that signs those of the whole fleet. With
+    /// all three, every connection is mutual TLS 1.3; with none, plain TCP.
+    std::string certificateFile;
+    std::string privateKeyFile;
+    std::string authorityFile;
 };
 
 /// Accepts the fleet's connections and hands each new stream to the handler of its path.
@@ -51,7 +58,10 @@
     std::shared_ptr<Private> d;
 };
 
-/// The fleet's clients of this process, one for each address.
+class TlsContext;
+
+/// The fleet's clients of this process, one for each address. Where the settings' certificates can't be used, every
+/// stream closes with ConnectionLost; a server with the same settings tells why.
 class MessageClients
 {
 public:
@@ -66,6 +76,7 @@
 private:
     WorkerPool &m_workers;
     TransportSettings m_settings;
+    absl::StatusOr<std::shared_ptr<TlsContext>> m_tls;
     std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<MessageClient>> m_clients;
 };
--- a/src/libradishnet/messageclients.cpp
+++ b/src/libradishnet/messageclients.cpp
@@ -6,6 +6,7 @@
 MessageClients::MessageClients(WorkerPool &workers, TransportSettings settings)
     : m_workers(workers)
     , m_settings(std::move(settings))
+    , m_tls(TlsContext::load(m_settings))
 {
 }
 
@@ -21,7 +22,7 @@
     const std::lock_guard lock(m_mutex);
     std::shared_ptr<MessageClient> &client = m_clients[address];
     if (!client) {
-        client = std::make_shared<Http2MessageClient>(m_workers, m_settings, address);
+        client = std::make_shared<Http2MessageClient>(m_workers, m_settings, m_tls, address);
     }
     return client;
 }
--- a/tests/net/messageconnection_test.cpp
+++ b/tests/net/messageconnection_test.cpp
@@ -20,8 +20,8 @@
         const MessageStreamPointer stream = echoClient.open("/echo", "frame");
         const auto recorder = StreamRecorder::listenTo(*stream);
         stream->finish();
-        EXPECT_EQ(recorder->waitForClosed(), absl::OkStatus());
-        EXPECT_EQ(recorder->waitForFrames(1), std::vector<std::string>{"frame"});
+        EXPECT_EQ(closingStatus(*recorder), absl::OkStatus());
+        expectFrames(*recorder, std::vector<std::string>{"frame"});
     }
 };
 
@@ -47,7 +47,7 @@
     relay.swallowOpenConnections();
 
     EXPECT_EQ(closingCode(*recorder), FailureCode::ConnectionSilent);
-    EXPECT_EQ(outcomeOf(*recorder->waitForClosed()), RunOutcome::Unknown);
+    EXPECT_EQ(closingOutcome(*recorder), RunOutcome::Unknown);
     EXPECT_EQ(closingCode(*received), FailureCode::ConnectionSilent);
     expectEcho(*relayed);
     EXPECT_EQ(relay.connectionCount(), 2);
@@ -100,7 +100,7 @@
     const auto recorder = StreamRecorder::listenTo(*clients.client(addressOf(port))->open("/echo", "frame"));
 
     EXPECT_EQ(closingCode(*recorder), FailureCode::ConnectionLost);
-    EXPECT_EQ(outcomeOf(*recorder->waitForClosed()), RunOutcome::NotRun);
+    EXPECT_EQ(closingOutcome(*recorder), RunOutcome::NotRun);
 }
 
 TEST_F(MessageConnectionTest, open_addressOfNoProcess_closesAsLost)
@@ -147,7 +147,7 @@
 TEST_F(MessageConnectionTest, client_closed_failsItsStreamsAndConnectsAnew)
 {
     const auto recorder = StreamRecorder::listenTo(*client->open("/keep", "frame"));
-    ASSERT_NE(takeKept(), nullptr);
+    const MessageStreamPointer held = takeKept();
 
     client->close();
 
@@ -174,7 +174,7 @@
     EXPECT_GT(relay.connectionCount(), 1);
     early->send("second");
     early->finish();
-    EXPECT_EQ(recorder->waitForClosed(), absl::OkStatus());
+    EXPECT_EQ(closingStatus(*recorder), absl::OkStatus());
     EXPECT_EQ(recorder->waitForFrames(2).size(), 2u);
 }
 
--- a/tests/net/messageflow_test.cpp
+++ b/tests/net/messageflow_test.cpp
@@ -77,7 +77,7 @@
     const std::string frame(MessageStream::kMaximumFrameBytes, 'x');
     const auto recorder = StreamRecorder::listenTo(*client->open("/echo", frame));
 
-    EXPECT_EQ(recorder->waitForFrames(1), std::vector<std::string>{frame});
+    expectFrames(*recorder, std::vector<std::string>{frame});
 }
 
 TEST_F(MessageFlowTest, frame_aboveMaximumSize_closesAsTooLarge)
@@ -107,9 +107,9 @@
 
     stream->resume();
 
-    EXPECT_EQ(recorder->waitForClosed(), absl::OkStatus());
-    EXPECT_EQ(recorder->waitForFrames(1), std::vector<std::string>{"answer"});
-    EXPECT_EQ(received->waitForClosed(), absl::OkStatus());
+    EXPECT_EQ(closingStatus(*recorder), absl::OkStatus());
+    expectFrames(*recorder, std::vector<std::string>{"answer"});
+    EXPECT_EQ(closingStatus(*received), absl::OkStatus());
 }
 
 TEST_F(MessageFlowTest, whenDrained_streamLost_callsBack)
@@ -156,5 +156,5 @@
 
     takeKept();
 
-    EXPECT_EQ(recorder->waitForClosed(), absl::OkStatus());
+    EXPECT_EQ(closingStatus(*recorder), absl::OkStatus());
 }
--- a/tests/net/messagestream_test.cpp
+++ b/tests/net/messagestream_test.cpp
@@ -14,8 +14,8 @@
     stream->send(std::string(100'000, 'x'));
     stream->finish();
 
-    EXPECT_EQ(recorder->waitForClosed(), absl::OkStatus());
-    EXPECT_EQ(recorder->waitForFrames(3), (std::vector<std::string>{"first", "", std::string(100'000, 'x')}));
+    EXPECT_EQ(closingStatus(*recorder), absl::OkStatus());
+    expectFrames(*recorder, std::vector<std::string>{"first", "", std::string(100'000, 'x')});
 }
 
 TEST_F(MessageStreamTest, manyStreams_inParallel_eachGetsItsOwnFrames)
@@ -30,9 +30,9 @@
     }
 
     for (int n = 0; n < kStreams; ++n) {
-        EXPECT_EQ(recorders[n]->waitForClosed(), absl::OkStatus());
+        EXPECT_EQ(closingStatus(*recorders[n]), absl::OkStatus());
         const std::vector<std::string> expected{"first of " + std::to_string(n), "second of " + std::to_string(n)};
-        EXPECT_EQ(recorders[n]->waitForFrames(2), expected);
+        expectFrames(*recorders[n], expected);
     }
 }
 
@@ -41,7 +41,7 @@
     const auto recorder = StreamRecorder::listenTo(*client->open("/nowhere", "frame"));
 
     EXPECT_EQ(closingCode(*recorder), FailureCode::MalformedMessage);
-    EXPECT_EQ(outcomeOf(*recorder->waitForClosed()), RunOutcome::NotRun);
+    EXPECT_EQ(closingOutcome(*recorder), RunOutcome::NotRun);
 }
 
 TEST_F(MessageStreamTest, open_otherFleetKey_closesAsUnauthenticatedAndNothingIsHandedOver)
@@ -66,7 +66,7 @@
     server.close();
 
     EXPECT_EQ(closingCode(*recorder), FailureCode::ConnectionLost);
-    EXPECT_EQ(outcomeOf(*recorder->waitForClosed()), RunOutcome::Unknown);
+    EXPECT_EQ(closingOutcome(*recorder), RunOutcome::Unknown);
     EXPECT_EQ(closingCode(*received), FailureCode::ConnectionLost);
 }
 
--- a/tests/net/messagestreamfixture.h
+++ b/tests/net/messagestreamfixture.h
@@ -8,6 +8,8 @@
 
 #include <future>
 
+#include <unistd.h>
+
 /// A server and a client of one process, over a real connection on loopback.
 class MessageStreamFixture : public testing::Test
 {
@@ -49,6 +51,17 @@
         workers.stop();
     }
 
+    /// Expects these frames first. Frames may be large, so a failure doesn't print them.
+    static void expectFrames(StreamRecorder &recorder, const std::vector<std::string> &expected)
+    {
+        const std::vector<std::string> frames = recorder.waitForFrames(expected.size());
+        ASSERT_EQ(frames.size(), expected.size());
+        for (std::size_t n = 0; n < frames.size(); ++n) {
+            EXPECT_EQ(frames[n].size(), expected[n].size()) << "frame " << n;
+            EXPECT_TRUE(frames[n] == expected[n]) << "frame " << n;
+        }
+    }
+
     static std::string addressOf(std::uint16_t port)
     {
         return "127.0.0.1:" + std::to_string(port);
@@ -70,11 +83,22 @@
         return future.get();
     }
 
-    static RadishSwitch::FailureCode closingCode(StreamRecorder &recorder)
+    /// How the stream closed; a failure without a code when it hasn't.
+    static absl::Status closingStatus(StreamRecorder &recorder)
     {
         const std::optional<absl::Status> status = recorder.waitForClosed();
         EXPECT_TRUE(status.has_value()) << "the stream has not closed";
-        return RadishSwitch::failureCode(status.value_or(absl::OkStatus()));
+        return status.value_or(absl::UnknownError("still open"));
+    }
+
+    static RadishSwitch::FailureCode closingCode(StreamRecorder &recorder)
+    {
+        return RadishSwitch::failureCode(closingStatus(recorder));
+    }
+
+    static RadishSwitch::RunOutcome closingOutcome(StreamRecorder &recorder)
+    {
+        return RadishSwitch::outcomeOf(closingStatus(recorder));
     }
 
     RadishSwitch::WorkerPool workers{3};
