--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -148,12 +148,18 @@
     if (m_isLeaving) {
         return;
     }
-    const bool hasList = m_listMonitor.run([this] { return !m_listed.present().empty(); });
+    const bool hasList = m_listMonitor.run([this] {
+        return !m_listed.present().empty();
+    });
     if (hasList && m_table.current()->revision() > 0) {
-        m_timers.after(kFirstHeartbeats, [this] { m_admin.setReady(!m_isLeaving); });
+        m_timers.after(kFirstHeartbeats, [this] {
+            m_admin.setReady(!m_isLeaving);
+        });
         return;
     }
-    m_timers.after(kReadyPoll, [this] { becomeReady(); });
+    m_timers.after(kReadyPoll, [this] {
+        becomeReady();
+    });
 }
 
 // In order: the balancer and the peers learn that this entry leaves, and stop sending; requests in progress end; key
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -67,6 +67,7 @@
     void waitForRequests(std::function<void()> callback);
     void handOver(std::function<void()> callback);
     std::vector<std::string> agentAddresses();
+    bool isAgentGone(const std::string &life);
 
     const EntrySettings m_settings;
     WorkerPool m_workers;
--- a/src/entry/fleetagentport.cpp
+++ b/src/entry/fleetagentport.cpp
@@ -32,10 +32,11 @@
 
 }
 
-FleetAgentPort::FleetAgentPort(MessageClients &clients, TimerService &timers, AddressSource addresses)
+FleetAgentPort::FleetAgentPort(MessageClients &clients, TimerService &timers, AddressSource addresses, GoneTest isGone)
     : m_clients(clients)
     , m_timers(timers)
     , m_addresses(std::move(addresses))
+    , m_isGone(std::move(isGone))
 {
 }
 
@@ -44,6 +45,11 @@
     return m_addresses();
 }
 
+bool FleetAgentPort::isGone(const std::string &agentAddress) const
+{
+    return m_isGone(agentAddress);
+}
+
 void FleetAgentPort::findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
                               std::uint64_t epoch, std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback)
 {
--- a/src/libradishnet/monitor.h
+++ b/src/libradishnet/monitor.h
@@ -18,8 +18,8 @@
 /// every answer comes back in under the same lock. Without them a store's answer would change a table in the middle of
 /// another worker's decision, and two requests could be granted the same tokens.
 ///
-/// Order of locks: home, list of instances, links, membership, routing. A worker that holds one may take a later one, never an
-/// earlier one.
+/// Order of locks: home, list of instances, links, membership, routing. A worker that holds one may take a later one,
+/// never an earlier one.
 class Monitor
 {
 public:
@@ -169,6 +169,11 @@
         return m_inner.agentAddresses();
     }
 
+    bool isGone(const std::string &agentAddress) const override
+    {
+        return m_inner.isGone(agentAddress);
+    }
+
     void findRuns(const std::string &agentAddress, std::vector<RequestId> requests, std::uint32_t shard,
                   std::uint64_t epoch, std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback) override
     {
