--- a/src/libradishnet/monitor.h
+++ b/src/libradishnet/monitor.h
@@ -18,8 +18,8 @@
 /// every answer comes back in under the same lock. Without them a store's answer would change a table in the middle of
 /// another worker's decision, and two requests could be granted the same tokens.
 ///
-/// Order of locks: home, list of instances, links, membership, routing. A worker that holds one may take a later one, never an
-/// earlier one.
+/// Order of locks: home, list of instances, links, membership, routing. A worker that holds one may take a later one,
+/// never an earlier one.
 class Monitor
 {
 public:
--- a/src/libradishswitch/portionsweep.cpp
+++ b/src/libradishswitch/portionsweep.cpp
@@ -24,7 +24,9 @@
 void PortionSweep::start()
 {
     const Duration jitter(static_cast<Duration::rep>(m_random.below(m_settings.interval.count() / 4)));
-    m_timer = m_timers.every(m_settings.interval + jitter, [this] { sweep(); });
+    m_timer = m_timers.every(m_settings.interval + jitter, [this] {
+        sweep();
+    });
 }
 
 void PortionSweep::noteMembershipChange()
