--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds everything, release by default. Usage: scripts/build.sh [--sanitize address|thread]
+# Builds everything or the given targets, release by default.
+# Usage: scripts/build.sh [--sanitize address|thread] [TARGET...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -8,6 +9,7 @@
 if [ "${1:-}" = --sanitize ]; then
     sanitize="${2:?--sanitize takes address or thread}"
     folder="build-$sanitize"
+    shift 2
 fi
 cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE=Release -DRADISHSWITCH_SANITIZE="$sanitize" >/dev/null
-cmake --build "$folder" -- --quiet
+cmake --build "$folder" -- --quiet "$@"
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -286,7 +286,9 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     RunStream stream(m_services.clients, AgentLife::parse(duplicate.agentAddress), executor, m_plan.request, m_attempt);
     stream.attach();
-    const AttemptEnd end = co_await follow(stream, RouteChoice{EndpointId(), duplicate.agentAddress});
+    // Named: g++ 12 destroys an aggregate made inside a co_await expression twice.
+    const RouteChoice choice{EndpointId(), duplicate.agentAddress};
+    const AttemptEnd end = co_await follow(stream, choice);
     if (end == AttemptEnd::Answered) {
         co_return co_await m_relay->finish();
     }
