Send runs only to agents that started before their portion was confirmed

Change: reservations carry when their portion was confirmed; heartbeats carry the agent's uptime; runs name the life that is meant; holders confirm at once when an agent is new; a later life at an owner's address shows that it is gone.

--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -88,6 +88,17 @@
               decision->record.request);
 }
 
+// This life does not know which portions an earlier one was told are closed; a run that was granted in view of the
+// earlier one could spend tokens that have gone back to the budget. The attempt was sent here alone, so barred here it
+// has run nowhere.
+void AgentRuns::refuseForOtherLife(const wire::RunRequest &request, const MessageStreamPointer &stream)
+{
+    const std::lock_guard lock(m_mutex);
+    m_table.bar(RequestId(request.request_id()), AttemptId(request.attempt_id()));
+    refuse(stream, request.attempt_id(),
+           makeFailure(FailureCode::EndpointLeaving, "the life of the agent that was meant is gone"));
+}
+
 void AgentRuns::startRun(const wire::RunRequest &request, const MessageStreamPointer &stream)
 {
     const AttemptId attempt(request.attempt_id());
--- a/src/agent/agentruns.h
+++ b/src/agent/agentruns.h
@@ -50,6 +50,9 @@
     /// Begins to drop what has been kept for long enough.
     void start();
 
+    /// Refuses a run that was meant for an earlier life of this agent.
+    void refuseForOtherLife(const wire::RunRequest &request, const MessageStreamPointer &stream);
+
     /// Decides on an attempt and sends its updates on the stream.
     void run(const wire::RunRequest &request, const MessageStreamPointer &stream);
 
--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -89,7 +89,11 @@
 
 void AgentServer::serveRun(const MessageStreamPointer &stream) const
 {
-    const auto take = [runs = m_runs](const wire::RunRequest &request, const MessageStreamPointer &stream) {
+    const auto take = [runs = m_runs, incarnation = m_incarnation](const wire::RunRequest &request,
+                                                                   const MessageStreamPointer &stream) {
+        if (isForOtherLife(request, incarnation)) {
+            return runs->refuseForOtherLife(request, stream);
+        }
         runs->run(request, stream);
     };
     stream->start(onFirstMessage<wire::RunRequest>(stream, take), onRunStreamClosed(m_runs, stream));
--- a/src/agent/heartbeatpublisher.cpp
+++ b/src/agent/heartbeatpublisher.cpp
@@ -20,6 +20,7 @@
     , m_identity(std::move(identity))
 {
     m_identity.set_state(wire::PROCESS_READY);
+    m_startedAt = m_timers.now();
 }
 
 void HeartbeatPublisher::start()
@@ -71,6 +72,7 @@
 {
     wire::AgentHeartbeat heartbeat = m_identity;
     heartbeat.set_sequence(m_sequence);
+    heartbeat.set_uptime_us(std::max<std::int64_t>(1, (m_timers.now() - m_startedAt).count()));
     m_monitor.describe(heartbeat, listener.cacheCursor);
     listener.stream->send(heartbeat.SerializeAsString());
 }
--- a/src/agent/heartbeatpublisher.h
+++ b/src/agent/heartbeatpublisher.h
@@ -49,6 +49,7 @@
     TimerService &m_timers;
 
     std::mutex m_mutex;
+    Instant m_startedAt;
     wire::AgentHeartbeat m_identity;
     absl::flat_hash_map<const MessageStream *, Listener> m_listeners;
     std::uint64_t m_sequence = 0;
--- a/src/entry/agentlinks.cpp
+++ b/src/entry/agentlinks.cpp
@@ -34,6 +34,9 @@
     report.load.queuedTokens = message.load().queued_tokens();
     report.load.tokensPerSecond = message.load().tokens_per_second();
     report.load.age = std::chrono::milliseconds(message.load().age_ms());
+    if (message.uptime_us() > 0) {
+        report.uptime = Duration(message.uptime_us());
+    }
     report.models.assign(message.models().begin(), message.models().end());
     report.adapters.assign(message.adapters().begin(), message.adapters().end());
     for (const wire::CacheEvent &event : message.cache_events()) {
--- a/src/entry/dispatchgate.cpp
+++ b/src/entry/dispatchgate.cpp
@@ -131,7 +131,7 @@
         queued.deadline = std::min(deadline, now + pool.queueDeadline);
         if (m_router.eligibleCount(plan.pool, now) == 0) {
             m_ceilings.noteFinished(plan.budget.organisation, plan.worstCaseTokens, 0, Duration::zero(), now);
-            waiting.callback(m_router.choose(queryOf(plan, {}), now).status());
+            waiting.callback(m_router.choose(queryOf(plan, {}, Instant::max()), now).status());
             return;
         }
         const absl::Status status = pool.queue.enqueue(queued, now);
@@ -167,10 +167,16 @@
     });
 }
 
-absl::StatusOr<RouteChoice> DispatchGate::choose(const RunPlan &plan, const std::vector<EndpointId> &excluded)
+void DispatchGate::setNewAgentCallback(std::function<void()> callback)
+{
+    m_onNewAgent = std::move(callback);
+}
+
+absl::StatusOr<RouteChoice> DispatchGate::choose(const RunPlan &plan, const std::vector<EndpointId> &excluded,
+                                                 Instant startedBefore)
 {
     return m_monitor.run([&]() -> absl::StatusOr<RouteChoice> {
-        absl::StatusOr<RouteChoice> choice = m_router.choose(queryOf(plan, excluded), m_timers.now());
+        absl::StatusOr<RouteChoice> choice = m_router.choose(queryOf(plan, excluded, startedBefore), m_timers.now());
         if (choice.ok()) {
             const EndpointState *state = m_directory.find(choice->endpoint);
             const IncarnationId incarnation = state == nullptr ? IncarnationId() : state->incarnation;
@@ -230,7 +236,12 @@
 {
     m_monitor.run([&] {
         const Instant now = m_timers.now();
+        const EndpointState *before = m_directory.find(report.endpoint);
+        const bool isNew = before == nullptr || before->incarnation != report.incarnation;
         m_directory.applyReport(report, now);
+        if (isNew && m_onNewAgent) {
+            m_onNewAgent();
+        }
         pump(report.pool, poolOf(report.pool), now);
     });
 }
@@ -345,7 +356,8 @@
     });
 }
 
-RouteQuery DispatchGate::queryOf(const RunPlan &plan, const std::vector<EndpointId> &excluded) const
+RouteQuery DispatchGate::queryOf(const RunPlan &plan, const std::vector<EndpointId> &excluded,
+                                 Instant startedBefore) const
 {
     RouteQuery query;
     query.pool = plan.pool;
@@ -355,6 +367,7 @@
     query.promptTokens = plan.promptTokens;
     query.maximumTokens = plan.worstCaseTokens - plan.promptTokens;
     query.excluded = excluded;
+    query.startedBefore = startedBefore;
     query.zone = m_zone;
     query.region = m_region;
     return query;
--- a/src/entry/dispatchgate.h
+++ b/src/entry/dispatchgate.h
@@ -87,7 +87,12 @@
     void enter(const RunPlan &plan, Instant deadline, EnterCallback callback);
 
     /// The endpoint for the next attempt; its address names the life of its agent.
-    absl::StatusOr<RouteChoice> choose(const RunPlan &plan, const std::vector<EndpointId> &excluded);
+    /// Only agents that had started before `startedBefore` are chosen.
+    absl::StatusOr<RouteChoice> choose(const RunPlan &plan, const std::vector<EndpointId> &excluded,
+                                       Instant startedBefore);
+
+    /// Called, under the gate's lock, when an agent is heard of that was not there before. Before `start`.
+    void setNewAgentCallback(std::function<void()> callback);
 
     void noteDispatched(const RouteChoice &choice, const RunPlan &plan);
     void noteFirstToken(const RouteChoice &choice, Duration taken);
@@ -137,7 +142,7 @@
     void refuseExpired(Pool &pool, Instant now);
     void letIn(Pool &pool, const Waiting &waiting);
     void tick();
-    RouteQuery queryOf(const RunPlan &plan, const std::vector<EndpointId> &excluded) const;
+    RouteQuery queryOf(const RunPlan &plan, const std::vector<EndpointId> &excluded, Instant startedBefore) const;
 
     TimerService &m_timers;
     const std::string m_zone;
@@ -151,6 +156,7 @@
     absl::flat_hash_map<PoolId, FairQueueSettings> m_queueSettings;
     std::uint64_t m_tickets = 0;
     TimerId m_timer = 0;
+    std::function<void()> m_onNewAgent;
 };
 
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -20,6 +20,8 @@
 const Log kLog("entry");
 
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+constexpr Duration kAgentChangePause = std::chrono::milliseconds(100);
+constexpr Duration kAgentChangeSpread = std::chrono::milliseconds(400);
 constexpr Duration kReadyPoll = std::chrono::milliseconds(100);
 /// Between the platform's list and the first heartbeats of the agents that it names.
 constexpr Duration kFirstHeartbeats = std::chrono::milliseconds(500);
@@ -44,8 +46,8 @@
 MembershipSettings membershipSettings(const EntrySettings &settings)
 {
     MembershipSettings membership;
-    membership.suspectAfter = std::chrono::seconds(2);
-    membership.deadAfter = settings.deadAfter;
+    membership.suspectAfter = settings.deadAfter;
+    membership.deathRule = DeathRule::Unlisted;
     return membership;
 }
 
@@ -73,10 +75,14 @@
     , m_table(m_store, m_timers, m_workers, m_random, m_peers)
     , m_gate(m_timers, m_random, m_settings.fleet.zone, m_settings.fleet.region)
     , m_links(m_clients, m_timers, m_gate)
-    , m_agents(m_clients, m_timers,
-               [this] {
-                   return agentAddresses();
-               })
+    , m_agents(
+          m_clients, m_timers,
+          [this] {
+              return agentAddresses();
+          },
+          [this](const std::string &life) {
+              return isAgentGone(life);
+          })
     , m_entries(m_membership, m_membershipMonitor, m_timers)
     , m_homeStack(HomeStack::Ports{m_store, m_timers, m_workers, m_random, m_agents, m_entries, *this}, selfOwner(),
                   static_cast<std::uint32_t>(m_settings.ledgerShards))
@@ -104,6 +110,7 @@
     followTable();
     followMembership();
     followList();
+    followAgents();
     m_homeService.serve(m_peerServer);
     m_peers.serve(m_peerServer, m_table);
     serveAdmin();
@@ -405,6 +412,21 @@
     });
 }
 
+// Gathered for a moment, and spread over the entries: all of them hear of a new agent at the same time.
+void Entry::followAgents()
+{
+    m_gate.setNewAgentCallback([this] {
+        if (m_hasAgentChange.exchange(true)) {
+            return;
+        }
+        const Duration spread(static_cast<Duration::rep>(m_random.below(kAgentChangeSpread.count())));
+        m_timers.after(kAgentChangePause + spread, [this] {
+            m_hasAgentChange = false;
+            m_homeStack.noteAgentChange();
+        });
+    });
+}
+
 void Entry::takeMembership()
 {
     const auto isSelf = [this](const EntryMember &member) {
@@ -441,4 +463,24 @@
     return {addresses.begin(), addresses.end()};
 }
 
+// A life is gone when the platform no longer lists its address, or a later life is heard there: what it knew of its
+// runs went with it.
+bool Entry::isAgentGone(const std::string &life)
+{
+    const AgentLife asked = AgentLife::parse(life);
+    for (const std::string &known : m_gate.agentLives()) {
+        const AgentLife heard = AgentLife::parse(known);
+        if (heard.address == asked.address && !heard.incarnation.isEmpty() && !asked.incarnation.isEmpty()
+            && heard.incarnation != asked.incarnation) {
+            return true;
+        }
+    }
+    return m_listMonitor.run([&] {
+        const std::vector<PlatformInstance> &present = m_listed.present();
+        return std::none_of(present.begin(), present.end(), [&asked](const PlatformInstance &instance) {
+            return instance.address == asked.address;
+        });
+    });
+}
+
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -58,6 +58,7 @@
     void followTable();
     void followMembership();
     void takeMembership();
+    void followAgents();
     void applySubset(const std::vector<PlatformInstance> &present);
     void serveAdmin();
     boost::asio::awaitable<void> drainOnOrder(HttpExchange &exchange);
@@ -103,6 +104,7 @@
     Metrics m_metrics;
     AdminServer m_admin;
     std::atomic<bool> m_isLeaving = false;
+    std::atomic<bool> m_hasAgentChange = false;
     Instant m_drainDeadline;
     std::function<void()> m_onDrainOrdered;
 };
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -28,7 +28,7 @@
     /// Agents with which this entry keeps links in each pool.
     int agentSubset = 64;
     /// An entry that is silent for so long, and not listed, is held for dead and its portions are closed.
-    Duration deadAfter = std::chrono::seconds(5);
+    Duration deadAfter = std::chrono::milliseconds(1500);
 };
 
 void addEntrySettings(SettingsParser &parser, EntrySettings &settings);
--- a/src/entry/fleethomedirectory.cpp
+++ b/src/entry/fleethomedirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "remotehomesession.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace RadishSwitch
@@ -82,8 +83,10 @@
 }
 
 // A dead entry is told from one behind a partition by its neighbours: when nothing of its region is heard, it is the
-// region that is cut off, and its entries may well be serving callers there.
-EntryLiveness MembershipEntryDirectory::livenessOf(const IncarnationId &incarnation, const std::string &region) const
+// region that is cut off, and its entries may well be serving callers there. A later life at the same address is proof:
+// two processes cannot listen there at once.
+EntryLiveness MembershipEntryDirectory::livenessOf(const IncarnationId &incarnation, const std::string &region,
+                                                   const std::string &address) const
 {
     return m_monitor.run([&] {
         const std::vector<EntryMember> live = m_membership.liveEntries(region);
@@ -92,10 +95,14 @@
                 return EntryLiveness::Alive;
             }
         }
-        if (m_membership.isDead(incarnation, m_timers.now())) {
-            return live.empty() ? EntryLiveness::Unreachable : EntryLiveness::Dead;
+        const bool isSucceeded = std::any_of(live.begin(), live.end(), [&address](const EntryMember &member) {
+            return member.address == address;
+        });
+        if (isSucceeded) {
+            return EntryLiveness::Dead;
         }
-        return EntryLiveness::Unreachable;
+        const bool isDead = m_membership.isDead(incarnation, m_timers.now(), address);
+        return isDead && !live.empty() ? EntryLiveness::Dead : EntryLiveness::Unreachable;
     });
 }
 
--- a/src/entry/fleethomedirectory.h
+++ b/src/entry/fleethomedirectory.h
@@ -45,7 +45,8 @@
 public:
     MembershipEntryDirectory(FleetMembership &membership, Monitor &monitor, TimerService &timers);
 
-    EntryLiveness livenessOf(const IncarnationId &incarnation, const std::string &region) const override;
+    EntryLiveness livenessOf(const IncarnationId &incarnation, const std::string &region,
+                             const std::string &address) const override;
 
 private:
     FleetMembership &m_membership;
--- a/src/entry/homeservice.cpp
+++ b/src/entry/homeservice.cpp
@@ -60,10 +60,10 @@
     void admit(const wire::AdmitRequest &message)
     {
         const AdmitQuestion question = admitQuestionFromWire(message, m_timers.now());
-        const auto onDecided = [stream = m_stream, owner = m_ownerOf,
+        const auto onDecided = [stream = m_stream, &timers = m_timers, owner = m_ownerOf,
                                 budget = question.budget](absl::StatusOr<AdmitDecision> decision) {
             wire::HomeAnswer answer;
-            *answer.mutable_admit() = admitDecisionToWire(decision);
+            *answer.mutable_admit() = admitDecisionToWire(decision, timers.now());
             if (!decision.ok() && failureCode(decision.status()) == FailureCode::HomeElsewhere) {
                 answer.mutable_admit()->set_owner_address(owner(budget));
             }
--- a/src/entry/homestack.cpp
+++ b/src/entry/homestack.cpp
@@ -42,6 +42,13 @@
     });
 }
 
+void HomeStack::noteAgentChange()
+{
+    m_monitor.run([this] {
+        m_holder.replacePortions();
+    });
+}
+
 // The home first: once it has stopped, every reservation has been settled or released, and the portions can go back
 // with their spending told.
 void HomeStack::stop(std::function<void()> callback)
--- a/src/entry/homestack.h
+++ b/src/entry/homestack.h
@@ -40,6 +40,9 @@
     /// The fleet's members have changed.
     void noteMembershipChange();
 
+    /// An agent is new or was lost: the portions must be confirmed anew before new agents may run on them.
+    void noteAgentChange();
+
     /// Planned stop: hands over key shards and returns portions, then calls back.
     void stop(std::function<void()> callback);
 
--- a/src/entry/homewire.cpp
+++ b/src/entry/homewire.cpp
@@ -39,7 +39,7 @@
     return question;
 }
 
-wire::AdmitAnswer admitDecisionToWire(const absl::StatusOr<AdmitDecision> &decision)
+wire::AdmitAnswer admitDecisionToWire(const absl::StatusOr<AdmitDecision> &decision, Instant now)
 {
     wire::AdmitAnswer message;
     if (!decision.ok()) {
@@ -53,6 +53,9 @@
         message.mutable_granted()->set_reserved_tokens(grant->reservedTokens);
         message.mutable_granted()->set_attempt_id(grant->attempt.value());
         message.mutable_granted()->set_provisional(grant->isProvisional);
+        if (grant->portionConfirmedAt != Instant::max()) {
+            message.mutable_granted()->set_confirmed_age_us((now - grant->portionConfirmedAt).count());
+        }
         return message;
     }
     const DuplicateRun &duplicate = std::get<DuplicateRun>(*decision);
@@ -62,12 +65,21 @@
     return message;
 }
 
-absl::StatusOr<AdmitDecision> admitDecisionFromWire(const wire::AdmitAnswer &message)
+absl::StatusOr<AdmitDecision> admitDecisionFromWire(const wire::AdmitAnswer &message, Instant askedAt)
 {
     if (message.has_granted()) {
         const wire::Granted &granted = message.granted();
-        return Grant{PortionId(granted.portion_id()), granted.shard(),      granted.epoch(), granted.reserved_tokens(),
-                     AttemptId(granted.attempt_id()), granted.provisional()};
+        Grant grant;
+        grant.portion = PortionId(granted.portion_id());
+        grant.shard = granted.shard();
+        grant.epoch = granted.epoch();
+        grant.reservedTokens = granted.reserved_tokens();
+        grant.attempt = AttemptId(granted.attempt_id());
+        grant.isProvisional = granted.provisional();
+        if (!grant.portion.isEmpty()) {
+            grant.portionConfirmedAt = askedAt - Duration(granted.confirmed_age_us());
+        }
+        return grant;
     }
     if (message.has_duplicate()) {
         const wire::Duplicate &duplicate = message.duplicate();
--- a/src/entry/homewire.h
+++ b/src/entry/homewire.h
@@ -10,7 +10,9 @@
 wire::AdmitRequest admitQuestionToWire(const AdmitQuestion &question, Instant now);
 AdmitQuestion admitQuestionFromWire(const wire::AdmitRequest &message, Instant now);
 
-wire::AdmitAnswer admitDecisionToWire(const absl::StatusOr<AdmitDecision> &decision);
-absl::StatusOr<AdmitDecision> admitDecisionFromWire(const wire::AdmitAnswer &message);
+/// A decision as it travels. The moment at which a portion was confirmed travels as its age; `askedAt`, before the
+/// question was sent, makes it no younger than it is.
+wire::AdmitAnswer admitDecisionToWire(const absl::StatusOr<AdmitDecision> &decision, Instant now);
+absl::StatusOr<AdmitDecision> admitDecisionFromWire(const wire::AdmitAnswer &message, Instant askedAt);
 
 }
--- a/src/entry/remotehomesession.cpp
+++ b/src/entry/remotehomesession.cpp
@@ -26,8 +26,9 @@
 class RemoteHomeSession::Conversation : public std::enable_shared_from_this<Conversation>
 {
 public:
-    explicit Conversation(OwnerObserver ownerObserver)
+    Conversation(OwnerObserver ownerObserver, Instant askedAt)
         : m_ownerObserver(std::move(ownerObserver))
+        , m_askedAt(askedAt)
     {
     }
 
@@ -102,7 +103,7 @@
             m_ownerObserver(answer->admit().owner_address());
         }
         if (const AdmitCallback callback = taken(m_onAdmitted)) {
-            callback(admitDecisionFromWire(answer->admit()));
+            callback(admitDecisionFromWire(answer->admit(), m_askedAt));
         }
     }
 
@@ -117,6 +118,7 @@
     }
 
     OwnerObserver m_ownerObserver;
+    const Instant m_askedAt;
     MessageStreamPointer m_stream;
     std::mutex m_mutex;
     bool m_isOver = false;
@@ -144,7 +146,7 @@
 {
     wire::HomeRequest message;
     *message.mutable_admit() = admitQuestionToWire(question, m_timers.now());
-    m_conversation = std::make_shared<Conversation>(m_ownerObserver);
+    m_conversation = std::make_shared<Conversation>(m_ownerObserver, m_timers.now());
     m_conversation->begin(m_client->open("/home", message.SerializeAsString()), std::move(callback));
     const Duration patience = std::max(question.deadline - m_timers.now(), Duration::zero());
     m_timers.after(patience, [conversation = std::weak_ptr(m_conversation)] {
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -120,7 +120,7 @@
     note("granted " + std::to_string(grant.reservedTokens) + " tokens");
     m_grantedAttempt = grant.attempt;
     while (true) {
-        const absl::StatusOr<RouteChoice> choice = m_services.gate.choose(m_plan, m_excluded);
+        const absl::StatusOr<RouteChoice> choice = m_services.gate.choose(m_plan, m_excluded, grant.portionConfirmedAt);
         if (!choice.ok()) {
             m_lastFailure = m_attempts == 0 ? choice.status() : m_lastFailure;
             break;
@@ -130,6 +130,7 @@
         if (end == AttemptEnd::Answered) {
             Settlement settlement;
             settlement.chargedTokens = m_charged;
+            settlement.isNotRun = m_hasJoinedOther;
             co_await settle(settlement);
             m_pass.release(m_charged);
             note("billed " + std::to_string(m_charged) + " tokens");
@@ -183,7 +184,7 @@
         m_stream->beginContinuation();
         stream.setOffset(m_stream->deliveredBytes().size());
     }
-    stream.start(runRequest(grant));
+    stream.start(runRequest(grant, choice));
     const AttemptEnd end = co_await follow(stream, choice);
     m_services.gate.noteFinished(choice, m_plan, end == AttemptEnd::Answered ? RunEnd::Ok : RunEnd::Failed);
     co_return end;
@@ -249,6 +250,9 @@
             m_lastFailure = failureFromWire(update->failed());
             co_return AttemptEnd::Failed;
         case wire::RunUpdate::kAccepted:
+            // The agent has joined this attempt to the run of another, which bears the charge.
+            m_hasJoinedOther = update->accepted().attempt_id() != m_attempt.value();
+            break;
         case wire::RunUpdate::UPDATE_NOT_SET:
             break;
         }
@@ -324,7 +328,7 @@
     return withUnknownOutcome(makeFailure(code, message, kComeBackSoon));
 }
 
-wire::RunRequest RequestSession::runRequest(const Grant &grant) const
+wire::RunRequest RequestSession::runRequest(const Grant &grant, const RouteChoice &choice) const
 {
     wire::RunRequest run;
     run.set_request_id(m_plan.request.value());
@@ -346,6 +350,7 @@
     run.set_priority(m_plan.priority);
     run.set_prompt_tokens_bound(m_plan.promptTokens);
     run.set_pool(m_plan.pool.value());
+    run.set_agent_incarnation(AgentLife::parse(choice.address).incarnation.value());
     const Duration left = std::max(m_deadline - m_services.timers.now(), Duration::zero());
     run.set_deadline_ms(std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
     if (m_stream != nullptr && m_stream->hasDelivered()) {
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -65,7 +65,7 @@
     boost::asio::awaitable<void> settle(Settlement settlement);
     absl::Status endOfFailedRun();
     boost::asio::awaitable<bool> waitToRetry(bool isProvedNotStarted);
-    wire::RunRequest runRequest(const Grant &grant) const;
+    wire::RunRequest runRequest(const Grant &grant, const RouteChoice &choice) const;
     void note(std::string text);
 
     SessionServices m_services;
@@ -84,6 +84,7 @@
     std::int64_t m_charged = 0;
     int m_attempts = 0;
     bool m_mayHaveRun = false;
+    bool m_hasJoinedOther = false;
     std::optional<Instant> m_dispatchedAt;
 };
 
--- a/src/libradishswitch/admission.h
+++ b/src/libradishswitch/admission.h
@@ -42,6 +42,8 @@
     /// Whether a run that an earlier owner of the key granted may still turn up, and be billed instead. Goes into the
     /// run, so that the agent keeps its charge apart.
     bool isProvisional = false;
+    /// Only agents that had started before may be sent the run; see ReservedPortion.
+    Instant portionConfirmedAt = Instant::max();
 
     bool operator==(const Grant &) const = default;
 };
--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -113,6 +113,14 @@
 void BudgetHolder::replacePortions()
 {
     m_replaceTakenBefore = m_timers.now();
+    // A new agent gets no run on a portion before the ledger has confirmed it anew; when all agents of a pool restart,
+    // nothing could run until the next checkpoint.
+    for (Entry &entry : m_budgets) {
+        const HeldPortion current = entry.second.current();
+        if (current.number != 0 && m_timers.now() - entry.second.lastUsedAt() < m_settings.idleTime) {
+            submitReport(entry, current, Urgency::Urgent);
+        }
+    }
 }
 
 void BudgetHolder::stop(std::function<void()> callback)
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgetholder.h
@@ -149,6 +149,7 @@
     void checkpointSlot();
     void checkpoint(Entry &entry);
     void report(Entry &entry, const HeldPortion &portion);
+    void submitReport(Entry &entry, const HeldPortion &portion, Urgency urgency);
     void handleReported(Entry &entry, const ReportSpendChange &change, std::uint32_t number, Instant askedAt,
                         const absl::Status &status);
     bool isOld(const HeldPortion &portion) const;
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -304,13 +304,17 @@
 
 void BudgetHolder::report(Entry &entry, const HeldPortion &portion)
 {
-    if (!isReportDue(entry.second, portion)) {
-        return;
+    if (isReportDue(entry.second, portion)) {
+        submitReport(entry, portion, calmUrgency(entry.second));
     }
+}
+
+void BudgetHolder::submitReport(Entry &entry, const HeldPortion &portion, Urgency urgency)
+{
     const auto change = std::make_shared<ReportSpendChange>(entry.first, portionId(portion.number), portion.spent);
     const Instant now = m_timers.now();
     entry.second.pendingChanges += 1;
-    m_ledger.submit(entry.first, change, calmUrgency(entry.second),
+    m_ledger.submit(entry.first, change, urgency,
                     [this, alive = std::weak_ptr<int>(m_alive), &entry, change, number = portion.number,
                      now](const absl::Status &status) {
                         if (!alive.expired()) {
--- a/src/libradishswitch/endpointdirectory.cpp
+++ b/src/libradishswitch/endpointdirectory.cpp
@@ -202,6 +202,7 @@
     state.incarnation = report.incarnation;
     state.isHeard = true;
     state.firstHeard = now;
+    state.startedBy = now;
     state.load = {};
     state.loadMeasuredAt = {};
     if (m_observer != nullptr) {
@@ -212,6 +213,9 @@
 void EndpointDirectory::takeReport(EndpointState &state, const EndpointReport &report, Instant now)
 {
     state.sequence = report.sequence;
+    if (report.uptime) {
+        state.startedBy = std::min(state.startedBy, now - *report.uptime);
+    }
     state.address = report.address;
     state.zone = report.zone;
     state.region = report.region;
--- a/src/libradishswitch/endpointreport.h
+++ b/src/libradishswitch/endpointreport.h
@@ -4,6 +4,7 @@
 #include "timerservice.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
     bool isLeaving = false;
     bool isHealthy = true;
     EndpointLoad load;
+    /// How long this life of the agent had lasted when it reported; nothing when it did not say.
+    std::optional<Duration> uptime;
     /// Models that the endpoint answers for. Empty for a plain service.
     std::vector<std::string> models;
     /// Adapters in its memory, each named "model:adapter".
--- a/src/libradishswitch/endpointstate.h
+++ b/src/libradishswitch/endpointstate.h
@@ -41,6 +41,8 @@
     /// The moment at which the load was measured, by this process's clock.
     Instant loadMeasuredAt{};
     Instant firstHeard{};
+    /// Not before this life of the agent started, by this process's clock; the report's way here makes it later.
+    Instant startedBy{};
     Instant lastHeard{};
     bool isHeard = false;
     bool isHealthy = true;
--- a/src/libradishswitch/entrydirectory.h
+++ b/src/libradishswitch/entrydirectory.h
@@ -22,7 +22,9 @@
 public:
     virtual ~EntryDirectory() = default;
 
-    virtual EntryLiveness livenessOf(const IncarnationId &incarnation, const std::string &region) const = 0;
+    /// `address` is where that incarnation was; another one heard there shows that it is gone.
+    virtual EntryLiveness livenessOf(const IncarnationId &incarnation, const std::string &region,
+                                     const std::string &address) const = 0;
 };
 
 }
--- a/src/libradishswitch/grantedrequests.cpp
+++ b/src/libradishswitch/grantedrequests.cpp
@@ -40,6 +40,7 @@
     grant.shard = opening.shard;
     grant.epoch = opening.epoch;
     grant.reservedTokens = opening.reserved.tokens;
+    grant.portionConfirmedAt = opening.reserved.confirmedAt;
     grant.attempt = opening.attempt;
     grant.isProvisional = known->isProvisional;
     return grant;
--- a/src/libradishswitch/holderreservations.cpp
+++ b/src/libradishswitch/holderreservations.cpp
@@ -16,7 +16,7 @@
         if (!reservation.ok()) {
             return callback(reservation.status());
         }
-        callback(ReservedPortion{reservation->portion, reservation->tokens});
+        callback(ReservedPortion{reservation->portion, reservation->tokens, reservation->confirmedAt});
     });
 }
 
@@ -31,8 +31,9 @@
     m_holder.release(request);
 }
 
-void HolderReservations::withhold(const RequestId &)
+void HolderReservations::withhold(const RequestId &request)
 {
+    m_holder.withhold(request);
 }
 
 }
--- a/src/libradishswitch/holderreservations.h
+++ b/src/libradishswitch/holderreservations.h
@@ -17,8 +17,6 @@
     void settle(const RequestId &request, std::int64_t tokens) override;
     void release(const RequestId &request) override;
 
-    /// The reservation stays open: nothing else can be granted from it, and when the portion is closed it is for the
-    /// agents to prove what was used.
     void withhold(const RequestId &request) override;
 
 private:
--- a/src/libradishswitch/keyownership.cpp
+++ b/src/libradishswitch/keyownership.cpp
@@ -97,7 +97,7 @@
 bool KeyOwnership::isTakenByOther(const KeyOwner &owner) const
 {
     return !owner.incarnation.isEmpty() && !isSelf(owner)
-        && m_entries.livenessOf(owner.incarnation, owner.region) != EntryLiveness::Dead;
+        && m_entries.livenessOf(owner.incarnation, owner.region, owner.address) != EntryLiveness::Dead;
 }
 
 void KeyOwnership::acquire(std::uint32_t shard, AcquireCallback callback)
@@ -142,7 +142,7 @@
 
 absl::Status KeyOwnership::refusalFor(const KeyOwner &owner) const
 {
-    if (m_entries.livenessOf(owner.incarnation, owner.region) == EntryLiveness::Unreachable) {
+    if (m_entries.livenessOf(owner.incarnation, owner.region, owner.address) == EntryLiveness::Unreachable) {
         return withUnknownOutcome(makeFailure(FailureCode::OutcomeUnknown,
                                               "the owner of the key's shard cannot be asked", m_settings.retryAfter));
     }
--- a/src/libradishswitch/reservationport.h
+++ b/src/libradishswitch/reservationport.h
@@ -15,6 +15,9 @@
 struct ReservedPortion {
     PortionId portion;
     std::int64_t tokens = 0;
+    /// The portion was open then. Only agents that had started before may run on it: a later one may never have been
+    /// told that the portion is closed.
+    Instant confirmedAt = Instant::max();
 
     bool operator==(const ReservedPortion &) const = default;
 };
--- a/src/libradishswitch/routecandidates.cpp
+++ b/src/libradishswitch/routecandidates.cpp
@@ -13,6 +13,9 @@
     if (strictness == Strictness::Usual && !uses[slot].ejection().isAllowed(now)) {
         return false;
     }
+    if (directory.state(slot).startedBy > query.startedBefore) {
+        return false;
+    }
     return query.excluded.empty()
         || std::ranges::find(query.excluded, directory.state(slot).endpoint) == query.excluded.end();
 }
--- a/src/libradishswitch/routequery.h
+++ b/src/libradishswitch/routequery.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "identifier.h"
+#include "timerservice.h"
 
 #include <cstdint>
 #include <string>
@@ -23,6 +24,8 @@
     std::int64_t maximumTokens = 0;
     /// Endpoints that earlier attempts of the request have tried.
     std::vector<EndpointId> excluded;
+    /// Only agents that had started by then may be chosen.
+    Instant startedBefore = Instant::max();
     /// Where the asking process is.
     std::string zone;
     std::string region;
--- a/tests/fakes/memoryentrydirectory.h
+++ b/tests/fakes/memoryentrydirectory.h
@@ -13,7 +13,7 @@
         m_liveness[incarnation] = liveness;
     }
 
-    RadishSwitch::EntryLiveness livenessOf(const RadishSwitch::IncarnationId &incarnation,
+    RadishSwitch::EntryLiveness livenessOf(const RadishSwitch::IncarnationId &incarnation, const std::string &,
                                            const std::string &) const override
     {
         const auto it = m_liveness.find(incarnation);
