Let the entry's way of a request run on virtual time

Cause: a session took the transport's own clients, which need a pool of workers and sockets, and paused on the wall clock between attempts and between attachments. Its decisions could be tested only over loopback and with real waits.

Change: MessageClientSource is the one member that a session needs of MessageClients. Pauses go through the timer service (awaitPause). The wait for a frame stays on the reader's own timer, as its wake-up does.

--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -6,8 +6,6 @@
 #include "plainrelay.h"
 #include "wireconversion.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -159,8 +157,7 @@
         note("not tried again: " + std::string(backoff.status().message()));
         co_return false;
     }
-    boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, *backoff);
-    co_await pause.async_wait(boost::asio::use_awaitable);
+    co_await awaitPause(m_services.timers, *backoff);
     co_return true;
 }
 
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -20,7 +20,7 @@
 struct SessionServices {
     TimerService &timers;
     RandomSource &random;
-    MessageClients &clients;
+    MessageClientSource &clients;
     AgentPort &agents;
     HomeDirectory &homes;
     DispatchGate &gate;
--- a/src/entry/runstream.cpp
+++ b/src/entry/runstream.cpp
@@ -1,10 +1,8 @@
 #include "runstream.h"
 
+#include "asyncresult.h"
 #include "wireconversion.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <optional>
 #include <utility>
 
@@ -18,7 +16,7 @@
 
 }
 
-RunStream::RunStream(MessageClients &clients, const AgentLife &agent, boost::asio::any_io_executor executor,
+RunStream::RunStream(MessageClientSource &clients, const AgentLife &agent, boost::asio::any_io_executor executor,
                      RequestId request, AttemptId attempt)
     : m_client(clients.client(agent.address))
     , m_incarnation(agent.incarnation)
@@ -68,7 +66,7 @@
     m_reader = MessageReader::attach(m_client->open(path, std::move(frame)), m_executor);
 }
 
-boost::asio::awaitable<absl::StatusOr<wire::RunUpdate>> RunStream::next(Instant deadline, const TimerService &timers)
+boost::asio::awaitable<absl::StatusOr<wire::RunUpdate>> RunStream::next(Instant deadline, TimerService &timers)
 {
     Instant unreachableUntil = Instant::max();
     while (true) {
@@ -101,13 +99,12 @@
 
 // The connection may be gone while the run goes on. A new connection is tried at once, then with short pauses, until
 // the agent answers or it must be taken as dead.
-boost::asio::awaitable<bool> RunStream::reattach(Instant until, const TimerService &timers)
+boost::asio::awaitable<bool> RunStream::reattach(Instant until, TimerService &timers)
 {
     if (timers.now() >= until) {
         co_return false;
     }
-    boost::asio::steady_timer pause(m_executor, kReattachPause);
-    co_await pause.async_wait(boost::asio::use_awaitable);
+    co_await awaitPause(timers, kReattachPause);
     attach();
     co_return true;
 }
--- a/src/entry/runstream.h
+++ b/src/entry/runstream.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "agentlife.h"
-#include "http2transport.h"
 #include "identifier.h"
+#include "messageclientsource.h"
 #include "messagereader.h"
+#include "timerservice.h"
 #include "wire.h"
 
 #include <absl/status/statusor.h>
@@ -23,8 +24,8 @@
 class RunStream
 {
 public:
-    RunStream(MessageClients &clients, const AgentLife &agent, boost::asio::any_io_executor executor, RequestId request,
-              AttemptId attempt);
+    RunStream(MessageClientSource &clients, const AgentLife &agent, boost::asio::any_io_executor executor,
+              RequestId request, AttemptId attempt);
     ~RunStream();
 
     /// Sends the run to the agent.
@@ -37,7 +38,7 @@
     ///
     /// DeadlineExceeded when none came until then; RunUnknown when the agent, asked anew after a lost connection, knows
     /// nothing of the run; ConnectionLost when it could not be reached for `kReattachPatience`.
-    boost::asio::awaitable<absl::StatusOr<wire::RunUpdate>> next(Instant deadline, const TimerService &timers);
+    boost::asio::awaitable<absl::StatusOr<wire::RunUpdate>> next(Instant deadline, TimerService &timers);
 
     /// An update that is there already.
     std::optional<wire::RunUpdate> takeReady();
@@ -52,7 +53,7 @@
 
 private:
     void open(const std::string &path, std::string frame);
-    boost::asio::awaitable<bool> reattach(Instant until, const TimerService &timers);
+    boost::asio::awaitable<bool> reattach(Instant until, TimerService &timers);
     absl::StatusOr<std::optional<wire::RunUpdate>> accept(const std::string &frame);
 
     std::shared_ptr<MessageClient> m_client;
--- a/src/libradishnet/asyncresult.h
+++ b/src/libradishnet/asyncresult.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "timerservice.h"
+
 #include <utility>
 
 #include <boost/asio/async_result.hpp>
@@ -36,4 +38,15 @@
         initiation, boost::asio::use_awaitable, std::move(start));
 }
 
+/// Lets a span of the timer service pass, so that a pause is in virtual time where its caller is.
+inline boost::asio::awaitable<void> awaitPause(TimerService &timers, Duration span)
+{
+    const auto start = [&timers, span](auto done) {
+        timers.after(span, [done] {
+            done(true);
+        });
+    };
+    (void)co_await awaitCallback<bool>(start);
+}
+
 }
--- a/src/libradishnet/http2transport.h
+++ b/src/libradishnet/http2transport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "messageclientsource.h"
 #include "messagestream.h"
 #include "timerservice.h"
 #include "workerpool.h"
@@ -54,13 +55,13 @@
 };
 
 /// The fleet's clients of this process, one for each address.
-class MessageClients
+class MessageClients : public MessageClientSource
 {
 public:
     MessageClients(WorkerPool &workers, TransportSettings settings);
-    ~MessageClients();
+    ~MessageClients() override;
 
-    std::shared_ptr<MessageClient> client(const std::string &address);
+    std::shared_ptr<MessageClient> client(const std::string &address) override;
 
     /// Closes and forgets the client of an address that is gone.
     void forget(const std::string &address);
