Test the entry, and mend seven faults that the tests found

Cause and change, each with its test, which failed before and passes now: - A duplicate's answer crashed the entry (invalid free; valgrind showed the RouteChoice of followDuplicate): g++ 12 destroys a temporary aggregate of a co_await expression twice. It has a name now. - A pool whose policy is round_robin or least_outstanding refused every request with 400: the plan named the table's word to the router, which knows round-robin and least-outstanding. The plan takes the router's name. - A settlement from another entry lost the grant that it ends on its way into the home, so a late one could end a later grant. The conversion is one pair of functions and keeps it. - A streamed answer without a token ended in a write to a stream that was never begun. The stream is begun by its end then. - An engine's error in a continuation was sent as a second head inside the stream. The stream ends with a typed error now. - When the home could not note a further attempt, which was then not sent, the caller was told that the outcome was unknown. It is told not run when the earlier attempts were proved not to have run. - A shorter or longer queue in the table reached only pools not yet in use. FairQueue has setLength.

--- a/src/entry/answerrelay.h
+++ b/src/entry/answerrelay.h
@@ -24,7 +24,7 @@
     /// More bytes of the answer. ConnectionLost when the caller is gone.
     virtual boost::asio::awaitable<absl::Status> append(std::string data) = 0;
 
-    /// The answer is whole and on the bill.
+    /// The answer is whole and on the bill. EndpointFailed when it can't be ended as it began; `fail` must follow then.
     virtual boost::asio::awaitable<absl::Status> finish() = 0;
 
     /// The request was given up.
--- a/src/entry/chatstreamrelay.cpp
+++ b/src/entry/chatstreamrelay.cpp
@@ -97,25 +97,39 @@
     if (out.empty()) {
         co_return absl::OkStatus();
     }
-    if (!m_isStreaming) {
-        m_isStreaming = true;
-        HttpHeaders headers{{"Content-Type", kEventStream}, {"Cache-Control", "no-cache"}};
-        headers.add("X-Request-Id", m_requestId);
-        if (const absl::Status status = co_await m_exchange.beginStream(kOk, std::move(headers)); !status.ok()) {
-            co_return status;
-        }
+    if (const absl::Status status = co_await beginStream(); !status.ok()) {
+        co_return status;
     }
     m_delivered += out;
     co_return co_await m_exchange.write(std::move(out));
 }
 
+// An answer may end without an event, and its stream is begun by its end then.
+boost::asio::awaitable<absl::Status> ChatStreamRelay::beginStream()
+{
+    if (std::exchange(m_isStreaming, true)) {
+        co_return absl::OkStatus();
+    }
+    HttpHeaders headers{{"Content-Type", kEventStream}, {"Cache-Control", "no-cache"}};
+    headers.add("X-Request-Id", m_requestId);
+    co_return co_await m_exchange.beginStream(kOk, std::move(headers));
+}
+
 boost::asio::awaitable<absl::Status> ChatStreamRelay::finish()
 {
+    if (m_status != kOk && m_isStreaming) {
+        // A second head inside a stream would be read as a part of the answer.
+        co_return withUnknownOutcome(
+            makeFailure(FailureCode::EndpointFailed, "the endpoint refused to go on with the answer"));
+    }
     if (m_status != kOk) {
         HttpResponse response{m_status, HttpHeaders{{"Content-Type", m_contentType}}, std::move(m_errorBody)};
         response.headers.add("X-Request-Id", m_requestId);
         co_return co_await m_exchange.respond(std::move(response));
     }
+    if (const absl::Status status = co_await beginStream(); !status.ok()) {
+        co_return status;
+    }
     std::string out;
     appendEvent(out, kDone);
     if (const absl::Status status = co_await m_exchange.write(std::move(out)); !status.ok()) {
--- a/src/entry/chatstreamrelay.h
+++ b/src/entry/chatstreamrelay.h
@@ -36,6 +36,7 @@
     const std::string &deliveredBytes() const;
 
 private:
+    boost::asio::awaitable<absl::Status> beginStream();
     void take(const SseEvent &event, std::string &out);
     std::string continued(const std::string &data) const;
 
--- a/src/entry/dispatchgate.cpp
+++ b/src/entry/dispatchgate.cpp
@@ -97,8 +97,11 @@
             m_ceilings.setCeilings(row.name, ceilings, now);
         }
         for (const PoolRow &row : table.rows().pools) {
-            m_queueSettings[row.name].length = static_cast<std::size_t>(row.maximumQueue);
-            poolOf(row.name).queueDeadline = std::chrono::milliseconds(row.queueDeadlineMs);
+            const auto length = static_cast<std::size_t>(row.maximumQueue);
+            m_queueSettings[row.name].length = length;
+            Pool &pool = poolOf(row.name);
+            pool.queue.setLength(length);
+            pool.queueDeadline = std::chrono::milliseconds(row.queueDeadlineMs);
         }
     });
 }
--- a/src/entry/homeservice.cpp
+++ b/src/entry/homeservice.cpp
@@ -84,8 +84,7 @@
 
     void settle(const wire::Settle &message)
     {
-        const Settlement settlement{message.charged_tokens(), message.not_run(), message.failed()};
-        m_session->settle(settlement, [stream = m_stream](absl::Status) {
+        m_session->settle(settlementFromWire(message), [stream = m_stream](absl::Status) {
             wire::HomeAnswer answer;
             answer.set_settled(true);
             stream->send(answer.SerializeAsString());
--- a/src/entry/homewire.cpp
+++ b/src/entry/homewire.cpp
@@ -79,4 +79,19 @@
     return makeFailure(FailureCode::MalformedMessage, "the home's answer is empty");
 }
 
+wire::Settle settlementToWire(const Settlement &settlement)
+{
+    wire::Settle message;
+    message.set_charged_tokens(settlement.chargedTokens);
+    message.set_not_run(settlement.isNotRun);
+    message.set_failed(settlement.isFailed);
+    message.set_granted_attempt_id(settlement.grantedAttempt.value());
+    return message;
+}
+
+Settlement settlementFromWire(const wire::Settle &message)
+{
+    return {message.charged_tokens(), message.not_run(), message.failed(), AttemptId(message.granted_attempt_id())};
+}
+
 }
--- a/src/entry/homewire.h
+++ b/src/entry/homewire.h
@@ -13,4 +13,7 @@
 wire::AdmitAnswer admitDecisionToWire(const absl::StatusOr<AdmitDecision> &decision);
 absl::StatusOr<AdmitDecision> admitDecisionFromWire(const wire::AdmitAnswer &message);
 
+wire::Settle settlementToWire(const Settlement &settlement);
+Settlement settlementFromWire(const wire::Settle &message);
+
 }
--- a/src/entry/remotehomesession.cpp
+++ b/src/entry/remotehomesession.cpp
@@ -165,10 +165,7 @@
 void RemoteHomeSession::settle(const Settlement &settlement, DoneCallback callback)
 {
     wire::HomeRequest message;
-    message.mutable_settle()->set_charged_tokens(settlement.chargedTokens);
-    message.mutable_settle()->set_not_run(settlement.isNotRun);
-    message.mutable_settle()->set_failed(settlement.isFailed);
-    message.mutable_settle()->set_granted_attempt_id(settlement.grantedAttempt.value());
+    *message.mutable_settle() = settlementToWire(settlement);
     send(message, std::move(callback));
 }
 
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -130,9 +130,11 @@
             note("billed " + std::to_string(m_charged) + " tokens");
             co_return co_await m_relay->finish();
         }
-        m_mayHaveRun = m_mayHaveRun || end != AttemptEnd::NotStarted;
+        const bool isNotRun = end == AttemptEnd::NotStarted || end == AttemptEnd::NotSent;
+        m_mayHaveRun = m_mayHaveRun || !isNotRun;
         m_excluded.push_back(choice->endpoint);
-        if (end == AttemptEnd::GivenUp || !co_await waitToRetry(end == AttemptEnd::NotStarted)) {
+        if (end == AttemptEnd::GivenUp || end == AttemptEnd::NotSent
+            || !co_await waitToRetry(end == AttemptEnd::NotStarted)) {
             break;
         }
     }
@@ -165,7 +167,7 @@
                                                                               const RouteChoice &choice)
 {
     if (!co_await announceAttempt(choice)) {
-        co_return AttemptEnd::GivenUp;
+        co_return AttemptEnd::NotSent;
     }
     m_pass.noteDispatched();
     m_services.gate.noteDispatched(choice, m_plan);
@@ -283,7 +285,9 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     RunStream stream(m_services.clients, AgentLife::parse(duplicate.agentAddress), executor, m_plan.request, m_attempt);
     stream.attach();
-    const AttemptEnd end = co_await follow(stream, RouteChoice{EndpointId(), duplicate.agentAddress});
+    // Named, and not written inside the co_await: g++ 12 destroys a temporary aggregate of a co_await expression twice.
+    const RouteChoice choice{EndpointId(), duplicate.agentAddress};
+    const AttemptEnd end = co_await follow(stream, choice);
     if (end == AttemptEnd::Answered) {
         co_return co_await m_relay->finish();
     }
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -46,6 +46,8 @@
         Answered,
         /// The agent proved that the run did not start there.
         NotStarted,
+        /// The home could not be told of the attempt, so it was not sent; nor is any other.
+        NotSent,
         /// The run started and failed, or its agent cannot be reached any more.
         Failed,
         /// The caller is gone or the deadline has passed; nothing more is to be tried.
--- a/src/entry/runplan.cpp
+++ b/src/entry/runplan.cpp
@@ -1,8 +1,11 @@
 #include "runplan.h"
 
+#include "defaultpolicy.h"
 #include "failure.h"
 #include "fingerprint.h"
+#include "leastoutstandingpolicy.h"
 #include "prefixcachehints.h"
+#include "roundrobinpolicy.h"
 
 #include <charconv>
 #include <utility>
@@ -24,13 +27,13 @@
 {
     switch (policy) {
     case PoolPolicy::RoundRobin:
-        return "round_robin";
+        return std::string(RoundRobinPolicy::kName);
     case PoolPolicy::LeastOutstanding:
-        return "least_outstanding";
+        return std::string(LeastOutstandingPolicy::kName);
     case PoolPolicy::Default:
         break;
     }
-    return "default";
+    return std::string(DefaultPolicy::kName);
 }
 
 absl::StatusOr<std::int64_t> deadlineOf(const HttpRequest &request)
--- a/src/libradishswitch/fairqueue.h
+++ b/src/libradishswitch/fairqueue.h
@@ -41,6 +41,12 @@
 public:
     explicit FairQueue(FairQueueSettings settings = {});
 
+    /// Changes how many may wait. Those beyond a shorter length stay; new requests must be more deserving than they.
+    void setLength(std::size_t length)
+    {
+        m_settings.length = length;
+    }
+
     /// Takes the request in, or refuses it at once. Taking it in may make others give way: ask `expire` right after.
     absl::Status enqueue(const QueuedRequest &request, Instant now);
 
@@ -114,7 +120,7 @@
     bool isRoomFor(int priority, const PoolRoom &room, Instant now) const;
     void advance(Instant now);
 
-    const FairQueueSettings m_settings;
+    FairQueueSettings m_settings;
     Bands m_bands;
     absl::flat_hash_map<RequestId, Place> m_places;
     std::vector<QueueRefusal> m_refusals;
--- /dev/null
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -0,0 +1,240 @@
+#include "entryfixture.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace RadishSwitch;
+
+class RequestSessionTest : public EntryFixture
+{
+protected:
+    /// What the caller was told in a whole answer that is an error.
+    nlohmann::json error() const
+    {
+        return nlohmann::json::parse(exchange.responses.at(0).body).at("error");
+    }
+
+    std::string result() const
+    {
+        return journal.find(RequestId("r-1"))->result;
+    }
+};
+
+TEST_F(RequestSessionTest, run_answered_isSettledAtTheCharge)
+{
+    const absl::Status status = serve(chatPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(head(attempt));
+        agent->deliver(chunk(attempt, 0, token("c-1", "hello")));
+        agent->deliver(done(attempt, 12));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(exchange.written, token("c-1", "hello") + "data: [DONE]\n\n");
+    ASSERT_EQ(homes.settlements.size(), 1u);
+    EXPECT_EQ(homes.settlements[0], (Settlement{12, false, false, AttemptId(FakeHomes::kGrantedAttempt)}));
+    ASSERT_EQ(runsSent().size(), 1u);
+    EXPECT_EQ(runsSent()[0].attempt_id(), FakeHomes::kGrantedAttempt);
+    EXPECT_EQ(runsSent()[0].portion_id(), "portion-1");
+    EXPECT_EQ(runsSent()[0].reserved_tokens(), chatPlan().worstCaseTokens);
+    EXPECT_EQ(homes.abandoned, 0);
+    EXPECT_EQ(result(), "ok");
+}
+
+// The first agent is about to leave and refuses the run: nothing ran there. The run goes to the other agent under an
+// attempt id of its own, which the home knows before; the caller notices nothing.
+TEST_F(RequestSessionTest, run_refusedByAnAgent_goesToAnotherEndpoint)
+{
+    const absl::Status status = serve(orderPlan(), [](int n, const StreamPointer &agent, const std::string &attempt) {
+        if (n == 0) {
+            agent->deliver(refused(attempt, makeFailure(FailureCode::EndpointLeaving, "leaving")));
+            return;
+        }
+        agent->deliver(head(attempt, 201));
+        agent->deliver(chunk(attempt, 0, "ordered"));
+        agent->deliver(done(attempt, 7));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    ASSERT_EQ(exchange.responses.size(), 1u);
+    EXPECT_EQ(exchange.responses[0].status, 201);
+    EXPECT_EQ(exchange.responses[0].body, "ordered");
+    ASSERT_EQ(clients.opened.size(), 2u);
+    EXPECT_NE(clients.opened[0]->address, clients.opened[1]->address);
+    ASSERT_EQ(homes.dispatched.size(), 2u);
+    EXPECT_NE(homes.dispatched[0], homes.dispatched[1]);
+    EXPECT_EQ(homes.dispatched[1].value(), runsSent()[1].attempt_id());
+    ASSERT_EQ(homes.settlements.size(), 1u);
+    EXPECT_EQ(homes.settlements[0].chargedTokens, 7);
+}
+
+// The engine dies after two tokens. Another engine goes on: it gets the two tokens as the answer's beginning, and its
+// agent counts them into its one bill. The caller sees one answer; the first agent bills nothing.
+TEST_F(RequestSessionTest, run_engineFailsMidStream_isContinuedOnOneBill)
+{
+    const std::string begun = token("c-1", "one ") + token("c-1", "two ");
+    const absl::Status status =
+        serve(chatPlan(), [&begun](int n, const StreamPointer &agent, const std::string &attempt) {
+            agent->deliver(head(attempt));
+            if (n == 0) {
+                agent->deliver(chunk(attempt, 0, begun + "data: {\"id\""));
+                agent->deliver(failed(attempt, makeFailure(FailureCode::EndpointFailed, "the engine died")));
+                return;
+            }
+            agent->deliver(chunk(attempt, 0, begun));
+            agent->deliver(chunk(attempt, begun.size(), token("c-2", "three")));
+            agent->deliver(done(attempt, 30));
+        });
+    EXPECT_TRUE(status.ok()) << status;
+    ASSERT_EQ(runsSent().size(), 2u);
+    EXPECT_EQ(runsSent()[0].prior_completion_tokens(), 0);
+    EXPECT_EQ(runsSent()[1].prior_completion_tokens(), 2);
+    EXPECT_EQ(runsSent()[1].prior_answer(), begun);
+    EXPECT_NE(runsSent()[1].body().find("one two "), std::string::npos);
+    EXPECT_TRUE(exchange.written.starts_with(begun));
+    EXPECT_NE(exchange.written.find("three"), std::string::npos);
+    EXPECT_EQ(exchange.written.find("c-2"), std::string::npos);
+    EXPECT_TRUE(exchange.written.ends_with("data: [DONE]\n\n"));
+    EXPECT_EQ(exchange.begun.size(), 1u);
+    ASSERT_EQ(homes.settlements.size(), 1u);
+    EXPECT_EQ(homes.settlements[0].chargedTokens, 30);
+}
+
+// A blind order was sent and its agent cannot be reached any more: it may have run. A second copy could order a second
+// blind. So it is never sent again, and the caller is told that the outcome is unknown; the home goes on to find out.
+TEST_F(RequestSessionTest, run_orderWhoseAgentIsUnreachable_isOfUnknownOutcomeAndNotSentTwice)
+{
+    const absl::Status status = serve(orderPlan(), [](int, const StreamPointer &agent, const std::string &) {
+        agent->close(lost());
+    });
+    EXPECT_EQ(failureCode(status), FailureCode::OutcomeUnknown);
+    EXPECT_EQ(runsSent().size(), 1u);
+    EXPECT_EQ(error().at("code"), "outcome_unknown");
+    EXPECT_EQ(error().at("outcome"), "unknown");
+    ASSERT_EQ(agents.barred.size(), 1u);
+    EXPECT_FALSE(agents.barred[0].isCancelled);
+    EXPECT_TRUE(homes.settlements.empty());
+    EXPECT_EQ(homes.abandoned, 1);
+}
+
+// The agent of an order lost its stream and says that the order runs there: it is neither cancelled nor sent again.
+TEST_F(RequestSessionTest, run_orderThatRunsAtAnAgentThatCannotStream_isNotSentTwice)
+{
+    agents.stateWhenBarred = RunState::Running;
+    const absl::Status status = serve(orderPlan(), [](int, const StreamPointer &agent, const std::string &) {
+        agent->close(lost());
+    });
+    EXPECT_EQ(failureCode(status), FailureCode::OutcomeUnknown);
+    EXPECT_EQ(runsSent().size(), 1u);
+    EXPECT_EQ(homes.abandoned, 1);
+}
+
+// The order's message was lost with its connection. The agent bars the attempt, so that a late copy can't start it:
+// that is the proof that nothing ran, and the order may go to another endpoint.
+TEST_F(RequestSessionTest, run_orderBarredAtItsAgent_isTriedElsewhere)
+{
+    agents.stateWhenBarred = RunState::Barred;
+    const absl::Status status = serve(orderPlan(), [](int n, const StreamPointer &agent, const std::string &attempt) {
+        if (n == 0) {
+            agent->deliver(refused(attempt, makeFailure(FailureCode::RunUnknown, "never seen")));
+            return;
+        }
+        agent->deliver(head(attempt));
+        agent->deliver(done(attempt, 7));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(runsSent().size(), 2u);
+    ASSERT_EQ(agents.barred.size(), 1u);
+    EXPECT_EQ(agents.barred[0].attempt, AttemptId(FakeHomes::kGrantedAttempt));
+    EXPECT_EQ(agents.barred[0].address,
+              clients.opened[0]->address + "#life-of-"
+                  + clients.opened[0]->address.substr(0, std::string("agent-1").size()));
+}
+
+// Both agents have proved that the order did not start. The caller is told so, with the time to come back, and may
+// order again; the home frees what was reserved.
+TEST_F(RequestSessionTest, run_orderBarredEverywhere_isToldAsNotRun)
+{
+    const absl::Status status = serve(orderPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(refused(attempt, makeFailure(FailureCode::EndpointLeaving, "leaving")));
+    });
+    EXPECT_EQ(failureCode(status), FailureCode::EndpointLeaving);
+    EXPECT_EQ(runsSent().size(), 2u);
+    EXPECT_EQ(error().at("outcome"), "not_run");
+    EXPECT_TRUE(exchange.responses[0].headers.find("Retry-After"));
+    ASSERT_EQ(homes.settlements.size(), 1u);
+    EXPECT_TRUE(homes.settlements[0].isNotRun);
+    EXPECT_EQ(homes.settlements[0].chargedTokens, 0);
+}
+
+// The first agent proved that the order did not start; then the home cannot note a further attempt, so none is sent.
+// Nothing ran, and the caller must be told just that: "unknown" would leave it with an order it dare not repeat.
+TEST_F(RequestSessionTest, run_homeCannotNoteAFurtherAttempt_isToldAsNotRun)
+{
+    homes.dispatchAnswer = makeFailure(FailureCode::HomeUnreachable, "the home is gone");
+    const absl::Status status = serve(orderPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(refused(attempt, makeFailure(FailureCode::EndpointLeaving, "leaving")));
+    });
+    EXPECT_EQ(failureCode(status), FailureCode::HomeUnreachable);
+    EXPECT_EQ(runsSent().size(), 1u);
+    EXPECT_EQ(error().at("outcome"), "not_run");
+}
+
+// The caller hangs up in mid-answer. The run may go on at its agent, so the entry cannot say what it cost: it settles
+// nothing, and the home finds out at the agent.
+TEST_F(RequestSessionTest, run_callerGone_isLeftToTheHome)
+{
+    exchange.writesUntilGone = 1;
+    const absl::Status status = serve(chatPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(head(attempt));
+        agent->deliver(chunk(attempt, 0, token("c-1", "a")));
+        agent->deliver(chunk(attempt, token("c-1", "a").size(), token("c-1", "b")));
+        agent->deliver(done(attempt, 12));
+    });
+    EXPECT_EQ(failureCode(status), FailureCode::ConnectionLost);
+    EXPECT_EQ(runsSent().size(), 1u);
+    EXPECT_TRUE(homes.settlements.empty());
+    EXPECT_EQ(homes.abandoned, 1);
+}
+
+// A retry with the same key finds the run of the first copy: it is passed that run's answer, and neither sends nor
+// settles anything itself.
+TEST_F(RequestSessionTest, run_duplicate_isPassedTheAnswerOfTheFirstCopy)
+{
+    homes.decisions.push_back(AdmitDecision(DuplicateRun{"agent-2:1#life-of-agent-2", AttemptId("first"), false}));
+    const absl::Status status = serve(chatPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        EXPECT_EQ(attempt, "first");
+        agent->deliver(head(attempt));
+        agent->deliver(chunk(attempt, 0, token("c-1", "a")));
+        agent->deliver(done(attempt, 12));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_TRUE(runsSent().empty());
+    EXPECT_TRUE(homes.settlements.empty());
+    EXPECT_EQ(exchange.written, token("c-1", "a") + "data: [DONE]\n\n");
+}
+
+// The home that was asked has lost the keys, and the next one cannot be reached; the third grants.
+TEST_F(RequestSessionTest, run_homeElsewhere_asksAnother)
+{
+    homes.decisions.push_back(makeFailure(FailureCode::HomeElsewhere, "ask entry-2"));
+    homes.decisions.push_back(makeFailure(FailureCode::HomeUnreachable, "no connection"));
+    const absl::Status status = serve(chatPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(head(attempt));
+        agent->deliver(done(attempt, 1));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(homes.opened, 3);
+    EXPECT_EQ(homes.settlements.size(), 1u);
+}
+
+// The budget is spent. The final answer goes out at once, long before the deadline, with the time to come back.
+TEST_F(RequestSessionTest, run_refusedByTheHome_isAnsweredAtOnce)
+{
+    homes.decisions.push_back(makeFailure(FailureCode::BudgetExhausted, "spent", std::chrono::milliseconds(700)));
+    const Instant begin = loop.timers.now();
+    const absl::Status status = serve(chatPlan(), [](int, const StreamPointer &, const std::string &) {});
+    EXPECT_EQ(failureCode(status), FailureCode::BudgetExhausted);
+    EXPECT_EQ(loop.timers.now(), begin);
+    EXPECT_TRUE(runsSent().empty());
+    EXPECT_EQ(error().at("retry_after_ms"), 700);
+    EXPECT_EQ(error().at("outcome"), "not_run");
+    EXPECT_EQ(result(), "budget_exhausted");
+    EXPECT_EQ(gate.standings().at(0).underWay, 0u);
+}
