--- a/src/entry/homewire.h
+++ b/src/entry/homewire.h
@@ -15,4 +15,7 @@
 wire::AdmitAnswer admitDecisionToWire(const absl::StatusOr<AdmitDecision> &decision, Instant now);
 absl::StatusOr<AdmitDecision> admitDecisionFromWire(const wire::AdmitAnswer &message, Instant askedAt);
 
+wire::Settle settlementToWire(const Settlement &settlement);
+Settlement settlementFromWire(const wire::Settle &message);
+
 }
--- a/src/libradishnet/http2transport.h
+++ b/src/libradishnet/http2transport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "messageclientsource.h"
 #include "messagestream.h"
 #include "timerservice.h"
 #include "workerpool.h"
@@ -64,13 +65,13 @@
 
 /// The fleet's clients of this process, one for each address. Where the settings' certificates can't be used, every
 /// stream closes with ConnectionLost; a server with the same settings tells why.
-class MessageClients
+class MessageClients : public MessageClientSource
 {
 public:
     MessageClients(WorkerPool &workers, TransportSettings settings);
-    ~MessageClients();
+    ~MessageClients() override;
 
-    std::shared_ptr<MessageClient> client(const std::string &address);
+    std::shared_ptr<MessageClient> client(const std::string &address) override;
 
     /// Closes and forgets the client of an address that is gone.
     void forget(const std::string &address);
