--- a/src/libradishnet/httpobjectstore.cpp
+++ b/src/libradishnet/httpobjectstore.cpp
@@ -161,15 +161,15 @@
 
     Private(WorkerPool &workers, std::string address, HttpObjectStoreSettings settings)
         : settings(settings)
-        , address(std::move(address))
-        , context(workers.context())
-        , client(workers, settings.callTimeout)
+        , m_address(std::move(address))
+        , m_context(workers.context())
+        , m_client(workers, settings.callTimeout)
     {
     }
 
     void call(HttpRequest request, Duration timeout, Answer onAnswer)
     {
-        net::co_spawn(context, exchange(shared_from_this(), std::move(request), timeout, std::move(onAnswer)),
+        net::co_spawn(m_context, exchange(shared_from_this(), std::move(request), timeout, std::move(onAnswer)),
                       net::detached);
     }
 
@@ -179,13 +179,13 @@
     static net::awaitable<void> exchange(std::shared_ptr<Private> self, HttpRequest request, Duration timeout,
                                          Answer onAnswer)
     {
-        auto response = co_await self->client.fetch(self->address, std::move(request), timeout);
+        auto response = co_await self->m_client.fetch(self->m_address, std::move(request), timeout);
         onAnswer(std::move(response));
     }
 
-    const std::string address;
-    net::io_context &context;
-    HttpClient client;
+    const std::string m_address;
+    net::io_context &m_context;
+    HttpClient m_client;
 };
 
 HttpObjectStore::HttpObjectStore(WorkerPool &workers, std::string address, HttpObjectStoreSettings settings)
--- a/src/libradishnet/signals.cpp
+++ b/src/libradishnet/signals.cpp
@@ -23,8 +23,8 @@
 {
 public:
     Private(WorkerPool &workers, std::function<void()> onStop)
-        : signals(workers.context(), SIGTERM, SIGINT)
-        , onStop(std::move(onStop))
+        : m_signals(workers.context(), SIGTERM, SIGINT)
+        , m_onStop(std::move(onStop))
     {
     }
 
@@ -32,23 +32,25 @@
     // supervisor would see a failure. Blocked until it is ignored, it can't come in between.
     ~Private()
     {
-        if (!isStopping) {
+        if (!m_isStopping) {
             return;
         }
         sigset_t stopSignals;
+        sigset_t before;
         sigemptyset(&stopSignals);
         sigaddset(&stopSignals, SIGTERM);
         sigaddset(&stopSignals, SIGINT);
-        pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
+        pthread_sigmask(SIG_BLOCK, &stopSignals, &before);
         boost::system::error_code ec;
-        signals.clear(ec);
+        m_signals.clear(ec);
         std::signal(SIGTERM, SIG_IGN);
         std::signal(SIGINT, SIG_IGN);
+        pthread_sigmask(SIG_SETMASK, &before, nullptr);
     }
 
     void wait()
     {
-        signals.async_wait([self = shared_from_this()](boost::system::error_code ec, int signal) {
+        m_signals.async_wait([self = shared_from_this()](boost::system::error_code ec, int signal) {
             if (!ec) {
                 self->receive(signal);
             }
@@ -57,32 +59,32 @@
 
     void close()
     {
-        const std::lock_guard lock(mutex);
+        const std::lock_guard lock(m_mutex);
         boost::system::error_code ec;
-        signals.cancel(ec);
-        onStop = nullptr;
+        m_signals.cancel(ec);
+        m_onStop = nullptr;
     }
 
 private:
     void receive(int signal)
     {
+        std::unique_lock lock(m_mutex);
         wait();
-        std::unique_lock lock(mutex);
-        if (isStopping || !onStop) {
+        if (m_isStopping || !m_onStop) {
             kLog.info("already stopping", {field("signal", signal)});
             return;
         }
-        isStopping = true;
+        m_isStopping = true;
         kLog.info("stopping", {field("signal", signal)});
-        const auto callback = std::exchange(onStop, nullptr);
+        const auto callback = std::exchange(m_onStop, nullptr);
         lock.unlock();
         callback();
     }
 
-    std::mutex mutex;
-    boost::asio::signal_set signals;
-    std::function<void()> onStop;
-    bool isStopping = false;
+    std::mutex m_mutex;
+    boost::asio::signal_set m_signals;
+    std::function<void()> m_onStop;
+    bool m_isStopping = false;
 };
 
 Signals::Signals(WorkerPool &workers, std::function<void()> onStop)
