Forget a server's idle connections when one of them falls silent

Cause: when something between two processes loses track of open connections, each idle one in the pool swallows a request and costs it its whole timeout, one request after the other.

Change: a request that times out makes the client forget the idle connections to that address.

--- a/src/libradishnet/httpclient.cpp
+++ b/src/libradishnet/httpclient.cpp
@@ -71,6 +71,14 @@
         }
     }
 
+    // When something on the way has lost track of connections, the idle ones are as silent as the one that timed out,
+    // and each would cost the next request its whole timeout. New connections work.
+    void forgetAfterSilence(const std::string &address)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_idle.erase(address);
+    }
+
 private:
     std::mutex m_mutex;
     std::map<std::string, std::vector<ConnectionPointer>> m_idle;
@@ -197,6 +205,13 @@
         return wasClosedWhileIdle && (isSafe(request) || outcomeOf(status) == RunOutcome::NotRun);
     }
 
+    void noteSilence(const std::string &address, const absl::Status &status)
+    {
+        if (!status.ok() && failureCode(status) == FailureCode::ConnectionSilent) {
+            pool->forgetAfterSilence(address);
+        }
+    }
+
     static Duration remaining(Clock::time_point end)
     {
         return std::chrono::duration_cast<Duration>(end - Clock::now());
@@ -226,6 +241,7 @@
         if (response.ok() && connection->isKeptAlive()) {
             self->pool->giveBack(connection);
         }
+        self->noteSilence(address, response.status());
         if (response.ok() || !Private::canAskAgain(*connection, request, response.status())) {
             co_return response;
         }
@@ -241,6 +257,7 @@
         const ConnectionPointer connection = self->connectionTo(address);
         const absl::Status status =
             co_await net::co_spawn(connection->strand(), self->ask(connection, request, end), net::use_awaitable);
+        self->noteSilence(address, status);
         if (status.ok()) {
             co_return std::make_shared<ResponseStream>(connection, self->pool);
         }
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -184,6 +184,33 @@
     EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
 }
 
+TEST_F(IdleConnectionTest, oneFallsSilent_othersAreNotTriedAfterIt)
+{
+    // Something on the way has lost track of all open connections: they stay open and swallow what is sent, while new
+    // ones work. One request pays for that with its timeout; the next must not pay for each idle connection again.
+    std::vector<tcp::socket> kept;
+    const auto keep = [&kept](tcp::socket &socket) {
+        kept.push_back(std::move(socket));
+    };
+    const auto keepAndAnswerAll = [&kept](tcp::socket &socket) {
+        kept.push_back(std::move(socket));
+        for (tcp::socket &one : kept) {
+            send(kAnswer)(one);
+        }
+    };
+    const std::string address = acceptEach({keep, keepAndAnswerAll, send(kAnswer)});
+    const auto fetchLater = [&] {
+        return boost::asio::co_spawn(workers.context(), client.fetch(address, {}, kLong), boost::asio::use_future);
+    };
+    auto first = fetchLater();
+    auto second = fetchLater();
+    ASSERT_TRUE(first.get().ok());
+    ASSERT_TRUE(second.get().ok());
+
+    EXPECT_EQ(failureCode(fetch(address, {}, kShort).status()), FailureCode::ConnectionSilent);
+    EXPECT_TRUE(fetch(address).ok());
+}
+
 TEST_F(HttpClientTest, stream_fallsSilent_readTimesOutAndTellsSo)
 {
     const std::string address = acceptEach({[](tcp::socket &socket) {
