Split the platform's stand-in into its calls, its answers and its door

Change: PlatformCall reads a call from its request; the answers have a file of their own. No change of behaviour.

--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -3,13 +3,12 @@
 #include "failure.h"
 #include "httperror.h"
 #include "log.h"
+#include "platformanswers.h"
 #include "urlcoding.h"
 
-#include <absl/strings/numbers.h>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
 
 namespace RadishSwitch
 {
@@ -21,9 +20,7 @@
 
 const Log kLog("platform");
 
-constexpr char kObjects[] = "/objects";
 constexpr char kControl[] = "/standin/";
-constexpr char kVersionHeader[] = "X-Object-Version";
 constexpr Duration kWatchTimeout = std::chrono::seconds(10);
 constexpr Duration kSilence = std::chrono::hours(24);
 constexpr std::chrono::milliseconds kLimitRetryAfter{200};
@@ -49,63 +46,8 @@
     }
 }
 
-HttpResponse makeJsonResponse(std::string body)
-{
-    return HttpResponse{200, {{"Content-Type", "application/json"}}, std::move(body)};
-}
-
-HttpResponse makeVersionResponse(std::uint64_t version, std::string body)
-{
-    return HttpResponse{200, {{kVersionHeader, std::to_string(version)}}, std::move(body)};
-}
-
-HttpResponse makeChangesResponse(const StoreChanges &changes)
-{
-    nlohmann::json objects = nlohmann::json::array();
-    for (const StoredObject &object : changes.objects) {
-        objects.push_back({{"key", object.key}, {"version", object.version}, {"value", object.value}});
-    }
-    return makeJsonResponse(nlohmann::json{{"version", changes.nextVersion}, {"objects", objects}}.dump());
-}
-
-HttpResponse makeAwayResponse()
-{
-    return makeErrorResponse(makeFailure(FailureCode::StoreUnavailable, "the platform is away"));
-}
-
-/// The statuses of the object API are those of HTTP's conditional requests.
-HttpResponse makeObjectError(const absl::Status &failure)
-{
-    HttpResponse response = makeErrorResponse(failure);
-    if (failureCode(failure) == FailureCode::VersionConflict) {
-        response.status = 412;
-    }
-    return response;
-}
-
-bool isText(const std::string &value)
-{
-    try {
-        (void)nlohmann::json(value).dump();
-        return true;
-    } catch (const nlohmann::json::type_error &) {
-        return false;
-    }
-}
-
 }
 
-/// A call of the object API, taken from its request.
-struct PlatformServer::Call {
-    CallKind kind = CallKind::Get;
-    /// The key, or the prefix of a list or watch.
-    std::string key;
-    std::string value;
-    /// Zero: there must be none.
-    std::uint64_t expectedVersion = 0;
-    std::uint64_t fromVersion = 0;
-};
-
 PlatformServer::PlatformServer(WorkerPool &workers, PlatformSettings settings)
     : m_workers(workers)
     , m_settings(std::move(settings))
@@ -173,7 +115,7 @@
         (void)co_await exchange.respond(serveControl(request, target->path().substr(sizeof kControl - 1)));
         co_return;
     }
-    const absl::StatusOr<Call> call = readCall(request);
+    const absl::StatusOr<PlatformCall> call = PlatformCall::read(request);
     if (!call.ok()) {
         (void)co_await exchange.respond(makeErrorResponse(call.status()));
         co_return;
@@ -189,7 +131,7 @@
     }
 }
 
-net::awaitable<void> PlatformServer::serveObjects(HttpExchange &exchange, const Call &call)
+net::awaitable<void> PlatformServer::serveObjects(HttpExchange &exchange, const PlatformCall &call)
 {
     Duration latency;
     Duration answerLatency;
@@ -208,7 +150,7 @@
     co_await answer(exchange, std::move(response));
 }
 
-net::awaitable<void> PlatformServer::serveWatch(HttpExchange &exchange, const Call &call)
+net::awaitable<void> PlatformServer::serveWatch(HttpExchange &exchange, const PlatformCall &call)
 {
     StoreChanges changes;
     Waiter waiter;
@@ -253,50 +195,7 @@
     (void)co_await exchange.respond(std::move(response));
 }
 
-absl::StatusOr<PlatformServer::Call> PlatformServer::readCall(const HttpRequest &request)
-{
-    Call call;
-    const std::optional<UrlTarget> target = UrlTarget::parse(request.target);
-    if (!target) {
-        return makeFailure(FailureCode::InvalidRequest, "the target isn't a path with a query");
-    }
-    if (target->path() == kObjects && request.method == "GET") {
-        const bool isWatch = target->parameter("watch") == "1";
-        call.kind = isWatch ? CallKind::Watch : CallKind::List;
-        call.key = target->parameter("prefix").value_or("");
-        if (isWatch && !absl::SimpleAtoi(target->parameter("from").value_or(""), &call.fromVersion)) {
-            return makeFailure(FailureCode::InvalidRequest, "'from' must be a version");
-        }
-        return call;
-    }
-    const std::string start = std::string(kObjects) + "/";
-    if (!target->path().starts_with(start) || target->path().size() == start.size()) {
-        return makeFailure(FailureCode::UnknownRoute, "there is no " + target->path());
-    }
-    call.key = target->path().substr(start.size());
-    if (request.method == "GET") {
-        return call;
-    }
-    if (request.method != "PUT" && request.method != "DELETE") {
-        return makeFailure(FailureCode::InvalidRequest, "objects take GET, PUT and DELETE");
-    }
-    call.kind = request.method == "PUT" ? CallKind::Put : CallKind::Delete;
-    call.value = request.body;
-    const bool mustBeNew = request.headers.find("If-None-Match") == "*";
-    const std::string version = request.headers.find("If-Match").value_or("");
-    if (!mustBeNew && (!absl::SimpleAtoi(version, &call.expectedVersion) || call.expectedVersion == 0)) {
-        return makeFailure(FailureCode::InvalidRequest, "a write needs 'If-Match: VERSION' or 'If-None-Match: *'");
-    }
-    if (call.key.starts_with(InstanceList::kPrefix)) {
-        return makeFailure(FailureCode::InvalidRequest, "the list of instances is read-only");
-    }
-    if (!isText(call.key) || !isText(call.value)) {
-        return makeFailure(FailureCode::InvalidRequest, "keys and values must be UTF-8");
-    }
-    return call;
-}
-
-std::optional<HttpResponse> PlatformServer::refuse(const Call &call)
+std::optional<HttpResponse> PlatformServer::refuse(const PlatformCall &call)
 {
     const std::lock_guard lock(m_mutex);
     const bool writes = isWrite(call.kind);
@@ -313,7 +212,7 @@
     return std::nullopt;
 }
 
-HttpResponse PlatformServer::run(const Call &call)
+HttpResponse PlatformServer::run(const PlatformCall &call)
 {
     const std::lock_guard lock(m_mutex);
     switch (call.kind) {
@@ -326,7 +225,7 @@
     }
 }
 
-HttpResponse PlatformServer::read(const Call &call)
+HttpResponse PlatformServer::read(const PlatformCall &call)
 {
     const bool isStale = m_faults.staleReads > Duration::zero();
     const Instant moment = now() - m_faults.staleReads;
@@ -340,7 +239,7 @@
     return makeVersionResponse(object->version, std::move(object->value));
 }
 
-HttpResponse PlatformServer::write(const Call &call)
+HttpResponse PlatformServer::write(const PlatformCall &call)
 {
     const absl::StatusOr<std::uint64_t> version = m_table.put(call.key, call.value, call.expectedVersion, now());
     if (!version.ok()) {
@@ -350,7 +249,7 @@
     return makeVersionResponse(*version, "");
 }
 
-HttpResponse PlatformServer::remove(const Call &call)
+HttpResponse PlatformServer::remove(const PlatformCall &call)
 {
     const absl::Status status = m_table.remove(call.key, call.expectedVersion, now());
     if (!status.ok()) {
@@ -360,7 +259,7 @@
     return HttpResponse();
 }
 
-bool PlatformServer::takesAnswerAway(const Call &call)
+bool PlatformServer::takesAnswerAway(const PlatformCall &call)
 {
     const std::lock_guard lock(m_mutex);
     if (!isWrite(call.kind)) {
--- a/src/standins/platform/platformserver.h
+++ b/src/standins/platform/platformserver.h
@@ -6,6 +6,7 @@
 #include "httpserver.h"
 #include "instancelist.h"
 #include "objecttable.h"
+#include "platformcall.h"
 
 #include <utility>
 
@@ -55,21 +56,18 @@
         std::shared_ptr<boost::asio::steady_timer> timer;
     };
 
-    struct Call;
-
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
-    boost::asio::awaitable<void> serveObjects(HttpExchange &exchange, const Call &call);
-    boost::asio::awaitable<void> serveWatch(HttpExchange &exchange, const Call &call);
+    boost::asio::awaitable<void> serveObjects(HttpExchange &exchange, const PlatformCall &call);
+    boost::asio::awaitable<void> serveWatch(HttpExchange &exchange, const PlatformCall &call);
     boost::asio::awaitable<void> answer(HttpExchange &exchange, HttpResponse response);
     HttpResponse serveControl(const HttpRequest &request, const std::string &path);
 
-    static absl::StatusOr<Call> readCall(const HttpRequest &request);
-    std::optional<HttpResponse> refuse(const Call &call);
-    HttpResponse run(const Call &call);
-    HttpResponse read(const Call &call);
-    HttpResponse write(const Call &call);
-    HttpResponse remove(const Call &call);
-    bool takesAnswerAway(const Call &call);
+    std::optional<HttpResponse> refuse(const PlatformCall &call);
+    HttpResponse run(const PlatformCall &call);
+    HttpResponse read(const PlatformCall &call);
+    HttpResponse write(const PlatformCall &call);
+    HttpResponse remove(const PlatformCall &call);
+    bool takesAnswerAway(const PlatformCall &call);
 
     absl::Status setFaults(const std::string &text);
     absl::Status feedInstance(const std::string &text);
