Let a second copy wait for the run of the first instead of barring it

Change: attach says that the run may still come; the second copy asks the home again until the first has an agent; the usage is told as one answer's.

--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -112,6 +112,9 @@
         return refuse(stream, request.attempt_id(), status);
     }
     m_metrics.noteStarted();
+    if (request.prior_completion_tokens() > 0) {
+        m_priorTokens[attempt] = request.prior_completion_tokens();
+    }
     m_monitor.noteRunStarted(request.reserved_tokens());
     addReader(stream, std::make_shared<AnswerReader>(stream, attempt, attempt, 0), RequestId(request.request_id()));
     auto run = std::make_unique<RunInProgress>(request);
@@ -159,7 +162,9 @@
     if (record.state == RunState::Unknown) {
         // The run's own frame may still be on its way on a connection that was given up. It must not start after this
         // answer, which says that it did not.
-        m_table.bar(requestId, AttemptId(request.attempt_id()));
+        if (!request.may_still_come()) {
+            m_table.bar(requestId, AttemptId(request.attempt_id()));
+        }
         return refuse(stream, request.attempt_id(), makeFailure(FailureCode::RunUnknown, "no such run is known here"));
     }
     m_metrics.noteAttached();
@@ -171,7 +176,8 @@
                           const RequestId &request)
 {
     const AttemptId attempt = reader->attempt();
-    reader->sendAccepted(request);
+    const auto prior = m_priorTokens.find(attempt);
+    reader->sendAccepted(request, prior == m_priorTokens.end() ? 0 : prior->second);
     m_readers.add(stream.get(), std::move(reader));
     pumpAll(attempt);
 }
--- a/src/agent/agentruns.h
+++ b/src/agent/agentruns.h
@@ -13,6 +13,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -99,6 +100,8 @@
     const AgentRunsSettings m_settings;
 
     mutable std::mutex m_mutex;
+    /// Of runs that go on with an earlier attempt's answer: few, since they come from engines that failed.
+    std::map<AttemptId, std::int64_t> m_priorTokens;
     RunTable m_table;
     AnswerBuffer m_answers;
     absl::flat_hash_map<AttemptId, std::unique_ptr<RunInProgress>> m_runs;
--- a/src/agent/answerreader.cpp
+++ b/src/agent/answerreader.cpp
@@ -26,11 +26,12 @@
 {
 }
 
-void AnswerReader::sendAccepted(const RequestId &request)
+void AnswerReader::sendAccepted(const RequestId &request, std::int64_t priorTokens)
 {
     wire::RunUpdate update;
     update.mutable_accepted()->set_request_id(request.value());
     update.mutable_accepted()->set_attempt_id(m_attempt.value());
+    update.mutable_accepted()->set_prior_completion_tokens(priorTokens);
     send(update);
 }
 
--- a/src/agent/answerreader.h
+++ b/src/agent/answerreader.h
@@ -22,7 +22,7 @@
     AnswerReader(MessageStreamPointer stream, AttemptId attempt, AttemptId askedAttempt, std::uint64_t offset);
 
     /// Tells which attempt's answer follows.
-    void sendAccepted(const RequestId &request);
+    void sendAccepted(const RequestId &request, std::int64_t priorTokens);
 
     /// Sends what there is as far as the stream takes it. `onDrained` is called later, outside, when it is worth
     /// another try.
--- a/src/entry/chatstreamrelay.cpp
+++ b/src/entry/chatstreamrelay.cpp
@@ -189,15 +189,42 @@
         return;
     }
     if (!m_isContinuation) {
-        appendEvent(out, event.data);
+        appendEvent(out, m_priorTokens > 0 ? withTrueUsage(event.data) : event.data);
         return;
     }
-    const std::string data = continued(event.data);
+    const std::string data = withTrueUsage(continued(event.data));
     if (!data.empty()) {
         appendEvent(out, data);
     }
 }
 
+void ChatStreamRelay::setPriorTokens(std::int64_t tokens)
+{
+    m_priorTokens = tokens;
+}
+
+// An engine that goes on with an answer counts what it was given of it as prompt. The caller asked for one answer, and
+// is told its prompt and its answer as if one engine had made it; the sum, which is billed, is the same.
+std::string ChatStreamRelay::withTrueUsage(const std::string &data) const
+{
+    if (m_priorTokens == 0 || data.find("\"usage\"") == std::string::npos) {
+        return data;
+    }
+    Json json = Json::parse(data, nullptr, false);
+    const auto usage = json.is_object() ? json.find("usage") : json.end();
+    if (!json.is_object() || usage == json.end() || !usage->is_object()) {
+        return data;
+    }
+    const Json prompt = usage->value("prompt_tokens", Json());
+    const Json completion = usage->value("completion_tokens", Json());
+    if (!prompt.is_number_integer() || !completion.is_number_integer()) {
+        return data;
+    }
+    (*usage)["prompt_tokens"] = prompt.get<std::int64_t>() - m_priorTokens;
+    (*usage)["completion_tokens"] = completion.get<std::int64_t>() + m_priorTokens;
+    return json.dump();
+}
+
 // A caller's library takes a stream's chunks as one completion by their id, and a second opening chunk with a role as
 // a second answer. So a later attempt's chunks get the first one's id, and its opening chunk is left out.
 std::string ChatStreamRelay::continued(const std::string &data) const
--- a/src/entry/chatstreamrelay.h
+++ b/src/entry/chatstreamrelay.h
@@ -28,6 +28,9 @@
     /// A later attempt goes on: what is left of a cut event is dropped, and its events take the id of the first.
     void beginContinuation();
 
+    /// The engine counted so many tokens of the answer into its prompt; the usage is told to the caller without that.
+    void setPriorTokens(std::int64_t tokens);
+
     /// The text that has reached the caller, and in how many tokens.
     std::string deliveredText() const;
     std::int64_t deliveredTokens() const;
@@ -39,12 +42,14 @@
     boost::asio::awaitable<absl::Status> beginStream();
     void take(const SseEvent &event, std::string &out);
     std::string continued(const std::string &data) const;
+    std::string withTrueUsage(const std::string &data) const;
 
     HttpExchange &m_exchange;
     std::string m_requestId;
     bool m_passesUsage;
     bool m_isStreaming = false;
     bool m_isContinuation = false;
+    std::int64_t m_priorTokens = 0;
     int m_status = 0;
     std::string m_contentType;
     std::string m_errorBody;
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -17,6 +17,9 @@
 {
 
 constexpr std::chrono::milliseconds kComeBackSoon(1000);
+/// How long a second copy of a request looks for the run of the first.
+constexpr Duration kDuplicatePatience = std::chrono::seconds(5);
+constexpr Duration kDuplicatePause = std::chrono::milliseconds(20);
 // The home last heard of, the owner that it names, and this process itself.
 constexpr int kMostAdmissions = 3;
 
@@ -67,14 +70,28 @@
     if (const absl::Status status = co_await enterQueue(); !status.ok()) {
         co_return status;
     }
-    absl::StatusOr<AdmitDecision> decision = co_await admit();
-    if (!decision.ok()) {
-        co_return decision.status();
-    }
-    if (DuplicateRun *duplicate = std::get_if<DuplicateRun>(&*decision)) {
-        co_return co_await followDuplicate(std::move(*duplicate));
+    const Instant patience = std::min(m_deadline, m_services.timers.now() + kDuplicatePatience);
+    while (true) {
+        absl::StatusOr<AdmitDecision> decision = co_await admit();
+        if (!decision.ok()) {
+            co_return decision.status();
+        }
+        if (std::holds_alternative<Grant>(*decision)) {
+            co_return co_await runAttempts(std::move(std::get<Grant>(*decision)));
+        }
+        const DuplicateRun duplicate = std::get<DuplicateRun>(*decision);
+        const AttemptEnd end = co_await followDuplicate(duplicate);
+        if (end == AttemptEnd::Answered) {
+            co_return co_await m_relay->finish();
+        }
+        // A part that was delivered from one attempt's answer can't be gone on with from another's: their bytes differ.
+        const bool isBound = m_relay->hasDelivered();
+        if (end == AttemptEnd::GivenUp || isBound || m_services.timers.now() >= patience) {
+            m_mayHaveRun = true;
+            co_return endOfFailedRun();
+        }
+        co_await awaitPause(m_services.timers, kDuplicatePause);
     }
-    co_return co_await runAttempts(std::move(std::get<Grant>(*decision)));
 }
 
 boost::asio::awaitable<absl::Status> RequestSession::enterQueue()
@@ -117,6 +134,7 @@
 {
     note("granted " + std::to_string(grant.reservedTokens) + " tokens");
     m_grantedAttempt = grant.attempt;
+    m_isDuplicate = false;
     while (true) {
         const absl::StatusOr<RouteChoice> choice = m_services.gate.choose(m_plan, m_excluded, grant.portionConfirmedAt);
         if (!choice.ok()) {
@@ -218,6 +236,9 @@
             if (failureCode(update.status()) == FailureCode::DeadlineExceeded) {
                 co_return AttemptEnd::GivenUp;
             }
+            if (m_isDuplicate) {
+                co_return AttemptEnd::Failed;
+            }
             co_return co_await makeSureNotRunning(choice);
         }
         if (m_dispatchedAt && (update->has_chunk() || update->has_done())) {
@@ -227,7 +248,7 @@
         switch (update->update_case()) {
         case wire::RunUpdate::kRefused:
             m_lastFailure = failureFromWire(update->refused());
-            if (failureCode(m_lastFailure) == FailureCode::RunUnknown) {
+            if (failureCode(m_lastFailure) == FailureCode::RunUnknown && !m_isDuplicate) {
                 co_return co_await makeSureNotRunning(choice);
             }
             co_return outcomeOf(m_lastFailure) == RunOutcome::NotRun ? AttemptEnd::NotStarted : AttemptEnd::Failed;
@@ -251,6 +272,9 @@
         case wire::RunUpdate::kAccepted:
             // The agent has joined this attempt to the run of another, which bears the charge.
             m_hasJoinedOther = update->accepted().attempt_id() != m_attempt.value();
+            if (m_stream != nullptr) {
+                m_stream->setPriorTokens(update->accepted().prior_completion_tokens());
+            }
             break;
         case wire::RunUpdate::UPDATE_NOT_SET:
             break;
@@ -285,22 +309,20 @@
     co_return isBarred ? AttemptEnd::NotStarted : AttemptEnd::Failed;
 }
 
-boost::asio::awaitable<absl::Status> RequestSession::followDuplicate(DuplicateRun duplicate)
+// The run of an earlier copy need not have reached its agent yet, or has moved on to another one: then the home is
+// asked again where it is. This copy never bars it.
+boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::followDuplicate(const DuplicateRun &duplicate)
 {
     note("joined the run of an earlier copy at " + duplicate.agentAddress);
+    m_isDuplicate = true;
     m_pass.release();
     m_attempt = duplicate.attempt;
     const auto executor = co_await boost::asio::this_coro::executor;
     RunStream stream(m_services.clients, AgentLife::parse(duplicate.agentAddress), executor, m_plan.request, m_attempt);
-    stream.attach();
+    stream.attach(true);
     // Named, and not written inside the co_await: g++ 12 destroys a temporary aggregate of a co_await expression twice.
     const RouteChoice choice{EndpointId(), duplicate.agentAddress};
-    const AttemptEnd end = co_await follow(stream, choice);
-    if (end == AttemptEnd::Answered) {
-        co_return co_await m_relay->finish();
-    }
-    m_mayHaveRun = true;
-    co_return endOfFailedRun();
+    co_return co_await follow(stream, choice);
 }
 
 boost::asio::awaitable<void> RequestSession::settle(Settlement settlement)
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -62,7 +62,7 @@
     boost::asio::awaitable<bool> announceAttempt(const RouteChoice &choice);
     boost::asio::awaitable<AttemptEnd> follow(RunStream &stream, const RouteChoice &choice);
     boost::asio::awaitable<AttemptEnd> relayChunks(RunStream &stream, wire::RunUpdate first);
-    boost::asio::awaitable<absl::Status> followDuplicate(DuplicateRun duplicate);
+    boost::asio::awaitable<AttemptEnd> followDuplicate(const DuplicateRun &duplicate);
     boost::asio::awaitable<AttemptEnd> makeSureNotRunning(const RouteChoice &choice);
     boost::asio::awaitable<void> settle(Settlement settlement);
     absl::Status endOfFailedRun();
@@ -87,6 +87,7 @@
     int m_attempts = 0;
     bool m_mayHaveRun = false;
     bool m_hasJoinedOther = false;
+    bool m_isDuplicate = false;
     std::optional<Instant> m_dispatchedAt;
 };
 
--- a/src/entry/runstream.cpp
+++ b/src/entry/runstream.cpp
@@ -38,13 +38,14 @@
     open("/run", run.SerializeAsString());
 }
 
-void RunStream::attach()
+void RunStream::attach(bool mayStillCome)
 {
     wire::AttachRequest message;
     message.set_request_id(m_request.value());
     message.set_attempt_id(m_attempt.value());
     message.set_offset(m_offset);
     message.set_agent_incarnation(m_incarnation.value());
+    message.set_may_still_come(mayStillCome);
     open("/attach", message.SerializeAsString());
 }
 
--- a/src/entry/runstream.h
+++ b/src/entry/runstream.h
@@ -31,8 +31,9 @@
     /// Sends the run to the agent.
     void start(const wire::RunRequest &run);
 
-    /// Joins a run that is there already, from its first byte.
-    void attach();
+    /// Joins a run from its first byte. When another entry sends it (`mayStillCome`), it need not have reached the
+    /// agent yet, and must not be barred there.
+    void attach(bool mayStillCome = false);
 
     /// The next update of this attempt. Updates of other attempts and bytes that came before are dropped.
     ///
