--- a/src/measure/spendtruth.cpp
+++ b/src/measure/spendtruth.cpp
@@ -117,28 +117,21 @@
 }
 
 enum class RefusalGround {
-    /// The request's own fault, or a limit that was set.
-    Right,
+    /// A limit that was set, or too much to do.
+    Limit,
     Money,
     Fleet,
 };
 
+/// The load asks for nothing that is wrong in itself, so a refusal for that is the fleet's own trouble too.
 RefusalGround groundOf(const TryRecord &refusal)
 {
     switch (failureOfName(refusal.code).value_or(FailureCode::Internal)) {
-    case FailureCode::InvalidRequest:
-    case FailureCode::MissingKey:
-    case FailureCode::UnknownKey:
-    case FailureCode::UnknownRoute:
-    case FailureCode::UnknownModel:
-    case FailureCode::BodyTooLarge:
-    case FailureCode::HeaderTooLarge:
-    case FailureCode::KeyReusedForOtherBody:
     case FailureCode::CeilingReached:
     case FailureCode::RequestTooLarge:
     case FailureCode::Overloaded:
     case FailureCode::DeadlineExceeded:
-        return RefusalGround::Right;
+        return RefusalGround::Limit;
     case FailureCode::BudgetExhausted:
     case FailureCode::BudgetUnknown:
     case FailureCode::BudgetUnavailable:
@@ -152,7 +145,8 @@
                     std::int64_t cost)
 {
     const RefusalGround ground = groundOf(refusal);
-    if (ground == RefusalGround::Right) {
+    // An answer that leaves the outcome open refuses nothing; it is judged as a lost answer.
+    if (ground == RefusalGround::Limit || refusal.told == ToldOutcome::Unknown) {
         return false;
     }
     const std::int64_t left = budget.paidAt(refusal.endTime) - budget.spentBy(refusal.endTime);
--- a/tests/standins/truth_test.cpp
+++ b/tests/standins/truth_test.cpp
@@ -184,6 +184,13 @@
      [](const Verdict &it) {
          return it.spend.falseRefusals;
      }},
+    {"refusedForAnUnknownKeyThatIsRight",
+     [](TruthRecords &it) {
+         it.tries.push_back(refusedTry("chat-3", "unknown_key", ToldOutcome::NotRun, 4 * kSecond));
+     },
+     [](const Verdict &it) {
+         return it.spend.falseRefusals;
+     }},
     {"orderRunTwice",
      [](TruthRecords &it) {
          it.work.push_back(workFor(it.tries[2], 9));
@@ -302,6 +309,16 @@
     EXPECT_EQ(judge(records).spend.refusals, 1);
 }
 
+TEST(TruthRecordsTest, refusalsForLimitsOrWithOpenOutcome_judged_areNotFalse)
+{
+    TruthRecords records = goodRecords();
+    records.tries.push_back(refusedTry("chat-3", "ceiling_reached", ToldOutcome::NotRun, 4 * kSecond));
+    records.tries.push_back(refusedTry("chat-4", "home_unreachable", ToldOutcome::Unknown, 4 * kSecond));
+
+    EXPECT_EQ(judge(records).spend.falseRefusals, 0);
+    EXPECT_EQ(judge(records).runs.lostOrMixedAnswers, 1);
+}
+
 TEST(TruthRecordsTest, brokenAnswerContinuedElsewhere_judged_spendsItsPromptOnce)
 {
     TruthRecords records = goodRecords();
