--- a/src/standins/common/chatprompt.cpp
+++ b/src/standins/common/chatprompt.cpp
@@ -46,8 +46,10 @@
         && messages.back().value("role", std::string()) == "assistant";
     for (std::size_t n = 0; n < messages.size(); ++n) {
         const std::string content = textOf(messages[n].at("content"));
-        prompt.promptTokens += countWords(content) + ChatPrompt::kTokensPerMessage;
-        if (isContinuation && n + 1 == messages.size()) {
+        const bool isContinued = isContinuation && n + 1 == messages.size();
+        // Every prompt ends with the header of the answer's message, so one that is gone on with has no header more.
+        prompt.promptTokens += countWords(content) + (isContinued ? 0 : ChatPrompt::kTokensPerMessage);
+        if (isContinued) {
             prompt.continued = content;
         } else {
             prompt.text += messages[n].at("role").get<std::string>() + "\n" + content + "\n";
