--- a/src/radishctl/blockingwaiter.cpp
+++ b/src/radishctl/blockingwaiter.cpp
@@ -16,7 +16,7 @@
 {
     const auto finished = std::make_shared<std::promise<void>>();
     std::future<void> future = finished->get_future();
-    m_tasks.post([&start, finished] {
+    m_tasks.post([start, finished] {
         start([finished] {
             finished->set_value();
         });
--- a/src/radishctl/fleetlist.cpp
+++ b/src/radishctl/fleetlist.cpp
@@ -88,6 +88,7 @@
     context.environment().waiter.wait([&](const std::function<void()> &done) {
         if (instances.empty()) {
             done();
+            return;
         }
         for (std::size_t n = 0; n < instances.size(); ++n) {
             const auto take = [gathering, n, done](absl::StatusOr<AdminAnswer> answer) {
