Keep the endpoints alive in the tests of sessions

Cause: a trial with the safeguard against a second copy of an order out made no test fail: the other endpoint had not been heard of for the four seconds in which the first agent's loss is established, so there was nowhere to send a second copy to.

Change: the fixture's endpoints tell of themselves every second.

--- a/tests/radishswitch-entry/entryfixture.cpp
+++ b/tests/radishswitch-entry/entryfixture.cpp
@@ -55,6 +55,13 @@
 
 EntryFixture::EntryFixture()
 {
+    // Without them the endpoints would be taken as lost before a lost run is given up, and "not sent twice" would hold
+    // for want of a second endpoint.
+    loop.timers.every(std::chrono::seconds(1), [this] {
+        for (const auto &[name, capacity] : m_capacities) {
+            report(name);
+        }
+    });
     for (const std::string name : {"agent-1", "agent-2"}) {
         listEndpoint(name);
         clients.handle(name + ":1", [this](const StreamPointer &stream) {
@@ -70,6 +77,12 @@
 }
 
 void EntryFixture::listEndpoint(const std::string &name, std::uint32_t capacity)
+{
+    m_capacities[name] = capacity;
+    report(name);
+}
+
+void EntryFixture::report(const std::string &name)
 {
     EndpointReport report;
     report.endpoint = EndpointId(name);
@@ -80,7 +93,7 @@
     report.zone = "zone-a";
     report.region = "south-central";
     report.models = {"quilt"};
-    report.load.capacity = capacity;
+    report.load.capacity = m_capacities.at(name);
     gate.applyReport(report);
 }
 
--- a/tests/radishswitch-entry/entryfixture.h
+++ b/tests/radishswitch-entry/entryfixture.h
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,6 +68,7 @@
     /// A call of a plain service that may run at most once.
     RadishSwitch::RunPlan orderPlan() const;
 
+    /// The endpoint tells of itself, now and every second from now on.
     void listEndpoint(const std::string &name, std::uint32_t capacity = 4);
 
     /// Serves the request to its end.
@@ -95,7 +97,10 @@
     FakeHttpExchange exchange;
 
 private:
+    void report(const std::string &name);
+
     int m_runs = 0;
     AgentSide m_agentSide;
     std::uint64_t m_reports = 0;
+    std::map<std::string, std::uint32_t> m_capacities;
 };
