Ask another home when one is stopping, and say when to come back

Cause: the home of a budget that was stopping as planned refused, and the entry that served the caller passed the refusal on, though it was not stopping itself and other homes were there. The refusal had no time to come back.

Change: a session asks the next home after Draining as after HomeElsewhere. A stopping home names a second to come back. The golden session planned-stop tells a stop in mid-answer: the keys are given free at once, the running quote ends and is billed, a late retry gets its answer elsewhere.

--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -20,6 +20,12 @@
 // The home last heard of, the owner that it names, and this process itself.
 constexpr int kMostAdmissions = 3;
 
+// A home that is stopping gives its keys and its budgets to others, who can be asked at once.
+bool isAskedElsewhere(FailureCode code)
+{
+    return code == FailureCode::HomeElsewhere || code == FailureCode::HomeUnreachable || code == FailureCode::Draining;
+}
+
 Settlement notRun()
 {
     Settlement settlement;
@@ -100,10 +106,7 @@
         decision = co_await awaitCallback<absl::StatusOr<AdmitDecision>>([this, &question](auto done) {
             m_home->admit(question, std::move(done));
         });
-        const bool asksElsewhere = !decision.ok()
-            && (failureCode(decision.status()) == FailureCode::HomeElsewhere
-                || failureCode(decision.status()) == FailureCode::HomeUnreachable);
-        if (!asksElsewhere) {
+        if (decision.ok() || !isAskedElsewhere(failureCode(decision.status()))) {
             break;
         }
     }
--- a/src/libradishswitch/home.cpp
+++ b/src/libradishswitch/home.cpp
@@ -12,9 +12,10 @@
 namespace
 {
 
+// Others take over what this entry gives up within a moment.
 absl::Status draining()
 {
-    return makeFailure(FailureCode::Draining, "this entry is stopping");
+    return makeFailure(FailureCode::Draining, "this entry is stopping", std::chrono::milliseconds(1000));
 }
 
 }
--- a/tests/golden/requestsession.cpp
+++ b/tests/golden/requestsession.cpp
@@ -62,7 +62,8 @@
 {
     if (key.starts_with("keyowners/")) {
         const auto owner = decodeKeyOwner(value);
-        return owner->incarnation.value() + ", epoch " + std::to_string(owner->epoch);
+        const std::string name = owner->incarnation.isEmpty() ? "nobody's" : owner->incarnation.value();
+        return name + ", epoch " + std::to_string(owner->epoch);
     }
     const auto claims = decodeClaims(value);
     std::string text;
@@ -186,6 +187,14 @@
     }
 }
 
+void RequestSession::stop(const std::string &entry)
+{
+    recorder.happens(entry + " is told to stop");
+    m_entries[entry]->home->stop([this, entry] {
+        recorder.happens(entry + " has nothing open any more, and ends");
+    });
+}
+
 void RequestSession::closePortionOf(const std::string &entry)
 {
     for (const auto &[name, closer] : m_entries) {
--- a/tests/golden/requestsession.h
+++ b/tests/golden/requestsession.h
@@ -43,6 +43,9 @@
 
     void kill(const std::string &entry);
 
+    /// Planned stop.
+    void stop(const std::string &entry);
+
     /// What is done after a holder's death: its portion is closed at the agents.
     void closePortionOf(const std::string &entry);
 
--- a/tests/golden/requestsession_test.cpp
+++ b/tests/golden/requestsession_test.cpp
@@ -74,3 +74,36 @@
 
     recorder.expectGolden("store-outage-lost-claim");
 }
+
+// An entry is stopped as planned in the middle of a quote. It refuses what is new at once and gives its keys free, so
+// that the other entry takes them over without waiting; the quote goes on to its end and its bill, and only then the
+// entry ends. A late retry of the quote gets its answer at the other entry and runs nothing.
+TEST_F(RequestSession, plannedStop_midAnswer_endsItsRequestsAndLosesNone)
+{
+    const AdmitQuestion quote = question("quote-19", false);
+    const AdmitQuestion next = question("quote-20", false);
+    recorder.tells("A shop asks for a quote.");
+    call("entry-1", quote, "agent-1");
+    advance(std::chrono::milliseconds(50));
+
+    recorder.tells(
+        "Its router is stopped in mid-answer. A new question is refused there, and goes to the other router.");
+    stop("entry-1");
+    advance(std::chrono::milliseconds(10));
+    call("entry-1", next, "agent-2");
+    advance(std::chrono::milliseconds(10));
+    call("entry-2", next, "agent-2");
+    advance(std::chrono::milliseconds(50));
+
+    recorder.tells("Both answers end, each where it began.");
+    finishRun("agent-1", quote, 60);
+    finishRun("agent-2", next, 40);
+    advance(std::chrono::milliseconds(50));
+
+    recorder.tells("A late retry of the first quote.");
+    call("entry-2", quote, "agent-2");
+    advance(std::chrono::milliseconds(50));
+    tellSums();
+
+    recorder.expectGolden("planned-stop");
+}
--- a/tests/radishswitch-entry/requestsession_test.cpp
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -224,6 +224,19 @@
     EXPECT_EQ(homes.settlements.size(), 1u);
 }
 
+// The home of the budget, at another entry, is stopping as planned. The entry that serves the caller is not: it asks
+// the next home, and the caller notices nothing of the stop.
+TEST_F(RequestSessionTest, run_homeDraining_asksAnother)
+{
+    homes.decisions.push_back(makeFailure(FailureCode::Draining, "stopping"));
+    const absl::Status status = serve(chatPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(head(attempt));
+        agent->deliver(done(attempt, 1));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(homes.opened, 2);
+}
+
 // The budget is spent. The final answer goes out at once, long before the deadline, with the time to come back.
 TEST_F(RequestSessionTest, run_refusedByTheHome_isAnsweredAtOnce)
 {
