--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/heldbudget.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// A few requests in a shorter time say little about the use to come.
+constexpr Duration kShortestAverage = std::chrono::seconds(5);
+
+
 double secondsOf(Duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -112,13 +116,26 @@
 
 void HeldBudget::noteSpent(std::int64_t tokens, Instant now, const BudgetHolderSettings &settings)
 {
+    if (m_tokensPerSecond == 0) {
+        m_averagingSince = now;
+    }
     m_tokensPerSecond =
-        tokensPerSecond(now, settings) + static_cast<double>(tokens) / secondsOf(settings.averagingTime);
+        decayedTokensPerSecond(now, settings) + static_cast<double>(tokens) / secondsOf(settings.averagingTime);
     m_averagedAt = now;
     m_lastUsedAt = now;
 }
 
+// The average begins at nothing, and would take a budget that has just come into use for one that is hardly used: its
+// portion would be dry long before the survival time when the store goes away then. So it is set against the weight
+// that it can have gathered so far.
 double HeldBudget::tokensPerSecond(Instant now, const BudgetHolderSettings &settings) const
+{
+    const Duration span = std::max<Duration>(now - m_averagingSince, kShortestAverage);
+    const double weight = 1 - std::exp(-secondsOf(span) / secondsOf(settings.averagingTime));
+    return decayedTokensPerSecond(now, settings) / weight;
+}
+
+double HeldBudget::decayedTokensPerSecond(Instant now, const BudgetHolderSettings &settings) const
 {
     return m_tokensPerSecond * std::exp(-secondsOf(now - m_averagedAt) / secondsOf(settings.averagingTime));
 }
--- a/src/libradishswitch/heldbudget.h
+++ b/src/libradishswitch/heldbudget.h
@@ -114,10 +114,12 @@
     };
 
     Extras &extras();
+    double decayedTokensPerSecond(Instant now, const BudgetHolderSettings &settings) const;
 
     std::uint32_t m_shard;
     HeldPortion m_current;
     double m_tokensPerSecond = 0;
+    Instant m_averagingSince{};
     Instant m_averagedAt;
     Instant m_lastUsedAt;
     std::int64_t m_lastTokens = 0;
--- a/tests/radishswitch-entry/dispatchgate_test.cpp
+++ b/tests/radishswitch-entry/dispatchgate_test.cpp
@@ -76,11 +76,11 @@
 
 TEST_F(DispatchGateTest, choose_endpoint_namesTheLifeOfItsAgent)
 {
-    const auto choice = gate.choose(chatPlan(), {EndpointId("agent-1")});
+    const auto choice = gate.choose(chatPlan(), {EndpointId("agent-1")}, Instant::max());
     ASSERT_TRUE(choice.ok()) << choice.status();
     EXPECT_EQ(choice->endpoint, EndpointId("agent-2"));
     EXPECT_EQ(AgentLife::parse(choice->address), (AgentLife{"agent-2:1", IncarnationId("life-of-agent-2")}));
-    EXPECT_FALSE(gate.choose(chatPlan(), {EndpointId("agent-1"), EndpointId("agent-2")}).ok());
+    EXPECT_FALSE(gate.choose(chatPlan(), {EndpointId("agent-1"), EndpointId("agent-2")}, Instant::max()).ok());
 }
 
 // A caller goes away before its request was sent. Its place must go to the next, or the pool would shrink with every
