Tell the home's confirmations apart

Cause: a session with a home at another entry waited for one confirmation at a time and took whatever came first. The first attempt's is not waited for, so it came for a second attempt or for the settlement: the attempt went out, or the bill counted as booked, before the home knew of it. The time limit of the first dispatch likewise failed a settlement that had just been sent.

Change: each confirmation is matched by what it confirms, which the messages named all along. A home that does not answer by the deadline, or that went away, is refused with the time to come back.

--- a/src/entry/remotehomesession.cpp
+++ b/src/entry/remotehomesession.cpp
@@ -3,6 +3,8 @@
 #include "homewire.h"
 #include "wireconversion.h"
 
+#include <map>
+#include <string>
 #include <utility>
 
 namespace RadishSwitch
@@ -12,11 +14,12 @@
 {
 
 constexpr Duration kConfirmationTimeout = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds kComeBackSoon(1000);
 
 absl::Status unreachable(const absl::Status &cause)
 {
     return makeFailure(FailureCode::HomeUnreachable, "the home of the budget: " + std::string(cause.message()),
-                       std::chrono::seconds(1));
+                       kComeBackSoon);
 }
 
 }
@@ -44,27 +47,36 @@
             });
     }
 
-    // One confirmation is awaited at a time: a session dispatches, then settles.
-    void expectDone(DoneCallback callback)
+    // Several confirmations may be under way: the first attempt's is not waited for. Each is told by what it confirms;
+    // with the first one's taken for a later attempt's, that attempt would go out before the home knows of it.
+    void expectDone(const Confirmation &what, DoneCallback callback)
     {
         bool isOver = false;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
             isOver = m_isOver;
             if (!isOver) {
-                m_onDone = callback;
+                m_awaited[what] = callback;
             }
         }
         if (isOver) {
-            callback(makeFailure(FailureCode::HomeUnreachable, "the home of the budget went away"));
+            callback(makeFailure(FailureCode::HomeUnreachable, "the home of the budget went away", kComeBackSoon));
         }
     }
 
-    void finishDone(const absl::Status &status)
+    void finishDone(const Confirmation &what, const absl::Status &status)
     {
-        if (const DoneCallback callback = taken(m_onDone)) {
-            callback(status);
+        DoneCallback callback;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            const auto it = m_awaited.find(what);
+            if (it == m_awaited.end()) {
+                return;
+            }
+            callback = std::move(it->second);
+            m_awaited.erase(it);
         }
+        callback(status);
     }
 
     void failAdmitted(const absl::Status &status)
@@ -80,11 +92,11 @@
     }
 
 private:
-    template<typename Callback>
-    Callback taken(Callback &callback)
+    template<typename T>
+    T taken(T &member)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        return std::exchange(callback, nullptr);
+        return std::exchange(member, T());
     }
 
     void onMessage(const std::string &frame)
@@ -94,9 +106,11 @@
             m_stream->cancel();
             return;
         }
-        if (!answer->has_admit()) {
-            finishDone(absl::OkStatus());
-            return;
+        if (answer->answer_case() == wire::HomeAnswer::kDispatchedAttemptId) {
+            return finishDone(AttemptId(answer->dispatched_attempt_id()), absl::OkStatus());
+        }
+        if (answer->answer_case() == wire::HomeAnswer::kSettled) {
+            return finishDone(Settled(), absl::OkStatus());
         }
         if (!answer->admit().owner_address().empty()) {
             m_ownerObserver(answer->admit().owner_address());
@@ -113,7 +127,9 @@
             m_isOver = true;
         }
         failAdmitted(unreachable(status));
-        finishDone(unreachable(status));
+        for (const auto &[what, callback] : taken(m_awaited)) {
+            callback(unreachable(status));
+        }
     }
 
     OwnerObserver m_ownerObserver;
@@ -121,7 +137,7 @@
     std::mutex m_mutex;
     bool m_isOver = false;
     AdmitCallback m_onAdmitted;
-    DoneCallback m_onDone;
+    std::map<Confirmation, DoneCallback> m_awaited;
 };
 
 RemoteHomeSession::RemoteHomeSession(std::shared_ptr<MessageClient> client, TimerService &timers,
@@ -149,7 +165,8 @@
     const Duration patience = std::max(question.deadline - m_timers.now(), Duration::zero());
     m_timers.after(patience, [conversation = std::weak_ptr(m_conversation)] {
         if (const auto held = conversation.lock()) {
-            held->failAdmitted(makeFailure(FailureCode::HomeUnreachable, "the home of the budget did not answer"));
+            held->failAdmitted(
+                makeFailure(FailureCode::HomeUnreachable, "the home of the budget did not answer", kComeBackSoon));
         }
     });
 }
@@ -159,23 +176,25 @@
     wire::HomeRequest message;
     message.mutable_dispatched()->set_attempt_id(attempt.value());
     message.mutable_dispatched()->set_agent_address(agentAddress);
-    send(message, std::move(callback));
+    send(message, attempt, std::move(callback));
 }
 
 void RemoteHomeSession::settle(const Settlement &settlement, DoneCallback callback)
 {
     wire::HomeRequest message;
     *message.mutable_settle() = settlementToWire(settlement);
-    send(message, std::move(callback));
+    send(message, Settled(), std::move(callback));
 }
 
-void RemoteHomeSession::send(const wire::HomeRequest &message, DoneCallback callback)
+void RemoteHomeSession::send(const wire::HomeRequest &message, const Confirmation &what, DoneCallback callback)
 {
-    m_conversation->expectDone(std::move(callback));
+    m_conversation->expectDone(what, std::move(callback));
     m_conversation->stream()->send(message.SerializeAsString());
-    m_timers.after(kConfirmationTimeout, [conversation = std::weak_ptr(m_conversation)] {
+    m_timers.after(kConfirmationTimeout, [conversation = std::weak_ptr(m_conversation), what] {
         if (const auto held = conversation.lock()) {
-            held->finishDone(makeFailure(FailureCode::HomeUnreachable, "the home of the budget did not confirm"));
+            held->finishDone(
+                what,
+                makeFailure(FailureCode::HomeUnreachable, "the home of the budget did not confirm", kComeBackSoon));
         }
     });
 }
--- a/src/entry/remotehomesession.h
+++ b/src/entry/remotehomesession.h
@@ -6,6 +6,7 @@
 #include "wire.h"
 
 #include <mutex>
+#include <variant>
 
 namespace RadishSwitch
 {
@@ -27,7 +28,13 @@
 private:
     class Conversation;
 
-    void send(const wire::HomeRequest &message, DoneCallback callback);
+    struct Settled {
+        auto operator<=>(const Settled &) const = default;
+    };
+    /// What the home confirms: that it knows of an attempt, or of the settlement.
+    using Confirmation = std::variant<AttemptId, Settled>;
+
+    void send(const wire::HomeRequest &message, const Confirmation &what, DoneCallback callback);
 
     std::shared_ptr<MessageClient> m_client;
     TimerService &m_timers;
