--- a/tests/radishswitch-entry/remotehomesession_test.cpp
+++ b/tests/radishswitch-entry/remotehomesession_test.cpp
@@ -38,7 +38,7 @@
     void answer(const absl::StatusOr<AdmitDecision> &decision, const std::string &ownerAddress = "")
     {
         wire::HomeAnswer message;
-        *message.mutable_admit() = admitDecisionToWire(decision);
+        *message.mutable_admit() = admitDecisionToWire(decision, Instant());
         message.mutable_admit()->set_owner_address(ownerAddress);
         home().deliver(message);
         loop.settle();
