--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -86,7 +86,7 @@
     , m_entries(m_membership, m_membershipMonitor, m_timers)
     , m_homeStack(HomeStack::Ports{m_store, m_timers, m_workers, m_random, m_agents, m_entries, *this}, selfOwner(),
                   static_cast<std::uint32_t>(m_settings.ledgerShards))
-    , m_homeService(m_homeStack.home(), m_homeStack.monitor(), m_timers)
+    , m_homeService(m_homeStack.home(), m_homeStack.monitor(), m_timers, m_workers)
     , m_homes(m_homeService, m_clients, m_timers, m_membership, m_membershipMonitor, m_address, m_settings.fleet.region)
     , m_journal(m_timers)
     , m_door(SessionServices{m_timers, m_random, m_clients, m_agents, m_homes, m_gate, m_journal}, m_table, m_counts)
--- a/src/entry/homeservice.cpp
+++ b/src/entry/homeservice.cpp
@@ -18,11 +18,12 @@
     using OwnerLookup = std::function<std::string(const BudgetId &)>;
 
     ServedHomeStream(MessageStreamPointer stream, std::unique_ptr<HomeSession> session, OwnerLookup ownerOf,
-                     TimerService &timers)
+                     TimerService &timers, TaskQueue &tasks)
         : m_stream(std::move(stream))
         , m_session(std::move(session))
         , m_ownerOf(std::move(ownerOf))
         , m_timers(timers)
+        , m_tasks(tasks)
     {
     }
 
@@ -57,19 +58,25 @@
         }
     }
 
+    // The home answers under its lock. What is sent needs the lock again to look up the owner, so it is made in a task
+    // of its own; made in place it waited for itself, and the whole entry stood still with it.
     void admit(const wire::AdmitRequest &message)
     {
         const AdmitQuestion question = admitQuestionFromWire(message, m_timers.now());
-        const auto onDecided = [stream = m_stream, &timers = m_timers, owner = m_ownerOf,
-                                budget = question.budget](absl::StatusOr<AdmitDecision> decision) {
-            wire::HomeAnswer answer;
-            *answer.mutable_admit() = admitDecisionToWire(decision, timers.now());
-            if (!decision.ok() && failureCode(decision.status()) == FailureCode::HomeElsewhere) {
-                answer.mutable_admit()->set_owner_address(owner(budget));
-            }
-            stream->send(answer.SerializeAsString());
-        };
-        m_session->admit(question, onDecided);
+        m_session->admit(question, [self = shared_from_this(), budget = question.budget](
+                                       const absl::StatusOr<AdmitDecision> &decision) {
+            self->m_tasks.post([self, budget, decision] { self->sendDecision(budget, decision); });
+        });
+    }
+
+    void sendDecision(const BudgetId &budget, const absl::StatusOr<AdmitDecision> &decision)
+    {
+        wire::HomeAnswer answer;
+        *answer.mutable_admit() = admitDecisionToWire(decision, m_timers.now());
+        if (!decision.ok() && failureCode(decision.status()) == FailureCode::HomeElsewhere) {
+            answer.mutable_admit()->set_owner_address(m_ownerOf(budget));
+        }
+        m_stream->send(answer.SerializeAsString());
     }
 
     void noteDispatched(const wire::Dispatched &message)
@@ -96,14 +103,16 @@
     std::unique_ptr<HomeSession> m_session;
     OwnerLookup m_ownerOf;
     TimerService &m_timers;
+    TaskQueue &m_tasks;
 };
 
 }
 
-HomeService::HomeService(Home &home, Monitor &monitor, TimerService &timers)
+HomeService::HomeService(Home &home, Monitor &monitor, TimerService &timers, TaskQueue &tasks)
     : m_home(home)
     , m_monitor(monitor)
     , m_timers(timers)
+    , m_tasks(tasks)
 {
 }
 
@@ -129,12 +138,15 @@
 
 void HomeService::serve(Http2MessageServer &server)
 {
-    server.handle("/home", [this](MessageStreamPointer stream) {
-        const auto ownerOf = [this](const BudgetId &budget) {
-            return ownerAddress(budget);
-        };
-        std::make_shared<ServedHomeStream>(std::move(stream), openLocal(), ownerOf, m_timers)->start();
-    });
+    server.handle("/home", [this](MessageStreamPointer stream) { serveStream(std::move(stream)); });
+}
+
+void HomeService::serveStream(MessageStreamPointer stream)
+{
+    const auto ownerOf = [this](const BudgetId &budget) {
+        return ownerAddress(budget);
+    };
+    std::make_shared<ServedHomeStream>(std::move(stream), openLocal(), ownerOf, m_timers, m_tasks)->start();
 }
 
 }
--- a/src/entry/homeservice.h
+++ b/src/entry/homeservice.h
@@ -14,7 +14,8 @@
 class HomeService
 {
 public:
-    HomeService(Home &home, Monitor &monitor, TimerService &timers);
+    /// `tasks` runs work outside the lock of `monitor`.
+    HomeService(Home &home, Monitor &monitor, TimerService &timers, TaskQueue &tasks);
 
     /// A session for a request that arrived at this very process.
     std::unique_ptr<HomeSession> openLocal();
@@ -27,10 +28,14 @@
     /// Serves "/home" streams of other entries.
     void serve(Http2MessageServer &server);
 
+    /// Serves one such stream.
+    void serveStream(MessageStreamPointer stream);
+
 private:
     Home &m_home;
     Monitor &m_monitor;
     TimerService &m_timers;
+    TaskQueue &m_tasks;
 };
 
 }
