Size portions so that the survival time holds at the worst moment

Cause: store-outage refused chats as budget_unavailable from 5 s after the store went away. A portion was sized for the survival time, but more was asked for only at half of it, in calm with writes 15 s off, and a growing use was not hurried. Change: what is left at the low-water mark lasts for the survival time; an ask that is pending is hurried when the portion falls below 0.8 of the mark. Measured: the new test failed at request 102 before, passes after; budget tests 63 of 63.

--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+/// Below this share of the low-water mark what is asked for no longer waits for other writes.
+constexpr double kHurryShare = 0.8;
+
 /// Whether a change failed since its portion is the holder's no longer.
 bool isPortionLost(const absl::Status &status)
 {
@@ -47,17 +50,26 @@
 void BudgetHolder::askIfLow(Entry &entry)
 {
     HeldBudget &budget = entry.second;
-    if (budget.isAsking || m_isStopping || budget.isUnknown) {
+    if (m_isStopping || budget.isUnknown) {
         return;
     }
     const Instant now = m_timers.now();
+    if (budget.isAsking) {
+        // What was asked for in calm rides along with the shard's next write, which may be far off. A budget whose use
+        // grows meanwhile would be caught by an outage with a portion of the size that it needed then.
+        const double low = static_cast<double>(budget.wishedSize(now, m_settings)) * m_settings.lowWaterShare;
+        if (static_cast<double>(budget.current().available()) < low * kHurryShare) {
+            m_ledger.hurry(budget.shard());
+        }
+        return;
+    }
     if (budget.lastAskedAt != Instant::min() && now - budget.lastAskedAt < m_settings.relaxedAskInterval) {
         return;
     }
     const auto lowWater = static_cast<double>(budget.wishedSize(now, m_settings)) * m_settings.lowWaterShare;
     const auto available = static_cast<double>(budget.current().available());
     if (available < lowWater) {
-        ask(entry, available < lowWater / 2 ? Urgency::Soon : calmUrgency(budget));
+        ask(entry, available < lowWater * kHurryShare ? Urgency::Soon : calmUrgency(budget));
     }
 }
 
--- a/src/libradishswitch/budgetholdersettings.h
+++ b/src/libradishswitch/budgetholdersettings.h
@@ -14,7 +14,8 @@
     /// This life of this process; names its portions.
     IncarnationId incarnation;
     std::string region;
-    /// How long a portion should last at the present use when the store is away.
+    /// How long a portion should last at the present use when the store goes away at the worst moment, just before more
+    /// is asked for.
     Duration survivalTime = std::chrono::seconds(120);
     /// Time over which use is averaged.
     Duration averagingTime = std::chrono::seconds(30);
--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/heldbudget.cpp
@@ -142,7 +142,9 @@
 
 std::int64_t HeldBudget::wishedSize(Instant now, const BudgetHolderSettings &settings) const
 {
-    const double byUse = tokensPerSecond(now, settings) * secondsOf(settings.survivalTime);
+    // More is asked for at the low-water mark, and what is left then must still last for the survival time.
+    const double lowWater = tokensPerSecond(now, settings) * secondsOf(settings.survivalTime);
+    const double byUse = lowWater / settings.lowWaterShare;
     return std::max(static_cast<std::int64_t>(byUse), m_lastTokens * settings.requestsAhead);
 }
 
--- a/tests/core/budgetholder_test.cpp
+++ b/tests/core/budgetholder_test.cpp
@@ -222,6 +222,26 @@
     expectLedgerHolds();
 }
 
+// A budget has come into use ten seconds before the store goes away for a minute. Its first portion was sized for the
+// first few requests; the next was asked for in calm and would have come with a write far off, so the portion ran dry
+// within seconds and callers were refused although nearly everything paid was free.
+TEST_F(BudgetHolderTest, reserve_storeAwaySoonAfterFirstUse_lastsThroughTheOutage)
+{
+    ledgerSettings.relaxedDelay = LedgerSettings().relaxedDelay;
+    holderSettings.relaxedCheckpointInterval = BudgetHolderSettings().relaxedCheckpointInterval;
+    topUp("p", 10'000'000);
+    const auto process = start("h1");
+    int n = 0;
+    const auto useFor = [&](Duration span) {
+        for (const Instant end = timers.now() + span; timers.now() < end; ++n) {
+            ASSERT_TRUE(spend(*process, std::to_string(n), 373, 83)) << "request " << n;
+        }
+    };
+    useFor(Seconds(10));
+    store.setAway(true);
+    useFor(Seconds(60));
+}
+
 TEST_F(BudgetHolderTest, replacePortions_agentLost_settlesWhatIsHeldAndTakesAFreshPortion)
 {
     topUp("p", 1'000'000);
