Ask engines for a stream also for whole answers

Cause: a chat completion that is not streamed has no bytes on the way before its end, so an agent waited for its first byte until the request's deadline when the engine's connection was swallowed: the caller hung for 120 s, where a streamed one is found silent after 3 s and is continued.

Change: the fleet asks engines for a stream with usage for every chat. For a caller who asked for none the entry keeps the events and puts them together to one chat completion (WholeAnswer: content and other texts, tool calls by index, logprobs, usage), continued after an engine's failure like a stream. Answers that are no event stream pass as they are; an error event within a stream is a typed failure and never a whole answer. A copy of a request whose caller has received nothing may start over (AnswerRelay::restart). An opening chunk whose content is null no longer throws when an answer is continued.

The measurement with swallowed connections was not run after the change.

--- a/src/entry/answerrelay.h
+++ b/src/entry/answerrelay.h
@@ -30,8 +30,9 @@
     /// The request was given up.
     virtual boost::asio::awaitable<void> fail(const absl::Status &status) = 0;
 
-    /// Whether the caller has received any part of the answer, so that only its rest may follow.
-    virtual bool hasDelivered() const = 0;
+    /// Drops what was collected, so that another answer may come from its first byte. False, and nothing is dropped,
+    /// when the caller has received a part and only its rest may follow.
+    virtual bool restart() = 0;
 };
 
 }
--- a/src/entry/chatstreamrelay.cpp
+++ b/src/entry/chatstreamrelay.cpp
@@ -2,6 +2,7 @@
 
 #include "apierror.h"
 #include "failure.h"
+#include "wholeanswer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -67,10 +68,11 @@
 
 }
 
-ChatStreamRelay::ChatStreamRelay(HttpExchange &exchange, std::string requestId, bool passesUsage)
+ChatStreamRelay::ChatStreamRelay(HttpExchange &exchange, std::string requestId, bool isStreamed, bool passesUsage)
     : m_exchange(exchange)
     , m_requestId(std::move(requestId))
-    , m_passesUsage(passesUsage)
+    , m_isStreamed(isStreamed)
+    , m_passesUsage(passesUsage || !isStreamed)
 {
 }
 
@@ -82,7 +84,7 @@
 
 boost::asio::awaitable<absl::Status> ChatStreamRelay::append(std::string data)
 {
-    if (m_status != kOk) {
+    if (isPassedAsItIs()) {
         m_errorBody += data;
         co_return absl::OkStatus();
     }
@@ -97,6 +99,10 @@
     if (out.empty()) {
         co_return absl::OkStatus();
     }
+    if (!m_isStreamed) {
+        m_delivered += out;
+        co_return absl::OkStatus();
+    }
     if (const absl::Status status = co_await beginStream(); !status.ok()) {
         co_return status;
     }
@@ -104,6 +110,19 @@
     co_return co_await m_exchange.write(std::move(out));
 }
 
+// An engine may answer without a stream: with an error, or because it knows none.
+bool ChatStreamRelay::isPassedAsItIs() const
+{
+    return m_status != kOk || (!m_isStreamed && !m_contentType.starts_with(kEventStream));
+}
+
+// A second head inside a stream would be read as a part of the answer, and what another engine says of a part that the
+// caller never saw is no answer to its question.
+bool ChatStreamRelay::canEndAsItBegan() const
+{
+    return !isPassedAsItIs() || (!m_isStreaming && !hasDelivered());
+}
+
 // An answer may end without an event, and its stream is begun by its end then.
 boost::asio::awaitable<absl::Status> ChatStreamRelay::beginStream()
 {
@@ -117,16 +136,18 @@
 
 boost::asio::awaitable<absl::Status> ChatStreamRelay::finish()
 {
-    if (m_status != kOk && m_isStreaming) {
-        // A second head inside a stream would be read as a part of the answer.
+    if (!canEndAsItBegan()) {
         co_return withUnknownOutcome(
             makeFailure(FailureCode::EndpointFailed, "the endpoint refused to go on with the answer"));
     }
-    if (m_status != kOk) {
+    if (isPassedAsItIs()) {
         HttpResponse response{m_status, HttpHeaders{{"Content-Type", m_contentType}}, std::move(m_errorBody)};
         response.headers.add("X-Request-Id", m_requestId);
         co_return co_await m_exchange.respond(std::move(response));
     }
+    if (!m_isStreamed) {
+        co_return co_await respondWhole();
+    }
     if (const absl::Status status = co_await beginStream(); !status.ok()) {
         co_return status;
     }
@@ -138,6 +159,21 @@
     co_return co_await m_exchange.endStream();
 }
 
+boost::asio::awaitable<absl::Status> ChatStreamRelay::respondWhole()
+{
+    WholeAnswer answer;
+    for (const SseEvent &event : eventsIn(m_delivered)) {
+        answer.add(event.data);
+    }
+    absl::StatusOr<std::string> body = answer.body();
+    if (!body.ok()) {
+        co_return body.status();
+    }
+    HttpResponse response{kOk, HttpHeaders{{"Content-Type", "application/json"}}, std::move(*body)};
+    response.headers.add("X-Request-Id", m_requestId);
+    co_return co_await m_exchange.respond(std::move(response));
+}
+
 boost::asio::awaitable<void> ChatStreamRelay::fail(const absl::Status &status)
 {
     if (!m_isStreaming) {
@@ -148,6 +184,17 @@
     (void)co_await m_exchange.endStream();
 }
 
+bool ChatStreamRelay::restart()
+{
+    if (m_isStreaming) {
+        return false;
+    }
+    m_delivered.clear();
+    m_priorTokens = 0;
+    beginContinuation();
+    return true;
+}
+
 bool ChatStreamRelay::hasDelivered() const
 {
     return !m_delivered.empty();
@@ -231,8 +278,7 @@
 {
     Json json = Json::parse(data, nullptr, false);
     const Json *delta = deltaOf(json);
-    const bool isOpening =
-        delta != nullptr && delta->contains("role") && delta->value("content", std::string()).empty();
+    const bool isOpening = delta != nullptr && delta->contains("role") && contentOf(data).empty();
     if (isOpening) {
         return {};
     }
--- a/src/entry/plainrelay.cpp
+++ b/src/entry/plainrelay.cpp
@@ -36,9 +36,10 @@
     (void)co_await m_exchange.respond(errorResponse(status, m_requestId));
 }
 
-bool PlainRelay::hasDelivered() const
+bool PlainRelay::restart()
 {
-    return false;
+    m_response.body.clear();
+    return true;
 }
 
 }
--- a/src/entry/plainrelay.h
+++ b/src/entry/plainrelay.h
@@ -15,7 +15,7 @@
     boost::asio::awaitable<absl::Status> append(std::string data) override;
     boost::asio::awaitable<absl::Status> finish() override;
     boost::asio::awaitable<void> fail(const absl::Status &status) override;
-    bool hasDelivered() const override;
+    bool restart() override;
 
 private:
     HttpExchange &m_exchange;
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -44,8 +44,9 @@
     , m_plan(std::move(plan))
     , m_deadline(services.timers.now() + std::chrono::milliseconds(m_plan.deadlineMilliseconds))
 {
-    if (m_plan.chat && m_plan.isStreamed) {
-        auto relay = std::make_unique<ChatStreamRelay>(exchange, m_plan.request.value(), m_plan.chat->wantsUsage());
+    if (m_plan.chat) {
+        auto relay = std::make_unique<ChatStreamRelay>(exchange, m_plan.request.value(), m_plan.isStreamed,
+                                                       m_plan.chat->wantsUsage());
         m_stream = relay.get();
         m_relay = std::move(relay);
     } else {
@@ -85,8 +86,7 @@
             co_return co_await m_relay->finish();
         }
         // A part that was delivered from one attempt's answer can't be gone on with from another's: their bytes differ.
-        const bool isBound = m_relay->hasDelivered();
-        if (end == AttemptEnd::GivenUp || isBound || m_services.timers.now() >= patience) {
+        if (end == AttemptEnd::GivenUp || m_services.timers.now() >= patience || !m_relay->restart()) {
             m_mayHaveRun = true;
             co_return endOfFailedRun();
         }
@@ -366,7 +366,7 @@
     run.set_target(m_plan.target);
     run.set_content_type(m_plan.contentType);
     run.set_chat(m_plan.chat.has_value());
-    run.set_stream(m_plan.isStreamed);
+    run.set_stream(m_plan.chat.has_value());
     run.set_non_idempotent(m_plan.isNonIdempotent);
     run.set_priority(m_plan.priority);
     run.set_prompt_tokens_bound(m_plan.promptTokens);
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -75,7 +75,7 @@
     RunPlan m_plan;
     Instant m_deadline;
     std::unique_ptr<AnswerRelay> m_relay;
-    /// The same object as m_relay where the answer is a streamed chat, which a later attempt can go on with.
+    /// The same object as m_relay where the answer is a chat, which a later attempt can go on with.
     ChatStreamRelay *m_stream = nullptr;
     std::unique_ptr<HomeSession> m_home;
     GatePass m_pass;
--- a/src/libradishswitch/chatrequest.cpp
+++ b/src/libradishswitch/chatrequest.cpp
@@ -178,9 +178,11 @@
     Json json = Json::parse(m_body);
     json.erase("max_completion_tokens");
     json["max_tokens"] = m_maximumTokens;
-    if (m_isStreamed) {
-        json["stream_options"]["include_usage"] = true;
+    json["stream"] = true;
+    if (!json["stream_options"].is_object()) {
+        json["stream_options"] = Json::object();
     }
+    json["stream_options"]["include_usage"] = true;
     return json.dump();
 }
 
--- a/src/libradishswitch/chatrequest.h
+++ b/src/libradishswitch/chatrequest.h
@@ -21,6 +21,8 @@
     static absl::StatusOr<ChatRequest> parse(std::string_view body);
 
     const std::string &model() const;
+
+    /// Whether the caller asked for a stream; the engine always is.
     bool isStreamed() const;
 
     /// Whether the caller itself asked for the usage at a stream's end.
@@ -38,8 +40,9 @@
     /// All message texts in order, for the hashes of prompt prefixes.
     const std::string &promptText() const;
 
-    /// The body for the engine: the bound on the answer filled in and, in a stream, the usage asked for, since the
-    /// bill is made from it.
+    /// The body for the engine: the bound on the answer filled in, and always a stream with the usage at its end. An
+    /// engine that has fallen silent shows in a stream within seconds, in a whole answer only at the deadline; the bill
+    /// is made from the usage.
     std::string engineBody() const;
 
     /// The body that continues an answer of which `delivered` has reached the caller in `deliveredTokens` tokens.
--- a/tests/core/chatrequest_test.cpp
+++ b/tests/core/chatrequest_test.cpp
@@ -59,6 +59,18 @@
     EXPECT_EQ(request->worstCaseTokens(), request->promptTokensBound() + 5);
 }
 
+// A whole answer sends no byte before its end, so an engine that fell silent would show only at the deadline.
+TEST(ChatRequestTest, engineBody_callerAsksForNoStream_asksForAStreamWithUsage)
+{
+    const absl::StatusOr<ChatRequest> request = ChatRequest::parse(kBody);
+    EXPECT_FALSE(request->isStreamed());
+    for (const std::string &body : {request->engineBody(), request->continuationBody("About two", 2)}) {
+        const auto json = nlohmann::json::parse(body);
+        EXPECT_EQ(json["stream"], true);
+        EXPECT_EQ(json["stream_options"]["include_usage"], true);
+    }
+}
+
 TEST(ChatRequestTest, continuationBody_partDelivered_asksForTheRestOnly)
 {
     const absl::StatusOr<ChatRequest> request = ChatRequest::parse(kBody);
--- a/tests/radishswitch-entry/chatstreamrelay_test.cpp
+++ b/tests/radishswitch-entry/chatstreamrelay_test.cpp
@@ -47,11 +47,24 @@
     /// A relay that has passed the head of an engine's stream.
     ChatStreamRelay streaming(bool passesUsage = false)
     {
-        ChatStreamRelay relay(exchange, "r-1", passesUsage);
+        ChatStreamRelay relay(exchange, "r-1", true, passesUsage);
         relay.setHead(200, "text/event-stream");
         return relay;
     }
 
+    /// The same for a caller who asked for no stream.
+    ChatStreamRelay whole()
+    {
+        ChatStreamRelay relay(exchange, "r-1", false, false);
+        relay.setHead(200, "text/event-stream");
+        return relay;
+    }
+
+    nlohmann::json answer() const
+    {
+        return nlohmann::json::parse(exchange.responses.at(0).body);
+    }
+
     VirtualLoop loop;
     FakeHttpExchange exchange;
 };
@@ -129,7 +142,7 @@
 
 TEST_F(ChatStreamRelayTest, finish_errorOfTheEngine_isPassedAsAWholeAnswer)
 {
-    ChatStreamRelay relay(exchange, "r-1", false);
+    ChatStreamRelay relay(exchange, "r-1", true, false);
     relay.setHead(422, "application/json");
     ASSERT_TRUE(append(relay, R"({"error":)").ok());
     ASSERT_TRUE(append(relay, R"("no"})").ok());
@@ -195,3 +208,87 @@
     exchange.writesUntilGone = 0;
     EXPECT_EQ(failureCode(append(relay, token("c-1", "a"))), FailureCode::ConnectionLost);
 }
+
+TEST_F(ChatStreamRelayTest, finish_notStreamed_putsSplitEventsTogether)
+{
+    const std::string end = R"(data: {"id":"c-1","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]})"
+                            "\n\n";
+    const std::string bytes =
+        opening("c-1") + token("c-1", "a\\u00e9") + token("c-1", "b") + end + usage("c-1") + kDone;
+    const auto expected = nlohmann::json::parse(
+        R"({"id":"c-1","object":"chat.completion","created":5,"choices":[{"index":0,"finish_reason":"stop",
+            "message":{"role":"assistant","content":"a\u00e9b"}}],"usage":{"prompt_tokens":3,"completion_tokens":2}})");
+    for (std::size_t n = 0; n <= bytes.size(); ++n) {
+        exchange = FakeHttpExchange();
+        ChatStreamRelay relay = whole();
+        ASSERT_TRUE(append(relay, bytes.substr(0, n)).ok());
+        ASSERT_TRUE(append(relay, bytes.substr(n)).ok());
+        ASSERT_TRUE(exchange.responses.empty());
+        ASSERT_TRUE(finish(relay).ok());
+        ASSERT_EQ(answer(), expected) << "split at " << n;
+    }
+    EXPECT_TRUE(exchange.begun.empty());
+    EXPECT_EQ(exchange.responses[0].headers.find("Content-Type"), "application/json");
+    EXPECT_EQ(exchange.responses[0].headers.find("X-Request-Id"), "r-1");
+}
+
+TEST_F(ChatStreamRelayTest, finish_notStreamedToolCalls_areMergedByIndex)
+{
+    const auto part = [](const std::string &calls) {
+        return R"(data: {"id":"c-1","choices":[{"index":0,"delta":{"tool_calls":[)" + calls + "]}}]}\n\n";
+    };
+    ChatStreamRelay relay = whole();
+    ASSERT_TRUE(append(relay,
+                       part(R"({"index":0,"id":"t-0","type":"function","function":{"name":"f","arguments":""}})")
+                           + part(R"({"index":1,"id":"t-1","function":{"name":"g","arguments":"{}"}})")
+                           + part(R"({"index":0,"function":{"arguments":"{\"w\":"}})")
+                           + part(R"({"index":0,"function":{"arguments":"2}"}})"))
+                    .ok());
+    ASSERT_TRUE(finish(relay).ok());
+    EXPECT_EQ(answer()["choices"][0]["message"], nlohmann::json::parse(R"({"role":"assistant","content":null,
+        "tool_calls":[{"id":"t-0","type":"function","function":{"name":"f","arguments":"{\"w\":2}"}},
+                      {"id":"t-1","function":{"name":"g","arguments":"{}"}}]})"));
+}
+
+TEST_F(ChatStreamRelayTest, finish_notStreamedErrorOfTheEngine_isPassedAsItIs)
+{
+    ChatStreamRelay relay = whole();
+    relay.setHead(422, "application/json");
+    ASSERT_TRUE(append(relay, R"({"error":"no"})").ok());
+    ASSERT_TRUE(finish(relay).ok());
+    EXPECT_EQ(exchange.responses.at(0).status, 422);
+    EXPECT_EQ(exchange.responses.at(0).body, R"({"error":"no"})");
+}
+
+// The engine breaks off with an error event inside a good stream. The caller must not take the part for the whole.
+TEST_F(ChatStreamRelayTest, finish_notStreamedErrorEvent_isATypedFailure)
+{
+    ChatStreamRelay relay = whole();
+    ASSERT_TRUE(append(relay, token("c-1", "a") + "data: {\"error\":{\"message\":\"gone\"}}\n\n").ok());
+    EXPECT_EQ(failureCode(finish(relay)), FailureCode::EndpointFailed);
+    EXPECT_TRUE(exchange.responses.empty());
+}
+
+TEST_F(ChatStreamRelayTest, restart_onlyBeforeTheCallerHasAPart)
+{
+    ChatStreamRelay kept = whole();
+    ASSERT_TRUE(append(kept, token("c-1", "a")).ok());
+    EXPECT_TRUE(kept.restart());
+    EXPECT_EQ(kept.deliveredBytes(), "");
+    ChatStreamRelay sent = streaming();
+    ASSERT_TRUE(append(sent, token("c-1", "a")).ok());
+    EXPECT_FALSE(sent.restart());
+    EXPECT_EQ(sent.deliveredText(), "a");
+}
+
+// Some engines open an answer with a content of null. One that goes on with an answer must not end it by that.
+TEST_F(ChatStreamRelayTest, beginContinuation_openingWithNullContent_isLeftOut)
+{
+    ChatStreamRelay relay = whole();
+    ASSERT_TRUE(append(relay, token("c-1", "a")).ok());
+    relay.beginContinuation();
+    const std::string null = R"(data: {"choices":[{"index":0,"delta":{"role":"assistant","content":null}}]})";
+    ASSERT_TRUE(append(relay, null + "\n\n" + token("c-2", "b")).ok());
+    EXPECT_EQ(relay.deliveredBytes().find("null"), std::string::npos);
+    EXPECT_EQ(relay.deliveredText(), "ab");
+}
--- a/tests/radishswitch-entry/requestsession_test.cpp
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -96,6 +96,47 @@
     EXPECT_EQ(homes.settlements[0].chargedTokens, 30);
 }
 
+// The same where the caller asked for no stream: it waits, and gets one whole answer, with one usage and one bill.
+TEST_F(RequestSessionTest, run_engineFailsInAWholeAnswer_isContinuedOnOneBill)
+{
+    RunPlan plan = chatPlan();
+    plan.chat = *ChatRequest::parse(R"({"model":"quilt","messages":[{"role":"user","content":"hi"}],"max_tokens":80})");
+    plan.body = plan.chat->engineBody();
+    plan.isStreamed = false;
+    const std::string begun = token("c-1", "one ") + token("c-1", "two ");
+    const std::string usage = R"(data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":1}})"
+                              "\n\n";
+    const absl::Status status = serve(plan, [&](int n, const StreamPointer &agent, const std::string &attempt) {
+        if (n == 0) {
+            agent->deliver(head(attempt));
+            agent->deliver(chunk(attempt, 0, begun + "data: {\"id\""));
+            agent->deliver(failed(attempt, makeFailure(FailureCode::EndpointFailed, "the engine died")));
+            return;
+        }
+        wire::RunUpdate accepted;
+        accepted.set_attempt_id(attempt);
+        accepted.mutable_accepted()->set_attempt_id(attempt);
+        accepted.mutable_accepted()->set_prior_completion_tokens(2);
+        agent->deliver(accepted);
+        agent->deliver(head(attempt));
+        agent->deliver(chunk(attempt, begun.size(), token("c-2", "three") + usage));
+        agent->deliver(done(attempt, 10));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    ASSERT_EQ(runsSent().size(), 2u);
+    EXPECT_TRUE(runsSent()[0].stream());
+    EXPECT_EQ(runsSent()[1].prior_answer(), begun);
+    EXPECT_TRUE(exchange.begun.empty());
+    ASSERT_EQ(exchange.responses.size(), 1u);
+    const auto answer = nlohmann::json::parse(exchange.responses[0].body);
+    EXPECT_EQ(answer["id"], "c-1");
+    EXPECT_EQ(answer["choices"][0]["message"]["content"], "one two three");
+    EXPECT_EQ(answer["usage"]["prompt_tokens"], 7);
+    EXPECT_EQ(answer["usage"]["completion_tokens"], 3);
+    ASSERT_EQ(homes.settlements.size(), 1u);
+    EXPECT_EQ(homes.settlements[0].chargedTokens, 10);
+}
+
 // A blind order was sent and its agent cannot be reached any more: it may have run. A second copy could order a second
 // blind. So it is never sent again, and the caller is told that the outcome is unknown; the home goes on to find out.
 TEST_F(RequestSessionTest, run_orderWhoseAgentIsUnreachable_isOfUnknownOutcomeAndNotSentTwice)
