--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -100,7 +100,7 @@
         m_services.gate.enter(m_plan, m_deadline, std::move(done));
     });
     if (!pass.ok()) {
-        co_return pass.status();
+        co_return m_plan.isKeyed ? withUnknownOutcome(pass.status()) : pass.status();
     }
     m_pass = std::move(*pass);
     co_return absl::OkStatus();
@@ -336,12 +336,21 @@
     }
 }
 
+// "Not run" is told of the request, not of this try. An earlier try with the same key may have run and failed before
+// the home let this one run again; a caller who then read "not run" was told something untrue. A call that may run once
+// only is granted once only, so there this try is all there was.
+bool RequestSession::isProvedByThisTry() const
+{
+    return !m_plan.isKeyed || m_plan.isNonIdempotent;
+}
+
 absl::Status RequestSession::endOfFailedRun()
 {
     const FailureCode code = m_lastFailure.ok() ? FailureCode::EndpointFailed : failureCode(m_lastFailure);
     const std::string message = m_lastFailure.ok() ? "the run failed" : std::string(m_lastFailure.message());
     if (!m_mayHaveRun) {
-        return makeFailure(code, message, retryAfterOf(m_lastFailure).value_or(kComeBackSoon));
+        const absl::Status status = makeFailure(code, message, retryAfterOf(m_lastFailure).value_or(kComeBackSoon));
+        return isProvedByThisTry() ? status : withUnknownOutcome(status);
     }
     if (m_plan.isNonIdempotent) {
         return withUnknownOutcome(makeFailure(FailureCode::OutcomeUnknown, message));
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -66,6 +66,7 @@
     boost::asio::awaitable<AttemptEnd> makeSureNotRunning(const RouteChoice &choice);
     boost::asio::awaitable<void> settle(Settlement settlement);
     absl::Status endOfFailedRun();
+    bool isProvedByThisTry() const;
     boost::asio::awaitable<bool> waitToRetry(bool isProvedNotStarted);
     wire::RunRequest runRequest(const Grant &grant, const RouteChoice &choice) const;
     void note(std::string text);
--- a/tests/radishswitch-entry/chatstreamrelay_test.cpp
+++ b/tests/radishswitch-entry/chatstreamrelay_test.cpp
@@ -280,3 +280,15 @@
     EXPECT_FALSE(sent.restart());
     EXPECT_EQ(sent.deliveredText(), "a");
 }
+
+// Some engines open an answer with a content of null. One that goes on with an answer must not end it by that.
+TEST_F(ChatStreamRelayTest, beginContinuation_openingWithNullContent_isLeftOut)
+{
+    ChatStreamRelay relay = whole();
+    ASSERT_TRUE(append(relay, token("c-1", "a")).ok());
+    relay.beginContinuation();
+    const std::string null = R"(data: {"choices":[{"index":0,"delta":{"role":"assistant","content":null}}]})";
+    ASSERT_TRUE(append(relay, null + "\n\n" + token("c-2", "b")).ok());
+    EXPECT_EQ(relay.deliveredBytes().find("null"), std::string::npos);
+    EXPECT_EQ(relay.deliveredText(), "ab");
+}
