Tell not run of a keyed request only where it is proved of the request

A keyed question whose earlier try had run and failed was tried again; this try was barred everywhere and the caller was told "not run", which is told of the request and not of the try.

--- a/tests/radishswitch-entry/requestsession_test.cpp
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -204,6 +204,22 @@
     EXPECT_EQ(homes.settlements[0].chargedTokens, 0);
 }
 
+// A question with a key is tried again after its first try had run and failed; this try is barred everywhere. Told "not
+// run", the caller would take the request for one that never ran; 10 callers were, while connections were swallowed.
+TEST_F(RequestSessionTest, run_keyedQuestionBarredEverywhere_isOfUnknownOutcome)
+{
+    RunPlan plan = chatPlan();
+    plan.isKeyed = true;
+    const absl::Status status = serve(plan, [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(refused(attempt, makeFailure(FailureCode::EndpointLeaving, "leaving")));
+    });
+    EXPECT_EQ(outcomeOf(status), RunOutcome::Unknown);
+    EXPECT_EQ(error().at("outcome"), "unknown");
+    EXPECT_TRUE(exchange.responses[0].headers.find("Retry-After"));
+    ASSERT_EQ(homes.settlements.size(), 1u);
+    EXPECT_TRUE(homes.settlements[0].isNotRun);
+}
+
 // The first agent proved that the order did not start; then the home cannot note a further attempt, so none is sent.
 // Nothing ran, and the caller must be told just that: "unknown" would leave it with an order it dare not repeat.
 TEST_F(RequestSessionTest, run_homeCannotNoteAFurtherAttempt_isToldAsNotRun)
