--- a/src/entry/homeservice.cpp
+++ b/src/entry/homeservice.cpp
@@ -63,10 +63,13 @@
     void admit(const wire::AdmitRequest &message)
     {
         const AdmitQuestion question = admitQuestionFromWire(message, m_timers.now());
-        m_session->admit(question, [self = shared_from_this(), budget = question.budget](
-                                       const absl::StatusOr<AdmitDecision> &decision) {
-            self->m_tasks.post([self, budget, decision] { self->sendDecision(budget, decision); });
-        });
+        m_session->admit(
+            question,
+            [self = shared_from_this(), budget = question.budget](const absl::StatusOr<AdmitDecision> &decision) {
+                self->m_tasks.post([self, budget, decision] {
+                    self->sendDecision(budget, decision);
+                });
+            });
     }
 
     void sendDecision(const BudgetId &budget, const absl::StatusOr<AdmitDecision> &decision)
@@ -138,7 +141,9 @@
 
 void HomeService::serve(Http2MessageServer &server)
 {
-    server.handle("/home", [this](MessageStreamPointer stream) { serveStream(std::move(stream)); });
+    server.handle("/home", [this](MessageStreamPointer stream) {
+        serveStream(std::move(stream));
+    });
 }
 
 void HomeService::serveStream(MessageStreamPointer stream)
--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/heldbudget.cpp
@@ -14,7 +14,6 @@
 /// A few requests in a shorter time say little about the use to come.
 constexpr Duration kShortestAverage = std::chrono::seconds(5);
 
-
 double secondsOf(Duration span)
 {
     return std::chrono::duration<double>(span).count();
--- a/tests/radishswitch-entry/homeservice_test.cpp
+++ b/tests/radishswitch-entry/homeservice_test.cpp
@@ -36,8 +36,8 @@
     Monitor monitor;
     MonitoredTaskQueue tasks{fleet.tasks, monitor};
     std::unique_ptr<SmallEntry> owner = fleet.makeEntry("entry-1");
-    SmallEntry asked{"entry-2",  fleet.timers,  tasks,        fleet.store,         fleet.agents,
-                     fleet.courier, HomeSettings(), SmallFleet::kTokens, 77};
+    SmallEntry asked{"entry-2",      fleet.timers,        tasks, fleet.store, fleet.agents, fleet.courier,
+                     HomeSettings(), SmallFleet::kTokens, 77};
     HomeService service{*asked.home, monitor, fleet.timers, fleet.tasks};
 };
 
