--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -288,7 +288,9 @@
     ask "${address_of[platform]}" '/objects?prefix=ledger/' >"$work/ledger.json" || fail "no ledger to read"
 }
 
-# judge NAME...: holds the records against one another; figures go to $work/truth.json. NAMEs are the load's logs.
+# judge NAME...: holds the records against one another; figures go to $work/truth.json, or where `verdict` says. NAMEs
+# are the load's logs.
+verdict=truth
 judge()
 {
     local flags=() file
@@ -301,7 +303,7 @@
     for file in warm "$@"; do
         flags+=(--log "$work/$file.log")
     done
-    "$measure" truth "${flags[@]}" --ledger "$work/ledger.json" --events "$work/events" >"$work/truth.json" \
+    "$measure" truth "${flags[@]}" --ledger "$work/ledger.json" --events "$work/events" >"$work/$verdict.json" \
         || fail "the records can't be read"
 }
 
--- a/scripts/scenarios/speed.sh
+++ b/scripts/scenarios/speed.sh
@@ -58,14 +58,14 @@
     small_agent_cpu_seconds small_entry_cpu_seconds streams_entry_cpu_seconds streams_agent_cpu_seconds; do
     picks+=(--pick "$figure")
 done
-report "${figures[@]}" --numbers "=$work/direct.json" \
+report "${figures[@]}" --numbers "direct=$work/direct.json" \
     --figure "small_per_entry_core=small_requests_per_second*small_seconds/small_entry_cpu_seconds" \
     --figure "small_per_agent_core=small_requests_per_second*small_seconds/small_agent_cpu_seconds" \
     --figure "streams_tokens_per_entry_core=streams_tokens_per_second*streams_seconds/streams_entry_cpu_seconds" \
     --figure "streams_tokens_per_agent_core=streams_tokens_per_second*streams_seconds/streams_agent_cpu_seconds" \
-    --figure "added_ttft_p50_ms=calm_ttft_p50_ms-direct_ttft_p50_ms" \
-    --figure "added_ttft_p99_ms=calm_ttft_p99_ms-direct_ttft_p99_ms" \
-    --figure "added_gap_p95_ms=calm_gap_p95_ms-direct_gap_p95_ms" \
+    --figure "added_ttft_p50_ms=calm_ttft_p50_ms-direct_direct_ttft_p50_ms" \
+    --figure "added_ttft_p99_ms=calm_ttft_p99_ms-direct_direct_ttft_p99_ms" \
+    --figure "added_gap_p95_ms=calm_gap_p95_ms-direct_direct_gap_p95_ms" \
     --figure "open_streams=$streams" --figure "kb_per_open_stream=$stream_kb/$streams" \
     "${picks[@]}" "${promises[@]}" \
     --aim 'small_per_entry_core >= 4000' --aim 'streams_tokens_per_entry_core >= 250000' \
--- a/src/measure/runtruth.cpp
+++ b/src/measure/runtruth.cpp
@@ -112,6 +112,10 @@
         truth.silentRefusals += it->outcome == TryOutcome::Refused && it->told == ToldOutcome::Nothing ? 1 : 0;
         truth.wrongUsage += it->isUsageRight ? 0 : 1;
     }
+    for (const WorkRecord *it : request.work) {
+        truth.promptTokens += it->promptTokens;
+        truth.cachedTokens += it->cachedTokens;
+    }
 }
 
 std::int64_t countLateWork(const TruthRecords &records)
--- a/src/measure/runtruth.h
+++ b/src/measure/runtruth.h
@@ -33,6 +33,9 @@
     std::int64_t wrongContinuations = 0;
     std::int64_t strayRuns = 0;
     std::int64_t wrongUsage = 0;
+    /// Prompt tokens of the load's runs, and those of them that the engines' prefix caches had.
+    std::int64_t promptTokens = 0;
+    std::int64_t cachedTokens = 0;
 
     bool operator==(const RunTruth &) const = default;
 };
--- a/src/measure/truthcommand.cpp
+++ b/src/measure/truthcommand.cpp
@@ -59,6 +59,8 @@
         {"wrong_continuations", runs.wrongContinuations},
         {"wrong_usage", runs.wrongUsage},
         {"stray_runs", runs.strayRuns},
+        {"prompt_tokens", runs.promptTokens},
+        {"cached_tokens", runs.cachedTokens},
         {"paid_tokens", spend.paidTokens},
         {"spent_tokens", spend.spentTokens},
         {"told_tokens", spend.toldTokens},
--- a/src/measure/truthreader.cpp
+++ b/src/measure/truthreader.cpp
@@ -73,6 +73,7 @@
     if (isChat) {
         run.at("prompt_tokens").get_to(record.promptTokens);
         run.at("completion_tokens").get_to(record.completionTokens);
+        run.at("cached_tokens").get_to(record.cachedTokens);
         run.at("continued_tokens").get_to(record.continuedTokens);
         run.at("continuation_wrong").get_to(record.isContinuationWrong);
     }
--- a/src/measure/truthrecords.h
+++ b/src/measure/truthrecords.h
@@ -19,6 +19,8 @@
     bool isDone = false;
     std::int64_t promptTokens = 0;
     std::int64_t completionTokens = 0;
+    /// Prompt tokens that the engine did not have to read.
+    std::int64_t cachedTokens = 0;
     /// Tokens of the answer before those that this run made.
     std::int64_t continuedTokens = 0;
     bool isContinuationWrong = false;
--- a/tests/standins/truth_test.cpp
+++ b/tests/standins/truth_test.cpp
@@ -346,12 +346,14 @@
 TEST(TruthReaderTest, runWrittenTwice_read_countsAsItStoodLast)
 {
     TruthReader reader;
-    const std::string line = R"({"run":0,"endpoint":"e","content_hash":"h","state":"running","prompt_tokens":4,)"
-                             R"("completion_tokens":0,"continued_tokens":0,"continuation_wrong":false,)"
-                             R"("start_us":1,"end_us":0})";
-    const std::string later = R"({"run":0,"endpoint":"e","content_hash":"h","state":"done","prompt_tokens":4,)"
-                              R"("completion_tokens":9,"continued_tokens":0,"continuation_wrong":false,)"
-                              R"("start_us":1,"end_us":5})";
+    const std::string line =
+        R"({"run":0,"endpoint":"e","content_hash":"h","state":"running","prompt_tokens":4,)"
+        R"("completion_tokens":0,"cached_tokens":0,"continued_tokens":0,"continuation_wrong":false,)"
+        R"("start_us":1,"end_us":0})";
+    const std::string later =
+        R"({"run":0,"endpoint":"e","content_hash":"h","state":"done","prompt_tokens":4,)"
+        R"("completion_tokens":9,"cached_tokens":0,"continued_tokens":0,"continuation_wrong":false,)"
+        R"("start_us":1,"end_us":5})";
 
     ASSERT_TRUE(reader.addRuns(line + "\n" + later + "\n", true).ok());
     ASSERT_TRUE(reader.addRuns("{\"runs\":[" + later + "]}", true).ok());
