--- a/src/libradishswitch/fairqueue.h
+++ b/src/libradishswitch/fairqueue.h
@@ -7,7 +7,6 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
 
-#include <compare>
 #include <deque>
 #include <functional>
 #include <map>
@@ -88,7 +87,10 @@
         double start = 0;
         OrganisationId organisation;
 
-        auto operator<=>(const Head &) const = default;
+        bool operator<(const Head &other) const
+        {
+            return start != other.start ? start < other.start : organisation < other.organisation;
+        }
     };
 
     /// One priority: a line for each organisation, and the lines by the virtual start of their heads.
--- a/src/libradishswitch/fleetmembership.cpp
+++ b/src/libradishswitch/fleetmembership.cpp
@@ -94,6 +94,17 @@
     return liveOf(region).size();
 }
 
+std::optional<std::size_t> FleetMembership::rankOf(const IncarnationId &incarnation) const
+{
+    const auto it = m_members.find(incarnation);
+    if (it == m_members.end() || !it->second->isLive) {
+        return std::nullopt;
+    }
+    const std::vector<LiveEntry> &live = liveOf(it->second->member.region);
+    const auto place = std::ranges::find(live, it->second.get(), &LiveEntry::state);
+    return static_cast<std::size_t>(place - live.begin());
+}
+
 std::optional<EntryMember> FleetMembership::homeOf(std::uint32_t shard, const std::string &region) const
 {
     const std::vector<LiveEntry> &live = liveOf(region);
--- a/src/libradishswitch/fleetmembership.h
+++ b/src/libradishswitch/fleetmembership.h
@@ -66,6 +66,9 @@
 
     std::size_t liveCount(const std::string &region) const;
 
+    /// The place of an entry among the live ones of its region, from zero; nothing when it is not live.
+    std::optional<std::size_t> rankOf(const IncarnationId &incarnation) const;
+
     /// The live entry of the region that has this shard; nothing when none lives there.
     std::optional<EntryMember> homeOf(std::uint32_t shard, const std::string &region) const;
 
--- a/tests/core/fleetmembership_test.cpp
+++ b/tests/core/fleetmembership_test.cpp
@@ -91,6 +91,8 @@
 
     EXPECT_EQ(live(), (std::vector<std::string>{"a:7000", "b:7000"}));
     EXPECT_EQ(m_membership.liveCount("mu-plaines"), 0u);
+    EXPECT_EQ(m_membership.rankOf(IncarnationId("b-first")), 1u);
+    EXPECT_EQ(m_membership.rankOf(IncarnationId("c-first")), std::nullopt);
 }
 
 TEST_F(FleetMembershipTest, liveEntries_silentLostOrListedAsLeaving_areLeftOut)
