--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -31,6 +31,8 @@
     kept=${2:-}
     if [ -n "$kept" ]; then
         mkdir -p "$kept"
+        # Records are appended to: those of an earlier run would be judged as runs of this one.
+        [ -z "$(ls -A "$kept")" ] || fail "$kept is not empty"
         work=$kept
     else
         work=$(mktemp -d)
