--- a/scripts/scenarios/partition.sh
+++ b/scripts/scenarios/partition.sh
@@ -87,7 +87,6 @@
 stop_entries entry-south-1 entry-south-2 entry-north-1 entry-north-2
 gather
 judge south north
-# What a side left open, since it could not ask the other, served its caller no better than a refusal.
-report --figure unserved=false_refusals+unknown_outcomes --figure share_of_split=unserved/split_false_refusals \
-    --figure share_of_store=unserved/store_false_refusals "${promises[@]}" \
+report --figure share_of_split=false_refusals/split_false_refusals \
+    --figure share_of_store=false_refusals/store_false_refusals "${promises[@]}" \
     --aim 'share_of_split <= 0.333' --aim 'share_of_store <= 1'
--- a/src/measure/spendtruth.cpp
+++ b/src/measure/spendtruth.cpp
@@ -141,12 +141,15 @@
     }
 }
 
-bool isFalseRefusal(const TruthRecords &records, const BudgetHistory &budget, const TryRecord &refusal,
+bool isFalseRefusal(const TruthRecords &records, const BudgetHistory &budget, const RequestHistory &request,
                     std::int64_t cost)
 {
+    const TryRecord &refusal = request.last();
     const RefusalGround ground = groundOf(refusal);
-    // An answer that leaves the outcome open refuses nothing; it is judged as a lost answer.
-    if (ground == RefusalGround::Limit || refusal.told == ToldOutcome::Unknown) {
+    // A request that ran, and whose outcome was left open, was not refused; it is judged as a lost answer. One that
+    // never ran was refused, however the refusal put it.
+    const bool isOpen = refusal.told == ToldOutcome::Unknown && !request.work.empty();
+    if (ground == RefusalGround::Limit || isOpen) {
         return false;
     }
     const std::int64_t left = budget.paidAt(refusal.endTime) - budget.spentBy(refusal.endTime);
@@ -179,10 +182,10 @@
             continue;
         }
         ++truth.refusals;
-        if (isFalseRefusal(records, budgets[last.budget], last, last.trueCostTokens)) {
+        if (isFalseRefusal(records, budgets[last.budget], request, last.trueCostTokens)) {
             ++truth.falseRefusalsAtTrueCost;
         }
-        if (isFalseRefusal(records, budgets[last.budget], last, last.worstCaseTokens)) {
+        if (isFalseRefusal(records, budgets[last.budget], request, last.worstCaseTokens)) {
             ++truth.falseRefusals;
             ++truth.falseRefusalsByCode[last.code];
         }
--- a/tests/standins/truth_test.cpp
+++ b/tests/standins/truth_test.cpp
@@ -316,13 +316,23 @@
     EXPECT_EQ(judge(records).spend.refusals, 1);
 }
 
-TEST(TruthRecordsTest, refusalsForLimitsOrWithOpenOutcome_judged_areNotFalse)
+TEST(TruthRecordsTest, refusalForALimit_judged_isNotFalse)
 {
     TruthRecords records = goodRecords();
     records.tries.push_back(refusedTry("chat-3", "ceiling_reached", ToldOutcome::NotRun, 4 * kSecond));
-    records.tries.push_back(refusedTry("chat-4", "home_unreachable", ToldOutcome::Unknown, 4 * kSecond));
 
     EXPECT_EQ(judge(records).spend.falseRefusals, 0);
+}
+
+TEST(TruthRecordsTest, openOutcome_judged_isARefusalOnlyIfNothingRan)
+{
+    TruthRecords records = goodRecords();
+    records.tries.push_back(refusedTry("chat-3", "home_unreachable", ToldOutcome::Unknown, 4 * kSecond));
+    EXPECT_EQ(judge(records).spend.falseRefusals, 1);
+    EXPECT_EQ(judge(records).runs.lostOrMixedAnswers, 1);
+
+    records.work.push_back(workFor(records.tries.back(), 9));
+    EXPECT_EQ(judge(records).spend.falseRefusals, 0);
     EXPECT_EQ(judge(records).runs.lostOrMixedAnswers, 1);
 }
 
