--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -141,6 +141,14 @@
 }
 declare -A control_of=()
 
+# strike RELAY JSON: a fault that must hit connections that are open; where none is, the run would show nothing.
+strike()
+{
+    local answer
+    answer=$(ask "${address_of[$1]}" /standin/faults "$2") || fail "no fault at $1: $2"
+    [[ $answer != *'"connections":0,'* ]] || fail "$1 has no open connections to strike with $2"
+}
+
 # wait_for SECONDS COMMAND...: until the command succeeds.
 wait_for()
 {
--- a/scripts/scenarios/partition.sh
+++ b/scripts/scenarios/partition.sh
@@ -60,8 +60,8 @@
 sleep $step
 note "the regions are cut from each other"
 event fault partition
-fault relay '{"group":"south","from":"127.0.2.","swallow":"both","swallow_new":true}'
-fault relay '{"group":"north","from":"127.0.1.","swallow":"both","swallow_new":true}'
+strike relay '{"group":"south","from":"127.0.2.","swallow":"both","swallow_new":true}'
+strike relay '{"group":"north","from":"127.0.1.","swallow":"both","swallow_new":true}'
 sleep $step
 for name in magnolia tourbillon; do
     top_up "$name/main" 6000
@@ -69,7 +69,7 @@
 sleep $step
 note "and from the store"
 event store_down platform
-fault relay '{"group":"platform","swallow":"both","swallow_new":true}'
+strike relay '{"group":"platform","swallow":"both","swallow_new":true}'
 sleep $step
 for name in magnolia tourbillon; do
     top_up "$name/main" 6000
--- a/scripts/scenarios/silent.sh
+++ b/scripts/scenarios/silent.sh
@@ -37,7 +37,7 @@
 for group in agents engines platform agents; do
     sleep $((seconds / 6))
     event fault "$group"
-    fault relay "{\"group\":\"$group\",\"swallow\":\"both\"}"
+    strike relay "{\"group\":\"$group\",\"swallow\":\"both\"}"
     swallowed=$((swallowed + 1))
 done
 end_load silent
--- a/src/standins/relay/relaylink.cpp
+++ b/src/standins/relay/relaylink.cpp
@@ -96,16 +96,19 @@
     return m_settings;
 }
 
-void RelayLink::apply(const FaultOrder &order)
+int RelayLink::apply(const FaultOrder &order)
 {
     m_order = order;
+    int n = 0;
     for (const auto &weak : m_connections) {
         const auto connection = weak.lock();
-        if (connection && connection->isFrom(order.from)) {
+        if (connection && connection->isOpen() && connection->isFrom(order.from)) {
             connection->swallow(order.swallow);
             strike(*connection);
+            ++n;
         }
     }
+    return n;
 }
 
 void RelayLink::strike(RelayConnection &connection) const
--- a/src/standins/relay/relaylink.h
+++ b/src/standins/relay/relaylink.h
@@ -42,7 +42,8 @@
     std::string address() const;
 
     const LinkSettings &settings() const;
-    void apply(const FaultOrder &order);
+    /// Gives how many open connections the order struck.
+    int apply(const FaultOrder &order);
     int openConnections() const;
 
 private:
--- a/src/standins/relay/relayserver.cpp
+++ b/src/standins/relay/relayserver.cpp
@@ -50,19 +50,20 @@
     if (!order.ok()) {
         return errorResponse(400, "invalid_request", std::string(order.status().message()));
     }
-    int n = 0;
+    int links = 0;
+    int connections = 0;
     for (const auto &link : m_links) {
         const bool isMeant = (order->group.empty() || order->group == link->settings().group)
             && (order->link.empty() || order->link == link->address());
         if (isMeant) {
-            link->apply(*order);
-            ++n;
+            connections += link->apply(*order);
+            ++links;
         }
     }
-    if (n == 0) {
+    if (links == 0) {
         return errorResponse(404, "unknown_link", "no such link or group");
     }
-    return jsonResponse(200, nlohmann::json{{"links", n}}.dump());
+    return jsonResponse(200, nlohmann::json{{"links", links}, {"connections", connections}}.dump());
 }
 
 std::string RelayServer::linkList() const
--- a/tests/standins/relaylink_test.cpp
+++ b/tests/standins/relaylink_test.cpp
@@ -57,15 +57,14 @@
         return Connection{std::move(client), m_acceptor.accept()};
     }
 
-    /// On the relay's own thread, as its control door does it.
-    void apply(const std::string &document)
+    /// On the relay's own thread, as its control door does it. Gives how many connections were struck.
+    int apply(const std::string &document)
     {
-        std::promise<void> done;
+        std::promise<int> struck;
         m_workers.post([&] {
-            m_link.apply(*faultOrderOfJson(document));
-            done.set_value();
+            struck.set_value(m_link.apply(*faultOrderOfJson(document)));
         });
-        done.get_future().wait();
+        return struck.get_future().get();
     }
 
     static void send(tcp::socket &from, const std::string &text)
@@ -175,7 +174,7 @@
     Connection far = connect("127.0.0.2");
     const std::string order = R"({"from":"127.0.0.2","swallow":"both","swallow_new":true})";
 
-    apply(order);
+    EXPECT_EQ(apply(order), 1);
     Connection late = connect("127.0.0.2");
     for (Connection *it : {&far, &late, &near}) {
         send(it->client, "a");
