--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -19,6 +19,7 @@
 
 const Log kLog("entry");
 
+constexpr char kAnyAddress[] = "0.0.0.0";
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 constexpr Duration kAgentChangePause = std::chrono::milliseconds(100);
 constexpr Duration kAgentChangeSpread = std::chrono::milliseconds(400);
@@ -32,6 +33,10 @@
 {
     TransportSettings transport;
     transport.fleetKey = settings.fleet.fleetKey;
+    // Connections come from the number on which the entry listens, so that networks and relays see whose they are.
+    if (settings.peerListen.ip() != kAnyAddress) {
+        transport.sourceAddress = settings.peerListen.ip();
+    }
     return transport;
 }
 
