Read a run's request off the wire in one place

Cause: the agent and the golden sessions' agent each had their own copy; a field forgotten in one would make the goldens show another agent than the real one. Change: runStartFromWire beside the other conversions.

--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -18,21 +18,6 @@
 /// A caller whose entry was lost comes back within this time; a leaving agent waits so long for it.
 constexpr Duration kFetchGrace = std::chrono::seconds(5);
 
-RunStart startOf(const wire::RunRequest &request)
-{
-    RunStart start;
-    start.request = RequestId(request.request_id());
-    start.attempt = AttemptId(request.attempt_id());
-    start.portion = PortionId(request.portion_id());
-    start.shard = request.shard();
-    start.epoch = request.epoch();
-    start.reservedTokens = request.reserved_tokens();
-    start.fingerprint = request.fingerprint();
-    start.isNonIdempotent = request.non_idempotent();
-    start.isProvisional = request.provisional();
-    return start;
-}
-
 RunTableSettings tableSettings(const AgentRunsSettings &settings)
 {
     RunTableSettings table = settings.runTable;
@@ -75,7 +60,7 @@
         return refuse(stream, request.attempt_id(),
                       makeFailure(FailureCode::DeadlineExceeded, "the deadline had passed before the run came"));
     }
-    const absl::StatusOr<RunDecision> decision = m_table.start(startOf(request));
+    const absl::StatusOr<RunDecision> decision = m_table.start(runStartFromWire(request));
     if (!decision.ok()) {
         return refuse(stream, request.attempt_id(), decision.status());
     }
--- a/src/libradishnet/wireconversion.cpp
+++ b/src/libradishnet/wireconversion.cpp
@@ -62,6 +62,21 @@
     return record;
 }
 
+RunStart runStartFromWire(const wire::RunRequest &request)
+{
+    RunStart start;
+    start.request = RequestId(request.request_id());
+    start.attempt = AttemptId(request.attempt_id());
+    start.portion = PortionId(request.portion_id());
+    start.shard = request.shard();
+    start.epoch = request.epoch();
+    start.reservedTokens = request.reserved_tokens();
+    start.fingerprint = request.fingerprint();
+    start.isNonIdempotent = request.non_idempotent();
+    start.isProvisional = request.provisional();
+    return start;
+}
+
 wire::PortionCharges portionChargesToWire(const PortionCharges &charges)
 {
     wire::PortionCharges message;
--- a/src/libradishnet/wireconversion.h
+++ b/src/libradishnet/wireconversion.h
@@ -2,6 +2,7 @@
 
 #include "agentport.h"
 #include "failure.h"
+#include "runtable.h"
 #include "wire.h"
 
 #include <absl/status/statusor.h>
@@ -18,6 +19,9 @@
 wire::RunRecord runRecordToWire(const RunRecord &record);
 RunRecord runRecordFromWire(const wire::RunRecord &record);
 
+/// What a run table is asked to start.
+RunStart runStartFromWire(const wire::RunRequest &request);
+
 wire::PortionCharges portionChargesToWire(const PortionCharges &charges);
 PortionCharges portionChargesFromWire(const wire::PortionCharges &charges);
 
--- a/tests/radishswitch-entry/goldenagent.cpp
+++ b/tests/radishswitch-entry/goldenagent.cpp
@@ -14,21 +14,6 @@
 constexpr std::int64_t kPromptTokens = 6;
 constexpr char kEntry[] = "entry-1";
 
-RunStart runStart(const wire::RunRequest &request)
-{
-    RunStart start;
-    start.request = RequestId(request.request_id());
-    start.attempt = AttemptId(request.attempt_id());
-    start.portion = PortionId(request.portion_id());
-    start.shard = request.shard();
-    start.epoch = request.epoch();
-    start.reservedTokens = request.reserved_tokens();
-    start.fingerprint = request.fingerprint();
-    start.isNonIdempotent = request.non_idempotent();
-    start.isProvisional = request.provisional();
-    return start;
-}
-
 std::string chunkOf(const std::string &word, bool isStreamed)
 {
     if (!isStreamed) {
@@ -107,7 +92,7 @@
     run.priorTokens = request.prior_completion_tokens();
     run.answer = request.prior_answer();
     run.readers = {stream};
-    const absl::StatusOr<RunDecision> decision = m_table.start(runStart(request));
+    const absl::StatusOr<RunDecision> decision = m_table.start(runStartFromWire(request));
     if (!decision.ok()) {
         wire::RunUpdate update = updateOf(run);
         *update.mutable_refused() = failureToWire(decision.status());
