--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,5 +1,5 @@
 # Every .cpp and .cc of a folder belongs to that folder's target: one class a file, no lists to keep.
 function(radishswitch_sources variable folder)
-    file(GLOB found CONFIGURE_DEPENDS ${folder}/*.cpp ${folder}/*.cc)
+    file(GLOB found CONFIGURE_DEPENDS ${folder}/*.cpp ${folder}/*.cc ${folder}/serving/*.cpp)
     set(${variable} ${found} PARENT_SCOPE)
 endfunction()
--- /dev/null
+++ b/src/gateway/call.cpp
@@ -0,0 +1,277 @@
+#include "call.h"
+
+#include "asyncresult.h"
+#include "failure.h"
+#include "log.h"
+
+#include <algorithm>
+
+namespace RadishSwitch
+{
+
+namespace net = boost::asio;
+
+namespace
+{
+
+const Log kLog("call");
+
+/// Room for so many levels of the routes' priority within one of the organisations'.
+constexpr int kRoutePriorities = 3;
+
+/// A gateway that has just started knows its configuration within this, if the store answers.
+constexpr std::chrono::milliseconds kNotReadyRetryAfter{500};
+
+std::int64_t reservationOf(const TokenBounds &tokens)
+{
+    return std::max<std::int64_t>(tokens.prompt + tokens.maximumOutput, 1);
+}
+
+}
+
+Call::Call(CallServices &services, HttpExchange &exchange, ServingTablePointer table)
+    : m_services(services)
+    , m_exchange(exchange)
+    , m_table(std::move(table))
+    , m_startedAt(services.timers.now())
+    , m_deadline(m_startedAt + services.times.longestCall)
+{
+}
+
+net::awaitable<void> Call::run()
+{
+    absl::Status status = prepare();
+    if (status.ok()) {
+        m_exchange.setPeerGoneCallback([this] {
+            handleCallerGone();
+        });
+        status = co_await reserve();
+    }
+    if (status.ok()) {
+        status = co_await serve();
+        settle();
+    }
+    if (!status.ok() && !m_isCallerGone) {
+        co_await refuse(status);
+    }
+    m_exchange.setPeerGoneCallback(nullptr);
+    logEnd(status);
+}
+
+absl::Status Call::prepare()
+{
+    absl::StatusOr<CallRequest> request = m_services.protocol.readCall(m_exchange.request());
+    if (!request.ok()) {
+        return request.status();
+    }
+    m_request = std::move(*request);
+    if (!m_table) {
+        return makeFailure(FailureCode::NoEndpoint, "no configuration is known yet", kNotReadyRetryAfter);
+    }
+    m_route = m_table->findRoute(m_request.host, m_exchange.request().target);
+    if (!m_route) {
+        return makeFailure(FailureCode::UnknownRoute, "no route for this host and path");
+    }
+    const absl::Status status = identifyOrganisation();
+    if (!status.ok()) {
+        return status;
+    }
+    m_pool = choosePool();
+    if (!m_pool) {
+        return makeFailure(FailureCode::NoEndpoint, "the route leads to no pool", kNotReadyRetryAfter);
+    }
+    Duration longest = m_route->timeout;
+    if (m_request.patience) {
+        longest = std::min(longest, *m_request.patience - m_services.times.travel);
+    }
+    m_deadline = m_startedAt + longest;
+    m_history.repetition = m_route->repetition;
+    m_history.maximumAttempts = m_route->maximumAttempts;
+    m_cutter = EventCutter(m_request.lastEvent);
+    return absl::OkStatus();
+}
+
+absl::Status Call::identifyOrganisation()
+{
+    if (!m_request.apiKey.empty()) {
+        m_organisation = m_table->organisationOfKey(m_request.apiKey);
+    }
+    const bool needsKey = !m_route->isPublic && !m_table->configuration().organisations.empty();
+    if (m_organisation || !needsKey) {
+        return absl::OkStatus();
+    }
+    return m_request.apiKey.empty() ? makeFailure(FailureCode::MissingKey, "an API key is needed")
+                                    : makeFailure(FailureCode::UnknownKey, "the API key is not known");
+}
+
+const ServedPool *Call::choosePool()
+{
+    std::int64_t sum = 0;
+    for (const WeightedPool &it : m_route->pools) {
+        sum += std::max<std::int64_t>(it.weight, 0);
+    }
+    if (sum <= 0) {
+        return nullptr;
+    }
+    auto drawn = static_cast<std::int64_t>(m_services.random.below(static_cast<std::uint64_t>(sum)));
+    for (const WeightedPool &it : m_route->pools) {
+        drawn -= std::max<std::int64_t>(it.weight, 0);
+        if (drawn < 0) {
+            return m_table->findPool(it.pool);
+        }
+    }
+    return nullptr;
+}
+
+// An organisation's priority goes before the route's, and within it the route's counts.
+int Call::priority() const
+{
+    if (m_organisation && m_organisation->priority) {
+        return *m_organisation->priority * kRoutePriorities + std::min(m_route->priority, kRoutePriorities - 1);
+    }
+    return m_route->priority;
+}
+
+PlacementQuery Call::placementQuery() const
+{
+    PlacementQuery query;
+    query.call = m_request.id;
+    query.pool = m_pool->name;
+    query.organisation = m_organisation ? m_organisation->name : OrganisationId();
+    query.priority = priority();
+    query.cost = m_request.tokens ? reservationOf(*m_request.tokens) : 1;
+    query.parts = m_request.parts;
+    const auto patience = std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.patienceTargets;
+    query.deadline = std::min(m_deadline, m_startedAt + std::chrono::duration_cast<Duration>(patience));
+    query.excluded = m_tried;
+    return query;
+}
+
+net::awaitable<absl::Status> Call::reserve()
+{
+    if (!m_request.tokens || !m_organisation || !m_organisation->prepaidTokens) {
+        co_return absl::OkStatus();
+    }
+    const std::int64_t tokens = reservationOf(*m_request.tokens);
+    const Instant deadline = std::min(m_deadline, m_startedAt + m_route->targetLatency);
+    const auto start = [this, tokens, deadline](auto done) {
+        m_services.budgets.reserve(m_request.id, m_organisation->name, tokens, deadline, std::move(done));
+    };
+    const absl::StatusOr<Reservation> reservation = co_await awaitCallback<absl::StatusOr<Reservation>>(start);
+    m_isReserved = reservation.ok();
+    co_return reservation.status();
+}
+
+net::awaitable<absl::Status> Call::serve()
+{
+    while (!m_isCallerGone) {
+        const absl::StatusOr<Placement> placement = co_await place();
+        if (!placement.ok()) {
+            co_return m_history.mayHaveRun ? failureOfAttempts(m_history, AttemptEnd::Broken) : placement.status();
+        }
+        const AttemptResult end = co_await attempt(*placement);
+        if (!end) {
+            co_return absl::OkStatus();
+        }
+        logAttempt(*placement, *end);
+        m_tried.push_back(placement->endpoint);
+        if (m_isCallerGone) {
+            break;
+        }
+        if (timeLeft() <= Duration::zero() || !mayTryAgain(m_history, *end) || !grantRetry(*end)) {
+            co_return failureOfAttempts(m_history, *end);
+        }
+    }
+    co_return makeFailure(FailureCode::ConnectionLost, "the caller is gone");
+}
+
+net::awaitable<absl::StatusOr<Placement>> Call::place()
+{
+    const auto start = [this](auto done) {
+        m_services.gate.place(placementQuery(), std::move(done));
+    };
+    co_return co_await awaitCallback<absl::StatusOr<Placement>>(start);
+}
+
+bool Call::grantRetry(AttemptEnd end)
+{
+    if (!isRetry(end)) {
+        return true;
+    }
+    RetryQuery query;
+    query.attempts = m_history.sent;
+    query.isIdempotent = m_route->repetition != Repetition::Never;
+    query.isProvedNotStarted = !m_history.mayHaveRun;
+    query.deadline = m_deadline;
+    return m_services.retryBudget(m_pool->name).retry(query, m_services.timers.now()).ok();
+}
+
+void Call::settle()
+{
+    if (m_isReserved) {
+        m_services.budgets.settle(m_request.id, usedTokens());
+    }
+}
+
+std::int64_t Call::usedTokens() const
+{
+    if (!m_history.mayHaveRun) {
+        return 0;
+    }
+    const TokenBounds &tokens = *m_request.tokens;
+    std::int64_t output = m_cutter.count() * m_pool->tokensPerEvent;
+    if (!m_route->isStreamed && m_isAnswered) {
+        output = tokens.maximumOutput;
+    }
+    return tokens.prompt + std::min(output, tokens.maximumOutput);
+}
+
+net::awaitable<void> Call::refuse(const absl::Status &status)
+{
+    if (m_hasBegun) {
+        m_exchange.abort();
+        co_return;
+    }
+    HttpResponse response = m_services.protocol.failure(status);
+    m_answeredStatus = response.status;
+    (void)co_await m_exchange.respond(std::move(response));
+}
+
+// An endpoint at work for nobody slows others down. A call that must not be repeated is let run to its end: whether it ran
+// is the only thing that its caller may still want to know.
+void Call::handleCallerGone()
+{
+    m_isCallerGone = true;
+    if (m_connection && (mayRunAgain() || m_route->isStreamed || !m_connection->mayHaveSent())) {
+        m_connection->close();
+    }
+    m_services.gate.cancel(m_request.id, m_pool->name);
+}
+
+Duration Call::timeLeft() const
+{
+    return m_deadline - m_services.timers.now();
+}
+
+bool Call::mayRunAgain() const
+{
+    return m_route->repetition != Repetition::Never;
+}
+
+void Call::logEnd(const absl::Status &status) const
+{
+    const Duration taken = m_services.timers.now() - m_startedAt;
+    const std::string route = m_route ? m_route->name : std::string();
+    const std::string organisation = m_organisation ? m_organisation->name.value() : std::string();
+    const std::string endpoint = m_tried.empty() ? std::string() : m_tried.back().value();
+    const std::string_view outcome = status.ok() ? std::string_view("answered") : failureName(failureCode(status));
+    kLog.info(status.ok() ? "call ended" : "call failed",
+              {field("call", m_request.id.value()), field("outcome", outcome), field("status", m_answeredStatus),
+               field("route", route), field("organisation", organisation), field("attempts", m_history.sent),
+               field("last_failed", endpoint), field("events", m_cutter.count()),
+               field("first_answer", m_firstAnswerAfter.value_or(Duration::zero())), field("taken", taken),
+               field("version", m_table ? m_table->configuration().version : 0),
+               field("reason", std::string(status.message()))});
+}
+
+}
--- /dev/null
+++ b/src/gateway/callservices.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "callprotocol.h"
+#include "endpointconnections.h"
+#include "metrics.h"
+#include "prepaidbudgets.h"
+#include "retrybudget.h"
+#include "serving/callgate.h"
+#include "serving/servingtable.h"
+
+#include <map>
+
+namespace RadishSwitch
+{
+
+/// How calls are served in time. Each span names the failure that it bounds.
+struct CallTimes {
+    /// Taken off the caller's patience: its call and our answer travel, and have to be read.
+    Duration travel = std::chrono::milliseconds(5);
+    /// A call that may run again is sent elsewhere when the first of its answer is later than expected by this many
+    /// times its target latency.
+    double lateTargets = 2;
+    /// The same for a stream that can be continued, when its next event is missing for so long. Callers give up after two
+    /// seconds.
+    Duration eventSilence = std::chrono::milliseconds(1200);
+    /// Connections to be used for a call that can't be sent again were idle for no longer: an endpoint that drops an idle
+    /// connection at that very moment leaves the call's outcome unknown.
+    Duration longestIdleOnce = std::chrono::milliseconds(1500);
+    Duration longestIdle = std::chrono::seconds(60);
+    /// How long the body of a refusal may take.
+    Duration refusalBody = std::chrono::milliseconds(200);
+    /// A call may wait in the queue for so many times its target latency.
+    double patienceTargets = 1.5;
+    /// Without a caller's or a route's word.
+    Duration longestCall = std::chrono::seconds(30);
+};
+
+/// What every call of a gateway is served with. All of it belongs to one worker.
+struct CallServices {
+    const CallProtocol &protocol;
+    TimerService &timers;
+    RandomSource &random;
+    CallGate &gate;
+    PrepaidBudgets &budgets;
+    EndpointConnections &connections;
+    std::map<PoolId, RetryBudget> &retryBudgets;
+    RetrySettings retrySettings;
+    CallTimes times;
+    Metrics &metrics;
+
+    RetryBudget &retryBudget(const PoolId &pool)
+    {
+        return retryBudgets.try_emplace(pool, random, retrySettings).first->second;
+    }
+};
+
+}
--- /dev/null
+++ b/src/gateway/configurationlistener.cpp
@@ -0,0 +1,55 @@
+#include "configurationlistener.h"
+
+#include "log.h"
+
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+const Log kLog("configuration");
+
+}
+
+ConfigurationListener::ConfigurationListener(const ServingCatalogue &catalogue, Callback onNewer)
+    : m_catalogue(catalogue)
+    , m_onNewer(std::move(onNewer))
+{
+}
+
+void ConfigurationListener::objectsListed(const std::vector<StoredObject> &objects)
+{
+    objectsChanged(objects);
+}
+
+void ConfigurationListener::objectsChanged(const std::vector<StoredObject> &objects)
+{
+    // When several versions come at once, only the last is read: reading one takes milliseconds on a small instance.
+    const StoredObject *newest = nullptr;
+    for (const StoredObject &object : objects) {
+        if (m_catalogue.isConfiguration(object) && (!newest || object.version >= newest->version)) {
+            newest = &object;
+        }
+    }
+    if (!newest) {
+        return;
+    }
+    absl::StatusOr<ServingConfiguration> configuration = m_catalogue.readConfiguration(*newest);
+    if (!configuration.ok()) {
+        kLog.error("unreadable, the last good one stays in force",
+                   {field("revision", newest->version), field("error", std::string(configuration.status().message()))});
+        return;
+    }
+    if (m_table && configuration->version <= m_table->configuration().version) {
+        return;
+    }
+    kLog.info("in force", {field("version", configuration->version), field("revision", newest->version),
+                           field("routes", configuration->routes.size()), field("bytes", newest->value.size())});
+    m_table = std::make_shared<const ServingTable>(std::move(*configuration));
+    m_onNewer(m_table);
+}
+
+}
--- /dev/null
+++ b/src/gateway/endpointlistener.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "serving/callgate.h"
+#include "serving/objectlistener.h"
+#include "servingcatalogue.h"
+
+#include <functional>
+
+namespace RadishSwitch
+{
+
+/// Brings the platform's list of endpoints into the gate's roster.
+class EndpointListener : public ObjectListener
+{
+public:
+    /// `onUnlisted` hears of endpoints that take no new calls any more.
+    EndpointListener(const ServingCatalogue &catalogue, CallGate &gate, TimerService &timers,
+                     std::function<void(const EndpointId &)> onUnlisted);
+
+    void objectsListed(const std::vector<StoredObject> &objects) override;
+    void objectsChanged(const std::vector<StoredObject> &objects) override;
+
+private:
+    std::optional<EndpointListing> read(const StoredObject &object) const;
+    void apply(const StoredObject &object);
+
+    const ServingCatalogue &m_catalogue;
+    CallGate &m_gate;
+    TimerService &m_timers;
+    const std::function<void(const EndpointId &)> m_onUnlisted;
+};
+
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "adminserver.h"
+#include "asiotimerservice.h"
+#include "budgetholder.h"
+#include "callservices.h"
+#include "configurationlistener.h"
+#include "endpointlistener.h"
+#include "gatewayadapter.h"
+#include "gatewaysettings.h"
+#include "httpserver.h"
+#include "serving/objectfollower.h"
+#include "systemrandom.h"
+
+#include <functional>
+#include <memory>
+
+namespace RadishSwitch
+{
+
+/// One gateway process: takes callers' calls and sends them straight to endpoints.
+///
+/// Everything runs on one worker. A gateway has a fraction of one core, and each decision takes microseconds: locks would
+/// cost more than they could win.
+class Gateway
+{
+public:
+    explicit Gateway(GatewaySettings settings);
+    ~Gateway();
+
+    /// Opens all doors. The errors of listening.
+    absl::Status start();
+
+    /// Planned stop: not ready at once, taking calls until the balancer has noticed, then everything in progress finished
+    /// and the portions of budgets given back. Calls back when all is done, or the drain timeout has passed.
+    void drain(std::function<void()> callback);
+
+    /// The settings may have changed. They are read at a start only; the event is logged.
+    void reload();
+
+    WorkerPool &workers()
+    {
+        return m_workers;
+    }
+
+    std::uint16_t port() const;
+    std::uint16_t adminPort() const;
+
+private:
+    void begin();
+    void handleNewer(const ServingTablePointer &table);
+    void updateReady();
+    boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    void stopTaking();
+    void finishStop();
+    void countGauges();
+
+    const GatewaySettings m_settings;
+    WorkerPool m_workers;
+    AsioTimerService m_timers;
+    SystemRandom m_random;
+    Metrics m_metrics;
+    GatewayAdapter m_adapter;
+    CallGate m_gate;
+    Ledger m_ledger;
+    BudgetHolder m_holder;
+    PrepaidBudgets m_budgets;
+    EndpointConnections m_connections;
+    std::map<PoolId, RetryBudget> m_retryBudgets;
+    CallServices m_services;
+    ConfigurationListener m_configuration;
+    EndpointListener m_endpoints;
+    ObjectFollower m_configurationFollower;
+    ObjectFollower m_endpointFollower;
+    HttpServer m_server;
+    AdminServer m_admin;
+    std::function<void()> m_onDrained;
+    bool m_isStopping = false;
+};
+
+}
--- /dev/null
+++ b/src/gateway/gatewaysettings.cpp
@@ -0,0 +1,40 @@
+#include "gatewaysettings.h"
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr int kMostLedgerShards = 4096;
+constexpr double kMostRetries = 10'000;
+
+}
+
+void addGatewaySettings(SettingsParser &parser, GatewaySettings &settings)
+{
+    parser.addChoice(
+        "log-level", {"debug", "info", "warning", "error", "off"},
+        [&settings](std::size_t n) {
+            settings.log.level = static_cast<LogLevel>(n);
+        },
+        "info", "the least severe log line that is written");
+    parser.add("listen", settings.listen, "where callers come in");
+    parser.add("admin-listen", settings.adminListen, "where /metrics, /livez and /readyz are served");
+    parser.add("platform", settings.platform, "the platform's store");
+    parser.add("instance", settings.instance, "the name of this process in logs");
+    parser.add("region", settings.region, "the region in which the process runs");
+    parser.add("zone", settings.zone, "the availability zone in which the process runs");
+    parser.add("drain-timeout", settings.drainTimeout, "how long a planned stop waits for what is in progress");
+    parser.add("drain-notice", settings.drainNotice, "how long it goes on taking calls after it was told to stop");
+    parser.addNumber("ledger-shards", settings.ledgerShards, 1, kMostLedgerShards,
+                     "objects over which budgets are spread; fixed for the life of a ledger");
+    parser.add("survival-time", settings.survivalTime, "how long a portion of a budget should last without the store");
+    parser.addNumber("retry-share", settings.retryShare, 0, 1, "further attempts for each first one");
+    parser.addNumber("retry-burst", settings.retryBurst, 0, kMostRetries, "further attempts that may be saved up");
+    parser.require("platform");
+    parser.require("region");
+    parser.require("zone");
+}
+
+}
--- /dev/null
+++ b/src/gateway/gatewaysettings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "logsettings.h"
+#include "settingsparser.h"
+#include "socketaddress.h"
+
+namespace RadishSwitch
+{
+
+/// What a gateway is told at its start.
+struct GatewaySettings {
+    LogSettings log;
+    /// Where callers come in.
+    SocketAddress listen{"127.0.0.1", 8080};
+    /// Where /metrics, /livez and /readyz are served.
+    SocketAddress adminListen{"127.0.0.1", 8082};
+    /// The platform's store.
+    SocketAddress platform;
+    std::string instance = "gateway";
+    std::string region;
+    std::string zone;
+    /// A planned stop waits no longer than this for what is in progress.
+    Duration drainTimeout = std::chrono::seconds(8);
+    /// How long a stopping gateway goes on taking calls, so that the balancer has time to see that it is not ready: two
+    /// questions a second apart, and one more for one that is lost.
+    Duration drainNotice = std::chrono::milliseconds(3000);
+    /// Objects over which budgets are spread; the same in all gateways and for ever.
+    int ledgerShards = 1;
+    /// How long a portion of a budget should last without the store.
+    Duration survivalTime = std::chrono::milliseconds(9000);
+    /// Further attempts for each first one, and how many may be saved up, for each pool.
+    double retryShare = 0.12;
+    double retryBurst = 6;
+};
+
+void addGatewaySettings(SettingsParser &parser, GatewaySettings &settings);
+
+}
--- /dev/null
+++ b/src/gateway/main.cpp
@@ -0,0 +1,38 @@
+#include "gateway.h"
+#include "reloadsignal.h"
+#include "signals.h"
+
+#include <cstdio>
+#include <future>
+
+int main(int argc, char **argv)
+{
+    using namespace RadishSwitch;
+
+    GatewaySettings settings;
+    SettingsParser parser("radishswitch-gateway", "Takes callers' calls and sends them straight to endpoints.");
+    addGatewaySettings(parser, settings);
+    if (const std::optional<int> exitCode = parser.parseCommandLine(argc, argv)) {
+        return *exitCode;
+    }
+    settings.log.format = LogFormat::Json;
+    configureLogs(settings.log);
+
+    Gateway gateway(settings);
+    std::promise<void> left;
+    const Signals signals(gateway.workers(), [&] {
+        gateway.drain([&left] {
+            left.set_value();
+        });
+    });
+    const ReloadSignal reload(gateway.workers(), [&gateway] {
+        gateway.reload();
+    });
+    if (const absl::Status status = gateway.start(); !status.ok()) {
+        std::fprintf(stderr, "radishswitch-gateway: %s\n", std::string(status.message()).c_str());
+        return 2;
+    }
+    left.get_future().wait();
+    gateway.workers().stop();
+    return 0;
+}
--- a/src/libradishnet/httpclient.cpp
+++ b/src/libradishnet/httpclient.cpp
@@ -148,9 +148,10 @@
 class HttpClient::Private
 {
 public:
-    Private(WorkerPool &workers, Duration connectTimeout)
+    Private(WorkerPool &workers, Duration connectTimeout, SilenceLimits silenceLimits)
         : context(workers.context())
         , connectTimeout(connectTimeout)
+        , silenceLimits(silenceLimits)
         , pool(std::make_shared<ConnectionPool>())
     {
     }
@@ -196,7 +197,7 @@
     ConnectionPointer connectionTo(const std::string &address)
     {
         ConnectionPointer connection = pool->take(address);
-        return connection ? connection : std::make_shared<HttpConnection>(context, address);
+        return connection ? connection : std::make_shared<HttpConnection>(context, address, silenceLimits);
     }
 
     // The other side may close an idle connection at the moment at which a request goes out on it. To the caller that
@@ -224,11 +225,12 @@
 
     net::io_context &context;
     const Duration connectTimeout;
+    const SilenceLimits silenceLimits;
     const std::shared_ptr<ConnectionPool> pool;
 };
 
-HttpClient::HttpClient(WorkerPool &workers, Duration connectTimeout)
-    : d(std::make_shared<Private>(workers, connectTimeout))
+HttpClient::HttpClient(WorkerPool &workers, Duration connectTimeout, SilenceLimits silenceLimits)
+    : d(std::make_shared<Private>(workers, connectTimeout, silenceLimits))
 {
 }
 
--- a/src/libradishnet/httpclient.h
+++ b/src/libradishnet/httpclient.h
@@ -16,6 +16,19 @@
 namespace RadishSwitch
 {
 
+/// How a connection finds out that the other side is gone without a word: a cut network, a machine without power, or
+/// something between the two ends that has lost track of the connection. Zero leaves the system's defaults, which take
+/// many minutes.
+struct SilenceLimits {
+    /// Bytes that the other side has not acknowledged for so long end the connection.
+    Duration unacknowledged{};
+    /// On a connection without traffic the other side is probed after so long, again after as long each time, and given
+    /// up when `unacknowledged` has passed.
+    Duration probeInterval{};
+
+    bool operator==(const SilenceLimits &) const = default;
+};
+
 /// An answer that is read as it comes.
 class HttpResponseStream
 {
@@ -56,7 +69,8 @@
 class HttpClient
 {
 public:
-    explicit HttpClient(WorkerPool &workers, Duration connectTimeout = std::chrono::seconds(1));
+    explicit HttpClient(WorkerPool &workers, Duration connectTimeout = std::chrono::seconds(1),
+                        SilenceLimits silenceLimits = {});
     ~HttpClient();
 
     /// Asks "address:port" and reads the whole answer.
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -1,11 +1,13 @@
 #include "httpconnection.h"
 
 #include "failure.h"
+#include "log.h"
 #include "socketaddress.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -20,6 +22,10 @@
 namespace
 {
 
+const Log kLog("http");
+
+/// Probes without an answer after which the kernel gives a connection up.
+constexpr int kKeepAliveProbes = 2;
 constexpr std::uint32_t kMaximumHeaderBytes = 64 * 1024;
 constexpr std::uint64_t kMaximumBodyBytes = 256 * 1024 * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
@@ -50,10 +56,11 @@
 
 }
 
-HttpConnection::HttpConnection(net::io_context &context, std::string address)
+HttpConnection::HttpConnection(net::io_context &context, std::string address, SilenceLimits silenceLimits)
     : m_strand(net::make_strand(context.get_executor()))
     , m_socket(m_strand)
     , m_address(std::move(address))
+    , m_silenceLimits(silenceLimits)
     , m_watchdog(m_strand, [this] {
         close();
     })
@@ -87,9 +94,45 @@
         co_return makeFailure(FailureCode::ConnectionLost, m_address + " can't be reached: " + ec.message());
     }
     m_socket.set_option(net::ip::tcp::no_delay(true), ec);
+    applySilenceLimits();
     co_return absl::OkStatus();
 }
 
+void HttpConnection::applySilenceLimits()
+{
+    const auto set = [this](int level, int name, int value) {
+        if (::setsockopt(m_socket.native_handle(), level, name, &value, sizeof value) != 0) {
+            kLog.warning("a socket option was refused", {field("address", m_address), field("option", name)});
+        }
+    };
+    if (m_silenceLimits.unacknowledged > Duration::zero()) {
+        const auto span = std::chrono::duration_cast<std::chrono::milliseconds>(m_silenceLimits.unacknowledged);
+        set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(span.count()));
+    }
+    if (m_silenceLimits.probeInterval > Duration::zero()) {
+        const auto span = std::chrono::ceil<std::chrono::seconds>(m_silenceLimits.probeInterval);
+        set(SOL_SOCKET, SO_KEEPALIVE, 1);
+        set(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(span.count()));
+        set(IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(span.count()));
+        set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+    }
+}
+
+void HttpConnection::startSending(const HttpRequest &request)
+{
+    m_outgoing = std::make_unique<Message>(messageOf(request, m_address));
+    // Until the kernel says that it took nothing, some of it may have left.
+    m_hasSent = true;
+    m_parser.reset();
+    http::async_write(m_socket, *m_outgoing, [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+        self->m_hasSent = n > 0;
+        self->m_outgoing.reset();
+        if (ec) {
+            self->close();
+        }
+    });
+}
+
 net::awaitable<absl::Status> HttpConnection::send(const HttpRequest &request)
 {
     beast::error_code ec;
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 
 namespace RadishSwitch
@@ -19,19 +20,36 @@
 
 /// One connection of the client, used by one request at a time. What reads or writes is used on the connection's
 /// strand; the rest also by the owner of a connection on which nothing is going on.
-class HttpConnection
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
 public:
     using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
     using Clock = std::chrono::steady_clock;
 
-    HttpConnection(boost::asio::io_context &context, std::string address);
+    HttpConnection(boost::asio::io_context &context, std::string address, SilenceLimits silenceLimits = {});
 
     Strand strand() const;
     const std::string &address() const;
 
     boost::asio::awaitable<absl::Status> connect(Duration timeout);
     boost::asio::awaitable<absl::Status> send(const HttpRequest &request);
+
+    /// Sends while the caller goes on to `receiveHead`: an endpoint may answer before it has read a long request. When
+    /// the sending fails, the connection is closed and the reading fails too.
+    void startSending(const HttpRequest &request);
+
+    /// Whether any byte of the request may have left this process.
+    bool mayHaveSent() const
+    {
+        return m_hasSent;
+    }
+
+    /// Whether what `startSending` began is still going on.
+    bool isSending() const
+    {
+        return m_outgoing != nullptr;
+    }
+
     boost::asio::awaitable<absl::Status> receiveHead(bool hasBody);
     boost::asio::awaitable<absl::StatusOr<std::string>> receiveAll();
     /// The next bytes of the body; empty at its end.
@@ -66,9 +84,16 @@
 
     absl::Status failure(const std::string &step, boost::beast::error_code ec) const;
 
+    using Message = boost::beast::http::request<boost::beast::http::string_body>;
+
+    void applySilenceLimits();
+
     const Strand m_strand;
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand> m_socket;
     const std::string m_address;
+    const SilenceLimits m_silenceLimits;
+    std::unique_ptr<Message> m_outgoing;
+    bool m_hasSent = false;
     Watchdog m_watchdog;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -239,6 +239,17 @@
     return d->port;
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    const std::lock_guard lock(d->context->mutex);
+    d->context->settings.limits = limits;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    d->context->isClosing = true;
+}
+
 void HttpServer::drain(std::function<void()> onDrained)
 {
     {
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -15,11 +15,20 @@
 namespace RadishSwitch
 {
 
-struct HttpServerSettings {
+/// Bounds on what a caller may send, and on how long it may take.
+struct HttpServerLimits {
     std::size_t maximumHeaderBytes = 16 * 1024;
     std::size_t maximumBodyBytes = 8 * 1024 * 1024;
-    /// How long a connection may be idle between requests, or a request's bytes may take to arrive.
+    /// How long a request's bytes may take to arrive.
     Duration readTimeout = std::chrono::seconds(60);
+    /// How long a connection may be idle between requests.
+    Duration idleTimeout = std::chrono::seconds(60);
+
+    bool operator==(const HttpServerLimits &) const = default;
+};
+
+struct HttpServerSettings {
+    HttpServerLimits limits;
     /// How long a slow reader may take no byte of an answer.
     Duration writeTimeout = std::chrono::seconds(30);
     /// A connection that is idle when the server drains is closed after so long: a request that is on its way to it is
@@ -52,6 +61,10 @@
 
     /// Ends the connection without ending the answer, so that the caller sees that it is cut short.
     virtual void abort() = 0;
+
+    /// Called once if the other side closes its connection before the answer has ended; null takes it back. Not called
+    /// once the other side has sent more, since its close would come behind that.
+    virtual void setPeerGoneCallback(std::function<void()> callback) = 0;
 };
 
 /// HTTP/1.1 with keep-alive by Beast. Requests past the limits get 413 or 431, malformed ones 400, in the API's error
@@ -70,6 +83,13 @@
 
     std::uint16_t port() const;
 
+    /// Takes effect with the next request of each connection. Safe on any thread.
+    void setLimits(const HttpServerLimits &limits);
+
+    /// From now on each answer ends its connection; new connections are still taken, for a balancer that has yet to
+    /// notice. Safe on any thread.
+    void closeAfterAnswers();
+
     /// Takes no new connections, and closes each open one after the request that it is in. `onDrained` is called once
     /// on a worker when none is left.
     void drain(std::function<void()> onDrained = {});
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -1,5 +1,7 @@
 #include "httpsession.h"
 
+#include <sys/socket.h>
+
 namespace RadishSwitch
 {
 
@@ -99,7 +101,7 @@
 {
     if constexpr (kIsTls) {
         beast::error_code ec;
-        m_watchdog.expireAfter(m_context->settings.readTimeout);
+        m_watchdog.expireAfter(m_context->limits().readTimeout);
         co_await m_stream.async_handshake(net::ssl::stream_base::server, awaitInto(ec));
         if (ec) {
             kLog.debug("handshake failed", {field("peer", m_peer), field("error", ec.message())});
@@ -131,9 +133,12 @@
 {
     beast::error_code ec;
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_context->settings.maximumHeaderBytes));
-    m_parser->body_limit(m_context->settings.maximumBodyBytes);
-    m_watchdog.expireAfter(m_isDraining ? m_context->settings.drainGrace : m_context->settings.readTimeout);
+    const HttpServerLimits limits = m_context->limits();
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.maximumHeaderBytes));
+    m_parser->body_limit(limits.maximumBodyBytes);
+    m_idleSince = std::chrono::steady_clock::now();
+    m_watchdog.expireAfter(m_isDraining ? m_context->settings.drainGrace : limits.idleTimeout);
+    m_isExtended = false;
     m_isReading = true;
     co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(ec));
     if (!ec && beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
@@ -196,6 +201,7 @@
     if (m_answer == AnswerState::Streaming) {
         abort();
     }
+    m_onPeerGone = nullptr;
 }
 
 // A close with unread bytes of the other side makes the kernel reset the connection, and the reset can overtake the
@@ -239,10 +245,19 @@
 template<typename Stream>
 void HttpSession<Stream>::expire()
 {
-    // A request whose first bytes came within the grace of a drain is taken whole: the caller can't know.
-    if (m_isDraining && m_isReading && m_parser->got_some() && !m_isExtended) {
+    // A request whose first bytes came in time is taken whole: the caller can't know that the connection was about to be
+    // closed.
+    if (m_isReading && m_parser->got_some() && !m_isExtended) {
         m_isExtended = true;
-        m_watchdog.expireAfter(m_context->settings.readTimeout);
+        m_watchdog.expireAfter(m_context->limits().readTimeout);
+        return;
+    }
+    // The limit may have been raised since; the caller goes by the new one.
+    const Duration idle =
+        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_idleSince);
+    const Duration idleTimeout = m_context->limits().idleTimeout;
+    if (!m_isDraining && isBetweenRequests() && idle < idleTimeout) {
+        m_watchdog.expireAfter(idleTimeout - idle);
         return;
     }
     close();
@@ -263,6 +278,48 @@
     close();
 }
 
+template<typename Stream>
+void HttpSession<Stream>::setPeerGoneCallback(std::function<void()> callback)
+{
+    m_onPeerGone = std::move(callback);
+    if (m_onPeerGone && !m_isWatchingPeer && m_buffer.size() == 0) {
+        watchPeer();
+    }
+}
+
+template<typename Stream>
+void HttpSession<Stream>::watchPeer()
+{
+    m_isWatchingPeer = true;
+    beast::get_lowest_layer(m_stream).async_wait(
+        net::socket_base::wait_read, [this, alive = std::weak_ptr<int>(m_alive)](beast::error_code ec) {
+            if (alive.expired()) {
+                return;
+            }
+            m_isWatchingPeer = false;
+            if (!ec && m_onPeerGone) {
+                lookAtPeer();
+            }
+        });
+}
+
+template<typename Stream>
+void HttpSession<Stream>::lookAtPeer()
+{
+    char c = 0;
+    const ssize_t n =
+        ::recv(beast::get_lowest_layer(m_stream).native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) {
+        return;
+    }
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        return watchPeer();
+    }
+    const std::function<void()> callback = std::exchange(m_onPeerGone, nullptr);
+    close();
+    callback();
+}
+
 template<typename Stream>
 const HttpRequest &HttpSession<Stream>::request() const
 {
@@ -284,7 +341,7 @@
     for (const auto &[name, value] : headers.fields()) {
         message.insert(name, value);
     }
-    m_isKeptAlive = m_isKeptAlive && !m_isDraining && message.keep_alive();
+    m_isKeptAlive = m_isKeptAlive && !m_isDraining && !m_context->isClosing && message.keep_alive();
     message.keep_alive(m_isKeptAlive);
 }
 
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -21,6 +21,7 @@
 
 #include <array>
 #include <atomic>
+#include <mutex>
 #include <optional>
 
 namespace RadishSwitch
@@ -30,11 +31,21 @@
 using ServerSocket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, ConnectionStrand>;
 using ServerTlsStream = boost::asio::ssl::stream<ServerSocket>;
 
-/// What the sessions of a server have in common. Immutable but for the count.
+/// What the sessions of a server have in common.
 struct HttpSessionContext {
+    HttpServerLimits limits() const
+    {
+        const std::lock_guard lock(mutex);
+        return settings.limits;
+    }
+
     HttpServerSettings settings;
     HttpServer::Handler handler;
     std::atomic<int> requestsInProgress = 0;
+    /// Whether each answer ends its connection.
+    std::atomic<bool> isClosing = false;
+    /// Guards the limits in the settings; the rest of them is never changed.
+    mutable std::mutex mutex;
 };
 
 /// One connection of a server, whatever its stream. All members are used on the connection's strand.
@@ -68,6 +79,7 @@
     boost::asio::awaitable<absl::Status> write(std::string data) override;
     boost::asio::awaitable<absl::Status> endStream() override;
     void abort() override;
+    void setPeerGoneCallback(std::function<void()> callback) override;
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -93,6 +105,8 @@
     void takeRequest();
     void expire();
     bool isBetweenRequests() const;
+    void watchPeer();
+    void lookAtPeer();
     absl::Status outcomeOfWrite(boost::beast::error_code ec);
 
     Stream m_stream;
@@ -103,12 +117,16 @@
     std::optional<Parser> m_parser;
     HttpRequest m_request;
     unsigned m_version = 11;
+    std::function<void()> m_onPeerGone;
+    std::chrono::steady_clock::time_point m_idleSince;
+    bool m_isWatchingPeer = false;
     AnswerState m_answer = AnswerState::None;
     bool m_isReading = false;
     bool m_isKeptAlive = false;
     bool m_isDraining = false;
     bool m_isExtended = false;
     bool m_isClosed = false;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
 extern template class HttpSession<ServerSocket>;
--- a/src/libradishswitch/failure.cpp
+++ b/src/libradishswitch/failure.cpp
@@ -64,6 +64,7 @@
     FailureKind{FailureCode::ObjectMissing, "object_missing", 404, absl::StatusCode::kNotFound},
     FailureKind{FailureCode::ObjectTooLarge, "object_too_large", 413, absl::StatusCode::kInvalidArgument},
     FailureKind{FailureCode::ObjectMalformed, "object_malformed", 500, absl::StatusCode::kDataLoss},
+    FailureKind{FailureCode::HistoryGone, "history_gone", 410, absl::StatusCode::kOutOfRange},
     FailureKind{FailureCode::TableInvalid, "table_invalid", 400, absl::StatusCode::kInvalidArgument},
     FailureKind{FailureCode::RowConflict, "row_conflict", 409, absl::StatusCode::kAborted},
     FailureKind{FailureCode::RowMissing, "row_missing", 404, absl::StatusCode::kNotFound},
--- a/src/libradishswitch/failure.h
+++ b/src/libradishswitch/failure.h
@@ -57,6 +57,7 @@
     ObjectMissing,
     ObjectTooLarge,
     ObjectMalformed,
+    HistoryGone,
     // The table.
     TableInvalid,
     RowConflict,
--- /dev/null
+++ b/src/libradishswitch/serving/attemptrules.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "serving/servingroute.h"
+
+#include <absl/status/status.h>
+
+namespace RadishSwitch
+{
+
+/// How one attempt at an endpoint ended without an answer for the caller.
+enum class AttemptEnd {
+    /// No byte of the call left this process.
+    NotSent,
+    /// The endpoint said that it has not run the call and won't.
+    RefusedByEndpoint,
+    /// The endpoint's address belongs to another endpoint by now, which has not run the call.
+    WrongEndpoint,
+    /// The connection broke, or what came was no answer to this call.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+};
+
+/// What has become of a call so far.
+struct AttemptHistory {
+    Repetition repetition = Repetition::Never;
+    int maximumAttempts = 1;
+    /// Endpoints to which the call was sent.
+    int sent = 0;
+    /// Attempts that ended before a byte was sent.
+    int notSent = 0;
+    /// Whether any attempt may have run.
+    bool mayHaveRun = false;
+
+    bool operator==(const AttemptHistory &) const = default;
+};
+
+/// Whether another endpoint may be tried after an attempt that ended so. `history` includes that attempt. The retry
+/// budget is asked besides.
+bool mayTryAgain(const AttemptHistory &history, AttemptEnd end);
+
+/// Whether a further attempt draws on the fleet's retry budget: it does when the endpoint before saw the call.
+bool isRetry(AttemptEnd end);
+
+/// What the caller is told when no further attempt is made. "Not run" only if no attempt may have run.
+absl::Status failureOfAttempts(const AttemptHistory &history, AttemptEnd end);
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -0,0 +1,199 @@
+#include "serving/callgate.h"
+
+#include "failure.h"
+
+#include <utility>
+
+namespace RadishSwitch
+{
+
+CallGate::CallGate(TimerService &timers, RandomSource &random, std::string ownZone, CallGateSettings settings)
+    : m_timers(timers)
+    , m_settings(settings)
+    , m_roster(settings.roster)
+    , m_placement(m_roster, random, std::move(ownZone), settings.placement)
+{
+}
+
+CallGate::~CallGate()
+{
+    m_timers.cancel(m_timer);
+}
+
+void CallGate::place(const PlacementQuery &query, Callback callback)
+{
+    const auto queue = m_queues.find(query.pool);
+    const bool isQueueEmpty = queue == m_queues.end() || queue->second.size() == 0;
+    if (isQueueEmpty && tryPlace(query, callback)) {
+        return;
+    }
+    if (!m_placement.hasUsable(query, m_timers.now())) {
+        return callback(makeFailure(FailureCode::NoEndpoint, "no endpoint of pool " + query.pool.value() + " takes calls",
+                                    m_settings.noEndpointRetryAfter));
+    }
+    // A further attempt has used up time and an endpoint's work already; it doesn't take a place from those that wait.
+    if (!query.excluded.empty()) {
+        return callback(makeFailure(FailureCode::Overloaded, "no other endpoint of pool " + query.pool.value() + " has room",
+                                    m_settings.noEndpointRetryAfter));
+    }
+    wait(query, std::move(callback));
+}
+
+bool CallGate::tryPlace(const PlacementQuery &query, Callback &callback)
+{
+    const Instant now = m_timers.now();
+    const std::optional<EndpointSlot> slot = m_placement.choose(query, now);
+    if (!slot) {
+        return false;
+    }
+    const EndpointListing &listing = m_roster.at(*slot).listing;
+    const Placement placement{listing.id, listing.address, listing.zone,
+                              m_placement.expectedFirstAnswer(*slot, query, now)};
+    const std::int64_t unread = m_placement.noteSent(*slot, query, now);
+    m_placed.insert_or_assign(query.call, Placed{*slot, query.pool, unread, now, false});
+    callback(placement);
+    return true;
+}
+
+QueuedRequest CallGate::queued(const PlacementQuery &query)
+{
+    QueuedRequest request;
+    request.request = query.call;
+    request.organisation = query.organisation;
+    // In the queue the higher number goes first.
+    request.priority = -query.priority;
+    request.cost = query.cost;
+    request.deadline = query.deadline;
+    return request;
+}
+
+void CallGate::wait(const PlacementQuery &query, Callback callback)
+{
+    const Instant now = m_timers.now();
+    FairQueue &queue = m_queues.try_emplace(query.pool, m_settings.queue).first->second;
+    const absl::Status status = queue.enqueue(queued(query), now);
+    if (!status.ok()) {
+        return callback(status);
+    }
+    m_waiting.insert_or_assign(query.call, Waiting{query, std::move(callback)});
+    refuse(queue.expire(now));
+    keepTimer();
+}
+
+void CallGate::cancel(const RequestId &call, const PoolId &pool)
+{
+    const auto queue = m_queues.find(pool);
+    if (queue != m_queues.end()) {
+        queue->second.remove(call, m_timers.now());
+    }
+    auto node = m_waiting.extract(call);
+    if (!node.empty()) {
+        node.mapped().callback(makeFailure(FailureCode::ConnectionLost, "the caller is gone"));
+    }
+}
+
+void CallGate::noteFirstAnswer(const RequestId &call)
+{
+    const auto it = m_placed.find(call);
+    if (it == m_placed.end() || it->second.isAnswered) {
+        return;
+    }
+    Placed &placed = it->second;
+    placed.isAnswered = true;
+    const Instant now = m_timers.now();
+    m_placement.noteRead(placed.slot, placed.unread);
+    m_placement.noteFirstAnswer(placed.slot, placed.unread, now - placed.at, now);
+}
+
+void CallGate::noteEnded(const RequestId &call, RunEnd end)
+{
+    const auto it = m_placed.find(call);
+    if (it == m_placed.end()) {
+        return;
+    }
+    const Placed placed = it->second;
+    m_placed.erase(it);
+    if (!placed.isAnswered) {
+        m_placement.noteRead(placed.slot, placed.unread);
+    }
+    m_placement.noteEnded(placed.slot, end, m_timers.now());
+    admitWaiting(placed.pool);
+}
+
+// The order is the queue's. A call that can't be placed now, because the endpoints that have room are those that it has
+// tried, goes back into the queue and ends the round.
+void CallGate::admitWaiting(const PoolId &pool)
+{
+    const auto queue = m_queues.find(pool);
+    if (queue == m_queues.end()) {
+        return;
+    }
+    const Instant now = m_timers.now();
+    while (queue->second.size() > 0) {
+        PlacementQuery probe;
+        probe.pool = pool;
+        if (!m_placement.choose(probe, now)) {
+            break;
+        }
+        const std::optional<QueuedRequest> next = queue->second.next(now);
+        if (!next) {
+            break;
+        }
+        auto node = m_waiting.extract(next->request);
+        if (node.empty()) {
+            continue;
+        }
+        Waiting waiting = std::move(node.mapped());
+        if (!tryPlace(waiting.query, waiting.callback)) {
+            wait(waiting.query, std::move(waiting.callback));
+            break;
+        }
+    }
+    refuse(queue->second.expire(now));
+}
+
+void CallGate::noteRosterChanged()
+{
+    for (const EndpointSlot slot : m_roster.forgetGone(m_timers.now())) {
+        m_placement.forget(slot);
+    }
+    for (const auto &[pool, queue] : m_queues) {
+        admitWaiting(pool);
+    }
+}
+
+void CallGate::expire()
+{
+    m_timer = 0;
+    for (auto &[pool, queue] : m_queues) {
+        // An endpoint may have become usable by time alone, when its ejection was over.
+        admitWaiting(pool);
+    }
+    keepTimer();
+}
+
+void CallGate::refuse(const std::vector<QueueRefusal> &refusals)
+{
+    for (const QueueRefusal &refusal : refusals) {
+        auto node = m_waiting.extract(refusal.request);
+        if (!node.empty()) {
+            node.mapped().callback(refusal.status);
+        }
+    }
+}
+
+void CallGate::keepTimer()
+{
+    if (m_timer == 0 && !m_waiting.empty()) {
+        m_timer = m_timers.after(m_settings.expiryInterval, [this] {
+            expire();
+        });
+    }
+}
+
+std::size_t CallGate::waiting() const
+{
+    return m_waiting.size();
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/callgate.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "fairqueue.h"
+#include "serving/callplacement.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace RadishSwitch
+{
+
+struct CallGateSettings {
+    FairQueueSettings queue;
+    /// How often those that wait are looked at, for answers that have become due.
+    Duration expiryInterval = std::chrono::milliseconds(50);
+    /// When to come back where a pool has no endpoint at all: a platform's list settles in about that time.
+    std::chrono::milliseconds noEndpointRetryAfter{500};
+    PlacementSettings placement;
+    EndpointRosterSettings roster;
+};
+
+/// Lets calls through to endpoints: at once while an endpoint has room, else in the order of a fair queue, and refuses
+/// at once those whose turn would come too late.
+///
+/// Single-threaded. Callbacks come inside `place`, `noteEnded` and the timer's calls.
+class CallGate
+{
+public:
+    using Callback = std::function<void(absl::StatusOr<Placement>)>;
+
+    CallGate(TimerService &timers, RandomSource &random, std::string ownZone, CallGateSettings settings = {});
+    ~CallGate();
+
+    CallGate(const CallGate &) = delete;
+    CallGate &operator=(const CallGate &) = delete;
+
+    EndpointRoster &roster()
+    {
+        return m_roster;
+    }
+
+    /// Places a call, now or later. Each call that is placed must end with `noteEnded`. Errors: NoEndpoint, Overloaded,
+    /// both with the time to come back, and nothing was sent.
+    void place(const PlacementQuery &query, Callback callback);
+
+    /// The caller of a call is gone. If the call waits, it gets ConnectionLost.
+    void cancel(const RequestId &call, const PoolId &pool);
+
+    /// The first part of the answer came.
+    void noteFirstAnswer(const RequestId &call);
+
+    /// The attempt that was placed last is over.
+    void noteEnded(const RequestId &call, RunEnd end);
+
+    /// The list of endpoints has changed: some that wait may go on.
+    void noteRosterChanged();
+
+    std::size_t waiting() const;
+
+    std::size_t placed() const
+    {
+        return m_placed.size();
+    }
+
+private:
+    struct Waiting {
+        PlacementQuery query;
+        Callback callback;
+    };
+
+    struct Placed {
+        EndpointSlot slot = 0;
+        PoolId pool;
+        std::int64_t unread = 0;
+        Instant at{};
+        bool isAnswered = false;
+    };
+
+    bool tryPlace(const PlacementQuery &query, Callback &callback);
+    void wait(const PlacementQuery &query, Callback callback);
+    void admitWaiting(const PoolId &pool);
+    void expire();
+    void refuse(const std::vector<QueueRefusal> &refusals);
+    void keepTimer();
+    static QueuedRequest queued(const PlacementQuery &query);
+
+    TimerService &m_timers;
+    const CallGateSettings m_settings;
+    EndpointRoster m_roster;
+    CallPlacement m_placement;
+    std::map<PoolId, FairQueue> m_queues;
+    absl::flat_hash_map<RequestId, Waiting> m_waiting;
+    absl::flat_hash_map<RequestId, Placed> m_placed;
+    TimerId m_timer = 0;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -0,0 +1,258 @@
+#include "serving/callplacement.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+/// Costs that differ by less than this many seconds count as equal, and chance decides, so that processes do not all
+/// take the same endpoint.
+constexpr double kTolerance = 0.002;
+
+double seconds(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+/// One hash a part, each over the parts before it too, since a part is of use only behind these.
+std::vector<std::uint64_t> chainOf(const std::vector<PromptPart> &parts)
+{
+    std::vector<std::uint64_t> chain;
+    std::uint64_t hash = 0;
+    for (const PromptPart &part : parts) {
+        hash = rendezvousScore(part.id, hash);
+        chain.push_back(hash);
+    }
+    return chain;
+}
+
+std::int64_t tokensOf(const std::vector<PromptPart> &parts, std::size_t first)
+{
+    std::int64_t sum = 0;
+    for (std::size_t n = first; n < parts.size(); ++n) {
+        sum += parts[n].tokens;
+    }
+    return sum;
+}
+
+/// Parts that other calls have as well: all but the last, which is the call's own or its session's.
+std::size_t sharedParts(const std::vector<PromptPart> &parts)
+{
+    return parts.empty() ? 0 : parts.size() - 1;
+}
+
+}
+
+CallPlacement::CallPlacement(EndpointRoster &roster, RandomSource &random, std::string ownZone,
+                             PlacementSettings settings)
+    : m_roster(roster)
+    , m_random(random)
+    , m_ownZone(std::move(ownZone))
+    , m_settings(settings)
+{
+}
+
+std::optional<EndpointSlot> CallPlacement::choose(const PlacementQuery &query, Instant now)
+{
+    if (const auto slot = cheapest(query, Choosiness::Usual, now)) {
+        return slot;
+    }
+    const std::vector<EndpointSlot> &slots = m_roster.pool(query.pool);
+    const bool isUsualBusy = std::ranges::any_of(slots, [&](EndpointSlot slot) {
+        return m_roster.standing(slot, now) == RosterStanding::Usable && m_roster.at(slot).ejection.isAllowed(now)
+            && m_roster.at(slot).inFlight > 0;
+    });
+    return isUsualBusy ? std::nullopt : cheapest(query, Choosiness::AnyAlive, now);
+}
+
+bool CallPlacement::hasUsable(const PlacementQuery &query, Instant now) const
+{
+    return std::ranges::any_of(m_roster.pool(query.pool), [&](EndpointSlot slot) {
+        const RosterStanding standing = m_roster.standing(slot, now);
+        return standing == RosterStanding::Usable || standing == RosterStanding::Doubtful;
+    });
+}
+
+bool CallPlacement::isCandidate(EndpointSlot slot, const PlacementQuery &query, Choosiness choosiness,
+                                Instant now) const
+{
+    const RosterEndpoint &it = m_roster.at(slot);
+    const RosterStanding standing = m_roster.standing(slot, now);
+    if (it.inFlight >= static_cast<int>(it.limit) || std::ranges::find(query.excluded, it.listing.id) != query.excluded.end()) {
+        return false;
+    }
+    if (choosiness == Choosiness::AnyAlive) {
+        return standing == RosterStanding::Usable || standing == RosterStanding::Doubtful;
+    }
+    return standing == RosterStanding::Usable && it.ejection.isAllowed(now);
+}
+
+std::optional<EndpointSlot> CallPlacement::cheapest(const PlacementQuery &query, Choosiness choosiness, Instant now)
+{
+    const std::optional<EndpointSlot> home = homeOf(query, choosiness, now);
+    const std::vector<EndpointSlot> &slots = m_roster.pool(query.pool);
+    std::optional<EndpointSlot> best;
+    double bestCost = 0;
+    std::uint64_t equals = 0;
+    for (const EndpointSlot slot : slots) {
+        if (!isCandidate(slot, query, choosiness, now)) {
+            continue;
+        }
+        const double slotCost = cost(slot, query, home, now);
+        if (!best || slotCost < bestCost - kTolerance) {
+            best = slot;
+            bestCost = slotCost;
+            equals = 1;
+        } else if (slotCost < bestCost + kTolerance && m_random.below(++equals) == 0) {
+            best = slot;
+            bestCost = std::min(bestCost, slotCost);
+        }
+    }
+    return best;
+}
+
+// Rendezvous hashing over all candidates: when an endpoint goes, only the prompts that met there move.
+std::optional<EndpointSlot> CallPlacement::homeOf(const PlacementQuery &query, Choosiness choosiness,
+                                                  Instant now) const
+{
+    const std::size_t shared = sharedParts(query.parts);
+    if (shared == 0) {
+        return std::nullopt;
+    }
+    const std::uint64_t key = query.parts[shared - 1].id;
+    std::optional<EndpointSlot> home;
+    std::uint64_t best = 0;
+    for (const EndpointSlot slot : m_roster.pool(query.pool)) {
+        if (m_roster.standing(slot, now) != RosterStanding::Usable
+            || (choosiness == Choosiness::Usual && !m_roster.at(slot).ejection.isAllowed(now))) {
+            continue;
+        }
+        const std::uint64_t score = rendezvousScore(m_roster.at(slot).hash, key);
+        if (!home || score > best) {
+            home = slot;
+            best = score;
+        }
+    }
+    return home;
+}
+
+std::int64_t CallPlacement::tokensToRead(EndpointSlot slot, const PlacementQuery &query) const
+{
+    return tokensOf(query.parts, m_hints.cachedBlocks(slot, chainOf(query.parts)));
+}
+
+double CallPlacement::cost(EndpointSlot slot, const PlacementQuery &query, std::optional<EndpointSlot> home,
+                           Instant now) const
+{
+    const RosterEndpoint &it = m_roster.at(slot);
+    const std::size_t shared = sharedParts(query.parts);
+    std::int64_t toRead = tokensToRead(slot, query);
+    const std::int64_t own = tokensOf(query.parts, shared);
+    // Other processes send their calls with this part to its home, so that it has read the part also where this process
+    // has not been told so.
+    if (home == slot) {
+        toRead = std::min(toRead, own);
+    }
+    const double reread = m_settings.rereadFactor * static_cast<double>(std::max<std::int64_t>(toRead - own, 0));
+    const double tokens = static_cast<double>(toRead + it.unreadTokens) + reread;
+    const double batch = static_cast<double>(it.inFlight) / std::max(it.limit, 1.0);
+    const double zone = it.listing.zone == m_ownZone ? 0 : seconds(m_settings.zoneDistance);
+    return tokens / m_settings.readTokensPerSecond + batch * seconds(m_settings.fullBatch) + zone
+        + delaySeconds(it, now);
+}
+
+double CallPlacement::delaySeconds(const RosterEndpoint &endpoint, Instant now) const
+{
+    return endpoint.delaySeconds * std::exp2(-seconds(now - endpoint.delayNotedAt) / seconds(m_settings.delayHalfLife));
+}
+
+std::int64_t CallPlacement::noteSent(EndpointSlot slot, const PlacementQuery &query, Instant now)
+{
+    RosterEndpoint &it = m_roster.at(slot);
+    const std::int64_t unread = tokensToRead(slot, query);
+    m_hints.noteDispatched(slot, chainOf(query.parts));
+    it.inFlight += 1;
+    it.unreadTokens += unread;
+    it.ejection.noteDispatched(now);
+    return unread;
+}
+
+void CallPlacement::noteRead(EndpointSlot slot, std::int64_t unread)
+{
+    RosterEndpoint &it = m_roster.at(slot);
+    it.unreadTokens = std::max<std::int64_t>(it.unreadTokens - unread, 0);
+}
+
+void CallPlacement::noteFirstAnswer(EndpointSlot slot, std::int64_t unread, Duration taken, Instant now)
+{
+    RosterEndpoint &it = m_roster.at(slot);
+    const double expected = static_cast<double>(unread) / m_settings.readTokensPerSecond;
+    const double late = std::max(seconds(taken) - expected, 0.0);
+    const double before = delaySeconds(it, now);
+    it.delaySeconds = before + m_settings.delayStep * (late - before);
+    it.delayNotedAt = now;
+}
+
+void CallPlacement::noteEnded(EndpointSlot slot, RunEnd end, Instant now)
+{
+    RosterEndpoint &it = m_roster.at(slot);
+    const double fullLimit = std::max(it.listing.slots, 1);
+    const bool wasAtLimit = it.inFlight >= static_cast<int>(it.limit);
+    it.inFlight -= 1;
+    switch (end) {
+    case RunEnd::Ok:
+        if (wasAtLimit) {
+            it.limit = std::min(fullLimit, it.limit + 1 / it.limit);
+        }
+        it.ejection.noteSucceeded(m_settings.ejection, now);
+        return;
+    case RunEnd::Refused:
+        // The endpoint is full with the work of others: half as much until it takes work again.
+        it.limit = std::max(m_settings.leastLimit, it.limit / 2);
+        it.ejection.noteNeutral();
+        return;
+    case RunEnd::Cancelled:
+        it.ejection.noteNeutral();
+        return;
+    case RunEnd::Failed:
+        if (it.ejection.noteFailed(m_settings.ejection, now)) {
+            ejectUnlessTooMany(slot, now);
+        }
+        return;
+    }
+}
+
+// When most endpoints of a pool fail, the cause is rarely in each of them; leaving them all out would make sure of the
+// outage.
+void CallPlacement::ejectUnlessTooMany(EndpointSlot slot, Instant now)
+{
+    const std::vector<EndpointSlot> &slots = m_roster.pool(m_roster.at(slot).listing.pool);
+    const auto ejected = std::ranges::count_if(slots, [&](EndpointSlot other) {
+        return m_roster.at(other).ejection.isEjected(now);
+    });
+    if (static_cast<double>(ejected + 1) <= m_settings.ejection.ejectedShare * static_cast<double>(slots.size())) {
+        m_roster.at(slot).ejection.eject(m_settings.ejection, now);
+    }
+}
+
+void CallPlacement::forget(EndpointSlot slot)
+{
+    m_hints.forget(slot);
+}
+
+Duration CallPlacement::expectedFirstAnswer(EndpointSlot slot, const PlacementQuery &query, Instant now) const
+{
+    const RosterEndpoint &it = m_roster.at(slot);
+    const double tokens = static_cast<double>(tokensToRead(slot, query) + it.unreadTokens);
+    const double span = tokens / m_settings.readTokensPerSecond + delaySeconds(it, now);
+    return Duration(static_cast<Duration::rep>(span * 1e6));
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/callplacement.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "prefixcachehints.h"
+#include "randomsource.h"
+#include "routequery.h"
+#include "serving/endpointroster.h"
+#include "serving/placementquery.h"
+#include "serving/placementsettings.h"
+
+#include <string>
+
+namespace RadishSwitch
+{
+
+/// Chooses the endpoint of each call, and learns from how calls go.
+///
+/// Load pattern: prompts of up to 70,000 tokens among many short ones. A short call behind a long prompt misses its
+/// target, so what counts is the time until the first token: what an endpoint has still to read, and what of this prompt
+/// it has not read yet. Calls that share a part of their prompts meet at the endpoint that rendezvous hashing gives for
+/// that part, in all processes alike and without a word between them, unless it is so busy that reading anew elsewhere
+/// is quicker.
+class CallPlacement
+{
+public:
+    CallPlacement(EndpointRoster &roster, RandomSource &random, std::string ownZone, PlacementSettings settings = {});
+
+    /// The endpoint with the least time to the first answer among those that have room; nothing when none has.
+    std::optional<EndpointSlot> choose(const PlacementQuery &query, Instant now);
+
+    /// Whether the pool has any endpoint that may be sent new calls, with room or not.
+    bool hasUsable(const PlacementQuery &query, Instant now) const;
+
+    /// A call was sent. Gives the prompt tokens that the endpoint has to read for it.
+    std::int64_t noteSent(EndpointSlot slot, const PlacementQuery &query, Instant now);
+
+    /// The first part of the answer came, or the call ended before: `unread` of its prompt no longer waits there.
+    void noteRead(EndpointSlot slot, std::int64_t unread);
+
+    /// The first part of the answer took `taken`, and `unread` tokens had to be read for it.
+    void noteFirstAnswer(EndpointSlot slot, std::int64_t unread, Duration taken, Instant now);
+
+    void noteEnded(EndpointSlot slot, RunEnd end, Instant now);
+
+    /// Forgets what is known of an endpoint whose slot was freed.
+    void forget(EndpointSlot slot);
+
+    Duration expectedFirstAnswer(EndpointSlot slot, const PlacementQuery &query, Instant now) const;
+
+private:
+    enum class Choosiness {
+        Usual,
+        /// Also ejected and doubtful ones.
+        AnyAlive,
+    };
+
+    bool isCandidate(EndpointSlot slot, const PlacementQuery &query, Choosiness choosiness, Instant now) const;
+    std::optional<EndpointSlot> cheapest(const PlacementQuery &query, Choosiness choosiness, Instant now);
+    std::optional<EndpointSlot> homeOf(const PlacementQuery &query, Choosiness choosiness, Instant now) const;
+    std::int64_t tokensToRead(EndpointSlot slot, const PlacementQuery &query) const;
+    double cost(EndpointSlot slot, const PlacementQuery &query, std::optional<EndpointSlot> home, Instant now) const;
+    double delaySeconds(const RosterEndpoint &endpoint, Instant now) const;
+    void ejectUnlessTooMany(EndpointSlot slot, Instant now);
+
+    EndpointRoster &m_roster;
+    RandomSource &m_random;
+    const std::string m_ownZone;
+    const PlacementSettings m_settings;
+    PrefixCacheHints m_hints;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -0,0 +1,145 @@
+#include "serving/endpointroster.h"
+
+#include "rendezvous.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace RadishSwitch
+{
+
+EndpointRoster::EndpointRoster(EndpointRosterSettings settings)
+    : m_settings(settings)
+{
+}
+
+void EndpointRoster::list(const EndpointListing &listing)
+{
+    m_isKnown = true;
+    const auto found = m_slots.find(listing.id);
+    RosterEndpoint &endpoint = at(found == m_slots.end() ? add(listing) : found->second);
+    // Leaving is final for one life of an endpoint: a late report of an earlier state must not bring it back.
+    const bool isLeaving = endpoint.listing.isLeaving || listing.isLeaving;
+    endpoint.listing = listing;
+    endpoint.listing.isLeaving = isLeaving;
+    endpoint.doubtfulUntil.reset();
+}
+
+EndpointSlot EndpointRoster::add(const EndpointListing &listing)
+{
+    EndpointSlot slot = static_cast<EndpointSlot>(m_endpoints.size());
+    if (m_freeSlots.empty()) {
+        m_endpoints.push_back(nullptr);
+    } else {
+        slot = m_freeSlots.back();
+        m_freeSlots.pop_back();
+    }
+    auto endpoint = std::make_unique<RosterEndpoint>();
+    endpoint->listing = listing;
+    endpoint->hash = rendezvousHash(listing.id.value());
+    endpoint->limit = std::max(listing.slots, 1);
+    m_endpoints[slot] = std::move(endpoint);
+    m_slots.emplace(listing.id, slot);
+    m_pools[listing.pool].push_back(slot);
+    return slot;
+}
+
+void EndpointRoster::unlist(const EndpointId &endpoint, Instant now)
+{
+    const auto it = m_slots.find(endpoint);
+    if (it == m_slots.end() || at(it->second).doubtfulUntil) {
+        return;
+    }
+    RosterEndpoint &gone = at(it->second);
+    gone.vanishedAt = now;
+    gone.doubtfulUntil = gone.listing.isLeaving ? now : now + m_settings.vanishedGrace;
+    if (isLapse(gone.listing.pool, now)) {
+        extendDoubt(gone.listing.pool, now);
+    }
+}
+
+// The list's entries are leases: when the store was away for longer than they last, all of them vanish at its return and
+// come back with the endpoints' next heartbeats. Believing the list then would leave a pool without any endpoint.
+bool EndpointRoster::isLapse(const PoolId &pool, Instant now) const
+{
+    const std::vector<EndpointSlot> &slots = this->pool(pool);
+    const auto vanished = std::ranges::count_if(slots, [&](EndpointSlot slot) {
+        const RosterEndpoint &it = at(slot);
+        return it.doubtfulUntil && !it.listing.isLeaving && now - it.vanishedAt <= m_settings.lapseWindow;
+    });
+    return static_cast<double>(vanished) >= m_settings.lapseShare * static_cast<double>(slots.size());
+}
+
+void EndpointRoster::extendDoubt(const PoolId &pool, Instant now)
+{
+    for (const EndpointSlot slot : this->pool(pool)) {
+        RosterEndpoint &it = at(slot);
+        if (it.doubtfulUntil && !it.listing.isLeaving && now - it.vanishedAt <= m_settings.lapseWindow) {
+            it.doubtfulUntil = it.vanishedAt + m_settings.lapseGrace;
+        }
+    }
+}
+
+void EndpointRoster::replaceAll(const std::vector<EndpointListing> &listings, Instant now)
+{
+    m_isKnown = true;
+    absl::flat_hash_set<EndpointId> listed;
+    for (const EndpointListing &listing : listings) {
+        listed.insert(listing.id);
+        list(listing);
+    }
+    std::vector<EndpointId> missing;
+    for (const auto &[id, slot] : m_slots) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const EndpointId &id : missing) {
+        unlist(id, now);
+    }
+}
+
+RosterStanding EndpointRoster::standing(EndpointSlot slot, Instant now) const
+{
+    const RosterEndpoint &it = at(slot);
+    if (it.listing.isLeaving) {
+        return it.doubtfulUntil ? RosterStanding::Gone : RosterStanding::Leaving;
+    }
+    if (!it.doubtfulUntil) {
+        return RosterStanding::Usable;
+    }
+    return now < *it.doubtfulUntil ? RosterStanding::Doubtful : RosterStanding::Gone;
+}
+
+const std::vector<EndpointSlot> &EndpointRoster::pool(const PoolId &pool) const
+{
+    static const std::vector<EndpointSlot> kNone;
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? kNone : it->second;
+}
+
+std::optional<EndpointSlot> EndpointRoster::slotOf(const EndpointId &endpoint) const
+{
+    const auto it = m_slots.find(endpoint);
+    return it == m_slots.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::vector<EndpointSlot> EndpointRoster::forgetGone(Instant now)
+{
+    std::vector<EndpointSlot> forgotten;
+    for (EndpointSlot slot = 0; slot < m_endpoints.size(); ++slot) {
+        if (m_endpoints[slot] && standing(slot, now) == RosterStanding::Gone && at(slot).inFlight == 0) {
+            forgotten.push_back(slot);
+        }
+    }
+    for (const EndpointSlot slot : forgotten) {
+        std::erase(m_pools[at(slot).listing.pool], slot);
+        m_slots.erase(at(slot).listing.id);
+        m_endpoints[slot].reset();
+        m_freeSlots.push_back(slot);
+    }
+    return forgotten;
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "endpointejection.h"
+#include "endpointstate.h"
+#include "serving/endpointlisting.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// Whether an endpoint of the roster may be sent new calls.
+enum class RosterStanding {
+    Usable,
+    /// Its entry has vanished lately, without a word that it leaves. Sent calls only when nothing else is usable.
+    Doubtful,
+    Leaving,
+    Gone,
+};
+
+struct EndpointRosterSettings {
+    /// An endpoint whose entry vanished unannounced stays usable for so long. Entries lapse while the platform's store is
+    /// away, and are back about two seconds after it; one that really leaves goes on serving for at least as long.
+    Duration vanishedGrace = std::chrono::milliseconds(1800);
+    /// The same when at least `lapseShare` of a pool vanishes within `lapseWindow`: that is a lapse of the list.
+    Duration lapseGrace = std::chrono::milliseconds(3500);
+    double lapseShare = 0.5;
+    Duration lapseWindow = std::chrono::milliseconds(500);
+};
+
+/// An endpoint that is or lately was in the platform's list, and what this process has under way there.
+struct RosterEndpoint {
+    EndpointListing listing;
+    /// By which it takes part in rendezvous hashing.
+    std::uint64_t hash = 0;
+    /// Set once its entry has vanished: until when it is doubtful rather than gone.
+    std::optional<Instant> doubtfulUntil;
+    Instant vanishedAt{};
+    /// Calls of this process that are under way here.
+    int inFlight = 0;
+    /// Calls that this process may have under way here. Falls when the endpoint refuses work, and grows back.
+    double limit = 1;
+    /// Prompt tokens sent here that the endpoint has yet to read before it answers.
+    std::int64_t unreadTokens = 0;
+    /// By how much first answers lately came later than expected, in seconds, and when that was noted.
+    double delaySeconds = 0;
+    Instant delayNotedAt{};
+    EndpointEjection ejection;
+};
+
+/// The endpoints by the platform's list, each with the work that this process has there.
+class EndpointRoster
+{
+public:
+    explicit EndpointRoster(EndpointRosterSettings settings = {});
+
+    /// Adds an endpoint or takes in what has changed about it.
+    void list(const EndpointListing &listing);
+
+    /// The endpoint's entry was removed from the list.
+    void unlist(const EndpointId &endpoint, Instant now);
+
+    /// The whole list, as read anew: what it does not hold was removed.
+    void replaceAll(const std::vector<EndpointListing> &listings, Instant now);
+
+    RosterStanding standing(EndpointSlot slot, Instant now) const;
+
+    /// Slots of all endpoints of a pool that are not forgotten, in order.
+    const std::vector<EndpointSlot> &pool(const PoolId &pool) const;
+
+    RosterEndpoint &at(EndpointSlot slot)
+    {
+        return *m_endpoints[slot];
+    }
+
+    const RosterEndpoint &at(EndpointSlot slot) const
+    {
+        return *m_endpoints[slot];
+    }
+
+    std::optional<EndpointSlot> slotOf(const EndpointId &endpoint) const;
+
+    /// Forgets endpoints that are gone and have nothing under way, and gives the slots that they had.
+    std::vector<EndpointSlot> forgetGone(Instant now);
+
+    /// Whether any list was ever taken in.
+    bool isKnown() const
+    {
+        return m_isKnown;
+    }
+
+    std::size_t size() const
+    {
+        return m_slots.size();
+    }
+
+private:
+    EndpointSlot add(const EndpointListing &listing);
+    bool isLapse(const PoolId &pool, Instant now) const;
+    void extendDoubt(const PoolId &pool, Instant now);
+
+    const EndpointRosterSettings m_settings;
+    std::vector<std::unique_ptr<RosterEndpoint>> m_endpoints;
+    std::vector<EndpointSlot> m_freeSlots;
+    absl::flat_hash_map<EndpointId, EndpointSlot> m_slots;
+    absl::flat_hash_map<PoolId, std::vector<EndpointSlot>> m_pools;
+    bool m_isKnown = false;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/objectfollower.cpp
@@ -0,0 +1,118 @@
+#include "serving/objectfollower.h"
+
+#include "failure.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+/// Doublings after which a pause no longer grows by itself.
+constexpr int kMostDoublings = 16;
+
+}
+
+ObjectFollower::ObjectFollower(ObjectStore &store, TimerService &timers, RandomSource &random, std::string prefix,
+                               ObjectListener &listener, ObjectFollowerSettings settings)
+    : m_store(store)
+    , m_timers(timers)
+    , m_random(random)
+    , m_prefix(std::move(prefix))
+    , m_listener(listener)
+    , m_settings(settings)
+{
+}
+
+ObjectFollower::~ObjectFollower()
+{
+    m_timers.cancel(m_timer);
+}
+
+void ObjectFollower::setContactCallback(ContactCallback callback)
+{
+    m_onContact = std::move(callback);
+}
+
+void ObjectFollower::start()
+{
+    list();
+}
+
+void ObjectFollower::list()
+{
+    m_store.list(m_prefix, guarded(&ObjectFollower::handleListed));
+}
+
+void ObjectFollower::watch()
+{
+    m_store.watch(m_prefix, m_version, guarded(&ObjectFollower::handleChanged));
+}
+
+void ObjectFollower::handleListed(const absl::StatusOr<StoreChanges> &changes)
+{
+    if (!changes.ok()) {
+        return retryLater(changes.status(), &ObjectFollower::list);
+    }
+    setReached(true);
+    m_version = changes->nextVersion;
+    m_listener.objectsListed(changes->objects);
+    watch();
+}
+
+void ObjectFollower::handleChanged(const absl::StatusOr<StoreChanges> &changes)
+{
+    if (!changes.ok() && failureCode(changes.status()) == FailureCode::HistoryGone) {
+        return list();
+    }
+    if (!changes.ok()) {
+        return retryLater(changes.status(), &ObjectFollower::watch);
+    }
+    setReached(true);
+    m_version = std::max(m_version, changes->nextVersion);
+    if (!changes->objects.empty()) {
+        m_listener.objectsChanged(changes->objects);
+    }
+    watch();
+}
+
+void ObjectFollower::retryLater(const absl::Status &status, void (ObjectFollower::*step)())
+{
+    ++m_failures;
+    // A watch that was cut off is no outage yet; the next call tells.
+    if (m_failures > 1 || failureCode(status) == FailureCode::StoreUnavailable) {
+        setReached(false);
+    }
+    const Duration whole =
+        std::min(m_settings.longestBackoff, m_settings.firstBackoff * (1 << std::min(m_failures - 1, kMostDoublings)));
+    const Duration wait = whole / 2 + Duration(static_cast<Duration::rep>(m_random.below(whole.count() / 2 + 1)));
+    m_timer = m_timers.after(wait, [this, step] {
+        m_timer = 0;
+        (this->*step)();
+    });
+}
+
+void ObjectFollower::setReached(bool isReached)
+{
+    if (isReached) {
+        m_failures = 0;
+    }
+    if (std::exchange(m_isReached, isReached) != isReached && m_onContact) {
+        m_onContact(isReached);
+    }
+}
+
+ObjectStore::Callback<StoreChanges>
+ObjectFollower::guarded(void (ObjectFollower::*handler)(const absl::StatusOr<StoreChanges> &))
+{
+    return [this, alive = std::weak_ptr<int>(m_alive), handler](const absl::StatusOr<StoreChanges> &changes) {
+        if (!alive.expired()) {
+            (this->*handler)(changes);
+        }
+    };
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/objectfollower.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "objectstore.h"
+#include "randomsource.h"
+#include "serving/objectlistener.h"
+#include "timerservice.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace RadishSwitch
+{
+
+struct ObjectFollowerSettings {
+    /// Waits between failed calls: the first, doubled up to the longest, each drawn between half and the whole. Short
+    /// enough that a change made during an outage is known a second after its end.
+    Duration firstBackoff = std::chrono::milliseconds(100);
+    Duration longestBackoff = std::chrono::milliseconds(800);
+};
+
+/// Keeps up with the objects of the platform's store under one prefix: lists them once and then watches, from the
+/// version known on, and lists anew when the store no longer has that much history.
+///
+/// Single-threaded: the store's callbacks must come on the owner's thread.
+class ObjectFollower
+{
+public:
+    using ContactCallback = std::function<void(bool isReached)>;
+
+    ObjectFollower(ObjectStore &store, TimerService &timers, RandomSource &random, std::string prefix,
+                   ObjectListener &listener, ObjectFollowerSettings settings = {});
+    ~ObjectFollower();
+
+    ObjectFollower(const ObjectFollower &) = delete;
+    ObjectFollower &operator=(const ObjectFollower &) = delete;
+
+    /// Called when the store is lost, and when it answers again.
+    void setContactCallback(ContactCallback callback);
+
+    void start();
+
+    /// The version of the store up to which the objects are known; zero before the first list.
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+private:
+    void list();
+    void watch();
+    void handleListed(const absl::StatusOr<StoreChanges> &changes);
+    void handleChanged(const absl::StatusOr<StoreChanges> &changes);
+    void retryLater(const absl::Status &status, void (ObjectFollower::*step)());
+    void setReached(bool isReached);
+    ObjectStore::Callback<StoreChanges> guarded(void (ObjectFollower::*handler)(const absl::StatusOr<StoreChanges> &));
+
+    ObjectStore &m_store;
+    TimerService &m_timers;
+    RandomSource &m_random;
+    const std::string m_prefix;
+    ObjectListener &m_listener;
+    const ObjectFollowerSettings m_settings;
+    ContactCallback m_onContact;
+    std::uint64_t m_version = 0;
+    int m_failures = 0;
+    bool m_isReached = true;
+    TimerId m_timer = 0;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/placementquery.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "serving/callrequest.h"
+
+namespace RadishSwitch
+{
+
+/// What decides where a call goes, and when.
+struct PlacementQuery {
+    RequestId call;
+    PoolId pool;
+    OrganisationId organisation;
+    /// 0 is the most urgent.
+    int priority = 0;
+    /// Tokens at most; 1 for a call without tokens.
+    std::int64_t cost = 1;
+    std::vector<PromptPart> parts;
+    /// The last moment at which it still helps to be placed.
+    Instant deadline{};
+    /// Endpoints that earlier attempts of the call have tried.
+    std::vector<EndpointId> excluded;
+
+    bool operator==(const PlacementQuery &) const = default;
+};
+
+/// The endpoint chosen for a call.
+struct Placement {
+    EndpointId endpoint;
+    std::string address;
+    std::string zone;
+    /// How long the first answer should take, by what is known here.
+    Duration expectedFirstAnswer{};
+
+    bool operator==(const Placement &) const = default;
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "ejectionsettings.h"
+#include "timerservice.h"
+
+namespace RadishSwitch
+{
+
+/// What placement works with. Times are those that a caller feels.
+struct PlacementSettings {
+    /// Speed at which an engine reads a prompt, in tokens a second: the engines' published 101 a millisecond.
+    double readTokensPerSecond = 101'000;
+    /// Added for a full batch, in proportion: from 3.0 to 4.4 ms a step, over the some fifteen steps that a short answer's
+    /// pauses bear.
+    Duration fullBatch = std::chrono::milliseconds(20);
+    /// Added for an endpoint of another availability zone: both ways of the network, and the bytes that cross zones.
+    Duration zoneDistance = std::chrono::milliseconds(4);
+    /// What a token that some endpoint has read already costs beyond its time when it is read again elsewhere.
+    double rereadFactor = 0.5;
+    /// Delays of first answers are forgotten by half in this time.
+    Duration delayHalfLife = std::chrono::milliseconds(1500);
+    /// Weight of a new delay in the average.
+    double delayStep = 0.3;
+    /// Least number of calls that a process may have under way at an endpoint, however often that refuses.
+    double leastLimit = 1;
+    EjectionSettings ejection{.consecutiveFailures = 3,
+                              .failureShare = 0.3,
+                              .windowRuns = 8,
+                              .window = std::chrono::seconds(5),
+                              .firstEjection = std::chrono::seconds(2),
+                              .longestEjection = std::chrono::seconds(8),
+                              .ejectedShare = 0.5};
+};
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/servingtable.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "serving/servingconfiguration.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <string_view>
+
+namespace RadishSwitch
+{
+
+/// A configuration with the indexes by which each call is looked up. Immutable, so that a call goes on with the version
+/// under which it began.
+class ServingTable
+{
+public:
+    ServingTable() = default;
+    explicit ServingTable(ServingConfiguration configuration);
+
+    ServingTable(const ServingTable &) = delete;
+    ServingTable &operator=(const ServingTable &) = delete;
+
+    const ServingConfiguration &configuration() const
+    {
+        return m_configuration;
+    }
+
+    /// The route of the host whose prefix is the longest that begins the path; null when there is none. The host may
+    /// carry a port and capitals, the path a query.
+    const ServingRoute *findRoute(std::string_view host, std::string_view target) const;
+
+    /// Null when no organisation holds the key.
+    const ServedOrganisation *organisationOfKey(std::string_view apiKey) const;
+
+    /// Null when the configuration does not name the pool.
+    const ServedPool *findPool(const PoolId &pool) const;
+
+private:
+    const ServingConfiguration m_configuration;
+    /// Routes of a host by path prefix. Prefixes end with a slash, so that a lookup tries one prefix a path segment.
+    absl::flat_hash_map<std::string, absl::flat_hash_map<std::string, const ServingRoute *>> m_routes;
+    absl::flat_hash_map<std::string, const ServedOrganisation *> m_organisations;
+    absl::flat_hash_map<PoolId, const ServedPool *> m_pools;
+};
+
+using ServingTablePointer = std::shared_ptr<const ServingTable>;
+
+}
--- a/tests/radishswitch-entry/fakehttpexchange.h
+++ b/tests/radishswitch-entry/fakehttpexchange.h
@@ -56,6 +56,8 @@
         co_return answer();
     }
 
+    void setPeerGoneCallback(std::function<void()>) override {}
+
     void abort() override
     {
         isAborted = true;
--- a/tests/radishswitch-entry/recordedexchange.h
+++ b/tests/radishswitch-entry/recordedexchange.h
@@ -59,6 +59,8 @@
         co_return absl::OkStatus();
     }
 
+    void setPeerGoneCallback(std::function<void()>) override {}
+
     void abort() override
     {
         tell("(the connection is cut)");
