--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,13 @@
 /// Kept back from the drain timeout: portions are given back, and the process ends, before it would be killed.
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
 
+/// A change that a watch misses is known after its wait, the slack after it and a list; two fifths of the bound leave
+/// room for a list from a slow store.
+Duration watchWait(const GatewaySettings &settings)
+{
+    return settings.changeBound * 2 / 5;
+}
+
 LedgerSettings ledgerSettings(const GatewaySettings &settings)
 {
     LedgerSettings ledger;
@@ -64,7 +71,7 @@
     : m_settings(std::move(settings))
     , m_workers(1)
     , m_timers(m_workers)
-    , m_adapter(makeGatewayAdapter(m_workers, m_settings.platform.toString()))
+    , m_adapter(makeGatewayAdapter(m_workers, m_settings.platform.toString(), watchWait(m_settings)))
     , m_gate(m_timers, m_random, m_settings.zone)
     , m_ledger(*m_adapter.store, m_timers, m_random, ledgerSettings(m_settings))
     , m_holder(m_ledger, m_timers, m_workers, m_random, holderSettings(m_settings, m_random))
--- a/src/gateway/gatewayadapter.h
+++ b/src/gateway/gatewayadapter.h
@@ -17,7 +17,7 @@
     std::unique_ptr<CallProtocol> protocol;
 };
 
-/// The adapter that this build is for. `storeAddress` is "ip:port".
-GatewayAdapter makeGatewayAdapter(WorkerPool &workers, const std::string &storeAddress);
+/// The adapter that this build is for. `storeAddress` is "ip:port"; `watchWait` is how long a watch without news may last.
+GatewayAdapter makeGatewayAdapter(WorkerPool &workers, const std::string &storeAddress, Duration watchWait);
 
 }
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -27,6 +27,7 @@
     parser.add("zone", settings.zone, "the availability zone in which the process runs");
     parser.add("drain-timeout", settings.drainTimeout, "how long a planned stop waits for what is in progress");
     parser.add("drain-notice", settings.drainNotice, "how long it goes on taking calls after it was told to stop");
+    parser.add("change-bound", settings.changeBound, "within this a change in the store has to be in force");
     parser.addNumber("ledger-shards", settings.ledgerShards, 1, kMostLedgerShards,
                      "objects over which budgets are spread; fixed for the life of a ledger");
     parser.add("survival-time", settings.survivalTime, "how long a portion of a budget should last without the store");
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -24,6 +24,8 @@
     /// How long a stopping gateway goes on taking calls, so that the balancer has time to see that it is not ready: two
     /// questions a second apart, and one more for one that is lost.
     Duration drainNotice = std::chrono::milliseconds(3000);
+    /// Within this a change of the configuration has to be in force, and a leaving endpoint without new calls.
+    Duration changeBound = std::chrono::seconds(2);
     /// Objects over which budgets are spread; the same in all gateways and for ever.
     int ledgerShards = 1;
     /// How long a portion of a budget should last without the store.
--- a/src/libradishswitch/serving/objectfollower.cpp
+++ b/src/libradishswitch/serving/objectfollower.cpp
@@ -69,7 +69,10 @@
         return list();
     }
     if (!changes.ok()) {
-        return retryLater(changes.status(), &ObjectFollower::watch);
+        // A watch that was not answered in time may have been forgotten by the store, with changes that a further watch
+        // would not tell either.
+        const bool isRefused = failureCode(changes.status()) == FailureCode::StoreUnavailable;
+        return retryLater(changes.status(), isRefused ? &ObjectFollower::watch : &ObjectFollower::list);
     }
     setReached(true);
     m_version = std::max(m_version, changes->nextVersion);
