Size portions by typical requests, and know the store's absence by one unanswered call

Cause: a budget portion held room for four requests of the size last seen; sizes differ a hundredfold, so one request of 70,000 tokens stranded a small organisation's budget at one gateway, and after a power loss nearly all budgets were refused as exhausted. Prompts left their home endpoint for 24 ms of waiting, though reading their shared part again costs more.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,6 +34,8 @@
     ledger.soonDelay = std::chrono::milliseconds(200);
     ledger.relaxedDelay = std::chrono::milliseconds(800);
     ledger.longestBackoff = std::chrono::milliseconds(800);
+    // Callers wait for the ledger; one call without an answer is reason enough to tell them.
+    ledger.failuresUntilAway = 1;
     return ledger;
 }
 
@@ -46,12 +48,14 @@
     holder.averagingTime = std::chrono::seconds(4);
     holder.lowWaterShare = 0.75;
     holder.shareOfFree = 0.25;
-    holder.requestsAhead = 4;
-    holder.surplusFactor = 2;
+    holder.shortestAverage = std::chrono::milliseconds(1500);
+    holder.requestsAhead = 2;
+    holder.surplusFactor = 1.5;
     holder.checkpointInterval = std::chrono::seconds(4);
     holder.relaxedCheckpointInterval = std::chrono::seconds(4);
     holder.exhaustedRetryAfter = std::chrono::seconds(2);
-    holder.unavailableRetryAfter = std::chrono::milliseconds(500);
+    // Another gateway may still hold a portion, and a caller's next try goes to another.
+    holder.unavailableRetryAfter = std::chrono::milliseconds(200);
     return holder;
 }
 
--- a/src/libradishswitch/budgetholdersettings.h
+++ b/src/libradishswitch/budgetholdersettings.h
@@ -19,11 +19,14 @@
     Duration survivalTime = std::chrono::seconds(120);
     /// Time over which use is averaged.
     Duration averagingTime = std::chrono::seconds(30);
+    /// Use is averaged over at least so long: a few requests in a shorter time say little about the use to come.
+    Duration shortestAverage = std::chrono::seconds(5);
     /// More is asked for when less than this share of the wished size is left.
     double lowWaterShare = 0.5;
     /// Share of what is free in the ledger that may be taken beyond what waiting requests need.
     double shareOfFree = 0.25;
-    /// Requests of the size last seen for which a portion has room at least, whatever the averaged use is.
+    /// Requests of typical size for which a portion has room at least, whatever the averaged use is; and for one of the
+    /// size last seen.
     int requestsAhead = 4;
     /// A portion with more than so many times the wished size gives back the excess.
     double surplusFactor = 4;
--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/heldbudget.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// A few requests in a shorter time say little about the use to come.
-constexpr Duration kShortestAverage = std::chrono::seconds(5);
+/// Weight of a new request in the average size.
+constexpr double kSizeStep = 0.1;
 
 double secondsOf(Duration span)
 {
@@ -110,6 +110,8 @@
 void HeldBudget::noteReserved(std::int64_t tokens, Instant now)
 {
     m_lastTokens = tokens;
+    m_typicalTokens += m_typicalTokens == 0 ? static_cast<double>(tokens)
+                                            : kSizeStep * (static_cast<double>(tokens) - m_typicalTokens);
     m_lastUsedAt = now;
 }
 
@@ -129,7 +131,7 @@
 // that it can have gathered so far.
 double HeldBudget::tokensPerSecond(Instant now, const BudgetHolderSettings &settings) const
 {
-    const Duration span = std::max<Duration>(now - m_averagingSince, kShortestAverage);
+    const Duration span = std::max<Duration>(now - m_averagingSince, settings.shortestAverage);
     const double weight = 1 - std::exp(-secondsOf(span) / secondsOf(settings.averagingTime));
     return decayedTokensPerSecond(now, settings) / weight;
 }
@@ -144,7 +146,10 @@
     // More is asked for at the low-water mark, and what is left then must still last for the survival time.
     const double lowWater = tokensPerSecond(now, settings) * secondsOf(settings.survivalTime);
     const double byUse = lowWater / settings.lowWaterShare;
-    return std::max(static_cast<std::int64_t>(byUse), m_lastTokens * settings.requestsAhead);
+    // Sizes differ a hundredfold. Room for several of whatever came last would hand a small budget to the holder that saw one
+    // large request, and strand it there.
+    const double byRequests = std::max(m_typicalTokens * settings.requestsAhead, static_cast<double>(m_lastTokens));
+    return static_cast<std::int64_t>(std::max(byUse, byRequests));
 }
 
 std::int64_t HeldBudget::sizeWhenWanted(Instant now, const BudgetHolderSettings &settings) const
--- a/src/libradishswitch/heldbudget.h
+++ b/src/libradishswitch/heldbudget.h
@@ -123,6 +123,8 @@
     Instant m_averagedAt;
     Instant m_lastUsedAt;
     std::int64_t m_lastTokens = 0;
+    /// Averaged size of requests.
+    double m_typicalTokens = 0;
     std::unique_ptr<Extras> m_extras;
 };
 
--- a/src/libradishswitch/serving/placementsettings.h
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -16,7 +16,7 @@
     /// Added for an endpoint of another availability zone: both ways of the network, and the bytes that cross zones.
     Duration zoneDistance = std::chrono::milliseconds(4);
     /// What a token that some endpoint has read already costs beyond its time when it is read again elsewhere.
-    double rereadFactor = 0.5;
+    double rereadFactor = 4;
     /// Delays of first answers are forgotten by half in this time.
     Duration delayHalfLife = std::chrono::milliseconds(1500);
     /// Weight of a new delay in the average.
