Reserve tokens at one home gateway a budget, with portions of its own as the way out

Change: rendezvous hashing gives each budget a home; the others reserve there over one nghttp2 stream, ask the next gateway when it is silent, lost or without tokens, and at last their own portion. Gateways find one another through objects of their own in the store. Eight shards of the ledger; allowances are booked by who serves a budget.

--- /dev/null
+++ b/src/gateway/budgetpeers.cpp
@@ -0,0 +1,157 @@
+#include "budgetpeers.h"
+
+#include "wire.h"
+#include "wireconversion.h"
+
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+std::int64_t milliseconds(Duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+std::string settleFrame(const RequestId &call, std::int64_t usedTokens)
+{
+    wire::BudgetRequest message;
+    message.mutable_settle()->set_call(call.value());
+    message.mutable_settle()->set_used_tokens(usedTokens);
+    return message.SerializeAsString();
+}
+
+}
+
+BudgetPeers::BudgetPeers(MessageClients &clients, TimerService &timers, Duration expiry)
+    : m_clients(clients)
+    , m_timers(timers)
+    , m_expiry(expiry)
+{
+}
+
+BudgetPeers::~BudgetPeers()
+{
+    for (auto &[peer, link] : m_links) {
+        for (auto &[call, pending] : link.pending) {
+            m_timers.cancel(pending.timer);
+        }
+    }
+}
+
+void BudgetPeers::setAddresses(std::map<std::string, std::string> addresses)
+{
+    m_addresses = std::move(addresses);
+}
+
+void BudgetPeers::reserve(const std::string &peer, const ReservationRequest &request, Duration timeout,
+                          std::function<void(absl::Status)> callback)
+{
+    wire::BudgetRequest message;
+    wire::Reserve &reserve = *message.mutable_reserve();
+    reserve.set_call(request.request.value());
+    reserve.set_organisation(request.budget.organisation.value());
+    reserve.set_tokens(request.tokens);
+    reserve.set_wait_ms(milliseconds(std::max(request.deadline - m_timers.now(), Duration::zero())));
+    reserve.set_expires_ms(milliseconds(m_expiry));
+    const RequestId call = request.request;
+    const TimerId timer = m_timers.after(timeout, [this, peer, call] {
+        handleTimeout(peer, call);
+    });
+    m_links[peer].pending[call] = Pending{std::move(callback), timer};
+    if (!send(peer, message.SerializeAsString())) {
+        finish(peer, call, makeFailure(FailureCode::ConnectionLost, "no way to gateway " + peer));
+    }
+}
+
+void BudgetPeers::settle(const std::string &peer, const RequestId &call, std::int64_t usedTokens)
+{
+    // A settlement that gets lost is made good by the expiry of the reservation, on the safe side.
+    (void)send(peer, settleFrame(call, usedTokens));
+}
+
+bool BudgetPeers::send(const std::string &peer, std::string frame)
+{
+    Link &link = m_links[peer];
+    if (link.stream) {
+        link.stream->send(std::move(frame));
+        return true;
+    }
+    const auto address = m_addresses.find(peer);
+    if (address == m_addresses.end()) {
+        return false;
+    }
+    const MessageStreamPointer stream = m_clients.client(address->second)->open(kBudgetPath, std::move(frame));
+    link.stream = stream;
+    const std::weak_ptr<int> alive = m_alive;
+    stream->start(
+        [this, alive, peer](const std::string &answer) {
+            if (!alive.expired()) {
+                handleAnswer(peer, answer);
+            }
+        },
+        [this, alive, peer, closed = stream.get()](const absl::Status &status) {
+            if (!alive.expired()) {
+                handleClosed(peer, closed, status);
+            }
+        });
+    return true;
+}
+
+void BudgetPeers::handleAnswer(const std::string &peer, const std::string &frame)
+{
+    const absl::StatusOr<wire::BudgetAnswer> answer = parseFrame<wire::BudgetAnswer>(frame);
+    if (!answer.ok()) {
+        if (const MessageStreamPointer stream = m_links[peer].stream) {
+            stream->cancel();
+        }
+        return;
+    }
+    const RequestId call(answer->call());
+    if (!m_links[peer].pending.contains(call)) {
+        // The answer came too late: the call has gone elsewhere, and leaves its reservation here unused.
+        if (!answer->has_refused()) {
+            (void)send(peer, settleFrame(call, 0));
+        }
+        return;
+    }
+    finish(peer, call, answer->has_refused() ? failureFromWire(answer->refused()) : absl::OkStatus());
+}
+
+void BudgetPeers::handleClosed(const std::string &peer, const MessageStream *stream, const absl::Status &status)
+{
+    Link &link = m_links[peer];
+    if (link.stream.get() != stream) {
+        return;
+    }
+    link.stream.reset();
+    const absl::flat_hash_map<RequestId, Pending> pending = std::exchange(link.pending, {});
+    const absl::Status failure = makeFailure(FailureCode::ConnectionLost, std::string(status.message()));
+    for (const auto &[call, waiting] : pending) {
+        m_timers.cancel(waiting.timer);
+        waiting.callback(failure);
+    }
+}
+
+void BudgetPeers::handleTimeout(const std::string &peer, const RequestId &call)
+{
+    finish(peer, call, makeFailure(FailureCode::ConnectionSilent, "gateway " + peer + " did not answer in time"));
+}
+
+void BudgetPeers::finish(const std::string &peer, const RequestId &call, const absl::Status &status)
+{
+    Link &link = m_links[peer];
+    const auto it = link.pending.find(call);
+    if (it == link.pending.end()) {
+        return;
+    }
+    const Pending pending = std::move(it->second);
+    link.pending.erase(it);
+    m_timers.cancel(pending.timer);
+    pending.callback(status);
+}
+
+}
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -3,6 +3,7 @@
 #include "asyncresult.h"
 #include "failure.h"
 #include "log.h"
+#include "prepaidbudgets.h"
 
 #include <algorithm>
 
@@ -155,11 +156,12 @@
     const std::int64_t tokens = reservationOf(*m_request.tokens);
     const Instant deadline = std::min(m_deadline, m_startedAt + m_route->targetLatency);
     const auto start = [this, tokens, deadline](auto done) {
-        m_services.budgets.reserve(m_request.id, m_organisation->name, tokens, deadline, std::move(done));
+        const BudgetId budget = PrepaidBudgets::budgetOf(m_organisation->name);
+        m_services.budgets.reserve(ReservationRequest{m_request.id, budget, tokens, deadline}, std::move(done));
     };
-    const absl::StatusOr<Reservation> reservation = co_await awaitCallback<absl::StatusOr<Reservation>>(start);
-    m_isReserved = reservation.ok();
-    co_return reservation.status();
+    const absl::Status status = co_await awaitCallback<absl::Status>(start);
+    m_isReserved = status.ok();
+    co_return status;
 }
 
 net::awaitable<absl::Status> Call::serve()
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -3,10 +3,10 @@
 #include "callprotocol.h"
 #include "endpointconnections.h"
 #include "metrics.h"
-#include "prepaidbudgets.h"
 #include "retrybudget.h"
 #include "serving/callgate.h"
 #include "serving/servingtable.h"
+#include "serving/sharedbudgets.h"
 
 #include <map>
 
@@ -41,7 +41,7 @@
     TimerService &timers;
     RandomSource &random;
     CallGate &gate;
-    PrepaidBudgets &budgets;
+    SharedBudgets &budgets;
     EndpointConnections &connections;
     std::map<PoolId, RetryBudget> &retryBudgets;
     RetrySettings retrySettings;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,13 +16,19 @@
 
 constexpr Duration kUpkeepInterval = std::chrono::seconds(2);
 /// Kept back from the drain timeout: portions are given back, and the process ends, before it would be killed.
+/// Longer than any call lasts.
+constexpr Duration kReservationExpiry = std::chrono::seconds(20);
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
 
-/// A change that a watch misses is known after its wait, the slack after it and a list; two fifths of the bound leave
-/// room for a list from a slow store.
-Duration watchWait(const GatewaySettings &settings)
+GatewayStoreSettings storeSettings(const GatewaySettings &settings)
 {
-    return settings.changeBound * 2 / 5;
+    GatewayStoreSettings store;
+    store.address = settings.platform.toString();
+    // A change that a watch misses is known after its wait, the slack after it and a list; two fifths of the bound leave
+    // room for a list from a slow store.
+    store.watchWait = settings.changeBound * 2 / 5;
+    store.relaxedPrefix = PeerRegistry::kPrefix;
+    return store;
 }
 
 LedgerSettings ledgerSettings(const GatewaySettings &settings)
@@ -51,6 +57,8 @@
     holder.shortestAverage = std::chrono::milliseconds(1500);
     holder.requestsAhead = 2;
     holder.surplusFactor = 1.5;
+    // A home that stands in for another gives its portion back soon after.
+    holder.idleTime = std::chrono::seconds(4);
     holder.checkpointInterval = std::chrono::seconds(4);
     holder.relaxedCheckpointInterval = std::chrono::seconds(4);
     holder.exhaustedRetryAfter = std::chrono::seconds(2);
@@ -59,6 +67,15 @@
     return holder;
 }
 
+TransportSettings transportSettings(const GatewaySettings &settings)
+{
+    TransportSettings transport;
+    transport.fleetKey = settings.fleetKey;
+    transport.connectTimeout = std::chrono::milliseconds(200);
+    transport.pingInterval = std::chrono::seconds(1);
+    return transport;
+}
+
 RetrySettings retrySettings(const GatewaySettings &settings)
 {
     RetrySettings retry;
@@ -75,11 +92,19 @@
     : m_settings(std::move(settings))
     , m_workers(1)
     , m_timers(m_workers)
-    , m_adapter(makeGatewayAdapter(m_workers, m_settings.platform.toString(), watchWait(m_settings)))
+    , m_adapter(makeGatewayAdapter(m_workers, storeSettings(m_settings)))
     , m_gate(m_timers, m_random, m_settings.zone)
     , m_ledger(*m_adapter.store, m_timers, m_random, ledgerSettings(m_settings))
     , m_holder(m_ledger, m_timers, m_workers, m_random, holderSettings(m_settings, m_random))
-    , m_budgets(m_ledger, m_holder, m_timers)
+    , m_ownBudgets(m_ledger, m_holder, m_timers)
+    , m_clients(m_workers, transportSettings(m_settings))
+    , m_budgetPeers(m_clients, m_timers, kReservationExpiry)
+    , m_budgets(m_settings.instance, m_ownBudgets, m_budgetPeers, m_timers)
+    , m_budgetService(m_ownBudgets, m_timers)
+    , m_peerRegistry(*m_adapter.store, m_timers, m_random, m_settings.instance, m_settings.peerListen.toString(),
+                     [this](const std::map<std::string, std::string> &addresses) {
+                         handlePeers(addresses);
+                     })
     , m_connections(m_workers.context())
     , m_services{*m_adapter.protocol, m_timers, m_random, m_gate, m_budgets, m_connections,
                  m_retryBudgets, retrySettings(m_settings), CallTimes(), m_metrics}
@@ -94,6 +119,7 @@
     , m_configurationFollower(*m_adapter.store, m_timers, m_random, m_adapter.catalogue->configurationPrefix(),
                               m_configuration)
     , m_endpointFollower(*m_adapter.store, m_timers, m_random, m_adapter.catalogue->endpointPrefix(), m_endpoints)
+    , m_peerServer(m_workers, transportSettings(m_settings))
     , m_server(m_workers, HttpServerSettings(),
                [this](HttpExchange &exchange) {
                    return serve(exchange);
@@ -111,7 +137,13 @@
 {
     kLog.info("starting", {field("instance", m_settings.instance), field("zone", m_settings.zone),
                            field("listen", m_settings.listen.toString()), field("store", m_settings.platform.toString())});
+    m_peerServer.handle(kBudgetPath, [this](const MessageStreamPointer &stream) {
+        m_budgetService.serve(stream);
+    });
     absl::Status status = m_admin.listen(m_settings.adminListen.ip(), m_settings.adminListen.port());
+    if (status.ok()) {
+        status = m_peerServer.listen(m_settings.peerListen.ip(), m_settings.peerListen.port());
+    }
     if (status.ok()) {
         status = m_server.listen(m_settings.listen.ip(), m_settings.listen.port());
     }
@@ -138,6 +170,7 @@
     };
     follow(m_configurationFollower, "configuration");
     follow(m_endpointFollower, "endpoints");
+    m_peerRegistry.start();
     m_timers.every(kUpkeepInterval, [this] {
         m_connections.closeExpired();
         m_gate.noteRosterChanged();
@@ -154,10 +187,20 @@
     serverLimits.readTimeout = limits.headerTimeout;
     serverLimits.idleTimeout = limits.idleTimeout;
     m_server.setLimits(serverLimits);
-    m_budgets.applyConfiguration(table->configuration());
+    m_ownBudgets.applyConfiguration(table->configuration());
     updateReady();
 }
 
+void Gateway::handlePeers(const std::map<std::string, std::string> &addresses)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, address] : addresses) {
+        names.push_back(name);
+    }
+    m_budgetPeers.setAddresses(addresses);
+    m_budgets.homes().setPeers(names);
+}
+
 void Gateway::updateReady()
 {
     m_admin.setReady(!m_isStopping && m_configuration.table() && m_gate.roster().isKnown());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,12 +3,16 @@
 #include "adminserver.h"
 #include "asiotimerservice.h"
 #include "budgetholder.h"
+#include "budgetpeers.h"
+#include "budgetservice.h"
 #include "callservices.h"
 #include "configurationlistener.h"
 #include "endpointlistener.h"
 #include "gatewayadapter.h"
 #include "gatewaysettings.h"
 #include "httpserver.h"
+#include "peerregistry.h"
+#include "prepaidbudgets.h"
 #include "serving/objectfollower.h"
 #include "systemrandom.h"
 
@@ -49,6 +53,7 @@
 private:
     void begin();
     void handleNewer(const ServingTablePointer &table);
+    void handlePeers(const std::map<std::string, std::string> &addresses);
     void updateReady();
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     void stopTaking();
@@ -64,7 +69,12 @@
     CallGate m_gate;
     Ledger m_ledger;
     BudgetHolder m_holder;
-    PrepaidBudgets m_budgets;
+    PrepaidBudgets m_ownBudgets;
+    MessageClients m_clients;
+    BudgetPeers m_budgetPeers;
+    SharedBudgets m_budgets;
+    BudgetService m_budgetService;
+    PeerRegistry m_peerRegistry;
     EndpointConnections m_connections;
     std::map<PoolId, RetryBudget> m_retryBudgets;
     CallServices m_services;
@@ -72,6 +82,7 @@
     EndpointListener m_endpoints;
     ObjectFollower m_configurationFollower;
     ObjectFollower m_endpointFollower;
+    Http2MessageServer m_peerServer;
     HttpServer m_server;
     AdminServer m_admin;
     std::function<void()> m_onDrained;
--- a/src/gateway/gatewayadapter.h
+++ b/src/gateway/gatewayadapter.h
@@ -17,7 +17,18 @@
     std::unique_ptr<CallProtocol> protocol;
 };
 
-/// The adapter that this build is for. `storeAddress` is "ip:port"; `watchWait` is how long a watch without news may last.
-GatewayAdapter makeGatewayAdapter(WorkerPool &workers, const std::string &storeAddress, Duration watchWait);
+/// How a gateway uses the platform's store.
+struct GatewayStoreSettings {
+    /// "ip:port".
+    std::string address;
+    /// How long a watch without news may last.
+    Duration watchWait{};
+    /// Prefix of objects of which old news will do: they are watched for longer and at the lower price of answers that may
+    /// be seconds old.
+    std::string relaxedPrefix;
+};
+
+/// The adapter that this build is for.
+GatewayAdapter makeGatewayAdapter(WorkerPool &workers, const GatewayStoreSettings &settings);
 
 }
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -20,6 +20,8 @@
         },
         "info", "the least severe log line that is written");
     parser.add("listen", settings.listen, "where callers come in");
+    parser.add("peer-listen", settings.peerListen, "where other gateways come in");
+    parser.add("fleet-key", settings.fleetKey, "the secret that all gateways share");
     parser.add("admin-listen", settings.adminListen, "where /metrics, /livez and /readyz are served");
     parser.add("platform", settings.platform, "the platform's store");
     parser.add("instance", settings.instance, "the name of this process in logs");
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -14,6 +14,10 @@
     SocketAddress listen{"127.0.0.1", 8080};
     /// Where /metrics, /livez and /readyz are served.
     SocketAddress adminListen{"127.0.0.1", 8082};
+    /// Where other gateways come in.
+    SocketAddress peerListen{"127.0.0.1", 8081};
+    /// The secret that all gateways share.
+    std::string fleetKey = "radishswitch gateways on one private network";
     /// The platform's store.
     SocketAddress platform;
     std::string instance = "gateway";
@@ -27,7 +31,7 @@
     /// Within this a change of the configuration has to be in force, and a leaving endpoint without new calls.
     Duration changeBound = std::chrono::seconds(2);
     /// Objects over which budgets are spread; the same in all gateways and for ever.
-    int ledgerShards = 1;
+    int ledgerShards = 8;
     /// How long a portion of a budget should last without the store.
     Duration survivalTime = std::chrono::milliseconds(9000);
     /// Further attempts for each first one, and how many may be saved up, for each pool.
--- a/src/gateway/prepaidbudgets.cpp
+++ b/src/gateway/prepaidbudgets.cpp
@@ -1,7 +1,6 @@
 #include "prepaidbudgets.h"
 
 #include "allowancechange.h"
-#include "failure.h"
 #include "log.h"
 
 #include <utility>
@@ -33,40 +32,43 @@
 void PrepaidBudgets::applyConfiguration(const ServingConfiguration &configuration)
 {
     for (const ServedOrganisation &organisation : configuration.organisations) {
-        if (!organisation.prepaidTokens) {
-            continue;
+        if (organisation.prepaidTokens) {
+            Allowance &allowance = m_allowances[budgetOf(organisation.name)];
+            allowance.version = configuration.version;
+            allowance.total = *organisation.prepaidTokens;
         }
-        const std::int64_t total = *organisation.prepaidTokens;
-        const auto known = m_totals.find(organisation.name);
-        if (known != m_totals.end() && known->second == total) {
-            continue;
-        }
-        m_totals[organisation.name] = total;
-        const BudgetId budget = budgetOf(organisation.name);
-        const auto change = std::make_shared<AllowanceChange>(budget, configuration.version, total,
-                                                              m_timers.wallClockMilliseconds());
-        m_ledger.submit(budget, change, Urgency::Urgent, [change, total](const absl::Status &status) {
-            if (status.ok()) {
-                kLog.info("allowance booked", {field("change", change->describe()), field("total", total)});
-            } else {
-                kLog.error("allowance not booked",
-                           {field("change", change->describe()), field("error", std::string(status.message()))});
-            }
-        });
     }
 }
 
-void PrepaidBudgets::reserve(const RequestId &call, const OrganisationId &organisation, std::int64_t tokens,
-                             Instant deadline, ReservationCallback callback)
+void PrepaidBudgets::reserveHere(const ReservationRequest &request, ReservationCallback callback)
+{
+    const auto it = m_allowances.find(request.budget);
+    if (it != m_allowances.end() && it->second.booked != it->second.total) {
+        book(it->first, it->second);
+    }
+    m_holder.reserve(request, std::move(callback));
+}
+
+void PrepaidBudgets::book(const BudgetId &budget, Allowance &allowance)
 {
-    m_holder.reserve(ReservationRequest{call, budgetOf(organisation), tokens, deadline}, std::move(callback));
+    allowance.booked = allowance.total;
+    const auto change = std::make_shared<AllowanceChange>(budget, allowance.version, allowance.total,
+                                                          m_timers.wallClockMilliseconds());
+    m_ledger.submit(budget, change, Urgency::Urgent, [change](const absl::Status &status) {
+        if (status.ok()) {
+            kLog.info("allowance booked", {field("change", change->describe())});
+        } else {
+            kLog.error("allowance not booked",
+                       {field("change", change->describe()), field("error", std::string(status.message()))});
+        }
+    });
 }
 
-void PrepaidBudgets::settle(const RequestId &call, std::int64_t used)
+void PrepaidBudgets::settleHere(const RequestId &call, std::int64_t usedTokens)
 {
-    const absl::Status status = m_holder.settle(call, used);
+    const absl::Status status = m_holder.settle(call, usedTokens);
     if (!status.ok()) {
-        kLog.error("charge out of range", {field("call", call.value()), field("tokens", used)});
+        kLog.error("charge out of range", {field("call", call.value()), field("tokens", usedTokens)});
     }
 }
 
--- a/src/gateway/prepaidbudgets.h
+++ b/src/gateway/prepaidbudgets.h
@@ -2,36 +2,42 @@
 
 #include "budgetholder.h"
 #include "serving/servingconfiguration.h"
+#include "serving/sharedbudgets.h"
 
 #include <absl/container/flat_hash_map.h>
 
 namespace RadishSwitch
 {
 
-/// The prepaid budgets of organisations, one each, as calls reserve against them: the ledger's portions, and the totals
-/// that the configuration says were paid.
-class PrepaidBudgets
+/// This gateway's portions of organisations' prepaid budgets, one budget an organisation, with the totals that the
+/// configuration says were paid.
+class PrepaidBudgets : public LocalBudgets
 {
 public:
     PrepaidBudgets(Ledger &ledger, BudgetHolder &holder, TimerService &timers);
 
-    /// Books what a newer configuration says was paid.
-    void applyConfiguration(const ServingConfiguration &configuration);
+    static BudgetId budgetOf(const OrganisationId &organisation);
 
-    /// Sets tokens aside for a call; the callback comes through the task queue. Errors as BudgetHolder::reserve.
-    void reserve(const RequestId &call, const OrganisationId &organisation, std::int64_t tokens, Instant deadline,
-                 ReservationCallback callback);
+    /// Takes in what a newer configuration says was paid. It is booked with the first reservation here that draws on it:
+    /// were every gateway to book it, each change would cost a call to the store from each of them.
+    void applyConfiguration(const ServingConfiguration &configuration);
 
-    /// The call is over: `used` of the tokens are billed, and the rest is free.
-    void settle(const RequestId &call, std::int64_t used);
+    void reserveHere(const ReservationRequest &request, ReservationCallback callback) override;
+    void settleHere(const RequestId &call, std::int64_t usedTokens) override;
 
 private:
-    static BudgetId budgetOf(const OrganisationId &organisation);
+    struct Allowance {
+        std::uint64_t version = 0;
+        std::int64_t total = 0;
+        std::int64_t booked = 0;
+    };
+
+    void book(const BudgetId &budget, Allowance &allowance);
 
     Ledger &m_ledger;
     BudgetHolder &m_holder;
     TimerService &m_timers;
-    absl::flat_hash_map<OrganisationId, std::int64_t> m_totals;
+    absl::flat_hash_map<BudgetId, Allowance> m_allowances;
 };
 
 }
--- /dev/null
+++ b/src/libradishswitch/serving/sharedbudgets.cpp
@@ -0,0 +1,98 @@
+#include "serving/sharedbudgets.h"
+
+#include "failure.h"
+
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+bool isUnreachable(FailureCode code)
+{
+    return code == FailureCode::ConnectionLost || code == FailureCode::ConnectionSilent || code == FailureCode::Draining;
+}
+
+/// Whether another gateway may still have what this one lacks: its own portion, or a way to the ledger.
+bool isWorthAskingOthers(FailureCode code)
+{
+    return isUnreachable(code) || code == FailureCode::BudgetUnavailable || code == FailureCode::BudgetUnknown;
+}
+
+}
+
+SharedBudgets::SharedBudgets(std::string self, LocalBudgets &local, BudgetPeerPort &peers, TimerService &timers,
+                             SharedBudgetsSettings settings)
+    : m_local(local)
+    , m_peers(peers)
+    , m_timers(timers)
+    , m_settings(settings)
+    , m_homes(std::move(self), settings.homes)
+{
+}
+
+void SharedBudgets::reserve(const ReservationRequest &request, std::function<void(absl::Status)> callback)
+{
+    const auto search = std::make_shared<Search>();
+    search->request = request;
+    search->candidates = m_homes.candidates(request.budget, m_timers.now());
+    search->callback = std::move(callback);
+    askNext(search);
+}
+
+void SharedBudgets::askNext(const SearchPointer &search)
+{
+    const std::string peer = search->candidates[search->next++];
+    if (peer == m_homes.self()) {
+        return askHere(search);
+    }
+    m_peers.reserve(peer, search->request, m_settings.peerTimeout, [this, search, peer](const absl::Status &status) {
+        handleAnswer(search, peer, status);
+    });
+}
+
+void SharedBudgets::handleAnswer(const SearchPointer &search, const std::string &peer, const absl::Status &status)
+{
+    if (status.ok()) {
+        m_homes.noteReached(peer);
+        m_places[search->request.request] = peer;
+        return search->callback(absl::OkStatus());
+    }
+    const FailureCode code = failureCode(status);
+    if (isUnreachable(code)) {
+        m_homes.noteUnreachable(peer, m_timers.now());
+    }
+    if (isWorthAskingOthers(code)) {
+        return askNext(search);
+    }
+    search->callback(status);
+}
+
+void SharedBudgets::askHere(const SearchPointer &search)
+{
+    m_local.reserveHere(search->request, [this, search](const absl::StatusOr<Reservation> &reservation) {
+        if (reservation.ok()) {
+            m_places[search->request.request] = m_homes.self();
+        }
+        search->callback(reservation.status());
+    });
+}
+
+void SharedBudgets::settle(const RequestId &call, std::int64_t usedTokens)
+{
+    const auto it = m_places.find(call);
+    if (it == m_places.end()) {
+        return;
+    }
+    const std::string place = it->second;
+    m_places.erase(it);
+    if (place == m_homes.self()) {
+        m_local.settleHere(call, usedTokens);
+    } else {
+        m_peers.settle(place, call, usedTokens);
+    }
+}
+
+}
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -78,8 +78,8 @@
     // connection where nothing can be answered; the handler sees nothing of it, and the next caller is served.
     std::atomic<int> handled = 0;
     HttpServerSettings settings;
-    settings.maximumHeaderBytes = 1024;
-    settings.maximumBodyBytes = 1000;
+    settings.limits.maximumHeaderBytes = 1024;
+    settings.limits.maximumBodyBytes = 1000;
     HttpServer &server = start(
         [&handled](HttpExchange &exchange) -> boost::asio::awaitable<void> {
             ++handled;
@@ -135,7 +135,7 @@
     // The caller is still sending when the refusal goes out. A close with its bytes unread would make the kernel reset
     // the connection and drop the 413 that the caller has not read yet.
     HttpServerSettings settings;
-    settings.maximumBodyBytes = 1000;
+    settings.limits.maximumBodyBytes = 1000;
 
     for (int n = 0; n < 20; ++n) {
         const auto response = fetch(serve(echo, settings), post(std::string(4 * 1024 * 1024, 'a')));
