Strand less of a budget: small stand-ins, portions handed over, more for its home

Change: stand-ins hold 2 s of use and a tenth of what is free, homes half of it; a stopping gateway that does not reach the store has two others give its portions back; a peer that answers other calls is not silent.

--- a/src/gateway/budgetpeers.cpp
+++ b/src/gateway/budgetpeers.cpp
@@ -57,12 +57,22 @@
     const TimerId timer = m_timers.after(timeout, [this, peer, call] {
         handleTimeout(peer, call);
     });
-    m_links[peer].pending[call] = Pending{std::move(callback), timer};
+    m_links[peer].pending[call] = Pending{std::move(callback), timer, m_timers.now()};
     if (!send(peer, message.SerializeAsString())) {
         finish(peer, call, makeFailure(FailureCode::ConnectionLost, "no way to gateway " + peer));
     }
 }
 
+void BudgetPeers::handOver(const std::string &peer, const BudgetId &budget, const PortionId &portion,
+                           std::int64_t spentTokens)
+{
+    wire::BudgetRequest message;
+    message.mutable_handed()->set_organisation(budget.organisation.value());
+    message.mutable_handed()->set_portion(portion.value());
+    message.mutable_handed()->set_spent_tokens(spentTokens);
+    (void)send(peer, message.SerializeAsString());
+}
+
 void BudgetPeers::settle(const std::string &peer, const RequestId &call, std::int64_t usedTokens)
 {
     // A settlement that gets lost is made good by the expiry of the reservation, on the safe side.
@@ -106,6 +116,7 @@
         }
         return;
     }
+    m_links[peer].heardAt = m_timers.now();
     const RequestId call(answer->call());
     if (!m_links[peer].pending.contains(call)) {
         // The answer came too late: the call has gone elsewhere, and leaves its reservation here unused.
@@ -134,7 +145,12 @@
 
 void BudgetPeers::handleTimeout(const std::string &peer, const RequestId &call)
 {
-    finish(peer, call, makeFailure(FailureCode::ConnectionSilent, "gateway " + peer + " did not answer in time"));
+    const Link &link = m_links[peer];
+    const auto it = link.pending.find(call);
+    // A peer that answers others meanwhile is sound; this call waits there for the ledger.
+    const bool isAlive = it != link.pending.end() && link.heardAt >= it->second.askedAt;
+    const FailureCode code = isAlive ? FailureCode::BudgetUnavailable : FailureCode::ConnectionSilent;
+    finish(peer, call, makeFailure(code, "gateway " + peer + " did not answer in time"));
 }
 
 void BudgetPeers::finish(const std::string &peer, const RequestId &call, const absl::Status &status)
--- a/src/gateway/budgetpeers.h
+++ b/src/gateway/budgetpeers.h
@@ -24,16 +24,22 @@
 
     void reserve(const std::string &peer, const ReservationRequest &request, Duration timeout,
                  std::function<void(absl::Status)> callback) override;
+    /// Has a peer give back a portion of this gateway, which spends no more of it.
+    void handOver(const std::string &peer, const BudgetId &budget, const PortionId &portion, std::int64_t spentTokens);
+
     void settle(const std::string &peer, const RequestId &call, std::int64_t usedTokens) override;
 
 private:
     struct Pending {
         std::function<void(absl::Status)> callback;
         TimerId timer = 0;
+        Instant askedAt{};
     };
 
     struct Link {
         MessageStreamPointer stream;
+        /// When an answer came last.
+        Instant heardAt = Instant::min();
         absl::flat_hash_map<RequestId, Pending> pending;
     };
 
--- a/src/gateway/budgetservice.cpp
+++ b/src/gateway/budgetservice.cpp
@@ -1,7 +1,6 @@
 #include "budgetservice.h"
 
 #include "log.h"
-#include "prepaidbudgets.h"
 #include "wire.h"
 #include "wireconversion.h"
 
@@ -17,7 +16,7 @@
 
 }
 
-BudgetService::BudgetService(LocalBudgets &budgets, TimerService &timers)
+BudgetService::BudgetService(PrepaidBudgets &budgets, TimerService &timers)
     : m_budgets(budgets)
     , m_timers(timers)
 {
@@ -50,6 +49,11 @@
     if (message->has_settle()) {
         return m_budgets.settleHere(RequestId(message->settle().call()), message->settle().used_tokens());
     }
+    if (message->has_handed()) {
+        const wire::HandedPortion &handed = message->handed();
+        return m_budgets.returnHanded(OrganisationId(handed.organisation()), PortionId(handed.portion()),
+                                      handed.spent_tokens());
+    }
     const wire::Reserve &reserve = message->reserve();
     ReservationRequest request;
     request.request = RequestId(reserve.call());
--- a/src/gateway/budgetservice.h
+++ b/src/gateway/budgetservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "messagestream.h"
-#include "serving/sharedbudgets.h"
+#include "prepaidbudgets.h"
 
 #include <deque>
 
@@ -12,7 +12,7 @@
 class BudgetService
 {
 public:
-    BudgetService(LocalBudgets &budgets, TimerService &timers);
+    BudgetService(PrepaidBudgets &budgets, TimerService &timers);
     ~BudgetService();
 
     /// Serves a stream of another gateway.
@@ -29,7 +29,7 @@
     void reserve(const MessageStreamPointer &stream, const ReservationRequest &request, Duration expiry);
     void settleExpired();
 
-    LocalBudgets &m_budgets;
+    PrepaidBudgets &m_budgets;
     TimerService &m_timers;
     TimerId m_timer = 0;
     /// In the order of their making, which is that of their ends: all gateways use the same span.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -63,11 +63,14 @@
     holder.incarnation = IncarnationId(settings.instance + "-" + random.freshName());
     holder.region = settings.region;
     holder.survivalTime = settings.survivalTime;
+    holder.standInSurvivalTime = std::chrono::seconds(2);
     holder.averagingTime = std::chrono::seconds(4);
-    holder.lowWaterShare = 0.75;
-    holder.shareOfFree = 0.25;
+    holder.lowWaterShare = 0.85;
+    // One home holds a budget, so that there is nobody to leave much for.
+    holder.shareOfFree = 0.5;
+    holder.standInShareOfFree = 0.1;
     holder.shortestAverage = std::chrono::milliseconds(1500);
-    holder.requestsAhead = 2;
+    holder.requestsAhead = 6;
     holder.surplusFactor = 1.5;
     // A home that stands in for another gives its portion back soon after.
     holder.idleTime = std::chrono::seconds(4);
@@ -115,12 +118,12 @@
     , m_gate(m_timers, m_random, m_settings.zone)
     , m_ledger(*m_adapter.store, m_timers, m_random, ledgerSettings(m_settings))
     , m_holder(m_ledger, m_timers, m_workers, m_random, holderSettings(m_settings, m_random))
-    , m_ownBudgets(m_ledger, m_holder, m_timers,
+    , m_homes(m_settings.instance)
+    , m_ownBudgets(m_ledger, m_holder, m_homes, m_timers,
                    [this] {
                        return !m_configurationFollower.isReached();
                    })
     , m_clients(m_workers, transportSettings(m_settings))
-    , m_homes(m_settings.instance)
     , m_budgetPeers(m_clients, m_homes, m_timers, kReservationExpiry)
     , m_watchPeers(m_clients, m_homes, m_timers)
     , m_relayedStore(*m_adapter.store, m_homes, m_watchPeers, m_timers, m_settings.zone, relayTimeout(m_settings))
@@ -195,6 +198,11 @@
     m_peerRegistry.start();
     m_timers.every(kUpkeepInterval, [this] {
         m_connections.closeExpired();
+        for (const HeldBudgetStatus &it : m_holder.statuses()) {
+            kLog.debug("portion", {field("budget", it.budget.toString()), field("available", it.available),
+                                   field("waiting", it.waiting), field("tokens_per_second", it.tokensPerSecond),
+                                   field("portions", it.portions.size())});
+        }
         m_gate.noteRosterChanged();
         updateReady();
     });
@@ -279,10 +287,30 @@
             callback();
         }
     };
+    if (!m_configurationFollower.isReached()) {
+        handOverPortions();
+    }
     m_holder.stop(end);
     m_timers.after(kStopReserve / 2, end);
 }
 
+// A portion that ends with a process that does not reach the store is lost to its budget for good. Others of the fleet can
+// still be reached, and one of them will reach the store later. Two are told, in case one of them stops as well; the portion
+// goes back once.
+void Gateway::handOverPortions()
+{
+    constexpr std::size_t kTold = 2;
+    std::vector<std::string> peers = m_homes.reachablePeers(m_timers.now());
+    peers.resize(std::min(peers.size(), kTold));
+    for (const HeldBudgetStatus &status : m_holder.statuses()) {
+        for (const HeldBudgetStatus::Portion &portion : status.portions) {
+            for (const std::string &peer : peers) {
+                m_budgetPeers.handOver(peer, status.budget, portion.portion, portion.spent + portion.reserved);
+            }
+        }
+    }
+}
+
 void Gateway::reload()
 {
     kLog.info("reload asked for; settings are read at a start only");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,6 +60,7 @@
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     void stopTaking();
     void finishStop();
+    void handOverPortions();
     void countGauges();
 
     const GatewaySettings m_settings;
@@ -71,9 +72,9 @@
     CallGate m_gate;
     Ledger m_ledger;
     BudgetHolder m_holder;
+    HomeDirectory m_homes;
     PrepaidBudgets m_ownBudgets;
     MessageClients m_clients;
-    HomeDirectory m_homes;
     BudgetPeers m_budgetPeers;
     WatchPeers m_watchPeers;
     RelayedStore m_relayedStore;
--- a/src/gateway/prepaidbudgets.cpp
+++ b/src/gateway/prepaidbudgets.cpp
@@ -1,7 +1,9 @@
 #include "prepaidbudgets.h"
 
 #include "allowancechange.h"
+#include "ledgerlayout.h"
 #include "log.h"
+#include "returnportionchange.h"
 
 #include <utility>
 
@@ -17,10 +19,11 @@
 
 }
 
-PrepaidBudgets::PrepaidBudgets(Ledger &ledger, BudgetHolder &holder, TimerService &timers,
-                               std::function<bool()> isStoreLost)
+PrepaidBudgets::PrepaidBudgets(Ledger &ledger, BudgetHolder &holder, const HomeDirectory &homes,
+                               TimerService &timers, std::function<bool()> isStoreLost)
     : m_ledger(ledger)
     , m_holder(holder)
+    , m_homes(homes)
     , m_timers(timers)
     , m_isStoreLost(std::move(isStoreLost))
 {
@@ -48,7 +51,9 @@
     if (it != m_allowances.end() && it->second.booked != it->second.total) {
         book(it->first, it->second);
     }
-    m_holder.reserve(request, std::move(callback));
+    ReservationRequest reservation = request;
+    reservation.isStandIn = !m_homes.isHome(ledgerShardKey(m_ledger.shardOf(request.budget)));
+    m_holder.reserve(reservation, std::move(callback));
 }
 
 void PrepaidBudgets::book(const BudgetId &budget, Allowance &allowance)
@@ -71,6 +76,21 @@
     return m_ledger.isStoreAway(m_ledger.shardOf(budget)) || m_isStoreLost();
 }
 
+void PrepaidBudgets::returnHanded(const OrganisationId &organisation, const PortionId &portion,
+                                  std::int64_t spentTokens)
+{
+    const BudgetId budget = budgetOf(organisation);
+    kLog.info("portion handed over", {field("portion", portion.value()), field("spent", spentTokens)});
+    m_ledger.submit(budget, std::make_shared<ReturnPortionChange>(budget, portion, spentTokens), Urgency::Soon,
+                    [portion](const absl::Status &status) {
+                        if (!status.ok()) {
+                            kLog.error("handed portion not returned",
+                                       {field("portion", portion.value()),
+                                        field("error", std::string(status.message()))});
+                        }
+                    });
+}
+
 void PrepaidBudgets::settleHere(const RequestId &call, std::int64_t usedTokens)
 {
     const absl::Status status = m_holder.settle(call, usedTokens);
--- a/src/gateway/prepaidbudgets.h
+++ b/src/gateway/prepaidbudgets.h
@@ -17,7 +17,7 @@
 {
 public:
     /// `isStoreLost` tells whether the store is lost by what else is asked of it.
-    PrepaidBudgets(Ledger &ledger, BudgetHolder &holder, TimerService &timers,
+    PrepaidBudgets(Ledger &ledger, BudgetHolder &holder, const HomeDirectory &homes, TimerService &timers,
                    std::function<bool()> isStoreLost);
 
     static BudgetId budgetOf(const OrganisationId &organisation);
@@ -30,6 +30,9 @@
     bool isLedgerAway(const BudgetId &budget) const override;
     void settleHere(const RequestId &call, std::int64_t usedTokens) override;
 
+    /// Gives back a portion of a gateway that stopped, as soon as the store is reached.
+    void returnHanded(const OrganisationId &organisation, const PortionId &portion, std::int64_t spentTokens);
+
 private:
     struct Allowance {
         std::uint64_t version = 0;
@@ -41,6 +44,7 @@
 
     Ledger &m_ledger;
     BudgetHolder &m_holder;
+    const HomeDirectory &m_homes;
     TimerService &m_timers;
     const std::function<bool()> m_isStoreLost;
     absl::flat_hash_map<BudgetId, Allowance> m_allowances;
--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -53,6 +53,7 @@
     Entry &entry = entryOf(request.budget);
     HeldBudget &budget = entry.second;
     budget.noteReserved(request.tokens, m_timers.now());
+    budget.isStandIn = request.isStandIn;
     if (budget.hasWaiting() || budget.current().available() < request.tokens) {
         return wait(entry, request, std::move(callback));
     }
@@ -166,6 +167,15 @@
     return status;
 }
 
+std::vector<HeldBudgetStatus> BudgetHolder::statuses() const
+{
+    std::vector<HeldBudgetStatus> found;
+    for (const Entry &entry : m_budgets) {
+        found.push_back(*budgetStatus(entry.first));
+    }
+    return found;
+}
+
 std::vector<OpenReservation> BudgetHolder::openReservations(const BudgetId &budget) const
 {
     std::vector<OpenReservation> found;
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgetholder.h
@@ -91,6 +91,9 @@
     /// How the holder stands with a budget; nothing when it holds none of it.
     std::optional<HeldBudgetStatus> budgetStatus(const BudgetId &budget) const;
 
+    /// The same for all budgets that the holder knows.
+    std::vector<HeldBudgetStatus> statuses() const;
+
     /// The open reservations of one budget.
     std::vector<OpenReservation> openReservations(const BudgetId &budget) const;
 
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -113,7 +113,7 @@
     const bool isGrowing = number == current.number;
     const std::int64_t had = isGrowing ? std::max<std::int64_t>(current.available(), 0) : 0;
     request.desired = std::max(request.needed + wished - had, request.needed);
-    request.shareOfFree = m_settings.shareOfFree;
+    request.shareOfFree = budget.isStandIn ? m_settings.standInShareOfFree : m_settings.shareOfFree;
     request.atMilliseconds = m_timers.wallClockMilliseconds();
     return request;
 }
--- a/src/libradishswitch/budgetholdersettings.h
+++ b/src/libradishswitch/budgetholdersettings.h
@@ -17,6 +17,9 @@
     /// How long a portion should last at the present use when the store goes away at the worst moment, just before more
     /// is asked for.
     Duration survivalTime = std::chrono::seconds(120);
+    /// The same for a budget of which another process usually holds the portion. What a stand-in holds besides is left lying
+    /// there when the other is back, and is stranded if either of them dies.
+    Duration standInSurvivalTime = std::chrono::seconds(5);
     /// Time over which use is averaged.
     Duration averagingTime = std::chrono::seconds(30);
     /// Use is averaged over at least so long: a few requests in a shorter time say little about the use to come.
@@ -25,6 +28,8 @@
     double lowWaterShare = 0.5;
     /// Share of what is free in the ledger that may be taken beyond what waiting requests need.
     double shareOfFree = 0.25;
+    /// In place of `shareOfFree` for a budget of which another process usually holds the portion.
+    double standInShareOfFree = 0.25;
     /// Requests of typical size for which a portion has room at least, whatever the averaged use is; and for one of the
     /// size last seen.
     int requestsAhead = 4;
--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/heldbudget.cpp
@@ -144,11 +144,13 @@
 std::int64_t HeldBudget::wishedSize(Instant now, const BudgetHolderSettings &settings) const
 {
     // More is asked for at the low-water mark, and what is left then must still last for the survival time.
-    const double lowWater = tokensPerSecond(now, settings) * secondsOf(settings.survivalTime);
+    const Duration survivalTime = isStandIn ? settings.standInSurvivalTime : settings.survivalTime;
+    const double lowWater = tokensPerSecond(now, settings) * secondsOf(survivalTime);
     const double byUse = lowWater / settings.lowWaterShare;
     // Sizes differ a hundredfold. Room for several of whatever came last would hand a small budget to the holder that saw one
     // large request, and strand it there.
-    const double byRequests = std::max(m_typicalTokens * settings.requestsAhead, static_cast<double>(m_lastTokens));
+    const int requestsAhead = isStandIn ? 1 : settings.requestsAhead;
+    const double byRequests = std::max(m_typicalTokens * requestsAhead, static_cast<double>(m_lastTokens));
     return static_cast<std::int64_t>(std::max(byUse, byRequests));
 }
 
--- a/src/libradishswitch/heldbudget.h
+++ b/src/libradishswitch/heldbudget.h
@@ -100,6 +100,8 @@
     std::uint32_t pendingChanges = 0;
     /// Reservations that are granted and neither settled nor released, those on lost portions among them.
     std::uint32_t openReservations = 0;
+    /// The latest request came since the usual holder could not be asked.
+    bool isStandIn = false;
     /// The ledger was asked, and had no such budget.
     bool isUnknown = false;
     /// What was free in the ledger when it was last asked, and when that was.
--- a/src/libradishswitch/reservation.h
+++ b/src/libradishswitch/reservation.h
@@ -19,6 +19,8 @@
     std::int64_t tokens = 0;
     /// Until then the request may wait for tokens.
     Instant deadline{};
+    /// Another process holds the budget's usual portion; this one only stands in for it.
+    bool isStandIn = false;
 
     bool operator==(const ReservationRequest &) const = default;
 };
--- a/src/libradishswitch/serving/homedirectory.cpp
+++ b/src/libradishswitch/serving/homedirectory.cpp
@@ -63,6 +63,29 @@
     return names;
 }
 
+bool HomeDirectory::isHome(std::string_view key) const
+{
+    constexpr int kFailuresOfTheGone = 4;
+    const std::uint64_t keyHash = rendezvousHash(key);
+    const Standing &self = m_standings.at(m_self);
+    const double own = weightedScore(self.hash, keyHash, self.peer.weight);
+    return std::ranges::none_of(m_standings, [&](const auto &entry) {
+        const Standing &it = entry.second;
+        return it.failures < kFailuresOfTheGone && weightedScore(it.hash, keyHash, it.peer.weight) > own;
+    });
+}
+
+std::vector<std::string> HomeDirectory::reachablePeers(Instant now) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, standing] : m_standings) {
+        if (name != m_self && now >= standing.pausedUntil) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 std::string HomeDirectory::addressOf(const std::string &peer) const
 {
     const auto it = m_standings.find(peer);
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -48,6 +48,13 @@
     /// Whom to ask for a key, in order. Ends with this gateway's own name.
     std::vector<std::string> candidates(std::string_view key, Instant now) const;
 
+    /// Whether this gateway is the home of a key, whatever can be reached just now. Peers that have failed many times in a
+    /// row don't count: they are gone for good.
+    bool isHome(std::string_view key) const;
+
+    /// The other gateways that may be asked now, in no order that means anything.
+    std::vector<std::string> reachablePeers(Instant now) const;
+
     /// The address of a peer; empty when it is not known.
     std::string addressOf(const std::string &peer) const;
 
