--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,17 +20,29 @@
 constexpr Duration kReservationExpiry = std::chrono::seconds(20);
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
 
-/// A change that a watch misses is known after its wait, the slack after it and a list; two fifths of the bound leave room
-/// for a list from a slow store.
+/// A change that a watch misses is known after its wait, the slack after it and a list; a quarter of the bound leaves room
+/// for a gateway that watches and is lost besides, and for a list from a slow store.
 Duration watchWait(const GatewaySettings &settings)
 {
-    return settings.changeBound * 2 / 5;
+    return settings.changeBound / 4;
+}
+
+Duration changePause(const GatewaySettings &settings)
+{
+    return settings.changeBound / 10;
+}
+
+ObjectFollowerSettings followerSettings(const GatewaySettings &settings)
+{
+    ObjectFollowerSettings follower;
+    follower.changePause = changePause(settings);
+    return follower;
 }
 
 /// The gateway that watches for others speaks after each watch of its own at the latest.
 Duration relayTimeout(const GatewaySettings &settings)
 {
-    return watchWait(settings) + std::chrono::milliseconds(300);
+    return watchWait(settings) + changePause(settings) + std::chrono::milliseconds(300);
 }
 
 GatewayStoreSettings storeSettings(const GatewaySettings &settings)
@@ -76,6 +88,7 @@
     holder.idleTime = std::chrono::seconds(4);
     holder.checkpointInterval = std::chrono::seconds(8);
     holder.relaxedCheckpointInterval = std::chrono::seconds(16);
+    holder.dryRecheckInterval = std::chrono::seconds(1);
     holder.exhaustedRetryAfter = std::chrono::seconds(2);
     // Another gateway may still hold a portion, and a caller's next try goes to another.
     holder.unavailableRetryAfter = std::chrono::milliseconds(200);
@@ -145,8 +158,9 @@
                       m_connections.forget(endpoint);
                   })
     , m_configurationFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->configurationPrefix(),
-                              m_configuration)
-    , m_endpointFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->endpointPrefix(), m_endpoints)
+                              m_configuration, followerSettings(m_settings))
+    , m_endpointFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->endpointPrefix(), m_endpoints,
+                         followerSettings(m_settings))
     , m_peerServer(m_workers, transportSettings(m_settings))
     , m_server(m_workers, HttpServerSettings(),
                [this](HttpExchange &exchange) {
--- a/src/libradishswitch/serving/objectfollower.cpp
+++ b/src/libradishswitch/serving/objectfollower.cpp
@@ -93,7 +93,13 @@
         m_listener.objectsChanged(changes->objects);
     }
     tellProgress({true, false, *changes});
-    watch();
+    if (changes->objects.empty() || m_settings.changePause == Duration::zero()) {
+        return watch();
+    }
+    m_timer = m_timers.after(m_settings.changePause, [this] {
+        m_timer = 0;
+        watch();
+    });
 }
 
 void ObjectFollower::retryLater(const absl::Status &status, void (ObjectFollower::*step)())
--- a/src/libradishswitch/serving/objectfollower.h
+++ b/src/libradishswitch/serving/objectfollower.h
@@ -17,6 +17,9 @@
     /// enough that a change made during an outage is known a second after its end.
     Duration firstBackoff = std::chrono::milliseconds(100);
     Duration longestBackoff = std::chrono::milliseconds(800);
+    /// After changes the next watch begins so much later: what comes meanwhile is read as one. Reading a configuration of
+    /// 50 kB takes the smallest instances some 30 ms, and in a storm there are sixteen a second.
+    Duration changePause{};
 };
 
 /// Keeps up with the objects of the platform's store under one prefix: lists them once and then watches, from the
--- a/src/libradishswitch/shardwriter.cpp
+++ b/src/libradishswitch/shardwriter.cpp
@@ -193,7 +193,8 @@
 
 void ShardWriter::keep(std::uint64_t version, LedgerShard shard)
 {
-    if (m_settings.keepsShards && version != 0) {
+    // Where others write too, a round that begins with the kept shard mostly costs a refused write.
+    if (m_settings.keepsShards && version != 0 && m_conflicts == 0) {
         m_kept = std::move(shard);
         m_keptVersion = version;
     }
