--- /dev/null
+++ b/tests/core/attemptrules_test.cpp
@@ -0,0 +1,65 @@
+#include "failure.h"
+#include "serving/attemptrules.h"
+
+#include <gtest/gtest.h>
+
+using namespace RadishSwitch;
+
+class AttemptRulesTest : public testing::Test
+{
+protected:
+    static AttemptHistory history(Repetition repetition, int sent, int maximum, bool mayHaveRun)
+    {
+        AttemptHistory history;
+        history.repetition = repetition;
+        history.sent = sent;
+        history.maximumAttempts = maximum;
+        history.mayHaveRun = mayHaveRun;
+        return history;
+    }
+};
+
+// An order was sent and the connection broke. It may have run, and must neither be sent again nor be told "not run".
+TEST_F(AttemptRulesTest, orderThatMayHaveRun_isNotTriedAgainAndUnknown)
+{
+    const AttemptHistory order = history(Repetition::Never, 1, 5, true);
+    EXPECT_FALSE(mayTryAgain(order, AttemptEnd::Broken));
+    EXPECT_FALSE(mayTryAgain(order, AttemptEnd::Silent));
+    EXPECT_EQ(outcomeOf(failureOfAttempts(order, AttemptEnd::Broken)), RunOutcome::Unknown);
+}
+
+TEST_F(AttemptRulesTest, orderRefusedByEndpoint_isTriedAgainWithinItsAttempts)
+{
+    EXPECT_TRUE(mayTryAgain(history(Repetition::Never, 1, 2, false), AttemptEnd::RefusedByEndpoint));
+    const AttemptHistory spent = history(Repetition::Never, 1, 1, false);
+    EXPECT_FALSE(mayTryAgain(spent, AttemptEnd::RefusedByEndpoint));
+    const absl::Status failure = failureOfAttempts(spent, AttemptEnd::RefusedByEndpoint);
+    EXPECT_EQ(outcomeOf(failure), RunOutcome::NotRun);
+    EXPECT_TRUE(retryAfterOf(failure).has_value());
+}
+
+// The second endpoint refuses a call that the first may have run. "Not run" would be true of the second alone.
+TEST_F(AttemptRulesTest, refusalBehindALostAnswer_staysUnknown)
+{
+    const AttemptHistory call = history(Repetition::Always, 2, 2, true);
+    EXPECT_EQ(outcomeOf(failureOfAttempts(call, AttemptEnd::RefusedByEndpoint)), RunOutcome::Unknown);
+}
+
+TEST_F(AttemptRulesTest, repeatableCalls_goElsewhereUntilTheirAttemptsAreUsed)
+{
+    for (const Repetition repetition : {Repetition::Always, Repetition::ByResuming}) {
+        EXPECT_TRUE(mayTryAgain(history(repetition, 1, 2, true), AttemptEnd::Broken));
+        EXPECT_FALSE(mayTryAgain(history(repetition, 2, 2, true), AttemptEnd::Broken));
+    }
+}
+
+TEST_F(AttemptRulesTest, attemptThatWasNotSent_costsNoRetryAndIsBounded)
+{
+    EXPECT_FALSE(isRetry(AttemptEnd::NotSent));
+    EXPECT_TRUE(isRetry(AttemptEnd::RefusedByEndpoint));
+    AttemptHistory call = history(Repetition::Never, 0, 1, false);
+    call.notSent = 2;
+    EXPECT_TRUE(mayTryAgain(call, AttemptEnd::NotSent));
+    call.notSent = 3;
+    EXPECT_FALSE(mayTryAgain(call, AttemptEnd::NotSent));
+}
--- /dev/null
+++ b/tests/core/objectfollower_test.cpp
@@ -0,0 +1,133 @@
+#include "failure.h"
+#include "manualtaskqueue.h"
+#include "memoryobjectstore.h"
+#include "seededrandom.h"
+#include "serving/objectfollower.h"
+#include "virtualtimerservice.h"
+
+#include <gtest/gtest.h>
+
+using namespace RadishSwitch;
+
+class ObjectFollowerTest : public testing::Test, protected ObjectListener
+{
+protected:
+    /// A store whose watches fail in a set way, once.
+    class Store : public MemoryObjectStore
+    {
+    public:
+        using MemoryObjectStore::MemoryObjectStore;
+
+        void watch(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback) override
+        {
+            ++watches;
+            if (failNextWatch.ok()) {
+                return MemoryObjectStore::watch(prefix, fromVersion, std::move(callback));
+            }
+            callback(std::exchange(failNextWatch, absl::OkStatus()));
+        }
+
+        void list(const std::string &prefix, Callback<StoreChanges> callback) override
+        {
+            ++lists;
+            MemoryObjectStore::list(prefix, std::move(callback));
+        }
+
+        absl::Status failNextWatch;
+        int watches = 0;
+        int lists = 0;
+    };
+
+    ObjectFollowerTest()
+        : store(tasks)
+        , follower(store, timers, random, "config/", *this)
+    {
+    }
+
+    void objectsListed(const std::vector<StoredObject> &objects) override
+    {
+        values.clear();
+        objectsChanged(objects);
+    }
+
+    void objectsChanged(const std::vector<StoredObject> &objects) override
+    {
+        for (const StoredObject &object : objects) {
+            values[object.key] = object.value;
+        }
+    }
+
+    void put(const std::string &value)
+    {
+        const auto it = store.objects().find("config/main");
+        store.put("config/main", value, it == store.objects().end() ? 0 : it->second.version, [](const auto &) {});
+        run();
+    }
+
+    void run(Duration span = std::chrono::milliseconds(0))
+    {
+        tasks.runAll();
+        timers.advance(span);
+        tasks.runAll();
+    }
+
+    ManualTaskQueue tasks;
+    VirtualTimerService timers;
+    SeededRandom random{1};
+    Store store;
+    ObjectFollower follower;
+    std::map<std::string, std::string> values;
+};
+
+TEST_F(ObjectFollowerTest, change_isHeardThroughTheWatch)
+{
+    put("one");
+    follower.start();
+    run();
+    EXPECT_EQ(values["config/main"], "one");
+    put("two");
+    EXPECT_EQ(values["config/main"], "two");
+    EXPECT_EQ(store.lists, 1);
+}
+
+// A watch gets no answer in its time: the store may have forgotten it, with a change that a further watch would not tell.
+TEST_F(ObjectFollowerTest, silentWatch_isFollowedByAList)
+{
+    put("one");
+    store.failNextWatch = makeFailure(FailureCode::StoreTimeout, "silent");
+    follower.start();
+    run(std::chrono::milliseconds(200));
+    EXPECT_EQ(store.lists, 2);
+    EXPECT_EQ(values["config/main"], "one");
+}
+
+TEST_F(ObjectFollowerTest, forgottenHistory_isFollowedByAListAtOnce)
+{
+    put("one");
+    store.failNextWatch = makeFailure(FailureCode::HistoryGone, "gone");
+    follower.start();
+    run();
+    EXPECT_EQ(store.lists, 2);
+}
+
+// The store is away for ten seconds. It is asked now and then, and a change made at its return is known within a second.
+TEST_F(ObjectFollowerTest, storeAway_isAskedSeldomAndHeardSoonAfterItsReturn)
+{
+    put("one");
+    std::vector<bool> contacts;
+    follower.setContactCallback([&contacts](bool isReached) {
+        contacts.push_back(isReached);
+    });
+    store.failNextWatch = makeFailure(FailureCode::StoreUnavailable, "away");
+    follower.start();
+    store.setAway(true);
+    for (int n = 0; n < 200; ++n) {
+        run(std::chrono::milliseconds(50));
+    }
+    EXPECT_LT(store.watches + store.lists, 40);
+    store.setAway(false);
+    put("two");
+    run(std::chrono::milliseconds(1000));
+    EXPECT_EQ(values["config/main"], "two");
+    EXPECT_EQ(contacts, (std::vector<bool>{false, true}));
+}
--- /dev/null
+++ b/tests/core/sharedbudgets_test.cpp
@@ -0,0 +1,143 @@
+#include "failure.h"
+#include "ledgerlayout.h"
+#include "serving/sharedbudgets.h"
+#include "virtualtimerservice.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace RadishSwitch;
+
+namespace
+{
+
+/// Answers with a set status, and writes down what it was asked.
+class FakePeers : public BudgetPeerPort
+{
+public:
+    void reserve(const std::string &peer, const ReservationRequest &request, Duration,
+                 std::function<void(absl::Status)> callback) override
+    {
+        asked.push_back(peer);
+        const auto it = answers.find(peer);
+        callback(it == answers.end() ? absl::OkStatus() : it->second);
+        (void)request;
+    }
+
+    void settle(const std::string &peer, const RequestId &, std::int64_t usedTokens) override
+    {
+        settled.emplace_back(peer, usedTokens);
+    }
+
+    std::map<std::string, absl::Status> answers;
+    std::vector<std::string> asked;
+    std::vector<std::pair<std::string, std::int64_t>> settled;
+};
+
+class FakeLocal : public LocalBudgets
+{
+public:
+    void reserveHere(const ReservationRequest &request, ReservationCallback callback) override
+    {
+        ++asked;
+        callback(status.ok() ? absl::StatusOr<Reservation>(Reservation{PortionId("p"), request.tokens})
+                             : absl::StatusOr<Reservation>(status));
+    }
+
+    bool isLedgerAway(const BudgetId &) const override
+    {
+        return isAway;
+    }
+
+    void settleHere(const RequestId &, std::int64_t usedTokens) override
+    {
+        settled.push_back(usedTokens);
+    }
+
+    absl::Status status;
+    bool isAway = false;
+    int asked = 0;
+    std::vector<std::int64_t> settled;
+};
+
+}
+
+class SharedBudgetsTest : public testing::Test
+{
+protected:
+    SharedBudgetsTest()
+        : homes("self")
+        , budgets(homes, local, peers, timers)
+    {
+        homes.setPeers({{"self", {"10.0.0.1:1", 0.001}}, {"home", {"10.0.0.2:1", 1000}}, {"next", {"10.0.0.3:1", 1}}});
+    }
+
+    absl::Status reserve(const std::string &call)
+    {
+        absl::Status result = makeFailure(FailureCode::Internal, "no answer");
+        budgets.reserve({RequestId(call), BudgetId{OrganisationId("o"), "prepaid"}, 100, Instant::max()},
+                        [&result](const absl::Status &status) {
+                            result = status;
+                        });
+        return result;
+    }
+
+    VirtualTimerService timers;
+    FakePeers peers;
+    FakeLocal local;
+    HomeDirectory homes;
+    SharedBudgets budgets;
+};
+
+TEST_F(SharedBudgetsTest, reservation_isMadeAndSettledAtTheHome)
+{
+    EXPECT_TRUE(reserve("c1").ok());
+    EXPECT_EQ(peers.asked, std::vector<std::string>{"home"});
+    budgets.settle(RequestId("c1"), 60);
+    budgets.settle(RequestId("c1"), 60);
+    ASSERT_EQ(peers.settled.size(), 1U);
+    EXPECT_EQ(peers.settled.front(), (std::pair<std::string, std::int64_t>("home", 60)));
+    EXPECT_EQ(budgets.openCalls(), 0U);
+}
+
+// The home is killed. The call is covered by the next gateway, and the calls after it no longer ask the dead one.
+TEST_F(SharedBudgetsTest, lostHome_isPassedOverForTheNextGateway)
+{
+    peers.answers["home"] = makeFailure(FailureCode::ConnectionLost, "gone");
+    EXPECT_TRUE(reserve("c1").ok());
+    EXPECT_TRUE(reserve("c2").ok());
+    EXPECT_EQ(peers.asked, (std::vector<std::string>{"home", "next", "next"}));
+    timers.advance(std::chrono::seconds(1));
+    peers.answers.clear();
+    EXPECT_TRUE(reserve("c3").ok());
+    EXPECT_EQ(peers.asked.back(), "home");
+}
+
+TEST_F(SharedBudgetsTest, noGatewayReachable_drawsOnOwnPortion)
+{
+    peers.answers["home"] = makeFailure(FailureCode::ConnectionSilent, "silent");
+    peers.answers["next"] = makeFailure(FailureCode::ConnectionLost, "gone");
+    EXPECT_TRUE(reserve("c1").ok());
+    budgets.settle(RequestId("c1"), 7);
+    EXPECT_EQ(local.settled, std::vector<std::int64_t>{7});
+}
+
+TEST_F(SharedBudgetsTest, exhaustedBudget_isFinal)
+{
+    peers.answers["home"] = makeFailure(FailureCode::BudgetExhausted, "empty");
+    EXPECT_EQ(failureCode(reserve("c1")), FailureCode::BudgetExhausted);
+    EXPECT_EQ(local.asked, 0);
+}
+
+// The home has used up its portion and is cut off from the store. This gateway may still reach it; when it doesn't either,
+// the caller hears at once, and no gateway wastes a try.
+TEST_F(SharedBudgetsTest, homeWithoutLedger_isStoodInForOnlyByAGatewayThatReachesIt)
+{
+    peers.answers["home"] = makeFailure(FailureCode::BudgetUnavailable, "away");
+    EXPECT_TRUE(reserve("c1").ok());
+    EXPECT_EQ(local.asked, 1);
+    local.isAway = true;
+    EXPECT_EQ(failureCode(reserve("c2")), FailureCode::BudgetUnavailable);
+    EXPECT_EQ(local.asked, 1);
+}
--- /dev/null
+++ b/tests/radishswitch-gateway/gatewaycalls_test.cpp
@@ -0,0 +1,224 @@
+#include "gatewayfixture.h"
+
+#include <gmock/gmock.h>
+
+using namespace RadishSwitch;
+
+class GatewayCallsTest : public GatewayFixture
+{
+};
+
+TEST_F(GatewayCallsTest, stream_ofSoundEndpoint_isPassedOnWholeWithItsMark)
+{
+    start();
+    const auto response = call(streamRequest("/resumable/a", "call-1"));
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->body, wholeStream("call-1", 10));
+    EXPECT_EQ(response->headers.find(PlatformNames::kSignature), "replica-1.call-1");
+    EXPECT_EQ(response->headers.find(PlatformNames::kCallId), "call-1");
+}
+
+TEST_F(GatewayCallsTest, wholeAnswer_ofSoundEndpoint_isPassedOnUnchanged)
+{
+    start();
+    const auto response = call(request("/order/1?x=%20y", "call-1"));
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->body, ReplicaServer::bodyText("call-1"));
+    const HttpRequest seen = onStandins([this] {
+        return first.lastRequest();
+    });
+    EXPECT_EQ(seen.target, "/order/1?x=%20y");
+    EXPECT_EQ(seen.body, "hello");
+}
+
+// A caller sends the fleet's own headers, as if it were a gateway. Passed on, they would have its call billed to another
+// organisation, admitted before all others, or run on the memory of another's call.
+TEST_F(GatewayCallsTest, callersFleetHeaders_neverReachEndpoint)
+{
+    start();
+    HttpRequest spoofed = request("/order/1", "call-1");
+    spoofed.headers.add(PlatformNames::kOrganisation, "another");
+    spoofed.headers.add(PlatformNames::kExpectedEndpoint, "replica-9");
+    spoofed.headers.add(PlatformNames::kPriority, "7");
+    for (const char *order : PlatformNames::kFleetOrders) {
+        spoofed.headers.add(order, "1");
+    }
+    ASSERT_TRUE(call(std::move(spoofed)).ok());
+    const HttpRequest seen = onStandins([this] {
+        return first.lastRequest();
+    });
+    EXPECT_EQ(seen.headers.find(PlatformNames::kOrganisation), "magnolia");
+    EXPECT_EQ(seen.headers.find(PlatformNames::kExpectedEndpoint), "replica-1");
+    EXPECT_EQ(seen.headers.find(PlatformNames::kPriority), "0");
+    EXPECT_EQ(seen.headers.find(PlatformNames::kAuthorization), std::nullopt);
+    for (const char *order : PlatformNames::kFleetOrders) {
+        EXPECT_EQ(seen.headers.find(order), std::nullopt) << order;
+    }
+}
+
+TEST_F(GatewayCallsTest, badCalls_getTypedRefusalsAndNeverRun)
+{
+    start();
+    HttpRequest unknownKey = request("/order/1", "call-1");
+    unknownKey.headers = {{"Host", "shop.example"}, {PlatformNames::kCallId, "call-1"}, {PlatformNames::kAuthorization, "Token x"}};
+    HttpRequest withoutId = request("/order/1", "");
+    HttpRequest garbledParts = request("/order/1", "call-1");
+    garbledParts.headers.add(PlatformNames::kPromptParts, "zz:3");
+    HttpRequest tooLarge = request("/order/1", "call-1");
+    tooLarge.body = std::string(200'000, 'x');
+    const std::vector<std::pair<HttpRequest, int>> cases{{unknownKey, 401},
+                                                         {request("/nowhere/1", "call-1"), 404},
+                                                         {withoutId, 400},
+                                                         {garbledParts, 400},
+                                                         {tooLarge, 413}};
+    for (const auto &[bad, status] : cases) {
+        const auto response = call(bad);
+        ASSERT_TRUE(response.ok()) << response.status();
+        EXPECT_EQ(response->status, status) << response->body;
+        EXPECT_EQ(response->headers.find(PlatformNames::kSignature), std::nullopt);
+    }
+    EXPECT_EQ(runs("call-1"), 0);
+}
+
+// An order runs and its answer is lost. The caller is told that the outcome is unknown, by a status that promises nothing:
+// "not run" would make it order again.
+TEST_F(GatewayCallsTest, orderWithLostAnswer_isUnknownAndRunsOnce)
+{
+    start();
+    addSecond();
+    addFaults(ReplicaServer::Fault::LoseAnswer, 1);
+    const auto response = call(request("/order/1", "call-1"));
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 502);
+    EXPECT_EQ(runs("call-1"), 1);
+}
+
+TEST_F(GatewayCallsTest, safeCallWithLostAnswer_isAnsweredByAnotherEndpoint)
+{
+    start();
+    addSecond();
+    onStandins([this] {
+        first.addFaults(ReplicaServer::Fault::LoseAnswer, 1);
+    });
+    // Calls go to either endpoint; one of them meets the fault and is answered all the same.
+    for (int n = 0; n < 8; ++n) {
+        const auto response = call(request("/safe/1", "call-" + std::to_string(n)));
+        ASSERT_TRUE(response.ok()) << response.status();
+        EXPECT_EQ(response->status, 200);
+        EXPECT_EQ(response->body, ReplicaServer::bodyText("call-" + std::to_string(n)));
+    }
+}
+
+// An endpoint breaks off in the middle of an event. The caller sees no gap: another goes on behind the last whole event,
+// and the half one is never shown.
+TEST_F(GatewayCallsTest, resumableStreamBrokenOff_goesOnWithoutGapOrRepetition)
+{
+    start();
+    addSecond();
+    onStandins([this] {
+        first.addFaults(ReplicaServer::Fault::BreakOff, 1);
+    });
+    for (int n = 0; n < 6; ++n) {
+        const std::string id = "call-" + std::to_string(n);
+        const auto response = call(streamRequest("/resumable/a", id));
+        ASSERT_TRUE(response.ok()) << response.status();
+        EXPECT_EQ(response->body, wholeStream(id, 10));
+    }
+}
+
+// The same on a route whose streams can't be resumed. The answer must not look complete, and must not run again.
+TEST_F(GatewayCallsTest, otherStreamBrokenOff_isCutAndRunsOnce)
+{
+    start();
+    addSecond();
+    addFaults(ReplicaServer::Fault::BreakOff, 1);
+    const auto response = call(streamRequest("/once/a", "call-1"));
+    EXPECT_FALSE(response.ok());
+    EXPECT_EQ(runs("call-1"), 1);
+}
+
+TEST_F(GatewayCallsTest, orderRefusedByFullEndpoint_isToldNotRunWithTimeToComeBack)
+{
+    addFaults(ReplicaServer::Fault::Refuse, 1);
+    start();
+    const auto response = call(request("/order/1", "call-1"));
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 503);
+    EXPECT_TRUE(response->headers.find(PlatformNames::kRetryAfter).has_value());
+    EXPECT_EQ(runs("call-1"), 0);
+}
+
+// A second answer to an earlier call comes where the answer to this one is due. Passed on, the caller would get another
+// customer's answer.
+TEST_F(GatewayCallsTest, strayAnswerOfAnotherCall_isSkipped)
+{
+    addFaults(ReplicaServer::Fault::StrayAnswerFirst, 1);
+    start();
+    const auto response = call(request("/order/1", "call-1"));
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->body, ReplicaServer::bodyText("call-1"));
+}
+
+TEST_F(GatewayCallsTest, successWithoutEndpointsMark_isNoAnswer)
+{
+    addFaults(ReplicaServer::Fault::Unsigned, 1);
+    start();
+    const auto response = call(request("/order/1", "call-1"));
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 502);
+}
+
+// An endpoint ends and another service gets its address. The list still names the one that is gone; its calls are refused
+// by the newcomer and go elsewhere.
+TEST_F(GatewayCallsTest, addressGivenToAnother_isNotRunThere)
+{
+    start();
+    onStandins([this] {
+        putEndpoint("replica-gone", first.port(), "ready");
+        putEndpoint("replica-1", first.port(), "draining");
+        putEndpoint("replica-2", second.port(), "ready");
+    });
+    waitUntil([this] {
+        const auto response = call(request("/safe/1", "probe"));
+        return response.ok() && response->headers.find(PlatformNames::kSignature) == "replica-2.probe";
+    });
+    for (int n = 0; n < 8; ++n) {
+        const auto response = call(request("/safe/1", "call-" + std::to_string(n)));
+        ASSERT_TRUE(response.ok()) << response.status();
+        EXPECT_EQ(response->headers.find(PlatformNames::kSignature), "replica-2.call-" + std::to_string(n));
+    }
+}
+
+TEST_F(GatewayCallsTest, callerThatLeaves_endsTheRunAtTheEndpoint)
+{
+    start();
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), gateway->port()});
+    const std::string bytes = std::string("POST /once/a HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token ") + kKey
+        + "\r\n" + PlatformNames::kCallId + ": call-1\r\n" + PlatformNames::kTokenBounds
+        + ": 100,70000\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+    const auto eventsOf = [this] {
+        return onStandins([this] {
+            const auto it = first.runs().find("call-1");
+            return it == first.runs().end() ? 0 : it->second.events;
+        });
+    };
+    waitUntil([&] {
+        return eventsOf() > 3;
+    });
+    socket.close();
+    // The run of 10,000 events would take 20 s; it ends when the write to the closed connection fails.
+    std::int64_t before = -1;
+    waitUntil([&] {
+        const std::int64_t now = eventsOf();
+        const bool hasStopped = now == before;
+        before = now;
+        HttpRequest pause = request("/safe/1", "pause");
+        return call(std::move(pause)).ok() && hasStopped;
+    });
+    EXPECT_LT(eventsOf(), 9'000);
+}
--- /dev/null
+++ b/tests/radishswitch-gateway/gatewaystate_test.cpp
@@ -0,0 +1,193 @@
+#include "gatewayfixture.h"
+
+using namespace RadishSwitch;
+
+class GatewayStateTest : public GatewayFixture
+{
+protected:
+    int statusOf(HttpRequest request)
+    {
+        const auto response = call(std::move(request));
+        return response.ok() ? response->status : 0;
+    }
+
+    /// What the ledger says of the one budget; null while there is none.
+    Json budgetRecord()
+    {
+        return onStandins([this] {
+            for (int shard = 0; shard < 8; ++shard) {
+                const StoreTable::Answer answer = store.table().get("ledger", "000" + std::to_string(shard));
+                if (answer.status == 200 && answer.body["spec"].contains("budgets")
+                    && answer.body["spec"]["budgets"].contains("magnolia/prepaid")) {
+                    return answer.body["spec"]["budgets"]["magnolia/prepaid"];
+                }
+            }
+            return Json();
+        });
+    }
+};
+
+// Each call may cost 170 tokens and costs 170. Of 1,000 tokens five calls can be paid for; the rest are refused, and what
+// was spent stays inside what was paid.
+TEST_F(GatewayStateTest, budget_isNeverOverdrawnAndRefusesWhatItCannotCover)
+{
+    onStandins([this] {
+        putConfiguration(2, 1'000);
+    });
+    start();
+    int answered = 0;
+    int refused = 0;
+    for (int n = 0; n < 9; ++n) {
+        const int status = statusOf(streamRequest("/once/a", "call-" + std::to_string(n)));
+        answered += status == 200 ? 1 : 0;
+        refused += status == 402 ? 1 : 0;
+    }
+    EXPECT_EQ(answered, 5);
+    EXPECT_EQ(refused, 4);
+}
+
+TEST_F(GatewayStateTest, topUp_isUsableWithoutRestart)
+{
+    onStandins([this] {
+        putConfiguration(2, 100);
+    });
+    start();
+    EXPECT_EQ(statusOf(streamRequest("/once/a", "call-1")), 402);
+    onStandins([this] {
+        putConfiguration(3, 10'000);
+    });
+    waitUntil([this] {
+        return statusOf(streamRequest("/once/a", "call-2")) == 200;
+    });
+}
+
+TEST_F(GatewayStateTest, newerConfiguration_isInForceAndAnOlderOneNeverComesBack)
+{
+    start();
+    EXPECT_EQ(statusOf(request("/added/1", "call-1")), 404);
+    onStandins([this] {
+        extraRoutes = {"/added/"};
+        putConfiguration(5, 1'000'000);
+    });
+    waitUntil([this] {
+        return statusOf(request("/added/1", "call-2")) == 200;
+    });
+    // A store that answers from before brings version 4, without the route; version 6 after it tells that it was read.
+    onStandins([this] {
+        extraRoutes = {};
+        putConfiguration(4, 1'000'000);
+        extraRoutes = {"/added/"};
+        putObject("config", "other", configuration(4, 1'000'000));
+    });
+    for (int n = 0; n < 50; ++n) {
+        EXPECT_EQ(statusOf(request("/added/1", "again-" + std::to_string(n))), 200);
+    }
+}
+
+// A configuration comes that can't be read. Calls go on under the last good one.
+TEST_F(GatewayStateTest, unreadableConfiguration_leavesTheLastGoodOneInForce)
+{
+    start();
+    onStandins([this] {
+        putObject("config", "main", {{"version", "seven"}, {"routes", 3}});
+    });
+    for (int n = 0; n < 50; ++n) {
+        EXPECT_EQ(statusOf(request("/safe/1", "call-" + std::to_string(n))), 200);
+    }
+}
+
+// The store forgets its history while a watch waits there, and tells the watch nothing. A change made in that gap is still
+// in force soon after.
+TEST_F(GatewayStateTest, changeWhileStoreForgetsItsHistory_isLearntFromAList)
+{
+    start();
+    onStandins([this] {
+        extraRoutes = {"/added/"};
+        putConfiguration(5, 1'000'000);
+        store.table().compact();
+    });
+    waitUntil([this] {
+        return statusOf(request("/added/1", "call-1")) == 200;
+    });
+}
+
+TEST_F(GatewayStateTest, leavingEndpoint_getsNoCalls)
+{
+    start();
+    addSecond();
+    onStandins([this] {
+        putEndpoint("replica-1", first.port(), "draining");
+    });
+    // Two sound endpoints of equal cost share the calls; so many in a row for one tell that the other is out.
+    constexpr int kInARow = 30;
+    int inARow = 0;
+    waitUntil([&] {
+        const auto response = call(request("/safe/1", "probe"));
+        const bool isSecond = response.ok() && response->headers.find(PlatformNames::kSignature) == "replica-2.probe";
+        inARow = isSecond ? inARow + 1 : 0;
+        return inARow == kInARow;
+    });
+    for (int n = 0; n < 20; ++n) {
+        ASSERT_EQ(statusOf(request("/safe/1", "call-" + std::to_string(n))), 200);
+    }
+    const bool wasUsed = onStandins([this] {
+        return first.runs().contains("call-0") || first.runs().contains("call-19");
+    });
+    EXPECT_FALSE(wasUsed);
+}
+
+// The store goes away after a portion was taken. Calls go on with what the gateway holds, and are refused as "not run",
+// not as exhausted, once it is used up.
+TEST_F(GatewayStateTest, storeAway_callsGoOnWithThePortionHeld)
+{
+    onStandins([this] {
+        putConfiguration(2, 100'000);
+    });
+    start();
+    ASSERT_EQ(statusOf(streamRequest("/once/a", "call-0")), 200);
+    onStandins([this] {
+        store.setFault(StoreServer::Fault::Busy);
+    });
+    std::vector<int> statuses;
+    for (int n = 1; n < 8; ++n) {
+        statuses.push_back(statusOf(streamRequest("/once/a", "call-" + std::to_string(n))));
+    }
+    EXPECT_EQ(statuses.front(), 200);
+    for (const int status : statuses) {
+        EXPECT_TRUE(status == 200 || status == 503) << status;
+    }
+}
+
+// A gateway is told to stop with a stream open. The stream ends whole, the gateway is not ready from the first moment on,
+// and what it held of the budget is free again.
+TEST_F(GatewayStateTest, plannedStop_finishesStreamsAndGivesPortionsBack)
+{
+    onStandins([this] {
+        putConfiguration(2, 100'000);
+    });
+    start();
+    auto stream = client.fetch("127.0.0.1:" + std::to_string(gateway->port()),
+                               streamRequest("/once/a", "call-1", 7 * 200), kLong);
+    auto answer = boost::asio::co_spawn(callers.context(), std::move(stream), boost::asio::use_future);
+    waitUntil([this] {
+        return runs("call-1") == 1;
+    });
+    std::promise<void> drained;
+    gateway->drain([&drained] {
+        drained.set_value();
+    });
+    HttpRequest ready;
+    ready.target = "/readyz";
+    waitUntil([&] {
+        const auto response = fetchFrom(gateway->adminPort(), ready);
+        return response.ok() && response->status == 503;
+    });
+    const absl::StatusOr<HttpResponse> whole = answer.get();
+    ASSERT_TRUE(whole.ok()) << whole.status();
+    EXPECT_EQ(whole->body, wholeStream("call-1", 200));
+    drained.get_future().wait();
+    const Json record = budgetRecord();
+    ASSERT_TRUE(record.is_object());
+    EXPECT_EQ(record["settled"], 100 + 7 * 200);
+    EXPECT_EQ(record.value("portions", Json::object()).size(), 0U);
+}
