--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -142,7 +142,8 @@
     query.priority = priority();
     query.cost = m_request.tokens ? reservationOf(*m_request.tokens) : 1;
     query.parts = m_request.parts;
-    const auto patience = std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.patienceTargets;
+    const auto patience =
+        std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.patienceTargets;
     query.deadline = std::min(m_deadline, m_startedAt + std::chrono::duration_cast<Duration>(patience));
     query.excluded = m_tried;
     return query;
@@ -160,6 +161,8 @@
         m_services.budgets.reserve(ReservationRequest{m_request.id, budget, tokens, deadline}, std::move(done));
     };
     const absl::Status status = co_await awaitCallback<absl::Status>(start);
+    m_reservedAfter = m_services.timers.now() - m_startedAt;
+    m_services.metrics.noteReserved(m_reservedAfter);
     m_isReserved = status.ok();
     co_return status;
 }
@@ -192,7 +195,11 @@
     const auto start = [this](auto done) {
         m_services.gate.place(placementQuery(), std::move(done));
     };
-    co_return co_await awaitCallback<absl::StatusOr<Placement>>(start);
+    const Instant askedAt = m_services.timers.now();
+    absl::StatusOr<Placement> placement = co_await awaitCallback<absl::StatusOr<Placement>>(start);
+    m_waited += m_services.timers.now() - askedAt;
+    m_services.metrics.notePlaced(m_services.timers.now() - askedAt);
+    co_return placement;
 }
 
 bool Call::grantRetry(AttemptEnd end)
@@ -239,8 +246,8 @@
     (void)co_await m_exchange.respond(std::move(response));
 }
 
-// An endpoint at work for nobody slows others down. A call that must not be repeated is let run to its end: whether it ran
-// is the only thing that its caller may still want to know.
+// An endpoint at work for nobody slows others down. A call that must not be repeated is let run to its end: whether it
+// ran is the only thing that its caller may still want to know.
 void Call::handleCallerGone()
 {
     m_isCallerGone = true;
@@ -263,14 +270,19 @@
 void Call::logEnd(const absl::Status &status) const
 {
     const Duration taken = m_services.timers.now() - m_startedAt;
+    m_services.metrics.noteEnded(status, taken);
+    if (status.ok() && !m_services.sampler.keeps(m_request.id, m_services.timers.now())) {
+        return;
+    }
     const std::string route = m_route ? m_route->name : std::string();
     const std::string organisation = m_organisation ? m_organisation->name.value() : std::string();
-    const std::string endpoint = m_tried.empty() ? std::string() : m_tried.back().value();
     const std::string_view outcome = status.ok() ? std::string_view("answered") : failureName(failureCode(status));
     kLog.info(status.ok() ? "call ended" : "call failed",
               {field("call", m_request.id.value()), field("outcome", outcome), field("status", m_answeredStatus),
                field("route", route), field("organisation", organisation), field("attempts", m_history.sent),
-               field("last_failed", endpoint), field("events", m_cutter.count()),
+               field("endpoint", m_endpoint.value()), field("pool", m_pool ? m_pool->name.value() : std::string()),
+               field("events", m_cutter.count()), field("tokens", m_isReserved ? usedTokens() : 0),
+               field("reserved_after", m_reservedAfter), field("waited", m_waited),
                field("first_answer", m_firstAnswerAfter.value_or(Duration::zero())), field("taken", taken),
                field("version", m_table ? m_table->configuration().version : 0),
                field("reason", std::string(status.message()))});
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -54,6 +54,7 @@
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
     boost::asio::awaitable<absl::Status> passOn(const AnswerHead &head, const std::string &events);
+    void noteFirstAnswer();
     boost::asio::awaitable<void> readRefusal();
     AttemptEnd endOf(const absl::Status &status) const;
     Duration firstAnswerWait(const Placement &placement) const;
@@ -80,7 +81,12 @@
     ConnectionPointer m_connection;
     HttpHeaders m_answerHeaders;
     EventCutter m_cutter;
+    /// The endpoint of the latest attempt.
+    EndpointId m_endpoint;
     std::optional<Duration> m_firstAnswerAfter;
+    Duration m_reservedAfter{};
+    /// Time that the call waited for endpoints.
+    Duration m_waited{};
     int m_answeredStatus = 0;
     bool m_isReserved = false;
     bool m_isCallerGone = false;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -32,23 +32,6 @@
     return RunEnd::Failed;
 }
 
-std::string_view nameOf(AttemptEnd end)
-{
-    switch (end) {
-    case AttemptEnd::NotSent:
-        return "not_sent";
-    case AttemptEnd::RefusedByEndpoint:
-        return "refused";
-    case AttemptEnd::WrongEndpoint:
-        return "wrong_endpoint";
-    case AttemptEnd::Broken:
-        return "broken";
-    case AttemptEnd::Silent:
-        break;
-    }
-    return "silent";
-}
-
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -58,6 +41,7 @@
 
 net::awaitable<Call::AttemptResult> Call::attempt(const Placement &placement)
 {
+    m_endpoint = placement.endpoint;
     const absl::Status status = co_await connect(placement);
     AttemptResult result;
     if (!status.ok()) {
@@ -133,8 +117,8 @@
     co_return result;
 }
 
-// An endpoint may have sent a second answer to an earlier call on this connection. It comes where the answer to this one
-// is due, and bears the earlier call's id; the answer to this call follows it.
+// An endpoint may have sent a second answer to an earlier call on this connection. It comes where the answer to this
+// one is due, and bears the earlier call's id; the answer to this call follows it.
 net::awaitable<absl::StatusOr<AnswerHead>> Call::readHead(const Placement &placement)
 {
     const bool hasBody = m_exchange.request().method != "HEAD";
@@ -163,8 +147,7 @@
     if (!body.ok()) {
         co_return endOf(body.status());
     }
-    m_services.gate.noteFirstAnswer(m_request.id);
-    m_firstAnswerAfter = m_services.timers.now() - m_startedAt;
+    noteFirstAnswer();
     m_isAnswered = true;
     m_answeredStatus = head.status;
     HttpResponse response;
@@ -215,8 +198,7 @@
 net::awaitable<absl::Status> Call::passOn(const AnswerHead &head, const std::string &events)
 {
     if (!m_hasBegun) {
-        m_services.gate.noteFirstAnswer(m_request.id);
-        m_firstAnswerAfter = m_services.timers.now() - m_startedAt;
+        noteFirstAnswer();
         m_hasBegun = true;
         m_answeredStatus = head.status;
         HttpHeaders headers = m_services.protocol.callerHeaders(m_connection->headers());
@@ -228,6 +210,13 @@
     co_return co_await m_exchange.write(events);
 }
 
+void Call::noteFirstAnswer()
+{
+    m_services.gate.noteFirstAnswer(m_request.id);
+    m_firstAnswerAfter = m_services.timers.now() - m_startedAt;
+    m_services.metrics.noteFirstAnswer(*m_firstAnswerAfter);
+}
+
 net::awaitable<void> Call::readRefusal()
 {
     m_connection->expireAfter(m_services.times.refusalBody);
@@ -263,10 +252,12 @@
 
 void Call::logAttempt(const Placement &placement, AttemptEnd end) const
 {
-    kLog.info("attempt failed", {field("call", m_request.id.value()), field("endpoint", placement.endpoint.value()),
-                                 field("address", placement.address), field("end", nameOf(end)),
-                                 field("sent", m_history.sent), field("events", m_cutter.count()),
-                                 field("may_have_run", m_history.mayHaveRun), field("time_left", timeLeft())});
+    m_services.metrics.noteAttemptFailed(end);
+    kLog.info("attempt failed",
+              {field("call", m_request.id.value()), field("endpoint", placement.endpoint.value()),
+               field("address", placement.address), field("end", attemptEndName(end)), field("sent", m_history.sent),
+               field("events", m_cutter.count()), field("may_have_run", m_history.mayHaveRun),
+               field("time_left", timeLeft())});
 }
 
 }
--- /dev/null
+++ b/src/gateway/callmetrics.cpp
@@ -0,0 +1,58 @@
+#include "callmetrics.h"
+
+#include "failure.h"
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr char kStageName[] = "radishswitch_call_stage_seconds";
+constexpr char kStageHelp[] = "Time that calls spent in a stage";
+
+Histogram &stage(Metrics &metrics, const std::string &name)
+{
+    return metrics.histogram(kStageName, kStageHelp, kLatencyRange, {{"stage", name}});
+}
+
+}
+
+CallMetrics::CallMetrics(Metrics &metrics)
+    : m_metrics(metrics)
+    , m_whole(stage(metrics, "whole"))
+    , m_firstAnswer(stage(metrics, "first_answer"))
+    , m_reserving(stage(metrics, "reserving"))
+    , m_placing(stage(metrics, "placing"))
+{
+}
+
+void CallMetrics::noteEnded(const absl::Status &status, Duration taken)
+{
+    const std::string outcome(status.ok() ? std::string_view("answered") : failureName(failureCode(status)));
+    m_metrics.counter("radishswitch_calls_total", "Calls by outcome", {{"outcome", outcome}}).add();
+    m_whole.record(taken);
+}
+
+void CallMetrics::noteFirstAnswer(Duration taken)
+{
+    m_firstAnswer.record(taken);
+}
+
+void CallMetrics::noteReserved(Duration taken)
+{
+    m_reserving.record(taken);
+}
+
+void CallMetrics::notePlaced(Duration taken)
+{
+    m_placing.record(taken);
+}
+
+void CallMetrics::noteAttemptFailed(AttemptEnd end)
+{
+    const std::string name(attemptEndName(end));
+    m_metrics.counter("radishswitch_attempts_failed_total", "Attempts at endpoints that failed", {{"end", name}}).add();
+}
+
+}
--- /dev/null
+++ b/src/gateway/callmetrics.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "metrics.h"
+#include "serving/attemptrules.h"
+
+#include <absl/status/status.h>
+
+#include <string>
+
+namespace RadishSwitch
+{
+
+/// What is counted of calls: how they ended and why, how long each stage took, and what became of attempts.
+class CallMetrics
+{
+public:
+    explicit CallMetrics(Metrics &metrics);
+
+    /// A call ended; an OK status is an answer of an endpoint.
+    void noteEnded(const absl::Status &status, Duration taken);
+
+    /// The first of the answer went to the caller, so long after the call came.
+    void noteFirstAnswer(Duration taken);
+
+    /// Tokens were set aside, or refused, after so long.
+    void noteReserved(Duration taken);
+
+    /// An endpoint was found, or the call refused, after so long in the queue.
+    void notePlaced(Duration taken);
+
+    void noteAttemptFailed(AttemptEnd end);
+
+private:
+    Metrics &m_metrics;
+    Histogram &m_whole;
+    Histogram &m_firstAnswer;
+    Histogram &m_reserving;
+    Histogram &m_placing;
+};
+
+}
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "callmetrics.h"
 #include "callprotocol.h"
 #include "endpointconnections.h"
-#include "metrics.h"
+#include "logsampler.h"
 #include "retrybudget.h"
 #include "serving/callgate.h"
 #include "serving/servingtable.h"
@@ -20,11 +21,11 @@
     /// A call that may run again is sent elsewhere when the first of its answer is later than expected by this many
     /// times its target latency.
     double lateTargets = 2;
-    /// The same for a stream that can be continued, when its next event is missing for so long. Callers give up after two
-    /// seconds.
+    /// The same for a stream that can be continued, when its next event is missing for so long. Callers give up after
+    /// two seconds.
     Duration eventSilence = std::chrono::milliseconds(1200);
-    /// Connections to be used for a call that can't be sent again were idle for no longer: an endpoint that drops an idle
-    /// connection at that very moment leaves the call's outcome unknown.
+    /// Connections to be used for a call that can't be sent again were idle for no longer: an endpoint that drops an
+    /// idle connection at that very moment leaves the call's outcome unknown.
     Duration longestIdleOnce = std::chrono::milliseconds(1500);
     Duration longestIdle = std::chrono::seconds(60);
     /// How long the body of a refusal may take.
@@ -46,7 +47,8 @@
     std::map<PoolId, RetryBudget> &retryBudgets;
     RetrySettings retrySettings;
     CallTimes times;
-    Metrics &metrics;
+    CallMetrics &metrics;
+    LogSampler &sampler;
 
     RetryBudget &retryBudget(const PoolId &pool)
     {
--- a/src/gateway/configurationlistener.cpp
+++ b/src/gateway/configurationlistener.cpp
@@ -46,8 +46,9 @@
     if (m_table && configuration->version <= m_table->configuration().version) {
         return;
     }
-    kLog.info("in force", {field("version", configuration->version), field("revision", newest->version),
-                           field("routes", configuration->routes.size()), field("bytes", newest->value.size())});
+    kLog.info("in force",
+              {field("version", configuration->version), field("revision", newest->version),
+               field("routes", configuration->routes.size()), field("bytes", newest->value.size())});
     m_table = std::make_shared<const ServingTable>(std::move(*configuration));
     m_onNewer(m_table);
 }
--- a/src/gateway/endpointconnections.h
+++ b/src/gateway/endpointconnections.h
@@ -12,8 +12,8 @@
 {
 
 struct EndpointConnectionSettings {
-    /// A dark endpoint must cost a call less than its target latency. A new connection takes two ways through the network
-    /// and a millisecond at the endpoint.
+    /// A dark endpoint must cost a call less than its target latency. A new connection takes two ways through the
+    /// network and a millisecond at the endpoint.
     Duration connectTimeout = std::chrono::milliseconds(150);
     /// Kept open for more, where the endpoint does not say for how long it keeps it.
     Duration idleTimeout = std::chrono::seconds(4);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,10 +18,10 @@
 /// Kept back from the drain timeout: portions are given back, and the process ends, before it would be killed.
 /// Longer than any call lasts.
 constexpr Duration kReservationExpiry = std::chrono::seconds(20);
-constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+constexpr Duration kStopReserve = std::chrono::milliseconds(400);
 
-/// A change that a watch misses is known after its wait, the slack after it and a list; a quarter of the bound leaves room
-/// for a gateway that watches and is lost besides, and for a list from a slow store.
+/// A change that a watch misses is known after its wait, the slack after it and a list; a quarter of the bound leaves
+/// room for a gateway that watches and is lost besides, and for a list from a slow store.
 Duration watchWait(const GatewaySettings &settings)
 {
     return settings.changeBound / 4;
@@ -95,6 +95,15 @@
     return holder;
 }
 
+HttpServerSettings callerServerSettings()
+{
+    HttpServerSettings server;
+    // A request that comes three seconds after the order to stop may last longer than the stop. By then connections are
+    // closed, a little after the balancer has turned to others.
+    server.drainGrace = std::chrono::milliseconds(300);
+    return server;
+}
+
 SharedBudgetsSettings sharedBudgetsSettings(const GatewaySettings &settings)
 {
     SharedBudgetsSettings shared;
@@ -142,13 +151,16 @@
     , m_relayedStore(*m_adapter.store, m_homes, m_watchPeers, m_timers, m_settings.zone, relayTimeout(m_settings))
     , m_budgets(m_homes, m_ownBudgets, m_budgetPeers, m_timers, sharedBudgetsSettings(m_settings))
     , m_budgetService(m_ownBudgets, m_timers)
-    , m_peerRegistry(*m_adapter.store, m_timers, m_random, m_settings.instance, GatewayPeer{m_settings.peerListen.toString(), m_settings.weight},
+    , m_peerRegistry(*m_adapter.store, m_timers, m_random, m_settings.instance,
+                     GatewayPeer{m_settings.peerListen.toString(), m_settings.weight},
                      [this](const std::map<std::string, GatewayPeer> &peers) {
                          m_homes.setPeers(peers);
                      })
     , m_connections(m_workers)
-    , m_services{*m_adapter.protocol, m_timers, m_random, m_gate, m_budgets, m_connections,
-                 m_retryBudgets, retrySettings(m_settings), CallTimes(), m_metrics}
+    , m_callMetrics(m_metrics)
+    , m_services{*m_adapter.protocol, m_timers,      m_random,       m_gate,
+                 m_budgets,           m_connections, m_retryBudgets, retrySettings(m_settings),
+                 CallTimes(),         m_callMetrics, m_sampler}
     , m_configuration(*m_adapter.catalogue,
                       [this](const ServingTablePointer &table) {
                           handleNewer(table);
@@ -162,11 +174,12 @@
     , m_endpointFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->endpointPrefix(), m_endpoints,
                          followerSettings(m_settings))
     , m_peerServer(m_workers, transportSettings(m_settings))
-    , m_server(m_workers, HttpServerSettings(),
+    , m_server(m_workers, callerServerSettings(),
                [this](HttpExchange &exchange) {
                    return serve(exchange);
                })
     , m_admin(m_workers, m_metrics)
+    , m_metricsServer(m_workers, m_metrics)
 {
 }
 
@@ -177,8 +190,9 @@
 
 absl::Status Gateway::start()
 {
-    kLog.info("starting", {field("instance", m_settings.instance), field("zone", m_settings.zone),
-                           field("listen", m_settings.listen.toString()), field("store", m_settings.platform.toString())});
+    kLog.info("starting",
+              {field("instance", m_settings.instance), field("zone", m_settings.zone),
+               field("listen", m_settings.listen.toString()), field("store", m_settings.platform.toString())});
     m_peerServer.handle(kWatchPath, [this](const MessageStreamPointer &stream) {
         m_watchPeers.serve(stream);
     });
@@ -186,6 +200,9 @@
         m_budgetService.serve(stream);
     });
     absl::Status status = m_admin.listen(m_settings.adminListen.ip(), m_settings.adminListen.port());
+    if (status.ok() && m_settings.metricsListen.port() != 0) {
+        status = m_metricsServer.listen(m_settings.metricsListen.ip(), m_settings.metricsListen.port());
+    }
     if (status.ok()) {
         status = m_peerServer.listen(m_settings.peerListen.ip(), m_settings.peerListen.port());
     }
@@ -213,9 +230,10 @@
     m_timers.every(kUpkeepInterval, [this] {
         m_connections.closeExpired();
         for (const HeldBudgetStatus &it : m_holder.statuses()) {
-            kLog.debug("portion", {field("budget", it.budget.toString()), field("available", it.available),
-                                   field("waiting", it.waiting), field("tokens_per_second", it.tokensPerSecond),
-                                   field("portions", it.portions.size())});
+            kLog.debug("portion",
+                       {field("budget", it.budget.toString()), field("available", it.available),
+                        field("waiting", it.waiting), field("tokens_per_second", it.tokensPerSecond),
+                        field("portions", it.portions.size())});
         }
         m_gate.noteRosterChanged();
         updateReady();
@@ -308,9 +326,9 @@
     m_timers.after(kStopReserve / 2, end);
 }
 
-// A portion that ends with a process that does not reach the store is lost to its budget for good. Others of the fleet can
-// still be reached, and one of them will reach the store later. Two are told, in case one of them stops as well; the portion
-// goes back once.
+// A portion that ends with a process that does not reach the store is lost to its budget for good. Others of the fleet
+// can still be reached, and one of them will reach the store later. Two are told, in case one of them stops as well;
+// the portion goes back once.
 void Gateway::handOverPortions()
 {
     constexpr std::size_t kTold = 2;
@@ -342,8 +360,19 @@
 
 void Gateway::countGauges()
 {
-    m_metrics.gauge("radishswitch_calls_placed", "Calls under way at endpoints").set(static_cast<double>(m_gate.placed()));
-    m_metrics.gauge("radishswitch_calls_waiting", "Calls that wait for an endpoint").set(static_cast<double>(m_gate.waiting()));
+    for (const HeldBudgetStatus &it : m_holder.statuses()) {
+        const MetricLabels labels{{"organisation", it.budget.organisation.value()}};
+        m_metrics.gauge("radishswitch_budget_available_tokens", "Tokens of a budget held here and not in use", labels)
+            .set(static_cast<double>(it.available));
+        m_metrics.gauge("radishswitch_budget_tokens_per_second", "Averaged use of a budget here", labels)
+            .set(it.tokensPerSecond);
+    }
+    m_metrics.gauge("radishswitch_store_reached", "Whether the store answered last")
+        .set(m_configurationFollower.isReached() ? 1 : 0);
+    m_metrics.gauge("radishswitch_calls_placed", "Calls under way at endpoints")
+        .set(static_cast<double>(m_gate.placed()));
+    m_metrics.gauge("radishswitch_calls_waiting", "Calls that wait for an endpoint")
+        .set(static_cast<double>(m_gate.waiting()));
     m_metrics.gauge("radishswitch_endpoints", "Endpoints known").set(static_cast<double>(m_gate.roster().size()));
     m_metrics.gauge("radishswitch_idle_connections", "Idle connections to endpoints")
         .set(static_cast<double>(m_connections.idleCount()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,8 +26,8 @@
 
 /// One gateway process: takes callers' calls and sends them straight to endpoints.
 ///
-/// Everything runs on one worker. A gateway has a fraction of one core, and each decision takes microseconds: locks would
-/// cost more than they could win.
+/// Everything runs on one worker. A gateway has a fraction of one core, and each decision takes microseconds: locks
+/// would cost more than they could win.
 class Gateway
 {
 public:
@@ -37,8 +37,8 @@
     /// Opens all doors. The errors of listening.
     absl::Status start();
 
-    /// Planned stop: not ready at once, taking calls until the balancer has noticed, then everything in progress finished
-    /// and the portions of budgets given back. Calls back when all is done, or the drain timeout has passed.
+    /// Planned stop: not ready at once, taking calls until the balancer has noticed, then everything in progress
+    /// finished and the portions of budgets given back. Calls back when all is done, or the drain timeout has passed.
     void drain(std::function<void()> callback);
 
     /// The settings may have changed. They are read at a start only; the event is logged.
@@ -83,6 +83,8 @@
     PeerRegistry m_peerRegistry;
     EndpointConnections m_connections;
     std::map<PoolId, RetryBudget> m_retryBudgets;
+    CallMetrics m_callMetrics;
+    LogSampler m_sampler;
     CallServices m_services;
     ConfigurationListener m_configuration;
     EndpointListener m_endpoints;
@@ -91,6 +93,8 @@
     Http2MessageServer m_peerServer;
     HttpServer m_server;
     AdminServer m_admin;
+    /// The same on an address of its own, where one is set.
+    AdminServer m_metricsServer;
     std::function<void()> m_onDrained;
     bool m_isStopping = false;
 };
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -24,6 +24,7 @@
     parser.add("peer-listen", settings.peerListen, "where other gateways come in");
     parser.add("fleet-key", settings.fleetKey, "the secret that all gateways share");
     parser.add("admin-listen", settings.adminListen, "where /metrics, /livez and /readyz are served");
+    parser.add("metrics-listen", settings.metricsListen, "where /metrics is served besides; port 0 for nowhere");
     parser.add("platform", settings.platform, "the platform's store");
     parser.add("instance", settings.instance, "the name of this process in logs");
     parser.addNumber("weight", settings.weight, 0, kMostWeight, "share of the work that one gateway does for all");
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -14,6 +14,8 @@
     SocketAddress listen{"127.0.0.1", 8080};
     /// Where /metrics, /livez and /readyz are served.
     SocketAddress adminListen{"127.0.0.1", 8082};
+    /// Where /metrics is served besides; port 0 for nowhere.
+    SocketAddress metricsListen{"127.0.0.1", 0};
     /// Where other gateways come in.
     SocketAddress peerListen{"127.0.0.1", 8081};
     /// The secret that all gateways share.
@@ -29,7 +31,7 @@
     Duration drainTimeout = std::chrono::seconds(8);
     /// How long a stopping gateway goes on taking calls, so that the balancer has time to see that it is not ready: two
     /// questions a second apart, and one more for one that is lost.
-    Duration drainNotice = std::chrono::milliseconds(3000);
+    Duration drainNotice = std::chrono::milliseconds(2500);
     /// Within this a change of the configuration has to be in force, and a leaving endpoint without new calls.
     Duration changeBound = std::chrono::seconds(2);
     /// Objects over which budgets are spread; the same in all gateways and for ever.
--- /dev/null
+++ b/src/gateway/logsampler.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "identifier.h"
+#include "timerservice.h"
+
+namespace RadishSwitch
+{
+
+/// Which calls that were answered are logged, when there are too many for a line each.
+///
+/// Chosen by the call's id alone, so that all processes keep lines of the same calls. Calls that failed are always
+/// logged.
+class LogSampler
+{
+public:
+    /// Lines a second up to which each call is logged, and the part that is kept beyond: one in so many. A line costs
+    /// some 20 microseconds; 100 of them are 2 % of a tenth of a core.
+    static constexpr int kLinesPerSecond = 100;
+    static constexpr std::uint64_t kKeptOneIn = 16;
+
+    bool keeps(const RequestId &call, Instant now);
+
+private:
+    Instant m_second{};
+    int m_lines = 0;
+};
+
+}
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -16,6 +16,7 @@
         return *exitCode;
     }
     settings.log.format = LogFormat::Json;
+    settings.log.isBuffered = true;
     configureLogs(settings.log);
 
     Gateway gateway(settings);
--- a/src/gateway/peerregistry.h
+++ b/src/gateway/peerregistry.h
@@ -12,9 +12,9 @@
 
 /// Makes this gateway known to the others through the platform's store, and learns of them there.
 ///
-/// Each gateway keeps one object under its instance's name with the address at which the others reach it. A restart finds
-/// its object as it left it and writes nothing, so that restarts cost the fleet no news. Whether a gateway lives is for
-/// those to find out who call it.
+/// Each gateway keeps one object under its instance's name with the address at which the others reach it. A restart
+/// finds its object as it left it and writes nothing, so that restarts cost the fleet no news. Whether a gateway lives
+/// is for those to find out who call it.
 class PeerRegistry : private ObjectListener
 {
 public:
--- a/src/gateway/prepaidbudgets.cpp
+++ b/src/gateway/prepaidbudgets.cpp
@@ -19,8 +19,8 @@
 
 }
 
-PrepaidBudgets::PrepaidBudgets(Ledger &ledger, BudgetHolder &holder, const HomeDirectory &homes,
-                               TimerService &timers, std::function<bool()> isStoreLost)
+PrepaidBudgets::PrepaidBudgets(Ledger &ledger, BudgetHolder &holder, const HomeDirectory &homes, TimerService &timers,
+                               std::function<bool()> isStoreLost)
     : m_ledger(ledger)
     , m_holder(holder)
     , m_homes(homes)
@@ -59,8 +59,8 @@
 void PrepaidBudgets::book(const BudgetId &budget, Allowance &allowance)
 {
     allowance.booked = allowance.total;
-    const auto change = std::make_shared<AllowanceChange>(budget, allowance.version, allowance.total,
-                                                          m_timers.wallClockMilliseconds());
+    const auto change =
+        std::make_shared<AllowanceChange>(budget, allowance.version, allowance.total, m_timers.wallClockMilliseconds());
     m_ledger.submit(budget, change, Urgency::Urgent, [change](const absl::Status &status) {
         if (status.ok()) {
             kLog.info("allowance booked", {field("change", change->describe())});
@@ -84,9 +84,9 @@
     m_ledger.submit(budget, std::make_shared<ReturnPortionChange>(budget, portion, spentTokens), Urgency::Soon,
                     [portion](const absl::Status &status) {
                         if (!status.ok()) {
-                            kLog.error("handed portion not returned",
-                                       {field("portion", portion.value()),
-                                        field("error", std::string(status.message()))});
+                            kLog.error(
+                                "handed portion not returned",
+                                {field("portion", portion.value()), field("error", std::string(status.message()))});
                         }
                     });
 }
--- a/src/gateway/prepaidbudgets.h
+++ b/src/gateway/prepaidbudgets.h
@@ -22,8 +22,8 @@
 
     static BudgetId budgetOf(const OrganisationId &organisation);
 
-    /// Takes in what a newer configuration says was paid. It is booked with the first reservation here that draws on it:
-    /// were every gateway to book it, each change would cost a call to the store from each of them.
+    /// Takes in what a newer configuration says was paid. It is booked with the first reservation here that draws on
+    /// it: were every gateway to book it, each change would cost a call to the store from each of them.
     void applyConfiguration(const ServingConfiguration &configuration);
 
     void reserveHere(const ReservationRequest &request, ReservationCallback callback) override;
--- a/src/libradishnet/hopheaders.cpp
+++ b/src/libradishnet/hopheaders.cpp
@@ -14,8 +14,17 @@
 {
 
 constexpr std::array kHopHeaders{
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
-    "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",     "Expect",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length",
+    "Expect",
 };
 
 bool isHopHeader(const std::string &name)
--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -126,8 +126,8 @@
     net::steady_timer pause(strand);
     while (acceptor.is_open()) {
         boost::system::error_code ec;
-        ServerSocket socket = co_await acceptor.async_accept(workers.connectionExecutor(),
-                                                             net::redirect_error(net::use_awaitable, ec));
+        ServerSocket socket =
+            co_await acceptor.async_accept(workers.connectionExecutor(), net::redirect_error(net::use_awaitable, ec));
         if (!ec) {
             serve(std::move(socket));
             continue;
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -253,16 +253,15 @@
 template<typename Stream>
 void HttpSession<Stream>::expire()
 {
-    // A request whose first bytes came in time is taken whole: the caller can't know that the connection was about to be
-    // closed.
+    // A request whose first bytes came in time is taken whole: the caller can't know that the connection was about to
+    // be closed.
     if (m_isReading && m_parser->got_some() && !m_isExtended) {
         m_isExtended = true;
         m_watchdog.expireAfter(m_context->limits().readTimeout);
         return;
     }
     // The limit may have been raised since; the caller goes by the new one.
-    const Duration idle =
-        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_idleSince);
+    const Duration idle = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_idleSince);
     const Duration idleTimeout = m_context->limits().idleTimeout;
     if (!m_isDraining && isBetweenRequests() && idle < idleTimeout) {
         m_watchdog.expireAfter(idleTimeout - idle);
@@ -300,24 +299,23 @@
 void HttpSession<Stream>::watchPeer()
 {
     m_isWatchingPeer = true;
-    beast::get_lowest_layer(m_stream).async_wait(
-        net::socket_base::wait_read, [this, alive = std::weak_ptr<int>(m_alive)](beast::error_code ec) {
-            if (alive.expired()) {
-                return;
-            }
-            m_isWatchingPeer = false;
-            if (!ec && m_onPeerGone) {
-                lookAtPeer();
-            }
-        });
+    beast::get_lowest_layer(m_stream).async_wait(net::socket_base::wait_read,
+                                                 [this, alive = std::weak_ptr<int>(m_alive)](beast::error_code ec) {
+                                                     if (alive.expired()) {
+                                                         return;
+                                                     }
+                                                     m_isWatchingPeer = false;
+                                                     if (!ec && m_onPeerGone) {
+                                                         lookAtPeer();
+                                                     }
+                                                 });
 }
 
 template<typename Stream>
 void HttpSession<Stream>::lookAtPeer()
 {
     char c = 0;
-    const ssize_t n =
-        ::recv(beast::get_lowest_layer(m_stream).native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t n = ::recv(beast::get_lowest_layer(m_stream).native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n > 0) {
         return;
     }
@@ -409,8 +407,8 @@
     co_return outcomeOfWrite(ec);
 }
 
-// Nearly always the kernel takes a piece of a stream whole. An asynchronous write would come back as a task even then, with
-// a poll of the reactor in between.
+// Nearly always the kernel takes a piece of a stream whole. An asynchronous write would come back as a task even then,
+// with a poll of the reactor in between.
 template<typename Stream>
 std::size_t HttpSession<Stream>::writeAtOnce(const std::string &bytes, beast::error_code &ec)
 {
--- a/src/libradishnet/log.cpp
+++ b/src/libradishnet/log.cpp
@@ -1,11 +1,17 @@
 #include "log.h"
 
+#include "blockwriter.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
 #include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
+
+#include <unistd.h>
 
 #include <deque>
 
@@ -45,6 +51,46 @@
     return std::make_shared<log4cxx::PatternLayout>(kTextPattern);
 }
 
+/// Hands formatted lines to a BlockWriter. Lines below a warning are ordinary.
+class BlockAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    BlockAppender()
+        : m_writer(STDOUT_FILENO)
+    {
+    }
+
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
+    {
+        log4cxx::LogString line;
+        getLayout()->format(line, event, pool);
+        m_writer.add(std::move(line), !event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn()));
+    }
+
+    void close() override
+    {
+    }
+
+    bool requiresLayout() const override
+    {
+        return true;
+    }
+
+private:
+    BlockWriter m_writer;
+};
+
+log4cxx::AppenderPtr makeAppender(const LogSettings &settings)
+{
+    if (settings.isBuffered) {
+        const auto appender = std::make_shared<BlockAppender>();
+        appender->setLayout(makeLayout(settings.format));
+        return appender;
+    }
+    return std::make_shared<log4cxx::ConsoleAppender>(makeLayout(settings.format),
+                                                      log4cxx::ConsoleAppender::getSystemErr());
+}
+
 bool needsQuotes(const std::string &value)
 {
     return value.empty() || value.find_first_of(" =\"\n\r\t") != std::string::npos;
@@ -88,10 +134,8 @@
 void configureLogs(const LogSettings &settings)
 {
     const auto root = log4cxx::Logger::getRootLogger();
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(makeLayout(settings.format),
-                                                                     log4cxx::ConsoleAppender::getSystemErr());
     root->removeAllAppenders();
-    root->addAppender(appender);
+    root->addAppender(makeAppender(settings));
     root->setLevel(levelOf(settings.level));
     log4cxx::LogManager::getLoggerRepository()->setConfigured(true);
     s_format = settings.format;
--- a/src/libradishnet/logsettings.h
+++ b/src/libradishnet/logsettings.h
@@ -19,11 +19,14 @@
 struct LogSettings {
     LogLevel level = LogLevel::Info;
     LogFormat format = LogFormat::Text;
+    /// Whether lines go to the standard output in blocks, as a BlockWriter does it, and not to the standard error at
+    /// once.
+    bool isBuffered = false;
 
     bool operator==(const LogSettings &) const = default;
 };
 
-/// Opens the log on standard error. Before the first call nothing is logged. Safe to call again.
+/// Opens the log. Before the first call nothing is logged. Safe to call again.
 void configureLogs(const LogSettings &settings);
 
 }
--- a/src/libradishswitch/serving/attemptrules.cpp
+++ b/src/libradishswitch/serving/attemptrules.cpp
@@ -15,6 +15,23 @@
 
 }
 
+std::string_view attemptEndName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::RefusedByEndpoint:
+        return "refused";
+    case AttemptEnd::WrongEndpoint:
+        return "wrong_endpoint";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::Silent:
+        break;
+    }
+    return "silent";
+}
+
 bool mayTryAgain(const AttemptHistory &history, AttemptEnd end)
 {
     switch (end) {
--- a/src/libradishswitch/serving/attemptrules.h
+++ b/src/libradishswitch/serving/attemptrules.h
@@ -4,6 +4,8 @@
 
 #include <absl/status/status.h>
 
+#include <string_view>
+
 namespace RadishSwitch
 {
 
@@ -35,6 +37,9 @@
     bool operator==(const AttemptHistory &) const = default;
 };
 
+/// The stable name of an end, such as "not_sent".
+std::string_view attemptEndName(AttemptEnd end);
+
 /// Whether another endpoint may be tried after an attempt that ended so. `history` includes that attempt. The retry
 /// budget is asked besides.
 bool mayTryAgain(const AttemptHistory &history, AttemptEnd end);
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -28,12 +28,14 @@
         return;
     }
     if (!m_placement.hasUsable(query, m_timers.now())) {
-        return callback(makeFailure(FailureCode::NoEndpoint, "no endpoint of pool " + query.pool.value() + " takes calls",
+        return callback(makeFailure(FailureCode::NoEndpoint,
+                                    "no endpoint of pool " + query.pool.value() + " takes calls",
                                     m_settings.noEndpointRetryAfter));
     }
     // A further attempt has used up time and an endpoint's work already; it doesn't take a place from those that wait.
     if (!query.excluded.empty()) {
-        return callback(makeFailure(FailureCode::Overloaded, "no other endpoint of pool " + query.pool.value() + " has room",
+        return callback(makeFailure(FailureCode::Overloaded,
+                                    "no other endpoint of pool " + query.pool.value() + " has room",
                                     m_settings.noEndpointRetryAfter));
     }
     wait(query, std::move(callback));
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -85,7 +85,8 @@
 {
     const RosterEndpoint &it = m_roster.at(slot);
     const RosterStanding standing = m_roster.standing(slot, now);
-    if (it.inFlight >= static_cast<int>(it.limit) || std::ranges::find(query.excluded, it.listing.id) != query.excluded.end()) {
+    if (it.inFlight >= static_cast<int>(it.limit)
+        || std::ranges::find(query.excluded, it.listing.id) != query.excluded.end()) {
         return false;
     }
     if (choosiness == Choosiness::AnyAlive) {
@@ -119,8 +120,7 @@
 }
 
 // Rendezvous hashing over all candidates: when an endpoint goes, only the prompts that met there move.
-std::optional<EndpointSlot> CallPlacement::homeOf(const PlacementQuery &query, Choosiness choosiness,
-                                                  Instant now) const
+std::optional<EndpointSlot> CallPlacement::homeOf(const PlacementQuery &query, Choosiness choosiness, Instant now) const
 {
     const std::size_t shared = sharedParts(query.parts);
     if (shared == 0) {
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -15,10 +15,10 @@
 /// Chooses the endpoint of each call, and learns from how calls go.
 ///
 /// Load pattern: prompts of up to 70,000 tokens among many short ones. A short call behind a long prompt misses its
-/// target, so what counts is the time until the first token: what an endpoint has still to read, and what of this prompt
-/// it has not read yet. Calls that share a part of their prompts meet at the endpoint that rendezvous hashing gives for
-/// that part, in all processes alike and without a word between them, unless it is so busy that reading anew elsewhere
-/// is quicker.
+/// target, so what counts is the time until the first token: what an endpoint has still to read, and what of this
+/// prompt it has not read yet. Calls that share a part of their prompts meet at the endpoint that rendezvous hashing
+/// gives for that part, in all processes alike and without a word between them, unless it is so busy that reading anew
+/// elsewhere is quicker.
 class CallPlacement
 {
 public:
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -59,8 +59,8 @@
     }
 }
 
-// The list's entries are leases: when the store was away for longer than they last, all of them vanish at its return and
-// come back with the endpoints' next heartbeats. Believing the list then would leave a pool without any endpoint.
+// The list's entries are leases: when the store was away for longer than they last, all of them vanish at its return
+// and come back with the endpoints' next heartbeats. Believing the list then would leave a pool without any endpoint.
 bool EndpointRoster::isLapse(const PoolId &pool, Instant now) const
 {
     const std::vector<EndpointSlot> &slots = this->pool(pool);
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -24,8 +24,8 @@
 };
 
 struct EndpointRosterSettings {
-    /// An endpoint whose entry vanished unannounced stays usable for so long. Entries lapse while the platform's store is
-    /// away, and are back about two seconds after it; one that really leaves goes on serving for at least as long.
+    /// An endpoint whose entry vanished unannounced stays usable for so long. Entries lapse while the platform's store
+    /// is away, and are back about two seconds after it; one that really leaves goes on serving for at least as long.
     Duration vanishedGrace = std::chrono::milliseconds(1800);
     /// The same when at least `lapseShare` of a pool vanishes within `lapseWindow`: that is a lapse of the list.
     Duration lapseGrace = std::chrono::milliseconds(3500);
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -35,8 +35,8 @@
 /// Which gateway does what one gateway does for all: the home of each key.
 ///
 /// Weighted rendezvous hashing gives all gateways the same answer without a word between them, and large instances more
-/// homes than small ones. While a home can't be reached, the next one stands in, at last each gateway for itself. What is
-/// done at a home must be safe with any number of homes at a time.
+/// homes than small ones. While a home can't be reached, the next one stands in, at last each gateway for itself. What
+/// is done at a home must be safe with any number of homes at a time.
 class HomeDirectory
 {
 public:
@@ -48,8 +48,8 @@
     /// Whom to ask for a key, in order. Ends with this gateway's own name.
     std::vector<std::string> candidates(std::string_view key, Instant now) const;
 
-    /// Whether this gateway is the home of a key, whatever can be reached just now. Peers that have failed many times in a
-    /// row don't count: they are gone for good.
+    /// Whether this gateway is the home of a key, whatever can be reached just now. Peers that have failed many times
+    /// in a row don't count: they are gone for good.
     bool isHome(std::string_view key) const;
 
     /// The other gateways that may be asked now, in no order that means anything.
--- a/src/libradishswitch/serving/objectfollower.h
+++ b/src/libradishswitch/serving/objectfollower.h
@@ -17,8 +17,8 @@
     /// enough that a change made during an outage is known a second after its end.
     Duration firstBackoff = std::chrono::milliseconds(100);
     Duration longestBackoff = std::chrono::milliseconds(800);
-    /// After changes the next watch begins so much later: what comes meanwhile is read as one. Reading a configuration of
-    /// 50 kB takes the smallest instances some 30 ms, and in a storm there are sixteen a second.
+    /// After changes the next watch begins so much later: what comes meanwhile is read as one. Reading a configuration
+    /// of 50 kB takes the smallest instances some 30 ms, and in a storm there are sixteen a second.
     Duration changePause{};
 };
 
@@ -29,8 +29,8 @@
 class ObjectFollower
 {
 public:
-    /// Everything up to a version is known: by these changes, or by a list if there are none to tell; nothing when the store
-    /// failed to answer.
+    /// Everything up to a version is known: by these changes, or by a list if there are none to tell; nothing when the
+    /// store failed to answer.
     struct Progress {
         bool isReached = false;
         bool wasListed = false;
--- a/src/libradishswitch/serving/placementsettings.h
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -10,8 +10,8 @@
 struct PlacementSettings {
     /// Speed at which an engine reads a prompt, in tokens a second: the engines' published 101 a millisecond.
     double readTokensPerSecond = 101'000;
-    /// Added for a full batch, in proportion: from 3.0 to 4.4 ms a step, over the some fifteen steps that a short answer's
-    /// pauses bear.
+    /// Added for a full batch, in proportion: from 3.0 to 4.4 ms a step, over the some fifteen steps that a short
+    /// answer's pauses bear.
     Duration fullBatch = std::chrono::milliseconds(20);
     /// Added for an endpoint of another availability zone: both ways of the network, and the bytes that cross zones.
     Duration zoneDistance = std::chrono::milliseconds(4);
--- a/src/libradishswitch/serving/relayedstore.h
+++ b/src/libradishswitch/serving/relayedstore.h
@@ -11,8 +11,8 @@
 /// The platform's store, with watches that go through the one gateway that watches for several.
 ///
 /// Each call to the store is paid for, a waiting watch too. Watches of every gateway would cost more than all else
-/// together: 2,900 of 4,900 calls of a calm day of 23 gateways, measured. While the gateway that watches can't be reached,
-/// or does not reach the store, the store itself is asked.
+/// together: 2,900 of 4,900 calls of a calm day of 23 gateways, measured. While the gateway that watches can't be
+/// reached, or does not reach the store, the store itself is asked.
 class RelayedStore : public ObjectStore
 {
 public:
--- a/src/libradishswitch/serving/sharedbudgets.cpp
+++ b/src/libradishswitch/serving/sharedbudgets.cpp
@@ -13,10 +13,10 @@
 
 bool isUnreachable(FailureCode code)
 {
-    return code == FailureCode::ConnectionLost || code == FailureCode::ConnectionSilent || code == FailureCode::Draining;
+    return code == FailureCode::ConnectionLost || code == FailureCode::ConnectionSilent
+        || code == FailureCode::Draining;
 }
 
-
 }
 
 SharedBudgets::SharedBudgets(HomeDirectory &homes, LocalBudgets &local, BudgetPeerPort &peers, TimerService &timers,
@@ -33,7 +33,8 @@
 {
     const auto search = std::make_shared<Search>();
     search->request = request;
-    search->candidates = m_homes.candidates(ledgerShardKey(ledgerShardOf(request.budget, m_settings.ledgerShards)), m_timers.now());
+    search->candidates =
+        m_homes.candidates(ledgerShardKey(ledgerShardOf(request.budget, m_settings.ledgerShards)), m_timers.now());
     search->callback = std::move(callback);
     askNext(search);
 }
@@ -63,8 +64,8 @@
     if (isUnreachable(code)) {
         return askNext(search);
     }
-    // The home has used up what it holds and does not reach the ledger, or has not heard of the budget yet. This gateway may
-    // reach it; when all are cut off, asking on would only cost each of them a try.
+    // The home has used up what it holds and does not reach the ledger, or has not heard of the budget yet. This
+    // gateway may reach it; when all are cut off, asking on would only cost each of them a try.
     const bool lacksLedger = code == FailureCode::BudgetUnavailable || code == FailureCode::BudgetUnknown;
     if (lacksLedger && !m_local.isLedgerAway(search->request.budget)) {
         return askHere(search);
--- a/src/libradishswitch/serving/sharedbudgets.h
+++ b/src/libradishswitch/serving/sharedbudgets.h
@@ -26,17 +26,17 @@
 struct SharedBudgetsSettings {
     /// As in LedgerSettings.
     std::uint32_t ledgerShards = 64;
-    /// A home that does not answer in this time is passed over. It may have to ask the ledger first, which takes some tens
-    /// of milliseconds; a call's first answer is due in 250.
+    /// A home that does not answer in this time is passed over. It may have to ask the ledger first, which takes some
+    /// tens of milliseconds; a call's first answer is due in 250.
     Duration peerTimeout = std::chrono::milliseconds(120);
 };
 
-/// Reserves tokens at the home of each budget, and falls back to other gateways and to this one's own portions while the
-/// home can't be reached or has nothing left.
+/// Reserves tokens at the home of each budget, and falls back to other gateways and to this one's own portions while
+/// the home can't be reached or has nothing left.
 ///
 /// With a portion at each gateway a small budget would lie in pieces too small for one request, and all gateways would
-/// write its record at once. One home for all budgets of a shard of the ledger keeps each budget whole and its object in one
-/// hand. Any number of homes at a time is safe, since each holds portions of its own.
+/// write its record at once. One home for all budgets of a shard of the ledger keeps each budget whole and its object
+/// in one hand. Any number of homes at a time is safe, since each holds portions of its own.
 class SharedBudgets
 {
 public:
--- a/src/libradishswitch/serving/watchlog.cpp
+++ b/src/libradishswitch/serving/watchlog.cpp
@@ -14,7 +14,8 @@
     m_version = std::max(m_version, changes.nextVersion);
     for (const StoredObject &object : changes.objects) {
         // A removal does not tell its version; that of the whole answer is late enough.
-        // Only the newest state of an object is of use; a configuration that changes often would be sent many times over.
+        // Only the newest state of an object is of use; a configuration that changes often would be sent many times
+        // over.
         std::erase_if(m_entries, [&object](const Entry &entry) {
             return entry.object.key == object.key;
         });
--- a/src/libradishswitch/serving/watchlog.h
+++ b/src/libradishswitch/serving/watchlog.h
@@ -28,8 +28,8 @@
     /// The store does not answer. Those that wait get StoreUnavailable, and those that ask from now on.
     void noteLost();
 
-    /// Calls back with what changed after `fromVersion`, now or with the store's next word. HistoryGone when that is not
-    /// known here, StoreUnavailable while the store is lost.
+    /// Calls back with what changed after `fromVersion`, now or with the store's next word. HistoryGone when that is
+    /// not known here, StoreUnavailable while the store is lost.
     void watch(std::uint64_t fromVersion, Callback callback);
 
     std::size_t waiting() const
--- a/src/libradishswitch/serving/watchpeerport.h
+++ b/src/libradishswitch/serving/watchpeerport.h
@@ -14,8 +14,8 @@
 public:
     virtual ~WatchPeerPort() = default;
 
-    /// As WatchLog::watch at a peer; ConnectionLost or ConnectionSilent when it can't be reached or does not answer within
-    /// `timeout`.
+    /// As WatchLog::watch at a peer; ConnectionLost or ConnectionSilent when it can't be reached or does not answer
+    /// within `timeout`.
     virtual void watch(const std::string &peer, const std::string &prefix, std::uint64_t fromVersion, Duration timeout,
                        ObjectStore::Callback<StoreChanges> callback) = 0;
 };
--- a/tests/core/eventcutter_test.cpp
+++ b/tests/core/eventcutter_test.cpp
@@ -30,8 +30,8 @@
     }
 }
 
-// An endpoint breaks off inside the third event, and another begins again behind the first. The caller has two events and
-// must see the third next, once.
+// An endpoint breaks off inside the third event, and another begins again behind the first. The caller has two events
+// and must see the third next, once.
 TEST_F(EventCutterTest, streamResumedTooEarly_repeatsNothing)
 {
     EventCutter cutter;
--- a/tests/core/homedirectory_test.cpp
+++ b/tests/core/homedirectory_test.cpp
@@ -19,8 +19,8 @@
         return "ledger/" + std::to_string(n);
     }
 
-    const std::map<std::string, GatewayPeer> peers{{"a", {"10.0.0.1:1", 1}}, {"b", {"10.0.0.2:1", 1}},
-                                                   {"c", {"10.0.0.3:1", 2}}};
+    const std::map<std::string, GatewayPeer> peers{
+        {"a", {"10.0.0.1:1", 1}}, {"b", {"10.0.0.2:1", 1}}, {"c", {"10.0.0.3:1", 2}}};
 };
 
 TEST_F(HomeDirectoryTest, gatewaysThatKnowTheSame_agreeOnEachHome)
@@ -46,7 +46,8 @@
     EXPECT_NEAR(homes["a"], 500, 100);
 }
 
-// A home dies. Its keys go to the others for as long as it can't be reached, and back to it afterwards; nobody else's move.
+// A home dies. Its keys go to the others for as long as it can't be reached, and back to it afterwards; nobody else's
+// move.
 TEST_F(HomeDirectoryTest, unreachableHome_isPassedOverAndComesBack)
 {
     HomeDirectory a("a");
--- a/tests/core/objectfollower_test.cpp
+++ b/tests/core/objectfollower_test.cpp
@@ -90,7 +90,8 @@
     EXPECT_EQ(store.lists, 1);
 }
 
-// A watch gets no answer in its time: the store may have forgotten it, with a change that a further watch would not tell.
+// A watch gets no answer in its time: the store may have forgotten it, with a change that a further watch would not
+// tell.
 TEST_F(ObjectFollowerTest, silentWatch_isFollowedByAList)
 {
     put("one");
@@ -110,7 +111,8 @@
     EXPECT_EQ(store.lists, 2);
 }
 
-// The store is away for ten seconds. It is asked now and then, and a change made at its return is known within a second.
+// The store is away for ten seconds. It is asked now and then, and a change made at its return is known within a
+// second.
 TEST_F(ObjectFollowerTest, storeAway_isAskedSeldomAndHeardSoonAfterItsReturn)
 {
     put("one");
--- /dev/null
+++ b/tests/core/servingload_test.cpp
@@ -0,0 +1,281 @@
+#include "failure.h"
+#include "readingengines.h"
+
+#include <gtest/gtest.h>
+
+using namespace RadishSwitch;
+
+/// Load patterns at their worst, replayed in virtual time over the decisions that answer them. A baseline beside ours
+/// shows what each decision is worth.
+class ServingLoadTest : public testing::Test
+{
+protected:
+    using Milliseconds = std::chrono::milliseconds;
+
+    static constexpr int kEngines = 4;
+    static constexpr Duration kTarget = Milliseconds(250);
+
+    ServingLoadTest()
+        : gate(timers, random, "a")
+        , engines(timers, kEngines)
+    {
+    }
+
+    void list(int count, int slots)
+    {
+        for (int n = 0; n < count; ++n) {
+            EndpointListing listing;
+            listing.id = ReadingEngines::id(n);
+            listing.pool = PoolId("llm");
+            listing.address = "10.0.0." + std::to_string(n) + ":1";
+            listing.zone = "a";
+            listing.slots = slots;
+            gate.roster().list(listing);
+        }
+        gate.noteRosterChanged();
+    }
+
+    PlacementQuery query(std::vector<PromptPart> parts, const std::string &organisation = "o")
+    {
+        PlacementQuery query;
+        query.call = RequestId("call-" + std::to_string(++m_calls));
+        query.pool = PoolId("llm");
+        query.organisation = OrganisationId(organisation);
+        query.parts = std::move(parts);
+        query.deadline = timers.now() + kTarget;
+        return query;
+    }
+
+    /// Sends a call and notes whether its first answer was in time.
+    void send(const PlacementQuery &query, int &inTime, bool isRandom = false)
+    {
+        const Instant begin = timers.now();
+        if (isRandom) {
+            engines.read(ReadingEngines::id(static_cast<int>(random.below(kEngines))), query.parts,
+                         [this, begin, &inTime] {
+                             inTime += timers.now() - begin <= kTarget ? 1 : 0;
+                         });
+            return;
+        }
+        gate.place(query, [this, query, begin, &inTime](const absl::StatusOr<Placement> &placement) {
+            if (!placement.ok()) {
+                return;
+            }
+            engines.read(placement->endpoint, query.parts, [this, query, begin, &inTime] {
+                inTime += timers.now() - begin <= kTarget ? 1 : 0;
+                gate.noteFirstAnswer(query.call);
+                gate.noteEnded(query.call, RunEnd::Ok);
+            });
+        });
+    }
+
+    /// Short calls, a hundred a second, and each half second a prompt that takes an engine 0.6 s to read.
+    int shortCallsInTime(bool isRandom)
+    {
+        int inTime = 0;
+        int ignored = 0;
+        for (int n = 0; n < 1000; ++n) {
+            if (n % 50 == 0) {
+                send(query({{static_cast<std::uint64_t>(1'000'000 + n), 60'000}}), ignored, isRandom);
+            }
+            send(query({{static_cast<std::uint64_t>(n), 800}}), inTime, isRandom);
+            timers.advance(Milliseconds(10));
+        }
+        timers.advance(std::chrono::seconds(10));
+        return inTime;
+    }
+
+    VirtualTimerService timers;
+    SeededRandom random{7};
+    CallGate gate;
+    ReadingEngines engines;
+
+private:
+    int m_calls = 0;
+};
+
+// Load: long prompts among many short ones. A short call behind a long prompt misses its target by half a second.
+TEST_F(ServingLoadTest, longPromptsAmongShortCalls_delayFewOfThem)
+{
+    list(kEngines, 64);
+    const int ours = shortCallsInTime(false);
+    const int baseline = shortCallsInTime(true);
+    EXPECT_GE(ours, 990);
+    EXPECT_LT(baseline, 950);
+}
+
+// Load: sessions of 5,000 shared tokens, each asked for again and again by all. Sent anywhere, each engine reads each.
+TEST_F(ServingLoadTest, sharedParts_areReadAgainBySeldomMoreThanOneEngine)
+{
+    list(kEngines, 64);
+    int inTime = 0;
+    std::uint64_t own = 1'000'000;
+    for (int n = 0; n < 2000; ++n) {
+        const std::uint64_t session = random.below(100);
+        send(query({{session, 5'000}, {++own, 400}}), inTime);
+        timers.advance(Milliseconds(20));
+    }
+    // Sent at random, each of the hundred sessions is read three more times: 1.5 million tokens.
+    EXPECT_LT(engines.rereadTokens(), 150'000);
+    EXPECT_GE(inTime, 1980);
+}
+
+// Load: one session gets a third of the traffic, and three quarters of all that the engines can read is asked for. Its
+// home alone would be busy all the time; the session spreads, and few of its parts are read again.
+TEST_F(ServingLoadTest, hotSession_spreadsWhenItsHomeWouldBeLate)
+{
+    list(kEngines, 64);
+    const auto play = [this](bool isRandom, std::uint64_t firstSession) {
+        int inTime = 0;
+        std::uint64_t own = firstSession * 1'000'000;
+        for (int n = 0; n < 2000; ++n) {
+            const std::uint64_t session = firstSession + (n % 3 == 0 ? 0 : 1 + random.below(100));
+            send(query({{session, 5'000}, {++own, 6'000}}), inTime, isRandom);
+            timers.advance(Milliseconds(20));
+        }
+        timers.advance(std::chrono::seconds(10));
+        return inTime;
+    };
+    const int ours = play(false, 1000);
+    const std::int64_t oursRead = engines.rereadTokens();
+    const int baseline = play(true, 2000);
+    const std::int64_t baselineRead = engines.rereadTokens() - oursRead;
+    EXPECT_GE(ours, 1850);
+    EXPECT_GT(ours, baseline);
+    EXPECT_LT(oursRead, baselineRead / 3);
+}
+
+// Load: a quarter of the endpoints is dark. Each call sent there costs its caller a connect timeout; after a few, only
+// single probes go there.
+TEST_F(ServingLoadTest, darkEndpoint_isLeftOutAfterAFewFailures)
+{
+    list(kEngines, 64);
+    int failed = 0;
+    for (int n = 0; n < 1000; ++n) {
+        const PlacementQuery it = query({});
+        gate.place(it, [&](const absl::StatusOr<Placement> &placement) {
+            ASSERT_TRUE(placement.ok());
+            const bool isDark = placement->endpoint == ReadingEngines::id(2);
+            failed += isDark ? 1 : 0;
+            gate.noteEnded(it.call, isDark ? RunEnd::Failed : RunEnd::Ok);
+        });
+        timers.advance(Milliseconds(10));
+    }
+    EXPECT_LE(failed, 10);
+}
+
+// Load: all endpoints dark. Leaving all out would make sure of the outage; half of them at most are left out.
+TEST_F(ServingLoadTest, allEndpointsFailing_areNotAllLeftOut)
+{
+    list(kEngines, 64);
+    int placed = 0;
+    for (int n = 0; n < 200; ++n) {
+        const PlacementQuery it = query({});
+        gate.place(it, [&](const absl::StatusOr<Placement> &placement) {
+            placed += placement.ok() ? 1 : 0;
+            gate.noteEnded(it.call, RunEnd::Failed);
+        });
+        timers.advance(Milliseconds(10));
+    }
+    EXPECT_EQ(placed, 200);
+}
+
+// Load: three times as many calls at once as can be served in time. Those without a chance hear so at the moment they
+// ask; none that was let in waits in vain.
+TEST_F(ServingLoadTest, clumpBeyondCapacity_isRefusedAtOnceOrServedInTime)
+{
+    constexpr int kSlots = 4;
+    constexpr Duration kRun = Milliseconds(100);
+    list(kEngines, kSlots);
+    int served = 0;
+    int late = 0;
+    int refusedAtOnce = 0;
+    int refusedLater = 0;
+    // A steady load first, so that the queue knows its rate.
+    for (int round = 0; round < 40; ++round) {
+        const int calls = round < 30 ? kEngines * kSlots / 2 : kEngines * kSlots * 3;
+        for (int n = 0; n < calls; ++n) {
+            const PlacementQuery it = query({});
+            const Instant begin = timers.now();
+            gate.place(it, [&, it, begin](const absl::StatusOr<Placement> &placement) {
+                const Duration waited = timers.now() - begin;
+                if (!placement.ok()) {
+                    EXPECT_TRUE(retryAfterOf(placement.status()).has_value());
+                    EXPECT_EQ(outcomeOf(placement.status()), RunOutcome::NotRun);
+                    (waited == Duration::zero() ? refusedAtOnce : refusedLater) += 1;
+                    return;
+                }
+                ++served;
+                late += waited > kTarget ? 1 : 0;
+                timers.after(kRun, [this, it] {
+                    gate.noteEnded(it.call, RunEnd::Ok);
+                });
+            });
+        }
+        timers.advance(kRun);
+    }
+    timers.advance(std::chrono::seconds(2));
+    EXPECT_EQ(late, 0);
+    EXPECT_GT(refusedAtOnce, refusedLater);
+    // Sixteen slots at ten runs a second, for the second of the clump and its wait, and the steady rounds before.
+    EXPECT_GE(served, 30 * 8 + 10 * 16);
+    EXPECT_EQ(gate.waiting(), 0U);
+}
+
+// Load: one organisation sends seven times its usual into a full pool. The others' calls go on as before.
+TEST_F(ServingLoadTest, greedyOrganisation_doesNotStarveTheOthers)
+{
+    constexpr Duration kRun = Milliseconds(50);
+    list(1, 4);
+    std::map<std::string, int> served;
+    for (int round = 0; round < 400; ++round) {
+        const auto ask = [&](const std::string &organisation) {
+            const PlacementQuery it = query({}, organisation);
+            gate.place(it, [&, it, organisation](const absl::StatusOr<Placement> &placement) {
+                if (placement.ok()) {
+                    ++served[organisation];
+                    timers.after(kRun, [this, it] {
+                        gate.noteEnded(it.call, RunEnd::Ok);
+                    });
+                }
+            });
+        };
+        for (int n = 0; n < 7; ++n) {
+            ask("greedy");
+        }
+        ask("modest");
+        timers.advance(kRun);
+    }
+    EXPECT_GE(served["modest"], 320);
+}
+
+// Load: an endpoint is full with the calls of other gateways and refuses. This gateway sends it less, and more again as
+// it takes them.
+TEST_F(ServingLoadTest, endpointThatRefuses_getsHalfAsMuchAndGrowsBack)
+{
+    list(1, 16);
+    const EndpointSlot slot = *gate.roster().slotOf(ReadingEngines::id(0));
+    const auto run = [this](RunEnd end, int count) {
+        std::vector<RequestId> calls;
+        for (int n = 0; n < count; ++n) {
+            const PlacementQuery it = query({});
+            gate.place(it, [&calls, it](const absl::StatusOr<Placement> &placement) {
+                if (placement.ok()) {
+                    calls.push_back(it.call);
+                }
+            });
+        }
+        // Calls that end let others in, which end as well.
+        for (std::size_t n = 0; n < calls.size(); ++n) {
+            const RequestId call = calls[n];
+            gate.noteEnded(call, end);
+        }
+    };
+    run(RunEnd::Refused, 1);
+    EXPECT_EQ(gate.roster().at(slot).limit, 8);
+    for (int n = 0; n < 400; ++n) {
+        run(RunEnd::Ok, 20);
+        timers.advance(Milliseconds(300));
+    }
+    EXPECT_EQ(gate.roster().at(slot).limit, 16);
+}
--- a/tests/core/sharedbudgets_test.cpp
+++ b/tests/core/sharedbudgets_test.cpp
@@ -130,8 +130,8 @@
     EXPECT_EQ(local.asked, 0);
 }
 
-// The home has used up its portion and is cut off from the store. This gateway may still reach it; when it doesn't either,
-// the caller hears at once, and no gateway wastes a try.
+// The home has used up its portion and is cut off from the store. This gateway may still reach it; when it doesn't
+// either, the caller hears at once, and no gateway wastes a try.
 TEST_F(SharedBudgetsTest, homeWithoutLedger_isStoodInForOnlyByAGatewayThatReachesIt)
 {
     peers.answers["home"] = makeFailure(FailureCode::BudgetUnavailable, "away");
--- a/tests/core/watchlog_test.cpp
+++ b/tests/core/watchlog_test.cpp
@@ -41,8 +41,8 @@
     }
 }
 
-// The store answers a watch that has nothing to tell. Those that wait hear that too: silence would mean that this gateway
-// no longer hears the store.
+// The store answers a watch that has nothing to tell. Those that wait hear that too: silence would mean that this
+// gateway no longer hears the store.
 TEST_F(WatchLogTest, wordWithoutNews_isPassedOn)
 {
     log.noteListed(10);
@@ -72,7 +72,8 @@
     EXPECT_EQ(failureCode(answers.front().status()), FailureCode::HistoryGone);
 }
 
-// The gateway that watches is cut off from the store. Those that wait on it must not take its silence for "nothing new".
+// The gateway that watches is cut off from the store. Those that wait on it must not take its silence for "nothing
+// new".
 TEST_F(WatchLogTest, lostStore_isToldAtOnce)
 {
     log.noteListed(10);
--- /dev/null
+++ b/tests/fakes/readingengines.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "seededrandom.h"
+#include "serving/callgate.h"
+#include "virtualtimerservice.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// Model engines in virtual time, as far as placement can tell them apart: each reads the prompts that it is sent one
+/// after the other, leaves out the parts that it has read before, and answers when it has read.
+class ReadingEngines
+{
+public:
+    static constexpr double kTokensPerSecond = 101'000;
+
+    ReadingEngines(VirtualTimerService &timers, int count)
+        : m_timers(timers)
+        , m_engines(static_cast<std::size_t>(count))
+    {
+    }
+
+    static EndpointId id(int index)
+    {
+        return EndpointId("engine-" + std::to_string(index));
+    }
+
+    /// Reads a prompt and calls back when the first answer is there.
+    void read(const EndpointId &endpoint, const std::vector<PromptPart> &parts, std::function<void()> onAnswer)
+    {
+        Engine &engine = m_engines[static_cast<std::size_t>(std::stoi(endpoint.value().substr(7)))];
+        std::int64_t tokens = 0;
+        bool isKept = true;
+        for (const PromptPart &part : parts) {
+            isKept = isKept && engine.kept.contains(part.id);
+            if (!isKept) {
+                tokens += part.tokens;
+                m_reread += m_everRead.contains(part.id) ? part.tokens : 0;
+            }
+            engine.kept.insert(part.id);
+            m_everRead.insert(part.id);
+        }
+        const Duration span(static_cast<Duration::rep>(static_cast<double>(tokens) / kTokensPerSecond * 1e6));
+        engine.freeAt = std::max(engine.freeAt, m_timers.now()) + span;
+        m_timers.after(engine.freeAt - m_timers.now(), std::move(onAnswer));
+    }
+
+    /// Tokens of parts that some engine had read before and another read again.
+    std::int64_t rereadTokens() const
+    {
+        return m_reread;
+    }
+
+private:
+    struct Engine {
+        Instant freeAt{};
+        std::set<std::uint64_t> kept;
+    };
+
+    VirtualTimerService &m_timers;
+    std::vector<Engine> m_engines;
+    std::set<std::uint64_t> m_everRead;
+    std::int64_t m_reread = 0;
+};
+
+}
--- a/tests/radishswitch-gateway/gatewaycalls_test.cpp
+++ b/tests/radishswitch-gateway/gatewaycalls_test.cpp
@@ -33,8 +33,8 @@
     EXPECT_EQ(seen.body, "hello");
 }
 
-// A caller sends the fleet's own headers, as if it were a gateway. Passed on, they would have its call billed to another
-// organisation, admitted before all others, or run on the memory of another's call.
+// A caller sends the fleet's own headers, as if it were a gateway. Passed on, they would have its call billed to
+// another organisation, admitted before all others, or run on the memory of another's call.
 TEST_F(GatewayCallsTest, callersFleetHeaders_neverReachEndpoint)
 {
     start();
@@ -62,7 +62,8 @@
 {
     start();
     HttpRequest unknownKey = request("/order/1", "call-1");
-    unknownKey.headers = {{"Host", "shop.example"}, {PlatformNames::kCallId, "call-1"}, {PlatformNames::kAuthorization, "Token x"}};
+    unknownKey.headers = {
+        {"Host", "shop.example"}, {PlatformNames::kCallId, "call-1"}, {PlatformNames::kAuthorization, "Token x"}};
     HttpRequest withoutId = request("/order/1", "");
     HttpRequest garbledParts = request("/order/1", "call-1");
     garbledParts.headers.add(PlatformNames::kPromptParts, "zz:3");
@@ -82,8 +83,8 @@
     EXPECT_EQ(runs("call-1"), 0);
 }
 
-// An order runs and its answer is lost. The caller is told that the outcome is unknown, by a status that promises nothing:
-// "not run" would make it order again.
+// An order runs and its answer is lost. The caller is told that the outcome is unknown, by a status that promises
+// nothing: "not run" would make it order again.
 TEST_F(GatewayCallsTest, orderWithLostAnswer_isUnknownAndRunsOnce)
 {
     start();
@@ -111,8 +112,8 @@
     }
 }
 
-// An endpoint breaks off in the middle of an event. The caller sees no gap: another goes on behind the last whole event,
-// and the half one is never shown.
+// An endpoint breaks off in the middle of an event. The caller sees no gap: another goes on behind the last whole
+// event, and the half one is never shown.
 TEST_F(GatewayCallsTest, resumableStreamBrokenOff_goesOnWithoutGapOrRepetition)
 {
     start();
@@ -170,8 +171,8 @@
     EXPECT_EQ(response->status, 502);
 }
 
-// An endpoint ends and another service gets its address. The list still names the one that is gone; its calls are refused
-// by the newcomer and go elsewhere.
+// An endpoint ends and another service gets its address. The list still names the one that is gone; its calls are
+// refused by the newcomer and go elsewhere.
 TEST_F(GatewayCallsTest, addressGivenToAnother_isNotRunThere)
 {
     start();
--- a/tests/radishswitch-gateway/gatewayfixture.h
+++ b/tests/radishswitch-gateway/gatewayfixture.h
@@ -88,16 +88,19 @@
     void putEndpoint(const std::string &id, std::uint16_t port, const std::string &state)
     {
         putObject("servers", id,
-                  {{"service", "llm"}, {"address", "127.0.0.1:" + std::to_string(port)}, {"zone", "a"}, {"slots", 64},
+                  {{"service", "llm"},
+                   {"address", "127.0.0.1:" + std::to_string(port)},
+                   {"zone", "a"},
+                   {"slots", 64},
                    {"state", state}});
     }
 
     static Json route(const std::string &prefix, const std::string &kind, int attempts, bool isResumable)
     {
-        return {{"name", prefix},         {"host", "shop.example"},       {"path-prefix", prefix},
-                {"kind", kind},           {"timeout-ms", 8000},           {"target-latency-ms", 400},
-                {"priority", 0},          {"service", "llm"},             {"max-attempts", attempts},
-                {"public", false},        {"sticky", true},               {"resumable", isResumable}};
+        return {{"name", prefix},  {"host", "shop.example"}, {"path-prefix", prefix},
+                {"kind", kind},    {"timeout-ms", 8000},     {"target-latency-ms", 400},
+                {"priority", 0},   {"service", "llm"},       {"max-attempts", attempts},
+                {"public", false}, {"sticky", true},         {"resumable", isResumable}};
     }
 
     Json configuration(int version, std::int64_t reserved)
@@ -128,8 +131,7 @@
         });
         waitUntil([this] {
             const auto response = call(request("/safe/1", "warm"));
-            return response.ok()
-                && response->headers.find(RadishSwitch::PlatformNames::kSignature) == "replica-2.warm";
+            return response.ok() && response->headers.find(RadishSwitch::PlatformNames::kSignature) == "replica-2.warm";
         });
     }
 
--- a/tests/radishswitch-gateway/gatewaystate_test.cpp
+++ b/tests/radishswitch-gateway/gatewaystate_test.cpp
@@ -27,8 +27,8 @@
     }
 };
 
-// Each call may cost 170 tokens and costs 170. Of 1,000 tokens five calls can be paid for; the rest are refused, and what
-// was spent stays inside what was paid.
+// Each call may cost 170 tokens and costs 170. Of 1,000 tokens five calls can be paid for; the rest are refused, and
+// what was spent stays inside what was paid.
 TEST_F(GatewayStateTest, budget_isNeverOverdrawnAndRefusesWhatItCannotCover)
 {
     onStandins([this] {
@@ -96,8 +96,8 @@
     }
 }
 
-// The store forgets its history while a watch waits there, and tells the watch nothing. A change made in that gap is still
-// in force soon after.
+// The store forgets its history while a watch waits there, and tells the watch nothing. A change made in that gap is
+// still in force soon after.
 TEST_F(GatewayStateTest, changeWhileStoreForgetsItsHistory_isLearntFromAList)
 {
     start();
@@ -158,8 +158,8 @@
     }
 }
 
-// A gateway is told to stop with a stream open. The stream ends whole, the gateway is not ready from the first moment on,
-// and what it held of the budget is free again.
+// A gateway is told to stop with a stream open. The stream ends whole, the gateway is not ready from the first moment
+// on, and what it held of the budget is free again.
 TEST_F(GatewayStateTest, plannedStop_finishesStreamsAndGivesPortionsBack)
 {
     onStandins([this] {
