Let one gateway stand in for a home that lacks the ledger

Change: the next gateway in the order of the home is asked first, and this one only if it reaches the store.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -277,7 +277,8 @@
     const std::string route = m_route ? m_route->name : std::string();
     const std::string organisation = m_organisation ? m_organisation->name.value() : std::string();
     const std::string_view outcome = status.ok() ? std::string_view("answered") : failureName(failureCode(status));
-    kLog.info(status.ok() ? "call ended" : "call failed",
+    // A call that failed is what on-call engineers look for: its line is the last to be dropped.
+    kLog.write(status.ok() ? LogLevel::Info : LogLevel::Warning, status.ok() ? "call ended" : "call failed",
               {field("call", m_request.id.value()), field("outcome", outcome), field("status", m_answeredStatus),
                field("route", route), field("organisation", organisation), field("attempts", m_history.sent),
                field("endpoint", m_endpoint.value()), field("pool", m_pool ? m_pool->name.value() : std::string()),
--- a/src/libradishnet/log.h
+++ b/src/libradishnet/log.h
@@ -63,11 +63,13 @@
     void warning(std::string_view sentence, Fields fields = {}) const;
     void error(std::string_view sentence, Fields fields = {}) const;
 
+    /// As the above, for a caller that chooses the level.
+    void write(LogLevel level, std::string_view sentence, Fields fields) const;
+
     /// For a caller whose fields are dear to make.
     static bool isEnabled(LogLevel level);
 
 private:
-    void write(LogLevel level, std::string_view sentence, Fields fields) const;
     log4cxx::Logger &logger() const;
 
     std::string m_part;
--- a/src/libradishswitch/serving/sharedbudgets.cpp
+++ b/src/libradishswitch/serving/sharedbudgets.cpp
@@ -17,6 +17,13 @@
         || code == FailureCode::Draining;
 }
 
+/// Whether a gateway has used up what it holds and does not reach the ledger, or has not heard of the budget yet.
+bool lacksLedger(const absl::Status &status)
+{
+    const FailureCode code = failureCode(status);
+    return !status.ok() && (code == FailureCode::BudgetUnavailable || code == FailureCode::BudgetUnknown);
+}
+
 }
 
 SharedBudgets::SharedBudgets(HomeDirectory &homes, LocalBudgets &local, BudgetPeerPort &peers, TimerService &timers,
@@ -43,7 +50,10 @@
 {
     const std::string peer = search->candidates[search->next++];
     if (peer == m_homes.self()) {
-        return askHere(search);
+        // When the others lack the ledger and this gateway does too, asking it would only cost a call to the store.
+        return lacksLedger(search->last) && m_local.isLedgerAway(search->request.budget)
+            ? search->callback(search->last)
+            : askHere(search);
     }
     m_peers.reserve(peer, search->request, m_settings.peerTimeout, [this, search, peer](const absl::Status &status) {
         handleAnswer(search, peer, status);
@@ -61,15 +71,12 @@
     if (isUnreachable(code)) {
         m_homes.noteUnreachable(peer, m_timers.now());
     }
-    if (isUnreachable(code)) {
+    search->last = status;
+    // The next in order is the same for all: one stand-in and not each gateway for itself, which would have all of them
+    // write the budget's record at once.
+    if (isUnreachable(code) || lacksLedger(status)) {
         return askNext(search);
     }
-    // The home has used up what it holds and does not reach the ledger, or has not heard of the budget yet. This
-    // gateway may reach it; when all are cut off, asking on would only cost each of them a try.
-    const bool lacksLedger = code == FailureCode::BudgetUnavailable || code == FailureCode::BudgetUnknown;
-    if (lacksLedger && !m_local.isLedgerAway(search->request.budget)) {
-        return askHere(search);
-    }
     search->callback(status);
 }
 
--- a/src/libradishswitch/serving/sharedbudgets.h
+++ b/src/libradishswitch/serving/sharedbudgets.h
@@ -59,6 +59,8 @@
         ReservationRequest request;
         std::vector<std::string> candidates;
         std::size_t next = 0;
+        /// How the last peer refused.
+        absl::Status last;
         std::function<void(absl::Status)> callback;
     };
 
--- a/tests/core/sharedbudgets_test.cpp
+++ b/tests/core/sharedbudgets_test.cpp
@@ -130,11 +130,14 @@
     EXPECT_EQ(local.asked, 0);
 }
 
-// The home has used up its portion and is cut off from the store. This gateway may still reach it; when it doesn't
-// either, the caller hears at once, and no gateway wastes a try.
-TEST_F(SharedBudgetsTest, homeWithoutLedger_isStoodInForOnlyByAGatewayThatReachesIt)
+// The home has used up its portion and is cut off from the store. The next gateway stands in for all; when it is cut off
+// too, this one may still reach the store, and when it doesn't either, the caller hears at once.
+TEST_F(SharedBudgetsTest, homeWithoutLedger_isStoodInForByTheFirstThatReachesIt)
 {
     peers.answers["home"] = makeFailure(FailureCode::BudgetUnavailable, "away");
+    EXPECT_TRUE(reserve("c0").ok());
+    EXPECT_EQ(peers.asked.back(), "next");
+    peers.answers["next"] = makeFailure(FailureCode::BudgetUnavailable, "away");
     EXPECT_TRUE(reserve("c1").ok());
     EXPECT_EQ(local.asked, 1);
     local.isAway = true;
