Refuse until the other gateways are known

Change: calls are refused with the time to come back, and the gateway is not ready, until the others were listed once; an unreachable peer is tried again after 60 ms.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -155,6 +155,7 @@
                      GatewayPeer{m_settings.peerListen.toString(), m_settings.weight},
                      [this](const std::map<std::string, GatewayPeer> &peers) {
                          m_homes.setPeers(peers);
+                         updateReady();
                      })
     , m_connections(m_workers)
     , m_callMetrics(m_metrics)
@@ -273,12 +274,15 @@
 
 void Gateway::updateReady()
 {
-    m_admin.setReady(!m_isStopping && m_configuration.table() && m_gate.roster().isKnown());
+    m_admin.setReady(!m_isStopping && m_configuration.table() && m_gate.roster().isKnown()
+                     && m_peerRegistry.isKnown());
 }
 
 boost::asio::awaitable<void> Gateway::serve(HttpExchange &exchange)
 {
-    Call call(m_services, exchange, m_configuration.table());
+    // All gateways start at once after a loss of power. One that does not know the others yet would take portions of every
+    // budget, all at once with them: 1,600 calls to the store within six seconds, measured.
+    Call call(m_services, exchange, m_peerRegistry.isKnown() ? m_configuration.table() : nullptr);
     co_await call.run();
 }
 
--- a/src/gateway/peerregistry.cpp
+++ b/src/gateway/peerregistry.cpp
@@ -82,6 +82,7 @@
 
 void PeerRegistry::objectsListed(const std::vector<StoredObject> &objects)
 {
+    m_isKnown = true;
     m_peers.clear();
     for (const StoredObject &object : objects) {
         takeIn(object);
--- a/src/gateway/peerregistry.h
+++ b/src/gateway/peerregistry.h
@@ -29,6 +29,12 @@
 
     void start();
 
+    /// Whether the others were listed once. Before that a gateway takes itself for the home of everything.
+    bool isKnown() const
+    {
+        return m_isKnown;
+    }
+
 private:
     void objectsListed(const std::vector<StoredObject> &objects) override;
     void objectsChanged(const std::vector<StoredObject> &objects) override;
@@ -47,6 +53,7 @@
     ObjectFollower m_follower;
     std::map<std::string, GatewayPeer> m_peers;
     TimerId m_timer = 0;
+    bool m_isKnown = false;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -16,7 +16,7 @@
 struct HomeDirectorySettings {
     /// A peer that could not be reached is not asked for so long, twice as long after each further failure, up to the
     /// longest. The first is short: a peer that is only busy should not lose its work to others.
-    Duration firstPause = std::chrono::milliseconds(150);
+    Duration firstPause = std::chrono::milliseconds(60);
     Duration longestPause = std::chrono::seconds(3);
     /// Peers named for one key, before this gateway itself.
     std::size_t mostPeers = 2;
