Take no connection after a server's close has returned

Cause: HttpServer::close only posted the closing of its listener; a connection made right after was taken in and reset, and its caller was told an unknown outcome where the request had not run (HttpEndpointTest.call_nobodyListens_isNotRun, 2 of 4 parallel runs by the issue's count). A program that closes its door meets it too. Change: off the workers, close waits until the listener is closed.

--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <future>
 #include <mutex>
 #include <unordered_set>
 
@@ -21,6 +22,8 @@
 
 const Log kLog("http");
 
+/// Workers that were never started would never close the listener.
+constexpr Duration kCloseWait = std::chrono::seconds(1);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
 std::string nameOf(const tcp::endpoint &endpoint)
@@ -50,7 +53,8 @@
     net::awaitable<void> accept();
     void serve(ServerSocket socket);
     net::awaitable<void> runSession(std::shared_ptr<HttpSessionBase> session);
-    void closeListener();
+    /// Ready once the listener is closed, on a worker.
+    std::future<void> closeListener();
     void forEachSession(void (HttpSessionBase::*member)());
     /// With the mutex held.
     void tellIfDrained();
@@ -184,15 +188,18 @@
     }
 }
 
-void HttpServer::Private::closeListener()
+std::future<void> HttpServer::Private::closeListener()
 {
-    net::post(strand, [self = shared_from_this()] {
+    const auto closed = std::make_shared<std::promise<void>>();
+    net::post(strand, [self = shared_from_this(), closed] {
         boost::system::error_code ec;
         self->acceptor.close(ec);
         const std::lock_guard lock(self->mutex);
         self->isListening = false;
         self->tellIfDrained();
+        closed->set_value();
     });
+    return closed->get_future();
 }
 
 void HttpServer::Private::forEachSession(void (HttpSessionBase::*member)())
@@ -273,8 +280,14 @@
 
 void HttpServer::close()
 {
-    d->closeListener();
+    const std::future<void> closed = d->closeListener();
     d->forEachSession(&HttpSessionBase::close);
+    net::io_context &context = d->workers.context();
+    // A connection that was taken in after this has returned would be reset, and its caller could not know whether its
+    // request ran; refused by the system, it knows.
+    if (!context.get_executor().running_in_this_thread() && !context.stopped()) {
+        closed.wait_for(kCloseWait);
+    }
 }
 
 }
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -99,7 +99,7 @@
     /// Requests whose handler has not returned.
     int requestsInProgress() const;
 
-    /// Closes everything at once.
+    /// Closes everything at once. Called off the workers, it returns when no connection is taken any more.
     void close();
 
 private:
