--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -279,14 +279,14 @@
     const std::string_view outcome = status.ok() ? std::string_view("answered") : failureName(failureCode(status));
     // A call that failed is what on-call engineers look for: its line is the last to be dropped.
     kLog.write(status.ok() ? LogLevel::Info : LogLevel::Warning, status.ok() ? "call ended" : "call failed",
-              {field("call", m_request.id.value()), field("outcome", outcome), field("status", m_answeredStatus),
-               field("route", route), field("organisation", organisation), field("attempts", m_history.sent),
-               field("endpoint", m_endpoint.value()), field("pool", m_pool ? m_pool->name.value() : std::string()),
-               field("events", m_cutter.count()), field("tokens", m_isReserved ? usedTokens() : 0),
-               field("reserved_after", m_reservedAfter), field("waited", m_waited),
-               field("first_answer", m_firstAnswerAfter.value_or(Duration::zero())), field("taken", taken),
-               field("version", m_table ? m_table->configuration().version : 0),
-               field("reason", std::string(status.message()))});
+               {field("call", m_request.id.value()), field("outcome", outcome), field("status", m_answeredStatus),
+                field("route", route), field("organisation", organisation), field("attempts", m_history.sent),
+                field("endpoint", m_endpoint.value()), field("pool", m_pool ? m_pool->name.value() : std::string()),
+                field("events", m_cutter.count()), field("tokens", m_isReserved ? usedTokens() : 0),
+                field("reserved_after", m_reservedAfter), field("waited", m_waited),
+                field("first_answer", m_firstAnswerAfter.value_or(Duration::zero())), field("taken", taken),
+                field("version", m_table ? m_table->configuration().version : 0),
+                field("reason", std::string(status.message()))});
 }
 
 }
--- a/src/gateway/configurationlistener.cpp
+++ b/src/gateway/configurationlistener.cpp
@@ -43,12 +43,17 @@
                    {field("revision", newest->version), field("error", std::string(configuration.status().message()))});
         return;
     }
+    std::size_t keys = 0;
+    for (const ServedOrganisation &organisation : configuration->organisations) {
+        keys += organisation.apiKeys.size();
+    }
     if (m_table && configuration->version <= m_table->configuration().version) {
         return;
     }
     kLog.info("in force",
               {field("version", configuration->version), field("revision", newest->version),
-               field("routes", configuration->routes.size()), field("bytes", newest->value.size())});
+               field("routes", configuration->routes.size()), field("keys", keys),
+               field("bytes", newest->value.size())});
     m_table = std::make_shared<const ServingTable>(std::move(*configuration));
     m_onNewer(m_table);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -274,14 +274,13 @@
 
 void Gateway::updateReady()
 {
-    m_admin.setReady(!m_isStopping && m_configuration.table() && m_gate.roster().isKnown()
-                     && m_peerRegistry.isKnown());
+    m_admin.setReady(!m_isStopping && m_configuration.table() && m_gate.roster().isKnown() && m_peerRegistry.isKnown());
 }
 
 boost::asio::awaitable<void> Gateway::serve(HttpExchange &exchange)
 {
-    // All gateways start at once after a loss of power. One that does not know the others yet would take portions of every
-    // budget, all at once with them: 1,600 calls to the store within six seconds, measured.
+    // All gateways start at once after a loss of power. One that does not know the others yet would take portions of
+    // every budget, all at once with them: 1,600 calls to the store within six seconds, measured.
     Call call(m_services, exchange, m_peerRegistry.isKnown() ? m_configuration.table() : nullptr);
     co_await call.run();
 }
--- a/src/libradishswitch/serving/homedirectory.cpp
+++ b/src/libradishswitch/serving/homedirectory.cpp
@@ -53,13 +53,13 @@
     }
     std::ranges::sort(scored, std::greater<>());
     std::vector<std::string> names;
+    std::size_t peers = 0;
     for (const auto &[score, name] : scored) {
-        if (name == m_self || names.size() == m_settings.mostPeers) {
-            break;
+        peers += name == m_self ? 0 : 1;
+        if (name == m_self || peers <= m_settings.mostPeers) {
+            names.push_back(name);
         }
-        names.push_back(name);
     }
-    names.push_back(m_self);
     return names;
 }
 
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -18,7 +18,7 @@
     /// longest. The first is short: a peer that is only busy should not lose its work to others.
     Duration firstPause = std::chrono::milliseconds(60);
     Duration longestPause = std::chrono::seconds(3);
-    /// Peers named for one key, before this gateway itself.
+    /// Peers named for one key, besides this gateway itself.
     std::size_t mostPeers = 2;
 };
 
@@ -45,7 +45,8 @@
     /// The gateways of the fleet, by their names; this one may be among them.
     void setPeers(const std::map<std::string, GatewayPeer> &peers);
 
-    /// Whom to ask for a key, in order. Ends with this gateway's own name.
+    /// Whom to ask for a key, in order: the home, then those that stand in for it. This gateway is among them, at its
+    /// place.
     std::vector<std::string> candidates(std::string_view key, Instant now) const;
 
     /// Whether this gateway is the home of a key, whatever can be reached just now. Peers that have failed many times
--- a/src/libradishswitch/serving/sharedbudgets.cpp
+++ b/src/libradishswitch/serving/sharedbudgets.cpp
@@ -48,48 +48,50 @@
 
 void SharedBudgets::askNext(const SearchPointer &search)
 {
-    const std::string peer = search->candidates[search->next++];
-    if (peer == m_homes.self()) {
-        // When the others lack the ledger and this gateway does too, asking it would only cost a call to the store.
-        return lacksLedger(search->last) && m_local.isLedgerAway(search->request.budget)
-            ? search->callback(search->last)
-            : askHere(search);
+    if (search->next == search->candidates.size()) {
+        return search->callback(search->last);
     }
-    m_peers.reserve(peer, search->request, m_settings.peerTimeout, [this, search, peer](const absl::Status &status) {
-        handleAnswer(search, peer, status);
-    });
+    const std::string name = search->candidates[search->next++];
+    if (name != m_homes.self()) {
+        return askPeer(search, name);
+    }
+    // When the home lacks the ledger and this gateway does too, asking it would only cost a call to the store.
+    const bool isInVain = lacksLedger(search->last) && m_local.isLedgerAway(search->request.budget);
+    isInVain ? askNext(search) : askHere(search);
 }
 
-void SharedBudgets::handleAnswer(const SearchPointer &search, const std::string &peer, const absl::Status &status)
+void SharedBudgets::askPeer(const SearchPointer &search, const std::string &peer)
 {
-    if (status.ok()) {
-        m_homes.noteReached(peer);
-        m_places[search->request.request] = peer;
-        return search->callback(absl::OkStatus());
-    }
-    const FailureCode code = failureCode(status);
-    if (isUnreachable(code)) {
-        m_homes.noteUnreachable(peer, m_timers.now());
-    }
-    search->last = status;
-    // The next in order is the same for all: one stand-in and not each gateway for itself, which would have all of them
-    // write the budget's record at once.
-    if (isUnreachable(code) || lacksLedger(status)) {
-        return askNext(search);
-    }
-    search->callback(status);
+    m_peers.reserve(peer, search->request, m_settings.peerTimeout, [this, search, peer](const absl::Status &status) {
+        if (status.ok()) {
+            m_homes.noteReached(peer);
+        } else if (isUnreachable(failureCode(status))) {
+            m_homes.noteUnreachable(peer, m_timers.now());
+        }
+        handleAnswer(search, peer, status);
+    });
 }
 
 void SharedBudgets::askHere(const SearchPointer &search)
 {
     m_local.reserveHere(search->request, [this, search](const absl::StatusOr<Reservation> &reservation) {
-        if (reservation.ok()) {
-            m_places[search->request.request] = m_homes.self();
-        }
-        search->callback(reservation.status());
+        handleAnswer(search, m_homes.self(), reservation.status());
     });
 }
 
+void SharedBudgets::handleAnswer(const SearchPointer &search, const std::string &place, const absl::Status &status)
+{
+    if (status.ok()) {
+        m_places[search->request.request] = place;
+        return search->callback(status);
+    }
+    search->last = status;
+    // The order is the same for all: one stand-in and not each gateway for itself, which would have all of them write
+    // the budget's record at once.
+    const bool isWorthAskingOn = isUnreachable(failureCode(status)) || lacksLedger(status);
+    isWorthAskingOn ? askNext(search) : search->callback(status);
+}
+
 void SharedBudgets::settle(const RequestId &call, std::int64_t usedTokens)
 {
     const auto it = m_places.find(call);
--- a/src/libradishswitch/serving/sharedbudgets.h
+++ b/src/libradishswitch/serving/sharedbudgets.h
@@ -67,8 +67,9 @@
     using SearchPointer = std::shared_ptr<Search>;
 
     void askNext(const SearchPointer &search);
+    void askPeer(const SearchPointer &search, const std::string &peer);
     void askHere(const SearchPointer &search);
-    void handleAnswer(const SearchPointer &search, const std::string &peer, const absl::Status &status);
+    void handleAnswer(const SearchPointer &search, const std::string &place, const absl::Status &status);
 
     HomeDirectory &m_homes;
     LocalBudgets &m_local;
--- a/tests/core/sharedbudgets_test.cpp
+++ b/tests/core/sharedbudgets_test.cpp
@@ -123,6 +123,18 @@
     EXPECT_EQ(local.settled, std::vector<std::int64_t>{7});
 }
 
+// This gateway is the home, is cut off from the store and has used up what it held. Another still reaches the store.
+TEST_F(SharedBudgetsTest, homeItselfWithoutLedger_asksTheNextGateway)
+{
+    homes.setPeers({{"self", {"10.0.0.1:1", 1000}}, {"next", {"10.0.0.3:1", 0.001}}});
+    local.status = makeFailure(FailureCode::BudgetUnavailable, "away");
+    local.isAway = true;
+    EXPECT_TRUE(reserve("c1").ok());
+    EXPECT_EQ(peers.asked, std::vector<std::string>{"next"});
+    budgets.settle(RequestId("c1"), 9);
+    EXPECT_EQ(peers.settled.size(), 1U);
+}
+
 TEST_F(SharedBudgetsTest, exhaustedBudget_isFinal)
 {
     peers.answers["home"] = makeFailure(FailureCode::BudgetExhausted, "empty");
@@ -130,8 +142,8 @@
     EXPECT_EQ(local.asked, 0);
 }
 
-// The home has used up its portion and is cut off from the store. The next gateway stands in for all; when it is cut off
-// too, this one may still reach the store, and when it doesn't either, the caller hears at once.
+// The home has used up its portion and is cut off from the store. The next gateway stands in for all; when it is cut
+// off too, this one may still reach the store, and when it doesn't either, the caller hears at once.
 TEST_F(SharedBudgetsTest, homeWithoutLedger_isStoodInForByTheFirstThatReachesIt)
 {
     peers.answers["home"] = makeFailure(FailureCode::BudgetUnavailable, "away");
