--- a/src/libradishnet/httpclient.cpp
+++ b/src/libradishnet/httpclient.cpp
@@ -23,8 +23,6 @@
 using ConnectionPointer = std::shared_ptr<HttpConnection>;
 
 constexpr std::size_t kMaximumIdlePerAddress = 256;
-/// Shorter than the idle timeout of the servers, so that the client is first to let go.
-constexpr Duration kIdleTimeout = std::chrono::seconds(20);
 
 bool hasBody(const HttpRequest &request)
 {
@@ -41,10 +39,15 @@
 class ConnectionPool
 {
 public:
+    explicit ConnectionPool(Duration idleTimeout)
+        : m_idleTimeout(idleTimeout)
+    {
+    }
+
     /// The idle connection that was used last, or nothing.
     ConnectionPointer take(const std::string &address)
     {
-        const Clock::time_point oldest = Clock::now() - kIdleTimeout;
+        const Clock::time_point oldest = Clock::now() - m_idleTimeout;
         const std::lock_guard lock(m_mutex);
         std::vector<ConnectionPointer> &idle = m_idle[address];
         while (!idle.empty()) {
@@ -63,8 +66,8 @@
         connection->setIdleSince(now);
         const std::lock_guard lock(m_mutex);
         std::vector<ConnectionPointer> &idle = m_idle[connection->address()];
-        std::erase_if(idle, [now](const ConnectionPointer &other) {
-            return other->idleSince() + kIdleTimeout < now;
+        std::erase_if(idle, [this, now](const ConnectionPointer &other) {
+            return other->idleSince() + m_idleTimeout < now;
         });
         if (idle.size() < kMaximumIdlePerAddress) {
             idle.push_back(std::move(connection));
@@ -80,6 +83,7 @@
     }
 
 private:
+    const Duration m_idleTimeout;
     std::mutex m_mutex;
     std::map<std::string, std::vector<ConnectionPointer>> m_idle;
 };
@@ -148,11 +152,11 @@
 class HttpClient::Private
 {
 public:
-    Private(WorkerPool &workers, Duration connectTimeout, SilenceLimits silenceLimits)
+    Private(WorkerPool &workers, Duration connectTimeout, SilenceLimits silenceLimits, Duration idleTimeout)
         : workers(workers)
         , connectTimeout(connectTimeout)
         , silenceLimits(silenceLimits)
-        , pool(std::make_shared<ConnectionPool>())
+        , pool(std::make_shared<ConnectionPool>(idleTimeout))
     {
     }
 
@@ -229,8 +233,8 @@
     const std::shared_ptr<ConnectionPool> pool;
 };
 
-HttpClient::HttpClient(WorkerPool &workers, Duration connectTimeout, SilenceLimits silenceLimits)
-    : d(std::make_shared<Private>(workers, connectTimeout, silenceLimits))
+HttpClient::HttpClient(WorkerPool &workers, Duration connectTimeout, SilenceLimits silenceLimits, Duration idleTimeout)
+    : d(std::make_shared<Private>(workers, connectTimeout, silenceLimits, idleTimeout))
 {
 }
 
--- a/src/libradishnet/httpclient.h
+++ b/src/libradishnet/httpclient.h
@@ -69,8 +69,11 @@
 class HttpClient
 {
 public:
+    /// Shorter than the idle timeout of the servers, so that the client is first to let go.
+    static constexpr Duration kIdleTimeout = std::chrono::seconds(20);
+
     explicit HttpClient(WorkerPool &workers, Duration connectTimeout = std::chrono::seconds(1),
-                        SilenceLimits silenceLimits = {});
+                        SilenceLimits silenceLimits = {}, Duration idleTimeout = kIdleTimeout);
     ~HttpClient();
 
     /// Asks "address:port" and reads the whole answer.
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -242,3 +242,25 @@
 
     EXPECT_EQ(failureCode(read.get().status()), FailureCode::ConnectionLost);
 }
+
+// Something on the way has lost track of idle connections. A client that uses only fresh ones never meets one of them.
+TEST_F(HttpClientTest, connectionIdleForLongerThanItsTimeout_isNotUsedAgain)
+{
+    std::vector<std::string> peers;
+    const std::string address = serve([&peers](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        peers.push_back(exchange.peer());
+        HttpResponse response;
+        co_await exchange.respond(std::move(response));
+    });
+    HttpClient keeping(workers);
+    HttpClient forgetting(workers, std::chrono::seconds(1), SilenceLimits(), Duration::zero());
+    for (int n = 0; n < 2; ++n) {
+        ASSERT_TRUE(wait(keeping.fetch(address, HttpRequest(), kLong)).ok());
+    }
+    for (int n = 0; n < 2; ++n) {
+        ASSERT_TRUE(wait(forgetting.fetch(address, HttpRequest(), kLong)).ok());
+    }
+    ASSERT_EQ(peers.size(), 4U);
+    EXPECT_EQ(peers[0], peers[1]);
+    EXPECT_NE(peers[2], peers[3]);
+}
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -2,6 +2,8 @@
 #include "failure.h"
 #include "loopbackfixture.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <atomic>
@@ -298,3 +300,51 @@
     EXPECT_EQ(failureCode(oneFile.listen("127.0.0.1", 0)), FailureCode::InvalidSettings);
     EXPECT_EQ(failureCode(noFiles.listen("127.0.0.1", 0)), FailureCode::InvalidSettings);
 }
+
+// The caller leaves while its request is worked on. The handler hears of it at once, and can end what it began.
+TEST_F(HttpServerTest, callerThatLeavesBeforeItsAnswer_isToldToTheHandler)
+{
+    std::promise<void> gone;
+    HttpServer &server = start([&gone](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        exchange.setPeerGoneCallback([&gone] {
+            gone.set_value();
+        });
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, std::chrono::seconds(2));
+        boost::system::error_code ec;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    });
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), server.port()});
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    socket.close();
+    EXPECT_EQ(gone.get_future().wait_for(std::chrono::seconds(1)), std::future_status::ready);
+}
+
+TEST_F(HttpServerTest, closingAfterAnswers_endsEachConnectionWithItsAnswer)
+{
+    HttpServer &server = start([](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        HttpResponse response;
+        co_await exchange.respond(std::move(response));
+    });
+    server.closeAfterAnswers();
+    const std::string answer = exchangeRaw(server.port(), "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+}
+
+TEST_F(HttpServerTest, limitsSetLater_holdForNewConnections)
+{
+    HttpServer &server = start([](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        HttpResponse response;
+        co_await exchange.respond(std::move(response));
+    });
+    HttpRequest request;
+    request.method = "POST";
+    request.body = std::string(2'000, 'x');
+    EXPECT_EQ(fetch(addressOf(server), request)->status, 200);
+    HttpServerLimits limits;
+    limits.maximumBodyBytes = 1'000;
+    server.setLimits(limits);
+    HttpClient fresh(workers);
+    EXPECT_EQ(wait(fresh.fetch(addressOf(server), request, kLong))->status, 413);
+}
--- /dev/null
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -0,0 +1,134 @@
+#include "failure.h"
+#include "names.h"
+#include "platformcallprotocol.h"
+#include "platformcatalogue.h"
+
+#include <gtest/gtest.h>
+
+using namespace RadishSwitch;
+
+class PlatformAdapterTest : public testing::Test
+{
+protected:
+    static HttpRequest request(const HttpHeaders &headers)
+    {
+        HttpRequest request;
+        request.headers = headers;
+        return request;
+    }
+
+    static StoredObject configurationObject(const std::string &value)
+    {
+        return {PlatformNames::kConfigurationKey, value, 1};
+    }
+
+    const PlatformCallProtocol protocol;
+    const PlatformCatalogue catalogue;
+};
+
+TEST_F(PlatformAdapterTest, call_withAllItsHeaders_isRead)
+{
+    const auto call = protocol.readCall(request({{PlatformNames::kCallId, "9c41"},
+                                                 {"Host", "shop.example"},
+                                                 {PlatformNames::kAuthorization, "Token k1"},
+                                                 {PlatformNames::kPatience, "1500"},
+                                                 {PlatformNames::kLastEvent, "12"},
+                                                 {PlatformNames::kTokenBounds, "1460,80"},
+                                                 {PlatformNames::kPromptParts, "5c1e07a2:800,91bd3f06:410"}}));
+    ASSERT_TRUE(call.ok()) << call.status();
+    EXPECT_EQ(call->id.value(), "9c41");
+    EXPECT_EQ(call->apiKey, "k1");
+    EXPECT_EQ(call->patience, std::chrono::milliseconds(1500));
+    EXPECT_EQ(call->lastEvent, 12U);
+    EXPECT_EQ(call->tokens, (TokenBounds{1460, 80}));
+    EXPECT_EQ(call->parts, (std::vector<PromptPart>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}}));
+}
+
+TEST_F(PlatformAdapterTest, callThatMakesNoSense_isInvalid)
+{
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {PlatformNames::kPatience, "soon"},     {PlatformNames::kPatience, "-4"},
+        {PlatformNames::kLastEvent, "x"},       {PlatformNames::kTokenBounds, "1460"},
+        {PlatformNames::kTokenBounds, "1,2,3"}, {PlatformNames::kTokenBounds, "-1,2"},
+        {PlatformNames::kPromptParts, "aa"},    {PlatformNames::kPromptParts, "aa:-3"},
+        {PlatformNames::kPromptParts, "zz:3"},  {PlatformNames::kPromptParts, "aa:3,,bb:4"},
+    };
+    for (const auto &[header, value] : cases) {
+        const auto call = protocol.readCall(request({{PlatformNames::kCallId, "1"}, {header, value}}));
+        ASSERT_FALSE(call.ok()) << header << ": " << value;
+        EXPECT_EQ(failureCode(call.status()), FailureCode::InvalidRequest);
+    }
+}
+
+TEST_F(PlatformAdapterTest, unknownOutcome_neverGetsAStatusThatPromisesNotRun)
+{
+    for (const FailureCode code : {FailureCode::OutcomeUnknown, FailureCode::Overloaded, FailureCode::CeilingReached}) {
+        const int status = protocol.failure(withUnknownOutcome(makeFailure(code, "x"))).status;
+        EXPECT_TRUE(status == 502 || status == 504) << status;
+    }
+    EXPECT_EQ(protocol.failure(makeFailure(FailureCode::Overloaded, "x")).status, 503);
+}
+
+TEST_F(PlatformAdapterTest, timeToComeBack_isGivenInFractionsOfASecond)
+{
+    const HttpResponse response =
+        protocol.failure(makeFailure(FailureCode::Overloaded, "x", std::chrono::milliseconds(250)));
+    EXPECT_EQ(response.headers.find(PlatformNames::kRetryAfter), "0.250");
+}
+
+TEST_F(PlatformAdapterTest, headersOfOneConnection_areNotPassedOn)
+{
+    const HttpHeaders passed = protocol.callerHeaders({{"Connection", "close, X-Hop"},
+                                                       {"X-Hop", "1"},
+                                                       {"Keep-Alive", "timeout=5"},
+                                                       {"Transfer-Encoding", "chunked"},
+                                                       {"X-Kept", "1"}});
+    EXPECT_EQ(passed, (HttpHeaders{{"X-Kept", "1"}}));
+}
+
+TEST_F(PlatformAdapterTest, configuration_isReadWithItsSplitsAndKinds)
+{
+    const auto configuration = catalogue.readConfiguration(configurationObject(R"({"version":7,"routes":[
+        {"name":"a","host":"h","path-prefix":"/a/","kind":"streaming","resumable":true,"timeout-ms":12000,
+         "target-latency-ms":600,"priority":1,"traffic-split":[{"service":"x","weight":90},{"service":"y","weight":10}],
+         "max-attempts":2},
+        {"host":"h","path-prefix":"/b/","kind":"streaming","service":"x"},
+        {"host":"h","path-prefix":"/c/","kind":"safe","service":"x"},
+        {"host":"h","path-prefix":"/d/","kind":"unsafe","service":"x"}],
+        "services":[{"name":"x","max-connections":360,"inference-engine":{"stride":7}}],
+        "tenants":[{"name":"o","api-keys":["k"],"priority":1,"reserved":500}]})"));
+    ASSERT_TRUE(configuration.ok()) << configuration.status();
+    EXPECT_EQ(configuration->version, 7U);
+    EXPECT_EQ(configuration->routes[0].pools, (std::vector<WeightedPool>{{PoolId("x"), 90}, {PoolId("y"), 10}}));
+    EXPECT_EQ(configuration->routes[0].repetition, Repetition::ByResuming);
+    EXPECT_EQ(configuration->routes[1].repetition, Repetition::Never);
+    EXPECT_EQ(configuration->routes[2].repetition, Repetition::Always);
+    EXPECT_EQ(configuration->routes[3].repetition, Repetition::Never);
+    EXPECT_EQ(configuration->pools[0].tokensPerEvent, 7);
+    EXPECT_EQ(configuration->organisations[0].prepaidTokens, 500);
+}
+
+TEST_F(PlatformAdapterTest, configurationThatCannotBeRead_isMalformed)
+{
+    for (const char *value :
+         {"", "[]", "{}", R"({"version":"seven","routes":[],"services":[]})",
+          R"({"version":1,"routes":[{}],"services":[]})", R"({"version":1,"routes":3,"services":[]})"}) {
+        const auto configuration = catalogue.readConfiguration(configurationObject(value));
+        ASSERT_FALSE(configuration.ok()) << value;
+        EXPECT_EQ(failureCode(configuration.status()), FailureCode::ObjectMalformed);
+    }
+}
+
+TEST_F(PlatformAdapterTest, endpointEntry_isReadAndAnUnknownStateTakesNoCalls)
+{
+    const auto read = [this](const std::string &state) {
+        return catalogue.readEndpoint(
+            {std::string(PlatformNames::kEndpointPrefix) + "i-1",
+             R"({"service":"x","address":"10.0.0.1:80","zone":"a","slots":64,"state":")" + state + "\"}", 3});
+    };
+    ASSERT_TRUE(read("ready").ok());
+    EXPECT_EQ(read("ready")->id.value(), "i-1");
+    EXPECT_FALSE(read("ready")->isLeaving);
+    EXPECT_TRUE(read("draining")->isLeaving);
+    EXPECT_TRUE(read("something new")->isLeaving);
+}
