Read a store's answers in one place

Cause: the adapter's store and the product's own told failures of calls and answers apart in the same words twice. Change: storeanswers in the network library, used by both.

--- a/src/libradishnet/httpobjectstore.cpp
+++ b/src/libradishnet/httpobjectstore.cpp
@@ -2,6 +2,7 @@
 
 #include "failure.h"
 #include "httpclient.h"
+#include "storeanswers.h"
 #include "urlcoding.h"
 
 #include <absl/strings/numbers.h>
@@ -20,7 +21,6 @@
 {
 
 constexpr char kVersionHeader[] = "X-Object-Version";
-constexpr std::chrono::milliseconds kDefaultRetryAfter{100};
 
 std::string objectTarget(const std::string &key)
 {
@@ -32,55 +32,6 @@
     return "/objects?prefix=" + encodeUrlPart(prefix);
 }
 
-/// What a connection's failure means for the call.
-absl::Status failureOfCall(const absl::Status &status)
-{
-    const std::string message(status.message());
-    if (outcomeOf(status) == RunOutcome::NotRun) {
-        return makeFailure(FailureCode::StoreUnavailable, message);
-    }
-    return withUnknownOutcome(makeFailure(FailureCode::StoreTimeout, message));
-}
-
-std::chrono::milliseconds retryAfter(const HttpResponse &response)
-{
-    std::int64_t seconds = 0;
-    const auto text = response.headers.find("Retry-After");
-    if (!text || !absl::SimpleAtoi(*text, &seconds) || seconds < 0) {
-        return kDefaultRetryAfter;
-    }
-    return std::chrono::seconds(seconds);
-}
-
-/// What an answer other than a success means for the call.
-absl::Status failureOfAnswer(const HttpResponse &response, const std::string &key)
-{
-    const std::string message = key + ": the platform answered " + std::to_string(response.status);
-    switch (response.status) {
-    case 404:
-        return makeFailure(FailureCode::ObjectMissing, message);
-    case 412:
-        return makeFailure(FailureCode::VersionConflict, message);
-    case 413:
-        return makeFailure(FailureCode::ObjectTooLarge, message);
-    case 429:
-    case 503:
-        return makeFailure(FailureCode::StoreUnavailable, message, retryAfter(response));
-    default:
-        break;
-    }
-    if (response.status >= 400 && response.status < 500) {
-        return makeFailure(FailureCode::InvalidRequest, message);
-    }
-    // Other failures of the service may have come after the effect.
-    return withUnknownOutcome(makeFailure(FailureCode::StoreTimeout, message));
-}
-
-bool isSuccess(const HttpResponse &response)
-{
-    return response.status >= 200 && response.status < 300;
-}
-
 std::uint64_t versionOf(const HttpResponse &response)
 {
     std::uint64_t version = 0;
@@ -90,8 +41,8 @@
 
 absl::StatusOr<StoredObject> readObject(const std::string &key, HttpResponse response)
 {
-    if (!isSuccess(response)) {
-        return failureOfAnswer(response, key);
+    if (!isStoreSuccess(response)) {
+        return failureOfStoreAnswer(response, key);
     }
     const std::uint64_t version = versionOf(response);
     if (version == 0) {
@@ -102,8 +53,8 @@
 
 absl::StatusOr<std::uint64_t> readNewVersion(const std::string &key, const HttpResponse &response)
 {
-    if (!isSuccess(response)) {
-        return failureOfAnswer(response, key);
+    if (!isStoreSuccess(response)) {
+        return failureOfStoreAnswer(response, key);
     }
     const std::uint64_t version = versionOf(response);
     if (version == 0) {
@@ -114,8 +65,8 @@
 
 absl::StatusOr<StoreChanges> readChanges(const std::string &prefix, const HttpResponse &response)
 {
-    if (!isSuccess(response)) {
-        return failureOfAnswer(response, prefix);
+    if (!isStoreSuccess(response)) {
+        return failureOfStoreAnswer(response, prefix);
     }
     try {
         const auto document = nlohmann::json::parse(response.body);
@@ -200,7 +151,7 @@
     d->call(readOf(objectTarget(key)), d->settings.callTimeout,
             [key, callback = std::move(callback)](absl::StatusOr<HttpResponse> response) {
                 if (!response.ok()) {
-                    return callback(failureOfCall(response.status()));
+                    return callback(failureOfStoreCall(response.status()));
                 }
                 callback(readObject(key, std::move(*response)));
             });
@@ -214,7 +165,7 @@
     d->call(std::move(request), d->settings.callTimeout,
             [key, callback = std::move(callback)](absl::StatusOr<HttpResponse> response) {
                 if (!response.ok()) {
-                    return callback(failureOfCall(response.status()));
+                    return callback(failureOfStoreCall(response.status()));
                 }
                 callback(readNewVersion(key, *response));
             });
@@ -226,9 +177,9 @@
     d->call(conditional("DELETE", key, expectedVersion), d->settings.callTimeout,
             [key, callback = std::move(callback)](absl::StatusOr<HttpResponse> response) {
                 if (!response.ok()) {
-                    return callback(failureOfCall(response.status()));
+                    return callback(failureOfStoreCall(response.status()));
                 }
-                callback(isSuccess(*response) ? absl::OkStatus() : failureOfAnswer(*response, key));
+                callback(isStoreSuccess(*response) ? absl::OkStatus() : failureOfStoreAnswer(*response, key));
             });
 }
 
@@ -237,7 +188,7 @@
     d->call(readOf(listTarget(prefix)), d->settings.callTimeout,
             [prefix, callback = std::move(callback)](absl::StatusOr<HttpResponse> response) {
                 if (!response.ok()) {
-                    return callback(failureOfCall(response.status()));
+                    return callback(failureOfStoreCall(response.status()));
                 }
                 callback(readChanges(prefix, *response));
             });
@@ -248,7 +199,7 @@
     d->call(readOf(listTarget(prefix) + "&watch=1&from=" + std::to_string(fromVersion)), d->settings.watchTimeout,
             [prefix, callback = std::move(callback)](absl::StatusOr<HttpResponse> response) {
                 if (!response.ok()) {
-                    return callback(failureOfCall(response.status()));
+                    return callback(failureOfStoreCall(response.status()));
                 }
                 callback(readChanges(prefix, *response));
             });
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -83,7 +83,8 @@
 
     std::uint16_t port() const;
 
-    /// Takes effect with the next request of each connection. Safe on any thread.
+    /// Holds for connections from now on, and on those that are open for the request after the one that they wait for.
+    /// Safe on any thread.
     void setLimits(const HttpServerLimits &limits);
 
     /// From now on each answer ends its connection; new connections are still taken, for a balancer that has yet to
--- a/src/libradishswitch/budgetholdersettings.h
+++ b/src/libradishswitch/budgetholdersettings.h
@@ -17,8 +17,8 @@
     /// How long a portion should last at the present use when the store goes away at the worst moment, just before more
     /// is asked for.
     Duration survivalTime = std::chrono::seconds(120);
-    /// The same for a budget of which another process usually holds the portion. What a stand-in holds besides is left lying
-    /// there when the other is back, and is stranded if either of them dies.
+    /// The same for a budget of which another process usually holds the portion. What a stand-in holds besides is left
+    /// lying there when the other is back, and is stranded if either of them dies.
     Duration standInSurvivalTime = std::chrono::seconds(5);
     /// Time over which use is averaged.
     Duration averagingTime = std::chrono::seconds(30);
--- a/src/libradishswitch/budgetrecord.cpp
+++ b/src/libradishswitch/budgetrecord.cpp
@@ -319,8 +319,8 @@
         }
         return;
     }
-    // A smaller wish beside a greater one is not written down: holders that ask in turn, or one that asks for each of its
-    // requests, would otherwise cost a write each time. The mark's presence is what makes the others give back.
+    // A smaller wish beside a greater one is not written down: holders that ask in turn, or one that asks for each of
+    // its requests, would otherwise cost a write each time. The mark's presence is what makes the others give back.
     if (!m_wanted || m_wanted->tokens < request.needed) {
         m_wanted = WantedMark{request.holder, request.needed};
     }
--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/heldbudget.cpp
@@ -147,8 +147,8 @@
     const Duration survivalTime = isStandIn ? settings.standInSurvivalTime : settings.survivalTime;
     const double lowWater = tokensPerSecond(now, settings) * secondsOf(survivalTime);
     const double byUse = lowWater / settings.lowWaterShare;
-    // Sizes differ a hundredfold. Room for several of whatever came last would hand a small budget to the holder that saw one
-    // large request, and strand it there.
+    // Sizes differ a hundredfold. Room for several of whatever came last would hand a small budget to the holder that
+    // saw one large request, and strand it there.
     const int requestsAhead = isStandIn ? 1 : settings.requestsAhead;
     const double byRequests = std::max(m_typicalTokens * requestsAhead, static_cast<double>(m_lastTokens));
     return static_cast<std::int64_t>(std::max(byUse, byRequests));
--- a/tests/radishswitch-entry/fakehttpexchange.h
+++ b/tests/radishswitch-entry/fakehttpexchange.h
@@ -56,7 +56,9 @@
         co_return answer();
     }
 
-    void setPeerGoneCallback(std::function<void()>) override {}
+    void setPeerGoneCallback(std::function<void()>) override
+    {
+    }
 
     void abort() override
     {
--- a/tests/radishswitch-entry/recordedexchange.h
+++ b/tests/radishswitch-entry/recordedexchange.h
@@ -59,7 +59,9 @@
         co_return absl::OkStatus();
     }
 
-    void setPeerGoneCallback(std::function<void()>) override {}
+    void setPeerGoneCallback(std::function<void()>) override
+    {
+    }
 
     void abort() override
     {
