gateway: settings derived for the parts move out of the wiring

Cause: gateway.cpp had grown to 386 lines in which the wiring of the parts and the arithmetic that turns the gateway's settings into each part's stood mixed, so a newcomer had to read both to follow either. Change: partsettings.{h,cpp} derive the parts' settings; the wiring keeps keepUp() and logPortions() as steps of their own.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "call.h"
 #include "failure.h"
 #include "log.h"
+#include "partsettings.h"
 
 #include <utility>
 
@@ -15,121 +16,11 @@
 const Log kLog("process");
 
 constexpr Duration kUpkeepInterval = std::chrono::seconds(2);
-/// Kept back from the drain timeout: portions are given back, and the process ends, before it would be killed.
 /// Longer than any call lasts.
 constexpr Duration kReservationExpiry = std::chrono::seconds(20);
+/// Kept back from the drain timeout: portions are given back, and the process ends, before it would be killed.
 constexpr Duration kStopReserve = std::chrono::milliseconds(400);
 
-/// A change that a watch misses is known after its wait, the slack after it and a list; a quarter of the bound leaves
-/// room for a gateway that watches and is lost besides, and for a list from a slow store.
-Duration watchWait(const GatewaySettings &settings)
-{
-    return settings.changeBound / 4;
-}
-
-Duration changePause(const GatewaySettings &settings)
-{
-    return settings.changeBound / 10;
-}
-
-ObjectFollowerSettings followerSettings(const GatewaySettings &settings)
-{
-    ObjectFollowerSettings follower;
-    follower.changePause = changePause(settings);
-    return follower;
-}
-
-/// The gateway that watches for others speaks after each watch of its own at the latest.
-Duration relayTimeout(const GatewaySettings &settings)
-{
-    return watchWait(settings) + changePause(settings) + std::chrono::milliseconds(300);
-}
-
-GatewayStoreSettings storeSettings(const GatewaySettings &settings)
-{
-    GatewayStoreSettings store;
-    store.address = settings.platform.toString();
-    store.watchWait = watchWait(settings);
-    store.relaxedPrefix = PeerRegistry::kPrefix;
-    return store;
-}
-
-LedgerSettings ledgerSettings(const GatewaySettings &settings)
-{
-    LedgerSettings ledger;
-    ledger.shardCount = static_cast<std::uint32_t>(settings.ledgerShards);
-    ledger.storeCallsPerSecond = 20;
-    ledger.storeCallBurst = 20;
-    ledger.soonDelay = std::chrono::milliseconds(200);
-    ledger.relaxedDelay = std::chrono::milliseconds(800);
-    ledger.longestBackoff = std::chrono::milliseconds(800);
-    // Callers wait for the ledger; one call without an answer is reason enough to tell them.
-    ledger.failuresUntilAway = 1;
-    ledger.keepsShards = true;
-    return ledger;
-}
-
-BudgetHolderSettings holderSettings(const GatewaySettings &settings, RandomSource &random)
-{
-    BudgetHolderSettings holder;
-    holder.incarnation = IncarnationId(settings.instance + "-" + random.freshName());
-    holder.region = settings.region;
-    holder.survivalTime = settings.survivalTime;
-    holder.standInSurvivalTime = std::chrono::seconds(2);
-    holder.averagingTime = std::chrono::seconds(4);
-    holder.lowWaterShare = 0.85;
-    // One home holds a budget, so that there is nobody to leave much for.
-    holder.shareOfFree = 0.5;
-    holder.standInShareOfFree = 0.1;
-    holder.shortestAverage = std::chrono::milliseconds(1500);
-    holder.requestsAhead = 6;
-    holder.surplusFactor = 1.5;
-    // A home that stands in for another gives its portion back soon after.
-    holder.idleTime = std::chrono::seconds(4);
-    holder.checkpointInterval = std::chrono::seconds(8);
-    holder.relaxedCheckpointInterval = std::chrono::seconds(16);
-    holder.dryRecheckInterval = std::chrono::seconds(1);
-    holder.exhaustedRetryAfter = std::chrono::seconds(2);
-    // Another gateway may still hold a portion, and a caller's next try goes to another.
-    holder.unavailableRetryAfter = std::chrono::milliseconds(200);
-    return holder;
-}
-
-HttpServerSettings callerServerSettings()
-{
-    HttpServerSettings server;
-    // A request that comes three seconds after the order to stop may last longer than the stop. By then connections are
-    // closed, a little after the balancer has turned to others.
-    server.drainGrace = std::chrono::milliseconds(300);
-    return server;
-}
-
-SharedBudgetsSettings sharedBudgetsSettings(const GatewaySettings &settings)
-{
-    SharedBudgetsSettings shared;
-    shared.ledgerShards = static_cast<std::uint32_t>(settings.ledgerShards);
-    return shared;
-}
-
-TransportSettings transportSettings(const GatewaySettings &settings)
-{
-    TransportSettings transport;
-    transport.fleetKey = settings.fleetKey;
-    transport.connectTimeout = std::chrono::milliseconds(200);
-    transport.pingInterval = std::chrono::seconds(1);
-    return transport;
-}
-
-RetrySettings retrySettings(const GatewaySettings &settings)
-{
-    RetrySettings retry;
-    retry.share = settings.retryShare;
-    retry.burst = settings.retryBurst;
-    // The next endpoint is another one, and its load is weighed: waiting first would only make the caller wait.
-    retry.firstBackoff = Duration::zero();
-    return retry;
-}
-
 }
 
 Gateway::Gateway(GatewaySettings settings)
@@ -229,18 +120,30 @@
     follow(m_endpointFollower, m_adapter.catalogue->endpointPrefix());
     m_peerRegistry.start();
     m_timers.every(kUpkeepInterval, [this] {
-        m_connections.closeExpired();
-        for (const HeldBudgetStatus &it : m_holder.statuses()) {
-            kLog.debug("portion",
-                       {field("budget", it.budget.toString()), field("available", it.available),
-                        field("waiting", it.waiting), field("tokens_per_second", it.tokensPerSecond),
-                        field("portions", it.portions.size())});
-        }
-        m_gate.noteRosterChanged();
-        updateReady();
+        keepUp();
     });
 }
 
+void Gateway::keepUp()
+{
+    m_connections.closeExpired();
+    m_gate.noteRosterChanged();
+    updateReady();
+    if (Log::isEnabled(LogLevel::Debug)) {
+        logPortions();
+    }
+}
+
+void Gateway::logPortions() const
+{
+    for (const HeldBudgetStatus &it : m_holder.statuses()) {
+        kLog.debug("portion",
+                   {field("budget", it.budget.toString()), field("available", it.available),
+                    field("waiting", it.waiting), field("tokens_per_second", it.tokensPerSecond),
+                    field("portions", it.portions.size())});
+    }
+}
+
 void Gateway::follow(ObjectFollower &follower, const std::string &prefix)
 {
     WatchLog &log = m_watchPeers.log(prefix);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,6 +54,8 @@
 
 private:
     void begin();
+    void keepUp();
+    void logPortions() const;
     void handleNewer(const ServingTablePointer &table);
     void follow(ObjectFollower &follower, const std::string &prefix);
     void updateReady();
--- /dev/null
+++ b/src/gateway/partsettings.cpp
@@ -0,0 +1,134 @@
+#include "partsettings.h"
+
+#include "peerregistry.h"
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+/// A change that a watch misses is known after its wait, the slack after it and a list; a quarter of the bound leaves
+/// room for a gateway that watches and is lost besides, and for a list from a slow store.
+Duration watchWait(const GatewaySettings &settings)
+{
+    return settings.changeBound / 4;
+}
+
+/// Changes that come closer together are read as one. Small against the bound, and long against the 30 ms that a large
+/// configuration takes a small instance.
+Duration changePause(const GatewaySettings &settings)
+{
+    return settings.changeBound / 10;
+}
+
+}
+
+GatewayStoreSettings storeSettings(const GatewaySettings &settings)
+{
+    GatewayStoreSettings store;
+    store.address = settings.platform.toString();
+    store.watchWait = watchWait(settings);
+    store.relaxedPrefix = PeerRegistry::kPrefix;
+    return store;
+}
+
+ObjectFollowerSettings followerSettings(const GatewaySettings &settings)
+{
+    ObjectFollowerSettings follower;
+    follower.changePause = changePause(settings);
+    return follower;
+}
+
+Duration relayTimeout(const GatewaySettings &settings)
+{
+    // It speaks after each watch of its own at the latest; the rest is for the store's answer and the way here.
+    constexpr Duration kSlack = std::chrono::milliseconds(300);
+    return watchWait(settings) + changePause(settings) + kSlack;
+}
+
+LedgerSettings ledgerSettings(const GatewaySettings &settings)
+{
+    LedgerSettings ledger;
+    ledger.shardCount = static_cast<std::uint32_t>(settings.ledgerShards);
+    // A tenth of what the smallest store takes from all gateways together, for a fleet of a few.
+    ledger.storeCallsPerSecond = 20;
+    ledger.storeCallBurst = 20;
+    // A portion lasts seconds: a fifth of one is soon enough for what runs low, and lets several budgets share a write.
+    ledger.soonDelay = std::chrono::milliseconds(200);
+    ledger.relaxedDelay = std::chrono::milliseconds(800);
+    // After an outage the first callers wait no longer than this for the ledger to be asked.
+    ledger.longestBackoff = std::chrono::milliseconds(800);
+    // Callers wait for the ledger; one call without an answer is reason enough to tell them.
+    ledger.failuresUntilAway = 1;
+    ledger.keepsShards = true;
+    return ledger;
+}
+
+BudgetHolderSettings holderSettings(const GatewaySettings &settings, RandomSource &random)
+{
+    BudgetHolderSettings holder;
+    holder.incarnation = IncarnationId(settings.instance + "-" + random.freshName());
+    holder.region = settings.region;
+    holder.survivalTime = settings.survivalTime;
+    // Bridges the restart of a home.
+    holder.standInSurvivalTime = std::chrono::seconds(2);
+    // Calls come in clumps of a second and sessions of a few; averaged for longer, a burst would outrun its portion.
+    holder.averagingTime = std::chrono::seconds(4);
+    holder.shortestAverage = std::chrono::milliseconds(1500);
+    // What lies above the low water is stranded with the rest when the gateway is killed; one more write costs less.
+    holder.lowWaterShare = 0.85;
+    holder.surplusFactor = 1.5;
+    // One home holds a budget, so that there is nobody to leave much for.
+    holder.shareOfFree = 0.5;
+    holder.standInShareOfFree = 0.1;
+    holder.requestsAhead = 6;
+    // A home that stands in for another gives its portion back soon after.
+    holder.idleTime = std::chrono::seconds(4);
+    // Reports of spending prove nothing here, where no closer reads them; they only find idle portions.
+    holder.checkpointInterval = std::chrono::seconds(8);
+    holder.relaxedCheckpointInterval = std::chrono::seconds(16);
+    holder.dryRecheckInterval = std::chrono::seconds(1);
+    holder.exhaustedRetryAfter = std::chrono::seconds(2);
+    // Another gateway may still hold a portion, and a caller's next try goes to another.
+    holder.unavailableRetryAfter = std::chrono::milliseconds(200);
+    return holder;
+}
+
+SharedBudgetsSettings sharedBudgetsSettings(const GatewaySettings &settings)
+{
+    SharedBudgetsSettings shared;
+    shared.ledgerShards = static_cast<std::uint32_t>(settings.ledgerShards);
+    return shared;
+}
+
+TransportSettings transportSettings(const GatewaySettings &settings)
+{
+    TransportSettings transport;
+    transport.fleetKey = settings.fleetKey;
+    // A gateway that is gone must not hold up a call for its whole target latency.
+    transport.connectTimeout = std::chrono::milliseconds(200);
+    transport.pingInterval = std::chrono::seconds(1);
+    return transport;
+}
+
+RetrySettings retrySettings(const GatewaySettings &settings)
+{
+    RetrySettings retry;
+    retry.share = settings.retryShare;
+    retry.burst = settings.retryBurst;
+    // The next endpoint is another one, and its load is weighed: waiting first would only make the caller wait.
+    retry.firstBackoff = Duration::zero();
+    return retry;
+}
+
+HttpServerSettings callerServerSettings()
+{
+    HttpServerSettings server;
+    // A request that comes three seconds after the order to stop may last longer than the stop. By then connections are
+    // closed, a little after the balancer has turned to others.
+    server.drainGrace = std::chrono::milliseconds(300);
+    return server;
+}
+
+}
