budgets: say how a budget stands when it has too little left

Change: the holder calls a listener whenever too little is left in the ledger for the next request, and the gateway writes one line: paid, settled, free, unspent in portions, and what it holds itself. BudgetHolderTest. reserve_restLiesInAnothersPortion_tellsHowTheBudgetStands shows it. A first form that told every grant of nothing wrote lines for budgets with plenty left; it asks for too little now.

--- a/src/gateway/prepaidbudgets.cpp
+++ b/src/gateway/prepaidbudgets.cpp
@@ -27,6 +27,9 @@
     , m_timers(timers)
     , m_isStoreLost(std::move(isStoreLost))
 {
+    m_holder.setRunDryListener([this](const BudgetId &budget, const BudgetGlance &glance) {
+        logRunDry(budget, glance);
+    });
 }
 
 BudgetId PrepaidBudgets::budgetOf(const OrganisationId &organisation)
@@ -34,6 +37,23 @@
     return BudgetId{organisation, kBudgetName};
 }
 
+void PrepaidBudgets::logRunDry(const BudgetId &budget, const BudgetGlance &glance) const
+{
+    HeldBudgetStatus::Portion here;
+    if (const std::optional<HeldBudgetStatus> status = m_holder.budgetStatus(budget)) {
+        for (const HeldBudgetStatus::Portion &it : status->portions) {
+            here.granted += it.granted;
+            here.spent += it.spent;
+            here.reserved += it.reserved;
+        }
+    }
+    kLog.info("nothing left to grant",
+              {field("budget", budget.toString()), field("paid", glance.paid), field("settled", glance.settled),
+               field("free", glance.free), field("portions", glance.portions),
+               field("unspent_in_portions", glance.unspentInPortions), field("granted_here", here.granted),
+               field("spent_here", here.spent), field("reserved_here", here.reserved)});
+}
+
 void PrepaidBudgets::applyConfiguration(const ServingConfiguration &configuration)
 {
     for (const ServedOrganisation &organisation : configuration.organisations) {
--- a/src/gateway/prepaidbudgets.h
+++ b/src/gateway/prepaidbudgets.h
@@ -40,6 +40,9 @@
         std::int64_t booked = 0;
     };
 
+    /// Tells a budget that was used up from one whose rest lies in portions: of others, or of gateways that were
+    /// killed.
+    void logRunDry(const BudgetId &budget, const BudgetGlance &glance) const;
     void book(const BudgetId &budget, Allowance &allowance);
 
     Ledger &m_ledger;
--- a/src/libradishswitch/budgetglance.h
+++ b/src/libradishswitch/budgetglance.h
@@ -7,7 +7,12 @@
 
 /// How a budget stands in the ledger, as a holder needs to know it.
 struct BudgetGlance {
+    std::int64_t paid = 0;
+    std::int64_t settled = 0;
     std::int64_t free = 0;
+    /// What all portions hold beyond what their holders told to be spent.
+    std::int64_t unspentInPortions = 0;
+    std::size_t portions = 0;
     /// The holder that found too little; empty when none did.
     IncarnationId wantedBy;
 
@@ -20,7 +25,12 @@
     if (!record) {
         return {};
     }
-    return {record->free(), record->wanted() ? record->wanted()->holder : IncarnationId()};
+    return {record->paid(),
+            record->settled(),
+            record->free(),
+            record->unspentInPortions(),
+            record->portions().size(),
+            record->wanted() ? record->wanted()->holder : IncarnationId()};
 }
 
 }
--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -37,6 +37,11 @@
     }
 }
 
+void BudgetHolder::setRunDryListener(RunDryListener listener)
+{
+    m_onRunDry = std::move(listener);
+}
+
 void BudgetHolder::reserve(const ReservationRequest &request, ReservationCallback callback)
 {
     if (request.tokens < 1) {
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgetholder.h
@@ -62,6 +62,11 @@
     BudgetHolder(const BudgetHolder &) = delete;
     BudgetHolder &operator=(const BudgetHolder &) = delete;
 
+    using RunDryListener = std::function<void(const BudgetId &, const BudgetGlance &)>;
+
+    /// Called with how a budget stands in the ledger, each time that too little is left there for the next request.
+    void setRunDryListener(RunDryListener listener);
+
     /// Sets the worst case of a request aside. Waits, until the request's deadline, while the ledger is asked or while
     /// open reservations here can still free enough; answers at once when neither can help.
     ///
@@ -179,6 +184,7 @@
     /// Portions that are held or on their way here or back.
     std::size_t m_portions = 0;
     std::function<void()> m_onStopped;
+    RunDryListener m_onRunDry;
     bool m_isStopping = false;
     Instant m_replaceTakenBefore = Instant::min();
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -129,6 +129,9 @@
         budget.lastFree = change.glance().free;
         budget.lastFreeAt = m_timers.now();
         adopt(entry, change, asked);
+        if (change.glance().free < change.request().smallestUseful && m_onRunDry) {
+            m_onRunDry(entry.first, change.glance());
+        }
     } else if (failureCode(status) == FailureCode::PortionClosed) {
         drop(entry, asked.number);
     } else if (failureCode(status) == FailureCode::BudgetUnknown) {
--- a/src/libradishswitch/budgetrecord.cpp
+++ b/src/libradishswitch/budgetrecord.cpp
@@ -75,6 +75,15 @@
     return sum;
 }
 
+std::int64_t BudgetRecord::unspentInPortions() const
+{
+    std::int64_t tokens = 0;
+    for (const auto &[id, portion] : m_portions) {
+        tokens += portion.granted - portion.spent;
+    }
+    return tokens;
+}
+
 std::int64_t BudgetRecord::withheld() const
 {
     std::int64_t sum = 0;
--- a/src/libradishswitch/budgetrecord.h
+++ b/src/libradishswitch/budgetrecord.h
@@ -103,6 +103,8 @@
 
     /// Tokens in portions, in whatever state.
     std::int64_t granted() const;
+    /// Tokens in portions, in whatever state, that are not proved to be spent.
+    std::int64_t unspentInPortions() const;
     /// Tokens in withheld portions that are not proved to be spent.
     std::int64_t withheld() const;
     /// Tokens that a holder may take.
--- a/tests/core/budgetholder_test.cpp
+++ b/tests/core/budgetholder_test.cpp
@@ -142,6 +142,31 @@
     expectLedgerHolds();
 }
 
+// A caller is refused as exhausted though not all that was paid is used: another process keeps the rest for a call that
+// runs there. Whoever reads the logs has to see that, and not a budget that was used up.
+TEST_F(BudgetHolderTest, reserve_restLiesInAnothersPortion_tellsHowTheBudgetStands)
+{
+    topUp("p", 100);
+    const auto other = start("h1");
+    ASSERT_TRUE(spend(*other, "r", 30, 30));
+    reserve(*other, "s", 70);
+    run(Seconds(1));
+    const auto process = start("h2");
+    std::vector<BudgetGlance> told;
+    process->holder->setRunDryListener([&told](const BudgetId &, const BudgetGlance &glance) {
+        told.push_back(glance);
+    });
+    const auto refused = reserve(*process, "t", 10, Milliseconds(400));
+    run(Seconds(1));
+
+    EXPECT_TRUE(refused->isRefusedWith(FailureCode::BudgetExhausted));
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_EQ(told.at(0).paid, 100);
+    EXPECT_EQ(told.at(0).free, 0);
+    EXPECT_GE(told.at(0).unspentInPortions, 70);
+    EXPECT_EQ(told.at(0).portions, 1u);
+}
+
 TEST_F(BudgetHolderTest, reserve_deadlinePassesWhileWaiting_isRefusedThen)
 {
     topUp("p", 100);
