--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -243,7 +243,17 @@
     }
     HttpResponse response = m_services.protocol.failure(status);
     m_answeredStatus = response.status;
-    (void)co_await m_exchange.respond(std::move(response));
+    noteDelivery(co_await m_exchange.respond(std::move(response)));
+}
+
+// The endpoint did its work and is paid for it. Whether the caller has the answer is what they may ask about.
+void Call::noteDelivery(const absl::Status &status) const
+{
+    if (!status.ok()) {
+        kLog.info("answer not delivered",
+                  {field("call", m_request.id.value()), field("status", m_answeredStatus),
+                   field("error", std::string(status.message()))});
+    }
 }
 
 // An endpoint at work for nobody slows others down. A call that must not be repeated is let run to its end: whether it
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -43,6 +43,7 @@
     void settle();
     std::int64_t usedTokens() const;
     boost::asio::awaitable<void> refuse(const absl::Status &status);
+    void noteDelivery(const absl::Status &status) const;
     void handleCallerGone();
     void logEnd(const absl::Status &status) const;
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -155,7 +155,7 @@
     response.headers = m_services.protocol.callerHeaders(m_connection->headers());
     response.body = std::move(*body);
     if (!m_isCallerGone) {
-        (void)co_await m_exchange.respond(std::move(response));
+        noteDelivery(co_await m_exchange.respond(std::move(response)));
     }
     co_return std::nullopt;
 }
@@ -187,11 +187,10 @@
         co_return AttemptEnd::Broken;
     }
     if (!m_hasBegun) {
-        const absl::Status status = co_await passOn(head, std::string());
-        (void)status;
+        noteDelivery(co_await passOn(head, std::string()));
     }
     m_isAnswered = true;
-    (void)co_await m_exchange.endStream();
+    noteDelivery(co_await m_exchange.endStream());
     co_return std::nullopt;
 }
 
