budgets: a portion takes a quarter of what is free, not half

Four or five gateways are cut from the store, the store is away, then all lose their power. Each portion they held is lost to its budget, and near a budget's end nine seconds of use are most of what is left: all later calls were refused. Ruled out: reservations left open by planned stops. Change: BudgetHolderSettings::shareOfFree of a gateway 0.5 -> 0.25.

--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -79,8 +79,10 @@
     // What lies above the low water is stranded with the rest when the gateway is killed; one more write costs less.
     holder.lowWaterShare = 0.85;
     holder.surplusFactor = 1.5;
-    // One home holds a budget, so that there is nobody to leave much for.
-    holder.shareOfFree = 0.5;
+    // A gateway that is killed takes its portion with it. Near the end of a budget nine seconds of use are most of what
+    // is left, and every later call is refused for it; a smaller share ends sooner while the store is away. Measured
+    // over the standard days of two sites: 0.98 and 1.00 with a half, 1.00 and 1.00 with this, 0.95 and 0.99 with 0.12.
+    holder.shareOfFree = 0.25;
     holder.standInShareOfFree = 0.1;
     holder.requestsAhead = 6;
     // A home that stands in for another gives its portion back soon after.
