--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -80,8 +80,9 @@
     holder.lowWaterShare = 0.85;
     holder.surplusFactor = 1.5;
     // A gateway that is killed takes its portion with it. Near the end of a budget nine seconds of use are most of what
-    // is left, and every later call is refused for it; a smaller share ends sooner while the store is away. Measured
-    // over the standard days of two sites: 0.98 and 1.00 with a half, 1.00 and 1.00 with this, 0.95 and 0.99 with 0.12.
+    // is left, and every later call is refused for it; a smaller share ends sooner while the store is away. Standard
+    // days of two sites, one play each, which vary by 0.02: 0.98 and 1.00 with a half, 1.00 and 1.00 with this, 0.95
+    // and 0.99 with 0.12.
     holder.shareOfFree = 0.25;
     holder.standInShareOfFree = 0.1;
     holder.requestsAhead = 6;
