agent: one type for a change of a prefix cache

Cause: CacheEvent stood twice in one namespace, in the agent's loadreport.h and in the core's endpointreport.h; a file that needed both could not be compiled, and the two could have drifted apart. Change: loadreport.h takes the core's type. Result: no behaviour changes; all programs build, 60 agent tests pass before and after.

--- a/src/agent/loadreport.h
+++ b/src/agent/loadreport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "endpointreport.h"
+
 #include <absl/status/statusor.h>
 
 #include <cstdint>
@@ -10,15 +12,6 @@
 namespace RadishSwitch
 {
 
-/// A change of an engine's prefix cache.
-struct CacheEvent {
-    std::uint64_t sequence = 0;
-    bool isStored = false;
-    std::vector<std::uint64_t> prefixHashes;
-
-    bool operator==(const CacheEvent &) const = default;
-};
-
 /// What an engine tells about itself on `GET /load`.
 struct LoadReport {
     std::uint32_t running = 0;
