Hold tokens for a gateway's own calls ahead, so that they go on when all gateways are cut off from one another

Change: a gateway asks the home for advances, reservations ahead of its calls, of 9 s of its own use; calls draw on them first. Homes count them apart, bound them by a share of what is left, and are told what was used. A home that waits for a slow ledger is not passed over (LedgerLate); a cut off gateway asks nothing of the ledger; failures of peers are forgotten when the store is back; portions go back at the order to stop; 60 store calls a second and gateway, not 20.

--- a/src/gateway/budgetpeers.cpp
+++ b/src/gateway/budgetpeers.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// The ledger answers within tens of milliseconds on ordinary days.
+constexpr std::chrono::milliseconds kLateRetryAfter{200};
+
 std::int64_t milliseconds(Duration span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -26,7 +29,8 @@
 
 }
 
-BudgetPeers::BudgetPeers(MessageClients &clients, const HomeDirectory &homes, TimerService &timers, Duration expiry)
+BudgetPeers::BudgetPeers(MessageClients &clients, const HomeDirectory &homes, TimerService &timers,
+                         ReservationExpiry expiry)
     : m_clients(clients)
     , m_homes(homes)
     , m_timers(timers)
@@ -44,7 +48,7 @@
 }
 
 void BudgetPeers::reserve(const std::string &peer, const ReservationRequest &request, Duration timeout,
-                          std::function<void(absl::Status)> callback)
+                          BudgetPeerCallback callback)
 {
     wire::BudgetRequest message;
     wire::Reserve &reserve = *message.mutable_reserve();
@@ -52,12 +56,13 @@
     reserve.set_organisation(request.budget.organisation.value());
     reserve.set_tokens(request.tokens);
     reserve.set_wait_ms(milliseconds(std::max(request.deadline - m_timers.now(), Duration::zero())));
-    reserve.set_expires_ms(milliseconds(m_expiry));
+    reserve.set_expires_ms(milliseconds(request.isAdvance ? m_expiry.advance : m_expiry.call));
+    reserve.set_advance(request.isAdvance);
     const RequestId call = request.request;
     const TimerId timer = m_timers.after(timeout, [this, peer, call] {
         handleTimeout(peer, call);
     });
-    m_links[peer].pending[call] = Pending{std::move(callback), timer, m_timers.now()};
+    m_links[peer].pending[call] = Pending{std::move(callback), timer, m_timers.now(), request.deadline};
     if (!send(peer, message.SerializeAsString())) {
         finish(peer, call, makeFailure(FailureCode::ConnectionLost, "no way to gateway " + peer));
     }
@@ -79,6 +84,15 @@
     (void)send(peer, settleFrame(call, usedTokens));
 }
 
+void BudgetPeers::chargePart(const std::string &peer, const RequestId &reservation, std::int64_t usedTokens)
+{
+    wire::BudgetRequest message;
+    message.mutable_part()->set_call(reservation.value());
+    message.mutable_part()->set_used_tokens(usedTokens);
+    // One that gets lost leaves the tokens reserved, and they count as used in the end.
+    (void)send(peer, message.SerializeAsString());
+}
+
 bool BudgetPeers::send(const std::string &peer, std::string frame)
 {
     Link &link = m_links[peer];
@@ -125,7 +139,10 @@
         }
         return;
     }
-    finish(peer, call, answer->has_refused() ? failureFromWire(answer->refused()) : absl::OkStatus());
+    if (answer->has_refused()) {
+        return finish(peer, call, failureFromWire(answer->refused()));
+    }
+    finish(peer, call, answer->tokens());
 }
 
 void BudgetPeers::handleClosed(const std::string &peer, const MessageStream *stream, const absl::Status &status)
@@ -145,15 +162,27 @@
 
 void BudgetPeers::handleTimeout(const std::string &peer, const RequestId &call)
 {
-    const Link &link = m_links[peer];
+    Link &link = m_links[peer];
     const auto it = link.pending.find(call);
-    // A peer that answers others meanwhile is sound; this call waits there for the ledger.
-    const bool isAlive = it != link.pending.end() && link.heardAt >= it->second.askedAt;
-    const FailureCode code = isAlive ? FailureCode::BudgetUnavailable : FailureCode::ConnectionSilent;
-    finish(peer, call, makeFailure(code, "gateway " + peer + " did not answer in time"));
+    if (it == link.pending.end()) {
+        return;
+    }
+    Pending &pending = it->second;
+    // A peer that answers others meanwhile is sound; this call waits there for the ledger, as long as it may.
+    if (link.heardAt < pending.askedAt) {
+        return finish(peer, call, makeFailure(FailureCode::ConnectionSilent, "gateway " + peer + " is silent"));
+    }
+    if (m_timers.now() < pending.deadline) {
+        pending.timer = m_timers.after(pending.deadline - m_timers.now(), [this, peer, call] {
+            handleTimeout(peer, call);
+        });
+        return;
+    }
+    finish(peer, call,
+           makeFailure(FailureCode::LedgerLate, "gateway " + peer + " did not answer in time", kLateRetryAfter));
 }
 
-void BudgetPeers::finish(const std::string &peer, const RequestId &call, const absl::Status &status)
+void BudgetPeers::finish(const std::string &peer, const RequestId &call, absl::StatusOr<std::int64_t> result)
 {
     Link &link = m_links[peer];
     const auto it = link.pending.find(call);
@@ -163,7 +192,7 @@
     const Pending pending = std::move(it->second);
     link.pending.erase(it);
     m_timers.cancel(pending.timer);
-    pending.callback(status);
+    pending.callback(std::move(result));
 }
 
 }
--- a/src/gateway/budgetservice.h
+++ b/src/gateway/budgetservice.h
@@ -3,7 +3,7 @@
 #include "messagestream.h"
 #include "prepaidbudgets.h"
 
-#include <deque>
+#include <map>
 
 namespace RadishSwitch
 {
@@ -19,12 +19,6 @@
     void serve(const MessageStreamPointer &stream);
 
 private:
-    struct Expiry {
-        Instant at{};
-        RequestId call;
-        std::int64_t tokens = 0;
-    };
-
     void handle(const MessageStreamPointer &stream, const std::string &frame);
     void reserve(const MessageStreamPointer &stream, const ReservationRequest &request, Duration expiry);
     void settleExpired();
@@ -32,8 +26,8 @@
     PrepaidBudgets &m_budgets;
     TimerService &m_timers;
     TimerId m_timer = 0;
-    /// In the order of their making, which is that of their ends: all gateways use the same span.
-    std::deque<Expiry> m_expiries;
+    /// Reservations by the moments of their ends.
+    std::multimap<Instant, RequestId> m_expiries;
 };
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,8 +16,6 @@
 const Log kLog("process");
 
 constexpr Duration kUpkeepInterval = std::chrono::seconds(2);
-/// Longer than any call lasts.
-constexpr Duration kReservationExpiry = std::chrono::seconds(20);
 /// Kept back from the drain timeout: portions are given back, and the process ends, before it would be killed.
 constexpr Duration kStopReserve = std::chrono::milliseconds(400);
 
@@ -37,10 +35,10 @@
                        return !m_configurationFollower.isReached();
                    })
     , m_clients(m_workers, transportSettings(m_settings))
-    , m_budgetPeers(m_clients, m_homes, m_timers, kReservationExpiry)
+    , m_budgetPeers(m_clients, m_homes, m_timers)
     , m_watchPeers(m_clients, m_homes, m_timers)
     , m_relayedStore(*m_adapter.store, m_homes, m_watchPeers, m_timers, m_settings.zone, relayTimeout(m_settings))
-    , m_budgets(m_homes, m_ownBudgets, m_budgetPeers, m_timers, sharedBudgetsSettings(m_settings))
+    , m_budgets(m_homes, m_ownBudgets, m_budgetPeers, m_timers, m_random, sharedBudgetsSettings(m_settings))
     , m_budgetService(m_ownBudgets, m_timers)
     , m_peerRegistry(*m_adapter.store, m_timers, m_random, m_settings.instance,
                      GatewayPeer{m_settings.peerListen.toString(), m_settings.weight},
@@ -119,6 +117,10 @@
     follow(m_configurationFollower, m_adapter.catalogue->configurationPrefix());
     follow(m_endpointFollower, m_adapter.catalogue->endpointPrefix());
     m_peerRegistry.start();
+    m_budgets.setAdvanceListener(
+        [this](const BudgetId &budget, const std::string &home, const absl::StatusOr<std::int64_t> &tokens) {
+            logAdvance(budget, home, tokens);
+        });
     m_timers.every(kUpkeepInterval, [this] {
         keepUp();
     });
@@ -144,6 +146,20 @@
     }
 }
 
+void Gateway::logAdvance(const BudgetId &budget, const std::string &home,
+                         const absl::StatusOr<std::int64_t> &tokens) const
+{
+    if (tokens.ok()) {
+        kLog.info("advance taken",
+                  {field("budget", budget.toString()), field("home", home), field("tokens", *tokens),
+                   field("available", m_budgets.advanceAvailable(budget))});
+    } else {
+        kLog.info("advance refused",
+                  {field("budget", budget.toString()), field("home", home),
+                   field("error", std::string(tokens.status().message()))});
+    }
+}
+
 void Gateway::follow(ObjectFollower &follower, const std::string &prefix)
 {
     WatchLog &log = m_watchPeers.log(prefix);
@@ -156,7 +172,10 @@
             log.noteChanges(progress.changes);
         }
     });
-    follower.setContactCallback([prefix](bool isReached) {
+    follower.setContactCallback([this, prefix](bool isReached) {
+        if (isReached) {
+            m_homes.forgetFailures();
+        }
         kLog.warning(isReached ? "store reached again" : "store lost", {field("prefix", prefix)});
     });
     follower.start();
@@ -196,6 +215,7 @@
         m_onDrained = std::move(callback);
         updateReady();
         m_server.closeAfterAnswers();
+        leaveBudgets();
         m_timers.after(m_settings.drainNotice, [this] {
             stopTaking();
         });
@@ -205,6 +225,23 @@
     });
 }
 
+// Portions go back at once and not when the last call has ended: seconds later this gateway may be cut off, and what it
+// holds then is lost to its budgets. Calls that still come are reserved for at the next homes.
+void Gateway::leaveBudgets()
+{
+    m_homes.leave();
+    m_budgets.leave(m_settings.drainNotice);
+    if (!m_configurationFollower.isReached()) {
+        handOverPortions();
+    }
+    m_holder.stop([this] {
+        m_arePortionsReturned = true;
+        if (m_isStopComplete) {
+            end();
+        }
+    });
+}
+
 void Gateway::stopTaking()
 {
     m_server.drain([this] {
@@ -214,22 +251,28 @@
 
 void Gateway::finishStop()
 {
-    if (!m_onDrained) {
+    if (std::exchange(m_isStopComplete, true)) {
         return;
     }
-    // Called by whichever comes first; the budgets' answer is not waited for beyond the reserve.
-    const auto done = std::make_shared<std::function<void()>>(std::exchange(m_onDrained, nullptr));
-    const auto end = [done] {
-        if (const auto callback = std::exchange(*done, nullptr)) {
-            kLog.info("stopped");
-            callback();
-        }
-    };
+    m_budgets.returnAdvances();
     if (!m_configurationFollower.isReached()) {
         handOverPortions();
     }
-    m_holder.stop(end);
-    m_timers.after(kStopReserve / 2, end);
+    if (m_arePortionsReturned) {
+        return end();
+    }
+    // The store's answer is not waited for beyond the reserve.
+    m_timers.after(kStopReserve / 2, [this] {
+        end();
+    });
+}
+
+void Gateway::end()
+{
+    if (const auto callback = std::exchange(m_onDrained, nullptr)) {
+        kLog.info("stopped", {field("portions_returned", m_arePortionsReturned)});
+        callback();
+    }
 }
 
 // A portion that ends with a process that does not reach the store is lost to its budget for good. Others of the fleet
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,12 +56,15 @@
     void begin();
     void keepUp();
     void logPortions() const;
+    void logAdvance(const BudgetId &budget, const std::string &home, const absl::StatusOr<std::int64_t> &tokens) const;
     void handleNewer(const ServingTablePointer &table);
     void follow(ObjectFollower &follower, const std::string &prefix);
     void updateReady();
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     void stopTaking();
+    void leaveBudgets();
     void finishStop();
+    void end();
     void handOverPortions();
     void countGauges();
 
@@ -99,6 +102,9 @@
     AdminServer m_metricsServer;
     std::function<void()> m_onDrained;
     bool m_isStopping = false;
+    /// All calls have ended, or are waited for no longer.
+    bool m_isStopComplete = false;
+    bool m_arePortionsReturned = false;
 };
 
 }
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -52,8 +52,8 @@
     LedgerSettings ledger;
     ledger.shardCount = static_cast<std::uint32_t>(settings.ledgerShards);
     // A tenth of what the smallest store takes from all gateways together, for a fleet of a few.
-    ledger.storeCallsPerSecond = 20;
-    ledger.storeCallBurst = 20;
+    ledger.storeCallsPerSecond = 60;
+    ledger.storeCallBurst = 60;
     // A portion lasts seconds: a fifth of one is soon enough for what runs low, and lets several budgets share a write.
     ledger.soonDelay = std::chrono::milliseconds(200);
     ledger.relaxedDelay = std::chrono::milliseconds(800);
@@ -74,8 +74,8 @@
     // Bridges the restart of a home.
     holder.standInSurvivalTime = std::chrono::seconds(2);
     // Calls come in clumps of a second and sessions of a few; averaged for longer, a burst would outrun its portion.
-    holder.averagingTime = std::chrono::seconds(4);
-    holder.shortestAverage = std::chrono::milliseconds(1500);
+    holder.use.averagingTime = std::chrono::seconds(4);
+    holder.use.shortestAverage = std::chrono::milliseconds(1500);
     // What lies above the low water is stranded with the rest when the gateway is killed; one more write costs less.
     holder.lowWaterShare = 0.85;
     holder.surplusFactor = 1.5;
@@ -85,6 +85,9 @@
     // and 0.99 with 0.12.
     holder.shareOfFree = 0.25;
     holder.standInShareOfFree = 0.1;
+    holder.heldPerLeft = 1.5;
+    holder.leastHeldShare = 0.15;
+    holder.mostHeldShare = 0.6;
     holder.requestsAhead = 6;
     // A home that stands in for another gives its portion back soon after.
     holder.idleTime = std::chrono::seconds(4);
@@ -102,6 +105,7 @@
 {
     SharedBudgetsSettings shared;
     shared.ledgerShards = static_cast<std::uint32_t>(settings.ledgerShards);
+    shared.advances.survivalTime = settings.survivalTime;
     return shared;
 }
 
--- a/src/gateway/prepaidbudgets.cpp
+++ b/src/gateway/prepaidbudgets.cpp
@@ -1,6 +1,7 @@
 #include "prepaidbudgets.h"
 
 #include "allowancechange.h"
+#include "failure.h"
 #include "ledgerlayout.h"
 #include "log.h"
 #include "returnportionchange.h"
@@ -16,6 +17,8 @@
 const Log kLog("budget");
 
 constexpr char kBudgetName[] = "prepaid";
+/// Another gateway may hold something, and a caller's next try goes to another.
+constexpr std::chrono::milliseconds kLostRetryAfter{200};
 
 }
 
@@ -71,11 +74,23 @@
     if (it != m_allowances.end() && it->second.booked != it->second.total) {
         book(it->first, it->second);
     }
+    // What is asked of a lost ledger is not given up: once the store is back, each gateway that was cut off would take
+    // a portion of each budget that it saw calls for, and all would write the same objects at once.
+    if (m_isStoreLost() && !holds(request)) {
+        return callback(makeFailure(FailureCode::BudgetUnavailable, "the store is lost and too little is held here",
+                                    kLostRetryAfter));
+    }
     ReservationRequest reservation = request;
     reservation.isStandIn = !m_homes.isHome(ledgerShardKey(m_ledger.shardOf(request.budget)));
     m_holder.reserve(reservation, std::move(callback));
 }
 
+bool PrepaidBudgets::holds(const ReservationRequest &request) const
+{
+    const std::optional<HeldBudgetStatus> status = m_holder.budgetStatus(request.budget);
+    return status && status->available >= request.tokens;
+}
+
 void PrepaidBudgets::book(const BudgetId &budget, Allowance &allowance)
 {
     allowance.booked = allowance.total;
@@ -111,6 +126,19 @@
                     });
 }
 
+void PrepaidBudgets::settleWholeHere(const RequestId &reservation)
+{
+    m_holder.settleWhole(reservation);
+}
+
+void PrepaidBudgets::chargePartHere(const RequestId &advance, std::int64_t usedTokens)
+{
+    const absl::Status status = m_holder.chargePart(advance, usedTokens);
+    if (!status.ok()) {
+        kLog.error("charge out of range", {field("advance", advance.value()), field("tokens", usedTokens)});
+    }
+}
+
 void PrepaidBudgets::settleHere(const RequestId &call, std::int64_t usedTokens)
 {
     const absl::Status status = m_holder.settle(call, usedTokens);
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -127,6 +127,7 @@
     if (status.ok()) {
         budget.isUnknown = false;
         budget.lastFree = change.glance().free;
+        budget.lastPaid = change.glance().paid;
         budget.lastFreeAt = m_timers.now();
         adopt(entry, change, asked);
         if (change.glance().free < change.request().smallestUseful && m_onRunDry) {
@@ -356,6 +357,7 @@
     }
     portion->confirmedAt = std::max(portion->confirmedAt, askedAt);
     budget.lastFree = change.glance().free;
+    budget.lastPaid = change.glance().paid;
     if (portion == &budget.current() && !budget.isAsking && !m_isStopping) {
         giveBackSurplus(entry, change.glance());
     }
--- a/src/libradishswitch/budgetholdersettings.h
+++ b/src/libradishswitch/budgetholdersettings.h
@@ -2,6 +2,7 @@
 
 #include "identifier.h"
 #include "timerservice.h"
+#include "tokenuse.h"
 
 #include <cstddef>
 #include <string>
@@ -20,14 +21,16 @@
     /// The same for a budget of which another process usually holds the portion. What a stand-in holds besides is left
     /// lying there when the other is back, and is stranded if either of them dies.
     Duration standInSurvivalTime = std::chrono::seconds(5);
-    /// Time over which use is averaged.
-    Duration averagingTime = std::chrono::seconds(30);
-    /// Use is averaged over at least so long: a few requests in a shorter time say little about the use to come.
-    Duration shortestAverage = std::chrono::seconds(5);
+    TokenUseSettings use;
     /// More is asked for when less than this share of the wished size is left.
     double lowWaterShare = 0.5;
     /// Share of what is free in the ledger that may be taken beyond what waiting requests need.
     double shareOfFree = 0.25;
+    /// Most of what is left of a budget that is held here and in advances, beyond what waiting requests need: the share
+    /// of the budget that is left, within these bounds.
+    double heldPerLeft = 1;
+    double leastHeldShare = 1;
+    double mostHeldShare = 1;
     /// In place of `shareOfFree` for a budget of which another process usually holds the portion.
     double standInShareOfFree = 0.25;
     /// Requests of typical size for which a portion has room at least, whatever the averaged use is; and for one of the
@@ -37,6 +40,9 @@
     double surplusFactor = 4;
     /// Use of so long is kept when another holder found too little.
     Duration survivalTimeWhenWanted = std::chrono::seconds(5);
+    /// Advances of so long are kept in stock for the others, at their present rate, so that most are given without
+    /// the ledger.
+    Duration advanceStock = std::chrono::seconds(2);
     /// How often the spending of a budget that runs low is written to the ledger, and the ledger looked at.
     Duration checkpointInterval = std::chrono::seconds(5);
     /// The same for all others.
--- a/src/libradishswitch/failure.cpp
+++ b/src/libradishswitch/failure.cpp
@@ -36,6 +36,7 @@
     FailureKind{FailureCode::BudgetExhausted, "budget_exhausted", 402, absl::StatusCode::kResourceExhausted},
     FailureKind{FailureCode::BudgetUnknown, "budget_unknown", 404, absl::StatusCode::kNotFound},
     FailureKind{FailureCode::BudgetUnavailable, "budget_unavailable", 503, absl::StatusCode::kUnavailable},
+    FailureKind{FailureCode::LedgerLate, "ledger_late", 503, absl::StatusCode::kUnavailable},
     FailureKind{FailureCode::CeilingReached, "ceiling_reached", 429, absl::StatusCode::kResourceExhausted},
     FailureKind{FailureCode::RequestTooLarge, "request_too_large", 400, absl::StatusCode::kInvalidArgument},
     FailureKind{FailureCode::Overloaded, "overloaded", 503, absl::StatusCode::kUnavailable},
--- a/src/libradishswitch/failure.h
+++ b/src/libradishswitch/failure.h
@@ -26,6 +26,7 @@
     BudgetExhausted,
     BudgetUnknown,
     BudgetUnavailable,
+    LedgerLate,
     CeilingReached,
     RequestTooLarge,
     Overloaded,
--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/heldbudget.cpp
@@ -1,7 +1,7 @@
 #include "heldbudget.h"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 #include <numeric>
 #include <utility>
 
@@ -25,7 +25,8 @@
 
 HeldBudget::HeldBudget(std::uint32_t shard, Instant now)
     : m_shard(shard)
-    , m_averagedAt(now)
+    , m_use(now)
+    , m_advances(now)
     , m_lastUsedAt(now)
 {
 }
@@ -95,6 +96,11 @@
     return m_extras && !m_extras->waiting.empty();
 }
 
+bool HeldBudget::hasWaitingCall() const
+{
+    return hasWaiting() && !m_extras->waiting.front().request.isAdvance;
+}
+
 void HeldBudget::releaseUnused()
 {
     if (m_extras && m_extras->draining.empty() && m_extras->waiting.empty()) {
@@ -115,30 +121,21 @@
     m_lastUsedAt = now;
 }
 
-void HeldBudget::noteSpent(std::int64_t tokens, Instant now, const BudgetHolderSettings &settings)
+void HeldBudget::noteAdvanced(std::int64_t tokens, Instant now, const BudgetHolderSettings &settings)
 {
-    if (m_tokensPerSecond == 0) {
-        m_averagingSince = now;
-    }
-    m_tokensPerSecond =
-        decayedTokensPerSecond(now, settings) + static_cast<double>(tokens) / secondsOf(settings.averagingTime);
-    m_averagedAt = now;
+    m_advances.note(tokens, now, settings.use);
     m_lastUsedAt = now;
 }
 
-// The average begins at nothing, and would take a budget that has just come into use for one that is hardly used: its
-// portion would be dry long before the survival time when the store goes away then. So it is set against the weight
-// that it can have gathered so far.
-double HeldBudget::tokensPerSecond(Instant now, const BudgetHolderSettings &settings) const
+void HeldBudget::noteSpent(std::int64_t tokens, Instant now, const BudgetHolderSettings &settings)
 {
-    const Duration span = std::max<Duration>(now - m_averagingSince, settings.shortestAverage);
-    const double weight = 1 - std::exp(-secondsOf(span) / secondsOf(settings.averagingTime));
-    return decayedTokensPerSecond(now, settings) / weight;
+    m_use.note(tokens, now, settings.use);
+    m_lastUsedAt = now;
 }
 
-double HeldBudget::decayedTokensPerSecond(Instant now, const BudgetHolderSettings &settings) const
+double HeldBudget::tokensPerSecond(Instant now, const BudgetHolderSettings &settings) const
 {
-    return m_tokensPerSecond * std::exp(-secondsOf(now - m_averagedAt) / secondsOf(settings.averagingTime));
+    return m_use.tokensPerSecond(now, settings.use);
 }
 
 std::int64_t HeldBudget::wishedSize(Instant now, const BudgetHolderSettings &settings) const
@@ -151,7 +148,39 @@
     // saw one large request, and strand it there.
     const int requestsAhead = isStandIn ? 1 : settings.requestsAhead;
     const double byRequests = std::max(m_typicalTokens * requestsAhead, static_cast<double>(m_lastTokens));
-    return static_cast<std::int64_t>(std::max(byUse, byRequests));
+    const double forAdvances = m_advances.tokensPerSecond(now, settings.use) * secondsOf(settings.advanceStock);
+    const auto wished = static_cast<std::int64_t>(std::max(byUse, byRequests) + forAdvances);
+    return std::min(wished, std::max<std::int64_t>(mostHeld(settings) - advanced(), 0));
+}
+
+// What is held is lost to the budget with its holders, and all of them may be killed at once. While most of a budget is
+// left it is worth more to go on through an outage; near its end, to go on after a loss of power.
+std::int64_t HeldBudget::mostHeld(const BudgetHolderSettings &settings) const
+{
+    if (lastFreeAt == Instant::min() || settings.mostHeldShare >= 1) {
+        return std::numeric_limits<std::int64_t>::max();
+    }
+    const auto left = static_cast<double>(lastFree + std::max<std::int64_t>(m_current.available(), 0) + advanced());
+    const double leftShare = lastPaid > 0 ? left / static_cast<double>(lastPaid) : 0;
+    const double share = std::clamp(leftShare * settings.heldPerLeft, settings.leastHeldShare, settings.mostHeldShare);
+    return static_cast<std::int64_t>(left * share);
+}
+
+std::int64_t HeldBudget::advanceSize(std::int64_t wished, const BudgetHolderSettings &settings) const
+{
+    if (lastFreeAt == Instant::min()) {
+        return 0;
+    }
+    return std::clamp<std::int64_t>(mostHeld(settings) - advanced(), 0, wished);
+}
+
+std::int64_t HeldBudget::advanced() const
+{
+    std::int64_t sum = m_current.advanced;
+    for (const HeldPortion &it : draining()) {
+        sum += it.advanced;
+    }
+    return sum;
 }
 
 std::int64_t HeldBudget::sizeWhenWanted(Instant now, const BudgetHolderSettings &settings) const
@@ -165,9 +194,9 @@
 
 std::int64_t HeldBudget::potential() const
 {
-    std::int64_t sum = m_current.available() + m_current.reserved;
+    std::int64_t sum = m_current.available() + m_current.reserved - m_current.advanced;
     for (const HeldPortion &it : draining()) {
-        sum += it.reserved;
+        sum += it.reserved - it.advanced;
     }
     return sum;
 }
--- a/src/libradishswitch/heldbudget.h
+++ b/src/libradishswitch/heldbudget.h
@@ -17,6 +17,8 @@
     std::int64_t granted = 0;
     std::int64_t spent = 0;
     std::int64_t reserved = 0;
+    /// The part of `reserved` that other processes have as advances.
+    std::int64_t advanced = 0;
     Instant takenAt{};
     Instant confirmedAt{};
 
@@ -62,6 +64,8 @@
 
     std::deque<WaitingReservation> &waiting();
     bool hasWaiting() const;
+    /// Whether a request of a caller waits, and not only advances, which can wait until others write.
+    bool hasWaitingCall() const;
 
     /// Frees what only a busy budget needs, if there is nothing in it. References from `waiting` end here.
     void releaseUnused();
@@ -70,6 +74,8 @@
 
     /// Notes a reservation of `tokens`.
     void noteReserved(std::int64_t tokens, Instant now);
+    /// Notes an advance of `tokens`.
+    void noteAdvanced(std::int64_t tokens, Instant now, const BudgetHolderSettings &settings);
     /// Notes that `tokens` were spent.
     void noteSpent(std::int64_t tokens, Instant now, const BudgetHolderSettings &settings);
 
@@ -79,10 +85,14 @@
     /// What the current portion should have available.
     std::int64_t wishedSize(Instant now, const BudgetHolderSettings &settings) const;
 
+    /// What another process that wishes for `wished` tokens ahead of its requests may have; zero for nothing.
+    std::int64_t advanceSize(std::int64_t wished, const BudgetHolderSettings &settings) const;
+
     /// What it should keep while others are short.
     std::int64_t sizeWhenWanted(Instant now, const BudgetHolderSettings &settings) const;
 
-    /// Tokens that could be had here without the ledger: available now, or freed by open reservations at best.
+    /// Tokens that could be had here without the ledger: available now, or freed by open reservations at best. What
+    /// others have as advances does not count: it may stay with them for long.
     std::int64_t potential() const;
 
     /// The least amount from the ledger that is worth a write: what the first that waits lacks at best, or room for a
@@ -106,6 +116,8 @@
     bool isUnknown = false;
     /// What was free in the ledger when it was last asked, and when that was.
     std::int64_t lastFree = 0;
+    /// What was paid in all, as of then.
+    std::int64_t lastPaid = 0;
     Instant lastFreeAt = Instant::min();
     Instant lastAskedAt = Instant::min();
 
@@ -115,14 +127,16 @@
         std::deque<WaitingReservation> waiting;
     };
 
+    /// Most that may be held here and in advances, beyond what waiting requests need.
+    std::int64_t mostHeld(const BudgetHolderSettings &settings) const;
+    /// What other processes have as advances.
+    std::int64_t advanced() const;
     Extras &extras();
-    double decayedTokensPerSecond(Instant now, const BudgetHolderSettings &settings) const;
 
     std::uint32_t m_shard;
     HeldPortion m_current;
-    double m_tokensPerSecond = 0;
-    Instant m_averagingSince{};
-    Instant m_averagedAt;
+    TokenUse m_use;
+    TokenUse m_advances;
     Instant m_lastUsedAt;
     std::int64_t m_lastTokens = 0;
     /// Averaged size of requests.
--- a/src/libradishswitch/serving/homedirectory.cpp
+++ b/src/libradishswitch/serving/homedirectory.cpp
@@ -42,6 +42,11 @@
     m_standings = std::move(standings);
 }
 
+void HomeDirectory::leave()
+{
+    m_isLeaving = true;
+}
+
 std::vector<std::string> HomeDirectory::candidates(std::string_view key, Instant now) const
 {
     const std::uint64_t keyHash = rendezvousHash(key);
@@ -60,11 +65,17 @@
             names.push_back(name);
         }
     }
+    if (m_isLeaving && names.size() > 1) {
+        std::erase(names, m_self);
+    }
     return names;
 }
 
 bool HomeDirectory::isHome(std::string_view key) const
 {
+    if (m_isLeaving) {
+        return false;
+    }
     constexpr int kFailuresOfTheGone = 4;
     const std::uint64_t keyHash = rendezvousHash(key);
     const Standing &self = m_standings.at(m_self);
@@ -104,6 +115,14 @@
     it->second.pausedUntil = now + std::min(pause, m_settings.longestPause);
 }
 
+void HomeDirectory::forgetFailures()
+{
+    for (auto &[name, standing] : m_standings) {
+        standing.failures = 0;
+        standing.pausedUntil = Instant::min();
+    }
+}
+
 void HomeDirectory::noteReached(const std::string &peer)
 {
     const auto it = m_standings.find(peer);
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -45,6 +45,9 @@
     /// The gateways of the fleet, by their names; this one may be among them.
     void setPeers(const std::map<std::string, GatewayPeer> &peers);
 
+    /// This gateway is about to stop: it is the home of nothing any more, as far as there are others.
+    void leave();
+
     /// Whom to ask for a key, in order: the home, then those that stand in for it. This gateway is among them, at its
     /// place.
     std::vector<std::string> candidates(std::string_view key, Instant now) const;
@@ -61,6 +64,8 @@
 
     void noteUnreachable(const std::string &peer, Instant now);
     void noteReached(const std::string &peer);
+    /// The network is back for this gateway: what failed before says nothing any more of any peer.
+    void forgetFailures();
 
     const std::string &self() const
     {
@@ -76,6 +81,7 @@
     };
 
     const std::string m_self;
+    bool m_isLeaving = false;
     const HomeDirectorySettings m_settings;
     absl::flat_hash_map<std::string, Standing> m_standings;
 };
--- a/tests/core/homedirectory_test.cpp
+++ b/tests/core/homedirectory_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace RadishSwitch;
@@ -93,3 +94,35 @@
         EXPECT_TRUE(a.isHome(key(n)));
     }
 }
+
+// A gateway is told to stop. It is nobody's home any more, also in its own eyes, but its own calls are not stranded
+// when no other is left.
+TEST_F(HomeDirectoryTest, leavingGateway_isNoHomeWhileThereAreOthers)
+{
+    HomeDirectory a("a");
+    a.setPeers(peers);
+    a.leave();
+    for (int n = 0; n < 50; ++n) {
+        const std::vector<std::string> names = a.candidates(key(n), at(0));
+        EXPECT_EQ(std::ranges::count(names, "a"), 0);
+        EXPECT_FALSE(a.isHome(key(n)));
+    }
+    a.setPeers({});
+    EXPECT_EQ(a.candidates(key(0), at(0)), std::vector<std::string>{"a"});
+}
+
+// A gateway was cut off and took all others for gone. Once it reaches the store again it asks their homes at once, and
+// does not take portions of all budgets itself.
+TEST_F(HomeDirectoryTest, forgottenFailures_makeTheOldHomesAskedAgain)
+{
+    HomeDirectory a("a");
+    a.setPeers(peers);
+    const std::vector<std::string> before = a.candidates(key(1), at(0));
+    for (int n = 0; n < 8; ++n) {
+        a.noteUnreachable("b", at(n * 10'000));
+        a.noteUnreachable("c", at(n * 10'000));
+    }
+    EXPECT_TRUE(a.isHome(key(1)));
+    a.forgetFailures();
+    EXPECT_EQ(a.candidates(key(1), at(70'000)), before);
+}
--- a/tests/core/standin_test.cpp
+++ b/tests/core/standin_test.cpp
@@ -12,7 +12,7 @@
         holderSettings.standInSurvivalTime = Seconds(2);
         holderSettings.standInShareOfFree = 0.1;
         holderSettings.shareOfFree = 0.5;
-        holderSettings.averagingTime = Seconds(4);
+        holderSettings.use.averagingTime = Seconds(4);
         holderSettings.checkpointInterval = Seconds(1);
         holderSettings.relaxedCheckpointInterval = Seconds(1);
         holderSettings.idleTime = Seconds(4);
@@ -63,7 +63,7 @@
 {
     holderSettings.requestsAhead = 6;
     // Long, so that the use of the one request is spread thin and its size alone could tell.
-    holderSettings.averagingTime = Seconds(60);
+    holderSettings.use.averagingTime = Seconds(60);
     topUp("p", 1'000'000);
     const auto usual = start("usual");
     use(*usual, "u", 3, false);
