--- a/src/gateway/peerregistry.cpp
+++ b/src/gateway/peerregistry.cpp
@@ -47,7 +47,8 @@
 
 std::string PeerRegistry::ownValue() const
 {
-    return nlohmann::json{{kAddressField, m_self.address}, {kWeightField, m_self.weight}, {kZoneField, m_self.zone}}.dump();
+    return nlohmann::json{{kAddressField, m_self.address}, {kWeightField, m_self.weight}, {kZoneField, m_self.zone}}
+        .dump();
 }
 
 void PeerRegistry::readOwn()
--- a/src/libradishswitch/budgetholdersettings.h
+++ b/src/libradishswitch/budgetholdersettings.h
@@ -26,7 +26,8 @@
     double lowWaterShare = 0.5;
     /// Share of what is free in the ledger that may be taken beyond what waiting requests need.
     double shareOfFree = 0.25;
-    /// Share of what is left of a budget that a portion wishes for, beside what waiting requests need: `heldPerLeft` times the share of the whole budget that is left, within these bounds. One for no bound.
+    /// Share of what is left of a budget that a portion wishes for, beside what waiting requests need: `heldPerLeft`
+    /// times the share of the whole budget that is left, within these bounds. One for no bound.
     double heldPerLeft = 1;
     double leastHeldShare = 1;
     double mostHeldShare = 1;
