Budgets: small reservations may overtake a large one once the ledger has nothing more

Change: in turn while the ledger may bring more; out of turn by fit once it can't or is away. Test failed first.

--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -277,18 +277,37 @@
 void BudgetHolder::serveWaiting(Entry &entry)
 {
     HeldBudget &budget = entry.second;
-    const bool hadWaiting = budget.hasWaiting();
-    while (budget.hasWaiting() && budget.current().available() >= budget.waiting().front().request.tokens) {
-        WaitingReservation served = std::move(budget.waiting().front());
-        budget.waiting().pop_front();
-        m_timers.cancel(served.timer);
-        answer(std::move(served.callback), grant(entry, served.request.request, served.request.tokens));
-    }
-    if (hadWaiting && !budget.hasWaiting()) {
+    if (!budget.hasWaiting()) {
+        return;
+    }
+    const bool mayOvertake = !hasMoreToCome(budget);
+    std::deque<WaitingReservation> kept;
+    for (WaitingReservation &it : budget.waiting()) {
+        const bool isItsTurn = kept.empty() || mayOvertake;
+        if (!isItsTurn || budget.current().available() < it.request.tokens) {
+            kept.push_back(std::move(it));
+            continue;
+        }
+        m_timers.cancel(it.timer);
+        answer(std::move(it.callback), grant(entry, it.request.request, it.request.tokens));
+    }
+    budget.waiting() = std::move(kept);
+    if (!budget.hasWaiting()) {
         askIfLow(entry);
     }
 }
 
+// While the ledger may bring enough, requests are served in turn: small ones would take each portion before a large one
+// has its share. Once nothing more comes, a large one can only wait for open reservations to end; small ones that waited
+// behind it for its whole patience were refused as late, 150 a second of 250, with room for most of them.
+bool BudgetHolder::hasMoreToCome(const HeldBudget &budget) const
+{
+    if (m_ledger.isStoreAway(budget.shard())) {
+        return false;
+    }
+    return budget.isAsking || !isFreeKnown(budget) || budget.lastFree >= budget.smallestUseful();
+}
+
 void BudgetHolder::refuseHopeless(Entry &entry)
 {
     if (!entry.second.hasWaiting()) {
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgetholder.h
@@ -131,6 +131,7 @@
     void handleDeadline(Entry &entry, const RequestId &request);
     void evaluate(Entry &entry);
     void serveWaiting(Entry &entry);
+    bool hasMoreToCome(const HeldBudget &budget) const;
     void refuseHopeless(Entry &entry);
     std::optional<absl::Status> refusalOf(const Entry &entry, std::int64_t tokens) const;
     void refuseAll(Entry &entry, const absl::Status &status);
--- a/tests/core/budgetholder_test.cpp
+++ b/tests/core/budgetholder_test.cpp
@@ -390,4 +390,42 @@
     EXPECT_LE(process->link.writes() - writes, 2 * 12);
 }
 
+// The budget is nearly used up. A large question waits for open calls to free enough; small ones behind it fit into what
+// is there, and are not made to wait, and be refused as late, for what may never come.
+TEST_F(BudgetHolderTest, reserve_smallBehindLargeAtTheEndOfTheBudget_isGrantedAtOnce)
+{
+    topUp("p", 10'000);
+    const auto process = start("h1");
+    ASSERT_TRUE(reserve(*process, "open", 8'000)->result == std::nullopt);
+    run(Seconds(2));
+    const auto large = reserve(*process, "large", 5'000);
+    run(Seconds(2));
+    EXPECT_FALSE(large->result);
+    const auto small = reserve(*process, "small", 1'000);
+    run(Milliseconds(10));
+    EXPECT_TRUE(small->isGranted());
+    EXPECT_TRUE(process->holder->settle(RequestId("open"), 1'000).ok());
+    run(Milliseconds(10));
+    EXPECT_TRUE(large->isGranted());
+}
+
+// The ledger has plenty, and is slow. Who asked first is served first, however large: else small requests would take
+// each portion before the large one has its share.
+TEST_F(BudgetHolderTest, reserve_smallBehindLargeWhileTheLedgerIsAsked_waitsItsTurn)
+{
+    topUp("p", 1'000'000);
+    const auto process = start("h1");
+    ASSERT_TRUE(spend(*process, "first", 100, 100));
+    process->link.setDelay(Milliseconds(300));
+    const auto large = reserve(*process, "large", 400'000);
+    run(Milliseconds(50));
+    const auto small = reserve(*process, "small", 10);
+    run(Milliseconds(50));
+    EXPECT_FALSE(large->result);
+    EXPECT_FALSE(small->result);
+    run(Seconds(2));
+    EXPECT_TRUE(large->isGranted());
+    EXPECT_TRUE(small->isGranted());
+}
+
 }
