--- a/tests/core/budgetholder_test.cpp
+++ b/tests/core/budgetholder_test.cpp
@@ -390,8 +390,8 @@
     EXPECT_LE(process->link.writes() - writes, 2 * 12);
 }
 
-// The budget is nearly used up. A large question waits for open calls to free enough; small ones behind it fit into what
-// is there, and are not made to wait, and be refused as late, for what may never come.
+// The budget is nearly used up. A large question waits for open calls to free enough; small ones behind it fit into
+// what is there, and are not made to wait, and be refused as late, for what may never come.
 TEST_F(BudgetHolderTest, reserve_smallBehindLargeAtTheEndOfTheBudget_isGrantedAtOnce)
 {
     topUp("p", 10'000);
