--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -298,8 +298,8 @@
 }
 
 // While the ledger may bring enough, requests are served in turn: small ones would take each portion before a large one
-// has its share. Once nothing more comes, a large one can only wait for open reservations to end; small ones that waited
-// behind it for its whole patience were refused as late, 150 a second of 250, with room for most of them.
+// has its share. Once nothing more comes, a large one can only wait for open reservations to end; small ones that
+// waited behind it for its whole patience were refused as late, 150 a second of 250, with room for most of them.
 bool BudgetHolder::hasMoreToCome(const HeldBudget &budget) const
 {
     if (m_ledger.isStoreAway(budget.shard())) {
