--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -86,9 +86,9 @@
     // and 0.99 with 0.12.
     holder.shareOfFree = 0.25;
     holder.standInShareOfFree = 0.1;
-    // Standard days of four sites with a loss of power, one play each: worth 0.415 on the mean with this bound, 0.403
-    // with none and 0.405 with 2.5 times; days without one are worth 0.57, 0.61 and 0.59.
-    holder.heldPerLeft = 1.5;
+    // Standard days of two sites, two plays each, worth on the mean of those with a loss of power and of those without:
+    // 0.447 and 0.598 with this bound, 0.448 and 0.551 with 1.5 times, 0.423 and 0.627 with none.
+    holder.heldPerLeft = 2;
     holder.leastHeldShare = 0.15;
     holder.mostHeldShare = 0.6;
     holder.requestsAhead = 6;
