net: a server's close returns once its connections are closed too

Cause: HttpServer::close waited for the listener alone. A call that began on a kept connection in the moment before that connection's own close got no answer, and its outcome was unknown, where a refused connection proves that it did not run. Change: close waits for the connections too, a second form calls back, and the stand-in answers the fault after that. HttpServerTest.close_requestInProgressElsewhere_connectionIsClosedOnReturn fails without the wait.

--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <future>
 #include <mutex>
 #include <unordered_set>
@@ -22,7 +23,7 @@
 
 const Log kLog("http");
 
-/// Workers that were never started would never close the listener.
+/// Workers that were never started would never close anything.
 constexpr Duration kCloseWait = std::chrono::seconds(1);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
@@ -53,9 +54,10 @@
     net::awaitable<void> accept();
     void serve(ServerSocket socket);
     net::awaitable<void> runSession(std::shared_ptr<HttpSessionBase> session);
-    /// Ready once the listener is closed, on a worker.
-    std::future<void> closeListener();
-    void forEachSession(void (HttpSessionBase::*member)());
+    /// Calls back on a worker once the listener is closed.
+    void closeListener(std::function<void()> onClosed);
+    void closeAll(std::function<void()> onClosed);
+    void drainSessions();
     /// With the mutex held.
     void tellIfDrained();
 
@@ -188,27 +190,48 @@
     }
 }
 
-std::future<void> HttpServer::Private::closeListener()
+void HttpServer::Private::closeListener(std::function<void()> onClosed)
 {
-    const auto closed = std::make_shared<std::promise<void>>();
-    net::post(strand, [self = shared_from_this(), closed] {
+    net::post(strand, [self = shared_from_this(), onClosed = std::move(onClosed)] {
         boost::system::error_code ec;
         self->acceptor.close(ec);
-        const std::lock_guard lock(self->mutex);
-        self->isListening = false;
-        self->tellIfDrained();
-        closed->set_value();
+        {
+            const std::lock_guard lock(self->mutex);
+            self->isListening = false;
+            self->tellIfDrained();
+        }
+        if (onClosed) {
+            onClosed();
+        }
     });
-    return closed->get_future();
 }
 
-void HttpServer::Private::forEachSession(void (HttpSessionBase::*member)())
+void HttpServer::Private::closeAll(std::function<void()> onClosed)
 {
     const std::lock_guard lock(mutex);
     isDraining = true;
+    const auto left = std::make_shared<std::atomic<std::size_t>>(sessions.size() + 1);
+    const auto countDown = [left, onClosed = std::move(onClosed)] {
+        if (--*left == 0 && onClosed) {
+            onClosed();
+        }
+    };
+    closeListener(countDown);
     for (const auto &session : sessions) {
-        net::post(session->strand(), [session, member] {
-            (session.get()->*member)();
+        net::post(session->strand(), [session, countDown] {
+            session->close();
+            countDown();
+        });
+    }
+}
+
+void HttpServer::Private::drainSessions()
+{
+    const std::lock_guard lock(mutex);
+    isDraining = true;
+    for (const auto &session : sessions) {
+        net::post(session->strand(), [session] {
+            session->drain();
         });
     }
 }
@@ -263,8 +286,8 @@
         const std::lock_guard lock(d->mutex);
         d->onDrained = std::move(onDrained);
     }
-    d->forEachSession(&HttpSessionBase::drain);
-    d->closeListener();
+    d->drainSessions();
+    d->closeListener({});
 }
 
 int HttpServer::openConnections() const
@@ -280,14 +303,21 @@
 
 void HttpServer::close()
 {
-    const std::future<void> closed = d->closeListener();
-    d->forEachSession(&HttpSessionBase::close);
+    const auto closed = std::make_shared<std::promise<void>>();
+    close([closed] {
+        closed->set_value();
+    });
     net::io_context &context = d->workers.context();
-    // A connection that was taken in after this has returned would be reset, and its caller could not know whether its
-    // request ran; refused by the system, it knows.
+    // A request on a connection that was closed or taken in after this has returned would get no answer, and its caller
+    // could not know whether it ran; refused by the system, it knows.
     if (!context.get_executor().running_in_this_thread() && !context.stopped()) {
-        closed.wait_for(kCloseWait);
+        closed->get_future().wait_for(kCloseWait);
     }
 }
 
+void HttpServer::close(std::function<void()> onClosed)
+{
+    d->closeAll(std::move(onClosed));
+}
+
 }
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -100,9 +100,12 @@
     /// Requests whose handler has not returned.
     int requestsInProgress() const;
 
-    /// Closes everything at once. Called off the workers, it returns when no connection is taken any more.
+    /// Closes everything at once. Called off the workers, it returns when no connection is open or taken any more.
     void close();
 
+    /// The same without waiting: calls back, on a worker, when no connection is open or taken any more.
+    void close(std::function<void()> onClosed);
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -29,7 +29,7 @@
     /// Its share of the work that one gateway does for all, relative to the others.
     double weight = 1;
     /// Its availability zone.
-    std::string zone;
+    std::string zone = {};
 
     bool operator==(const GatewayPeer &) const = default;
 };
--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -1,5 +1,6 @@
 #include "platformserver.h"
 
+#include "asyncresult.h"
 #include "failure.h"
 #include "httperror.h"
 #include "log.h"
@@ -112,7 +113,9 @@
     const HttpRequest &request = exchange.request();
     const std::optional<UrlTarget> target = UrlTarget::parse(request.target);
     if (target && target->path().starts_with(kControl)) {
-        (void)co_await exchange.respond(serveControl(request, target->path().substr(sizeof kControl - 1)));
+        HttpResponse response = serveControl(request, target->path().substr(sizeof kControl - 1));
+        co_await closeRetired();
+        (void)co_await exchange.respond(std::move(response));
         co_return;
     }
     const absl::StatusOr<PlatformCall> call = PlatformCall::read(request);
@@ -330,7 +333,7 @@
 {
     const std::lock_guard lock(m_mutex);
     if (refuses) {
-        m_objects.reset();
+        m_retired = std::move(m_objects);
         return;
     }
     m_objects = makeServer();
@@ -340,6 +343,26 @@
     }
 }
 
+// Were the fault told as done before the connections are closed, the next call could begin on one of them. Its outcome
+// would be unknown, where a refused connection proves that it did not run.
+net::awaitable<void> PlatformServer::closeRetired()
+{
+    std::unique_ptr<HttpServer> retired;
+    {
+        const std::lock_guard lock(m_mutex);
+        retired = std::move(m_retired);
+    }
+    if (!retired) {
+        co_return;
+    }
+    const auto close = [server = retired.get()](auto done) {
+        server->close([done] {
+            done(true);
+        });
+    };
+    (void)co_await awaitCallback<bool>(close);
+}
+
 absl::Status PlatformServer::feedInstance(const std::string &text)
 {
     {
--- a/src/standins/platform/platformserver.h
+++ b/src/standins/platform/platformserver.h
@@ -77,6 +77,7 @@
     void wakeAllWatchers();
     static void wake(const Waiter &waiter);
     void setRefusing(bool refuses);
+    boost::asio::awaitable<void> closeRetired();
     std::unique_ptr<HttpServer> makeServer();
 
     WorkerPool &m_workers;
@@ -87,6 +88,8 @@
 
     std::mutex m_mutex;
     std::unique_ptr<HttpServer> m_objects;
+    /// Refuses connections from now on, and has yet to close those that are open.
+    std::unique_ptr<HttpServer> m_retired;
     ObjectTable m_table;
     InstanceList m_instances;
     FaultPlan m_faults;
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <thread>
 
 using namespace RadishSwitch;
 
@@ -287,6 +288,34 @@
     EXPECT_EQ(response->body, "POST / late");
 }
 
+TEST_F(HttpServerTest, close_requestInProgressElsewhere_connectionIsClosedOnReturn)
+{
+    // A server closes while one of its connections is busy on another worker. A caller that sends on that connection
+    // after the close has returned would get no answer and could not know whether its request ran.
+    constexpr Duration kBusy = std::chrono::milliseconds(200);
+    std::promise<void> started;
+    HttpServer &server = start([&](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+        started.set_value();
+        std::this_thread::sleep_for(kBusy);
+        co_await echo(exchange);
+    });
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), server.port()});
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    started.get_future().wait();
+
+    server.close();
+
+    char c = 0;
+    boost::system::error_code ec;
+    socket.non_blocking(true);
+    while (!ec) {
+        socket.read_some(boost::asio::buffer(&c, 1), ec);
+    }
+    EXPECT_NE(ec, boost::asio::error::would_block);
+}
+
 TEST_F(HttpServerTest, listen_wrongAddressOrMissingCertificate_isInvalidSettings)
 {
     HttpServerSettings tls;
