Budgets: tell each portion that is taken and given back

Change: BudgetHolderListener replaces the callback for a budget that ran dry; PrepaidBudgets logs 'portion taken' and 'portion given back' with amounts and what is free. BudgetHolderTest.stop_portionsTakenAndReturned_allOfThemAreTold.

--- a/src/gateway/prepaidbudgets.cpp
+++ b/src/gateway/prepaidbudgets.cpp
@@ -30,9 +30,12 @@
     , m_timers(timers)
     , m_isStoreLost(std::move(isStoreLost))
 {
-    m_holder.setRunDryListener([this](const BudgetId &budget, const BudgetGlance &glance) {
-        logRunDry(budget, glance);
-    });
+    m_holder.setListener(this);
+}
+
+PrepaidBudgets::~PrepaidBudgets()
+{
+    m_holder.setListener(nullptr);
 }
 
 BudgetId PrepaidBudgets::budgetOf(const OrganisationId &organisation)
@@ -40,7 +43,24 @@
     return BudgetId{organisation, kBudgetName};
 }
 
-void PrepaidBudgets::logRunDry(const BudgetId &budget, const BudgetGlance &glance) const
+void PrepaidBudgets::handleTaken(const BudgetId &budget, const HeldPortion &portion, std::int64_t tokens,
+                                 const BudgetGlance &glance)
+{
+    kLog.info("portion taken",
+              {field("budget", budget.toString()), field("number", portion.number), field("tokens", tokens),
+               field("available", portion.available()), field("reserved", portion.reserved),
+               field("spent", portion.spent), field("free", glance.free), field("paid", glance.paid)});
+}
+
+void PrepaidBudgets::handleGivenBack(const BudgetId &budget, const HeldPortion &portion, std::int64_t tokens)
+{
+    kLog.info("portion given back",
+              {field("budget", budget.toString()), field("number", portion.number), field("tokens", tokens),
+               field("available", portion.available()), field("reserved", portion.reserved),
+               field("spent", portion.spent)});
+}
+
+void PrepaidBudgets::handleRunDry(const BudgetId &budget, const BudgetGlance &glance)
 {
     HeldBudgetStatus::Portion here;
     if (const std::optional<HeldBudgetStatus> status = m_holder.budgetStatus(budget)) {
--- a/src/gateway/prepaidbudgets.h
+++ b/src/gateway/prepaidbudgets.h
@@ -13,12 +13,13 @@
 
 /// This gateway's portions of organisations' prepaid budgets, one budget an organisation, with the totals that the
 /// configuration says were paid.
-class PrepaidBudgets : public LocalBudgets
+class PrepaidBudgets : public LocalBudgets, private BudgetHolderListener
 {
 public:
     /// `isStoreLost` tells whether the store is lost by what else is asked of it.
     PrepaidBudgets(Ledger &ledger, BudgetHolder &holder, const HomeDirectory &homes, TimerService &timers,
                    std::function<bool()> isStoreLost);
+    ~PrepaidBudgets() override;
 
     static BudgetId budgetOf(const OrganisationId &organisation);
 
@@ -40,9 +41,12 @@
         std::int64_t booked = 0;
     };
 
-    /// Tells a budget that was used up from one whose rest lies in portions: of others, or of gateways that were
-    /// killed.
-    void logRunDry(const BudgetId &budget, const BudgetGlance &glance) const;
+    /// Logs what tells a budget that was used up from one whose rest lies in portions: of others, or of gateways that
+    /// were killed.
+    void handleRunDry(const BudgetId &budget, const BudgetGlance &glance) override;
+    void handleTaken(const BudgetId &budget, const HeldPortion &portion, std::int64_t tokens,
+                     const BudgetGlance &glance) override;
+    void handleGivenBack(const BudgetId &budget, const HeldPortion &portion, std::int64_t tokens) override;
     /// Whether a reservation needs nothing of the ledger.
     bool holds(const ReservationRequest &request) const;
     void book(const BudgetId &budget, Allowance &allowance);
--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgetholder.cpp
@@ -37,9 +37,9 @@
     }
 }
 
-void BudgetHolder::setRunDryListener(RunDryListener listener)
+void BudgetHolder::setListener(BudgetHolderListener *listener)
 {
-    m_onRunDry = std::move(listener);
+    m_listener = listener;
 }
 
 void BudgetHolder::reserve(const ReservationRequest &request, ReservationCallback callback)
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgetholder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budgetholderlistener.h"
 #include "heldbudget.h"
 #include "ledger.h"
 #include "reportspendchange.h"
@@ -62,10 +63,8 @@
     BudgetHolder(const BudgetHolder &) = delete;
     BudgetHolder &operator=(const BudgetHolder &) = delete;
 
-    using RunDryListener = std::function<void(const BudgetId &, const BudgetGlance &)>;
-
-    /// Called with how a budget stands in the ledger, each time that too little is left there for the next request.
-    void setRunDryListener(RunDryListener listener);
+    /// Null for none. The listener must outlive the holder or be taken away before.
+    void setListener(BudgetHolderListener *listener);
 
     /// Sets the worst case of a request aside. Waits, until the request's deadline, while the ledger is asked or while
     /// open reservations here can still free enough; answers at once when neither can help.
@@ -151,6 +150,7 @@
     void drop(Entry &entry, std::uint32_t number);
     void retire(Entry &entry, HeldPortion portion);
     void returnWhole(Entry &entry, const HeldPortion &portion);
+    void tellGivenBack(const Entry &entry, const HeldPortion &portion, std::int64_t tokens);
     void surrender(Entry &entry, HeldPortion &portion, std::int64_t tokens);
     void withholdPart(Entry &entry, HeldPortion &portion, std::int64_t tokens, const RequestId &request);
     void submitCalm(Entry &entry, std::uint32_t number, std::shared_ptr<LedgerChange> change);
@@ -185,7 +185,7 @@
     /// Portions that are held or on their way here or back.
     std::size_t m_portions = 0;
     std::function<void()> m_onStopped;
-    RunDryListener m_onRunDry;
+    BudgetHolderListener *m_listener = nullptr;
     bool m_isStopping = false;
     Instant m_replaceTakenBefore = Instant::min();
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgetholderledger.cpp
@@ -130,8 +130,8 @@
         budget.lastPaid = change.glance().paid;
         budget.lastFreeAt = m_timers.now();
         adopt(entry, change, asked);
-        if (change.glance().free < change.request().smallestUseful && m_onRunDry) {
-            m_onRunDry(entry.first, change.glance());
+        if (change.glance().free < change.request().smallestUseful && m_listener) {
+            m_listener->handleRunDry(entry.first, change.glance());
         }
     } else if (failureCode(status) == FailureCode::PortionClosed) {
         drop(entry, asked.number);
@@ -161,8 +161,12 @@
     HeldPortion &current = entry.second.current();
     if (current.number == asked.number) {
         // Parts may have been given away since the question went out, so that what it added is what counts.
-        current.granted += change.granted() - asked.granted;
+        const std::int64_t added = change.granted() - asked.granted;
+        current.granted += added;
         current.confirmedAt = std::max(current.confirmedAt, asked.at);
+        if (added > 0 && m_listener) {
+            m_listener->handleTaken(entry.first, current, added, change.glance());
+        }
         return;
     }
     ++m_portions;
@@ -172,6 +176,9 @@
     fresh.granted = change.granted();
     fresh.takenAt = asked.at;
     fresh.confirmedAt = asked.at;
+    if (m_listener) {
+        m_listener->handleTaken(entry.first, fresh, fresh.granted, change.glance());
+    }
     const HeldPortion before = entry.second.replaceCurrent(fresh);
     if (before.number != 0) {
         retire(entry, before);
@@ -204,6 +211,7 @@
 void BudgetHolder::returnWhole(Entry &entry, const HeldPortion &portion)
 {
     const auto change = std::make_shared<ReturnPortionChange>(entry.first, portionId(portion.number), portion.spent);
+    tellGivenBack(entry, portion, portion.available());
     const bool isAwaited = m_isStopping || entry.second.hasWaiting();
     const Urgency urgency = isAwaited ? Urgency::Urgent : calmUrgency(entry.second);
     entry.second.pendingChanges += 1;
@@ -221,6 +229,13 @@
                     });
 }
 
+void BudgetHolder::tellGivenBack(const Entry &entry, const HeldPortion &portion, std::int64_t tokens)
+{
+    if (m_listener) {
+        m_listener->handleGivenBack(entry.first, portion, tokens);
+    }
+}
+
 void BudgetHolder::returnIfDrained(Entry &entry, const HeldPortion &portion)
 {
     if (&portion == &entry.second.current() || portion.reserved > 0) {
@@ -235,6 +250,7 @@
 {
     portion.granted -= tokens;
     portion.sequence += 1;
+    tellGivenBack(entry, portion, tokens);
     submitCalm(entry, portion.number,
                std::make_shared<ReturnPortionChange>(entry.first, portionId(portion.number), portion.spent,
                                                      portion.sequence, portion.granted));
--- a/tests/core/budgetholder_test.cpp
+++ b/tests/core/budgetholder_test.cpp
@@ -3,6 +3,34 @@
 namespace RadishSwitch
 {
 
+namespace
+{
+
+class RecordingListener : public BudgetHolderListener
+{
+public:
+    void handleRunDry(const BudgetId &, const BudgetGlance &glance) override
+    {
+        dry.push_back(glance);
+    }
+
+    void handleTaken(const BudgetId &, const HeldPortion &, std::int64_t tokens, const BudgetGlance &) override
+    {
+        taken += tokens;
+    }
+
+    void handleGivenBack(const BudgetId &, const HeldPortion &, std::int64_t tokens) override
+    {
+        givenBack += tokens;
+    }
+
+    std::vector<BudgetGlance> dry;
+    std::int64_t taken = 0;
+    std::int64_t givenBack = 0;
+};
+
+}
+
 class BudgetHolderTest : public BudgetFixture
 {
 };
@@ -152,19 +180,35 @@
     reserve(*other, "s", 70);
     run(Seconds(1));
     const auto process = start("h2");
-    std::vector<BudgetGlance> told;
-    process->holder->setRunDryListener([&told](const BudgetId &, const BudgetGlance &glance) {
-        told.push_back(glance);
-    });
+    RecordingListener listener;
+    process->holder->setListener(&listener);
     const auto refused = reserve(*process, "t", 10, Milliseconds(400));
     run(Seconds(1));
 
     EXPECT_TRUE(refused->isRefusedWith(FailureCode::BudgetExhausted));
-    ASSERT_EQ(told.size(), 1u);
-    EXPECT_EQ(told.at(0).paid, 100);
-    EXPECT_EQ(told.at(0).free, 0);
-    EXPECT_GE(told.at(0).unspentInPortions, 70);
-    EXPECT_EQ(told.at(0).portions, 1u);
+    ASSERT_EQ(listener.dry.size(), 1u);
+    EXPECT_EQ(listener.dry.at(0).paid, 100);
+    EXPECT_EQ(listener.dry.at(0).free, 0);
+    EXPECT_GE(listener.dry.at(0).unspentInPortions, 70);
+    EXPECT_EQ(listener.dry.at(0).portions, 1u);
+}
+
+TEST_F(BudgetHolderTest, stop_portionsTakenAndReturned_allOfThemAreTold)
+{
+    topUp("p", 100'000);
+    const auto process = start("h1");
+    RecordingListener listener;
+    process->holder->setListener(&listener);
+    ASSERT_TRUE(spend(*process, "r", 100, 60));
+    ASSERT_TRUE(spend(*process, "s", 20'000, 20'000));
+
+    process->holder->stop([] {});
+    run(Seconds(1));
+
+    EXPECT_GE(listener.taken, 20'060);
+    EXPECT_EQ(listener.givenBack, listener.taken - 20'060);
+    EXPECT_EQ(record().settled(), 20'060);
+    expectLedgerHolds();
 }
 
 TEST_F(BudgetHolderTest, reserve_deadlinePassesWhileWaiting_isRefusedThen)
