--- a/benchmarks/budgets.cpp
+++ b/benchmarks/budgets.cpp
@@ -1,12 +1,12 @@
 // Reserving and settling in a holder that has many budgets loaded, and what each of them costs in memory.
 
-#include "budgetholder.h"
-#include "createbudgetchange.h"
+#include "budgets/budgetholder.h"
+#include "budgets/createbudgetchange.h"
+#include "budgets/takeportionchange.h"
+#include "budgets/topupchange.h"
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
 #include "seededrandom.h"
-#include "takeportionchange.h"
-#include "topupchange.h"
 #include "virtualtimerservice.h"
 
 #include <benchmark/benchmark.h>
--- a/benchmarks/routing.cpp
+++ b/benchmarks/routing.cpp
@@ -1,7 +1,7 @@
-#include "fairqueue.h"
-#include "fleetmembership.h"
+#include "limits/fairqueue.h"
 #include "manualtaskqueue.h"
-#include "poolrouter.h"
+#include "membership/fleetmembership.h"
+#include "routing/poolrouter.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/benchmarks/table.cpp
+++ b/benchmarks/table.cpp
@@ -1,12 +1,12 @@
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
 #include "seededrandom.h"
-#include "steeringtable.h"
-#include "tablecheck.h"
-#include "tablecsv.h"
-#include "tabledocument.h"
-#include "tablefollower.h"
-#include "tableplan.h"
+#include "table/steeringtable.h"
+#include "table/tablecheck.h"
+#include "table/tablecsv.h"
+#include "table/tabledocument.h"
+#include "table/tablefollower.h"
+#include "table/tableplan.h"
 #include "virtualtimerservice.h"
 
 #include <benchmark/benchmark.h>
--- /dev/null
+++ b/scripts/checks/groups.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# The folders of src/libradishswitch include one another in one direction only, so that each can be read with those
+# below it alone.
+set -euo pipefail
+cd "$(dirname "$0")/../../src/libradishswitch"
+
+# One line an edge, "group included-group", and tsort names the groups of a circle.
+edges=$(grep -roE '^#include "[a-z]+/' --include='*.h' --include='*.cpp' . \
+    | sed -E 's|^\./([a-z]+)/[^:]*:#include "([a-z]+)/|\1 \2|' | awk '$1 != $2' | sort -u)
+if ! order=$(tsort <<<"$edges" 2>&1); then
+    echo "groups: folders of the core include one another in a circle:" >&2
+    echo "$order" | grep '^tsort:' >&2
+    exit 1
+fi
+echo "groups: $(wc -l <<<"$order") folders, no circle"
--- a/src/agent/agentmetrics.h
+++ b/src/agent/agentmetrics.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "failure.h"
+#include "base/failure.h"
+#include "base/timerservice.h"
 #include "metrics.h"
-#include "timerservice.h"
 
 #include <cstdint>
 
--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -1,6 +1,6 @@
 #include "agentruns.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "log.h"
 #include "wireconversion.h"
 
--- a/src/agent/agentruns.h
+++ b/src/agent/agentruns.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "agentmetrics.h"
-#include "answerbuffer.h"
 #include "answerreaders.h"
+#include "base/timerservice.h"
 #include "endpoint.h"
 #include "endpointmonitor.h"
 #include "messagestream.h"
+#include "requests/answerbuffer.h"
+#include "requests/runtable.h"
 #include "runinprogress.h"
-#include "runtable.h"
-#include "timerservice.h"
 #include "wire.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/src/agent/agentsettings.cpp
+++ b/src/agent/agentsettings.cpp
@@ -1,6 +1,6 @@
 #include "agentsettings.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <memory>
 #include <sstream>
--- a/src/agent/answerreader.cpp
+++ b/src/agent/answerreader.cpp
@@ -1,6 +1,6 @@
 #include "answerreader.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "wireconversion.h"
 
 #include <utility>
--- a/src/agent/answerreader.h
+++ b/src/agent/answerreader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "answerbuffer.h"
 #include "messagestream.h"
+#include "requests/answerbuffer.h"
 #include "wire.h"
 
 #include <cstdint>
--- a/src/agent/endpoint.h
+++ b/src/agent/endpoint.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "answerbuffer.h"
-#include "identifier.h"
-#include "timerservice.h"
+#include "base/identifier.h"
+#include "base/timerservice.h"
+#include "requests/answerbuffer.h"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
--- a/src/agent/endpointmonitor.h
+++ b/src/agent/endpointmonitor.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
 #include "endpoint.h"
 #include "loadreport.h"
-#include "taskqueue.h"
-#include "timerservice.h"
 #include "wire.h"
 
 #include <cstdint>
--- a/src/agent/heartbeatpublisher.h
+++ b/src/agent/heartbeatpublisher.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "endpointmonitor.h"
 #include "messagestream.h"
-#include "timerservice.h"
 #include "wire.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/src/agent/httpendpoint.cpp
+++ b/src/agent/httpendpoint.cpp
@@ -1,6 +1,6 @@
 #include "httpendpoint.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/agent/loadreport.h
+++ b/src/agent/loadreport.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpointreport.h"
+#include "routing/endpointreport.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/agent/orderforwarder.cpp
+++ b/src/agent/orderforwarder.cpp
@@ -1,6 +1,6 @@
 #include "orderforwarder.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "wireconversion.h"
 
 #include <nlohmann/json.hpp>
--- a/src/agent/orderforwarder.h
+++ b/src/agent/orderforwarder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "endpoint.h"
-#include "fencegate.h"
+#include "requests/fencegate.h"
 #include "wire.h"
 
 #include <deque>
--- a/src/agent/runinprogress.h
+++ b/src/agent/runinprogress.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "answerbuffer.h"
-#include "chatmeter.h"
+#include "base/timerservice.h"
 #include "endpoint.h"
-#include "timerservice.h"
+#include "requests/answerbuffer.h"
+#include "requests/chatmeter.h"
 #include "wire.h"
 
 #include <absl/status/status.h>
--- a/src/entry/chatstreamrelay.cpp
+++ b/src/entry/chatstreamrelay.cpp
@@ -1,7 +1,7 @@
 #include "chatstreamrelay.h"
 
 #include "apierror.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "wholeanswer.h"
 
 #include <nlohmann/json.hpp>
--- a/src/entry/chatstreamrelay.h
+++ b/src/entry/chatstreamrelay.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "answerrelay.h"
-#include "ssescanner.h"
+#include "requests/ssescanner.h"
 
 #include <string>
 #include <vector>
--- a/src/entry/dispatchgate.cpp
+++ b/src/entry/dispatchgate.cpp
@@ -1,7 +1,7 @@
 #include "dispatchgate.h"
 
 #include "agentlife.h"
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/entry/dispatchgate.h
+++ b/src/entry/dispatchgate.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "ceilingmeter.h"
-#include "endpointdirectory.h"
-#include "fairqueue.h"
+#include "limits/ceilingmeter.h"
+#include "limits/fairqueue.h"
+#include "limits/retrybudget.h"
 #include "monitor.h"
-#include "poolrouter.h"
-#include "retrybudget.h"
+#include "routing/endpointdirectory.h"
+#include "routing/poolrouter.h"
 #include "runplan.h"
 #include "wire.h"
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,7 +1,7 @@
 #include "entry.h"
 
 #include "apierror.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "log.h"
 
 #include <nlohmann/json.hpp>
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -18,7 +18,7 @@
 #include "peerlinks.h"
 #include "requestjournal.h"
 #include "systemrandom.h"
-#include "tablefollower.h"
+#include "table/tablefollower.h"
 #include "workerpool.h"
 
 #include <atomic>
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -1,6 +1,6 @@
 #include "entrysettings.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 namespace RadishSwitch
 {
--- a/src/entry/fleetagentport.h
+++ b/src/entry/fleetagentport.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "agentport.h"
+#include "agents/agentport.h"
 #include "http2transport.h"
 
 #include <functional>
--- a/src/entry/fleethomedirectory.h
+++ b/src/entry/fleethomedirectory.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "entrydirectory.h"
-#include "fleetmembership.h"
 #include "homedirectory.h"
 #include "homeservice.h"
+#include "membership/entrydirectory.h"
+#include "membership/fleetmembership.h"
 #include "monitor.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/src/entry/homeservice.h
+++ b/src/entry/homeservice.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "home.h"
 #include "homesession.h"
 #include "http2transport.h"
 #include "monitor.h"
+#include "requests/home.h"
 
 #include <memory>
 
--- a/src/entry/homesession.h
+++ b/src/entry/homesession.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "home.h"
+#include "requests/home.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/entry/homestack.h
+++ b/src/entry/homestack.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "agentport.h"
-#include "budgetholder.h"
-#include "entrydirectory.h"
-#include "holderreservations.h"
-#include "home.h"
-#include "ledger.h"
+#include "agents/agentport.h"
+#include "budgets/budgetholder.h"
+#include "budgets/holderreservations.h"
+#include "budgets/ledger.h"
+#include "budgets/portioncloser.h"
+#include "budgets/portionsweep.h"
+#include "membership/entrydirectory.h"
 #include "monitor.h"
-#include "portioncloser.h"
-#include "portionsweep.h"
+#include "requests/home.h"
 
 #include <functional>
 
--- a/src/entry/homewire.h
+++ b/src/entry/homewire.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "home.h"
+#include "requests/home.h"
 #include "wire.h"
 
 namespace RadishSwitch
--- a/src/entry/httpdoor.cpp
+++ b/src/entry/httpdoor.cpp
@@ -1,7 +1,7 @@
 #include "httpdoor.h"
 
 #include "apierror.h"
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/httpdoor.h
+++ b/src/entry/httpdoor.h
@@ -3,7 +3,7 @@
 #include "httpserver.h"
 #include "requestcounts.h"
 #include "requestsession.h"
-#include "tablefollower.h"
+#include "table/tablefollower.h"
 
 #include <atomic>
 
--- a/src/entry/listedinstances.h
+++ b/src/entry/listedinstances.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "objectstore.h"
-#include "taskqueue.h"
-#include "timerservice.h"
+#include "base/objectstore.h"
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
 
 #include <functional>
 #include <map>
--- a/src/entry/peerlinks.h
+++ b/src/entry/peerlinks.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "fleetmembership.h"
 #include "http2transport.h"
 #include "listedinstances.h"
+#include "membership/fleetmembership.h"
 #include "monitor.h"
-#include "tablefollower.h"
-#include "tablepeerport.h"
+#include "table/tablefollower.h"
+#include "table/tablepeerport.h"
 
 #include <functional>
 #include <map>
--- a/src/entry/remotehomesession.h
+++ b/src/entry/remotehomesession.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "homesession.h"
 #include "messagestream.h"
-#include "timerservice.h"
 #include "wire.h"
 
 #include <mutex>
--- a/src/entry/requestjournal.h
+++ b/src/entry/requestjournal.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "identifier.h"
-#include "taskqueue.h"
-#include "timerservice.h"
+#include "base/identifier.h"
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
 
 #include <cstdint>
 #include <deque>
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -2,7 +2,7 @@
 
 #include "apierror.h"
 #include "asyncresult.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "plainrelay.h"
 #include "wireconversion.h"
 
--- a/src/entry/runplan.cpp
+++ b/src/entry/runplan.cpp
@@ -1,11 +1,11 @@
 #include "runplan.h"
 
-#include "defaultpolicy.h"
-#include "failure.h"
-#include "fingerprint.h"
-#include "leastoutstandingpolicy.h"
-#include "prefixcachehints.h"
-#include "roundrobinpolicy.h"
+#include "base/failure.h"
+#include "base/fingerprint.h"
+#include "routing/defaultpolicy.h"
+#include "routing/leastoutstandingpolicy.h"
+#include "routing/prefixcachehints.h"
+#include "routing/roundrobinpolicy.h"
 
 #include <charconv>
 #include <utility>
--- a/src/entry/runplan.h
+++ b/src/entry/runplan.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "chatrequest.h"
+#include "base/identifier.h"
 #include "httpmessages.h"
-#include "identifier.h"
-#include "steeringtable.h"
+#include "requests/chatrequest.h"
+#include "table/steeringtable.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/entry/runstream.h
+++ b/src/entry/runstream.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "agentlife.h"
-#include "identifier.h"
+#include "base/identifier.h"
+#include "base/timerservice.h"
 #include "messageclientsource.h"
 #include "messagereader.h"
-#include "timerservice.h"
 #include "wire.h"
 
 #include <absl/status/statusor.h>
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -1,7 +1,7 @@
 #include "call.h"
 
 #include "asyncresult.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "log.h"
 #include "prepaidbudgets.h"
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -1,6 +1,6 @@
 #include "call.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "log.h"
 
 #include <algorithm>
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -1,6 +1,6 @@
 #include "callmetrics.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 namespace RadishSwitch
 {
--- a/src/gateway/endpointconnections.h
+++ b/src/gateway/endpointconnections.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/identifier.h"
 #include "httpconnection.h"
-#include "identifier.h"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,7 @@
 #include "gateway.h"
 
+#include "base/failure.h"
 #include "call.h"
-#include "failure.h"
 #include "log.h"
 #include "partsettings.h"
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,8 +2,8 @@
 
 #include "adminserver.h"
 #include "asiotimerservice.h"
-#include "budgetholder.h"
 #include "budgetpeers.h"
+#include "budgets/budgetholder.h"
 #include "budgetservice.h"
 #include "callservices.h"
 #include "configurationlistener.h"
--- a/src/gateway/logsampler.cpp
+++ b/src/gateway/logsampler.cpp
@@ -1,6 +1,6 @@
 #include "logsampler.h"
 
-#include "namehash.h"
+#include "base/namehash.h"
 
 namespace RadishSwitch
 {
--- a/src/gateway/partsettings.h
+++ b/src/gateway/partsettings.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "budgetholdersettings.h"
+#include "base/randomsource.h"
+#include "budgets/budgetholdersettings.h"
+#include "budgets/ledgersettings.h"
 #include "gatewayadapter.h"
 #include "gatewaysettings.h"
 #include "http2transport.h"
 #include "httpserver.h"
-#include "ledgersettings.h"
-#include "randomsource.h"
-#include "retrybudget.h"
+#include "limits/retrybudget.h"
 #include "serving/objectfollower.h"
 #include "serving/sharedbudgets.h"
 
--- a/src/gateway/peerregistry.cpp
+++ b/src/gateway/peerregistry.cpp
@@ -1,6 +1,6 @@
 #include "peerregistry.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "log.h"
 
 #include <nlohmann/json.hpp>
--- a/src/gateway/prepaidbudgets.cpp
+++ b/src/gateway/prepaidbudgets.cpp
@@ -1,10 +1,10 @@
 #include "prepaidbudgets.h"
 
-#include "allowancechange.h"
-#include "failure.h"
-#include "ledgerlayout.h"
+#include "base/failure.h"
+#include "budgets/allowancechange.h"
+#include "budgets/ledgerlayout.h"
+#include "budgets/returnportionchange.h"
 #include "log.h"
-#include "returnportionchange.h"
 
 #include <utility>
 
--- a/src/gateway/prepaidbudgets.h
+++ b/src/gateway/prepaidbudgets.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "budgetholder.h"
+#include "budgets/budgetholder.h"
 #include "serving/servingconfiguration.h"
 #include "serving/sharedbudgets.h"
 
--- a/src/libradishnet/adminserver.cpp
+++ b/src/libradishnet/adminserver.cpp
@@ -1,6 +1,6 @@
 #include "adminserver.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "httperror.h"
 
 namespace RadishSwitch
--- a/src/libradishnet/commonsettings.cpp
+++ b/src/libradishnet/commonsettings.cpp
@@ -1,6 +1,6 @@
 #include "commonsettings.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/ascii.h>
 
--- a/src/libradishnet/http2connection.cpp
+++ b/src/libradishnet/http2connection.cpp
@@ -1,6 +1,6 @@
 #include "http2connection.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "sourceaddress.h"
 
 #include <boost/asio/post.hpp>
--- a/src/libradishnet/http2messageserver.cpp
+++ b/src/libradishnet/http2messageserver.cpp
@@ -1,6 +1,6 @@
 #include "http2connection.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <boost/asio/post.hpp>
--- a/src/libradishnet/http2session.cpp
+++ b/src/libradishnet/http2session.cpp
@@ -1,6 +1,6 @@
 #include "http2session.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "http2sessioncallbacks.h"
 
 #include <array>
--- a/src/libradishnet/http2stream.h
+++ b/src/libradishnet/http2stream.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "failure.h"
+#include "base/failure.h"
 #include "frameassembler.h"
 #include "framequeue.h"
 #include "messagestream.h"
--- a/src/libradishnet/http2transport.h
+++ b/src/libradishnet/http2transport.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "messageclientsource.h"
 #include "messagestream.h"
-#include "timerservice.h"
 #include "workerpool.h"
 
 #include <absl/status/statusor.h>
--- a/src/libradishnet/httpclient.cpp
+++ b/src/libradishnet/httpclient.cpp
@@ -1,6 +1,6 @@
 #include "httpclient.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "httpconnection.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/libradishnet/httpclient.h
+++ b/src/libradishnet/httpclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "httpmessages.h"
-#include "timerservice.h"
 #include "workerpool.h"
 
 #include <utility>
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -1,6 +1,6 @@
 #include "httpconnection.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "log.h"
 #include "socketaddress.h"
 
--- a/src/libradishnet/httpobjectstore.cpp
+++ b/src/libradishnet/httpobjectstore.cpp
@@ -1,6 +1,6 @@
 #include "httpobjectstore.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "httpclient.h"
 #include "storeanswers.h"
 #include "urlcoding.h"
--- a/src/libradishnet/log.h
+++ b/src/libradishnet/log.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "logsettings.h"
-#include "timerservice.h"
 
 #include <atomic>
 #include <concepts>
--- a/src/libradishnet/messagereader.cpp
+++ b/src/libradishnet/messagereader.cpp
@@ -1,6 +1,6 @@
 #include "messagereader.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/src/libradishnet/monitor.h
+++ b/src/libradishnet/monitor.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "agentport.h"
-#include "objectstore.h"
-#include "taskqueue.h"
-#include "timerservice.h"
+#include "agents/agentport.h"
+#include "base/objectstore.h"
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
 
 #include <mutex>
 #include <utility>
--- a/src/libradishnet/settingsparser.cpp
+++ b/src/libradishnet/settingsparser.cpp
@@ -1,6 +1,6 @@
 #include "settingsparser.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
--- a/src/libradishnet/settingsparser.h
+++ b/src/libradishnet/settingsparser.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "socketaddress.h"
-#include "timerservice.h"
 
 #include <absl/status/status.h>
 
--- a/src/libradishnet/socketaddress.cpp
+++ b/src/libradishnet/socketaddress.cpp
@@ -1,6 +1,6 @@
 #include "socketaddress.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <utility>
 
--- a/src/libradishnet/tlscontext.cpp
+++ b/src/libradishnet/tlscontext.cpp
@@ -1,6 +1,6 @@
 #include "tlscontext.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "http2transport.h"
 
 #include <openssl/ssl.h>
--- a/src/libradishnet/unarycall.cpp
+++ b/src/libradishnet/unarycall.cpp
@@ -1,6 +1,6 @@
 #include "unarycall.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <mutex>
 #include <utility>
--- a/src/libradishnet/unarycall.h
+++ b/src/libradishnet/unarycall.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "messagestream.h"
-#include "timerservice.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishnet/wireconversion.h
+++ b/src/libradishnet/wireconversion.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "agentport.h"
-#include "failure.h"
-#include "runtable.h"
+#include "agents/agentport.h"
+#include "base/failure.h"
+#include "requests/runtable.h"
 #include "wire.h"
 
 #include <absl/status/statusor.h>
--- a/src/libradishswitch/agentroster.cpp
+++ b/src/libradishswitch/agents/agentroster.cpp
@@ -1,4 +1,4 @@
-#include "agentroster.h"
+#include "agents/agentroster.h"
 
 #include <utility>
 
--- a/src/libradishswitch/apikeyhash.cpp
+++ b/src/libradishswitch/base/apikeyhash.cpp
@@ -1,4 +1,4 @@
-#include "apikeyhash.h"
+#include "base/apikeyhash.h"
 
 #include <absl/strings/escaping.h>
 #include <openssl/sha.h>
--- a/src/libradishswitch/boundedcall.h
+++ b/src/libradishswitch/base/boundedcall.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "failure.h"
-#include "timerservice.h"
+#include "base/failure.h"
+#include "base/timerservice.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/decayingrate.cpp
+++ b/src/libradishswitch/base/decayingrate.cpp
@@ -1,4 +1,4 @@
-#include "decayingrate.h"
+#include "base/decayingrate.h"
 
 #include <cmath>
 
--- a/src/libradishswitch/failure.cpp
+++ b/src/libradishswitch/base/failure.cpp
@@ -1,4 +1,4 @@
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/cord.h>
 #include <absl/strings/numbers.h>
--- a/src/libradishswitch/fingerprint.cpp
+++ b/src/libradishswitch/base/fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "fingerprint.h"
+#include "base/fingerprint.h"
 
 #include <absl/strings/escaping.h>
 #include <openssl/sha.h>
--- a/src/libradishswitch/rendezvous.cpp
+++ b/src/libradishswitch/base/rendezvous.cpp
@@ -1,4 +1,4 @@
-#include "rendezvous.h"
+#include "base/rendezvous.h"
 
 #include <xxhash.h>
 
--- a/src/libradishswitch/storecallbudget.cpp
+++ b/src/libradishswitch/base/storecallbudget.cpp
@@ -1,4 +1,4 @@
-#include "storecallbudget.h"
+#include "base/storecallbudget.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libradishswitch/tokenbucket.cpp
+++ b/src/libradishswitch/base/tokenbucket.cpp
@@ -1,4 +1,4 @@
-#include "tokenbucket.h"
+#include "base/tokenbucket.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libradishswitch/allowancechange.cpp
+++ b/src/libradishswitch/budgets/allowancechange.cpp
@@ -1,4 +1,4 @@
-#include "allowancechange.h"
+#include "budgets/allowancechange.h"
 
 #include <cstdio>
 #include <utility>
--- a/src/libradishswitch/beginclosechange.cpp
+++ b/src/libradishswitch/budgets/beginclosechange.cpp
@@ -1,4 +1,4 @@
-#include "beginclosechange.h"
+#include "budgets/beginclosechange.h"
 
 #include <utility>
 
--- a/src/libradishswitch/billing.cpp
+++ b/src/libradishswitch/budgets/billing.cpp
@@ -1,4 +1,4 @@
-#include "billing.h"
+#include "budgets/billing.h"
 
 #include <utility>
 
--- a/src/libradishswitch/billing.h
+++ b/src/libradishswitch/budgets/billing.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "agentport.h"
-#include "reservationport.h"
+#include "agents/agentport.h"
+#include "budgets/reservationport.h"
 
 #include <cstdint>
 #include <map>
--- a/src/libradishswitch/budgetglance.h
+++ b/src/libradishswitch/budgets/budgetglance.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ledgershard.h"
+#include "budgets/ledgershard.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/budgetholder.cpp
+++ b/src/libradishswitch/budgets/budgetholder.cpp
@@ -1,6 +1,6 @@
-#include "budgetholder.h"
+#include "budgets/budgetholder.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/budgetholder.h
+++ b/src/libradishswitch/budgets/budgetholder.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "budgetholderlistener.h"
-#include "heldbudget.h"
-#include "ledger.h"
-#include "reportspendchange.h"
-#include "takeportionchange.h"
+#include "budgets/budgetholderlistener.h"
+#include "budgets/heldbudget.h"
+#include "budgets/ledger.h"
+#include "budgets/reportspendchange.h"
+#include "budgets/takeportionchange.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
--- a/src/libradishswitch/budgetholderledger.cpp
+++ b/src/libradishswitch/budgets/budgetholderledger.cpp
@@ -1,8 +1,8 @@
-#include "budgetholder.h"
+#include "budgets/budgetholder.h"
 
-#include "failure.h"
-#include "returnportionchange.h"
-#include "withholdpartchange.h"
+#include "base/failure.h"
+#include "budgets/returnportionchange.h"
+#include "budgets/withholdpartchange.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/budgetholderlistener.h
+++ b/src/libradishswitch/budgets/budgetholderlistener.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "budgetglance.h"
-#include "heldbudget.h"
-#include "reservation.h"
+#include "budgets/budgetglance.h"
+#include "budgets/heldbudget.h"
+#include "budgets/reservation.h"
 
 #include <cstdint>
 
--- a/src/libradishswitch/budgetholdersettings.h
+++ b/src/libradishswitch/budgets/budgetholdersettings.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "identifier.h"
-#include "timerservice.h"
-#include "tokenuse.h"
+#include "base/identifier.h"
+#include "base/timerservice.h"
+#include "budgets/tokenuse.h"
 
 #include <cstddef>
 #include <string>
--- a/src/libradishswitch/budgetrecord.cpp
+++ b/src/libradishswitch/budgets/budgetrecord.cpp
@@ -1,6 +1,6 @@
-#include "budgetrecord.h"
+#include "budgets/budgetrecord.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 
--- a/src/libradishswitch/createbudgetchange.cpp
+++ b/src/libradishswitch/budgets/createbudgetchange.cpp
@@ -1,4 +1,4 @@
-#include "createbudgetchange.h"
+#include "budgets/createbudgetchange.h"
 
 #include <utility>
 
--- a/src/libradishswitch/finishclosechange.cpp
+++ b/src/libradishswitch/budgets/finishclosechange.cpp
@@ -1,4 +1,4 @@
-#include "finishclosechange.h"
+#include "budgets/finishclosechange.h"
 
 #include <utility>
 
--- a/src/libradishswitch/heldbudget.cpp
+++ b/src/libradishswitch/budgets/heldbudget.cpp
@@ -1,4 +1,4 @@
-#include "heldbudget.h"
+#include "budgets/heldbudget.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/libradishswitch/heldbudget.h
+++ b/src/libradishswitch/budgets/heldbudget.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "budgetholdersettings.h"
-#include "reservation.h"
+#include "budgets/budgetholdersettings.h"
+#include "budgets/reservation.h"
 
 #include <deque>
 #include <memory>
--- a/src/libradishswitch/holderreservations.cpp
+++ b/src/libradishswitch/budgets/holderreservations.cpp
@@ -1,4 +1,4 @@
-#include "holderreservations.h"
+#include "budgets/holderreservations.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/holderreservations.h
+++ b/src/libradishswitch/budgets/holderreservations.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "budgetholder.h"
-#include "reservationport.h"
+#include "budgets/budgetholder.h"
+#include "budgets/reservationport.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/ledger.cpp
+++ b/src/libradishswitch/budgets/ledger.cpp
@@ -1,6 +1,6 @@
-#include "ledger.h"
+#include "budgets/ledger.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libradishswitch/ledger.h
+++ b/src/libradishswitch/budgets/ledger.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "ledgerlayout.h"
-#include "shardwriter.h"
-#include "taskqueue.h"
+#include "base/taskqueue.h"
+#include "budgets/ledgerlayout.h"
+#include "budgets/shardwriter.h"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/libradishswitch/ledgereditor.cpp
+++ b/src/libradishswitch/budgets/ledgereditor.cpp
@@ -1,9 +1,9 @@
-#include "ledgereditor.h"
+#include "budgets/ledgereditor.h"
 
-#include "createbudgetchange.h"
-#include "failure.h"
-#include "releasewithheldchange.h"
-#include "topupchange.h"
+#include "base/failure.h"
+#include "budgets/createbudgetchange.h"
+#include "budgets/releasewithheldchange.h"
+#include "budgets/topupchange.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/ledgereditor.h
+++ b/src/libradishswitch/budgets/ledgereditor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ledger.h"
+#include "budgets/ledger.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/ledgerlayout.cpp
+++ b/src/libradishswitch/budgets/ledgerlayout.cpp
@@ -1,4 +1,4 @@
-#include "ledgerlayout.h"
+#include "budgets/ledgerlayout.h"
 
 #include <xxhash.h>
 
--- a/src/libradishswitch/ledgershard.h
+++ b/src/libradishswitch/budgets/ledgershard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "budgetrecord.h"
+#include "budgets/budgetrecord.h"
 
 #include <cstddef>
 #include <deque>
--- a/src/libradishswitch/ledgershardformat.cpp
+++ b/src/libradishswitch/budgets/ledgershardformat.cpp
@@ -1,6 +1,6 @@
-#include "ledgershard.h"
+#include "budgets/ledgershard.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libradishswitch/portioncloser.cpp
+++ b/src/libradishswitch/budgets/portioncloser.cpp
@@ -1,7 +1,7 @@
-#include "portioncloser.h"
+#include "budgets/portioncloser.h"
 
-#include "finishclosechange.h"
-#include "withholdchange.h"
+#include "budgets/finishclosechange.h"
+#include "budgets/withholdchange.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/portioncloser.h
+++ b/src/libradishswitch/budgets/portioncloser.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "agentport.h"
-#include "beginclosechange.h"
-#include "ledger.h"
-#include "portionclosersettings.h"
-#include "portionproof.h"
+#include "agents/agentport.h"
+#include "budgets/beginclosechange.h"
+#include "budgets/ledger.h"
+#include "budgets/portionclosersettings.h"
+#include "budgets/portionproof.h"
 
 #include <set>
 
--- a/src/libradishswitch/portionproof.cpp
+++ b/src/libradishswitch/budgets/portionproof.cpp
@@ -1,4 +1,4 @@
-#include "portionproof.h"
+#include "budgets/portionproof.h"
 
 #include <algorithm>
 
--- a/src/libradishswitch/portionsweep.cpp
+++ b/src/libradishswitch/budgets/portionsweep.cpp
@@ -1,4 +1,4 @@
-#include "portionsweep.h"
+#include "budgets/portionsweep.h"
 
 #include <set>
 
--- a/src/libradishswitch/portionsweep.h
+++ b/src/libradishswitch/budgets/portionsweep.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "ledger.h"
-#include "portioncloser.h"
-#include "randomsource.h"
-#include "timerservice.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
+#include "budgets/ledger.h"
+#include "budgets/portioncloser.h"
 
 #include <functional>
 #include <memory>
--- a/src/libradishswitch/releasewithheldchange.cpp
+++ b/src/libradishswitch/budgets/releasewithheldchange.cpp
@@ -1,4 +1,4 @@
-#include "releasewithheldchange.h"
+#include "budgets/releasewithheldchange.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/reportspendchange.cpp
+++ b/src/libradishswitch/budgets/reportspendchange.cpp
@@ -1,4 +1,4 @@
-#include "reportspendchange.h"
+#include "budgets/reportspendchange.h"
 
 #include <utility>
 
--- a/src/libradishswitch/returnportionchange.cpp
+++ b/src/libradishswitch/budgets/returnportionchange.cpp
@@ -1,4 +1,4 @@
-#include "returnportionchange.h"
+#include "budgets/returnportionchange.h"
 
 #include <utility>
 
--- a/src/libradishswitch/shardcollector.cpp
+++ b/src/libradishswitch/budgets/shardcollector.cpp
@@ -1,6 +1,6 @@
-#include "shardcollector.h"
+#include "budgets/shardcollector.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <set>
--- a/src/libradishswitch/shardcollector.h
+++ b/src/libradishswitch/budgets/shardcollector.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "agentport.h"
-#include "backoff.h"
-#include "lifetoken.h"
-#include "randomsource.h"
-#include "timerservice.h"
+#include "agents/agentport.h"
+#include "base/backoff.h"
+#include "base/lifetoken.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/libradishswitch/shardwriter.cpp
+++ b/src/libradishswitch/budgets/shardwriter.cpp
@@ -1,7 +1,7 @@
-#include "shardwriter.h"
+#include "budgets/shardwriter.h"
 
-#include "failure.h"
-#include "ledgerlayout.h"
+#include "base/failure.h"
+#include "budgets/ledgerlayout.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/shardwriter.h
+++ b/src/libradishswitch/budgets/shardwriter.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "ledgerchange.h"
-#include "ledgersettings.h"
-#include "objectstore.h"
-#include "randomsource.h"
-#include "storecallbudget.h"
+#include "base/objectstore.h"
+#include "base/randomsource.h"
+#include "base/storecallbudget.h"
+#include "budgets/ledgerchange.h"
+#include "budgets/ledgersettings.h"
 
 #include <memory>
 #include <optional>
--- a/src/libradishswitch/takeportionchange.cpp
+++ b/src/libradishswitch/budgets/takeportionchange.cpp
@@ -1,4 +1,4 @@
-#include "takeportionchange.h"
+#include "budgets/takeportionchange.h"
 
 #include <utility>
 
--- a/src/libradishswitch/takeportionchange.h
+++ b/src/libradishswitch/budgets/takeportionchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "budgetglance.h"
-#include "ledgerchange.h"
+#include "budgets/budgetglance.h"
+#include "budgets/ledgerchange.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/tokenuse.cpp
+++ b/src/libradishswitch/budgets/tokenuse.cpp
@@ -1,4 +1,4 @@
-#include "tokenuse.h"
+#include "budgets/tokenuse.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libradishswitch/tokenuse.h
+++ b/src/libradishswitch/budgets/tokenuse.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decayingrate.h"
+#include "base/decayingrate.h"
 
 #include <cstdint>
 
--- a/src/libradishswitch/topupchange.cpp
+++ b/src/libradishswitch/budgets/topupchange.cpp
@@ -1,6 +1,6 @@
-#include "topupchange.h"
+#include "budgets/topupchange.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <utility>
 
--- a/src/libradishswitch/topupchange.h
+++ b/src/libradishswitch/budgets/topupchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ledgerchange.h"
+#include "budgets/ledgerchange.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/withholdchange.cpp
+++ b/src/libradishswitch/budgets/withholdchange.cpp
@@ -1,4 +1,4 @@
-#include "withholdchange.h"
+#include "budgets/withholdchange.h"
 
 #include <utility>
 
--- a/src/libradishswitch/withholdpartchange.cpp
+++ b/src/libradishswitch/budgets/withholdpartchange.cpp
@@ -1,4 +1,4 @@
-#include "withholdpartchange.h"
+#include "budgets/withholdpartchange.h"
 
 #include <utility>
 
--- a/src/libradishswitch/ceilingmeter.cpp
+++ b/src/libradishswitch/limits/ceilingmeter.cpp
@@ -1,6 +1,6 @@
-#include "ceilingmeter.h"
+#include "limits/ceilingmeter.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libradishswitch/ceilingmeter.h
+++ b/src/libradishswitch/limits/ceilingmeter.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "identifier.h"
-#include "timerservice.h"
-#include "tokenbucket.h"
+#include "base/identifier.h"
+#include "base/timerservice.h"
+#include "base/tokenbucket.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
--- a/src/libradishswitch/fairqueue.cpp
+++ b/src/libradishswitch/limits/fairqueue.cpp
@@ -1,7 +1,7 @@
-#include "fairqueue.h"
+#include "limits/fairqueue.h"
 
-#include "failure.h"
-#include "fluidbacklog.h"
+#include "base/failure.h"
+#include "limits/fluidbacklog.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libradishswitch/fairqueue.h
+++ b/src/libradishswitch/limits/fairqueue.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "poolroom.h"
-#include "queuedrequest.h"
-#include "servicerate.h"
+#include "limits/poolroom.h"
+#include "limits/queuedrequest.h"
+#include "limits/servicerate.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
--- a/src/libradishswitch/fluidbacklog.cpp
+++ b/src/libradishswitch/limits/fluidbacklog.cpp
@@ -1,4 +1,4 @@
-#include "fluidbacklog.h"
+#include "limits/fluidbacklog.h"
 
 #include <algorithm>
 
--- a/src/libradishswitch/retrybudget.cpp
+++ b/src/libradishswitch/limits/retrybudget.cpp
@@ -1,6 +1,6 @@
-#include "retrybudget.h"
+#include "limits/retrybudget.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 
--- a/src/libradishswitch/retrybudget.h
+++ b/src/libradishswitch/limits/retrybudget.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "randomsource.h"
-#include "timerservice.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/servicerate.cpp
+++ b/src/libradishswitch/limits/servicerate.cpp
@@ -1,4 +1,4 @@
-#include "servicerate.h"
+#include "limits/servicerate.h"
 
 #include <algorithm>
 
--- a/src/libradishswitch/fleetmembership.cpp
+++ b/src/libradishswitch/membership/fleetmembership.cpp
@@ -1,6 +1,6 @@
-#include "fleetmembership.h"
+#include "membership/fleetmembership.h"
 
-#include "rendezvous.h"
+#include "base/rendezvous.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/libradishswitch/fleetmembership.h
+++ b/src/libradishswitch/membership/fleetmembership.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "entrymember.h"
-#include "identifier.h"
-#include "taskqueue.h"
-#include "timerservice.h"
+#include "base/identifier.h"
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
+#include "membership/entrymember.h"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/libradishswitch/leaseholder.cpp
+++ b/src/libradishswitch/membership/leaseholder.cpp
@@ -1,6 +1,6 @@
-#include "leaseholder.h"
+#include "membership/leaseholder.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libradishswitch/leaseholder.h
+++ b/src/libradishswitch/membership/leaseholder.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "identifier.h"
-#include "objectstore.h"
-#include "timerservice.h"
+#include "base/identifier.h"
+#include "base/objectstore.h"
+#include "base/timerservice.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/libradishswitch/admissionpipeline.cpp
+++ b/src/libradishswitch/requests/admissionpipeline.cpp
@@ -1,6 +1,6 @@
-#include "admissionpipeline.h"
+#include "requests/admissionpipeline.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <optional>
 #include <string>
--- a/src/libradishswitch/admissionpipeline.h
+++ b/src/libradishswitch/requests/admissionpipeline.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "admissionwaiters.h"
-#include "claimbook.h"
-#include "lifetoken.h"
-#include "reservationport.h"
+#include "base/lifetoken.h"
+#include "budgets/reservationport.h"
+#include "requests/admissionwaiters.h"
+#include "requests/claimbook.h"
 
 #include <absl/status/status.h>
 
--- a/src/libradishswitch/admissionwaiters.cpp
+++ b/src/libradishswitch/requests/admissionwaiters.cpp
@@ -1,4 +1,4 @@
-#include "admissionwaiters.h"
+#include "requests/admissionwaiters.h"
 
 #include <algorithm>
 #include <memory>
--- a/src/libradishswitch/admissionwaiters.h
+++ b/src/libradishswitch/requests/admissionwaiters.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "admission.h"
-#include "lifetoken.h"
-#include "timerservice.h"
+#include "base/lifetoken.h"
+#include "base/timerservice.h"
+#include "requests/admission.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/answerbuffer.cpp
+++ b/src/libradishswitch/requests/answerbuffer.cpp
@@ -1,6 +1,6 @@
-#include "answerbuffer.h"
+#include "requests/answerbuffer.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/chatmeter.cpp
+++ b/src/libradishswitch/requests/chatmeter.cpp
@@ -1,6 +1,6 @@
-#include "chatmeter.h"
+#include "requests/chatmeter.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libradishswitch/chatmeter.h
+++ b/src/libradishswitch/requests/chatmeter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ssescanner.h"
+#include "requests/ssescanner.h"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
--- a/src/libradishswitch/chatrequest.cpp
+++ b/src/libradishswitch/requests/chatrequest.cpp
@@ -1,6 +1,6 @@
-#include "chatrequest.h"
+#include "requests/chatrequest.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libradishswitch/claim.cpp
+++ b/src/libradishswitch/requests/claim.cpp
@@ -1,6 +1,6 @@
-#include "claim.h"
+#include "requests/claim.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
--- a/src/libradishswitch/claimbook.cpp
+++ b/src/libradishswitch/requests/claimbook.cpp
@@ -1,6 +1,6 @@
-#include "claimbook.h"
+#include "requests/claimbook.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <cstdio>
 #include <utility>
--- a/src/libradishswitch/claimbook.h
+++ b/src/libradishswitch/requests/claimbook.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "backoff.h"
-#include "claim.h"
-#include "lifetoken.h"
-#include "objectstore.h"
-#include "randomsource.h"
-#include "timerservice.h"
+#include "base/backoff.h"
+#include "base/lifetoken.h"
+#include "base/objectstore.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
+#include "requests/claim.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/fencegate.cpp
+++ b/src/libradishswitch/requests/fencegate.cpp
@@ -1,6 +1,6 @@
-#include "fencegate.h"
+#include "requests/fencegate.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <utility>
 
--- a/src/libradishswitch/finishedruns.cpp
+++ b/src/libradishswitch/requests/finishedruns.cpp
@@ -1,6 +1,6 @@
-#include "finishedruns.h"
+#include "requests/finishedruns.h"
 
-#include "namehash.h"
+#include "base/namehash.h"
 
 #include <utility>
 
--- a/src/libradishswitch/finishedruns.h
+++ b/src/libradishswitch/requests/finishedruns.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "agentport.h"
-#include "timerservice.h"
+#include "agents/agentport.h"
+#include "base/timerservice.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/inlined_vector.h>
--- a/src/libradishswitch/grantedrequests.cpp
+++ b/src/libradishswitch/requests/grantedrequests.cpp
@@ -1,6 +1,6 @@
-#include "grantedrequests.h"
+#include "requests/grantedrequests.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/grantedrequests.h
+++ b/src/libradishswitch/requests/grantedrequests.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "admission.h"
-#include "admissionpipeline.h"
-#include "agentport.h"
-#include "agentroster.h"
-#include "billing.h"
-#include "claimbook.h"
-#include "keyshards.h"
-#include "requestregistry.h"
-#include "runresolver.h"
-#include "timerservice.h"
+#include "agents/agentport.h"
+#include "agents/agentroster.h"
+#include "base/timerservice.h"
+#include "budgets/billing.h"
+#include "requests/admission.h"
+#include "requests/admissionpipeline.h"
+#include "requests/claimbook.h"
+#include "requests/keyshards.h"
+#include "requests/requestregistry.h"
+#include "requests/runresolver.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/libradishswitch/home.cpp
+++ b/src/libradishswitch/requests/home.cpp
@@ -1,6 +1,6 @@
-#include "home.h"
+#include "requests/home.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <memory>
--- a/src/libradishswitch/keyowner.cpp
+++ b/src/libradishswitch/requests/keyowner.cpp
@@ -1,6 +1,6 @@
-#include "keyowner.h"
+#include "requests/keyowner.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libradishswitch/keyownership.cpp
+++ b/src/libradishswitch/requests/keyownership.cpp
@@ -1,6 +1,6 @@
-#include "keyownership.h"
+#include "requests/keyownership.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/numbers.h>
 #include <xxhash.h>
--- a/src/libradishswitch/keyownership.h
+++ b/src/libradishswitch/requests/keyownership.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "backoff.h"
-#include "entrydirectory.h"
-#include "keyowner.h"
-#include "lifetoken.h"
-#include "objectstore.h"
-#include "randomsource.h"
-#include "timerservice.h"
+#include "base/backoff.h"
+#include "base/lifetoken.h"
+#include "base/objectstore.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
+#include "membership/entrydirectory.h"
+#include "requests/keyowner.h"
 
 #include <absl/status/status.h>
 
--- a/src/libradishswitch/keyshards.cpp
+++ b/src/libradishswitch/requests/keyshards.cpp
@@ -1,6 +1,6 @@
-#include "keyshards.h"
+#include "requests/keyshards.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <utility>
 
--- a/src/libradishswitch/keyshards.h
+++ b/src/libradishswitch/requests/keyshards.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "agentport.h"
-#include "keyownership.h"
-#include "lifetoken.h"
-#include "randomsource.h"
-#include "shardcollector.h"
-#include "timerservice.h"
+#include "agents/agentport.h"
+#include "base/lifetoken.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
+#include "budgets/shardcollector.h"
+#include "requests/keyownership.h"
 
 #include <absl/status/status.h>
 
--- a/src/libradishswitch/ordergate.cpp
+++ b/src/libradishswitch/requests/ordergate.cpp
@@ -1,6 +1,6 @@
-#include "ordergate.h"
+#include "requests/ordergate.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/ordergate.h
+++ b/src/libradishswitch/requests/ordergate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpointorder.h"
+#include "routing/endpointorder.h"
 
 #include <absl/status/status.h>
 
--- a/src/libradishswitch/refusalproof.cpp
+++ b/src/libradishswitch/requests/refusalproof.cpp
@@ -1,4 +1,4 @@
-#include "refusalproof.h"
+#include "requests/refusalproof.h"
 
 #include <memory>
 #include <utility>
--- a/src/libradishswitch/refusalproof.h
+++ b/src/libradishswitch/requests/refusalproof.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "keyownership.h"
-#include "lifetoken.h"
-#include "timerservice.h"
+#include "base/lifetoken.h"
+#include "base/timerservice.h"
+#include "requests/keyownership.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/libradishswitch/requestregistry.h
+++ b/src/libradishswitch/requests/requestregistry.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "admission.h"
-#include "agentport.h"
-#include "identifier.h"
-#include "timerservice.h"
+#include "agents/agentport.h"
+#include "base/identifier.h"
+#include "base/timerservice.h"
+#include "requests/admission.h"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/libradishswitch/runresolver.cpp
+++ b/src/libradishswitch/requests/runresolver.cpp
@@ -1,6 +1,6 @@
-#include "runresolver.h"
+#include "requests/runresolver.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/runresolver.h
+++ b/src/libradishswitch/requests/runresolver.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "agentport.h"
-#include "backoff.h"
-#include "lifetoken.h"
-#include "randomsource.h"
-#include "requestregistry.h"
-#include "timerservice.h"
+#include "agents/agentport.h"
+#include "base/backoff.h"
+#include "base/lifetoken.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
+#include "requests/requestregistry.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/libradishswitch/runtable.cpp
+++ b/src/libradishswitch/requests/runtable.cpp
@@ -1,7 +1,7 @@
-#include "runtable.h"
+#include "requests/runtable.h"
 
-#include "failure.h"
-#include "namehash.h"
+#include "base/failure.h"
+#include "base/namehash.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/runtable.h
+++ b/src/libradishswitch/requests/runtable.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "agentport.h"
-#include "finishedruns.h"
-#include "timerservice.h"
+#include "agents/agentport.h"
+#include "base/timerservice.h"
+#include "requests/finishedruns.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
--- a/src/libradishswitch/ssescanner.cpp
+++ b/src/libradishswitch/requests/ssescanner.cpp
@@ -1,6 +1,6 @@
-#include "ssescanner.h"
+#include "requests/ssescanner.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <utility>
 
--- a/src/libradishswitch/defaultpolicy.cpp
+++ b/src/libradishswitch/routing/defaultpolicy.cpp
@@ -1,4 +1,4 @@
-#include "defaultpolicy.h"
+#include "routing/defaultpolicy.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/endpointdirectory.cpp
+++ b/src/libradishswitch/routing/endpointdirectory.cpp
@@ -1,6 +1,6 @@
-#include "endpointdirectory.h"
+#include "routing/endpointdirectory.h"
 
-#include "rendezvous.h"
+#include "base/rendezvous.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/endpointdirectory.h
+++ b/src/libradishswitch/routing/endpointdirectory.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "endpointobserver.h"
-#include "endpointreport.h"
-#include "endpointstate.h"
-#include "listedinstance.h"
+#include "membership/listedinstance.h"
+#include "routing/endpointobserver.h"
+#include "routing/endpointreport.h"
+#include "routing/endpointstate.h"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/libradishswitch/endpointejection.cpp
+++ b/src/libradishswitch/routing/endpointejection.cpp
@@ -1,4 +1,4 @@
-#include "endpointejection.h"
+#include "routing/endpointejection.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/endpointejection.h
+++ b/src/libradishswitch/routing/endpointejection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ejectionsettings.h"
+#include "routing/ejectionsettings.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/endpointobserver.h
+++ b/src/libradishswitch/routing/endpointobserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpointstate.h"
+#include "routing/endpointstate.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/endpointorder.h
+++ b/src/libradishswitch/routing/endpointorder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "identifier.h"
+#include "base/identifier.h"
 
 #include <cstdint>
 #include <string>
--- a/src/libradishswitch/endpointuse.cpp
+++ b/src/libradishswitch/routing/endpointuse.cpp
@@ -1,4 +1,4 @@
-#include "endpointuse.h"
+#include "routing/endpointuse.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/endpointuse.h
+++ b/src/libradishswitch/routing/endpointuse.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "endpointejection.h"
-#include "endpointstate.h"
-#include "routequery.h"
+#include "routing/endpointejection.h"
+#include "routing/endpointstate.h"
+#include "routing/routequery.h"
 
 #include <deque>
 
--- a/src/libradishswitch/leastoutstandingpolicy.cpp
+++ b/src/libradishswitch/routing/leastoutstandingpolicy.cpp
@@ -1,4 +1,4 @@
-#include "leastoutstandingpolicy.h"
+#include "routing/leastoutstandingpolicy.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/leastoutstandingpolicy.h
+++ b/src/libradishswitch/routing/leastoutstandingpolicy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "routingpolicy.h"
+#include "routing/routingpolicy.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/poolorders.cpp
+++ b/src/libradishswitch/routing/poolorders.cpp
@@ -1,4 +1,4 @@
-#include "poolorders.h"
+#include "routing/poolorders.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/poolorders.h
+++ b/src/libradishswitch/routing/poolorders.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "endpointorder.h"
-#include "timerservice.h"
-#include "tokenbucket.h"
+#include "base/timerservice.h"
+#include "base/tokenbucket.h"
+#include "routing/endpointorder.h"
 
 #include <cstdint>
 #include <map>
--- a/src/libradishswitch/poolrouter.cpp
+++ b/src/libradishswitch/routing/poolrouter.cpp
@@ -1,6 +1,6 @@
-#include "poolrouter.h"
+#include "routing/poolrouter.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/libradishswitch/poolrouter.h
+++ b/src/libradishswitch/routing/poolrouter.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "ejectionsettings.h"
-#include "endpointdirectory.h"
-#include "endpointuse.h"
-#include "poolroom.h"
-#include "prefixcachehints.h"
-#include "randomsource.h"
-#include "routequery.h"
-#include "routingpolicy.h"
-#include "routingsettings.h"
+#include "base/randomsource.h"
+#include "limits/poolroom.h"
+#include "routing/ejectionsettings.h"
+#include "routing/endpointdirectory.h"
+#include "routing/endpointuse.h"
+#include "routing/prefixcachehints.h"
+#include "routing/routequery.h"
+#include "routing/routingpolicy.h"
+#include "routing/routingsettings.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/statusor.h>
--- a/src/libradishswitch/prefixcachehints.cpp
+++ b/src/libradishswitch/routing/prefixcachehints.cpp
@@ -1,4 +1,4 @@
-#include "prefixcachehints.h"
+#include "routing/prefixcachehints.h"
 
 #include <xxhash.h>
 
--- a/src/libradishswitch/prefixcachehints.h
+++ b/src/libradishswitch/routing/prefixcachehints.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "endpointreport.h"
-#include "endpointstate.h"
+#include "routing/endpointreport.h"
+#include "routing/endpointstate.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/inlined_vector.h>
--- a/src/libradishswitch/roundrobinpolicy.cpp
+++ b/src/libradishswitch/routing/roundrobinpolicy.cpp
@@ -1,4 +1,4 @@
-#include "roundrobinpolicy.h"
+#include "routing/roundrobinpolicy.h"
 
 #include <utility>
 
--- a/src/libradishswitch/routecandidates.cpp
+++ b/src/libradishswitch/routing/routecandidates.cpp
@@ -1,4 +1,4 @@
-#include "routecandidates.h"
+#include "routing/routecandidates.h"
 
 #include <algorithm>
 
--- a/src/libradishswitch/routecandidates.h
+++ b/src/libradishswitch/routing/routecandidates.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "endpointdirectory.h"
-#include "endpointuse.h"
-#include "prefixcachehints.h"
-#include "randomsource.h"
-#include "routecost.h"
+#include "base/randomsource.h"
+#include "routing/endpointdirectory.h"
+#include "routing/endpointuse.h"
+#include "routing/prefixcachehints.h"
+#include "routing/routecost.h"
 
 #include <vector>
 
--- a/src/libradishswitch/routecost.cpp
+++ b/src/libradishswitch/routing/routecost.cpp
@@ -1,4 +1,4 @@
-#include "routecost.h"
+#include "routing/routecost.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libradishswitch/routecost.h
+++ b/src/libradishswitch/routing/routecost.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "endpointuse.h"
-#include "poolload.h"
-#include "routequery.h"
-#include "routingsettings.h"
+#include "routing/endpointuse.h"
+#include "routing/poolload.h"
+#include "routing/routequery.h"
+#include "routing/routingsettings.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/routingpolicy.cpp
+++ b/src/libradishswitch/routing/routingpolicy.cpp
@@ -1,8 +1,8 @@
-#include "routingpolicy.h"
+#include "routing/routingpolicy.h"
 
-#include "defaultpolicy.h"
-#include "leastoutstandingpolicy.h"
-#include "roundrobinpolicy.h"
+#include "routing/defaultpolicy.h"
+#include "routing/leastoutstandingpolicy.h"
+#include "routing/roundrobinpolicy.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/routingpolicy.h
+++ b/src/libradishswitch/routing/routingpolicy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "routecandidates.h"
+#include "routing/routecandidates.h"
 
 #include <memory>
 #include <optional>
--- a/src/libradishswitch/serving/attemptrules.cpp
+++ b/src/libradishswitch/serving/attemptrules.cpp
@@ -1,6 +1,6 @@
 #include "serving/attemptrules.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/serving/budgetpeerport.h
+++ b/src/libradishswitch/serving/budgetpeerport.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "reservation.h"
+#include "budgets/reservation.h"
 
 #include <string>
 
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -1,6 +1,6 @@
 #include "serving/callgate.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <utility>
 
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fairqueue.h"
+#include "limits/fairqueue.h"
 #include "serving/callplacement.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -1,6 +1,6 @@
 #include "serving/callplacement.h"
 
-#include "rendezvous.h"
+#include "base/rendezvous.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "prefixcachehints.h"
-#include "randomsource.h"
-#include "routequery.h"
+#include "base/randomsource.h"
+#include "routing/prefixcachehints.h"
+#include "routing/routequery.h"
 #include "serving/endpointroster.h"
 #include "serving/placementquery.h"
 #include "serving/placementsettings.h"
--- a/src/libradishswitch/serving/endpointlisting.h
+++ b/src/libradishswitch/serving/endpointlisting.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "identifier.h"
-#include "timerservice.h"
+#include "base/identifier.h"
+#include "base/timerservice.h"
 
 #include <string>
 
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -1,6 +1,6 @@
 #include "serving/endpointroster.h"
 
-#include "rendezvous.h"
+#include "base/rendezvous.h"
 
 #include <absl/container/flat_hash_set.h>
 
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "endpointejection.h"
-#include "endpointstate.h"
+#include "routing/endpointejection.h"
+#include "routing/endpointstate.h"
 #include "serving/endpointlisting.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/src/libradishswitch/serving/homedirectory.cpp
+++ b/src/libradishswitch/serving/homedirectory.cpp
@@ -1,6 +1,6 @@
 #include "serving/homedirectory.h"
 
-#include "rendezvous.h"
+#include "base/rendezvous.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libradishswitch/serving/objectfollower.h
+++ b/src/libradishswitch/serving/objectfollower.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "objectstore.h"
-#include "randomsource.h"
+#include "base/objectstore.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
 #include "serving/objectlistener.h"
-#include "timerservice.h"
 
 #include <functional>
 #include <memory>
--- a/src/libradishswitch/serving/objectlistener.h
+++ b/src/libradishswitch/serving/objectlistener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "objectstore.h"
+#include "base/objectstore.h"
 
 #include <vector>
 
--- a/src/libradishswitch/serving/placementsettings.h
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ejectionsettings.h"
-#include "timerservice.h"
+#include "base/timerservice.h"
+#include "routing/ejectionsettings.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/serving/relayedstore.cpp
+++ b/src/libradishswitch/serving/relayedstore.cpp
@@ -1,6 +1,6 @@
 #include "serving/relayedstore.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <utility>
 
--- a/src/libradishswitch/serving/sharedbudgets.cpp
+++ b/src/libradishswitch/serving/sharedbudgets.cpp
@@ -1,7 +1,7 @@
 #include "serving/sharedbudgets.h"
 
-#include "failure.h"
-#include "ledgerlayout.h"
+#include "base/failure.h"
+#include "budgets/ledgerlayout.h"
 
 #include <utility>
 
--- a/src/libradishswitch/serving/watchlog.cpp
+++ b/src/libradishswitch/serving/watchlog.cpp
@@ -1,6 +1,6 @@
 #include "serving/watchlog.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/auditrecord.cpp
+++ b/src/libradishswitch/table/auditrecord.cpp
@@ -1,4 +1,4 @@
-#include "auditrecord.h"
+#include "table/auditrecord.h"
 
 #include <algorithm>
 #include <ctime>
--- a/src/libradishswitch/auditrecord.h
+++ b/src/libradishswitch/table/auditrecord.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "rowchange.h"
+#include "table/rowchange.h"
 
 #include <compare>
 #include <cstdint>
--- a/src/libradishswitch/csvtext.cpp
+++ b/src/libradishswitch/table/csvtext.cpp
@@ -1,6 +1,6 @@
-#include "csvtext.h"
+#include "table/csvtext.h"
 
-#include "tableproblem.h"
+#include "table/tableproblem.h"
 
 #include <algorithm>
 #include <optional>
--- a/src/libradishswitch/poolrow.cpp
+++ b/src/libradishswitch/table/poolrow.cpp
@@ -1,4 +1,4 @@
-#include "poolrow.h"
+#include "table/poolrow.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
--- a/src/libradishswitch/rowchange.cpp
+++ b/src/libradishswitch/table/rowchange.cpp
@@ -1,7 +1,7 @@
-#include "rowchange.h"
+#include "table/rowchange.h"
 
-#include "failure.h"
-#include "tablecolumns.h"
+#include "base/failure.h"
+#include "table/tablecolumns.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/libradishswitch/rowconflict.cpp
+++ b/src/libradishswitch/table/rowconflict.cpp
@@ -1,8 +1,8 @@
-#include "rowconflict.h"
+#include "table/rowconflict.h"
 
-#include "auditrecord.h"
-#include "failure.h"
-#include "tablejson.h"
+#include "base/failure.h"
+#include "table/auditrecord.h"
+#include "table/tablejson.h"
 
 #include <absl/strings/cord.h>
 #include <absl/strings/str_cat.h>
--- a/src/libradishswitch/rowconflict.h
+++ b/src/libradishswitch/table/rowconflict.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tablekind.h"
+#include "table/tablekind.h"
 
 #include <absl/status/status.h>
 
--- a/src/libradishswitch/steeringtable.cpp
+++ b/src/libradishswitch/table/steeringtable.cpp
@@ -1,4 +1,4 @@
-#include "steeringtable.h"
+#include "table/steeringtable.h"
 
 #include <absl/strings/string_view.h>
 
--- a/src/libradishswitch/steeringtable.h
+++ b/src/libradishswitch/table/steeringtable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tablerows.h"
+#include "table/tablerows.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/statusor.h>
--- a/src/libradishswitch/tablecells.cpp
+++ b/src/libradishswitch/table/tablecells.cpp
@@ -1,4 +1,4 @@
-#include "tablecells.h"
+#include "table/tablecells.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
--- a/src/libradishswitch/tablecells.h
+++ b/src/libradishswitch/table/tablecells.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tablecolumns.h"
+#include "table/tablecolumns.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/tablechange.cpp
+++ b/src/libradishswitch/table/tablechange.cpp
@@ -1,9 +1,9 @@
-#include "tablechange.h"
+#include "table/tablechange.h"
 
-#include "failure.h"
-#include "rowchange.h"
-#include "rowconflict.h"
-#include "tablecolumns.h"
+#include "base/failure.h"
+#include "table/rowchange.h"
+#include "table/rowconflict.h"
+#include "table/tablecolumns.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/libradishswitch/tablecheck.cpp
+++ b/src/libradishswitch/table/tablecheck.cpp
@@ -1,6 +1,6 @@
-#include "tablecheck.h"
+#include "table/tablecheck.h"
 
-#include "tablecolumns.h"
+#include "table/tablecolumns.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
--- a/src/libradishswitch/tablecheck.h
+++ b/src/libradishswitch/table/tablecheck.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "tableproblem.h"
-#include "tablerows.h"
+#include "table/tableproblem.h"
+#include "table/tablerows.h"
 
 #include <vector>
 
--- a/src/libradishswitch/tablecolumns.cpp
+++ b/src/libradishswitch/table/tablecolumns.cpp
@@ -1,7 +1,7 @@
-#include "tablecolumns.h"
+#include "table/tablecolumns.h"
 
-#include "tablecells.h"
-#include "tableproblem.h"
+#include "table/tablecells.h"
+#include "table/tableproblem.h"
 
 #include <array>
 #include <functional>
--- a/src/libradishswitch/tablecsv.cpp
+++ b/src/libradishswitch/table/tablecsv.cpp
@@ -1,8 +1,8 @@
-#include "tablecsv.h"
+#include "table/tablecsv.h"
 
-#include "csvtext.h"
-#include "tablecolumns.h"
-#include "tableproblem.h"
+#include "table/csvtext.h"
+#include "table/tablecolumns.h"
+#include "table/tableproblem.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
--- a/src/libradishswitch/tablecsv.h
+++ b/src/libradishswitch/table/tablecsv.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tabledeclaration.h"
+#include "table/tabledeclaration.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/tabledeclaration.cpp
+++ b/src/libradishswitch/table/tabledeclaration.cpp
@@ -1,8 +1,8 @@
-#include "tabledeclaration.h"
+#include "table/tabledeclaration.h"
 
-#include "tablecolumns.h"
-#include "tablejson.h"
-#include "tableproblem.h"
+#include "table/tablecolumns.h"
+#include "table/tablejson.h"
+#include "table/tableproblem.h"
 
 #include <absl/strings/str_cat.h>
 #include <xxhash.h>
--- a/src/libradishswitch/tabledeclaration.h
+++ b/src/libradishswitch/table/tabledeclaration.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tablerows.h"
+#include "table/tablerows.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/tabledocument.cpp
+++ b/src/libradishswitch/table/tabledocument.cpp
@@ -1,7 +1,7 @@
-#include "tabledocument.h"
+#include "table/tabledocument.h"
 
-#include "failure.h"
-#include "tablejson.h"
+#include "base/failure.h"
+#include "table/tablejson.h"
 
 #include <xxhash.h>
 
--- a/src/libradishswitch/tabledocument.h
+++ b/src/libradishswitch/table/tabledocument.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "auditrecord.h"
-#include "tablerows.h"
+#include "table/auditrecord.h"
+#include "table/tablerows.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/tableeditoperation.cpp
+++ b/src/libradishswitch/table/tableeditoperation.cpp
@@ -1,10 +1,10 @@
-#include "tableeditoperation.h"
+#include "table/tableeditoperation.h"
 
-#include "boundedcall.h"
-#include "failure.h"
-#include "rowconflict.h"
-#include "tablecheck.h"
-#include "tablehistory.h"
+#include "base/boundedcall.h"
+#include "base/failure.h"
+#include "table/rowconflict.h"
+#include "table/tablecheck.h"
+#include "table/tablehistory.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
--- a/src/libradishswitch/tableeditoperation.h
+++ b/src/libradishswitch/table/tableeditoperation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tableeditor.h"
+#include "table/tableeditor.h"
 
 #include <memory>
 
--- a/src/libradishswitch/tableeditor.cpp
+++ b/src/libradishswitch/table/tableeditor.cpp
@@ -1,9 +1,9 @@
-#include "tableeditor.h"
+#include "table/tableeditor.h"
 
-#include "boundedcall.h"
-#include "failure.h"
-#include "tableeditoperation.h"
-#include "tablehistory.h"
+#include "base/boundedcall.h"
+#include "base/failure.h"
+#include "table/tableeditoperation.h"
+#include "table/tablehistory.h"
 
 #include <absl/strings/cord.h>
 
--- a/src/libradishswitch/tableeditor.h
+++ b/src/libradishswitch/table/tableeditor.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "objectstore.h"
-#include "randomsource.h"
-#include "tablechange.h"
-#include "tabledocument.h"
-#include "taskqueue.h"
-#include "timerservice.h"
+#include "base/objectstore.h"
+#include "base/randomsource.h"
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
+#include "table/tablechange.h"
+#include "table/tabledocument.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/tablefollower.cpp
+++ b/src/libradishswitch/table/tablefollower.cpp
@@ -1,6 +1,6 @@
-#include "tablefollower.h"
+#include "table/tablefollower.h"
 
-#include "tablefollower_p.h"
+#include "table/tablefollower_p.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/tablefollower.h
+++ b/src/libradishswitch/table/tablefollower.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "objectstore.h"
-#include "randomsource.h"
-#include "steeringtable.h"
-#include "tabledocument.h"
-#include "tablepeerport.h"
-#include "taskqueue.h"
-#include "timerservice.h"
+#include "base/objectstore.h"
+#include "base/randomsource.h"
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
+#include "table/steeringtable.h"
+#include "table/tabledocument.h"
+#include "table/tablepeerport.h"
 
 #include <absl/status/status.h>
 
--- a/src/libradishswitch/tablefollower_p.cpp
+++ b/src/libradishswitch/table/tablefollower_p.cpp
@@ -1,6 +1,6 @@
-#include "tablefollower_p.h"
+#include "table/tablefollower_p.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <vector>
 
--- a/src/libradishswitch/tablefollower_p.h
+++ b/src/libradishswitch/table/tablefollower_p.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tablefollower.h"
+#include "table/tablefollower.h"
 
 #include <map>
 #include <mutex>
--- a/src/libradishswitch/tablefollowerstore.cpp
+++ b/src/libradishswitch/table/tablefollowerstore.cpp
@@ -1,4 +1,4 @@
-#include "tablefollower_p.h"
+#include "table/tablefollower_p.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libradishswitch/tablehistory.cpp
+++ b/src/libradishswitch/table/tablehistory.cpp
@@ -1,7 +1,7 @@
-#include "tablehistory.h"
+#include "table/tablehistory.h"
 
-#include "boundedcall.h"
-#include "failure.h"
+#include "base/boundedcall.h"
+#include "base/failure.h"
 
 namespace RadishSwitch
 {
--- a/src/libradishswitch/tablehistory.h
+++ b/src/libradishswitch/table/tablehistory.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "objectstore.h"
-#include "tabledocument.h"
-#include "timerservice.h"
+#include "base/objectstore.h"
+#include "base/timerservice.h"
+#include "table/tabledocument.h"
 
 #include <absl/status/status.h>
 
--- a/src/libradishswitch/tablejson.cpp
+++ b/src/libradishswitch/table/tablejson.cpp
@@ -1,6 +1,6 @@
-#include "tablejson.h"
+#include "table/tablejson.h"
 
-#include "tablecolumns.h"
+#include "table/tablecolumns.h"
 
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
--- a/src/libradishswitch/tablejson.h
+++ b/src/libradishswitch/table/tablejson.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "auditrecord.h"
+#include "table/auditrecord.h"
 
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
--- a/src/libradishswitch/tableplan.cpp
+++ b/src/libradishswitch/table/tableplan.cpp
@@ -1,9 +1,9 @@
-#include "tableplan.h"
+#include "table/tableplan.h"
 
-#include "rowconflict.h"
-#include "tablecheck.h"
-#include "tablecolumns.h"
-#include "tableproblem.h"
+#include "table/rowconflict.h"
+#include "table/tablecheck.h"
+#include "table/tablecolumns.h"
+#include "table/tableproblem.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/libradishswitch/tableplan.h
+++ b/src/libradishswitch/table/tableplan.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "rowchange.h"
-#include "tablechange.h"
-#include "tabledeclaration.h"
+#include "table/rowchange.h"
+#include "table/tablechange.h"
+#include "table/tabledeclaration.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libradishswitch/tableproblem.cpp
+++ b/src/libradishswitch/table/tableproblem.cpp
@@ -1,6 +1,6 @@
-#include "tableproblem.h"
+#include "table/tableproblem.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/cord.h>
 #include <nlohmann/json.hpp>
--- a/src/libradishswitch/tablerows.cpp
+++ b/src/libradishswitch/table/tablerows.cpp
@@ -1,4 +1,4 @@
-#include "tablerows.h"
+#include "table/tablerows.h"
 
 #include <algorithm>
 
--- a/src/libradishswitch/tablerows.h
+++ b/src/libradishswitch/table/tablerows.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "endpointgrouprow.h"
-#include "organisationrow.h"
-#include "poolrow.h"
-#include "routerow.h"
-#include "tablekind.h"
+#include "table/endpointgrouprow.h"
+#include "table/organisationrow.h"
+#include "table/poolrow.h"
+#include "table/routerow.h"
+#include "table/tablekind.h"
 
 #include <optional>
 #include <string>
--- a/src/measure/call.h
+++ b/src/measure/call.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "httpmessages.h"
 #include "loadsettings.h"
-#include "timerservice.h"
 #include "tryrecord.h"
 
 #include <cstdint>
--- a/src/measure/caller.cpp
+++ b/src/measure/caller.cpp
@@ -1,6 +1,6 @@
 #include "caller.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "standinprogram.h"
 
 #include <absl/strings/numbers.h>
--- a/src/measure/loadfigures.h
+++ b/src/measure/loadfigures.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "call.h"
 #include "latencyhistogram.h"
-#include "timerservice.h"
 #include "tryrecord.h"
 
 #include <cstdint>
--- a/src/measure/loadflags.cpp
+++ b/src/measure/loadflags.cpp
@@ -1,6 +1,6 @@
 #include "loadflags.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
--- a/src/measure/report.cpp
+++ b/src/measure/report.cpp
@@ -1,6 +1,6 @@
 #include "report.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
--- a/src/measure/spendtruth.cpp
+++ b/src/measure/spendtruth.cpp
@@ -1,6 +1,6 @@
 #include "spendtruth.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/src/radishctl/apikey.cpp
+++ b/src/radishctl/apikey.cpp
@@ -1,6 +1,6 @@
 #include "apikey.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/escaping.h>
 #include <openssl/rand.h>
--- a/src/radishctl/auditverb.cpp
+++ b/src/radishctl/auditverb.cpp
@@ -1,6 +1,6 @@
 #include "auditverb.h"
 
-#include "ledgereditor.h"
+#include "budgets/ledgereditor.h"
 #include "tablehistoryverbs.h"
 #include "timetext.h"
 
--- a/src/radishctl/budgetverbs.cpp
+++ b/src/radishctl/budgetverbs.cpp
@@ -1,8 +1,8 @@
 #include "budgetverbs.h"
 
-#include "auditrecord.h"
-#include "failure.h"
-#include "tablecolumns.h"
+#include "base/failure.h"
+#include "table/auditrecord.h"
+#include "table/tablecolumns.h"
 
 #include <absl/strings/str_cat.h>
 #include <CLI/CLI.hpp>
--- a/src/radishctl/budgetverbs.h
+++ b/src/radishctl/budgetverbs.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/identifier.h"
+#include "budgets/ledgereditor.h"
 #include "commandgroup.h"
-#include "identifier.h"
-#include "ledgereditor.h"
 
 #include <cstdint>
 #include <string>
--- a/src/radishctl/commandcontext.cpp
+++ b/src/radishctl/commandcontext.cpp
@@ -1,6 +1,6 @@
 #include "commandcontext.h"
 
-#include "tableeditor.h"
+#include "table/tableeditor.h"
 
 namespace RadishSwitch
 {
--- a/src/radishctl/commandcontext.h
+++ b/src/radishctl/commandcontext.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "adminport.h"
-#include "boundedcall.h"
+#include "base/boundedcall.h"
+#include "base/objectstore.h"
+#include "base/randomsource.h"
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
+#include "budgets/ledgereditor.h"
 #include "exitcode.h"
 #include "globaloptions.h"
-#include "ledgereditor.h"
-#include "objectstore.h"
 #include "output.h"
-#include "randomsource.h"
-#include "tabledocument.h"
-#include "taskqueue.h"
-#include "timerservice.h"
+#include "table/tabledocument.h"
 #include "waiter.h"
 
 #include <absl/status/statusor.h>
--- a/src/radishctl/declarationfiles.cpp
+++ b/src/radishctl/declarationfiles.cpp
@@ -1,7 +1,7 @@
 #include "declarationfiles.h"
 
-#include "failure.h"
-#include "tablecsv.h"
+#include "base/failure.h"
+#include "table/tablecsv.h"
 
 #include <algorithm>
 #include <filesystem>
--- a/src/radishctl/editoptions.cpp
+++ b/src/radishctl/editoptions.cpp
@@ -1,7 +1,7 @@
 #include "editoptions.h"
 
-#include "failure.h"
-#include "tablejson.h"
+#include "base/failure.h"
+#include "table/tablejson.h"
 
 #include <absl/strings/str_cat.h>
 #include <CLI/CLI.hpp>
--- a/src/radishctl/editoptions.h
+++ b/src/radishctl/editoptions.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "commandcontext.h"
-#include "tableeditor.h"
+#include "table/tableeditor.h"
 
 #include <cstdint>
 #include <string>
--- a/src/radishctl/exitcode.cpp
+++ b/src/radishctl/exitcode.cpp
@@ -1,6 +1,6 @@
 #include "exitcode.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 namespace RadishSwitch
 {
--- a/src/radishctl/fleetlist.cpp
+++ b/src/radishctl/fleetlist.cpp
@@ -1,6 +1,6 @@
 #include "fleetlist.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/radishctl/fleetverbs.cpp
+++ b/src/radishctl/fleetverbs.cpp
@@ -1,6 +1,6 @@
 #include "fleetverbs.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "statusreport.h"
 
 #include <absl/strings/ascii.h>
--- a/src/radishctl/globaloptions.h
+++ b/src/radishctl/globaloptions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ledgersettings.h"
+#include "budgets/ledgersettings.h"
 
 #include <cstdint>
 #include <string>
--- a/src/radishctl/output.cpp
+++ b/src/radishctl/output.cpp
@@ -1,10 +1,10 @@
 #include "output.h"
 
-#include "failure.h"
-#include "rowconflict.h"
-#include "tableeditor.h"
-#include "tablejson.h"
-#include "tableproblem.h"
+#include "base/failure.h"
+#include "table/rowconflict.h"
+#include "table/tableeditor.h"
+#include "table/tablejson.h"
+#include "table/tableproblem.h"
 
 #include <absl/strings/ascii.h>
 
--- a/src/radishctl/rowverbs.cpp
+++ b/src/radishctl/rowverbs.cpp
@@ -1,10 +1,10 @@
 #include "rowverbs.h"
 
 #include "apikey.h"
-#include "apikeyhash.h"
-#include "failure.h"
-#include "tablecolumns.h"
-#include "tablejson.h"
+#include "base/apikeyhash.h"
+#include "base/failure.h"
+#include "table/tablecolumns.h"
+#include "table/tablejson.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
--- a/src/radishctl/statusreport.h
+++ b/src/radishctl/statusreport.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "budgets/ledgereditor.h"
 #include "fleetlist.h"
-#include "ledgereditor.h"
 #include "output.h"
-#include "tabledocument.h"
+#include "table/tabledocument.h"
 
 #include <optional>
 #include <vector>
--- a/src/radishctl/tablefileverbs.cpp
+++ b/src/radishctl/tablefileverbs.cpp
@@ -1,9 +1,9 @@
 #include "tablefileverbs.h"
 
+#include "base/failure.h"
 #include "declarationfiles.h"
-#include "failure.h"
-#include "tablecsv.h"
-#include "tablejson.h"
+#include "table/tablecsv.h"
+#include "table/tablejson.h"
 
 #include <absl/strings/str_cat.h>
 #include <CLI/CLI.hpp>
--- a/src/radishctl/tablefileverbs.h
+++ b/src/radishctl/tablefileverbs.h
@@ -2,7 +2,7 @@
 
 #include "commandgroup.h"
 #include "editoptions.h"
-#include "tableplan.h"
+#include "table/tableplan.h"
 
 namespace RadishSwitch
 {
--- a/src/radishctl/tablehistoryverbs.cpp
+++ b/src/radishctl/tablehistoryverbs.cpp
@@ -1,7 +1,7 @@
 #include "tablehistoryverbs.h"
 
-#include "failure.h"
-#include "tablejson.h"
+#include "base/failure.h"
+#include "table/tablejson.h"
 #include "timetext.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/radishctl/tablehistoryverbs.h
+++ b/src/radishctl/tablehistoryverbs.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "commandgroup.h"
-#include "tableeditor.h"
+#include "table/tableeditor.h"
 
 namespace RadishSwitch
 {
--- a/src/radishctl/tableverbs.cpp
+++ b/src/radishctl/tableverbs.cpp
@@ -1,6 +1,6 @@
 #include "tableverbs.h"
 
-#include "tablecolumns.h"
+#include "table/tablecolumns.h"
 
 #include <absl/strings/str_cat.h>
 #include <CLI/CLI.hpp>
--- a/src/radishctl/tablewaitverb.cpp
+++ b/src/radishctl/tablewaitverb.cpp
@@ -1,6 +1,6 @@
 #include "tablewaitverb.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "fleetlist.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/radishctl/timetext.cpp
+++ b/src/radishctl/timetext.cpp
@@ -1,6 +1,6 @@
 #include "timetext.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <absl/strings/numbers.h>
 
--- a/src/standins/engine/enginefaults.cpp
+++ b/src/standins/engine/enginefaults.cpp
@@ -1,6 +1,6 @@
 #include "enginefaults.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/standins/engine/engineorders.cpp
+++ b/src/standins/engine/engineorders.cpp
@@ -1,6 +1,6 @@
 #include "engineorders.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "standinprogram.h"
 
 #include <nlohmann/json.hpp>
--- a/src/standins/engine/engineserver.cpp
+++ b/src/standins/engine/engineserver.cpp
@@ -1,7 +1,7 @@
 #include "engineserver.h"
 
+#include "base/failure.h"
 #include "chatrun.h"
-#include "failure.h"
 #include "standinprogram.h"
 
 #include <absl/strings/numbers.h>
--- a/src/standins/engine/loadhistory.h
+++ b/src/standins/engine/loadhistory.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "batchscheduler.h"
-#include "timerservice.h"
 
 #include <cstdint>
 #include <deque>
--- a/src/standins/platform/faultplan.cpp
+++ b/src/standins/platform/faultplan.cpp
@@ -1,6 +1,6 @@
 #include "faultplan.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/standins/platform/objecttable.cpp
+++ b/src/standins/platform/objecttable.cpp
@@ -1,6 +1,6 @@
 #include "objecttable.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/standins/platform/objecttable.h
+++ b/src/standins/platform/objecttable.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "objectstore.h"
-#include "timerservice.h"
+#include "base/objectstore.h"
+#include "base/timerservice.h"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
--- a/src/standins/platform/platformanswers.cpp
+++ b/src/standins/platform/platformanswers.cpp
@@ -1,6 +1,6 @@
 #include "platformanswers.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "httperror.h"
 
 #include <nlohmann/json.hpp>
--- a/src/standins/platform/platformanswers.h
+++ b/src/standins/platform/platformanswers.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/objectstore.h"
 #include "httpmessages.h"
-#include "objectstore.h"
 
 #include <absl/status/status.h>
 
--- a/src/standins/platform/platformcall.cpp
+++ b/src/standins/platform/platformcall.cpp
@@ -1,6 +1,6 @@
 #include "platformcall.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "instancelist.h"
 #include "urlcoding.h"
 
--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -1,7 +1,7 @@
 #include "platformserver.h"
 
 #include "asyncresult.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "httperror.h"
 #include "log.h"
 #include "platformanswers.h"
--- a/src/standins/relay/relaylink.cpp
+++ b/src/standins/relay/relaylink.cpp
@@ -1,6 +1,6 @@
 #include "relaylink.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "socketaddress.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/tests/core/failure_test.cpp
+++ b/tests/core/base/failure_test.cpp
@@ -1,4 +1,4 @@
-#include "failure.h"
+#include "base/failure.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/budgetfixture.h
+++ b/tests/core/budgets/budgetfixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "budgetholder.h"
-#include "failure.h"
-#include "ledgereditor.h"
+#include "base/failure.h"
+#include "budgets/budgetholder.h"
+#include "budgets/ledgereditor.h"
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
 #include "seededrandom.h"
--- a/tests/core/keptshard_test.cpp
+++ b/tests/core/budgets/keptshard_test.cpp
@@ -1,7 +1,7 @@
 #include "budgetfixture.h"
-#include "createbudgetchange.h"
-#include "shardwriter.h"
-#include "topupchange.h"
+#include "budgets/createbudgetchange.h"
+#include "budgets/shardwriter.h"
+#include "budgets/topupchange.h"
 
 using namespace RadishSwitch;
 
--- a/tests/core/ledgershard_test.cpp
+++ b/tests/core/budgets/ledgershard_test.cpp
@@ -1,7 +1,7 @@
-#include "ledgershard.h"
+#include "budgets/ledgershard.h"
 
-#include "failure.h"
-#include "topupchange.h"
+#include "base/failure.h"
+#include "budgets/topupchange.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/portioncloser_test.cpp
+++ b/tests/core/budgets/portioncloser_test.cpp
@@ -1,6 +1,6 @@
 #include "budgetfixture.h"
+#include "budgets/portioncloser.h"
 #include "fakeagents.h"
-#include "portioncloser.h"
 
 namespace RadishSwitch
 {
--- a/tests/core/searchworld.h
+++ b/tests/core/budgets/searchworld.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "budgetholder.h"
-#include "failure.h"
+#include "base/failure.h"
+#include "budgets/budgetholder.h"
+#include "budgets/ledgereditor.h"
+#include "budgets/portioncloser.h"
 #include "fakeagents.h"
-#include "ledgereditor.h"
 #include "manualtaskqueue.h"
-#include "portioncloser.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/shardwriter_test.cpp
+++ b/tests/core/budgets/shardwriter_test.cpp
@@ -1,6 +1,6 @@
 #include "budgetfixture.h"
-#include "createbudgetchange.h"
-#include "topupchange.h"
+#include "budgets/createbudgetchange.h"
+#include "budgets/topupchange.h"
 
 namespace RadishSwitch
 {
--- a/tests/core/ceilingmeter_test.cpp
+++ b/tests/core/limits/ceilingmeter_test.cpp
@@ -1,5 +1,5 @@
-#include "ceilingmeter.h"
-#include "failure.h"
+#include "base/failure.h"
+#include "limits/ceilingmeter.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/fairqueue_test.cpp
+++ b/tests/core/limits/fairqueue_test.cpp
@@ -1,5 +1,5 @@
-#include "failure.h"
-#include "fairqueue.h"
+#include "base/failure.h"
+#include "limits/fairqueue.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/overload_test.cpp
+++ b/tests/core/limits/overload_test.cpp
@@ -1,6 +1,6 @@
-#include "fairqueue.h"
 #include "fakeengine.h"
-#include "poolrouter.h"
+#include "limits/fairqueue.h"
+#include "routing/poolrouter.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/retrybudget_test.cpp
+++ b/tests/core/limits/retrybudget_test.cpp
@@ -1,5 +1,5 @@
-#include "failure.h"
-#include "retrybudget.h"
+#include "base/failure.h"
+#include "limits/retrybudget.h"
 #include "seededrandom.h"
 
 #include <gtest/gtest.h>
--- a/tests/core/fleetmembership_test.cpp
+++ b/tests/core/membership/fleetmembership_test.cpp
@@ -1,5 +1,5 @@
-#include "fleetmembership.h"
 #include "manualtaskqueue.h"
+#include "membership/fleetmembership.h"
 #include "virtualtimerservice.h"
 
 #include <gtest/gtest.h>
--- a/tests/core/chatrequest_test.cpp
+++ b/tests/core/requests/chatrequest_test.cpp
@@ -1,5 +1,5 @@
-#include "chatrequest.h"
-#include "failure.h"
+#include "base/failure.h"
+#include "requests/chatrequest.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
--- a/tests/core/claimbook_test.cpp
+++ b/tests/core/requests/claimbook_test.cpp
@@ -1,7 +1,7 @@
-#include "claimbook.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
+#include "requests/claimbook.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/keyownership_test.cpp
+++ b/tests/core/requests/keyownership_test.cpp
@@ -1,8 +1,8 @@
-#include "failure.h"
-#include "keyownership.h"
+#include "base/failure.h"
 #include "manualtaskqueue.h"
 #include "memoryentrydirectory.h"
 #include "memoryobjectstore.h"
+#include "requests/keyownership.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/requestregistry_test.cpp
+++ b/tests/core/requests/requestregistry_test.cpp
@@ -1,4 +1,4 @@
-#include "requestregistry.h"
+#include "requests/requestregistry.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/runtable_test.cpp
+++ b/tests/core/requests/runtable_test.cpp
@@ -1,6 +1,6 @@
-#include "runtable.h"
+#include "requests/runtable.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "virtualtimerservice.h"
 
 #include <gmock/gmock.h>
--- a/tests/core/ssescanner_test.cpp
+++ b/tests/core/requests/ssescanner_test.cpp
@@ -1,7 +1,7 @@
-#include "ssescanner.h"
+#include "requests/ssescanner.h"
 
-#include "chatmeter.h"
-#include "failure.h"
+#include "base/failure.h"
+#include "requests/chatmeter.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/endpointdirectory_test.cpp
+++ b/tests/core/routing/endpointdirectory_test.cpp
@@ -1,4 +1,4 @@
-#include "endpointdirectory.h"
+#include "routing/endpointdirectory.h"
 #include "virtualtimerservice.h"
 
 #include <gtest/gtest.h>
--- a/tests/core/poolorders_test.cpp
+++ b/tests/core/routing/poolorders_test.cpp
@@ -1,9 +1,9 @@
-#include "failure.h"
-#include "leaseholder.h"
+#include "base/failure.h"
 #include "manualtaskqueue.h"
+#include "membership/leaseholder.h"
 #include "memoryobjectstore.h"
-#include "ordergate.h"
-#include "poolorders.h"
+#include "requests/ordergate.h"
+#include "routing/poolorders.h"
 #include "virtualtimerservice.h"
 
 #include <gtest/gtest.h>
--- a/tests/core/poolrouter_test.cpp
+++ b/tests/core/routing/poolrouter_test.cpp
@@ -1,5 +1,5 @@
-#include "failure.h"
-#include "poolrouter.h"
+#include "base/failure.h"
+#include "routing/poolrouter.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/routingload_test.cpp
+++ b/tests/core/routing/routingload_test.cpp
@@ -1,5 +1,5 @@
 #include "fakeengine.h"
-#include "poolrouter.h"
+#include "routing/poolrouter.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/attemptrules_test.cpp
+++ b/tests/core/serving/attemptrules_test.cpp
@@ -1,4 +1,4 @@
-#include "failure.h"
+#include "base/failure.h"
 #include "serving/attemptrules.h"
 
 #include <gtest/gtest.h>
--- a/tests/core/servingload_test.cpp
+++ b/tests/core/serving/servingload_test.cpp
@@ -1,4 +1,4 @@
-#include "failure.h"
+#include "base/failure.h"
 #include "readingengines.h"
 
 #include <gtest/gtest.h>
--- a/tests/core/sharedbudgets_test.cpp
+++ b/tests/core/serving/sharedbudgets_test.cpp
@@ -1,5 +1,5 @@
-#include "failure.h"
-#include "ledgerlayout.h"
+#include "base/failure.h"
+#include "budgets/ledgerlayout.h"
 #include "serving/sharedbudgets.h"
 #include "virtualtimerservice.h"
 
--- a/tests/core/tablecolumns_test.cpp
+++ b/tests/core/table/tablecolumns_test.cpp
@@ -1,4 +1,4 @@
-#include "tablecolumns.h"
+#include "table/tablecolumns.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/tablecsv_test.cpp
+++ b/tests/core/table/tablecsv_test.cpp
@@ -1,12 +1,12 @@
-#include "tablecsv.h"
-
-#include "csvtext.h"
-#include "failure.h"
-#include "rowconflict.h"
-#include "tablecheck.h"
-#include "tablecolumns.h"
-#include "tableplan.h"
-#include "tableproblem.h"
+#include "table/tablecsv.h"
+
+#include "base/failure.h"
+#include "table/csvtext.h"
+#include "table/rowconflict.h"
+#include "table/tablecheck.h"
+#include "table/tablecolumns.h"
+#include "table/tableplan.h"
+#include "table/tableproblem.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
--- a/tests/core/tableeditor_test.cpp
+++ b/tests/core/table/tableeditor_test.cpp
@@ -1,12 +1,12 @@
-#include "tableeditor.h"
+#include "table/tableeditor.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "faultyobjectstore.h"
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
-#include "rowconflict.h"
 #include "seededrandom.h"
-#include "tableproblem.h"
+#include "table/rowconflict.h"
+#include "table/tableproblem.h"
 #include "virtualtimerservice.h"
 
 #include <gtest/gtest.h>
--- a/tests/core/tablefollower_test.cpp
+++ b/tests/core/table/tablefollower_test.cpp
@@ -1,4 +1,4 @@
-#include "tablefollower.h"
+#include "table/tablefollower.h"
 
 #include "faultyobjectstore.h"
 #include "manualtaskqueue.h"
--- a/tests/core/tablerace_test.cpp
+++ b/tests/core/table/tablerace_test.cpp
@@ -1,7 +1,7 @@
-#include "tableeditor.h"
-#include "tablefollower.h"
+#include "table/tableeditor.h"
+#include "table/tablefollower.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "faultyobjectstore.h"
 #include "manualtaskqueue.h"
 #include "seededrandom.h"
--- a/tests/fakes/courier.h
+++ b/tests/fakes/courier.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "taskqueue.h"
+#include "base/taskqueue.h"
 
 #include <functional>
 #include <string>
--- a/tests/fakes/fakeagents.h
+++ b/tests/fakes/fakeagents.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "agentport.h"
-#include "failure.h"
-#include "taskqueue.h"
+#include "agents/agentport.h"
+#include "base/failure.h"
+#include "base/taskqueue.h"
 
 #include <map>
 #include <set>
--- a/tests/fakes/fakeengine.h
+++ b/tests/fakes/fakeengine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "endpointreport.h"
-#include "timerservice.h"
+#include "base/timerservice.h"
+#include "routing/endpointreport.h"
 
 #include <algorithm>
 #include <deque>
--- a/tests/fakes/memoryagents.h
+++ b/tests/fakes/memoryagents.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "agentport.h"
+#include "agents/agentport.h"
+#include "base/failure.h"
 #include "courier.h"
-#include "failure.h"
-#include "runtable.h"
+#include "requests/runtable.h"
 
 #include <map>
 #include <memory>
--- a/tests/fakes/memoryentrydirectory.h
+++ b/tests/fakes/memoryentrydirectory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entrydirectory.h"
+#include "membership/entrydirectory.h"
 
 #include <map>
 
--- a/tests/fakes/memoryobjectstore.h
+++ b/tests/fakes/memoryobjectstore.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "failure.h"
-#include "objectstore.h"
-#include "taskqueue.h"
+#include "base/failure.h"
+#include "base/objectstore.h"
+#include "base/taskqueue.h"
 
 #include <map>
 #include <utility>
--- a/tests/fakes/memoryreservations.h
+++ b/tests/fakes/memoryreservations.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "failure.h"
-#include "reservationport.h"
-#include "taskqueue.h"
+#include "base/failure.h"
+#include "base/taskqueue.h"
+#include "budgets/reservationport.h"
 
 #include <map>
 #include <string>
--- a/tests/fakes/seededrandom.h
+++ b/tests/fakes/seededrandom.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "randomsource.h"
+#include "base/randomsource.h"
 
 #include <cstdio>
 #include <random>
--- a/tests/fakes/smallfleet.h
+++ b/tests/fakes/smallfleet.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "home.h"
 #include "manualtaskqueue.h"
 #include "memoryagents.h"
 #include "memoryentrydirectory.h"
 #include "memoryobjectstore.h"
 #include "memoryreservations.h"
+#include "requests/home.h"
 #include "seededrandom.h"
 #include "virtualtimerservice.h"
 
--- a/tests/fakes/storelink.h
+++ b/tests/fakes/storelink.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "failure.h"
-#include "objectstore.h"
-#include "taskqueue.h"
-#include "timerservice.h"
+#include "base/failure.h"
+#include "base/objectstore.h"
+#include "base/taskqueue.h"
+#include "base/timerservice.h"
 
 #include <utility>
 
--- a/tests/golden/operatorrace_test.cpp
+++ b/tests/golden/operatorrace_test.cpp
@@ -1,10 +1,10 @@
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
 #include "recordedobjectstore.h"
-#include "rowconflict.h"
 #include "seededrandom.h"
 #include "sessionrecorder.h"
-#include "tableeditor.h"
+#include "table/rowconflict.h"
+#include "table/tableeditor.h"
 #include "virtualtimerservice.h"
 
 #include <gtest/gtest.h>
--- a/tests/golden/partition_test.cpp
+++ b/tests/golden/partition_test.cpp
@@ -1,5 +1,5 @@
-#include "budgetholder.h"
-#include "ledgereditor.h"
+#include "budgets/budgetholder.h"
+#include "budgets/ledgereditor.h"
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
 #include "recordedobjectstore.h"
--- a/tests/golden/recordedobjectstore.h
+++ b/tests/golden/recordedobjectstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "failure.h"
-#include "objectstore.h"
+#include "base/failure.h"
+#include "base/objectstore.h"
 #include "sessionrecorder.h"
 
 #include <functional>
--- a/tests/golden/recordedreservations.h
+++ b/tests/golden/recordedreservations.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "reservationport.h"
+#include "budgets/reservationport.h"
 #include "sessionrecorder.h"
 
 #include <string>
--- a/tests/golden/requestsession.cpp
+++ b/tests/golden/requestsession.cpp
@@ -1,6 +1,6 @@
 #include "requestsession.h"
 
-#include "claim.h"
+#include "requests/claim.h"
 
 #include <algorithm>
 
--- a/tests/golden/requestsession.h
+++ b/tests/golden/requestsession.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "failure.h"
-#include "home.h"
+#include "base/failure.h"
 #include "manualtaskqueue.h"
 #include "memoryagents.h"
 #include "memoryentrydirectory.h"
@@ -10,6 +9,7 @@
 #include "recordedcourier.h"
 #include "recordedobjectstore.h"
 #include "recordedreservations.h"
+#include "requests/home.h"
 #include "seededrandom.h"
 #include "sessionrecorder.h"
 #include "virtualtimerservice.h"
--- a/tests/golden/sessionrecorder.h
+++ b/tests/golden/sessionrecorder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "timerservice.h"
+#include "base/timerservice.h"
 
 #include <cstdint>
 #include <string>
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -1,4 +1,4 @@
-#include "failure.h"
+#include "base/failure.h"
 #include "loopbackfixture.h"
 
 #include <boost/asio/read_until.hpp>
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -1,5 +1,5 @@
 #include "asyncresult.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "loopbackfixture.h"
 
 #include <boost/asio/redirect_error.hpp>
--- a/tests/net/settings_test.cpp
+++ b/tests/net/settings_test.cpp
@@ -1,5 +1,5 @@
+#include "base/failure.h"
 #include "commonsettings.h"
-#include "failure.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
--- a/tests/platform/platformserver_test.cpp
+++ b/tests/platform/platformserver_test.cpp
@@ -1,5 +1,5 @@
 #include "../net/loopbackfixture.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "httpobjectstore.h"
 #include "platformserver.h"
 
--- a/tests/platform/platformtables_test.cpp
+++ b/tests/platform/platformtables_test.cpp
@@ -1,5 +1,5 @@
+#include "base/failure.h"
 #include "callrate.h"
-#include "failure.h"
 #include "faultplan.h"
 #include "instancelist.h"
 #include "objecttable.h"
--- a/tests/radishctl/radishctlfixture.h
+++ b/tests/radishctl/radishctlfixture.h
@@ -2,8 +2,8 @@
 
 #include "radishctlapp.h"
 
-#include "failure.h"
-#include "ledger.h"
+#include "base/failure.h"
+#include "budgets/ledger.h"
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
 #include "seededrandom.h"
--- a/tests/radishctl/tableverbs_test.cpp
+++ b/tests/radishctl/tableverbs_test.cpp
@@ -1,6 +1,6 @@
 #include "radishctlfixture.h"
 
-#include "apikeyhash.h"
+#include "base/apikeyhash.h"
 
 using namespace RadishctlTesting;
 using testing::HasSubstr;
--- a/tests/radishswitch-agent/endpointmonitor_test.cpp
+++ b/tests/radishswitch-agent/endpointmonitor_test.cpp
@@ -1,6 +1,6 @@
 #include "endpointmonitor.h"
 
-#include "failure.h"
+#include "base/failure.h"
 #include "fakeendpoint.h"
 #include "fakemessagestream.h"
 #include "heartbeatpublisher.h"
--- a/tests/radishswitch-agent/httpendpoint_test.cpp
+++ b/tests/radishswitch-agent/httpendpoint_test.cpp
@@ -1,7 +1,7 @@
 #include "httpendpoint.h"
 
 #include "asyncresult.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "httpserver.h"
 
 #include <gtest/gtest.h>
--- a/tests/radishswitch-agent/runinprogress_test.cpp
+++ b/tests/radishswitch-agent/runinprogress_test.cpp
@@ -1,6 +1,6 @@
 #include "runinprogress.h"
 
-#include "failure.h"
+#include "base/failure.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/radishswitch-entry/apierror_test.cpp
+++ b/tests/radishswitch-entry/apierror_test.cpp
@@ -1,7 +1,7 @@
 #include "apierror.h"
 
 #include "agentlife.h"
-#include "failure.h"
+#include "base/failure.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
--- a/tests/radishswitch-entry/fakehomes.h
+++ b/tests/radishswitch-entry/fakehomes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "failure.h"
+#include "base/failure.h"
 #include "homedirectory.h"
 #include "virtualloop.h"
 
--- a/tests/radishswitch-entry/goldenagent.h
+++ b/tests/radishswitch-entry/goldenagent.h
@@ -2,7 +2,7 @@
 
 #include "../golden/sessionrecorder.h"
 #include "fakemessagestream.h"
-#include "runtable.h"
+#include "requests/runtable.h"
 #include "wire.h"
 
 #include <map>
--- a/tests/radishswitch-entry/goldensession.cpp
+++ b/tests/radishswitch-entry/goldensession.cpp
@@ -1,9 +1,9 @@
 #include "goldensession.h"
 
-#include "claim.h"
-#include "fingerprint.h"
-#include "keyowner.h"
+#include "base/fingerprint.h"
 #include "recordedexchange.h"
+#include "requests/claim.h"
+#include "requests/keyowner.h"
 #include "requestsession.h"
 
 using namespace RadishSwitch;
--- a/tests/radishswitch-entry/recordedhomes.h
+++ b/tests/radishswitch-entry/recordedhomes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "../golden/sessionrecorder.h"
-#include "failure.h"
+#include "base/failure.h"
 #include "homedirectory.h"
 #include "localhomesession.h"
 
--- a/tests/radishswitch-entry/runplan_test.cpp
+++ b/tests/radishswitch-entry/runplan_test.cpp
@@ -1,8 +1,8 @@
 #include "runplan.h"
 
-#include "failure.h"
-#include "fingerprint.h"
-#include "routingpolicy.h"
+#include "base/failure.h"
+#include "base/fingerprint.h"
+#include "routing/routingpolicy.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/radishswitch-gateway/partsettings_test.cpp
+++ b/tests/radishswitch-gateway/partsettings_test.cpp
@@ -1,6 +1,6 @@
 #include "partsettings.h"
 
-#include "budgetrecord.h"
+#include "budgets/budgetrecord.h"
 #include "systemrandom.h"
 
 #include <gtest/gtest.h>
--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -1,4 +1,4 @@
-#include "failure.h"
+#include "base/failure.h"
 #include "names.h"
 #include "platformcallprotocol.h"
 #include "platformcatalogue.h"
--- a/tests/radishswitch-gateway/prepaidbudgets_test.cpp
+++ b/tests/radishswitch-gateway/prepaidbudgets_test.cpp
@@ -1,4 +1,4 @@
-#include "failure.h"
+#include "base/failure.h"
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
 #include "prepaidbudgets.h"
--- a/tests/standins/answertext_test.cpp
+++ b/tests/standins/answertext_test.cpp
@@ -1,7 +1,7 @@
 #include "answertext.h"
 
+#include "base/failure.h"
 #include "chatprompt.h"
-#include "failure.h"
 #include "prefixblocks.h"
 #include "serviceanswer.h"
 
--- a/tests/standins/engineparts_test.cpp
+++ b/tests/standins/engineparts_test.cpp
@@ -1,7 +1,7 @@
+#include "base/failure.h"
 #include "batchscheduler.h"
 #include "enginefaults.h"
 #include "engineorders.h"
-#include "failure.h"
 #include "prefixcache.h"
 
 #include <gmock/gmock.h>
