Store: an answer that goes on arriving is read to its end; connections are tried again

Cause: after a power loss of all 23 gateways one of them knew no configuration for 2.7 s and refused 500 calls: its list of 338 kB over 10 Mbit/s took longer than the 600 ms of a call, twice. A larger configuration would never be known there. Tests: HttpClientTest.fetch_bodyGoesOnArriving, fetch_bodyStopsArriving, fetch_queueOfNewConnectionsIsFull; the last fails without the further tries.

--- a/src/libradishnet/httpclient.cpp
+++ b/src/libradishnet/httpclient.cpp
@@ -165,8 +165,7 @@
                                      const HttpCancellation *cancellation = nullptr)
     {
         if (!connection->isOpen()) {
-            const Duration timeout = std::min(connectTimeout, remaining(end));
-            const absl::Status status = co_await connection->connect(timeout);
+            const absl::Status status = co_await connect(connection, end);
             if (!status.ok()) {
                 co_return status;
             }
@@ -183,14 +182,30 @@
         co_return status;
     }
 
+    // A server that is asked by many at once drops what does not fit into its queue of new connections. The kernel asks
+    // again after a second, by which time a call to the store has failed; a fresh try gets through as soon as there is
+    // room.
+    net::awaitable<absl::Status> connect(ConnectionPointer connection, Clock::time_point end)
+    {
+        for (;;) {
+            const absl::Status status = co_await connection->connect(std::min(connectTimeout, remaining(end)));
+            if (status.ok() || failureCode(status) != FailureCode::ConnectionSilent
+                || remaining(end) <= Duration::zero()) {
+                co_return status;
+            }
+        }
+    }
+
     net::awaitable<absl::StatusOr<HttpResponse>> askForAll(ConnectionPointer connection, const HttpRequest &request,
-                                                           Clock::time_point end)
+                                                           Clock::time_point end, Duration timeout,
+                                                           Duration bodyTimeout)
     {
         const absl::Status status = co_await ask(connection, request, end);
         if (!status.ok()) {
             co_return status;
         }
-        absl::StatusOr<std::string> body = co_await connection->receiveAll();
+        const Duration silence = bodyTimeout > Duration::zero() ? timeout : Duration::zero();
+        absl::StatusOr<std::string> body = co_await connection->receiveAll(silence, end + bodyTimeout);
         if (!body.ok()) {
             co_return body.status();
         }
@@ -241,14 +256,14 @@
 HttpClient::~HttpClient() = default;
 
 net::awaitable<absl::StatusOr<HttpResponse>> HttpClient::fetch(std::string address, HttpRequest request,
-                                                               Duration timeout)
+                                                               Duration timeout, Duration bodyTimeout)
 {
     const auto self = d;
     const Clock::time_point end = Clock::now() + timeout;
     for (;;) {
         const ConnectionPointer connection = self->connectionTo(address);
-        auto response =
-            co_await net::co_spawn(connection->strand(), self->askForAll(connection, request, end), net::use_awaitable);
+        auto response = co_await net::co_spawn(
+            connection->strand(), self->askForAll(connection, request, end, timeout, bodyTimeout), net::use_awaitable);
         if (response.ok() && connection->isKeptAlive()) {
             self->pool->giveBack(connection);
         }
--- a/src/libradishnet/httpclient.h
+++ b/src/libradishnet/httpclient.h
@@ -76,9 +76,10 @@
                         SilenceLimits silenceLimits = {}, Duration idleTimeout = kIdleTimeout);
     ~HttpClient();
 
-    /// Asks "address:port" and reads the whole answer.
-    boost::asio::awaitable<absl::StatusOr<HttpResponse>> fetch(std::string address, HttpRequest request,
-                                                               Duration timeout);
+    /// Asks "address:port" and reads the whole answer. A body of which bytes go on arriving may take `bodyTimeout`
+    /// more, with no pause in it longer than `timeout`.
+    boost::asio::awaitable<absl::StatusOr<HttpResponse>>
+    fetch(std::string address, HttpRequest request, Duration timeout, Duration bodyTimeout = Duration::zero());
 
     /// Asks and returns as soon as the answer's head is there. ConnectionLost when it is cancelled before that.
     boost::asio::awaitable<absl::StatusOr<std::shared_ptr<HttpResponseStream>>>
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -176,7 +176,7 @@
             co_return std::string(buf.data(), n);
         }
         if (!m_parser->is_done()) {
-            co_await fillBuffer(ec);
+            co_await fillBuffer(kStreamReadBytes, ec);
         }
         if (ec) {
             co_return withUnknownOutcome(failure("reading", ec));
@@ -200,9 +200,9 @@
     return space.size() - body.size;
 }
 
-net::awaitable<void> HttpConnection::fillBuffer(beast::error_code &ec)
+net::awaitable<void> HttpConnection::fillBuffer(std::size_t size, beast::error_code &ec)
 {
-    const std::size_t n = co_await m_socket.async_read_some(m_buffer.prepare(kStreamReadBytes), awaitInto(ec));
+    const std::size_t n = co_await m_socket.async_read_some(m_buffer.prepare(size), awaitInto(ec));
     m_buffer.commit(n);
     if (ec == net::error::eof) {
         ec = {};
@@ -210,20 +210,24 @@
     }
 }
 
-net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveAll()
+net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveAll(Duration silence, Clock::time_point end)
 {
     std::string data;
     std::array<char, kReadBytes> buf;
     beast::error_code ec;
+    m_parser->eager(true);
     while (!m_parser->is_done()) {
-        auto &body = m_parser->get().body();
-        body.data = buf.data();
-        body.size = buf.size();
-        co_await http::async_read(m_socket, m_buffer, *m_parser, awaitInto(ec));
-        data.append(buf.data(), buf.size() - body.size);
-        if (ec && ec != http::error::need_buffer) {
+        const std::size_t n = parseBody(net::buffer(buf), ec);
+        data.append(buf.data(), n);
+        if (!ec && n == 0 && !m_parser->is_done()) {
+            co_await fillBuffer(kReadBytes, ec);
+        }
+        if (ec) {
             co_return withUnknownOutcome(failure("reading", ec));
         }
+        if (n > 0 && silence > Duration::zero()) {
+            m_watchdog.expireAfter(std::min(silence, std::chrono::duration_cast<Duration>(end - Clock::now())));
+        }
     }
     co_return data;
 }
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -52,7 +52,10 @@
     }
 
     boost::asio::awaitable<absl::Status> receiveHead(bool hasBody);
-    boost::asio::awaitable<absl::StatusOr<std::string>> receiveAll();
+    /// The whole body. With a `silence` other than zero it may take until `end` as long as no pause is longer than
+    /// that.
+    boost::asio::awaitable<absl::StatusOr<std::string>> receiveAll(Duration silence = Duration::zero(),
+                                                                   Clock::time_point end = Clock::time_point::max());
     /// The next bytes of the body; empty at its end.
     boost::asio::awaitable<absl::StatusOr<std::string>> receiveSome(Duration timeout);
 
@@ -91,7 +94,7 @@
     /// Parses what is buffered of the body into `space`, and gives how much that was.
     std::size_t parseBody(boost::asio::mutable_buffer space, boost::beast::error_code &ec);
     /// Waits for more of the answer, or for its end.
-    boost::asio::awaitable<void> fillBuffer(boost::beast::error_code &ec);
+    boost::asio::awaitable<void> fillBuffer(std::size_t size, boost::beast::error_code &ec);
 
     const Strand m_strand;
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand> m_socket;
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -79,6 +79,12 @@
     }
 
     /// Waits until the client gives the connection up.
+    static void write(tcp::socket &socket, const std::string &bytes)
+    {
+        boost::system::error_code ec;
+        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+    }
+
     static void waitForEnd(tcp::socket &socket)
     {
         readRequest(socket);
@@ -244,6 +250,74 @@
 }
 
 // Something on the way has lost track of idle connections. A client that uses only fresh ones never meets one of them.
+TEST_F(HttpClientTest, fetch_bodyGoesOnArriving_outlastsTheTimeoutOfItsHead)
+{
+    // An instance with a narrow link reads a large list. All of it takes longer than the store may be silent; given up
+    // each time, the list would never be read.
+    constexpr int kPieces = 8;
+    const std::string address = acceptEach({[](tcp::socket &socket) {
+        write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+        for (int n = 0; n < kPieces; ++n) {
+            std::this_thread::sleep_for(kShort);
+            write(socket, "x");
+        }
+    }});
+
+    const auto response = wait(client.fetch(address, {}, 3 * kShort, kLong));
+
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->body.size(), 8u);
+}
+
+TEST_F(HttpClientTest, fetch_bodyStopsArriving_failsAsSilent)
+{
+    const std::string address = acceptEach({[](tcp::socket &socket) {
+        write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nx");
+        char c = 0;
+        boost::system::error_code ec;
+        socket.read_some(boost::asio::buffer(&c, 1), ec);
+    }});
+
+    const auto response = wait(client.fetch(address, {}, kShort, kLong));
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionSilent);
+}
+
+TEST_F(HttpClientTest, fetch_queueOfNewConnectionsIsFull_triesAgainAndIsServedOnceThereIsRoom)
+{
+    // Many instances start at once and the store's queue of new connections overflows: what does not fit is dropped
+    // without a word, and the kernel asks again after a second only. The call's whole time is less than that.
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context);
+    acceptor.open(tcp::v4());
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+    acceptor.listen(0);
+    tcp::socket filler(context);
+    filler.connect(acceptor.local_endpoint());
+    std::thread server([&acceptor, &context] {
+        std::this_thread::sleep_for(4 * kShort);
+        tcp::socket first = acceptor.accept();
+        tcp::socket second = acceptor.accept();
+        readRequest(second);
+        write(second, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+
+    HttpClient impatient(workers, kShort);
+    const auto response = wait(impatient.fetch("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), {},
+                                               std::chrono::milliseconds(900)));
+
+    EXPECT_TRUE(response.ok()) << response.status();
+    // Where the call has failed, nobody asks the server any more.
+    filler.close();
+    tcp::socket last(context);
+    boost::system::error_code ec;
+    if (!response.ok()) {
+        last.connect(acceptor.local_endpoint(), ec);
+        write(last, "GET / HTTP/1.1\r\n\r\n");
+    }
+    server.join();
+}
+
 TEST_F(HttpClientTest, connectionIdleForLongerThanItsTimeout_isNotUsedAgain)
 {
     std::vector<std::string> peers;
