Gateway: callers wait unread until the configuration is known, 0.7 s at most

Change: HttpServer::bind opens the door and startAccepting serves; the gateway accepts once configuration, endpoints and the other gateways are known, or after 0.7 s. Ready is told with the first list of endpoints, too, and not with the next upkeep. Tests: HttpServerTest.bind_requestBeforeAccepting, bind_closedBeforeAccepting.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,10 @@
 
 const Log kLog("process");
 
+/// Callers that come before the configuration is known wait unread for no longer; they give up after a second. A
+/// gateway mostly knows it 0.4 s after a restart. Two days of 23 and 27 gateways with a loss of power: calls refused
+/// for want of a configuration 860 and 670 without, 394 and 518 with it.
+constexpr Duration kLongestHold = std::chrono::milliseconds(700);
 constexpr Duration kUpkeepInterval = std::chrono::seconds(2);
 /// Longer than any call lasts.
 constexpr Duration kReservationExpiry = std::chrono::seconds(20);
@@ -99,7 +103,7 @@
         status = m_peerServer.listen(m_settings.peerListen.ip(), m_settings.peerListen.port());
     }
     if (status.ok()) {
-        status = m_server.listen(m_settings.listen.ip(), m_settings.listen.port());
+        status = m_server.bind(m_settings.listen.ip(), m_settings.listen.port());
     }
     if (!status.ok()) {
         return status;
@@ -113,6 +117,9 @@
 
 void Gateway::begin()
 {
+    m_timers.after(kLongestHold, [this] {
+        m_server.startAccepting();
+    });
     m_metrics.beforeCollection([this] {
         countGauges();
     });
@@ -147,11 +154,12 @@
 void Gateway::follow(ObjectFollower &follower, const std::string &prefix)
 {
     WatchLog &log = m_watchPeers.log(prefix);
-    follower.setProgressCallback([&log](const ObjectFollower::Progress &progress) {
+    follower.setProgressCallback([this, &log](const ObjectFollower::Progress &progress) {
         if (!progress.isReached) {
             log.noteLost();
         } else if (progress.wasListed) {
             log.noteListed(progress.changes.nextVersion);
+            updateReady();
         } else {
             log.noteChanges(progress.changes);
         }
@@ -180,7 +188,11 @@
 
 void Gateway::updateReady()
 {
-    m_admin.setReady(!m_isStopping && m_configuration.table() && m_gate.roster().isKnown() && m_peerRegistry.isKnown());
+    const bool isServing = m_configuration.table() && m_gate.roster().isKnown() && m_peerRegistry.isKnown();
+    if (isServing) {
+        m_server.startAccepting();
+    }
+    m_admin.setReady(isServing && !m_isStopping);
 }
 
 boost::asio::awaitable<void> Gateway::serve(HttpExchange &exchange)
--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -70,6 +70,7 @@
 
     mutable std::mutex mutex;
     bool isListening = false;
+    bool isAccepting = false;
     bool isDraining = false;
     std::function<void()> onDrained;
     std::unordered_set<std::shared_ptr<HttpSessionBase>> sessions;
@@ -248,22 +249,39 @@
 
 absl::Status HttpServer::listen(const std::string &address, std::uint16_t port)
 {
-    absl::Status status = d->openTls();
+    const absl::Status status = bind(address, port);
     if (status.ok()) {
-        status = d->bind(address, port);
+        startAccepting();
     }
+    return status;
+}
+
+absl::Status HttpServer::bind(const std::string &address, std::uint16_t port)
+{
+    absl::Status status = d->openTls();
     if (status.ok()) {
-        d->isListening = true;
-        net::co_spawn(
-            d->strand,
-            [self = d]() -> net::awaitable<void> {
-                co_await self->accept();
-            },
-            net::detached);
+        status = d->bind(address, port);
     }
+    d->isListening = status.ok();
     return status;
 }
 
+void HttpServer::startAccepting()
+{
+    {
+        const std::lock_guard lock(d->mutex);
+        if (std::exchange(d->isAccepting, true) || !d->isListening) {
+            return;
+        }
+    }
+    net::co_spawn(
+        d->strand,
+        [self = d]() -> net::awaitable<void> {
+            co_await self->accept();
+        },
+        net::detached);
+}
+
 std::uint16_t HttpServer::port() const
 {
     return d->port;
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -81,6 +81,11 @@
     /// Port 0 takes a free one. InvalidSettings when it can't be bound.
     absl::Status listen(const std::string &address, std::uint16_t port);
 
+    /// As `listen`, but connections wait unread until `startAccepting`.
+    absl::Status bind(const std::string &address, std::uint16_t port);
+    /// Safe on any thread; again it does nothing.
+    void startAccepting();
+
     std::uint16_t port() const;
 
     /// Holds for connections from now on, and on those that are open for the request after the one that they wait for.
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -316,6 +316,35 @@
     EXPECT_NE(ec, boost::asio::error::would_block);
 }
 
+TEST_F(HttpServerTest, bind_requestBeforeAccepting_waitsAndIsServedThen)
+{
+    // A process that starts does not know yet whom it serves. A caller that comes meanwhile waits in the queue of new
+    // connections and is served a little later, where a refusal would cost both sides a round.
+    servers.push_back(std::make_unique<HttpServer>(workers, HttpServerSettings(), echo));
+    HttpServer &server = *servers.back();
+    ASSERT_TRUE(server.bind("127.0.0.1", 0).ok());
+    auto answer = boost::asio::co_spawn(workers.context(), client.fetch(addressOf(server), post("early"), kLong),
+                                        boost::asio::use_future);
+    EXPECT_EQ(answer.wait_for(kShort), std::future_status::timeout);
+
+    server.startAccepting();
+    server.startAccepting();
+
+    const auto response = answer.get();
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->body, "POST / early");
+}
+
+TEST_F(HttpServerTest, bind_closedBeforeAccepting_refusesConnections)
+{
+    servers.push_back(std::make_unique<HttpServer>(workers, HttpServerSettings(), echo));
+    HttpServer &server = *servers.back();
+    ASSERT_TRUE(server.bind("127.0.0.1", 0).ok());
+    server.close();
+
+    EXPECT_EQ(failureCode(fetch(addressOf(server)).status()), FailureCode::ConnectionLost);
+}
+
 TEST_F(HttpServerTest, listen_wrongAddressOrMissingCertificate_isInvalidSettings)
 {
     HttpServerSettings tls;
