Gateway: further attempts are bounded by what the deployment allows

Cause: each gateway made up to 0.12 further attempts for each first one, whatever the bound of the deployment is; one with a lower bound than 0.2 would have been exceeded by the fleet.

--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -40,7 +40,8 @@
                      "share of each prepaid budget that is left to the most urgent routes");
     parser.addNumber("away-headroom-share", settings.awayHeadroomShare, 0, 1,
                      "the same share of a portion while the store is away");
-    parser.addNumber("retry-share", settings.retryShare, 0, 1, "further attempts for each first one");
+    parser.addNumber("retry-bound", settings.retryBound, 0, 1,
+                     "further attempts that all gateways together may make for each first one");
     parser.addNumber("retry-burst", settings.retryBurst, 0, kMostRetries, "further attempts that may be saved up");
     parser.require("platform");
     parser.require("region");
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -45,8 +45,9 @@
     /// The same of a portion while the store is away. Quiet days with two outages, as above: 0.590 without either,
     /// 0.580 with none here, 0.607 with 0.15, 0.569 with 0.3.
     double awayHeadroomShare = 0.15;
-    /// Further attempts for each first one, and how many may be saved up, for each pool.
-    double retryShare = 0.12;
+    /// Further attempts that all gateways together may make for each first one, and how many one gateway may save up,
+    /// for each pool.
+    double retryBound = 0.2;
     double retryBurst = 6;
 };
 
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -132,7 +132,9 @@
 RetrySettings retrySettings(const GatewaySettings &settings)
 {
     RetrySettings retry;
-    retry.share = settings.retryShare;
+    // The rest of the bound is for what gateways have saved up, which they may all spend at once.
+    constexpr double kShareOfBound = 0.6;
+    retry.share = settings.retryBound * kShareOfBound;
     retry.burst = settings.retryBurst;
     // The next endpoint is another one, and its load is weighed: waiting first would only make the caller wait.
     retry.firstBackoff = Duration::zero();
--- a/tests/radishswitch-gateway/partsettings_test.cpp
+++ b/tests/radishswitch-gateway/partsettings_test.cpp
@@ -26,3 +26,13 @@
 
     EXPECT_GE(record.free(), kLeft * 3 / 4);
 }
+
+// A deployment sets a lower bound on further attempts than usual; gateways that kept to their own figure would exceed
+// it together.
+TEST(PartSettingsTest, lowerBoundOfRetries_everyGatewayKeepsBelowIt)
+{
+    GatewaySettings settings;
+    settings.retryBound = 0.05;
+
+    EXPECT_LT(retrySettings(settings).share, 0.05);
+}
