--- a/src/libradishswitch/budgets/heldbudget.cpp
+++ b/src/libradishswitch/budgets/heldbudget.cpp
@@ -180,7 +180,7 @@
 
 // A budget near its end, or a portion that has to last through an outage, would go to whatever comes first: long calls
 // of low urgency take most of the tokens, and short urgent ones are refused from then on. The rest that is kept serves
-// these ten times as long.
+// these alone; where they take an eighth of the tokens, eight times as long as all.
 bool HeldBudget::leavesHeadroom(const ReservationRequest &request, bool isLedgerAway,
                                 const BudgetHolderSettings &settings) const
 {
