Programs: SIGHUP ends none of them

The gateway had a handler of its own in its main. Change: Signals, which all programs that stay have, takes SIGHUP too and says that the settings in force stay; it is ignored from before main on, so that it can't meet a program that starts.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,5 +1,4 @@
 #include "gateway.h"
-#include "reloadsignal.h"
 #include "signals.h"
 
 #include <cstdio>
@@ -26,9 +25,6 @@
             left.set_value();
         });
     });
-    const ReloadSignal reload(gateway.workers(), [&gateway] {
-        gateway.reload();
-    });
     if (const absl::Status status = gateway.start(); !status.ok()) {
         std::fprintf(stderr, "radishswitch-gateway: %s\n", std::string(status.message()).c_str());
         return 2;
--- a/src/libradishnet/signals.cpp
+++ b/src/libradishnet/signals.cpp
@@ -17,13 +17,17 @@
 
 const Log kLog("process");
 
+/// Left to its default SIGHUP ends a process, and a settings file that changes while the process starts is reason
+/// enough for a supervisor to send it: on a small instance a start takes half a second.
+[[maybe_unused]] const auto kHandlerBefore = std::signal(SIGHUP, SIG_IGN);
+
 }
 
 class Signals::Private : public std::enable_shared_from_this<Signals::Private>
 {
 public:
     Private(WorkerPool &workers, std::function<void()> onStop)
-        : m_signals(workers.context(), SIGTERM, SIGINT)
+        : m_signals(workers.context(), SIGTERM, SIGINT, SIGHUP)
         , m_onStop(std::move(onStop))
     {
     }
@@ -35,16 +39,18 @@
         if (!m_isStopping) {
             return;
         }
-        sigset_t stopSignals;
+        sigset_t signals;
         sigset_t before;
-        sigemptyset(&stopSignals);
-        sigaddset(&stopSignals, SIGTERM);
-        sigaddset(&stopSignals, SIGINT);
-        pthread_sigmask(SIG_BLOCK, &stopSignals, &before);
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        sigaddset(&signals, SIGHUP);
+        pthread_sigmask(SIG_BLOCK, &signals, &before);
         boost::system::error_code ec;
         m_signals.clear(ec);
         std::signal(SIGTERM, SIG_IGN);
         std::signal(SIGINT, SIG_IGN);
+        std::signal(SIGHUP, SIG_IGN);
         pthread_sigmask(SIG_SETMASK, &before, nullptr);
     }
 
@@ -70,6 +76,10 @@
     {
         std::unique_lock lock(m_mutex);
         wait();
+        if (signal == SIGHUP) {
+            kLog.info("reload asked for; settings are read at a start, those in force stay");
+            return;
+        }
         if (m_isStopping || !m_onStop) {
             kLog.info("already stopping", {field("signal", signal)});
             return;
