Budgets: the rest that is kept serves calls of usual size and small ones

Cause: the rest of a budget was for the most urgent route. Change: an urgent call may use the rest if it is no larger than the budget's usual calls, any other if it has half of their size at most. Test: reserve_urgentCallsAreTheLargest_theRestServesTheSmallOnes, which the rule before fails: its chats are held back.

--- a/src/libradishswitch/budgets/budgetholdersettings.h
+++ b/src/libradishswitch/budgets/budgetholdersettings.h
@@ -24,6 +24,9 @@
     TokenUseSettings use;
     /// More is asked for when less than this share of the wished size is left.
     double lowWaterShare = 0.5;
+    /// With a write that another budget of the shard has caused, more is asked for when less than this share of the
+    /// wished size is left. Zero: each budget asks for itself alone.
+    double rideAlongShare = 0;
     /// Share of what is free in the ledger that may be taken beyond what waiting requests need.
     double shareOfFree = 0.25;
     /// Share of what is left of a budget that a portion wishes for, beside what waiting requests need: `heldPerLeft`
@@ -31,8 +34,10 @@
     double heldPerLeft = 1;
     double leastHeldShare = 1;
     double mostHeldShare = 1;
-    /// Share of the whole budget that reservations which are not urgent leave to those that are.
+    /// Share of the whole budget that is left to urgent reservations of no more than the usual size, and to small ones.
     double headroomShare = 0;
+    /// Small is what has at most this part of the usual size.
+    double headroomSmallShare = 0.5;
     /// The same of what was held when the ledger was lost, while it is.
     double awayHeadroomShare = 0;
     /// In place of `shareOfFree` for a budget of which another process usually holds the portion.
--- a/src/libradishswitch/budgets/heldbudget.h
+++ b/src/libradishswitch/budgets/heldbudget.h
@@ -92,6 +92,7 @@
 
     /// Whether a reservation leaves the headroom that is kept for urgent ones. While the ledger is away, that is a
     /// share of what was held when it went.
+    bool mayUseHeadroom(const ReservationRequest &request, const BudgetHolderSettings &settings) const;
     bool leavesHeadroom(const ReservationRequest &request, bool isLedgerAway,
                         const BudgetHolderSettings &settings) const;
 
--- a/tests/core/budgets/budgetheadroom_test.cpp
+++ b/tests/core/budgets/budgetheadroom_test.cpp
@@ -105,6 +105,30 @@
     expectLedgerHolds();
 }
 
+TEST_F(BudgetHeadroomTest, reserve_urgentCallsAreTheLargest_theRestServesTheSmallOnes)
+{
+    // Urgent summaries of 9,000 tokens and chats of 900 share a budget, and a tenth of it is left. Given to the
+    // summaries, the rest is gone with the next few, and every chat is refused from then on. Kept for calls that are
+    // small against the usual ones, it answers a hundred chats.
+    startHolder();
+    for (int n = 0; n < 100; ++n) {
+        ASSERT_TRUE(use(8'000, true));
+        ASSERT_TRUE(use(900, false));
+    }
+    run(Seconds(2));
+
+    // 110,000 are left, of which 100,000 are kept.
+    EXPECT_TRUE(use(9'000, true));
+    EXPECT_FALSE(use(9'000, true));
+    int chats = 0;
+    for (int n = 0; n < 100; ++n) {
+        chats += use(900, false) ? 1 : 0;
+        EXPECT_FALSE(use(9'000, true));
+    }
+    EXPECT_EQ(chats, 100);
+    expectLedgerHolds();
+}
+
 TEST_F(BudgetHeadroomTest, reserve_moreThanIsLeftAtAll_isExhausted)
 {
     startHolder();
