Gateway: calls are refused unread while there is no processor time for them

Cause: the balancer picks an instance by a hash of the caller. Besides, one connection was accepted for each pass of the worker over its ready tasks, so that new callers waited longest of all. Change: LoadShedder decides by how late the process runs its own tasks; a call is refused once its header is in, with 503 and the time to come back (20 ms: the next try goes to another instance), and its connection ends. Up to 32 connections are taken at once.

--- /dev/null
+++ b/src/gateway/callintake.cpp
@@ -0,0 +1,96 @@
+#include "callintake.h"
+
+#include "base/failure.h"
+#include "log.h"
+
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+const Log kLog("intake");
+
+/// The next try goes to another instance, which has time: there is nothing to wait for, but for a crowd of callers that
+/// should not come all at once.
+constexpr std::chrono::milliseconds kRetryAfter{20};
+
+}
+
+CallIntake::CallIntake(WorkerPool &workers, TimerService &timers, const CallProtocol &protocol, CallMetrics &metrics,
+                       LogSampler &sampler, LoadShedderSettings settings, std::function<void()> onAwayChanged)
+    : m_workers(workers)
+    , m_timers(timers)
+    , m_protocol(protocol)
+    , m_metrics(metrics)
+    , m_sampler(sampler)
+    , m_settings(settings)
+    , m_shedder(settings)
+    , m_onAwayChanged(std::move(onAwayChanged))
+    , m_refusal(protocol.failure(
+          makeFailure(FailureCode::Overloaded, "this instance has no time for more calls", kRetryAfter)))
+{
+}
+
+CallIntake::~CallIntake()
+{
+    m_timers.cancel(m_timer);
+}
+
+bool CallIntake::isRefusing()
+{
+    const Instant now = m_timers.now();
+    if (m_isMeasuring) {
+        m_shedder.noteWaiting(now - m_askedAt, now);
+    } else {
+        measure(now);
+    }
+    return m_shedder.isShedding(now);
+}
+
+void CallIntake::measure(Instant now)
+{
+    m_isMeasuring = true;
+    m_askedAt = now;
+    m_workers.post([this, alive = std::weak_ptr<int>(m_alive)] {
+        if (alive.expired()) {
+            return;
+        }
+        const Instant now = m_timers.now();
+        m_isMeasuring = false;
+        m_delay = now - m_askedAt;
+        m_shedder.noteDelay(m_delay, now);
+    });
+}
+
+HttpResponse CallIntake::refuse(const HttpRequest &request)
+{
+    const Instant now = m_timers.now();
+    m_shedder.noteRefused(now);
+    m_metrics.noteRefusedUnread();
+    const RequestId call = m_protocol.callId(request);
+    if (m_sampler.keeps(call, now)) {
+        kLog.warning("call refused unread", {field("call", call.value()), field("delay", m_delay)});
+    }
+    updateAway();
+    return m_refusal;
+}
+
+void CallIntake::updateAway()
+{
+    const bool isAway = m_shedder.isAway(m_timers.now());
+    if (isAway && m_timer == 0) {
+        m_timer = m_timers.after(m_settings.awayFor, [this] {
+            m_timer = 0;
+            updateAway();
+        });
+    }
+    if (std::exchange(m_isAway, isAway) != isAway) {
+        kLog.warning(isAway ? "new callers sent elsewhere" : "new callers taken again", {field("delay", m_delay)});
+        m_onAwayChanged();
+    }
+}
+
+}
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -20,6 +20,8 @@
 
 CallMetrics::CallMetrics(Metrics &metrics)
     : m_metrics(metrics)
+    , m_refusedUnread(metrics.counter("radishswitch_calls_refused_unread_total",
+                                      "Calls refused before they were read, for want of processor time"))
     , m_whole(stage(metrics, "whole"))
     , m_firstAnswer(stage(metrics, "first_answer"))
     , m_reserving(stage(metrics, "reserving"))
@@ -49,6 +51,11 @@
     m_placing.record(taken);
 }
 
+void CallMetrics::noteRefusedUnread()
+{
+    m_refusedUnread.add();
+}
+
 void CallMetrics::noteAttemptFailed(AttemptEnd end)
 {
     const std::string name(attemptEndName(end));
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -28,10 +28,12 @@
     /// An endpoint was found, or the call refused, after so long in the queue.
     void notePlaced(Duration taken);
 
+    void noteRefusedUnread();
     void noteAttemptFailed(AttemptEnd end);
 
 private:
     Metrics &m_metrics;
+    Counter &m_refusedUnread;
     Histogram &m_whole;
     Histogram &m_firstAnswer;
     Histogram &m_reserving;
--- a/src/gateway/callprotocol.h
+++ b/src/gateway/callprotocol.h
@@ -51,6 +51,9 @@
     /// InvalidRequest when the headers make no sense.
     virtual absl::StatusOr<CallRequest> readCall(const HttpRequest &request) const = 0;
 
+    /// The id of a call, which may lack all else; empty when there is none.
+    virtual RequestId callId(const HttpRequest &request) const = 0;
+
     /// The call as an endpoint gets it: the caller's method, target, body and own headers, without the caller's key.
     virtual HttpRequest endpointCall(const HttpRequest &request, const CallDispatch &dispatch) const = 0;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,8 +30,9 @@
     , m_workers(1)
     , m_timers(m_workers)
     , m_adapter(makeGatewayAdapter(m_workers, storeSettings(m_settings)))
+    , m_store(*m_adapter.store, m_timers, m_metrics)
     , m_gate(m_timers, m_random, m_settings.zone, gateSettings(m_settings))
-    , m_ledger(*m_adapter.store, m_timers, m_random, ledgerSettings(m_settings))
+    , m_ledger(m_store, m_timers, m_random, ledgerSettings(m_settings))
     , m_holder(m_ledger, m_timers, m_workers, m_random, holderSettings(m_settings, m_random))
     , m_homes(m_settings.instance)
     , m_ownBudgets(m_ledger, m_holder, m_timers,
@@ -41,12 +42,12 @@
     , m_clients(m_workers, transportSettings(m_settings))
     , m_budgetPeers(m_clients, m_homes, m_timers, kReservationExpiry)
     , m_watchPeers(m_clients, m_homes, m_timers)
-    , m_relayedStore(*m_adapter.store, m_homes, m_watchPeers, m_timers, relayTimeout(m_settings))
+    , m_relayedStore(m_store, m_homes, m_watchPeers, m_timers, relayTimeout(m_settings))
     , m_budgets(m_homes, m_ownBudgets, m_budgetPeers, m_timers, sharedBudgetsSettings(m_settings))
     , m_budgetService(m_ownBudgets, m_timers)
-    , m_announcement(*m_adapter.store, m_timers, m_random, m_settings.instance,
+    , m_announcement(m_store, m_timers, m_random, m_settings.instance,
                      writePeerEntry(peerOf(m_settings, PeerKind::Gateway)))
-    , m_peerRegistry(*m_adapter.store, m_timers, m_random,
+    , m_peerRegistry(m_store, m_timers, m_random,
                      [this](const std::map<std::string, FleetPeer> &peers) {
                          m_homes.setPeers(m_settings.ignoresHomes ? gatewaysAmong(peers) : peers);
                          updateReady();
@@ -64,6 +65,10 @@
                  callTimes(m_settings),
                  m_callMetrics,
                  m_sampler}
+    , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, m_settings.shedding,
+               [this] {
+                   updateReady();
+               })
     , m_configuration(*m_adapter.catalogue,
                       [this](const ServingTablePointer &table) {
                           handleNewer(table);
@@ -77,7 +82,7 @@
     , m_endpointFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->endpointPrefix(), m_endpoints,
                          followerSettings(m_settings))
     , m_peerServer(m_workers, transportSettings(m_settings))
-    , m_server(m_workers, callerServerSettings(),
+    , m_server(m_workers, callerServerSettings(m_settings.takesAllCalls ? nullptr : &m_intake),
                [this](HttpExchange &exchange) {
                    return serve(exchange);
                })
@@ -138,7 +143,7 @@
     });
     follow(m_configurationFollower, m_adapter.catalogue->configurationPrefix());
     follow(m_endpointFollower, m_adapter.catalogue->endpointPrefix());
-    m_announcement.start();
+    m_announcement.start(m_settings.isFirstStart);
     m_peerRegistry.start();
     m_timers.every(kUpkeepInterval, [this] {
         keepUp();
@@ -210,7 +215,7 @@
     if (isServing) {
         m_server.startAccepting();
     }
-    m_admin.setReady(isServing && !m_isStopping);
+    m_admin.setReady(isServing && !m_isStopping && !m_intake.isAway());
 }
 
 boost::asio::awaitable<void> Gateway::serve(HttpExchange &exchange)
@@ -304,11 +309,6 @@
     }
 }
 
-void Gateway::reload()
-{
-    kLog.info("reload asked for; settings are read at a start only");
-}
-
 std::uint16_t Gateway::port() const
 {
     return m_server.port();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,8 +5,10 @@
 #include "budgetpeers.h"
 #include "budgets/budgetholder.h"
 #include "budgetservice.h"
+#include "callintake.h"
 #include "callservices.h"
 #include "configurationlistener.h"
+#include "countedstore.h"
 #include "endpointlistener.h"
 #include "gatewayadapter.h"
 #include "gatewaysettings.h"
@@ -42,9 +44,6 @@
     /// finished and the portions of budgets given back. Calls back when all is done, or the drain timeout has passed.
     void drain(std::function<void()> callback);
 
-    /// The settings may have changed. They are read at a start only; the event is logged.
-    void reload();
-
     WorkerPool &workers()
     {
         return m_workers;
@@ -76,6 +75,7 @@
     SystemRandom m_random;
     Metrics m_metrics;
     GatewayAdapter m_adapter;
+    CountedStore m_store;
     CallGate m_gate;
     Ledger m_ledger;
     BudgetHolder m_holder;
@@ -94,6 +94,7 @@
     CallMetrics m_callMetrics;
     LogSampler m_sampler;
     CallServices m_services;
+    CallIntake m_intake;
     ConfigurationListener m_configuration;
     EndpointListener m_endpoints;
     ObjectFollower m_configurationFollower;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -48,6 +48,8 @@
     parser.addNumber("retry-bound", settings.retryBound, 0, 1,
                      "further attempts that all gateways together may make for each first one");
     parser.addNumber("retry-burst", settings.retryBurst, 0, kMostRetries, "further attempts that may be saved up");
+    parser.addFlag("take-all-calls", settings.takesAllCalls, "refuse no call for want of processor time");
+    parser.add("shed-target", settings.shedding.target, "how late the process may run and still take every call");
     addPlacementSettings(parser, settings.placement);
 }
 
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleetsettings.h"
+#include "limits/loadshedder.h"
 #include "serving/placementsettings.h"
 
 namespace RadishSwitch
@@ -32,6 +33,9 @@
     double retryBound = 0.2;
     double retryBurst = 6;
     PlacementSettings placement;
+    /// Calls are read also while this gateway has no processor time for them, and never refused unread.
+    bool takesAllCalls = false;
+    LoadShedderSettings shedding;
 };
 
 void addGatewaySettings(SettingsParser &parser, GatewaySettings &settings);
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -37,6 +37,9 @@
 {
     ObjectFollowerSettings follower;
     follower.changePause = changePause(settings);
+    // A change made during an outage is known in time after it. A hundred gateways that ask every 0.6 s on average would
+    // make 1,500 calls of an outage of 9 s, twice.
+    follower.longestBackoff = std::max(follower.longestBackoff, watchWait(settings));
     return follower;
 }
 
@@ -73,9 +76,10 @@
     return gate;
 }
 
-HttpServerSettings callerServerSettings()
+HttpServerSettings callerServerSettings(RequestIntake *intake)
 {
     HttpServerSettings server;
+    server.intake = intake;
     // A request that comes three seconds after the order to stop may last longer than the stop. By then connections are
     // closed, a little after the balancer has turned to others.
     server.drainGrace = std::chrono::milliseconds(300);
--- a/src/gateway/partsettings.h
+++ b/src/gateway/partsettings.h
@@ -23,6 +23,6 @@
 RetrySettings retrySettings(const GatewaySettings &settings);
 CallTimes callTimes(const GatewaySettings &settings);
 CallGateSettings gateSettings(const GatewaySettings &settings);
-HttpServerSettings callerServerSettings();
+HttpServerSettings callerServerSettings(RequestIntake *intake);
 
 }
--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -26,6 +26,8 @@
 /// Workers that were never started would never close anything.
 constexpr Duration kCloseWait = std::chrono::seconds(1);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+/// Connections taken in one go, so that the requests on those that are open get their turn too.
+constexpr int kAcceptsAtOnce = 32;
 
 std::string nameOf(const tcp::endpoint &endpoint)
 {
@@ -52,6 +54,7 @@
     absl::Status openTls();
     absl::Status bind(const std::string &address, std::uint16_t wantedPort);
     net::awaitable<void> accept();
+    void acceptWaiting();
     void serve(ServerSocket socket);
     net::awaitable<void> runSession(std::shared_ptr<HttpSessionBase> session);
     /// Calls back on a worker once the listener is closed.
@@ -121,6 +124,9 @@
     if (!ec) {
         acceptor.listen(net::socket_base::max_listen_connections, ec);
     }
+    if (!ec) {
+        acceptor.non_blocking(true, ec);
+    }
     if (ec) {
         return makeFailure(FailureCode::InvalidSettings, "can't listen on " + name + ": " + ec.message());
     }
@@ -137,6 +143,7 @@
             co_await acceptor.async_accept(workers.connectionExecutor(), net::redirect_error(net::use_awaitable, ec));
         if (!ec) {
             serve(std::move(socket));
+            acceptWaiting();
             continue;
         }
         if (ec == net::error::operation_aborted) {
@@ -150,6 +157,22 @@
     }
 }
 
+// A worker that is busy comes back here once for all the requests that have become ready meanwhile. With one connection
+// each time, a crowd of new callers would wait for its doors longer than the second that callers wait.
+void HttpServer::Private::acceptWaiting()
+{
+    boost::system::error_code ec;
+    for (int n = 1; n < kAcceptsAtOnce && acceptor.is_open(); ++n) {
+        ServerSocket socket(workers.connectionExecutor());
+        acceptor.accept(socket, ec);
+        if (ec) {
+            // What else than an empty line fails here fails again in the next wait, which tells it.
+            return;
+        }
+        serve(std::move(socket));
+    }
+}
+
 void HttpServer::Private::serve(ServerSocket socket)
 {
     boost::system::error_code ec;
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "base/timerservice.h"
 #include "httpmessages.h"
+#include "requestintake.h"
 #include "workerpool.h"
 
 #include <utility>
@@ -34,6 +35,8 @@
     /// A connection that is idle when the server drains is closed after so long: a request that is on its way to it is
     /// still answered.
     Duration drainGrace = std::chrono::seconds(1);
+    /// Asked about each request before its body is read; null to take them all. Outlives the server's workers.
+    RequestIntake *intake = nullptr;
     /// PEM files; TLS is on when both are given.
     std::string certificateFile;
     std::string privateKeyFile;
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -123,7 +123,14 @@
 template<typename Stream>
 net::awaitable<bool> HttpSession<Stream>::serveOne()
 {
-    const beast::error_code ec = co_await readRequest();
+    beast::error_code ec = co_await readHeader();
+    if (!ec && isRefusedUnread()) {
+        co_await refuseUnread();
+        co_return false;
+    }
+    if (!ec) {
+        ec = co_await readBody();
+    }
     if (ec) {
         if (isMalformed(ec) && !m_isClosed) {
             co_await refuse(ec);
@@ -137,7 +144,7 @@
 }
 
 template<typename Stream>
-net::awaitable<beast::error_code> HttpSession<Stream>::readRequest()
+net::awaitable<beast::error_code> HttpSession<Stream>::readHeader()
 {
     beast::error_code ec;
     m_parser.emplace();
@@ -149,7 +156,18 @@
     m_isExtended = false;
     m_isReading = true;
     co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(ec));
-    if (!ec && beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+    if (ec) {
+        m_isReading = false;
+        m_watchdog.clear();
+    }
+    co_return ec;
+}
+
+template<typename Stream>
+net::awaitable<beast::error_code> HttpSession<Stream>::readBody()
+{
+    beast::error_code ec;
+    if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         ec = co_await sendContinue();
     }
     if (!ec && !m_parser->is_done()) {
@@ -160,6 +178,27 @@
     co_return ec;
 }
 
+template<typename Stream>
+bool HttpSession<Stream>::isRefusedUnread() const
+{
+    RequestIntake *intake = m_context->settings.intake;
+    return intake && intake->isRefusing();
+}
+
+template<typename Stream>
+net::awaitable<void> HttpSession<Stream>::refuseUnread()
+{
+    m_isReading = false;
+    m_watchdog.clear();
+    m_request = HttpRequest();
+    m_request.method = std::string(m_parser->get().method_string());
+    m_request.target = std::string(m_parser->get().target());
+    m_request.headers = headersOf(m_parser->get());
+    m_version = m_parser->get().version();
+    m_isKeptAlive = false;
+    (void)co_await respond(m_context->settings.intake->refuse(m_request));
+}
+
 template<typename Stream>
 net::awaitable<beast::error_code> HttpSession<Stream>::sendContinue()
 {
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -95,7 +95,10 @@
 
     boost::asio::awaitable<bool> handshake();
     boost::asio::awaitable<bool> serveOne();
-    boost::asio::awaitable<boost::beast::error_code> readRequest();
+    boost::asio::awaitable<boost::beast::error_code> readHeader();
+    boost::asio::awaitable<boost::beast::error_code> readBody();
+    bool isRefusedUnread() const;
+    boost::asio::awaitable<void> refuseUnread();
     boost::asio::awaitable<boost::beast::error_code> sendContinue();
     boost::asio::awaitable<void> refuse(boost::beast::error_code ec);
     boost::asio::awaitable<void> callHandler();
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -38,6 +38,25 @@
     return isError ? document["error"].value("code", "") : "";
 }
 
+/// Refuses everything while it is closed.
+class ClosedIntake : public RequestIntake
+{
+public:
+    bool isRefusing() override
+    {
+        return isClosed;
+    }
+
+    HttpResponse refuse(const HttpRequest &request) override
+    {
+        lastTarget = request.target;
+        return HttpResponse{503, {{"Retry-After", "0.02"}}, "busy"};
+    }
+
+    std::atomic<bool> isClosed = true;
+    std::string lastTarget;
+};
+
 }
 
 class HttpServerTest : public LoopbackFixture
@@ -406,3 +425,34 @@
     HttpClient fresh(workers);
     EXPECT_EQ(wait(fresh.fetch(addressOf(server), request, kLong))->status, 413);
 }
+
+TEST_F(HttpServerTest, requestRefusedUnread_getsItsAnswerWithoutItsBodyAndNeverReachesTheHandler)
+{
+    // A server with no time for more is sent a request of 5 MB. Its caller gets the refusal before it has sent all of
+    // that, on a connection that ends: the rest of the body must not be taken for another request.
+    ClosedIntake intake;
+    HttpServerSettings settings;
+    settings.intake = &intake;
+    std::atomic<int> handled = 0;
+    HttpServer &server = start(
+        [&handled](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+            ++handled;
+            HttpResponse response;
+            response.body = "done";
+            (void)co_await exchange.respond(std::move(response));
+        },
+        settings);
+
+    const std::string answer = exchangeRaw(
+        server.port(), "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\nthe first bytes");
+
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503"));
+    EXPECT_NE(answer.find("Retry-After: 0.02"), std::string::npos);
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    EXPECT_EQ(intake.lastTarget, "/large");
+    EXPECT_EQ(handled, 0);
+    intake.isClosed = false;
+    const auto response = fetch(addressOf(server));
+    ASSERT_TRUE(response.ok());
+    EXPECT_EQ(response->status, 200);
+}
