Budgets: large urgent calls have half of the rest that is kept

Change: large urgent calls leave half of the rest to small ones; usual and small calls may use it all.

--- a/src/libradishswitch/budgets/budgetholdersettings.h
+++ b/src/libradishswitch/budgets/budgetholdersettings.h
@@ -34,10 +34,12 @@
     double heldPerLeft = 1;
     double leastHeldShare = 1;
     double mostHeldShare = 1;
-    /// Share of the whole budget that is left to urgent reservations of no more than the usual size, and to small ones.
+    /// Share of the whole budget that is left to urgent reservations and to small ones.
     double headroomShare = 0;
-    /// Small is what has at most this part of the usual size.
+    /// Small is what has at most this part of the usual size, and what is urgent and of no more than the usual size.
     double headroomSmallShare = 0.5;
+    /// Part of the headroom that larger urgent reservations leave to small ones.
+    double headroomForSmall = 0.5;
     /// The same of what was held when the ledger was lost, while it is.
     double awayHeadroomShare = 0;
     /// In place of `shareOfFree` for a budget of which another process usually holds the portion.
--- a/src/libradishswitch/budgets/heldbudget.cpp
+++ b/src/libradishswitch/budgets/heldbudget.cpp
@@ -181,26 +181,32 @@
 // A budget near its end, or a portion that has to last through an outage, would go to whatever comes first: long calls
 // of low urgency take most of the tokens, and short ones are refused from then on. The rest that is kept serves these
 // alone; where they take an eighth of the tokens, eight times as long as all. Urgent calls that are larger than the
-// usual ones would end it as soon: of 0.03 of a budget they had 1.5 seconds, and small calls none.
-bool HeldBudget::mayUseHeadroom(const ReservationRequest &request, const BudgetHolderSettings &settings) const
+// usual ones would end it as soon: of 0.03 of a budget they had 1.5 seconds, and small calls none. So they leave half of
+// it to the small ones.
+double HeldBudget::headroomLeftBy(const ReservationRequest &request, const BudgetHolderSettings &settings) const
 {
     const auto tokens = static_cast<double>(request.tokens);
-    return tokens <= m_typicalTokens * (request.isUrgent ? 1 : settings.headroomSmallShare);
+    if (tokens <= m_typicalTokens * (request.isUrgent ? 1 : settings.headroomSmallShare)) {
+        return 0;
+    }
+    return request.isUrgent ? settings.headroomForSmall : 1;
 }
 
 bool HeldBudget::leavesHeadroom(const ReservationRequest &request, bool isLedgerAway,
                                 const BudgetHolderSettings &settings) const
 {
-    if (mayUseHeadroom(request, settings)) {
+    const double part = headroomLeftBy(request, settings);
+    if (part <= 0) {
         return true;
     }
     const std::int64_t left = m_current.available() - request.tokens;
     if (isLedgerAway) {
         const auto atLoss = static_cast<double>(availableAtLoss.value_or(0));
-        return static_cast<double>(left) >= atLoss * settings.awayHeadroomShare;
+        return static_cast<double>(left) >= atLoss * settings.awayHeadroomShare * part;
     }
     const bool isKnown = lastFreeAt != Instant::min();
-    return !isKnown || static_cast<double>(left + lastFree) >= static_cast<double>(lastPaid) * settings.headroomShare;
+    const double kept = static_cast<double>(lastPaid) * settings.headroomShare * part;
+    return !isKnown || static_cast<double>(left + lastFree) >= kept;
 }
 
 std::int64_t HeldBudget::shortage(bool isLedgerAway, const BudgetHolderSettings &settings) const
--- a/src/libradishswitch/budgets/heldbudget.h
+++ b/src/libradishswitch/budgets/heldbudget.h
@@ -90,9 +90,8 @@
     /// request of the size last seen.
     std::int64_t smallestUseful() const;
 
-    /// Whether a reservation leaves the headroom that is kept for urgent ones. While the ledger is away, that is a
-    /// share of what was held when it went.
-    bool mayUseHeadroom(const ReservationRequest &request, const BudgetHolderSettings &settings) const;
+    /// Whether a reservation leaves the headroom that is kept for urgent and for small ones. While the ledger is away,
+    /// that is a share of what was held when it went.
     bool leavesHeadroom(const ReservationRequest &request, bool isLedgerAway,
                         const BudgetHolderSettings &settings) const;
 
@@ -121,6 +120,9 @@
     std::optional<std::int64_t> availableAtLoss;
 
 private:
+    /// The part of the headroom that a reservation has to leave: all, none, or that for small ones.
+    double headroomLeftBy(const ReservationRequest &request, const BudgetHolderSettings &settings) const;
+
     struct Extras {
         std::vector<HeldPortion> draining;
         std::deque<WaitingReservation> waiting;
