--- a/src/fleet/countedstore.cpp
+++ b/src/fleet/countedstore.cpp
@@ -20,7 +20,7 @@
 }
 
 CountedStore::CountedStore(ObjectStore &store, TimerService &timers, Metrics &metrics)
-    : m_store(store)
+    : ForwardingStore(store)
     , m_timers(timers)
     , m_metrics(metrics)
 {
@@ -34,39 +34,39 @@
 void CountedStore::get(const std::string &key, Callback<StoredObject> callback)
 {
     count("get", key);
-    m_store.get(key, std::move(callback));
+    ForwardingStore::get(key, std::move(callback));
 }
 
 void CountedStore::put(const std::string &key, std::string value, std::uint64_t expectedVersion,
                        Callback<std::uint64_t> callback)
 {
     count("put", key);
-    m_store.put(key, std::move(value), expectedVersion, std::move(callback));
+    ForwardingStore::put(key, std::move(value), expectedVersion, std::move(callback));
 }
 
 void CountedStore::remove(const std::string &key, std::uint64_t expectedVersion,
                           std::function<void(absl::Status)> callback)
 {
     count("remove", key);
-    m_store.remove(key, expectedVersion, std::move(callback));
+    ForwardingStore::remove(key, expectedVersion, std::move(callback));
 }
 
 void CountedStore::list(const std::string &prefix, Callback<StoreChanges> callback)
 {
     count("list", prefix);
-    m_store.list(prefix, std::move(callback));
+    ForwardingStore::list(prefix, std::move(callback));
 }
 
 void CountedStore::listRelaxed(const std::string &prefix, Callback<StoreChanges> callback)
 {
     count("list relaxed", prefix);
-    m_store.listRelaxed(prefix, std::move(callback));
+    ForwardingStore::listRelaxed(prefix, std::move(callback));
 }
 
 void CountedStore::watch(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback)
 {
     count("watch", prefix);
-    m_store.watch(prefix, fromVersion, std::move(callback));
+    ForwardingStore::watch(prefix, fromVersion, std::move(callback));
 }
 
 void CountedStore::count(const std::string &verb, const std::string &key)
--- a/src/fleet/countedstore.h
+++ b/src/fleet/countedstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/objectstore.h"
+#include "base/forwardingstore.h"
 #include "base/timerservice.h"
 #include "metrics.h"
 
@@ -12,7 +12,7 @@
 
 /// A store whose calls are counted by what they are for: the platform charges for each, and turns down those beyond a
 /// rate. A line tells the counts of each span of `kTellInterval` in which there were any.
-class CountedStore : public ObjectStore
+class CountedStore : public ForwardingStore
 {
 public:
     static constexpr Duration kTellInterval = std::chrono::seconds(10);
@@ -39,7 +39,6 @@
     void count(const std::string &verb, const std::string &key);
     void tell();
 
-    ObjectStore &m_store;
     TimerService &m_timers;
     Metrics &m_metrics;
     std::map<std::string, Count> m_counts;
--- a/src/libradishswitch/serving/coalescingstore.cpp
+++ b/src/libradishswitch/serving/coalescingstore.cpp
@@ -3,33 +3,11 @@
 namespace RadishSwitch
 {
 
-CoalescingStore::CoalescingStore(ObjectStore &store)
-    : m_store(store)
-{
-}
-
-void CoalescingStore::get(const std::string &key, Callback<StoredObject> callback)
-{
-    m_store.get(key, std::move(callback));
-}
-
-void CoalescingStore::put(const std::string &key, std::string value, std::uint64_t expectedVersion,
-                          Callback<std::uint64_t> callback)
-{
-    m_store.put(key, std::move(value), expectedVersion, std::move(callback));
-}
-
-void CoalescingStore::remove(const std::string &key, std::uint64_t expectedVersion,
-                             std::function<void(absl::Status)> callback)
-{
-    m_store.remove(key, expectedVersion, std::move(callback));
-}
-
 void CoalescingStore::list(const std::string &prefix, Callback<StoreChanges> callback)
 {
     const Question question{prefix, std::nullopt};
     if (join(question, std::move(callback))) {
-        m_store.list(prefix, answerTo(question));
+        store().list(prefix, answerTo(question));
     }
 }
 
@@ -37,7 +15,7 @@
 {
     const Question question{prefix, fromVersion};
     if (join(question, std::move(callback))) {
-        m_store.watch(prefix, fromVersion, answerTo(question));
+        store().watch(prefix, fromVersion, answerTo(question));
     }
 }
 
--- a/src/libradishswitch/serving/coalescingstore.h
+++ b/src/libradishswitch/serving/coalescingstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/objectstore.h"
+#include "base/forwardingstore.h"
 
 #include <map>
 #include <memory>
@@ -16,17 +16,12 @@
 ///
 /// Load pattern: a third of the gateways are turned away by the store and read it through a home, all of one
 /// availability zone through the same one. Each has a watch of the configuration and one of the endpoints there, twice
-/// in less than a second: 36 gateways made some 90 calls a second of what five homes need to ask 13 times.
-class CoalescingStore : public ObjectStore
+/// in less than a second: worked out for 36 gateways, 90 calls a second of what five homes need to ask 13 times.
+class CoalescingStore : public ForwardingStore
 {
 public:
-    explicit CoalescingStore(ObjectStore &store);
+    using ForwardingStore::ForwardingStore;
 
-    void get(const std::string &key, Callback<StoredObject> callback) override;
-    void put(const std::string &key, std::string value, std::uint64_t expectedVersion,
-             Callback<std::uint64_t> callback) override;
-    void remove(const std::string &key, std::uint64_t expectedVersion,
-                std::function<void(absl::Status)> callback) override;
     void list(const std::string &prefix, Callback<StoreChanges> callback) override;
     void watch(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback) override;
 
@@ -39,7 +34,6 @@
     bool join(const Question &question, Callback<StoreChanges> callback);
     Callback<StoreChanges> answerTo(const Question &question);
 
-    ObjectStore &m_store;
     /// Shared with the calls under way, which may outlive this.
     std::shared_ptr<Asking> m_asking = std::make_shared<Asking>();
 };
--- a/src/libradishswitch/serving/relayedstore.cpp
+++ b/src/libradishswitch/serving/relayedstore.cpp
@@ -18,7 +18,7 @@
 
 RelayedStore::RelayedStore(ObjectStore &store, HomeDirectory &homes, WatchPeerPort &peers, TimerService &timers,
                            Duration timeout)
-    : m_store(store)
+    : ForwardingStore(store)
     , m_homes(homes)
     , m_peers(peers)
     , m_timers(timers)
@@ -26,23 +26,6 @@
 {
 }
 
-void RelayedStore::get(const std::string &key, Callback<StoredObject> callback)
-{
-    m_store.get(key, std::move(callback));
-}
-
-void RelayedStore::put(const std::string &key, std::string value, std::uint64_t expectedVersion,
-                       Callback<std::uint64_t> callback)
-{
-    m_store.put(key, std::move(value), expectedVersion, std::move(callback));
-}
-
-void RelayedStore::remove(const std::string &key, std::uint64_t expectedVersion,
-                          std::function<void(absl::Status)> callback)
-{
-    m_store.remove(key, expectedVersion, std::move(callback));
-}
-
 void RelayedStore::list(const std::string &prefix, Callback<StoreChanges> callback)
 {
     read(prefix, 0, std::move(callback));
@@ -50,7 +33,7 @@
 
 void RelayedStore::listRelaxed(const std::string &prefix, Callback<StoreChanges> callback)
 {
-    m_store.listRelaxed(prefix, [this, prefix, callback = std::move(callback)](const auto &changes) {
+    store().listRelaxed(prefix, [this, prefix, callback = std::move(callback)](const auto &changes) {
         changes.ok() ? callback(changes) : read(prefix, 0, callback);
     });
 }
@@ -101,8 +84,8 @@
 
 void RelayedStore::readItself(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback)
 {
-    fromVersion == 0 ? m_store.list(prefix, std::move(callback))
-                     : m_store.watch(prefix, fromVersion, std::move(callback));
+    fromVersion == 0 ? store().list(prefix, std::move(callback))
+                     : store().watch(prefix, fromVersion, std::move(callback));
 }
 
 void RelayedStore::readThroughHome(const std::string &prefix, std::uint64_t fromVersion, const absl::Status &failure,
--- a/src/libradishswitch/serving/relayedstore.h
+++ b/src/libradishswitch/serving/relayedstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/forwardingstore.h"
 #include "serving/homedirectory.h"
 #include "serving/watchpeerport.h"
 
@@ -18,7 +19,7 @@
 /// Gateways that are cut off from the store read it through a home beside an endpoint, which mostly is not. Without
 /// that they learn of no endpoint that starts while the cut lasts: where a quarter of twelve engines crashed just
 /// before all gateways were cut off for eight seconds, the other nine had all of the load until the end of the cut.
-class RelayedStore : public ObjectStore
+class RelayedStore : public ForwardingStore
 {
 public:
     /// `timeout` is how long the watcher may be without a word.
@@ -34,11 +35,6 @@
         return m_isDetour;
     }
 
-    void get(const std::string &key, Callback<StoredObject> callback) override;
-    void put(const std::string &key, std::string value, std::uint64_t expectedVersion,
-             Callback<std::uint64_t> callback) override;
-    void remove(const std::string &key, std::uint64_t expectedVersion,
-                std::function<void(absl::Status)> callback) override;
     void list(const std::string &prefix, Callback<StoreChanges> callback) override;
     void listRelaxed(const std::string &prefix, Callback<StoreChanges> callback) override;
     void watch(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback) override;
@@ -51,7 +47,6 @@
                          Callback<StoreChanges> callback);
     void setDetour(bool isDetour);
 
-    ObjectStore &m_store;
     HomeDirectory &m_homes;
     WatchPeerPort &m_peers;
     TimerService &m_timers;
