Budgets: a call that waited for a dry budget hears that it is used up, and not that the ledger is late

HomeTest.reservations_neverExceedWhatWasPaid failed by two chances: a dry budget is asked about again each second, and a request whose time runs out during such a question was refused with ledger_late though the answer before said that there is too little; and the home's refusal at the deadline met the asker's timeout. Tests: reserve_deadlinePassesWhileTheLedgerIsAskedAgain_isExhaustedAndNotLate, which fails without the change.

--- a/src/fleet/budgetpeers.cpp
+++ b/src/fleet/budgetpeers.cpp
@@ -14,8 +14,8 @@
 /// The ledger answers within tens of milliseconds on ordinary days.
 constexpr std::chrono::milliseconds kLateRetryAfter{200};
 
-/// Off the time that a home may take: its answer has to come back. Without it a home that refused at the last moment
-/// was taken for one that did not answer: 'ledger_late' in place of the true reason, by chance.
+/// Off the time that a home may take: its answer has to come back. A home that refuses at the deadline itself is taken
+/// for one that did not answer, and the caller hears of a late ledger in place of the true reason.
 constexpr std::chrono::milliseconds kTravel{10};
 
 std::int64_t milliseconds(Duration span)
--- a/src/libradishswitch/budgets/budgetholder.cpp
+++ b/src/libradishswitch/budgets/budgetholder.cpp
@@ -261,12 +261,14 @@
     if (it == waiting.end()) {
         return;
     }
-    const bool isAsking = entry.second.isAsking;
+    // A budget that has run dry is asked about again and again. That the latest answer is still due is no reason to say
+    // that the ledger is late, when the one before said that there is too little.
+    const bool isLate = entry.second.isAsking && !wasFreeKnownLately(entry.second);
     answer(std::move(it->callback),
-           isAsking ? makeFailure(FailureCode::LedgerLate, "the ledger did not answer in time",
-                                  m_settings.unavailableRetryAfter)
-                    : makeFailure(FailureCode::BudgetExhausted, "nothing became free in time",
-                                  m_settings.exhaustedRetryAfter));
+           isLate ? makeFailure(FailureCode::LedgerLate, "the ledger did not answer in time",
+                                m_settings.unavailableRetryAfter)
+                  : makeFailure(FailureCode::BudgetExhausted, "nothing became free in time",
+                                m_settings.exhaustedRetryAfter));
     waiting.erase(it);
     evaluate(entry);
 }
--- a/src/libradishswitch/budgets/budgetholder.h
+++ b/src/libradishswitch/budgets/budgetholder.h
@@ -145,6 +145,7 @@
 
     // budgetholderledger.cpp: what goes to the ledger and comes back.
     bool isFreeKnown(const HeldBudget &budget) const;
+    bool wasFreeKnownLately(const HeldBudget &budget) const;
     bool isLow(const HeldBudget &budget) const;
     Urgency calmUrgency(const HeldBudget &budget) const;
     bool isReportDue(const HeldBudget &budget, const HeldPortion &portion) const;
--- a/src/libradishswitch/budgets/budgetholderledger.cpp
+++ b/src/libradishswitch/budgets/budgetholderledger.cpp
@@ -32,6 +32,14 @@
     return budget.lastFreeAt != Instant::min() && m_timers.now() - budget.lastFreeAt < m_settings.dryRecheckInterval;
 }
 
+bool BudgetHolder::wasFreeKnownLately(const HeldBudget &budget) const
+{
+    // An answer may take as long as the pause before the next question, and a budget has its turn among others.
+    constexpr int kRounds = 4;
+    return budget.lastFreeAt != Instant::min()
+        && m_timers.now() - budget.lastFreeAt < kRounds * m_settings.dryRecheckInterval;
+}
+
 bool BudgetHolder::isLow(const HeldBudget &budget) const
 {
     return budget.lastFree < budget.wishedSize(m_timers.now(), m_settings) * m_settings.lowBudgetFactor;
--- a/tests/core/budgets/budgetholder_test.cpp
+++ b/tests/core/budgets/budgetholder_test.cpp
@@ -223,6 +223,27 @@
     EXPECT_TRUE(waiting->isRefusedWith(FailureCode::BudgetExhausted));
 }
 
+// A request waits for an open one that takes all of its budget. The ledger has said that nothing more is there, and is
+// asked again just as the request's time runs out. Its caller hears that the budget is used up, and when to come back;
+// that the ledger was late would send it to look for an outage.
+TEST_F(BudgetHolderTest, reserve_deadlinePassesWhileTheLedgerIsAskedAgain_isExhaustedAndNotLate)
+{
+    topUp("p", 100);
+    const auto process = start("h1");
+    reserve(*process, "r", 80);
+    run(Seconds(1));
+    process->link.setDelay(Milliseconds(300));
+    std::vector<std::shared_ptr<Answer>> waiting;
+    for (int n = 0; n < 40; ++n) {
+        waiting.push_back(reserve(*process, "s" + std::to_string(n), 60, Milliseconds(1000 + 50 * n)));
+    }
+    run(Seconds(4));
+
+    for (const auto &it : waiting) {
+        EXPECT_TRUE(it->isRefusedWith(FailureCode::BudgetExhausted));
+    }
+}
+
 // One region holds far more than it uses, the other is short. The short one is refused at once, but leaves its mark;
 // the other sees it at its next checkpoint and gives back what it does not need, so that the retry is served.
 TEST_F(BudgetHolderTest, reserve_restStrandedInOtherRegion_isServedAfterRebalancing)
