--- a/src/fleet/budgetpeers.cpp
+++ b/src/fleet/budgetpeers.cpp
@@ -58,7 +58,8 @@
     reserve.set_call(request.request.value());
     reserve.set_organisation(request.budget.organisation.value());
     reserve.set_tokens(request.tokens);
-    reserve.set_wait_ms(milliseconds(std::max<Duration>(request.deadline - m_timers.now() - kTravel, Duration::zero())));
+    reserve.set_wait_ms(
+        milliseconds(std::max<Duration>(request.deadline - m_timers.now() - kTravel, Duration::zero())));
     reserve.set_expires_ms(milliseconds(m_expiry));
     reserve.set_is_urgent(request.isUrgent);
     reserve.set_is_stand_in(request.isStandIn);
--- a/src/fleet/fleetparts.cpp
+++ b/src/fleet/fleetparts.cpp
@@ -43,7 +43,8 @@
     holder.lowWaterShare = settings.lowWaterShare;
     holder.rideAlongShare = settings.rideAlongShare;
     // The averaged use goes up and down by a fifth within a second, and the size wished for with it. Asked each time,
-    // ten budgets of two shards have these written 169 times in half a minute; with this and a wider low water 23 times.
+    // ten budgets of two shards have these written 169 times in half a minute; with this and a wider low water 23
+    // times.
     holder.relaxedAskInterval = std::chrono::seconds(2);
     holder.surplusFactor = 1.5;
     // A home that is killed takes its portion with it. Near the end of a budget nine seconds of use are most of what
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -37,8 +37,8 @@
 {
     ObjectFollowerSettings follower;
     follower.changePause = changePause(settings);
-    // A change made during an outage is known in time after it. A hundred gateways that ask every 0.6 s on average would
-    // make 1,500 calls of an outage of 9 s, twice.
+    // A change made during an outage is known in time after it. A hundred gateways that ask every 0.6 s on average
+    // would make 1,500 calls of an outage of 9 s, twice.
     follower.longestBackoff = std::max(follower.longestBackoff, watchWait(settings));
     return follower;
 }
--- a/src/libradishnet/signals.h
+++ b/src/libradishnet/signals.h
@@ -10,9 +10,9 @@
 
 /// What a program does with the signals that operators and supervisors send; the same in all programs that stay.
 ///
-/// SIGTERM and SIGINT: the first one asks the program to stop, on a worker; later ones are ignored, so that an impatient
-/// operator or supervisor cuts off no request in progress. SIGHUP: programs read their settings at a start only, so
-/// those in force stay, and a line says so. It is ignored from before `main` on.
+/// SIGTERM and SIGINT: the first one asks the program to stop, on a worker; later ones are ignored, so that an
+/// impatient operator or supervisor cuts off no request in progress. SIGHUP: programs read their settings at a start
+/// only, so those in force stay, and a line says so. It is ignored from before `main` on.
 class Signals
 {
 public:
--- a/src/libradishswitch/budgets/budgetholder.h
+++ b/src/libradishswitch/budgets/budgetholder.h
@@ -144,11 +144,12 @@
     void answer(ReservationCallback callback, absl::StatusOr<Reservation> result);
 
     // budgetholderledger.cpp: what goes to the ledger and comes back.
+    /// Whether a change failed since its portion is the holder's no longer.
+    static bool isPortionLost(const absl::Status &status);
     bool isFreeKnown(const HeldBudget &budget) const;
     bool wasFreeKnownLately(const HeldBudget &budget) const;
     bool isLow(const HeldBudget &budget) const;
     Urgency calmUrgency(const HeldBudget &budget) const;
-    bool isReportDue(const HeldBudget &budget, const HeldPortion &portion) const;
     void askIfLow(Entry &entry);
     void ask(Entry &entry, Urgency urgency);
     void handleRound(std::uint32_t shard);
@@ -164,8 +165,14 @@
     void withholdPart(Entry &entry, HeldPortion &portion, std::int64_t tokens, const RequestId &request);
     void submitCalm(Entry &entry, std::uint32_t number, std::shared_ptr<LedgerChange> change);
     void returnIfDrained(Entry &entry, const HeldPortion &portion);
+    void handleAway(std::uint32_t shard);
+    void checkStopped();
+    PortionId portionId(std::uint32_t number) const;
+
+    // budgetholdercheckpoints.cpp: each budget is looked at now and then.
     void checkpointSlot();
     void checkpoint(Entry &entry);
+    bool isReportDue(const HeldBudget &budget, const HeldPortion &portion) const;
     void report(Entry &entry, const HeldPortion &portion);
     void submitReport(Entry &entry, const HeldPortion &portion, Urgency urgency);
     void handleReported(Entry &entry, const ReportSpendChange &change, std::uint32_t number, Instant askedAt,
@@ -174,9 +181,6 @@
     void replaceIfOld(Entry &entry);
     void giveBackSurplus(Entry &entry, const BudgetGlance &glance);
     bool isForgettable(const HeldBudget &budget) const;
-    void handleAway(std::uint32_t shard);
-    void checkStopped();
-    PortionId portionId(std::uint32_t number) const;
 
     Ledger &m_ledger;
     TimerService &m_timers;
--- a/src/libradishswitch/budgets/budgetholderledger.cpp
+++ b/src/libradishswitch/budgets/budgetholderledger.cpp
@@ -16,8 +16,9 @@
 /// Below this share of the low-water mark what is asked for no longer waits for other writes.
 constexpr double kHurryShare = 0.8;
 
-/// Whether a change failed since its portion is the holder's no longer.
-bool isPortionLost(const absl::Status &status)
+}
+
+bool BudgetHolder::isPortionLost(const absl::Status &status)
 {
     if (status.ok()) {
         return false;
@@ -25,8 +26,6 @@
     return failureCode(status) == FailureCode::PortionClosed || failureCode(status) == FailureCode::BudgetUnknown;
 }
 
-}
-
 bool BudgetHolder::isFreeKnown(const HeldBudget &budget) const
 {
     return budget.lastFreeAt != Instant::min() && m_timers.now() - budget.lastFreeAt < m_settings.dryRecheckInterval;
@@ -50,11 +49,6 @@
     return isLow(budget) ? Urgency::Soon : Urgency::Relaxed;
 }
 
-bool BudgetHolder::isReportDue(const HeldBudget &budget, const HeldPortion &portion) const
-{
-    return isLow(budget) || m_timers.now() - portion.confirmedAt >= m_settings.relaxedCheckpointInterval;
-}
-
 void BudgetHolder::askIfLow(Entry &entry)
 {
     HeldBudget &budget = entry.second;
@@ -315,131 +309,6 @@
                     });
 }
 
-void BudgetHolder::checkpointSlot()
-{
-    m_wheelSlot = (m_wheelSlot + 1) % kWheelSlots;
-    std::vector<Entry *> &slot = m_wheel[m_wheelSlot];
-    std::erase_if(slot, [this](Entry *entry) {
-        checkpoint(*entry);
-        if (!isForgettable(entry->second)) {
-            return false;
-        }
-        const BudgetId budget = entry->first;
-        std::erase(m_budgetsByShard[entry->second.shard()], entry);
-        m_budgets.erase(budget);
-        return true;
-    });
-    const absl::flat_hash_set<Entry *> withWaiting = m_withWaiting;
-    for (Entry *entry : withWaiting) {
-        evaluate(*entry);
-    }
-}
-
-void BudgetHolder::checkpoint(Entry &entry)
-{
-    HeldBudget &budget = entry.second;
-    const HeldPortion current = budget.current();
-    const bool isIdle =
-        current.reserved == 0 && !budget.hasWaiting() && m_timers.now() - budget.lastUsedAt() >= m_settings.idleTime;
-    if (current.number != 0 && isIdle && !budget.isAsking) {
-        retire(entry, budget.replaceCurrent({}));
-    } else if (current.number != 0) {
-        report(entry, current);
-        replaceIfOld(entry);
-    }
-    for (const HeldPortion &it : budget.draining()) {
-        report(entry, it);
-    }
-}
-
-bool BudgetHolder::isOld(const HeldPortion &portion) const
-{
-    return portion.takenAt < m_replaceTakenBefore || m_timers.now() - portion.takenAt > m_settings.portionLifetime;
-}
-
-void BudgetHolder::replaceIfOld(Entry &entry)
-{
-    HeldBudget &budget = entry.second;
-    if (budget.isAsking || m_isStopping || budget.hasWaiting() || !isOld(budget.current())) {
-        return;
-    }
-    if (m_ledger.isStoreAway(budget.shard())) {
-        return;
-    }
-    ask(entry, calmUrgency(budget));
-}
-
-void BudgetHolder::report(Entry &entry, const HeldPortion &portion)
-{
-    if (isReportDue(entry.second, portion)) {
-        submitReport(entry, portion, calmUrgency(entry.second));
-    }
-}
-
-void BudgetHolder::submitReport(Entry &entry, const HeldPortion &portion, Urgency urgency)
-{
-    const auto change = std::make_shared<ReportSpendChange>(entry.first, portionId(portion.number), portion.spent);
-    const Instant now = m_timers.now();
-    entry.second.pendingChanges += 1;
-    m_ledger.submit(entry.first, change, urgency,
-                    [this, alive = std::weak_ptr<int>(m_alive), &entry, change, number = portion.number,
-                     now](const absl::Status &status) {
-                        if (!alive.expired()) {
-                            entry.second.pendingChanges -= 1;
-                            handleReported(entry, *change, number, now, status);
-                        }
-                    });
-}
-
-void BudgetHolder::handleReported(Entry &entry, const ReportSpendChange &change, std::uint32_t number, Instant askedAt,
-                                  const absl::Status &status)
-{
-    HeldBudget &budget = entry.second;
-    HeldPortion *portion = budget.find(number);
-    if (!portion) {
-        return;
-    }
-    if (isPortionLost(status)) {
-        drop(entry, number);
-        return evaluate(entry);
-    }
-    if (!status.ok()) {
-        return;
-    }
-    portion->confirmedAt = std::max(portion->confirmedAt, askedAt);
-    budget.lastFree = change.glance().free;
-    budget.lastPaid = change.glance().paid;
-    if (portion == &budget.current() && !budget.isAsking && !m_isStopping) {
-        giveBackSurplus(entry, change.glance());
-    }
-}
-
-void BudgetHolder::giveBackSurplus(Entry &entry, const BudgetGlance &glance)
-{
-    HeldBudget &budget = entry.second;
-    const Instant now = m_timers.now();
-    const bool isWantedElsewhere = !glance.wantedBy.isEmpty() && glance.wantedBy != m_settings.incarnation;
-    const std::int64_t wished = budget.wishedSize(now, m_settings);
-    const std::int64_t kept = isWantedElsewhere ? budget.sizeWhenWanted(now, m_settings) : wished;
-    const double limit =
-        isWantedElsewhere ? static_cast<double>(kept) : static_cast<double>(wished) * m_settings.surplusFactor;
-    HeldPortion &portion = budget.current();
-    if (budget.hasWaiting() || static_cast<double>(portion.available()) <= limit) {
-        return;
-    }
-    if (kept == 0 && portion.reserved == 0) {
-        return retire(entry, budget.replaceCurrent({}));
-    }
-    surrender(entry, portion, portion.available() - kept);
-}
-
-bool BudgetHolder::isForgettable(const HeldBudget &budget) const
-{
-    return budget.current().number == 0 && budget.draining().empty() && !budget.hasWaiting() && !budget.isAsking
-        && budget.pendingChanges == 0 && budget.openReservations == 0
-        && m_timers.now() - budget.lastUsedAt() >= m_settings.idleTime;
-}
-
 void BudgetHolder::handleAway(std::uint32_t shard)
 {
     const absl::flat_hash_set<Entry *> withWaiting = m_withWaiting;
--- a/src/libradishswitch/budgets/heldbudget.cpp
+++ b/src/libradishswitch/budgets/heldbudget.cpp
@@ -181,8 +181,8 @@
 // A budget near its end, or a portion that has to last through an outage, would go to whatever comes first: long calls
 // of low urgency take most of the tokens, and short ones are refused from then on. The rest that is kept serves these
 // alone; where they take an eighth of the tokens, eight times as long as all. Urgent calls that are larger than the
-// usual ones would end it as soon: of 0.03 of a budget they had 1.5 seconds, and small calls none. So they leave half of
-// it to the small ones.
+// usual ones would end it as soon: of 0.03 of a budget they had 1.5 seconds, and small calls none. So they leave half
+// of it to the small ones.
 double HeldBudget::headroomLeftBy(const ReservationRequest &request, const BudgetHolderSettings &settings) const
 {
     const auto tokens = static_cast<double>(request.tokens);
--- a/src/libradishswitch/budgets/shardwriter.h
+++ b/src/libradishswitch/budgets/shardwriter.h
@@ -46,9 +46,9 @@
     using RoundCallback = std::function<void()>;
 
     /// `onRound` is called when a round begins; what is submitted inside it goes out with that round.
-    ShardWriter(std::uint32_t shard, const LedgerPorts &ports, const LedgerSettings &settings, AwayCallback onAway,
-                RoundCallback onRound = [] {
-                });
+    ShardWriter(
+        std::uint32_t shard, const LedgerPorts &ports, const LedgerSettings &settings, AwayCallback onAway,
+        RoundCallback onRound = [] {});
     ~ShardWriter();
 
     ShardWriter(const ShardWriter &) = delete;
--- a/src/libradishswitch/limits/loadshedder.h
+++ b/src/libradishswitch/limits/loadshedder.h
@@ -31,9 +31,9 @@
 
 /// Decides when a process that has more requests than processor time turns new ones away.
 ///
-/// Load pattern: the balancer picks an instance by a hash of the caller, so that one caller with many requests meets one
-/// small instance: 3,600 calls where its neighbours had 200 to 570. Left in line, all of them are late; callers leave
-/// after a second unread, and the work on their calls is wasted. One that is refused at once is served by another
+/// Load pattern: the balancer picks an instance by a hash of the caller, so that one caller with many requests meets
+/// one small instance: 3,600 calls where its neighbours had 200 to 570. Left in line, all of them are late; callers
+/// leave after a second unread, and the work on their calls is wasted. One that is refused at once is served by another
 /// instance in time, since callers go there with their next try.
 ///
 /// The measure is how late the process runs its own tasks, which counts its processor, whatever share of a core it has,
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -77,8 +77,8 @@
 }
 
 // After a loss of power all endpoints come back under new ids at their old addresses, and the old entries lapse seconds
-// later. Half of all calls went to old ids, were turned away there, and failed where they may be sent but once: 1,120 in
-// three seconds. Of entries that name one address the newest is right, but for late news of one that has ended, and
+// later. Half of all calls went to old ids, were turned away there, and failed where they may be sent but once: 1,120
+// in three seconds. Of entries that name one address the newest is right, but for late news of one that has ended, and
 // entries of other writers: a call that is answered by another endpoint shows these up.
 void EndpointRoster::reviewAddress(const std::string &address)
 {
--- a/src/libradishswitch/serving/homedirectory.cpp
+++ b/src/libradishswitch/serving/homedirectory.cpp
@@ -112,8 +112,8 @@
 }
 
 // Whoever watches sends each change to all of its zone. A configuration of 240 kB for twenty gateways takes a link of
-// 20 Mbit/s two seconds, and versions that came faster than that were in force four seconds late in all of the zone; one
-// of 200 Mbit/s takes 0.2 s. Links are as wide as shares of a core are large.
+// 20 Mbit/s two seconds, and versions that came faster than that were in force four seconds late in all of the zone;
+// one of 200 Mbit/s takes 0.2 s. Links are as wide as shares of a core are large.
 std::string HomeDirectory::watcher(Instant now) const
 {
     if (m_watchesAlone) {
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -443,8 +443,8 @@
         },
         settings);
 
-    const std::string answer = exchangeRaw(
-        server.port(), "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\nthe first bytes");
+    const std::string answer =
+        exchangeRaw(server.port(), "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\nthe first bytes");
 
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 503"));
     EXPECT_NE(answer.find("Retry-After: 0.02"), std::string::npos);
--- a/tests/radishswitch-home/home_test.cpp
+++ b/tests/radishswitch-home/home_test.cpp
@@ -76,7 +76,8 @@
             ReservationRequest request{RequestId(call), PrepaidBudgets::budgetOf(OrganisationId("magnolia")), tokens,
                                        timers.now() + std::chrono::seconds(2)};
             request.allowance = allowance;
-            // The home's word is what is tested: its way back is waited for beyond the deadline, however busy the machine.
+            // The home's word is what is tested: its way back is waited for beyond the deadline, however busy the
+            // machine.
             peers.reserve("home-1", request, kLong, [&answered](const absl::Status &status) {
                 answered.set_value(status);
             });
