--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -166,7 +166,7 @@
         ServerSocket socket(workers.connectionExecutor());
         acceptor.accept(socket, ec);
         if (ec) {
-            // What else than an empty line fails here fails again in the next wait, which tells it.
+            // No more connections wait. Any other error shows again in the next asynchronous accept, which logs it.
             return;
         }
         serve(std::move(socket));
--- a/src/libradishnet/signals.cpp
+++ b/src/libradishnet/signals.cpp
@@ -19,7 +19,7 @@
 
 /// Left to its default SIGHUP ends a process, and a settings file that changes while the process starts is reason
 /// enough for a supervisor to send it: on a small instance a start takes half a second.
-[[maybe_unused]] const auto kHandlerBefore = std::signal(SIGHUP, SIG_IGN);
+[[maybe_unused]] const auto kPreviousHandler = std::signal(SIGHUP, SIG_IGN);
 
 }
 
