Sight: why a call got no further attempt, and whether a silence was the endpoint's or ours

Cause: the line of a failed attempt said `silent`, and nothing told apart an endpoint that sent nothing, a process that was late to read what had arrived, and a call for which another attempt was wanted and not had.

Change: `attempt failed` has `silent_for`, `noticed_late` and `unread`; `call failed` has `further_attempt` (attempts_used, retry_budget_spent, no_endpoint, not_idempotent, deadline_reached) and `time_left`; a request that is cut off while it comes has a line; `radishswitch_answers_cut_off_total{cause}` counts answers broken off. The rule for a further attempt names its verdict in place of a truth value, and its tests ask for the verdict. No logic changes.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -174,6 +174,7 @@
     while (!m_isCallerGone) {
         const absl::StatusOr<Placement> placement = co_await place();
         if (!placement.ok()) {
+            m_further = m_history.sent > 0 ? std::optional(FurtherAttempt::NoEndpoint) : std::nullopt;
             co_return m_history.mayHaveRun ? failureOfAttempts(m_history, AttemptEnd::Broken) : placement.status();
         }
         const AttemptResult end = co_await attempt(*placement);
@@ -185,7 +186,8 @@
         if (m_isCallerGone) {
             break;
         }
-        if (timeLeft() <= Duration::zero() || !mayTryAgain(m_history, *end) || !grantRetry(*end)) {
+        m_further = askForAnother(*end);
+        if (m_further != FurtherAttempt::Granted) {
             co_return failureOfAttempts(m_history, *end);
         }
     }
@@ -204,6 +206,18 @@
     co_return placement;
 }
 
+FurtherAttempt Call::askForAnother(AttemptEnd end)
+{
+    if (timeLeft() <= Duration::zero()) {
+        return FurtherAttempt::DeadlineReached;
+    }
+    const FurtherAttempt verdict = furtherAttempt(m_history, end);
+    if (verdict != FurtherAttempt::Granted) {
+        return verdict;
+    }
+    return grantRetry(end) ? FurtherAttempt::Granted : FurtherAttempt::RetryBudgetSpent;
+}
+
 bool Call::grantRetry(AttemptEnd end)
 {
     if (!isRetry(end)) {
@@ -240,6 +254,7 @@
 net::awaitable<void> Call::refuse(const absl::Status &status)
 {
     if (m_hasBegun) {
+        m_services.metrics.noteCutOff(status);
         m_exchange.abort();
         co_return;
     }
@@ -297,7 +312,8 @@
                 field("events", m_cutter.count()), field("tokens", m_isReserved ? usedTokens() : 0),
                 field("reserved_after", m_reservedAfter), field("waited", m_waited),
                 field("first_answer", m_firstAnswerAfter.value_or(Duration::zero())), field("taken", taken),
-                field("version", m_table ? m_table->configuration().version : 0),
+                field("further_attempt", m_further ? furtherAttemptName(*m_further) : std::string_view()),
+                field("time_left", timeLeft()), field("version", m_table ? m_table->configuration().version : 0),
                 field("reason", std::string(status.message()))});
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -39,6 +39,7 @@
     boost::asio::awaitable<absl::Status> reserve();
     boost::asio::awaitable<absl::Status> serve();
     boost::asio::awaitable<absl::StatusOr<Placement>> place();
+    FurtherAttempt askForAnother(AttemptEnd end);
     bool grantRetry(AttemptEnd end);
     void settle();
     std::int64_t usedTokens() const;
@@ -61,6 +62,7 @@
     Duration firstAnswerWait(const Placement &placement) const;
     Duration nextEventWait() const;
     void logAttempt(const Placement &placement, AttemptEnd end) const;
+    Duration sinceHeard() const;
 
     Duration timeLeft() const;
     bool mayRunAgain() const;
@@ -84,6 +86,12 @@
     EventCutter m_cutter;
     /// The endpoint of the latest attempt.
     EndpointId m_endpoint;
+    /// When the latest attempt was sent, or when bytes of its answer came last.
+    Instant m_heardAt{};
+    /// What the latest attempt's connection saw when a wait on it was over.
+    std::optional<ExpiredWait> m_expiredWait;
+    /// Whether another attempt was to follow the one that failed last.
+    std::optional<FurtherAttempt> m_further;
     std::optional<Duration> m_firstAnswerAfter;
     Duration m_reservedAfter{};
     /// Time that the call waited for endpoints.
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -59,6 +59,7 @@
     if (result == AttemptEnd::WrongEndpoint) {
         m_services.gate.noteMissed(m_request.id);
     }
+    m_expiredWait = m_connection->expiredWait();
     const RunEnd end = !result ? RunEnd::Ok : m_isCallerGone ? RunEnd::Cancelled : runEndOf(*result);
     m_services.gate.noteEnded(m_request.id, end);
     m_connection.reset();
@@ -94,6 +95,8 @@
     dispatch.timeLeft = timeLeft();
     dispatch.priority = priority();
     dispatch.lastEvent = m_cutter.lastEvent();
+    m_heardAt = m_services.timers.now();
+    m_expiredWait.reset();
     m_connection->startSending(m_services.protocol.endpointCall(m_exchange.request(), dispatch));
 
     const absl::StatusOr<AnswerHead> head = co_await readHead(placement);
@@ -133,6 +136,7 @@
         if (!status.ok()) {
             co_return status;
         }
+        m_heardAt = m_services.timers.now();
         const AnswerHead head = m_services.protocol.readAnswer(m_connection->status(), m_connection->headers());
         const bool isOurs = head.call ? *head.call == m_request.id : !isSuccess(head.status);
         if (isOurs) {
@@ -176,6 +180,7 @@
         if (data->empty()) {
             break;
         }
+        m_heardAt = m_services.timers.now();
         const std::string events = m_cutter.take(*data);
         if (!events.empty()) {
             const absl::Status status = co_await passOn(head, events);
@@ -261,7 +266,15 @@
               {field("call", m_request.id.value()), field("endpoint", placement.endpoint.value()),
                field("address", placement.address), field("end", attemptEndName(end)), field("sent", m_history.sent),
                field("events", m_cutter.count()), field("may_have_run", m_history.mayHaveRun),
+               field("silent_for", sinceHeard()),
+               field("noticed_late", m_expiredWait ? m_expiredWait->late : Duration::zero()),
+               field("unread", m_expiredWait ? m_expiredWait->unread : std::size_t(0)),
                field("time_left", timeLeft())});
 }
 
+Duration Call::sinceHeard() const
+{
+    return m_heardAt == Instant() ? Duration::zero() : m_services.timers.now() - m_heardAt;
+}
+
 }
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -56,6 +56,14 @@
     m_refusedUnread.add();
 }
 
+void CallMetrics::noteCutOff(const absl::Status &status)
+{
+    const std::string cause(failureName(failureCode(status)));
+    m_metrics
+        .counter("radishswitch_answers_cut_off_total", "Answers that had begun and were broken off", {{"cause", cause}})
+        .add();
+}
+
 void CallMetrics::noteAttemptFailed(AttemptEnd end)
 {
     const std::string name(attemptEndName(end));
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -29,6 +29,8 @@
     void notePlaced(Duration taken);
 
     void noteRefusedUnread();
+    /// An answer that had begun was broken off.
+    void noteCutOff(const absl::Status &status);
     void noteAttemptFailed(AttemptEnd end);
 
 private:
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -62,7 +62,7 @@
     , m_address(std::move(address))
     , m_silenceLimits(silenceLimits)
     , m_watchdog(m_strand, [this] {
-        close();
+        expire();
     })
 {
 }
@@ -254,6 +254,14 @@
     m_watchdog.expireAfter(span);
 }
 
+void HttpConnection::expire()
+{
+    beast::error_code ec;
+    const std::size_t unread = m_socket.available(ec);
+    m_expiredWait = ExpiredWait{m_watchdog.lateness(), ec ? 0 : unread};
+    close();
+}
+
 void HttpConnection::clearDeadline()
 {
     m_watchdog.clear();
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -19,6 +19,16 @@
 namespace RadishSwitch
 {
 
+/// A wait for bytes that ended without any. Tells a silent other side from a process that was late to read.
+struct ExpiredWait {
+    /// How long after its end the wait was noticed to be over.
+    Duration late{};
+    /// Bytes that had arrived by then and were not read yet.
+    std::size_t unread = 0;
+
+    bool operator==(const ExpiredWait &) const = default;
+};
+
 /// One connection of the client, used by one request at a time. What reads or writes is used on the connection's
 /// strand; the rest also by the owner of a connection on which nothing is going on.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
@@ -72,6 +82,12 @@
     int status() const;
     HttpHeaders headers() const;
 
+    /// The last deadline that passed on this connection, if any did.
+    const std::optional<ExpiredWait> &expiredWait() const
+    {
+        return m_expiredWait;
+    }
+
     /// Whether any byte of an answer came since the last request went out.
     bool hasHeard() const;
 
@@ -90,6 +106,7 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    void expire();
     absl::Status failure(const std::string &step, boost::beast::error_code ec) const;
     bool isAwaitingAnswer() const;
 
@@ -108,6 +125,7 @@
     std::unique_ptr<Message> m_outgoing;
     bool m_hasSent = false;
     Watchdog m_watchdog;
+    std::optional<ExpiredWait> m_expiredWait;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     Clock::time_point m_idleSince;
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -306,9 +306,24 @@
         m_watchdog.expireAfter(idleTimeout - idle);
         return;
     }
+    if (m_isReading && m_parser->got_some()) {
+        logUnanswered();
+    }
     close();
 }
 
+// For its caller this is a request without an answer, so that it has to be found by what came of it: where the rest had
+// arrived unread, this process was late and not the caller.
+template<typename Stream>
+void HttpSession<Stream>::logUnanswered()
+{
+    beast::error_code ec;
+    const std::size_t unread = beast::get_lowest_layer(m_stream).available(ec);
+    kLog.warning("request cut off while it came",
+                 {field("peer", m_peer), field("target", std::string(m_parser->get().target())),
+                  field("unread", ec ? std::size_t(0) : unread), field("noticed_late", m_watchdog.lateness())});
+}
+
 template<typename Stream>
 void HttpSession<Stream>::close()
 {
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -107,6 +107,7 @@
     void prepare(boost::beast::http::response<Body> &message, int status, const HttpHeaders &headers);
     void takeRequest();
     void expire();
+    void logUnanswered();
     bool isBetweenRequests() const;
     /// Writes what the kernel takes without waiting, and gives how much that was.
     std::size_t writeAtOnce(const std::string &bytes, boost::beast::error_code &ec);
--- a/src/libradishnet/watchdog.cpp
+++ b/src/libradishnet/watchdog.cpp
@@ -47,6 +47,7 @@
     Clock::time_point deadline = kNever;
     Clock::time_point armedFor = kNever;
     bool isExpired = false;
+    Duration lateness{};
 
 private:
     void arm()
@@ -66,10 +67,12 @@
         if (deadline == kNever) {
             return;
         }
-        if (Clock::now() < deadline) {
+        const Clock::time_point now = Clock::now();
+        if (now < deadline) {
             arm();
             return;
         }
+        lateness = std::chrono::duration_cast<Duration>(now - deadline);
         deadline = kNever;
         isExpired = true;
         const std::lock_guard lock(mutex);
@@ -109,4 +112,9 @@
     return d->isExpired;
 }
 
+Duration Watchdog::lateness() const
+{
+    return d->lateness;
+}
+
 }
--- a/src/libradishnet/watchdog.h
+++ b/src/libradishnet/watchdog.h
@@ -34,6 +34,9 @@
     /// Whether the deadline that was set last has passed.
     bool isExpired() const;
 
+    /// How long after the deadline that passed last the callback came: this process was busy meanwhile.
+    Duration lateness() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/src/libradishswitch/serving/attemptrules.cpp
+++ b/src/libradishswitch/serving/attemptrules.cpp
@@ -32,19 +32,33 @@
     return "silent";
 }
 
-bool mayTryAgain(const AttemptHistory &history, AttemptEnd end)
+std::string_view furtherAttemptName(FurtherAttempt verdict)
 {
-    switch (end) {
-    case AttemptEnd::NotSent:
-        return history.notSent < kMostNotSent && (history.sent < history.maximumAttempts);
-    case AttemptEnd::RefusedByEndpoint:
-    case AttemptEnd::WrongEndpoint:
-        return history.sent < history.maximumAttempts;
-    case AttemptEnd::Broken:
-    case AttemptEnd::Silent:
-        return history.repetition != Repetition::Never && history.sent < history.maximumAttempts;
+    switch (verdict) {
+    case FurtherAttempt::Granted:
+        return "granted";
+    case FurtherAttempt::DeadlineReached:
+        return "deadline_reached";
+    case FurtherAttempt::NotIdempotent:
+        return "not_idempotent";
+    case FurtherAttempt::AttemptsUsed:
+        return "attempts_used";
+    case FurtherAttempt::RetryBudgetSpent:
+        return "retry_budget_spent";
+    case FurtherAttempt::NoEndpoint:
+        break;
+    }
+    return "no_endpoint";
+}
+
+FurtherAttempt furtherAttempt(const AttemptHistory &history, AttemptEnd end)
+{
+    const bool mayHaveRun = end == AttemptEnd::Broken || end == AttemptEnd::Silent;
+    if (mayHaveRun && history.repetition == Repetition::Never) {
+        return FurtherAttempt::NotIdempotent;
     }
-    return false;
+    const bool isTried = end == AttemptEnd::NotSent && history.notSent >= kMostNotSent;
+    return isTried || history.sent >= history.maximumAttempts ? FurtherAttempt::AttemptsUsed : FurtherAttempt::Granted;
 }
 
 bool isRetry(AttemptEnd end)
--- a/src/libradishswitch/serving/attemptrules.h
+++ b/src/libradishswitch/serving/attemptrules.h
@@ -23,6 +23,16 @@
     Silent,
 };
 
+/// Whether a call whose latest attempt failed gets another one, or why not.
+enum class FurtherAttempt {
+    Granted,
+    DeadlineReached,
+    NotIdempotent,
+    AttemptsUsed,
+    RetryBudgetSpent,
+    NoEndpoint,
+};
+
 /// What has become of a call so far.
 struct AttemptHistory {
     Repetition repetition = Repetition::Never;
@@ -40,9 +50,12 @@
 /// The stable name of an end, such as "not_sent".
 std::string_view attemptEndName(AttemptEnd end);
 
-/// Whether another endpoint may be tried after an attempt that ended so. `history` includes that attempt. The retry
-/// budget is asked besides.
-bool mayTryAgain(const AttemptHistory &history, AttemptEnd end);
+/// The stable name of a verdict, such as "attempts_used".
+std::string_view furtherAttemptName(FurtherAttempt verdict);
+
+/// Whether another endpoint may be tried after an attempt that ended so. `history` includes that attempt. The
+/// deadline, the retry budget and the endpoints' room are asked besides.
+FurtherAttempt furtherAttempt(const AttemptHistory &history, AttemptEnd end);
 
 /// Whether a further attempt draws on the fleet's retry budget: it does when the endpoint before saw the call.
 bool isRetry(AttemptEnd end);
--- a/tests/core/serving/attemptrules_test.cpp
+++ b/tests/core/serving/attemptrules_test.cpp
@@ -23,16 +23,17 @@
 TEST_F(AttemptRulesTest, orderThatMayHaveRun_isNotTriedAgainAndUnknown)
 {
     const AttemptHistory order = history(Repetition::Never, 1, 5, true);
-    EXPECT_FALSE(mayTryAgain(order, AttemptEnd::Broken));
-    EXPECT_FALSE(mayTryAgain(order, AttemptEnd::Silent));
+    EXPECT_EQ(furtherAttempt(order, AttemptEnd::Broken), FurtherAttempt::NotIdempotent);
+    EXPECT_EQ(furtherAttempt(order, AttemptEnd::Silent), FurtherAttempt::NotIdempotent);
     EXPECT_EQ(outcomeOf(failureOfAttempts(order, AttemptEnd::Broken)), RunOutcome::Unknown);
 }
 
 TEST_F(AttemptRulesTest, orderRefusedByEndpoint_isTriedAgainWithinItsAttempts)
 {
-    EXPECT_TRUE(mayTryAgain(history(Repetition::Never, 1, 2, false), AttemptEnd::RefusedByEndpoint));
+    EXPECT_EQ(furtherAttempt(history(Repetition::Never, 1, 2, false), AttemptEnd::RefusedByEndpoint),
+              FurtherAttempt::Granted);
     const AttemptHistory spent = history(Repetition::Never, 1, 1, false);
-    EXPECT_FALSE(mayTryAgain(spent, AttemptEnd::RefusedByEndpoint));
+    EXPECT_EQ(furtherAttempt(spent, AttemptEnd::RefusedByEndpoint), FurtherAttempt::AttemptsUsed);
     const absl::Status failure = failureOfAttempts(spent, AttemptEnd::RefusedByEndpoint);
     EXPECT_EQ(outcomeOf(failure), RunOutcome::NotRun);
     EXPECT_TRUE(retryAfterOf(failure).has_value());
@@ -48,8 +49,8 @@
 TEST_F(AttemptRulesTest, repeatableCalls_goElsewhereUntilTheirAttemptsAreUsed)
 {
     for (const Repetition repetition : {Repetition::Always, Repetition::ByResuming}) {
-        EXPECT_TRUE(mayTryAgain(history(repetition, 1, 2, true), AttemptEnd::Broken));
-        EXPECT_FALSE(mayTryAgain(history(repetition, 2, 2, true), AttemptEnd::Broken));
+        EXPECT_EQ(furtherAttempt(history(repetition, 1, 2, true), AttemptEnd::Broken), FurtherAttempt::Granted);
+        EXPECT_EQ(furtherAttempt(history(repetition, 2, 2, true), AttemptEnd::Broken), FurtherAttempt::AttemptsUsed);
     }
 }
 
@@ -59,7 +60,7 @@
     EXPECT_TRUE(isRetry(AttemptEnd::RefusedByEndpoint));
     AttemptHistory call = history(Repetition::Never, 0, 1, false);
     call.notSent = 2;
-    EXPECT_TRUE(mayTryAgain(call, AttemptEnd::NotSent));
+    EXPECT_EQ(furtherAttempt(call, AttemptEnd::NotSent), FurtherAttempt::Granted);
     call.notSent = 3;
-    EXPECT_FALSE(mayTryAgain(call, AttemptEnd::NotSent));
+    EXPECT_EQ(furtherAttempt(call, AttemptEnd::NotSent), FurtherAttempt::AttemptsUsed);
 }
