Test: an answer that had arrived is taken for silence by a process that was late

What callers see: a stream that breaks off, or 504, though the endpoint answered in time. A process that reads a large configuration looks at its deadlines before it reads what came in meanwhile. No logic changes.

--- /dev/null
+++ b/tests/net/httpconnection_test.cpp
@@ -0,0 +1,99 @@
+#include "base/failure.h"
+#include "httpconnection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+
+using namespace RadishSwitch;
+using boost::asio::ip::tcp;
+
+/// A connection on a worker of its own, to an endpoint that the test plays by hand.
+class HttpConnectionTest : public testing::Test
+{
+protected:
+    /// For what is meant to time out, and longer than anything takes that is meant to end.
+    static constexpr Duration kShort = std::chrono::milliseconds(40);
+    static constexpr Duration kLong = std::chrono::seconds(30);
+
+    HttpConnectionTest()
+        : m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0})
+        , m_endpoint(m_context)
+        , workers(1)
+    {
+        workers.start();
+        connection = std::make_shared<HttpConnection>(
+            workers, "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()));
+    }
+
+    ~HttpConnectionTest() override
+    {
+        workers.stop();
+    }
+
+    /// Sends a request, which the endpoint reads whole.
+    void sendRequest()
+    {
+        ASSERT_TRUE(wait(connection->connect(kLong)).ok());
+        workers.post([this] {
+            connection->startSending(HttpRequest());
+        });
+        m_acceptor.accept(m_endpoint);
+        boost::asio::streambuf request;
+        boost::asio::read_until(m_endpoint, request, "\r\n\r\n");
+    }
+
+    void say(const std::string &bytes)
+    {
+        boost::asio::write(m_endpoint, boost::asio::buffer(bytes));
+    }
+
+    boost::asio::awaitable<absl::Status> head(Duration timeout)
+    {
+        connection->expireAfter(timeout);
+        co_return co_await connection->receiveHead(true);
+    }
+
+    template<typename T>
+    T wait(boost::asio::awaitable<T> work)
+    {
+        return boost::asio::co_spawn(workers.context(), std::move(work), boost::asio::use_future).get();
+    }
+
+private:
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    tcp::socket m_endpoint;
+
+protected:
+    WorkerPool workers;
+    std::shared_ptr<HttpConnection> connection;
+};
+
+// A process reads a large configuration while an answer comes in. The wait for the answer is over by the time that it
+// looks again, and the answer lies there unread: it was late itself, and the endpoint was not.
+TEST_F(HttpConnectionTest, answerArrivedWhileProcessWasBusy_isReadAndNotTakenForSilence)
+{
+    sendRequest();
+    std::promise<void> deadlinePassed;
+    std::promise<void> arrived;
+    std::future<absl::Status> answer = boost::asio::co_spawn(workers.context(), head(kShort), boost::asio::use_future);
+    // Two tasks, so that the worker notices the deadline between them, and the answer comes behind that.
+    workers.post([&] {
+        const auto end = std::chrono::steady_clock::now() + 2 * kShort;
+        while (std::chrono::steady_clock::now() < end) { }
+        workers.post([&] {
+            deadlinePassed.set_value();
+            arrived.get_future().wait();
+        });
+    });
+    deadlinePassed.get_future().wait();
+    say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    arrived.set_value();
+    EXPECT_TRUE(answer.get().ok());
+}
