Connections: what has arrived by a deadline is read, and not taken for silence

What callers saw: an answer that broke off, or 504, at a gateway that was busy for as long as a wait lasts, though the endpoint had answered in time. Cause: the deadline of a connection was acted on before the bytes that lay unread in the kernel. Now a deadline at which bytes lie unread is put off once, by 100 ms, in which a process that is late reads them; nothing is lost where none came. A dribbling endpoint gains those 100 ms once a wait, no more.

--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -28,6 +28,8 @@
 constexpr int kKeepAliveProbes = 2;
 constexpr std::uint32_t kMaximumHeaderBytes = 64 * 1024;
 constexpr std::uint64_t kMaximumBodyBytes = 256 * 1024 * 1024;
+/// A process that was late reads what has arrived within this.
+constexpr Duration kLateRead = std::chrono::milliseconds(100);
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// A stream waits inside the read for most of its life, so that this is memory of each open stream.
 constexpr std::size_t kStreamReadBytes = 4 * 1024;
@@ -85,7 +87,7 @@
     }
     beast::error_code ec;
     const net::ip::tcp::endpoint endpoint(net::ip::make_address(target->ip()), target->port());
-    m_watchdog.expireAfter(timeout);
+    expireAfter(timeout);
     co_await m_socket.async_connect(endpoint, awaitInto(ec));
     if (ec && m_watchdog.isExpired()) {
         co_return makeFailure(FailureCode::ConnectionSilent, m_address + " took no connection in time");
@@ -166,7 +168,7 @@
 {
     std::array<char, kStreamReadBytes> buf;
     beast::error_code ec;
-    m_watchdog.expireAfter(timeout);
+    expireAfter(timeout);
     m_parser->eager(true);
     while (!m_parser->is_done()) {
         const std::size_t n = parseBody(net::buffer(buf), ec);
@@ -228,7 +230,7 @@
             co_return withUnknownOutcome(failure("reading", ec));
         }
         if (n > 0 && silence > Duration::zero()) {
-            m_watchdog.expireAfter(std::min(silence, std::chrono::duration_cast<Duration>(end - Clock::now())));
+            expireAfter(std::min(silence, std::chrono::duration_cast<Duration>(end - Clock::now())));
         }
     }
     co_return data;
@@ -251,6 +253,7 @@
 
 void HttpConnection::expireAfter(Duration span)
 {
+    m_isPutOff = false;
     m_watchdog.expireAfter(span);
 }
 
@@ -259,9 +262,21 @@
     beast::error_code ec;
     const std::size_t unread = m_socket.available(ec);
     m_expiredWait = ExpiredWait{m_watchdog.lateness(), ec ? 0 : unread};
+    if (hasReasonToReadOn(m_expiredWait->unread)) {
+        m_isPutOff = true;
+        m_watchdog.expireAfter(kLateRead);
+        return;
+    }
     close();
 }
 
+// What has arrived by the deadline is not missing: it is this process that was late, with a large configuration to read
+// or without processor time. An answer that is ready is delivered.
+bool HttpConnection::hasReasonToReadOn(std::size_t unread) const
+{
+    return unread > 0 && !m_isPutOff;
+}
+
 void HttpConnection::clearDeadline()
 {
     m_watchdog.clear();
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -107,6 +107,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     void expire();
+    bool hasReasonToReadOn(std::size_t unread) const;
     absl::Status failure(const std::string &step, boost::beast::error_code ec) const;
     bool isAwaitingAnswer() const;
 
@@ -125,6 +126,8 @@
     std::unique_ptr<Message> m_outgoing;
     bool m_hasSent = false;
     Watchdog m_watchdog;
+    /// Whether a deadline was put off for bytes that had arrived.
+    bool m_isPutOff = false;
     std::optional<ExpiredWait> m_expiredWait;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -76,7 +76,8 @@
 };
 
 // A process reads a large configuration while an answer comes in. The wait for the answer is over by the time that it
-// looks again, and the answer lies there unread: it was late itself, and the endpoint was not.
+// looks again, and the answer lies there unread: it was late itself, and the endpoint was not. The connection was closed
+// all the same, since the deadline was looked at before the bytes; now what has arrived is read first.
 TEST_F(HttpConnectionTest, answerArrivedWhileProcessWasBusy_isReadAndNotTakenForSilence)
 {
     sendRequest();
