--- a/tests/radishswitch-gateway/gatewayfixture.h
+++ b/tests/radishswitch-gateway/gatewayfixture.h
@@ -143,7 +143,7 @@
         });
     }
 
-    RadishSwitch::GatewaySettings gatewaySettings()
+    virtual RadishSwitch::GatewaySettings gatewaySettings()
     {
         RadishSwitch::GatewaySettings settings;
         settings.log.level = RadishSwitch::LogLevel::Off;
@@ -181,9 +181,9 @@
         }
     }
 
-    absl::StatusOr<HttpResponse> fetchFrom(std::uint16_t port, HttpRequest request)
+    absl::StatusOr<HttpResponse> fetchFrom(std::uint16_t port, HttpRequest request, Duration wait = kLong)
     {
-        auto work = client.fetch("127.0.0.1:" + std::to_string(port), std::move(request), kLong);
+        auto work = client.fetch("127.0.0.1:" + std::to_string(port), std::move(request), wait);
         return boost::asio::co_spawn(callers.context(), std::move(work), boost::asio::use_future).get();
     }
 
