--- /dev/null
+++ b/src/gateway/callrelay.cpp
@@ -0,0 +1,162 @@
+#include "call.h"
+
+#include "base/failure.h"
+#include "log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace net = boost::asio;
+
+net::awaitable<Call::AttemptResult> Call::relay()
+{
+    if (!m_attempt.connection) {
+        co_return AttemptEnd::NotSent;
+    }
+    const absl::StatusOr<AnswerHead> head = co_await awaitHead();
+    if (!head.ok()) {
+        co_return endUnanswered(m_attempt, head.status());
+    }
+    if (head->isRefusal) {
+        co_return co_await endRefused(m_attempt, *head);
+    }
+    m_history.mayHaveRun = true;
+    // A failure can't be put behind events that the caller has already.
+    if (!head->isSigned || (m_hasBegun && !isSuccess(head->status))) {
+        co_return AttemptEnd::Broken;
+    }
+    const bool isStream = m_route->isStreamed && isSuccess(head->status);
+    const AttemptResult result = isStream ? co_await relayStream(*head) : co_await relayWhole(*head);
+    if (!result) {
+        const ConnectionPointer connection = std::exchange(m_attempt.connection, nullptr);
+        m_services.connections.giveBack(m_attempt.placement.endpoint, connection, head->idleTimeout);
+    }
+    co_return result;
+}
+
+net::awaitable<absl::StatusOr<AnswerHead>> Call::awaitHead()
+{
+    if (m_attempt.head) {
+        co_return *m_attempt.head;
+    }
+    Duration wait = firstAnswerWait();
+    while (true) {
+        const absl::StatusOr<AnswerHead> head = co_await readHead(m_attempt, untilNextLook(wait));
+        if (head.ok() || !isPaused(m_attempt, head.status())) {
+            co_return head;
+        }
+        const bool isTakenOver = co_await findSuccessor();
+        if (isTakenOver) {
+            co_return head;
+        }
+        wait = m_services.times.nextLook;
+    }
+}
+
+net::awaitable<Call::AttemptResult> Call::relayWhole(const AnswerHead &head)
+{
+    HttpConnection &connection = *m_attempt.connection;
+    connection.expireAfter(rest());
+    absl::StatusOr<std::string> body = co_await connection.receiveAll();
+    if (!body.ok()) {
+        co_return endUnanswered(m_attempt, body.status());
+    }
+    noteFirstAnswer();
+    m_isAnswered = true;
+    m_answeredStatus = head.status;
+    HttpResponse response;
+    response.status = head.status;
+    response.headers = m_services.protocol.callerHeaders(connection.headers());
+    response.body = std::move(*body);
+    if (!m_isCallerGone) {
+        noteDelivery(co_await m_exchange.respond(std::move(response)));
+    }
+    co_return std::nullopt;
+}
+
+net::awaitable<Call::AttemptResult> Call::relayStream(const AnswerHead &head)
+{
+    m_cutter.restart();
+    while (true) {
+        const absl::StatusOr<std::string> data = co_await awaitEvents();
+        if (!data.ok()) {
+            co_return endUnanswered(m_attempt, data.status());
+        }
+        if (data->empty()) {
+            break;
+        }
+        const std::string events = m_cutter.take(*data);
+        if (!events.empty()) {
+            const absl::Status status = co_await passOn(head, events);
+            if (!status.ok()) {
+                m_isCallerGone = true;
+                co_return AttemptEnd::Broken;
+            }
+        }
+        if (m_cutter.hasGap()) {
+            co_return AttemptEnd::Broken;
+        }
+    }
+    if (!m_cutter.isBetweenEvents()) {
+        co_return AttemptEnd::Broken;
+    }
+    if (!m_hasBegun) {
+        noteDelivery(co_await passOn(head, std::string()));
+    }
+    m_isAnswered = true;
+    noteDelivery(co_await m_exchange.endStream());
+    co_return std::nullopt;
+}
+
+net::awaitable<absl::StatusOr<std::string>> Call::awaitEvents()
+{
+    Duration wait = m_services.times.eventSilence;
+    while (true) {
+        const Duration span = untilNextLook(wait);
+        absl::StatusOr<std::string> data = co_await m_attempt.connection->receiveSome(span, atExpiry(span));
+        if (data.ok()) {
+            m_attempt.heardAt = m_services.timers.now();
+        }
+        if (data.ok() || !isPaused(m_attempt, data.status())) {
+            co_return data;
+        }
+        const bool isTakenOver = co_await findSuccessor();
+        if (isTakenOver) {
+            co_return data;
+        }
+        wait = m_services.times.nextLook;
+    }
+}
+
+net::awaitable<absl::Status> Call::passOn(const AnswerHead &head, const std::string &events)
+{
+    if (!m_hasBegun) {
+        noteFirstAnswer();
+        m_hasBegun = true;
+        m_answeredStatus = head.status;
+        HttpHeaders headers = m_services.protocol.callerHeaders(m_attempt.connection->headers());
+        const absl::Status status = co_await m_exchange.beginStream(head.status, std::move(headers));
+        if (!status.ok()) {
+            co_return status;
+        }
+    }
+    co_return co_await m_exchange.write(events);
+}
+
+void Call::noteFirstAnswer()
+{
+    m_services.gate.noteFirstAnswer(m_attempt.placement.id);
+    m_firstAnswerAfter = m_services.timers.now() - m_startedAt;
+    m_services.metrics.noteFirstAnswer(*m_firstAnswerAfter);
+}
+
+Duration Call::firstAnswerWait() const
+{
+    const auto late = std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.lateTargets;
+    return m_attempt.placement.expectedFirstAnswer + std::chrono::duration_cast<Duration>(late);
+}
+
+}
--- /dev/null
+++ b/src/gateway/callsuccessor.cpp
@@ -0,0 +1,123 @@
+#include "call.h"
+
+#include "base/failure.h"
+#include "log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace net = boost::asio;
+
+namespace
+{
+
+const Log kLog("call");
+
+}
+
+bool Call::isPaused(const Attempt &attempt, const absl::Status &status) const
+{
+    return failureCode(status) == FailureCode::ConnectionSilent && attempt.connection->isOpen()
+        && timeLeft() > Duration::zero();
+}
+
+// No wait is worth a pause where no further attempt can follow it.
+Duration Call::untilNextLook(Duration wait) const
+{
+    const bool mayBeReplaced = mayRunAgain() && m_history.sent < m_history.maximumAttempts;
+    return mayBeReplaced ? within(wait) : rest();
+}
+
+// An endpoint that says nothing may be at work: it reads long prompts, or has taken over the work of others. Left
+// before another one has taken the call, it would be an answer lost that was on its way. So it is kept until then, and
+// to the end where no other takes the call.
+net::awaitable<bool> Call::findSuccessor()
+{
+    m_services.gate.noteSilent(m_attempt.placement.id);
+    m_further = askForAnother(AttemptEnd::Silent);
+    bool isTakenOver = m_further == FurtherAttempt::Granted;
+    if (isTakenOver) {
+        isTakenOver = co_await startSuccessor();
+    }
+    if (isTakenOver) {
+        isTakenOver = co_await isSuccessorAtWork();
+    }
+    if (isTakenOver) {
+        co_return true;
+    }
+    if (!std::exchange(m_attempt.isSilenceLogged, true)) {
+        kLog.info("endpoint silent",
+                  {field("call", m_request.id.value()), field("endpoint", m_attempt.placement.endpoint.value()),
+                   field("events", m_cutter.count()), field("silent_for", silentFor(m_attempt)),
+                   field("further_attempt", furtherAttemptName(*m_further)), field("time_left", timeLeft())});
+    }
+    co_return false;
+}
+
+net::awaitable<bool> Call::startSuccessor()
+{
+    const absl::StatusOr<Placement> placement = co_await place();
+    if (!placement.ok()) {
+        m_further = FurtherAttempt::NoEndpoint;
+        m_services.retryBudget(m_pool->name).giveBack();
+        co_return false;
+    }
+    m_successor = Attempt{*placement};
+    const absl::Status status = co_await connect(*m_successor);
+    if (!status.ok()) {
+        ++m_history.notSent;
+        dropSuccessor(AttemptEnd::NotSent);
+        m_services.retryBudget(m_pool->name).giveBack();
+        co_return false;
+    }
+    if (m_isCallerGone || m_attempt.connection->hasUnread()) {
+        keepFirst();
+        co_return false;
+    }
+    send(*m_successor);
+    co_return true;
+}
+
+// The first has answered, or its caller has left, while the second was being connected to.
+void Call::keepFirst()
+{
+    m_services.connections.giveBack(m_successor->placement.endpoint, m_successor->connection, std::nullopt);
+    m_services.gate.noteEnded(m_successor->placement.id, RunEnd::Cancelled);
+    m_services.retryBudget(m_pool->name).giveBack();
+    m_successor.reset();
+}
+
+net::awaitable<bool> Call::isSuccessorAtWork()
+{
+    const absl::StatusOr<AnswerHead> head = co_await readHead(*m_successor, within(m_services.times.overlap));
+    if (!head.ok()) {
+        if (isPaused(*m_successor, head.status())) {
+            co_return true;
+        }
+        dropSuccessor(endUnanswered(*m_successor, head.status()));
+        co_return false;
+    }
+    if (head->isRefusal) {
+        const AttemptEnd end = co_await endRefused(*m_successor, *head);
+        dropSuccessor(end);
+        co_return false;
+    }
+    m_history.mayHaveRun = true;
+    if (!head->isSigned || !isSuccess(head->status)) {
+        dropSuccessor(AttemptEnd::Broken);
+        co_return false;
+    }
+    m_successor->head = *head;
+    co_return true;
+}
+
+void Call::dropSuccessor(AttemptEnd end)
+{
+    finish(*m_successor, end);
+    m_successor.reset();
+}
+
+}
