Test: no failure of an endpoint stands behind events that the caller has

What callers saw, where the endpoint that was to go on with a stream failed with a status of its own: a second head in the middle of the answer, which is no HTTP.

--- a/tests/radishswitch-gateway/gatewaycalls_test.cpp
+++ b/tests/radishswitch-gateway/gatewaycalls_test.cpp
@@ -1,3 +1,4 @@
+#include "base/failure.h"
 #include "gatewayfixture.h"
 
 #include <gmock/gmock.h>
@@ -129,7 +130,20 @@
     }
 }
 
-// The same on a route whose streams can't be resumed. The answer must not look complete, and must not run again.
+// An endpoint breaks off, and the one that is asked to go on fails with a status of its own. The caller has two events
+// already; a second head behind them would be bytes that are no answer. It sees a stream that breaks off.
+TEST_F(GatewayCallsTest, resumableStreamBrokenOffAndOtherFails_isCutAndNoFailureStandsBehindItsEvents)
+{
+    start();
+    addSecond();
+    addFaults(ReplicaServer::Fault::BreakOffAndFailToResume, 1);
+    const auto response = call(streamRequest("/resumable/a", "call-1"));
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionLost) << response.status();
+    EXPECT_EQ(runs("call-1"), 2);
+}
+
+// A stream breaks off on a route whose streams can't be resumed. The answer must not look complete, and must not run
+// again.
 TEST_F(GatewayCallsTest, otherStreamBrokenOff_isCutAndRunsOnce)
 {
     start();
