Calls: what bounds the time in which two endpoints have a call

What callers could see: an answer that had begun to arrive from the first endpoint was thrown away when the second had said nothing for the length of the overlap; a call that waited for its first answer behind a stray answer, or whose request was read slowly, looked for no other endpoint until its deadline, or past it.

Cause: the overlap ended without a look at the first; a stray answer set a deadline of its own; a connection on which a request was still being sent put its deadline off without end; a pause that met a read just ended left no deadline.

Change: at the end of the overlap the first is kept where bytes of it lie unread; a stray answer is read within the deadline that stands, and goes on after a pause; where a request is being sent a deadline moves on up to the call's, or the overlap's, end and closes there; after a pause the deadline stands again. The overlap is 200 ms. Connects that fail beside a first endpoint that is kept no longer count against the call's tries, and a connection that was taken and not used is closed in place of coming back with an idle time that starts anew.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -36,6 +36,8 @@
         std::optional<AnswerHead> head;
         /// When the call was sent, or when bytes of its answer came last.
         Instant heardAt{};
+        /// Whether an answer to another call is being read, behind which that of this one comes.
+        bool isInStrayAnswer = false;
         bool isSilenceLogged = false;
     };
 
@@ -66,7 +68,8 @@
     boost::asio::awaitable<void> start(Attempt &attempt);
     boost::asio::awaitable<absl::Status> connect(Attempt &attempt);
     void send(Attempt &attempt);
-    boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt, Duration wait);
+    boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt);
+    boost::asio::awaitable<absl::Status> skipStrayAnswer(Attempt &attempt);
     AttemptEnd endUnanswered(const Attempt &attempt, const absl::Status &status);
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
     void finish(Attempt &attempt, AttemptResult result);
@@ -90,6 +93,7 @@
     boost::asio::awaitable<bool> findSuccessor();
     boost::asio::awaitable<bool> startSuccessor();
     boost::asio::awaitable<bool> isSuccessorAtWork();
+    bool isSuccessorPreferred();
     void keepFirst();
     void dropSuccessor(AttemptEnd end);
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -82,15 +82,16 @@
     attempt.connection->startSending(m_services.protocol.endpointCall(m_exchange.request(), dispatch));
 }
 
-// An endpoint may have sent a second answer to an earlier call on this connection. It comes where the answer to this
-// one is due, and bears the earlier call's id; the answer to this call follows it.
-net::awaitable<absl::StatusOr<AnswerHead>> Call::readHead(Attempt &attempt, Duration wait)
+// Up to the connection's deadline; after a pause it goes on where it was.
+net::awaitable<absl::StatusOr<AnswerHead>> Call::readHead(Attempt &attempt)
 {
     HttpConnection &connection = *attempt.connection;
     const bool hasBody = m_exchange.request().method != "HEAD";
-    connection.expireAfter(wait, atExpiry(wait));
     while (true) {
-        const absl::Status status = co_await connection.receiveHead(hasBody);
+        absl::Status status = co_await skipStrayAnswer(attempt);
+        if (status.ok()) {
+            status = co_await connection.receiveHead(hasBody);
+        }
         if (!status.ok()) {
             co_return status;
         }
@@ -100,12 +101,20 @@
         if (isOurs) {
             co_return head;
         }
-        connection.expireAfter(rest());
-        const absl::StatusOr<std::string> body = co_await connection.receiveAll();
-        if (!body.ok()) {
-            co_return body.status();
-        }
+        attempt.isInStrayAnswer = true;
+    }
+}
+
+// An endpoint may have sent a second answer to an earlier call on this connection. It comes where the answer to this
+// one is due, and bears the earlier call's id; the answer to this call follows it.
+net::awaitable<absl::Status> Call::skipStrayAnswer(Attempt &attempt)
+{
+    if (!attempt.isInStrayAnswer) {
+        co_return absl::OkStatus();
     }
+    const absl::StatusOr<std::string> body = co_await attempt.connection->receiveAll();
+    attempt.isInStrayAnswer = !body.ok();
+    co_return body.status();
 }
 
 AttemptEnd Call::endUnanswered(const Attempt &attempt, const absl::Status &status)
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -44,7 +44,9 @@
     }
     Duration wait = firstAnswerWait();
     while (true) {
-        const absl::StatusOr<AnswerHead> head = co_await readHead(m_attempt, untilNextLook(wait));
+        const Duration span = untilNextLook(wait);
+        m_attempt.connection->expireAfter(span, atExpiry(span), rest());
+        const absl::StatusOr<AnswerHead> head = co_await readHead(m_attempt);
         if (head.ok() || !isPaused(m_attempt, head.status())) {
             co_return head;
         }
@@ -116,7 +118,7 @@
     Duration wait = m_services.times.eventSilence;
     while (true) {
         const Duration span = untilNextLook(wait);
-        absl::StatusOr<std::string> data = co_await m_attempt.connection->receiveSome(span, atExpiry(span));
+        absl::StatusOr<std::string> data = co_await m_attempt.connection->receiveSome(span, atExpiry(span), rest());
         if (data.ok()) {
             m_attempt.heardAt = m_services.timers.now();
         }
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -28,7 +28,7 @@
     Duration nextLook = std::chrono::milliseconds(300);
     /// How long a silent endpoint's run is kept beside the one that is to take its place. A full endpoint refuses
     /// within a few milliseconds; two runs of one call side by side for longer would be wasted work.
-    Duration overlap = std::chrono::milliseconds(150);
+    Duration overlap = std::chrono::milliseconds(200);
     /// Connections to be used for a call that can't be sent again were idle for no longer: an endpoint that drops an
     /// idle connection at that very moment leaves the call's outcome unknown.
     Duration longestIdleOnce = std::chrono::milliseconds(1500);
--- a/src/gateway/callsuccessor.cpp
+++ b/src/gateway/callsuccessor.cpp
@@ -68,7 +68,6 @@
     m_successor = Attempt{*placement};
     const absl::Status status = co_await connect(*m_successor);
     if (!status.ok()) {
-        ++m_history.notSent;
         dropSuccessor(AttemptEnd::NotSent);
         m_services.retryBudget(m_pool->name).giveBack();
         co_return false;
@@ -81,10 +80,11 @@
     co_return true;
 }
 
-// The first has answered, or its caller has left, while the second was being connected to.
+// The first has answered, or its caller has left, while the second was being connected to. For how long the second's
+// connection was idle is not known any more, so that no other call could rely on it.
 void Call::keepFirst()
 {
-    m_services.connections.giveBack(m_successor->placement.endpoint, m_successor->connection, std::nullopt);
+    m_successor->connection->close();
     m_services.gate.noteEnded(m_successor->placement.id, RunEnd::Cancelled);
     m_services.retryBudget(m_pool->name).giveBack();
     m_successor.reset();
@@ -92,10 +92,12 @@
 
 net::awaitable<bool> Call::isSuccessorAtWork()
 {
-    const absl::StatusOr<AnswerHead> head = co_await readHead(*m_successor, within(m_services.times.overlap));
+    const Duration overlap = within(m_services.times.overlap);
+    m_successor->connection->expireAfter(overlap, AtExpiry::Pause, overlap);
+    const absl::StatusOr<AnswerHead> head = co_await readHead(*m_successor);
     if (!head.ok()) {
         if (isPaused(*m_successor, head.status())) {
-            co_return true;
+            co_return isSuccessorPreferred();
         }
         dropSuccessor(endUnanswered(*m_successor, head.status()));
         co_return false;
@@ -114,6 +116,20 @@
     co_return true;
 }
 
+// Neither has given an answer to read: the second has not refused the call, and the first has been silent for longer.
+// An answer that has begun to arrive from the first is the one to have.
+bool Call::isSuccessorPreferred()
+{
+    if (!m_attempt.connection->hasUnread()) {
+        return true;
+    }
+    m_history.mayHaveRun = true;
+    // It had no time to answer, which is no failure of its endpoint.
+    m_services.gate.noteEnded(m_successor->placement.id, RunEnd::Cancelled);
+    dropSuccessor(AttemptEnd::Silent);
+    return false;
+}
+
 void Call::dropSuccessor(AttemptEnd end)
 {
     finish(*m_successor, end);
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -168,11 +168,12 @@
 
 // Parses what is there before it waits for more. Beast's own reading makes a task of each step, and the reactor polls
 // between tasks; here an event of a stream costs one wait.
-net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveSome(Duration timeout, AtExpiry atExpiry)
+net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveSome(Duration timeout, AtExpiry atExpiry,
+                                                                        Duration longest)
 {
     std::array<char, kStreamReadBytes> buf;
     beast::error_code ec;
-    expireAfter(timeout, atExpiry);
+    expireAfter(timeout, atExpiry, longest);
     m_parser->eager(true);
     while (!m_parser->is_done()) {
         const std::size_t n = parseBody(net::buffer(buf), ec);
@@ -242,7 +243,8 @@
 
 absl::Status HttpConnection::failure(const std::string &step, beast::error_code ec) const
 {
-    if (m_watchdog.isExpired()) {
+    const bool isPaused = m_isPaused && ec == net::error::operation_aborted;
+    if (isPaused || m_watchdog.isExpired()) {
         return makeFailure(FailureCode::ConnectionSilent, m_address + " was silent while " + step);
     }
     if (ec == http::error::body_limit || ec == http::error::header_limit) {
@@ -255,11 +257,13 @@
     return makeFailure(FailureCode::ConnectionLost, m_address + " was lost while " + step + ": " + ec.message());
 }
 
-void HttpConnection::expireAfter(Duration span, AtExpiry atExpiry)
+void HttpConnection::expireAfter(Duration span, AtExpiry atExpiry, Duration longest)
 {
     m_atExpiry = atExpiry;
     m_span = span;
+    m_end = longest == Duration::max() ? Clock::time_point::max() : Clock::now() + longest;
     m_isPutOff = false;
+    m_isPaused = false;
     m_watchdog.expireAfter(span);
 }
 
@@ -277,13 +281,24 @@
         return close();
     }
     if (isSending()) {
-        // To cancel would break off the request as well.
-        m_watchdog.expireAfter(m_span);
-        return;
+        return goOnSending();
     }
+    // The deadline stands again in case the read has just ended by itself, with its next step yet to come.
+    m_watchdog.expireAfter(m_span);
+    m_isPaused = true;
     m_socket.cancel(ec);
 }
 
+// To cancel the reading would break off the request as well.
+void HttpConnection::goOnSending()
+{
+    const Clock::time_point now = Clock::now();
+    if (now >= m_end) {
+        return close();
+    }
+    m_watchdog.expireAfter(std::min(m_span, std::chrono::duration_cast<Duration>(m_end - now)));
+}
+
 // What has arrived by the deadline is not missing: it is this process that was late, with a large configuration to read
 // or without processor time. An answer that is ready is delivered.
 bool HttpConnection::hasReasonToReadOn(std::size_t unread) const
@@ -346,14 +361,22 @@
 
 bool HttpConnection::isReusable()
 {
-    return m_socket.is_open() && m_buffer.size() == 0 && !hasUnread();
+    return m_socket.is_open() && m_buffer.size() == 0 && peek() == Peeked::Nothing;
 }
 
 bool HttpConnection::hasUnread()
+{
+    return peek() == Peeked::Bytes;
+}
+
+HttpConnection::Peeked HttpConnection::peek()
 {
     char c = 0;
     const ssize_t n = ::recv(m_socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    if (n > 0) {
+        return Peeked::Bytes;
+    }
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Peeked::Nothing : Peeked::End;
 }
 
 void HttpConnection::setIdleSince(Clock::time_point moment)
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -76,11 +76,12 @@
     boost::asio::awaitable<absl::StatusOr<std::string>> receiveAll(Duration silence = Duration::zero(),
                                                                    Clock::time_point end = Clock::time_point::max());
     /// The next bytes of the body; empty at its end.
-    boost::asio::awaitable<absl::StatusOr<std::string>> receiveSome(Duration timeout,
-                                                                    AtExpiry atExpiry = AtExpiry::Close);
+    boost::asio::awaitable<absl::StatusOr<std::string>>
+    receiveSome(Duration timeout, AtExpiry atExpiry = AtExpiry::Close, Duration longest = Duration::max());
 
-    /// The deadline of everything up to the next call.
-    void expireAfter(Duration span, AtExpiry atExpiry = AtExpiry::Close);
+    /// The deadline of everything up to the next call. A connection on which a request is still being sent can't pause:
+    /// there the deadline moves on, and `longest` from now the connection is closed.
+    void expireAfter(Duration span, AtExpiry atExpiry = AtExpiry::Close, Duration longest = Duration::max());
     void clearDeadline();
 
     /// Resets the connection while an answer is due, which drops what is still on its way to the other side. A request
@@ -98,7 +99,7 @@
         return m_expiredWait;
     }
 
-    /// Whether bytes, or the end of the connection, have arrived and were not read.
+    /// Whether bytes have arrived that were not read.
     bool hasUnread();
 
     /// Whether any byte of an answer came since the last request went out.
@@ -117,9 +118,18 @@
     Clock::time_point idleSince() const;
 
 private:
+    /// What lies in the kernel.
+    enum class Peeked {
+        Nothing,
+        Bytes,
+        End,
+    };
+
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     void expire();
+    void goOnSending();
+    Peeked peek();
     bool hasReasonToReadOn(std::size_t unread) const;
     absl::Status failure(const std::string &step, boost::beast::error_code ec) const;
     bool isAwaitingAnswer() const;
@@ -140,8 +150,10 @@
     bool m_hasSent = false;
     Watchdog m_watchdog;
     AtExpiry m_atExpiry = AtExpiry::Close;
-    /// What the deadline was set to.
+    /// What the deadline was set to, and until when pauses are possible.
     Duration m_span{};
+    Clock::time_point m_end = Clock::time_point::max();
+    bool m_isPaused = false;
     /// Whether a deadline was put off for bytes that had arrived.
     bool m_isPutOff = false;
     bool m_isReadingHead = false;
