Calls: a retry that found no endpoint is given back to the retry budget

What callers saw: while endpoints were full, streams that broke off were not gone on with, and silent ones not moved, long before retries had been made as often as they may be. Cause: a retry was taken from the budget before an endpoint was looked for, and stayed taken where none had room. Now the call keeps account of a retry that was granted and not made, and gives it back.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -6,6 +6,7 @@
 #include "prepaidbudgets.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace RadishSwitch
 {
@@ -208,6 +209,7 @@
     }
     const absl::StatusOr<Placement> placement = co_await place();
     if (!placement.ok()) {
+        giveRetryBack();
         m_further = m_history.sent > 0 ? std::optional(FurtherAttempt::NoEndpoint) : std::nullopt;
         co_return m_history.mayHaveRun ? failureOfAttempts(m_history, AttemptEnd::Broken) : placement.status();
     }
@@ -250,7 +252,17 @@
     query.isIdempotent = m_route->repetition != Repetition::Never;
     query.isProvedNotStarted = !m_history.mayHaveRun;
     query.deadline = m_deadline;
-    return m_services.retryBudget(m_pool->name).retry(query, m_services.timers.now()).ok();
+    m_hasRetry = m_services.retryBudget(m_pool->name).retry(query, m_services.timers.now()).ok();
+    return m_hasRetry;
+}
+
+// Retries that were granted and found no endpoint would otherwise use up the budget when it is needed most: while
+// endpoints are full.
+void Call::giveRetryBack()
+{
+    if (std::exchange(m_hasRetry, false)) {
+        m_services.retryBudget(m_pool->name).giveBack();
+    }
 }
 
 void Call::settle()
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -56,6 +56,7 @@
     boost::asio::awaitable<absl::StatusOr<Placement>> place();
     FurtherAttempt askForAnother(AttemptEnd end);
     bool grantRetry(AttemptEnd end);
+    void giveRetryBack();
     void settle();
     std::int64_t usedTokens() const;
     void leaveEndpoint(const Attempt &attempt);
@@ -131,6 +132,8 @@
     /// Time that the call waited for endpoints.
     Duration m_waited{};
     int m_answeredStatus = 0;
+    /// Whether the retry budget has granted a retry that was not made yet.
+    bool m_hasRetry = false;
     bool m_isReserved = false;
     bool m_isCallerGone = false;
     /// The head of a streamed answer went to the caller: from now on it gets events or a broken connection.
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -72,6 +72,7 @@
         m_services.retryBudget(m_pool->name).noteFirstAttempt();
     }
     ++m_history.sent;
+    m_hasRetry = false;
     CallDispatch dispatch;
     dispatch.endpoint = attempt.placement.endpoint;
     dispatch.organisation = m_organisation ? m_organisation->name : OrganisationId();
--- a/src/gateway/callsuccessor.cpp
+++ b/src/gateway/callsuccessor.cpp
@@ -62,14 +62,14 @@
     const absl::StatusOr<Placement> placement = co_await place();
     if (!placement.ok()) {
         m_further = FurtherAttempt::NoEndpoint;
-        m_services.retryBudget(m_pool->name).giveBack();
+        giveRetryBack();
         co_return false;
     }
     m_successor = Attempt{*placement};
     const absl::Status status = co_await connect(*m_successor);
     if (!status.ok()) {
         dropSuccessor(AttemptEnd::NotSent);
-        m_services.retryBudget(m_pool->name).giveBack();
+        giveRetryBack();
         co_return false;
     }
     if (m_isCallerGone || m_attempt.connection->hasUnread()) {
@@ -86,7 +86,7 @@
 {
     m_successor->connection->close();
     m_services.gate.noteEnded(m_successor->placement.id, RunEnd::Cancelled);
-    m_services.retryBudget(m_pool->name).giveBack();
+    giveRetryBack();
     m_successor.reset();
 }
 
--- a/tests/radishswitch-gateway/gatewaycalls_test.cpp
+++ b/tests/radishswitch-gateway/gatewaycalls_test.cpp
@@ -9,6 +9,19 @@
 {
 };
 
+/// One retry is there, and calls bring no further ones.
+class LastRetryTest : public GatewayFixture
+{
+protected:
+    GatewaySettings gatewaySettings() override
+    {
+        GatewaySettings settings = GatewayFixture::gatewaySettings();
+        settings.retryBound = 0;
+        settings.retryBurst = 1;
+        return settings;
+    }
+};
+
 TEST_F(GatewayCallsTest, stream_ofSoundEndpoint_isPassedOnWholeWithItsMark)
 {
     start();
@@ -142,6 +155,27 @@
     EXPECT_EQ(runs("call-1"), 2);
 }
 
+// A stream breaks off, and there is no other endpoint to go on with it. Later there is one, and a stream that breaks
+// off then goes on: the retry that was granted to the first and not made is there for the second.
+TEST_F(LastRetryTest, retryThatFoundNoEndpoint_isThereForTheNextCall)
+{
+    start();
+    onStandins([this] {
+        first.addFaults(ReplicaServer::Fault::BreakOff, 1);
+    });
+    EXPECT_FALSE(call(streamRequest("/resumable/a", "call-1")).ok());
+    addSecond();
+    onStandins([this] {
+        first.addFaults(ReplicaServer::Fault::BreakOff, 1);
+    });
+    for (int n = 0; n < 6; ++n) {
+        const std::string id = "call-2-" + std::to_string(n);
+        const auto response = call(streamRequest("/resumable/a", id));
+        ASSERT_TRUE(response.ok()) << response.status();
+        EXPECT_EQ(response->body, wholeStream(id, 10));
+    }
+}
+
 // A stream breaks off on a route whose streams can't be resumed. The answer must not look complete, and must not run
 // again.
 TEST_F(GatewayCallsTest, otherStreamBrokenOff_isCutAndRunsOnce)
