Calls: no attempt is started for a caller that left while an endpoint was chosen

Cause: the leaving found no connection to close, and the attempt that began a moment later looked for it only where it made a new connection, and not where it took an idle one. The gateway's tests build.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -46,6 +46,10 @@
 // Leaves the attempt without a connection when none can be had.
 net::awaitable<absl::Status> Call::connect(Attempt &attempt)
 {
+    // Its caller left after the endpoint was chosen, when there was no connection yet to close.
+    if (m_isCallerGone) {
+        co_return makeFailure(FailureCode::ConnectionLost, "the caller is gone");
+    }
     const Placement &placement = attempt.placement;
     const CallTimes &times = m_services.times;
     const Duration longestIdle = mayRunAgain() ? times.longestIdle : times.longestIdleOnce;
