Callers' connections: bytes that only wait for this process are read before a deadline closes

Cause: a watchdog that came late closed a connection although the rest of a request, or a first or next one, lay unread in the kernel; the one extension of a request that had begun was used up by a process that was late twice. Its caller got neither an answer nor a refusal, also on an idle connection and in the grace of a drain.

Change: the read timeout counts from the first byte that was read here, and not before the connection would have been idle too long. A deadline that has passed closes only where nothing is unread and nothing was read since it passed; otherwise it is put off by the read timeout, four times at most, so that a caller that has a byte unread each time is cut off after five. Plain connections are read by the session itself, without Beast's composed reads: these may have taken the bytes while their completion waits behind the watchdog, and nothing would look unread.

--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -20,7 +20,8 @@
 struct HttpServerLimits {
     std::size_t maximumHeaderBytes = 16 * 1024;
     std::size_t maximumBodyBytes = 8 * 1024 * 1024;
-    /// How long a request's bytes may take to arrive.
+    /// How long a request's bytes may take to arrive, from the first that was read here. A request is not cut off
+    /// before its connection would have been closed if it had stayed idle, nor while bytes of it wait for this process.
     Duration readTimeout = std::chrono::seconds(60);
     /// How long a connection may be idle between requests.
     Duration idleTimeout = std::chrono::seconds(60);
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+using Clock = std::chrono::steady_clock;
+
 const Log kLog("http");
 
 auto awaitInto(beast::error_code &ec)
@@ -146,19 +148,18 @@
 template<typename Stream>
 net::awaitable<beast::error_code> HttpSession<Stream>::readHeader()
 {
-    beast::error_code ec;
     m_parser.emplace();
     const HttpServerLimits limits = m_context->limits();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maximumHeaderBytes));
     m_parser->body_limit(limits.maximumBodyBytes);
-    m_idleSince = std::chrono::steady_clock::now();
+    m_idleSince = Clock::now();
+    m_begunAt.reset();
     m_watchdog.expireAfter(m_isDraining ? m_context->settings.drainGrace : limits.idleTimeout);
-    m_isExtended = false;
+    m_extensionsLeft = kMostExtensions;
     m_isReading = true;
-    co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(ec));
+    const beast::error_code ec = co_await readUntil(&Parser::is_header_done);
     if (ec) {
-        m_isReading = false;
-        m_watchdog.clear();
+        endReading();
     }
     co_return ec;
 }
@@ -170,14 +171,95 @@
     if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         ec = co_await sendContinue();
     }
-    if (!ec && !m_parser->is_done()) {
-        co_await http::async_read(m_stream, m_buffer, *m_parser, awaitInto(ec));
+    if (!ec) {
+        m_parser->eager(true);
+        ec = co_await readUntil(&Parser::is_done);
     }
+    endReading();
+    co_return ec;
+}
+
+template<typename Stream>
+void HttpSession<Stream>::endReading()
+{
     m_isReading = false;
+    m_extensionsLeft = 0;
     m_watchdog.clear();
+}
+
+template<typename Stream>
+net::awaitable<beast::error_code> HttpSession<Stream>::readUntil(bool (Parser::*isDone)() const)
+{
+    beast::error_code ec;
+    bool isMoreNeeded = m_buffer.size() == 0;
+    while (!((*m_parser).*isDone)()) {
+        if (isMoreNeeded) {
+            ec = co_await readSome();
+        }
+        if (!ec && m_buffer.size() > 0) {
+            ec = parse();
+        }
+        if (ec && ec != http::error::need_more) {
+            co_return ec;
+        }
+        isMoreNeeded = m_buffer.size() == 0 || ec == http::error::need_more;
+        ec = {};
+    }
+    co_return ec;
+}
+
+template<typename Stream>
+beast::error_code HttpSession<Stream>::parse()
+{
+    beast::error_code ec;
+    if (!m_begunAt) {
+        m_begunAt = Clock::now();
+    }
+    m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+    return ec;
+}
+
+template<typename Stream>
+net::awaitable<beast::error_code> HttpSession<Stream>::readSome()
+{
+    beast::error_code ec;
+    const net::mutable_buffer buf = m_buffer.prepare(beast::read_size(m_buffer, kReadAtOnce));
+    const std::size_t n = co_await readInto(buf, ec);
+    m_buffer.commit(n);
+    m_lastRead = Clock::now();
+    if (ec == net::error::eof) {
+        ec = http::error::end_of_stream;
+        if (m_parser->got_some()) {
+            m_parser->put_eof(ec);
+        }
+    }
+    if (n == buf.size()) {
+        // There may be more; other connections have their turn first.
+        co_await net::post(strand(), net::use_awaitable);
+    }
     co_return ec;
 }
 
+// Bytes leave the kernel here only. An asynchronous read may have taken them while its completion still waits behind a
+// watchdog that fires: such a caller would look as if it had sent nothing.
+template<typename Stream>
+net::awaitable<std::size_t> HttpSession<Stream>::readInto(net::mutable_buffer buf, beast::error_code &ec)
+{
+    if constexpr (kIsTls) {
+        co_return co_await m_stream.async_read_some(buf, awaitInto(ec));
+    } else {
+        if (!m_stream.non_blocking()) {
+            m_stream.non_blocking(true, ec);
+        }
+        std::size_t n = ec ? 0 : m_stream.read_some(buf, ec);
+        while (ec == net::error::would_block || ec == net::error::try_again) {
+            co_await m_stream.async_wait(net::socket_base::wait_read, awaitInto(ec));
+            n = ec ? 0 : m_stream.read_some(buf, ec);
+        }
+        co_return n;
+    }
+}
+
 template<typename Stream>
 bool HttpSession<Stream>::isRefusedUnread() const
 {
@@ -188,8 +270,7 @@
 template<typename Stream>
 net::awaitable<void> HttpSession<Stream>::refuseUnread()
 {
-    m_isReading = false;
-    m_watchdog.clear();
+    endReading();
     m_request = HttpRequest();
     m_request.method = std::string(m_parser->get().method_string());
     m_request.target = std::string(m_parser->get().target());
@@ -286,42 +367,67 @@
 template<typename Stream>
 bool HttpSession<Stream>::isBetweenRequests() const
 {
-    return m_isReading && m_parser && !m_parser->got_some();
+    return m_isReading && !m_begunAt;
 }
 
+// The caller can't know that its connection is about to be closed, so that a request whose first byte has come gets its
+// own time, and bytes that only wait for this process are read before a deadline counts.
 template<typename Stream>
 void HttpSession<Stream>::expire()
 {
-    // A request whose first bytes came in time is taken whole: the caller can't know that the connection was about to
-    // be closed.
-    if (m_isReading && m_parser->got_some() && !m_isExtended) {
-        m_isExtended = true;
-        m_watchdog.expireAfter(m_context->limits().readTimeout);
+    if (const Duration left = timeLeft(); left > Duration::zero()) {
+        m_watchdog.expireAfter(left);
         return;
     }
-    // The limit may have been raised since; the caller goes by the new one.
-    const Duration idle = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_idleSince);
-    const Duration idleTimeout = m_context->limits().idleTimeout;
-    if (!m_isDraining && isBetweenRequests() && idle < idleTimeout) {
-        m_watchdog.expireAfter(idleTimeout - idle);
+    if (m_extensionsLeft > 0 && wasLate()) {
+        --m_extensionsLeft;
+        m_watchdog.expireAfter(m_context->limits().readTimeout);
         return;
     }
-    if (m_isReading && m_parser->got_some()) {
+    if (m_isReading && m_begunAt) {
         logUnanswered();
     }
     close();
 }
 
+template<typename Stream>
+Duration HttpSession<Stream>::timeLeft() const
+{
+    const HttpServerLimits limits = m_context->limits();
+    const auto now = Clock::now();
+    if (m_isReading && m_begunAt) {
+        return std::chrono::duration_cast<Duration>(*m_begunAt + limits.readTimeout - now);
+    }
+    if (isBetweenRequests() && !m_isDraining) {
+        return std::chrono::duration_cast<Duration>(m_idleSince + limits.idleTimeout - now);
+    }
+    return Duration::zero();
+}
+
+// What is unread was sent in time, as far as this process can tell. Where it caught up just before its watchdog came,
+// it has read such bytes after the deadline, and more may come now that the caller's way is free again.
+template<typename Stream>
+bool HttpSession<Stream>::wasLate() const
+{
+    return unread() > 0 || m_lastRead > Clock::now() - m_watchdog.lateness();
+}
+
+template<typename Stream>
+std::size_t HttpSession<Stream>::unread() const
+{
+    beast::error_code ec;
+    const std::size_t n = beast::get_lowest_layer(m_stream).available(ec);
+    return ec ? 0 : n;
+}
+
 // For its caller this is a request without an answer, so that it has to be found by what came of it: where the rest had
 // arrived unread, this process was late and not the caller.
 template<typename Stream>
 void HttpSession<Stream>::logUnanswered()
 {
-    beast::error_code ec;
-    const std::size_t unread = beast::get_lowest_layer(m_stream).available(ec);
     kLog.warning("request cut off while it came",
                  {field("peer", m_peer), field("target", std::string(m_parser->get().target())),
-                  field("unread", ec ? std::size_t(0) : unread), field("noticed_late", m_watchdog.lateness())});
+                  field("unread", unread()), field("noticed_late", m_watchdog.lateness())});
 }
 
 template<typename Stream>
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -92,11 +92,21 @@
 
     static constexpr bool kIsTls = std::is_same_v<Stream, ServerTlsStream>;
     static constexpr Duration kLingerTimeout = std::chrono::seconds(2);
+    static constexpr std::size_t kReadAtOnce = 64 * 1024;
+    /// How often a deadline is put off because this process was late. A caller that has a byte unread each time, by
+    /// chance or on purpose, is cut off after this many more read timeouts.
+    static constexpr int kMostExtensions = 4;
 
     boost::asio::awaitable<bool> handshake();
     boost::asio::awaitable<bool> serveOne();
     boost::asio::awaitable<boost::beast::error_code> readHeader();
     boost::asio::awaitable<boost::beast::error_code> readBody();
+    /// Reads and parses until the header, or the whole request, is there.
+    boost::asio::awaitable<boost::beast::error_code> readUntil(bool (Parser::*isDone)() const);
+    boost::asio::awaitable<boost::beast::error_code> readSome();
+    boost::asio::awaitable<std::size_t> readInto(boost::asio::mutable_buffer buf, boost::beast::error_code &ec);
+    boost::beast::error_code parse();
+    void endReading();
     bool isRefusedUnread() const;
     boost::asio::awaitable<void> refuseUnread();
     boost::asio::awaitable<boost::beast::error_code> sendContinue();
@@ -107,6 +117,11 @@
     void prepare(boost::beast::http::response<Body> &message, int status, const HttpHeaders &headers);
     void takeRequest();
     void expire();
+    /// What is left of the time of the request or of the idle connection, by the limits in force.
+    Duration timeLeft() const;
+    /// Whether the deadline passed with bytes of the caller that this process had not read.
+    bool wasLate() const;
+    std::size_t unread() const;
     void logUnanswered();
     bool isBetweenRequests() const;
     /// Writes what the kernel takes without waiting, and gives how much that was.
@@ -125,12 +140,15 @@
     unsigned m_version = 11;
     std::function<void()> m_onPeerGone;
     std::chrono::steady_clock::time_point m_idleSince;
+    /// When the request's first byte was read.
+    std::optional<std::chrono::steady_clock::time_point> m_begunAt;
+    std::chrono::steady_clock::time_point m_lastRead;
     bool m_isWatchingPeer = false;
     AnswerState m_answer = AnswerState::None;
     bool m_isReading = false;
     bool m_isKeptAlive = false;
     bool m_isDraining = false;
-    bool m_isExtended = false;
+    int m_extensionsLeft = 0;
     bool m_isClosed = false;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -2,13 +2,21 @@
 #include "base/failure.h"
 #include "loopbackfixture.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
 using namespace RadishSwitch;
 
 namespace
@@ -456,3 +464,270 @@
     ASSERT_TRUE(response.ok());
     EXPECT_EQ(response->status, 200);
 }
+
+/// A server with one worker, which also plays the caller: whatever the machine does, the order of things is that of the
+/// test. A worker that waits in the play is one that is busy, with a large configuration say.
+class LateHttpServerTest : public testing::Test
+{
+protected:
+    using Work = boost::asio::awaitable<void>;
+
+    static constexpr Duration kShort = std::chrono::milliseconds(50);
+    /// More often than a server that is always late puts a deadline off.
+    static constexpr int kManyTimes = 20;
+
+    LateHttpServerTest()
+        : m_socket(m_context)
+        , m_workers(1)
+    {
+        settings.limits.readTimeout = kShort;
+        settings.limits.idleTimeout = kShort;
+        settings.drainGrace = kShort;
+    }
+
+    ~LateHttpServerTest() override
+    {
+        m_workers.stop();
+    }
+
+    HttpServer &server()
+    {
+        return *m_server;
+    }
+
+    void play(const std::function<Work()> &work)
+    {
+        m_server = std::make_unique<HttpServer>(m_workers, settings, echo);
+        ASSERT_TRUE(m_server->listen("127.0.0.1", 0).ok());
+        m_workers.start();
+        boost::asio::co_spawn(m_workers.context(), work(), boost::asio::use_future).get();
+    }
+
+    Work connect()
+    {
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), m_server->port()});
+        co_await catchUp();
+    }
+
+    /// Returns when the server has done all that is ready for it.
+    Work catchUp()
+    {
+        constexpr int kPolls = 30;
+        for (int n = 0; n < kPolls; ++n) {
+            co_await boost::asio::post(m_workers.context(), boost::asio::use_awaitable);
+        }
+    }
+
+    Work send(std::string bytes)
+    {
+        sendNow(bytes);
+        co_await catchUp();
+    }
+
+    /// The bytes come while the server is busy past all deadlines.
+    Work sendToBusy(std::string bytes)
+    {
+        sendNow(bytes);
+        waitPastDeadlines();
+        co_await catchUp();
+    }
+
+    /// The same, but they come when the server has polled, and has the passed deadline next in its line.
+    Work sendBehindPoll(std::string bytes)
+    {
+        boost::asio::steady_timer earlier(m_workers.context(), std::chrono::steady_clock::time_point());
+        waitPastDeadlines();
+        co_await earlier.async_wait(boost::asio::use_awaitable);
+        sendNow(bytes);
+        co_await catchUp();
+    }
+
+    /// The server is busy past all deadlines, and nothing comes.
+    Work beBusy()
+    {
+        waitPastDeadlines();
+        co_await catchUp();
+    }
+
+    /// The next answer, or why there is none.
+    std::string receive()
+    {
+        boost::beast::http::response<boost::beast::http::string_body> answer;
+        boost::system::error_code ec;
+        boost::beast::http::read(m_socket, m_received, answer, ec);
+        return ec ? ec.message() : answer.body();
+    }
+
+    bool isClosed()
+    {
+        char c = 0;
+        boost::system::error_code ec;
+        m_socket.non_blocking(true);
+        m_socket.receive(boost::asio::buffer(&c, 1), boost::asio::socket_base::message_peek, ec);
+        m_socket.non_blocking(false);
+        return ec && ec != boost::asio::error::would_block;
+    }
+
+    /// Whether the server has closed its side altogether, so that what the caller sends is refused.
+    bool isReset()
+    {
+        tcp_info info{};
+        socklen_t n = sizeof(info);
+        ::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &n);
+        return info.tcpi_state == TCP_CLOSE;
+    }
+
+    HttpServerSettings settings;
+
+private:
+    /// Returns when the server's kernel has the bytes, or takes none.
+    void sendNow(const std::string &bytes)
+    {
+        boost::system::error_code ec;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ec);
+        int waiting = 0;
+        while (!ec && !isReset() && ::ioctl(m_socket.native_handle(), SIOCOUTQ, &waiting) == 0 && waiting > 0) {
+            std::this_thread::yield();
+        }
+    }
+
+    static void waitPastDeadlines()
+    {
+        std::promise<void> never;
+        never.get_future().wait_for(2 * kShort);
+    }
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_received;
+    WorkerPool m_workers;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+namespace
+{
+
+const std::string kSmall = "GET /small HTTP/1.1\r\nHost: h\r\n\r\n";
+
+std::string headerOfUpload(std::size_t bytes)
+{
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+
+}
+
+TEST_F(LateHttpServerTest, requestUnderWay_restUnreadWhenItsTimeEnds_isAnswered)
+{
+    // A caller sends a request in parts, each as soon as it can. The server is busy again and again, past its own
+    // deadlines, while they lie unread in its kernel. It was late and not the caller, who is owed an answer.
+    const std::string part(20'000, 'a');
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(3 * part.size()));
+        for (int n = 0; n < 3; ++n) {
+            co_await sendToBusy(part);
+        }
+    });
+
+    EXPECT_EQ(receive().size(), 3 * part.size() + std::string("POST / ").size());
+}
+
+TEST_F(LateHttpServerTest, requestUnderWay_partReadBehindItsTimeAndRestOnItsWay_isAnswered)
+{
+    // The server is busy past the end of a request's time, then reads what has come, and only then looks at the clock:
+    // nothing is unread. The caller may have been held up with it, and sends the rest now.
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(4));
+        for (int n = 0; n < 3; ++n) {
+            co_await sendToBusy("a");
+        }
+        co_await send("b");
+    });
+
+    EXPECT_EQ(receive(), "POST / aaab");
+}
+
+TEST_F(LateHttpServerTest, idleConnection_requestUnreadWhenItsTimeEnds_isAnswered)
+{
+    // A server that is late notices the end of a connection's idle time when the next request lies in its kernel.
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(kSmall);
+        co_await sendBehindPoll(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, newConnection_requestUnreadWhenItsTimeEnds_isAnswered)
+{
+    play([&]() -> Work {
+        co_await connect();
+        co_await sendBehindPoll(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, drain_requestUnreadWhenTheGraceEnds_isAnswered)
+{
+    // The same while the server drains: the caller has not been told that the connection ends.
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(kSmall);
+        server().drain();
+        co_await catchUp();
+        co_await sendBehindPoll(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, callerThatSendsByteByByte_toServerThatIsLateEachTime_isCutOff)
+{
+    // A caller that never ends its request must not keep its connection for as long as the server is late.
+    int times = 0;
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1000));
+        while (!isClosed() && times < kManyTimes) {
+            co_await sendToBusy("a");
+            ++times;
+        }
+    });
+
+    EXPECT_LT(times, kManyTimes);
+}
+
+TEST_F(LateHttpServerTest, callerThatSendsByteByByte_toServerThatReadsThemAsTheyCome_isCutOff)
+{
+    constexpr Duration kLong = std::chrono::seconds(30);
+    const auto end = std::chrono::steady_clock::now() + kLong;
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1'000'000));
+        while (!isClosed() && std::chrono::steady_clock::now() < end) {
+            co_await send("a");
+        }
+    });
+
+    EXPECT_LT(std::chrono::steady_clock::now(), end);
+}
+
+TEST_F(LateHttpServerTest, idleConnection_nothingUnreadWhenItsTimeEnds_isClosed)
+{
+    play([&]() -> Work {
+        co_await connect();
+        co_await beBusy();
+    });
+
+    EXPECT_TRUE(isClosed());
+}
