Limits that change under an open connection: the wider of the old and the new holds for the next request

Cause: a request under way was extended by the read timeout in force, so that a configuration that lowered it cut the request off without an answer. A connection that waited when a size limit was raised refused its next request with 413 by the old one, though every configuration in force allowed it; callers don't repeat after 413.

Change: a request goes by the wider of the limits under which its connection began to wait and those in force when it begins; the same holds for its time and for the idle time.

--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -92,8 +92,8 @@
 
     std::uint16_t port() const;
 
-    /// Holds for connections from now on, and on those that are open for the request after the one that they wait for.
-    /// Safe on any thread.
+    /// Holds for connections from now on. On those that are open the wider of the old and the new holds for the request
+    /// that they wait for, and the time of the one that they are in: the caller may go by either. Safe on any thread.
     void setLimits(const HttpServerLimits &limits);
 
     /// From now on each answer ends its connection; new connections are still taken, for a balancer that has yet to
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace RadishSwitch
 {
 
@@ -149,12 +151,10 @@
 net::awaitable<beast::error_code> HttpSession<Stream>::readHeader()
 {
     m_parser.emplace();
-    const HttpServerLimits limits = m_context->limits();
-    m_parser->header_limit(static_cast<std::uint32_t>(limits.maximumHeaderBytes));
-    m_parser->body_limit(limits.maximumBodyBytes);
+    m_limits = m_context->limits();
     m_idleSince = Clock::now();
     m_begunAt.reset();
-    m_watchdog.expireAfter(m_isDraining ? m_context->settings.drainGrace : limits.idleTimeout);
+    m_watchdog.expireAfter(m_isDraining ? m_context->settings.drainGrace : m_limits.idleTimeout);
     m_extensionsLeft = kMostExtensions;
     m_isReading = true;
     const beast::error_code ec = co_await readUntil(&Parser::is_header_done);
@@ -213,12 +213,33 @@
 {
     beast::error_code ec;
     if (!m_begunAt) {
-        m_begunAt = Clock::now();
+        beginRequest();
     }
     m_buffer.consume(m_parser->put(m_buffer.data(), ec));
     return ec;
 }
 
+template<typename Stream>
+void HttpSession<Stream>::beginRequest()
+{
+    const HttpServerLimits limits = widerLimits();
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.maximumHeaderBytes));
+    m_parser->body_limit(limits.maximumBodyBytes);
+    m_begunAt = Clock::now();
+}
+
+// A caller that is allowed less may not know it yet, and one that is allowed more may use it at once.
+template<typename Stream>
+HttpServerLimits HttpSession<Stream>::widerLimits() const
+{
+    HttpServerLimits limits = m_context->limits();
+    limits.maximumHeaderBytes = std::max(limits.maximumHeaderBytes, m_limits.maximumHeaderBytes);
+    limits.maximumBodyBytes = std::max(limits.maximumBodyBytes, m_limits.maximumBodyBytes);
+    limits.readTimeout = std::max(limits.readTimeout, m_limits.readTimeout);
+    limits.idleTimeout = std::max(limits.idleTimeout, m_limits.idleTimeout);
+    return limits;
+}
+
 template<typename Stream>
 net::awaitable<beast::error_code> HttpSession<Stream>::readSome()
 {
@@ -381,7 +402,7 @@
     }
     if (m_extensionsLeft > 0 && wasLate()) {
         --m_extensionsLeft;
-        m_watchdog.expireAfter(m_context->limits().readTimeout);
+        m_watchdog.expireAfter(widerLimits().readTimeout);
         return;
     }
     if (m_isReading && m_begunAt) {
@@ -393,7 +414,7 @@
 template<typename Stream>
 Duration HttpSession<Stream>::timeLeft() const
 {
-    const HttpServerLimits limits = m_context->limits();
+    const HttpServerLimits limits = widerLimits();
     const auto now = Clock::now();
     if (m_isReading && m_begunAt) {
         return std::chrono::duration_cast<Duration>(*m_begunAt + limits.readTimeout - now);
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -117,8 +117,11 @@
     void prepare(boost::beast::http::response<Body> &message, int status, const HttpHeaders &headers);
     void takeRequest();
     void expire();
-    /// What is left of the time of the request or of the idle connection, by the limits in force.
+    /// What is left of the time of the request or of the idle connection.
     Duration timeLeft() const;
+    /// The wider of the limits under which the connection began to wait and those in force.
+    HttpServerLimits widerLimits() const;
+    void beginRequest();
     /// Whether the deadline passed with bytes of the caller that this process had not read.
     bool wasLate() const;
     std::size_t unread() const;
@@ -140,6 +143,8 @@
     unsigned m_version = 11;
     std::function<void()> m_onPeerGone;
     std::chrono::steady_clock::time_point m_idleSince;
+    /// Those in force then.
+    HttpServerLimits m_limits;
     /// When the request's first byte was read.
     std::optional<std::chrono::steady_clock::time_point> m_begunAt;
     std::chrono::steady_clock::time_point m_lastRead;
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -731,3 +731,90 @@
 
     EXPECT_TRUE(isClosed());
 }
+
+TEST_F(LateHttpServerTest, limitsRaised_requestOnOpenConnection_goesByThem)
+{
+    // A caller learns of a higher limit and uses it on the connection that it has. It would get a refusal that is not
+    // tried again, for a request that no configuration in force forbids.
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+    settings.limits.maximumBodyBytes = 10;
+    const std::string body(1000, 'a');
+
+    play([&]() -> Work {
+        co_await connect();
+        server().setLimits(HttpServerLimits());
+        co_await send(headerOfUpload(body.size()) + body);
+    });
+
+    EXPECT_EQ(receive(), "POST / " + body);
+}
+
+TEST_F(LateHttpServerTest, limitsLowered_requestOnItsWay_goesByThoseBefore)
+{
+    // A caller sends what the configuration allows, and this has changed before it arrives.
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+    const std::string body(1000, 'a');
+    HttpServerLimits lowered = settings.limits;
+    lowered.maximumBodyBytes = 10;
+
+    play([&]() -> Work {
+        co_await connect();
+        server().setLimits(lowered);
+        co_await send(headerOfUpload(body.size()) + body);
+        co_await send(headerOfUpload(body.size()) + body);
+    });
+
+    EXPECT_EQ(receive(), "POST / " + body);
+    EXPECT_EQ(errorCodeOf(receive()), "body_too_large");
+}
+
+TEST_F(LateHttpServerTest, timeoutsLowered_requestUnderWay_keepsItsTime)
+{
+    // A caller is sending a request, at the pace that it was allowed, when a configuration comes that gives less time.
+    // It can't know; cut off, it would have neither an answer nor a refusal.
+    settings.limits.readTimeout = std::chrono::seconds(60);
+    HttpServerLimits lowered = settings.limits;
+    lowered.readTimeout = std::chrono::milliseconds(1);
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1));
+        server().setLimits(lowered);
+        co_await beBusy();
+        co_await beBusy();
+        co_await send("a");
+    });
+
+    EXPECT_EQ(receive(), "POST / a");
+}
+
+TEST_F(LateHttpServerTest, timeoutsLowered_idleConnection_keepsItsTime)
+{
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+    HttpServerLimits lowered = settings.limits;
+    lowered.idleTimeout = std::chrono::milliseconds(1);
+
+    play([&]() -> Work {
+        co_await connect();
+        server().setLimits(lowered);
+        co_await beBusy();
+        co_await send(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, timeoutsRaised_idleConnection_getsTheLongerTime)
+{
+    HttpServerLimits raised = settings.limits;
+    raised.idleTimeout = std::chrono::seconds(60);
+
+    play([&]() -> Work {
+        co_await connect();
+        server().setLimits(raised);
+        co_await beBusy();
+        co_await send(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+}
