Callers' connections: a refusal's linger lasts while the rest of the request comes

Cause: after a refusal that ends the connection (413, or 503 before the body is read) the rest was read for two seconds in all. A caller that sends longer, as over a narrow link, then met a closed connection: its next bytes are answered by a reset, and it takes the request for lost though the refusal is there. A late watchdog did the same to bytes unread.

Change: the connection is read on until nothing has come for the linger timeout, for as long as the request could have taken (the read timeout); bytes unread put the end off as they do for a request. The timeout is a setting of the server, two seconds as before.

--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -36,6 +36,9 @@
     /// A connection that is idle when the server drains is closed after so long: a request that is on its way to it is
     /// still answered.
     Duration drainGrace = std::chrono::seconds(1);
+    /// How long a connection that is ended here is read on after the caller's last bytes, within the read timeout.
+    /// Closed with bytes unread it would be reset, and the reset can overtake the answer.
+    Duration lingerTimeout = std::chrono::seconds(2);
     /// Asked about each request before its body is read; null to take them all. Outlives the server's workers.
     RequestIntake *intake = nullptr;
     /// PEM files; TLS is on when both are given.
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -269,18 +269,25 @@
     if constexpr (kIsTls) {
         co_return co_await m_stream.async_read_some(buf, awaitInto(ec));
     } else {
-        if (!m_stream.non_blocking()) {
-            m_stream.non_blocking(true, ec);
-        }
-        std::size_t n = ec ? 0 : m_stream.read_some(buf, ec);
-        while (ec == net::error::would_block || ec == net::error::try_again) {
-            co_await m_stream.async_wait(net::socket_base::wait_read, awaitInto(ec));
-            n = ec ? 0 : m_stream.read_some(buf, ec);
-        }
-        co_return n;
+        co_return co_await readSocket(buf, ec);
     }
 }
 
+template<typename Stream>
+net::awaitable<std::size_t> HttpSession<Stream>::readSocket(net::mutable_buffer buf, beast::error_code &ec)
+{
+    ServerSocket &socket = beast::get_lowest_layer(m_stream);
+    if (!socket.non_blocking()) {
+        socket.non_blocking(true, ec);
+    }
+    std::size_t n = ec ? 0 : socket.read_some(buf, ec);
+    while (ec == net::error::would_block || ec == net::error::try_again) {
+        co_await socket.async_wait(net::socket_base::wait_read, awaitInto(ec));
+        n = ec ? 0 : socket.read_some(buf, ec);
+    }
+    co_return n;
+}
+
 template<typename Stream>
 bool HttpSession<Stream>::isRefusedUnread() const
 {
@@ -355,7 +362,7 @@
 
 // A close with unread bytes of the other side makes the kernel reset the connection, and the reset can overtake the
 // answer: the caller of a refused upload would see a broken connection in place of its 413. So the sending side is
-// ended first, and what still comes is read and dropped for a bounded time.
+// ended first, and what still comes is read and dropped for as long as the request could have taken to come.
 template<typename Stream>
 net::awaitable<void> HttpSession<Stream>::shutDown()
 {
@@ -363,17 +370,31 @@
         co_return;
     }
     beast::error_code ec;
-    m_watchdog.expireAfter(kLingerTimeout);
+    m_lingerSince = m_lastRead = Clock::now();
+    m_extensionsLeft = kMostExtensions;
+    m_watchdog.expireAfter(m_context->settings.lingerTimeout);
     if constexpr (kIsTls) {
         co_await m_stream.async_shutdown(awaitInto(ec));
     }
-    auto &socket = beast::get_lowest_layer(m_stream);
-    socket.shutdown(net::socket_base::shutdown_send, ec);
+    beast::get_lowest_layer(m_stream).shutdown(net::socket_base::shutdown_send, ec);
+    if (!ec) {
+        co_await discardRest();
+    }
+    close();
+}
+
+template<typename Stream>
+net::awaitable<void> HttpSession<Stream>::discardRest()
+{
+    beast::error_code ec;
     std::array<char, 4096> discarded;
     while (!ec) {
-        co_await socket.async_read_some(net::buffer(discarded), awaitInto(ec));
+        const std::size_t n = co_await readSocket(net::buffer(discarded), ec);
+        m_lastRead = Clock::now();
+        if (n == discarded.size()) {
+            co_await net::post(strand(), net::use_awaitable);
+        }
     }
-    close();
 }
 
 template<typename Stream>
@@ -402,7 +423,7 @@
     }
     if (m_extensionsLeft > 0 && wasLate()) {
         --m_extensionsLeft;
-        m_watchdog.expireAfter(widerLimits().readTimeout);
+        m_watchdog.expireAfter(m_lingerSince ? m_context->settings.lingerTimeout : widerLimits().readTimeout);
         return;
     }
     if (m_isReading && m_begunAt) {
@@ -416,6 +437,9 @@
 {
     const HttpServerLimits limits = widerLimits();
     const auto now = Clock::now();
+    if (m_lingerSince) {
+        return lingerLeft(now);
+    }
     if (m_isReading && m_begunAt) {
         return std::chrono::duration_cast<Duration>(*m_begunAt + limits.readTimeout - now);
     }
@@ -425,6 +449,14 @@
     return Duration::zero();
 }
 
+template<typename Stream>
+Duration HttpSession<Stream>::lingerLeft(Clock::time_point now) const
+{
+    const Duration linger = m_context->settings.lingerTimeout;
+    const auto end = std::min(m_lastRead + linger, *m_lingerSince + std::max(linger, widerLimits().readTimeout));
+    return std::chrono::duration_cast<Duration>(end - now);
+}
+
 // What is unread was sent in time, as far as this process can tell. Where it caught up just before its watchdog came,
 // it has read such bytes after the deadline, and more may come now that the caller's way is free again.
 template<typename Stream>
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -91,7 +91,6 @@
     };
 
     static constexpr bool kIsTls = std::is_same_v<Stream, ServerTlsStream>;
-    static constexpr Duration kLingerTimeout = std::chrono::seconds(2);
     static constexpr std::size_t kReadAtOnce = 64 * 1024;
     /// How often a deadline is put off because this process was late. A caller that has a byte unread each time, by
     /// chance or on purpose, is cut off after this many more read timeouts.
@@ -105,6 +104,7 @@
     boost::asio::awaitable<boost::beast::error_code> readUntil(bool (Parser::*isDone)() const);
     boost::asio::awaitable<boost::beast::error_code> readSome();
     boost::asio::awaitable<std::size_t> readInto(boost::asio::mutable_buffer buf, boost::beast::error_code &ec);
+    boost::asio::awaitable<std::size_t> readSocket(boost::asio::mutable_buffer buf, boost::beast::error_code &ec);
     boost::beast::error_code parse();
     void endReading();
     bool isRefusedUnread() const;
@@ -113,12 +113,14 @@
     boost::asio::awaitable<void> refuse(boost::beast::error_code ec);
     boost::asio::awaitable<void> callHandler();
     boost::asio::awaitable<void> shutDown();
+    boost::asio::awaitable<void> discardRest();
     template<typename Body>
     void prepare(boost::beast::http::response<Body> &message, int status, const HttpHeaders &headers);
     void takeRequest();
     void expire();
-    /// What is left of the time of the request or of the idle connection.
+    /// What is left of the time of the request or of the idle connection, or of reading on after the last answer.
     Duration timeLeft() const;
+    Duration lingerLeft(std::chrono::steady_clock::time_point now) const;
     /// The wider of the limits under which the connection began to wait and those in force.
     HttpServerLimits widerLimits() const;
     void beginRequest();
@@ -148,6 +150,8 @@
     /// When the request's first byte was read.
     std::optional<std::chrono::steady_clock::time_point> m_begunAt;
     std::chrono::steady_clock::time_point m_lastRead;
+    /// Since when the connection is read on after the last answer.
+    std::optional<std::chrono::steady_clock::time_point> m_lingerSince;
     bool m_isWatchingPeer = false;
     AnswerState m_answer = AnswerState::None;
     bool m_isReading = false;
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -818,3 +818,41 @@
 
     EXPECT_EQ(receive(), "GET /small ");
 }
+
+TEST_F(LateHttpServerTest, refusedUpload_thatTakesLongerThanTheLinger_getsItsRefusal)
+{
+    // A caller sends all of a long request before it looks for an answer. If its connection is closed meanwhile, its
+    // next bytes are answered by a reset, and it takes the request for lost.
+    settings.limits.maximumBodyBytes = 10;
+    settings.limits.readTimeout = std::chrono::seconds(60);
+    settings.lingerTimeout = kShort;
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1000));
+        for (int n = 0; n < 3; ++n) {
+            co_await sendToBusy("a");
+        }
+    });
+
+    EXPECT_FALSE(isReset());
+    EXPECT_EQ(errorCodeOf(receive()), "body_too_large");
+}
+
+TEST_F(LateHttpServerTest, refusedUpload_thatNeverEnds_isCutOff)
+{
+    int times = 0;
+    settings.limits.maximumBodyBytes = 10;
+    settings.lingerTimeout = kShort;
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1000));
+        while (!isReset() && times < kManyTimes) {
+            co_await sendToBusy("a");
+            ++times;
+        }
+    });
+
+    EXPECT_LT(times, kManyTimes);
+}
