Drain: connections that wait to be taken are taken and answered

Cause: a draining server closed its listener with whatever waited there, and dropped connections that it took after the drain had begun. To their callers they were open; with a request sent they were reset, without an answer.

Change: what waits is taken before the listener is closed, and gets the grace of a drain as an idle connection does. A server that closes at once still takes nothing.

--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -28,6 +28,8 @@
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 /// Connections taken in one go, so that the requests on those that are open get their turn too.
 constexpr int kAcceptsAtOnce = 32;
+/// As many as can wait when the listener is closed, unless callers go on coming as fast as they are taken.
+constexpr int kMostLastAccepts = 4096;
 
 std::string nameOf(const tcp::endpoint &endpoint)
 {
@@ -54,9 +56,12 @@
     absl::Status openTls();
     absl::Status bind(const std::string &address, std::uint16_t wantedPort);
     net::awaitable<void> accept();
-    void acceptWaiting();
+    /// Whether there may be more.
+    bool acceptWaiting();
     void serve(ServerSocket socket);
     net::awaitable<void> runSession(std::shared_ptr<HttpSessionBase> session);
+    void acceptLast();
+    bool isClosing() const;
     /// Calls back on a worker once the listener is closed.
     void closeListener(std::function<void()> onClosed);
     void closeAll(std::function<void()> onClosed);
@@ -75,6 +80,7 @@
     bool isListening = false;
     bool isAccepting = false;
     bool isDraining = false;
+    bool isClosed = false;
     std::function<void()> onDrained;
     std::unordered_set<std::shared_ptr<HttpSessionBase>> sessions;
 };
@@ -159,7 +165,7 @@
 
 // A worker that is busy comes back here once for all the requests that have become ready meanwhile. With one connection
 // each time, a crowd of new callers would wait for its doors longer than the second that callers wait.
-void HttpServer::Private::acceptWaiting()
+bool HttpServer::Private::acceptWaiting()
 {
     boost::system::error_code ec;
     for (int n = 1; n < kAcceptsAtOnce && acceptor.is_open(); ++n) {
@@ -167,10 +173,11 @@
         acceptor.accept(socket, ec);
         if (ec) {
             // No more connections wait. Any other error shows again in the next asynchronous accept, which logs it.
-            return;
+            return false;
         }
         serve(std::move(socket));
     }
+    return acceptor.is_open();
 }
 
 void HttpServer::Private::serve(ServerSocket socket)
@@ -190,9 +197,12 @@
     }
     {
         const std::lock_guard lock(mutex);
-        if (isDraining) {
+        if (isClosed) {
             return;
         }
+        if (isDraining) {
+            session->drain();
+        }
         sessions.insert(session);
     }
     net::co_spawn(session->strand(), runSession(session), net::detached);
@@ -218,6 +228,7 @@
 {
     net::post(strand, [self = shared_from_this(), onClosed = std::move(onClosed)] {
         boost::system::error_code ec;
+        self->acceptLast();
         self->acceptor.close(ec);
         {
             const std::lock_guard lock(self->mutex);
@@ -230,10 +241,26 @@
     });
 }
 
+// To its caller a connection that waits is open, with a request on it perhaps: closed with the listener, it is reset.
+void HttpServer::Private::acceptLast()
+{
+    bool isMore = acceptor.is_open() && !isClosing();
+    for (int n = 0; isMore && n < kMostLastAccepts; n += kAcceptsAtOnce) {
+        isMore = acceptWaiting();
+    }
+}
+
+bool HttpServer::Private::isClosing() const
+{
+    const std::lock_guard lock(mutex);
+    return isClosed;
+}
+
 void HttpServer::Private::closeAll(std::function<void()> onClosed)
 {
     const std::lock_guard lock(mutex);
     isDraining = true;
+    isClosed = true;
     const auto left = std::make_shared<std::atomic<std::size_t>>(sessions.size() + 1);
     const auto countDown = [left, onClosed = std::move(onClosed)] {
         if (--*left == 0 && onClosed) {
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -103,8 +103,8 @@
     /// notice. Safe on any thread.
     void closeAfterAnswers();
 
-    /// Takes no new connections, and closes each open one after the request that it is in. `onDrained` is called once
-    /// on a worker when none is left.
+    /// Takes no more connections than those that wait already, and closes each open one after the request that it is
+    /// in. `onDrained` is called once on a worker when none is left.
     void drain(std::function<void()> onDrained = {});
 
     int openConnections() const;
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -549,6 +549,17 @@
         co_await catchUp();
     }
 
+    /// A caller connects and sends, and the server is told to drain, all behind its poll.
+    Work connectAndDrainBehindPoll(std::string bytes)
+    {
+        boost::asio::steady_timer earlier(m_workers.context(), std::chrono::steady_clock::time_point());
+        co_await earlier.async_wait(boost::asio::use_awaitable);
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), m_server->port()});
+        sendNow(bytes);
+        m_server->drain();
+        co_await catchUp();
+    }
+
     /// The next answer, or why there is none.
     std::string receive()
     {
@@ -856,3 +867,15 @@
 
     EXPECT_LT(times, kManyTimes);
 }
+
+TEST_F(LateHttpServerTest, drain_connectionNotYetTaken_isAnswered)
+{
+    // A caller that a balancer has sent here connects and sends just before the server stops taking connections. Its
+    // connection would be reset, with the request in it.
+    play([&]() -> Work {
+        co_await catchUp();
+        co_await connectAndDrainBehindPoll(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+}
