Answers: the write timeout is that of a reader which takes no byte, not of the whole answer

Cause: one timeout bounded the write of a whole answer, or of a large piece of a stream. A reader that went on taking bytes, though slowly, was cut off within an answer that it could have had.

Change: each step in which the kernel takes bytes has the timeout to itself.

Measured: longAnswer_readerThatGoesOnTakingBytes failed before (8.5 of 33.5 MB came). net-tests: 176 of 176 pass.

--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -565,23 +565,35 @@
     message.keep_alive(m_isKeptAlive);
 }
 
+template<typename Stream>
+template<typename Body>
+net::awaitable<beast::error_code> HttpSession<Stream>::writeMessage(http::response<Body> &message)
+{
+    beast::error_code ec;
+    http::response_serializer<Body> serializer(message);
+    while (!ec && !serializer.is_done()) {
+        m_watchdog.expireAfter(m_context->settings.writeTimeout);
+        co_await http::async_write_some(m_stream, serializer, awaitInto(ec));
+    }
+    co_return ec;
+}
+
 template<typename Stream>
 net::awaitable<absl::Status> HttpSession<Stream>::respond(HttpResponse response)
 {
     beast::error_code ec;
     m_answer = AnswerState::Done;
-    m_watchdog.expireAfter(m_context->settings.writeTimeout);
     if (m_request.method == "HEAD") {
         http::response<http::empty_body> message;
         prepare(message, response.status, response.headers);
         message.content_length(response.body.size());
-        co_await http::async_write(m_stream, message, awaitInto(ec));
+        ec = co_await writeMessage(message);
     } else {
         http::response<http::string_body> message;
         prepare(message, response.status, response.headers);
         message.body() = std::move(response.body);
         message.prepare_payload();
-        co_await http::async_write(m_stream, message, awaitInto(ec));
+        ec = co_await writeMessage(message);
     }
     co_return outcomeOfWrite(ec);
 }
@@ -611,12 +623,11 @@
         co_return absl::OkStatus();
     }
     const std::string bytes = m_version >= 11 ? chunkOf(data) : std::move(data);
-    const std::size_t n = writeAtOnce(bytes, ec);
-    if (ec || n == bytes.size()) {
-        co_return outcomeOfWrite(ec);
+    std::size_t n = writeAtOnce(bytes, ec);
+    while (!ec && n < bytes.size()) {
+        m_watchdog.expireAfter(m_context->settings.writeTimeout);
+        n += co_await m_stream.async_write_some(net::buffer(bytes) + n, awaitInto(ec));
     }
-    m_watchdog.expireAfter(m_context->settings.writeTimeout);
-    co_await net::async_write(m_stream, net::buffer(bytes) + n, awaitInto(ec));
     co_return outcomeOfWrite(ec);
 }
 
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -114,6 +114,9 @@
     boost::asio::awaitable<void> callHandler();
     boost::asio::awaitable<void> shutDown();
     boost::asio::awaitable<void> discardRest();
+    /// Writes a whole answer; each step that takes bytes has the write timeout to itself.
+    template<typename Body>
+    boost::asio::awaitable<boost::beast::error_code> writeMessage(boost::beast::http::response<Body> &message);
     template<typename Body>
     void prepare(boost::beast::http::response<Body> &message, int status, const HttpHeaders &headers);
     void takeRequest();
