Callers' half-closes: what holds is written down

Cause: nothing said that the end of a caller's sending side counts as its leaving. No logic changes.

--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -70,7 +70,9 @@
     virtual void abort() = 0;
 
     /// Called once if the other side closes its connection before the answer has ended; null takes it back. Not called
-    /// once the other side has sent more, since its close would come behind that.
+    /// once the other side has sent more, since its close would come behind that. The end of its sending side counts as
+    /// a close, and the connection is closed here too: whether it would still read shows only when a write to it fails,
+    /// and work for callers that have left would go on meanwhile.
     virtual void setPeerGoneCallback(std::function<void()> callback) = 0;
 };
 
