--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -20,7 +20,8 @@
 struct HttpServerLimits {
     std::size_t maximumHeaderBytes = 16 * 1024;
     std::size_t maximumBodyBytes = 8 * 1024 * 1024;
-    /// How long a request's bytes may take to arrive.
+    /// How long a request's bytes may take to arrive, from the first that was read here. A request is not cut off
+    /// before its connection would have been closed if it had stayed idle, nor while bytes of it wait for this process.
     Duration readTimeout = std::chrono::seconds(60);
     /// How long a connection may be idle between requests.
     Duration idleTimeout = std::chrono::seconds(60);
@@ -35,6 +36,9 @@
     /// A connection that is idle when the server drains is closed after so long: a request that is on its way to it is
     /// still answered.
     Duration drainGrace = std::chrono::seconds(1);
+    /// How long a connection that is ended here is read on after the caller's last bytes, within the read timeout.
+    /// Closed with bytes unread it would be reset, and the reset can overtake the answer.
+    Duration lingerTimeout = std::chrono::seconds(2);
     /// Asked about each request before its body is read; null to take them all. Outlives the server's workers.
     RequestIntake *intake = nullptr;
     /// PEM files; TLS is on when both are given.
@@ -66,7 +70,9 @@
     virtual void abort() = 0;
 
     /// Called once if the other side closes its connection before the answer has ended; null takes it back. Not called
-    /// once the other side has sent more, since its close would come behind that.
+    /// once the other side has sent more, since its close would come behind that. The end of its sending side counts as
+    /// a close, and the connection is closed here too: whether it would still read shows only when a write to it fails,
+    /// and work for callers that have left would go on meanwhile.
     virtual void setPeerGoneCallback(std::function<void()> callback) = 0;
 };
 
@@ -91,16 +97,16 @@
 
     std::uint16_t port() const;
 
-    /// Holds for connections from now on, and on those that are open for the request after the one that they wait for.
-    /// Safe on any thread.
+    /// Holds for connections from now on. On those that are open the wider of the old and the new holds for the request
+    /// that they wait for, and the time of the one that they are in: the caller may go by either. Safe on any thread.
     void setLimits(const HttpServerLimits &limits);
 
     /// From now on each answer ends its connection; new connections are still taken, for a balancer that has yet to
     /// notice. Safe on any thread.
     void closeAfterAnswers();
 
-    /// Takes no new connections, and closes each open one after the request that it is in. `onDrained` is called once
-    /// on a worker when none is left.
+    /// Takes no more connections than those that wait already, and closes each open one after the request that it is
+    /// in. `onDrained` is called once on a worker when none is left.
     void drain(std::function<void()> onDrained = {});
 
     int openConnections() const;
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -2,13 +2,21 @@
 #include "base/failure.h"
 #include "loopbackfixture.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
 using namespace RadishSwitch;
 
 namespace
@@ -456,3 +464,461 @@
     ASSERT_TRUE(response.ok());
     EXPECT_EQ(response->status, 200);
 }
+
+/// A server with one worker, which also plays the caller: whatever the machine does, the order of things is that of the
+/// test. A worker that waits in the play is one that is busy, with a large configuration say.
+class LateHttpServerTest : public testing::Test
+{
+protected:
+    using Work = boost::asio::awaitable<void>;
+
+    static constexpr Duration kShort = std::chrono::milliseconds(50);
+    /// More often than a server that is always late puts a deadline off.
+    static constexpr int kManyTimes = 20;
+
+    LateHttpServerTest()
+        : m_socket(m_context)
+        , m_workers(1)
+    {
+        settings.limits.readTimeout = kShort;
+        settings.limits.idleTimeout = kShort;
+        settings.drainGrace = kShort;
+    }
+
+    ~LateHttpServerTest() override
+    {
+        m_workers.stop();
+    }
+
+    HttpServer &server()
+    {
+        return *m_server;
+    }
+
+    void play(const std::function<Work()> &work)
+    {
+        m_server = std::make_unique<HttpServer>(m_workers, settings, handler);
+        ASSERT_TRUE(m_server->listen("127.0.0.1", 0).ok());
+        m_workers.start();
+        boost::asio::co_spawn(m_workers.context(), work(), boost::asio::use_future).get();
+    }
+
+    Work connect()
+    {
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), m_server->port()});
+        co_await catchUp();
+    }
+
+    /// Returns when the server has done all that is ready for it.
+    Work catchUp()
+    {
+        constexpr int kPolls = 30;
+        for (int n = 0; n < kPolls; ++n) {
+            co_await boost::asio::post(m_workers.context(), boost::asio::use_awaitable);
+        }
+    }
+
+    Work send(std::string bytes)
+    {
+        sendNow(bytes);
+        co_await catchUp();
+    }
+
+    /// The bytes come while the server is busy past all deadlines.
+    Work sendToBusy(std::string bytes)
+    {
+        sendNow(bytes);
+        waitPastDeadlines();
+        co_await catchUp();
+    }
+
+    /// The same, but they come when the server has polled, and has the passed deadline next in its line.
+    Work sendBehindPoll(std::string bytes)
+    {
+        boost::asio::steady_timer earlier(m_workers.context(), std::chrono::steady_clock::time_point());
+        waitPastDeadlines();
+        co_await earlier.async_wait(boost::asio::use_awaitable);
+        sendNow(bytes);
+        co_await catchUp();
+    }
+
+    /// The server is busy past all deadlines, and nothing comes.
+    Work beBusy()
+    {
+        waitPastDeadlines();
+        co_await catchUp();
+    }
+
+    /// A caller connects and sends, and the server is told to drain, all behind its poll.
+    Work connectAndDrainBehindPoll(std::string bytes)
+    {
+        boost::asio::steady_timer earlier(m_workers.context(), std::chrono::steady_clock::time_point());
+        co_await earlier.async_wait(boost::asio::use_awaitable);
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), m_server->port()});
+        sendNow(bytes);
+        m_server->drain();
+        co_await catchUp();
+    }
+
+    /// Takes what of the answer is there, and nothing for longer than the server's deadlines. Gives the bytes taken.
+    boost::asio::awaitable<std::size_t> takeSlowly()
+    {
+        constexpr std::size_t kAtOnce = 64 * 1024;
+        std::string buf(kAtOnce, '\0');
+        boost::system::error_code ec;
+        std::size_t taken = 0;
+        m_socket.non_blocking(true);
+        while (!ec) {
+            taken += m_socket.read_some(boost::asio::buffer(buf), ec);
+        }
+        co_await beBusy();
+        co_return taken;
+    }
+
+    /// The next answer, or why there is none.
+    std::string receive()
+    {
+        boost::beast::http::response<boost::beast::http::string_body> answer;
+        boost::system::error_code ec;
+        boost::beast::http::read(m_socket, m_received, answer, ec);
+        return ec ? ec.message() : answer.body();
+    }
+
+    bool isClosed()
+    {
+        char c = 0;
+        boost::system::error_code ec;
+        m_socket.non_blocking(true);
+        m_socket.receive(boost::asio::buffer(&c, 1), boost::asio::socket_base::message_peek, ec);
+        m_socket.non_blocking(false);
+        return ec && ec != boost::asio::error::would_block;
+    }
+
+    /// Whether the server has closed its side altogether, so that what the caller sends is refused.
+    bool isReset()
+    {
+        tcp_info info{};
+        socklen_t n = sizeof(info);
+        ::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &n);
+        return info.tcpi_state == TCP_CLOSE;
+    }
+
+    HttpServerSettings settings;
+    HttpServer::Handler handler = echo;
+
+private:
+    /// Returns when the server's kernel has the bytes, or takes none.
+    void sendNow(const std::string &bytes)
+    {
+        boost::system::error_code ec;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ec);
+        int waiting = 0;
+        while (!ec && !isReset() && ::ioctl(m_socket.native_handle(), SIOCOUTQ, &waiting) == 0 && waiting > 0) {
+            std::this_thread::yield();
+        }
+    }
+
+    static void waitPastDeadlines()
+    {
+        std::promise<void> never;
+        never.get_future().wait_for(2 * kShort);
+    }
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_received;
+    WorkerPool m_workers;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+namespace
+{
+
+const std::string kSmall = "GET /small HTTP/1.1\r\nHost: h\r\n\r\n";
+
+std::string headerOfUpload(std::size_t bytes)
+{
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+
+}
+
+TEST_F(LateHttpServerTest, requestUnderWay_restUnreadWhenItsTimeEnds_isAnswered)
+{
+    // A caller sends a request in parts, each as soon as it can. The server is busy again and again, past its own
+    // deadlines, while they lie unread in its kernel. It was late and not the caller, who is owed an answer.
+    const std::string part(20'000, 'a');
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(3 * part.size()));
+        for (int n = 0; n < 3; ++n) {
+            co_await sendToBusy(part);
+        }
+    });
+
+    EXPECT_EQ(receive().size(), 3 * part.size() + std::string("POST / ").size());
+}
+
+TEST_F(LateHttpServerTest, requestUnderWay_partReadBehindItsTimeAndRestOnItsWay_isAnswered)
+{
+    // The server is busy past the end of a request's time, then reads what has come, and only then looks at the clock:
+    // nothing is unread. The caller may have been held up with it, and sends the rest now.
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(4));
+        for (int n = 0; n < 3; ++n) {
+            co_await sendToBusy("a");
+        }
+        co_await send("b");
+    });
+
+    EXPECT_EQ(receive(), "POST / aaab");
+}
+
+TEST_F(LateHttpServerTest, idleConnection_requestUnreadWhenItsTimeEnds_isAnswered)
+{
+    // A server that is late notices the end of a connection's idle time when the next request lies in its kernel.
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(kSmall);
+        co_await sendBehindPoll(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, newConnection_requestUnreadWhenItsTimeEnds_isAnswered)
+{
+    play([&]() -> Work {
+        co_await connect();
+        co_await sendBehindPoll(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, drain_requestUnreadWhenTheGraceEnds_isAnswered)
+{
+    // The same while the server drains: the caller has not been told that the connection ends.
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(kSmall);
+        server().drain();
+        co_await catchUp();
+        co_await sendBehindPoll(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, callerThatSendsByteByByte_toServerThatIsLateEachTime_isCutOff)
+{
+    // A caller that never ends its request must not keep its connection for as long as the server is late.
+    int times = 0;
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1000));
+        while (!isClosed() && times < kManyTimes) {
+            co_await sendToBusy("a");
+            ++times;
+        }
+    });
+
+    EXPECT_LT(times, kManyTimes);
+}
+
+TEST_F(LateHttpServerTest, callerThatSendsByteByByte_toServerThatReadsThemAsTheyCome_isCutOff)
+{
+    constexpr Duration kLong = std::chrono::seconds(30);
+    const auto end = std::chrono::steady_clock::now() + kLong;
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1'000'000));
+        while (!isClosed() && std::chrono::steady_clock::now() < end) {
+            co_await send("a");
+        }
+    });
+
+    EXPECT_LT(std::chrono::steady_clock::now(), end);
+}
+
+TEST_F(LateHttpServerTest, idleConnection_nothingUnreadWhenItsTimeEnds_isClosed)
+{
+    play([&]() -> Work {
+        co_await connect();
+        co_await beBusy();
+    });
+
+    EXPECT_TRUE(isClosed());
+}
+
+TEST_F(LateHttpServerTest, limitsRaised_requestOnOpenConnection_goesByThem)
+{
+    // A caller learns of a higher limit and uses it on the connection that it has. It would get a refusal that is not
+    // tried again, for a request that no configuration in force forbids.
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+    settings.limits.maximumBodyBytes = 10;
+    const std::string body(1000, 'a');
+
+    play([&]() -> Work {
+        co_await connect();
+        server().setLimits(HttpServerLimits());
+        co_await send(headerOfUpload(body.size()) + body);
+    });
+
+    EXPECT_EQ(receive(), "POST / " + body);
+}
+
+TEST_F(LateHttpServerTest, limitsLowered_requestOnItsWay_goesByThoseBefore)
+{
+    // A caller sends what the configuration allows, and this has changed before it arrives.
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+    const std::string body(1000, 'a');
+    HttpServerLimits lowered = settings.limits;
+    lowered.maximumBodyBytes = 10;
+
+    play([&]() -> Work {
+        co_await connect();
+        server().setLimits(lowered);
+        co_await send(headerOfUpload(body.size()) + body);
+        co_await send(headerOfUpload(body.size()) + body);
+    });
+
+    EXPECT_EQ(receive(), "POST / " + body);
+    EXPECT_EQ(errorCodeOf(receive()), "body_too_large");
+}
+
+TEST_F(LateHttpServerTest, timeoutsLowered_requestUnderWay_keepsItsTime)
+{
+    // A caller is sending a request, at the pace that it was allowed, when a configuration comes that gives less time.
+    // It can't know; cut off, it would have neither an answer nor a refusal.
+    settings.limits.readTimeout = std::chrono::seconds(60);
+    HttpServerLimits lowered = settings.limits;
+    lowered.readTimeout = std::chrono::milliseconds(1);
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1));
+        server().setLimits(lowered);
+        co_await beBusy();
+        co_await beBusy();
+        co_await send("a");
+    });
+
+    EXPECT_EQ(receive(), "POST / a");
+}
+
+TEST_F(LateHttpServerTest, timeoutsLowered_idleConnection_keepsItsTime)
+{
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+    HttpServerLimits lowered = settings.limits;
+    lowered.idleTimeout = std::chrono::milliseconds(1);
+
+    play([&]() -> Work {
+        co_await connect();
+        server().setLimits(lowered);
+        co_await beBusy();
+        co_await send(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, timeoutsRaised_idleConnection_getsTheLongerTime)
+{
+    HttpServerLimits raised = settings.limits;
+    raised.idleTimeout = std::chrono::seconds(60);
+
+    play([&]() -> Work {
+        co_await connect();
+        server().setLimits(raised);
+        co_await beBusy();
+        co_await send(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, refusedUpload_thatTakesLongerThanTheLinger_getsItsRefusal)
+{
+    // A caller sends all of a long request before it looks for an answer. If its connection is closed meanwhile, its
+    // next bytes are answered by a reset, and it takes the request for lost.
+    settings.limits.maximumBodyBytes = 10;
+    settings.limits.readTimeout = std::chrono::seconds(60);
+    settings.lingerTimeout = kShort;
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1000));
+        for (int n = 0; n < 3; ++n) {
+            co_await sendToBusy("a");
+        }
+    });
+
+    EXPECT_FALSE(isReset());
+    EXPECT_EQ(errorCodeOf(receive()), "body_too_large");
+}
+
+TEST_F(LateHttpServerTest, refusedUpload_thatNeverEnds_isCutOff)
+{
+    int times = 0;
+    settings.limits.maximumBodyBytes = 10;
+    settings.lingerTimeout = kShort;
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(headerOfUpload(1000));
+        while (!isReset() && times < kManyTimes) {
+            co_await sendToBusy("a");
+            ++times;
+        }
+    });
+
+    EXPECT_LT(times, kManyTimes);
+}
+
+TEST_F(LateHttpServerTest, drain_connectionNotYetTaken_isAnswered)
+{
+    // A caller that a balancer has sent here connects and sends just before the server stops taking connections. Its
+    // connection would be reset, with the request in it.
+    play([&]() -> Work {
+        co_await catchUp();
+        co_await connectAndDrainBehindPoll(kSmall);
+    });
+
+    EXPECT_EQ(receive(), "GET /small ");
+}
+
+TEST_F(LateHttpServerTest, longAnswer_readerThatGoesOnTakingBytes_getsItWhole)
+{
+    // A reader is slow, yet takes bytes within each timeout. Its answer takes several timeouts in all.
+    constexpr std::size_t kBytes = 32 * 1024 * 1024;
+    settings.writeTimeout = kShort;
+    settings.limits.idleTimeout = std::chrono::seconds(60);
+    const std::string body(kBytes, 'a');
+    std::size_t taken = 0;
+    handler = [&body](HttpExchange &exchange) -> Work {
+        HttpResponse response;
+        response.body = body;
+        (void)co_await exchange.respond(std::move(response));
+    };
+
+    play([&]() -> Work {
+        co_await connect();
+        co_await send(kSmall);
+        std::size_t n = 1;
+        while (n > 0 && taken < kBytes) {
+            n = co_await takeSlowly();
+            taken += n;
+        }
+    });
+
+    EXPECT_GE(taken, kBytes);
+}
