Test: a call that comes long after the order to stop is taken

What callers see: a call that they send on a connection of a stopping gateway, seconds after the order, is taken, sent to an endpoint and broken off when the stop's time is over. A stream that began before the order keeps its connection, as its head promised, and ends at any time of the stop; the next call on that connection comes behind it. No logic changes.

--- a/tests/radishswitch-gateway/gatewaystate_test.cpp
+++ b/tests/radishswitch-gateway/gatewaystate_test.cpp
@@ -1,5 +1,9 @@
 #include "gatewayfixture.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
 using namespace RadishSwitch;
 
 class GatewayStateTest : public GatewayFixture
@@ -234,6 +238,50 @@
     EXPECT_EQ(record.value("portions", Json::object()).size(), 0U);
 }
 
+// A caller reads a stream on a connection that was promised to stay open when the gateway is told to stop. The stream
+// ends seconds later, and the caller's next call comes on that connection. Taken, it would be broken off at the end of
+// the stop; the caller is told at once that it has not run, and where the connection ends.
+TEST_F(GatewayStateTest, callOnKeptConnectionLongAfterOrderToStop_isToldNotRun)
+{
+    start();
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), gateway->port()});
+    const auto send = [&](const std::string &target, const std::string &call, const std::string &more) {
+        const std::string bytes = "POST " + target + " HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token " + kKey
+            + "\r\n" + PlatformNames::kCallId + ": " + call + "\r\n" + more + "Content-Length: 0\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+    };
+    send("/once/a", "call-1", std::string(PlatformNames::kTokenBounds) + ": 100,7000\r\n");
+    std::string answers;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(answers), "data:");
+    ASSERT_EQ(answers.find("Connection: close"), std::string::npos);
+    std::promise<void> drained;
+    gateway->drain([&drained] {
+        drained.set_value();
+    });
+    // The notice is over when no new connection is taken.
+    waitUntil([&] {
+        boost::system::error_code ec;
+        boost::asio::ip::tcp::socket other(context);
+        other.connect({boost::asio::ip::address_v4::loopback(), gateway->port()}, ec);
+        return ec == boost::asio::error::connection_refused;
+    });
+    send("/safe/1", "call-2", std::string());
+    boost::system::error_code ec;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answers), ec);
+    EXPECT_EQ(ec, boost::asio::error::eof);
+    const std::size_t end = answers.find("\r\n0\r\n\r\n");
+    ASSERT_NE(end, std::string::npos);
+    const std::string second = answers.substr(end + 7);
+    EXPECT_TRUE(second.starts_with("HTTP/1.1 503")) << second;
+    EXPECT_NE(second.find("Connection: close"), std::string::npos) << second;
+    EXPECT_NE(second.find(PlatformNames::kRetryAfter), std::string::npos) << second;
+    EXPECT_EQ(runs("call-2"), 0);
+    socket.close();
+    drained.get_future().wait();
+}
+
 // A gateway is told to stop with a long stream open, and might be cut off from the store before that one has ended. All
 // of its portion but the stream's own reservation is free again while the stream still runs.
 TEST_F(GatewayStateTest, orderToStop_givesBackAtOnceWhatNoOpenCallNeeds)
