--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Soaks real gateways before stand-ins: every seed that ever failed, then fresh ones.
 # Usage: scripts/soak.sh [--seconds N] [--fresh N] [--at-once N] [--keep DIRECTORY]
+# A line of scripts/soak-seeds.txt is a seed, options of radishswitch-soak that it needs, and behind a # its cause.
 # Ends with 0 if every promise held in every run; logs of a run that failed stay in DIRECTORY/SEED.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -25,16 +26,22 @@
 mkdir -p "$keep"
 programs="${RADISHSWITCH_BIN:-build/bin}"
 
-mapfile -t seeds < <(grep -oE '^[0-9]+' scripts/soak-seeds.txt || true)
+mapfile -t seeds < <(sed -E 's/[[:space:]]*#.*//' scripts/soak-seeds.txt | grep -E '^[0-9]+' || true)
 for ((n = 0; n < fresh; n++)); do
     seeds+=("$((RANDOM * 32768 + RANDOM))")
 done
 
 # Each run has a hundred ports of its own.
 run() {
-    local seed="$1" place="$2"
-    "$programs/radishswitch-soak" --programs "$programs" --seed "$seed" --seconds "$seconds" \
-        --folder "$keep/$seed" --first-port "$((21000 + place * 100))" >"$keep/$seed.out" 2>&1
+    local place="$1" name="$2" seed="$3"
+    shift 3
+    "$programs/radishswitch-soak" --programs "$programs" --seed "$seed" --seconds "$seconds" "$@" \
+        --folder "$keep/$name" --first-port "$((21000 + place * 100))" >"$keep/$name.out" 2>&1
+}
+
+# Of a seed and its options, the name of its folder.
+name_of() {
+    echo "${1//[^0-9a-z]/-}"
 }
 
 failed=0
@@ -42,18 +49,20 @@
     pids=()
     batch=("${seeds[@]:first:at_once}")
     for place in "${!batch[@]}"; do
-        run "${batch[place]}" "$place" &
+        read -ra words <<<"${batch[place]}"
+        run "$place" "$(name_of "${batch[place]}")" "${words[@]}" &
         pids+=($!)
     done
     for place in "${!batch[@]}"; do
         seed="${batch[place]}"
+        name=$(name_of "$seed")
         if wait "${pids[place]}"; then
-            tail -n 1 "$keep/$seed.out"
-            rm -rf "${keep:?}/$seed"
+            tail -n 1 "$keep/$name.out"
+            rm -rf "${keep:?}/$name"
         else
             failed=$((failed + 1))
-            grep -E 'BROKEN|seed|radishswitch-soak' "$keep/$seed.out" || true
-            echo "soak: seed $seed failed, its logs are in $keep/$seed" >&2
+            grep -E 'BROKEN|seed|radishswitch-soak' "$keep/$name.out" || true
+            echo "soak: seed $seed failed, its logs are in $keep/$name" >&2
         fi
     done
 done
--- a/tests/radishswitch-gateway/soakrecord_test.cpp
+++ b/tests/radishswitch-gateway/soakrecord_test.cpp
@@ -15,6 +15,17 @@
         record.tokensPerEvent = 7;
         record.eventsOfStream = 2;
         record.paid["o"] = 1'000;
+        record.certainlyInTime = 3'000;
+    }
+
+    /// A stream through the first gateway whose endpoint gave one event of two.
+    void addCut(SoakKind kind, SoakSpan span)
+    {
+        SoakCall call{"c", kind, "o", 0, ReplicaServer::eventText("c", 1)};
+        call.hasBegun = true;
+        call.span = span;
+        record.calls.push_back(call);
+        record.runs["c"] = SoakRun{1, "o", 1, {2}};
     }
 
     void add(SoakKind kind, int status, const std::string &body, int runs, std::int64_t events = 0)
@@ -70,3 +81,36 @@
     record.runs["c"].organisation = "p";
     EXPECT_EQ(broken(), 1U);
 }
+
+// A stream that has begun breaks off with time left, and its gateway and endpoint are well.
+// No caller can tell why, and nothing was done that would explain it.
+TEST_F(SoakRecordTest, begunStreamCutWithTimeLeft_isFound)
+{
+    record.troubles = {{SoakTrouble::Part::Gateway, 1, {0, 9'000}}, {SoakTrouble::Part::Replica, 0, {0, 9'000}}};
+    addCut(SoakKind::Resumable, {1'000, 2'300});
+    EXPECT_EQ(broken(), 1U);
+}
+
+TEST_F(SoakRecordTest, begunStreamCutAtItsDeadline_breaksNothing)
+{
+    addCut(SoakKind::Once, {1'000, 4'000});
+    EXPECT_EQ(broken(), 0U);
+}
+
+TEST_F(SoakRecordTest, begunStreamOfGatewayOrEndpointInTrouble_breaksNothing)
+{
+    addCut(SoakKind::Once, {1'000, 2'300});
+    record.troubles = {{SoakTrouble::Part::Gateway, 0, {2'200, 2'400}}};
+    EXPECT_EQ(broken(), 0U);
+    record.troubles = {{SoakTrouble::Part::Replica, 2, {500, 1'000}}};
+    EXPECT_EQ(broken(), 0U);
+    record.troubles = {{SoakTrouble::Part::Replica, 2, {2'301, 2'400}}};
+    EXPECT_EQ(broken(), 1U);
+}
+
+TEST_F(SoakRecordTest, callThatNeverBegan_isNoCutStream)
+{
+    record.calls = {{"c", SoakKind::Resumable, "o", 0, ""}};
+    record.runs["c"] = SoakRun{1, "o", 0, {2}};
+    EXPECT_EQ(broken(), 0U);
+}
