Tests: runs whose endpoint is silent for a while, red

Cause: the agent ends a run after 3 s of silence in mid-answer, or 30 s before the first byte, without knowing whether it can go on elsewhere. A caller loses an answer that was being made.

--- a/tests/radishswitch-agent/agentruns_test.cpp
+++ b/tests/radishswitch-agent/agentruns_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace RadishSwitch;
 using namespace std::chrono_literals;
 
@@ -70,6 +72,7 @@
     {
         const FakeEndpoint::Call &call = *m_endpoint.calls.back();
         call.callbacks.onHead({200, "text/event-stream"});
+        m_hasAnswered = true;
         for (const char *part : parts) {
             call.callbacks.onBytes(part);
         }
@@ -80,6 +83,19 @@
         m_endpoint.calls.back()->callbacks.onEnd(status);
     }
 
+    /// Time passes in which the endpoint sends nothing. As with `HttpEndpoint` its call ends when that is longer than
+    /// the call was given.
+    void keepSilent(Duration span)
+    {
+        const FakeEndpoint::Call &call = *m_endpoint.calls.back();
+        const Duration bound = m_hasAnswered ? call.request.silenceTimeout : call.request.firstByteTimeout;
+        m_timers.advance(std::min(span, bound));
+        if (span >= bound && !call.isCancelled) {
+            call.callbacks.onEnd(withUnknownOutcome(makeFailure(FailureCode::ConnectionSilent, "nothing came")));
+        }
+        m_timers.advance(std::max(span - bound, Duration::zero()));
+    }
+
     /// All bytes of an answer, checking that they come without a gap.
     static std::string bytesOf(const std::vector<wire::RunUpdate> &updates, std::uint64_t offset = 0)
     {
@@ -102,6 +118,7 @@
     std::shared_ptr<AgentRuns> m_runs = std::make_shared<AgentRuns>(
         m_endpoint, *m_monitor, m_metrics, m_timers, AgentRunsSettings{.address = "127.0.0.1:7300", .endpoint = "e1"});
     const absl::Status m_lost = makeFailure(FailureCode::ConnectionLost, "gone");
+    bool m_hasAnswered = false;
 };
 
 TEST_F(AgentRunsTest, run_streamedCompletion_sendsBytesAtOnceThenUsage)
@@ -233,6 +250,42 @@
     EXPECT_EQ(bar("r", "a", false).charged_tokens(), 0);
 }
 
+// The engine reads a long prompt of another call and sends nothing for ten seconds, in the middle of this answer. Then
+// it goes on. The agent can't know whether the run could go on elsewhere, so it must not end it: the caller would lose
+// an answer that was being made, with time left.
+TEST_F(AgentRunsTest, run_endpointSilentInMidAnswer_goesOnToItsWholeAnswer)
+{
+    const Stream stream = run(chatRequest("r", "a"));
+    answer({kToken});
+
+    keepSilent(10s);
+    m_endpoint.calls.back()->callbacks.onBytes(std::string(kUsage) + kDone);
+    end();
+
+    const auto updates = stream->take<wire::RunUpdate>();
+    EXPECT_EQ(bytesOf(updates), std::string(kToken) + kUsage + kDone);
+    EXPECT_EQ(updates.back().done().charged_tokens(), 12);
+}
+
+// A service takes 40 s to the first byte of its answer, and the caller has given it 60 s. It is at work all that time;
+// ended before, the order would be of unknown outcome, and no other endpoint may be sent it.
+TEST_F(AgentRunsTest, run_endpointSlowToItsFirstByte_isWaitedForUntilTheDeadline)
+{
+    wire::RunRequest order = chatRequest("r", "a");
+    order.set_chat(false);
+    order.set_stream(false);
+    order.set_non_idempotent(true);
+    const Stream stream = run(order);
+
+    keepSilent(40s);
+    answer({"ordered"});
+    end();
+
+    const auto updates = stream->take<wire::RunUpdate>();
+    EXPECT_EQ(bytesOf(updates), "ordered");
+    EXPECT_TRUE(updates.back().has_done());
+}
+
 TEST_F(AgentRunsTest, run_deadlinePassed_isStopped)
 {
     const Stream stream = run(chatRequest("r", "a"));
