Tests: runs whose agent is cut off for a while, red

Cause: an agent that can't be reached for 4 s has its run cancelled, and only then the entry asks for a retry. Without one the caller loses an answer that was being made; that of an order is lost in any case.

The fake of the agents tells whether they are gone from the list, by default as before.

--- a/tests/radishswitch-entry/entryfixture.cpp
+++ b/tests/radishswitch-entry/entryfixture.cpp
@@ -25,6 +25,11 @@
     return {"agent-1:1", "agent-2:1"};
 }
 
+bool FakeAgentPort::isGone(const std::string &) const
+{
+    return areGone;
+}
+
 void FakeAgentPort::findRuns(const std::string &, std::vector<RequestId>, std::uint32_t, std::uint64_t,
                              std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback)
 {
@@ -130,6 +135,13 @@
     return plan;
 }
 
+void EntryFixture::spendRetries()
+{
+    RetryQuery query;
+    query.deadline = Instant::max();
+    while (gate.retry(query).ok()) { }
+}
+
 absl::Status EntryFixture::serve(const RunPlan &plan, AgentSide agents)
 {
     m_agentSide = std::move(agents);
--- a/tests/radishswitch-entry/entryfixture.h
+++ b/tests/radishswitch-entry/entryfixture.h
@@ -26,6 +26,7 @@
     explicit FakeAgentPort(VirtualLoop &loop);
 
     std::vector<std::string> agentAddresses() const override;
+    bool isGone(const std::string &agentAddress) const override;
     void findRuns(const std::string &agentAddress, std::vector<RadishSwitch::RequestId> requests, std::uint32_t shard,
                   std::uint64_t epoch,
                   std::function<void(absl::StatusOr<std::vector<RadishSwitch::RunRecord>>)> callback) override;
@@ -38,6 +39,8 @@
 
     /// What agents say of a run that is barred; unreachable without.
     std::optional<RunState> stateWhenBarred;
+    /// Whether the platform lists the agents no more.
+    bool areGone = true;
 
     struct Barred {
         std::string address;
@@ -71,6 +74,9 @@
     /// The endpoint tells of itself, now and every second from now on.
     void listEndpoint(const std::string &name, std::uint32_t capacity = 4);
 
+    /// Uses the budget of retries up, so that no further attempt is granted.
+    void spendRetries();
+
     /// Serves the request to its end.
     absl::Status serve(const RadishSwitch::RunPlan &plan, AgentSide agents);
 
--- a/tests/radishswitch-entry/requestsession_test.cpp
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -13,10 +13,31 @@
         return nlohmann::json::parse(exchange.responses.at(0).body).at("error");
     }
 
+    /// An agent that is cut off for ten seconds in mid-answer, while its engine goes on; all of the answer is there
+    /// then.
+    AgentSide cutOffForAWhile(const std::string &begun, const std::string &rest)
+    {
+        return [this, begun, rest](int, const StreamPointer &agent, const std::string &attempt) {
+            const bool isCut = loop.timers.now() < m_begin + std::chrono::seconds(10);
+            if (agent->path == "/run") {
+                agent->deliver(head(attempt));
+                agent->deliver(chunk(attempt, 0, begun));
+            }
+            if (isCut) {
+                agent->close(lost());
+                return;
+            }
+            agent->deliver(chunk(attempt, begun.size(), rest));
+            agent->deliver(done(attempt, 12));
+        };
+    }
+
     std::string result() const
     {
         return journal.find(RequestId("r-1"))->result;
     }
+
+    const Instant m_begin = loop.timers.now();
 };
 
 TEST_F(RequestSessionTest, run_answered_isSettledAtTheCharge)
@@ -233,6 +254,33 @@
     EXPECT_EQ(error().at("outcome"), "not_run");
 }
 
+// The network between the entry and the agent is cut for ten seconds in mid-answer; the engine goes on. So many
+// requests were tried again that the budget grants no further attempt. The run is the only one that the caller can
+// have, and is not stopped: the entry comes back for it until the deadline.
+TEST_F(RequestSessionTest, run_agentCutOffAndNoRetryToBeHad_isWaitedForAndWhole)
+{
+    agents.areGone = false;
+    spendRetries();
+    const absl::Status status = serve(chatPlan(), cutOffForAWhile(token("c-1", "one "), token("c-1", "two")));
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(exchange.written, token("c-1", "one ") + token("c-1", "two") + "data: [DONE]\n\n");
+    EXPECT_EQ(runsSent().size(), 1u);
+    for (const FakeAgentPort::Barred &it : agents.barred) {
+        EXPECT_FALSE(it.isCancelled);
+    }
+}
+
+// The same with an order, which may be sent to no other endpoint whatever the budget says.
+TEST_F(RequestSessionTest, run_orderWhoseAgentIsCutOffForAWhile_isWaitedForAndWhole)
+{
+    agents.areGone = false;
+    const absl::Status status = serve(orderPlan(), cutOffForAWhile("orde", "red"));
+    EXPECT_TRUE(status.ok()) << status;
+    ASSERT_EQ(exchange.responses.size(), 1u);
+    EXPECT_EQ(exchange.responses[0].body, "ordered");
+    EXPECT_EQ(runsSent().size(), 1u);
+}
+
 // The caller hangs up in mid-answer. The run may go on at its agent, so the entry cannot say what it cost: it settles
 // nothing, and the home finds out at the agent.
 TEST_F(RequestSessionTest, run_callerGone_isLeftToTheHome)
