Tests: a copy of a request whose run moves on late, red

Cause: a second copy of a request looks for the first one's run for 5 s from its own start. When a run that it has followed for longer moves to another endpoint, it gives up at once.

--- a/tests/radishswitch-entry/requestsession_test.cpp
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -315,6 +315,28 @@
     EXPECT_EQ(exchange.written, token("c-1", "a") + "data: [DONE]\n\n");
 }
 
+// A copy of the request has followed the first copy's run for ten seconds when that run moves on to another endpoint:
+// it ends where it was, and the home knows where it is now. Its answer is there to be had, with most of the time left.
+TEST_F(RequestSessionTest, run_duplicateWhoseRunMovesLate_findsItAgain)
+{
+    homes.decisions.push_back(AdmitDecision(DuplicateRun{"agent-2:1#life-of-agent-2", AttemptId("first"), false}));
+    homes.decisions.push_back(AdmitDecision(DuplicateRun{"agent-1:1#life-of-agent-1", AttemptId("second"), false}));
+    const absl::Status status = serve(chatPlan(), [this](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(head(attempt));
+        if (attempt == "first") {
+            loop.timers.after(std::chrono::seconds(10), [agent, attempt] {
+                agent->deliver(failed(attempt, makeFailure(FailureCode::OutcomeUnknown, "the run was cancelled")));
+            });
+            return;
+        }
+        agent->deliver(chunk(attempt, 0, token("c-1", "a")));
+        agent->deliver(done(attempt, 12));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(exchange.written, token("c-1", "a") + "data: [DONE]\n\n");
+    EXPECT_TRUE(homes.settlements.empty());
+}
+
 // The home that was asked has lost the keys, and the next one cannot be reached; the third grants.
 TEST_F(RequestSessionTest, run_homeElsewhere_asksAnother)
 {
