Agent: a silent endpoint ends no run; the entry is told and decides

Cause: the agent gave up a run after 3 s without a byte in mid-answer (30 s before the first byte) and closed its connection to the endpoint. Whether the run could go on elsewhere was asked only after that; with the budget of retries spent, no other endpoint, or an order, the caller lost an answer that was being made, with time left.

Change: the agent tells whoever is attached of the silence (`RunSilent`, again after as long) and lets the run go on to its deadline; `--first-byte-timeout` and `--endpoint-silence-timeout` are the spans after which it tells. The entry leaves a silent run when another endpoint, a retry of the budget and the home's word are there, and the agent has stopped it; a run that ended meanwhile was charged and its answer is taken. Else it waits. A connection that the endpoint does not accept is still "not run" after `--first-byte-timeout`: `HttpClient::open` bounds that by itself. An older entry takes no notice of `RunSilent` and waits for the deadline.

--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -104,14 +104,16 @@
     addReader(stream, std::make_shared<AnswerReader>(stream, attempt, attempt, 0), RequestId(request.request_id()));
     auto run = std::make_unique<RunInProgress>(request);
     run->startedAt = m_timers.now();
+    run->heardAt = run->startedAt;
+    run->patience = RunInProgress::firstBytePatience(request, m_settings.firstByteTimeout);
+    watchSilence(attempt, *run, run->patience);
     run->deadlineTimer = m_timers.after(runDeadline(request), [weak = weak_from_this(), attempt] {
         if (const auto self = weak.lock()) {
             self->abandon(attempt, makeFailure(FailureCode::DeadlineExceeded, "the request's deadline has passed"));
         }
     });
     run->call =
-        m_endpoint.call(RunInProgress::endpointRequest(request, m_settings.firstByteTimeout, m_settings.silenceTimeout),
-                        callbacksFor(attempt));
+        m_endpoint.call(RunInProgress::endpointRequest(request, m_settings.firstByteTimeout), callbacksFor(attempt));
     m_runs[attempt] = std::move(run);
 }
 
@@ -259,6 +261,7 @@
     if (it == m_runs.end()) {
         return;
     }
+    it->second->heardAt = m_timers.now();
     RunResult result;
     result.status = it->second->takeHead(head);
     if (!result.status.ok()) {
@@ -276,8 +279,13 @@
     if (it == m_runs.end()) {
         return;
     }
-    if (!std::exchange(it->second->hasBytes, true)) {
-        m_metrics.noteFirstByte(m_timers.now() - it->second->startedAt);
+    RunInProgress &run = *it->second;
+    run.heardAt = m_timers.now();
+    if (!std::exchange(run.hasBytes, true)) {
+        m_metrics.noteFirstByte(run.heardAt - run.startedAt);
+        m_timers.cancel(run.silenceTimer);
+        run.patience = m_settings.silenceTimeout;
+        watchSilence(attempt, run, run.patience);
     }
     m_metrics.noteBytes(bytes.size());
     absl::Status status = m_answers.append(attempt, bytes);
@@ -318,11 +326,46 @@
     endRun(attempt, result);
 }
 
+void AgentRuns::watchSilence(const AttemptId &attempt, RunInProgress &run, Duration span)
+{
+    if (span <= Duration::zero()) {
+        return;
+    }
+    run.silenceTimer = m_timers.after(span, [weak = weak_from_this(), attempt] {
+        if (const auto self = weak.lock()) {
+            self->lookForSilence(attempt);
+        }
+    });
+}
+
+// An endpoint may be at work without a word: it reads a long prompt, or another call's. The agent doesn't know whether
+// the run can go on elsewhere, so it tells of the silence and ends nothing. The timer is set anew when it fires and not
+// at each token.
+void AgentRuns::lookForSilence(const AttemptId &attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_runs.find(attempt);
+    if (it == m_runs.end()) {
+        return;
+    }
+    RunInProgress &run = *it->second;
+    const Duration silence = m_timers.now() - run.heardAt;
+    if (silence < run.patience) {
+        return watchSilence(attempt, run, run.patience - silence);
+    }
+    kLog.info("run silent", {field("attempt", attempt.value()), field("silent_for", silence)});
+    m_readers.pumpAll(attempt, [silence](const AnswerReaders::ReaderPointer &reader) {
+        reader->sendSilent(silence);
+    });
+    watchSilence(attempt, run, run.patience);
+}
+
 void AgentRuns::endRun(const AttemptId &attempt, const RunResult &result)
 {
     const std::unique_ptr<RunInProgress> run = std::move(m_runs.at(attempt));
     m_runs.erase(attempt);
     m_timers.cancel(run->deadlineTimer);
+    m_timers.cancel(run->silenceTimer);
     m_monitor.noteRunEnded();
     AnswerEnd end{result.status, result.promptTokens, result.completionTokens, 0};
     if (result.status.ok()) {
--- a/src/agent/agentruns.h
+++ b/src/agent/agentruns.h
@@ -26,9 +26,9 @@
     std::string address;
     /// The endpoint's name.
     std::string endpoint;
-    /// How long the endpoint may take to the first byte of an answer.
+    /// How long the endpoint may take to a connection, and to the first byte of an answer before its silence is told.
     Duration firstByteTimeout = std::chrono::seconds(30);
-    /// How long it may be silent after that.
+    /// How long it may be silent after that before it is told.
     Duration silenceTimeout = std::chrono::seconds(3);
     RunTableSettings runTable = {};
     AnswerBufferSettings answerBuffer = {};
@@ -85,6 +85,8 @@
     void takeBytes(const AttemptId &attempt, const std::string &bytes);
     void takeEnd(const AttemptId &attempt, const absl::Status &status);
     void abandon(const AttemptId &attempt, const absl::Status &status);
+    void watchSilence(const AttemptId &attempt, RunInProgress &run, Duration span);
+    void lookForSilence(const AttemptId &attempt);
     void endRun(const AttemptId &attempt, const RunResult &result);
     void noteNotDone(const AttemptId &attempt, const absl::Status &status);
     void pumpAll(const AttemptId &attempt);
--- a/src/agent/agentsettings.cpp
+++ b/src/agent/agentsettings.cpp
@@ -53,9 +53,11 @@
 
 void addTimeouts(SettingsParser &parser, AgentSettings &settings)
 {
-    parser.add("first-byte-timeout", settings.firstByteTimeout, "How long an answer may take to its first byte");
+    parser.add("first-byte-timeout", settings.firstByteTimeout,
+               "How long the endpoint may take to accept a connection, and to an answer's first byte before the entry "
+               "is told that it is silent");
     parser.add("endpoint-silence-timeout", settings.silenceTimeout,
-               "How long the endpoint may be silent in mid-answer");
+               "How long the endpoint may be silent in mid-answer before the entry is told; 0 for never");
     parser.add("drain-timeout", settings.drainTimeout, "How long a stop waits for runs and readers");
 }
 
--- a/src/agent/answerreader.cpp
+++ b/src/agent/answerreader.cpp
@@ -111,6 +111,16 @@
     send(update);
 }
 
+void AnswerReader::sendSilent(Duration silence)
+{
+    if (m_isFinished || m_isWaiting) {
+        return;
+    }
+    wire::RunUpdate update;
+    update.mutable_silent()->set_silent_ms(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+    send(update);
+}
+
 void AnswerReader::send(wire::RunUpdate &update)
 {
     update.set_attempt_id(m_askedAttempt.value());
--- a/src/agent/answerreader.h
+++ b/src/agent/answerreader.h
@@ -28,6 +28,10 @@
     /// another try.
     void pump(const AnswerBuffer &answers, const wire::Load &load, const std::function<void()> &onDrained);
 
+    /// Tells that nothing came from the endpoint for so long. Not told while the stream still has to take what is
+    /// there.
+    void sendSilent(Duration silence);
+
     const AttemptId &attempt() const;
 
     /// Whether everything has been handed to the stream, the end included.
--- a/src/agent/endpoint.h
+++ b/src/agent/endpoint.h
@@ -24,6 +24,8 @@
     std::string contentType;
     std::string body;
     std::int32_t priority = 0;
+    /// How long it may take until a connection to the endpoint stands; nothing has run when that passes.
+    Duration reachTimeout{};
     /// How long the answer's head and its first byte may each take.
     Duration firstByteTimeout{};
     /// How long the endpoint may be silent after that.
--- a/src/agent/httpendpoint.cpp
+++ b/src/agent/httpendpoint.cpp
@@ -64,11 +64,12 @@
     static asio::awaitable<void> run(std::shared_ptr<HttpEndpointCall> self, HttpClient &client, std::string address,
                                      EndpointRequest request)
     {
+        const Duration reachTimeout = request.reachTimeout;
         const Duration firstByteTimeout = request.firstByteTimeout;
         const Duration silenceTimeout = request.silenceTimeout;
         const EndpointCallbacks &callbacks = self->m_callbacks;
         auto stream = co_await client.open(std::move(address), toHttp(std::move(request)), firstByteTimeout,
-                                           self->m_cancellation);
+                                           self->m_cancellation, reachTimeout);
         if (!stream.ok()) {
             callbacks.onEnd(stream.status());
             co_return;
--- a/src/agent/runinprogress.cpp
+++ b/src/agent/runinprogress.cpp
@@ -110,8 +110,7 @@
     return result;
 }
 
-EndpointRequest RunInProgress::endpointRequest(const wire::RunRequest &request, Duration firstByteTimeout,
-                                               Duration silenceTimeout)
+EndpointRequest RunInProgress::endpointRequest(const wire::RunRequest &request, Duration reachTimeout)
 {
     EndpointRequest asked;
     asked.request = RequestId(request.request_id());
@@ -121,13 +120,18 @@
     asked.contentType = request.content_type();
     asked.body = request.body();
     asked.priority = request.priority();
-    // The first byte of a completion that is not streamed comes when all of it is made; only the deadline bounds that.
-    const bool isMadeWhole = request.chat() && !request.stream();
-    asked.firstByteTimeout = isMadeWhole ? runDeadline(request) : firstByteTimeout;
-    asked.silenceTimeout = silenceTimeout;
+    asked.reachTimeout = reachTimeout;
+    asked.firstByteTimeout = runDeadline(request);
+    asked.silenceTimeout = runDeadline(request);
     return asked;
 }
 
+Duration RunInProgress::firstBytePatience(const wire::RunRequest &request, Duration usual)
+{
+    const bool isMadeWhole = request.chat() && !request.stream();
+    return isMadeWhole ? runDeadline(request) : usual;
+}
+
 Duration runDeadline(const wire::RunRequest &request)
 {
     const Duration::rep longest = std::chrono::duration_cast<std::chrono::milliseconds>(kLongestRun).count();
--- a/src/agent/runinprogress.h
+++ b/src/agent/runinprogress.h
@@ -46,13 +46,21 @@
     /// Judges the end. `answer` is all that is kept: what an earlier attempt delivered, and what came here.
     RunResult finish(const absl::Status &end, std::string_view answer);
 
-    /// What the endpoint is asked, with the time that it may take.
-    static EndpointRequest endpointRequest(const wire::RunRequest &request, Duration firstByteTimeout,
-                                           Duration silenceTimeout);
+    /// What the endpoint is asked. Its silence ends no answer before the run's deadline: only the entry knows whether
+    /// the run can go on elsewhere.
+    static EndpointRequest endpointRequest(const wire::RunRequest &request, Duration reachTimeout);
+
+    /// The time to the first byte after which the endpoint counts as silent; the run's own deadline where the first
+    /// byte comes when all of the answer is made.
+    static Duration firstBytePatience(const wire::RunRequest &request, Duration usual);
 
     std::shared_ptr<EndpointCall> call;
     TimerId deadlineTimer = 0;
+    TimerId silenceTimer = 0;
+    /// How long nothing may come before that is told.
+    Duration patience{};
     Instant startedAt;
+    Instant heardAt;
     bool hasBytes = false;
 
 private:
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -134,9 +134,10 @@
 {
     note("granted " + std::to_string(grant.reservedTokens) + " tokens");
     m_grantedAttempt = grant.attempt;
+    m_portionConfirmedAt = grant.portionConfirmedAt;
     m_isDuplicate = false;
     while (true) {
-        const absl::StatusOr<RouteChoice> choice = m_services.gate.choose(m_plan, m_excluded, grant.portionConfirmedAt);
+        const absl::StatusOr<RouteChoice> choice = nextEndpoint();
         if (!choice.ok()) {
             m_lastFailure = m_attempts == 0 ? choice.status() : m_lastFailure;
             break;
@@ -155,6 +156,10 @@
         const bool isNotRun = end == AttemptEnd::NotStarted || end == AttemptEnd::NotSent;
         m_mayHaveRun = m_mayHaveRun || !isNotRun;
         m_excluded.push_back(choice->endpoint);
+        if (m_next) {
+            co_await awaitPause(m_services.timers, m_next->backoff);
+            continue;
+        }
         if (end == AttemptEnd::GivenUp || end == AttemptEnd::NotSent
             || !co_await waitToRetry(end == AttemptEnd::NotStarted)) {
             break;
@@ -167,19 +172,35 @@
     co_return endOfFailedRun();
 }
 
+absl::StatusOr<RouteChoice> RequestSession::nextEndpoint() const
+{
+    if (m_next) {
+        return m_next->choice;
+    }
+    return m_services.gate.choose(m_plan, m_excluded, m_portionConfirmedAt);
+}
+
 // A non-idempotent request that may have started is not sent again: the first copy could still take effect, and the
 // caller would get two blinds for one window. Everything else may be tried elsewhere while there is time, within the
 // retry budget.
-boost::asio::awaitable<bool> RequestSession::waitToRetry(bool isProvedNotStarted)
+absl::StatusOr<Duration> RequestSession::askForRetry(bool isProvedNotStarted)
 {
     RetryQuery query;
     query.attempts = m_attempts;
     query.isIdempotent = !m_plan.isNonIdempotent;
     query.isProvedNotStarted = isProvedNotStarted && !m_mayHaveRun;
     query.deadline = m_deadline;
-    const absl::StatusOr<Duration> backoff = m_services.gate.retry(query);
+    absl::StatusOr<Duration> backoff = m_services.gate.retry(query);
     if (!backoff.ok()) {
         note("not tried again: " + std::string(backoff.status().message()));
+    }
+    return backoff;
+}
+
+boost::asio::awaitable<bool> RequestSession::waitToRetry(bool isProvedNotStarted)
+{
+    const absl::StatusOr<Duration> backoff = askForRetry(isProvedNotStarted);
+    if (!backoff.ok()) {
         co_return false;
     }
     co_await awaitPause(m_services.timers, *backoff);
@@ -189,7 +210,7 @@
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::runAttempt(const Grant &grant,
                                                                               const RouteChoice &choice)
 {
-    if (!co_await announceAttempt(choice)) {
+    if (!co_await beginAttempt(choice)) {
         co_return AttemptEnd::NotSent;
     }
     m_pass.noteDispatched();
@@ -209,8 +230,13 @@
 
 // The home learns of an attempt before the agent does, so that it can find the run after this process has died. It
 // knows the first attempt from its grant, and need not be waited for then.
-boost::asio::awaitable<bool> RequestSession::announceAttempt(const RouteChoice &choice)
+boost::asio::awaitable<bool> RequestSession::beginAttempt(const RouteChoice &choice)
 {
+    if (const std::optional<NextAttempt> next = std::exchange(m_next, std::nullopt)) {
+        m_attempt = next->attempt;
+        note("sent to " + choice.endpoint.value() + " as attempt " + m_attempt.value());
+        co_return true;
+    }
     const bool isFirst = m_attempts == 1;
     m_attempt = isFirst ? m_grantedAttempt : AttemptId(m_services.random.freshName());
     note("sent to " + choice.endpoint.value() + " as attempt " + m_attempt.value());
@@ -218,15 +244,71 @@
         m_home->noteDispatched(m_attempt, choice.address, [](absl::Status) {});
         co_return true;
     }
-    const absl::Status status = co_await awaitCallback<absl::Status>([this, &choice](auto done) {
-        m_home->noteDispatched(m_attempt, choice.address, std::move(done));
-    });
+    const absl::Status status = co_await announce(m_attempt, choice);
     if (!status.ok()) {
         m_lastFailure = status;
     }
     co_return status.ok();
 }
 
+boost::asio::awaitable<absl::Status> RequestSession::announce(const AttemptId &attempt, const RouteChoice &choice)
+{
+    const auto start = [this, &attempt, &choice](auto done) {
+        m_home->noteDispatched(attempt, choice.address, std::move(done));
+    };
+    co_return co_await awaitCallback<absl::Status>(start);
+}
+
+// A run that is left is lost, also where its endpoint was at work. So everything that the next attempt needs is had
+// before that: an endpoint, a retry of the budget, and the home's word.
+boost::asio::awaitable<bool> RequestSession::placeNext(const RouteChoice &current)
+{
+    std::vector<EndpointId> excluded = m_excluded;
+    excluded.push_back(current.endpoint);
+    const absl::StatusOr<RouteChoice> choice = m_services.gate.choose(m_plan, excluded, m_portionConfirmedAt);
+    if (!choice.ok()) {
+        co_return false;
+    }
+    const absl::StatusOr<Duration> backoff = askForRetry(false);
+    if (!backoff.ok()) {
+        co_return false;
+    }
+    const AttemptId attempt(m_services.random.freshName());
+    const absl::Status status = co_await announce(attempt, *choice);
+    if (!status.ok()) {
+        note("not tried elsewhere: " + std::string(status.message()));
+        co_return false;
+    }
+    m_next = NextAttempt{*choice, attempt, *backoff};
+    co_return true;
+}
+
+// The attempt that was announced is not made after all. The home names the last one it was told of to copies of the
+// request, so it is told of the current one again.
+void RequestSession::takeNextBack(const RouteChoice &current)
+{
+    if (std::exchange(m_next, std::nullopt)) {
+        m_home->noteDispatched(m_attempt, current.address, [](absl::Status) {});
+    }
+}
+
+// The endpoint is silent and its agent is there. The run goes on unless the next attempt has its place and the agent
+// has stopped this one; a run of another request's attempt is that one's to leave.
+boost::asio::awaitable<std::optional<RequestSession::AttemptEnd>> RequestSession::leaveSilent(const RouteChoice &choice)
+{
+    if (m_isDuplicate || m_hasJoinedOther || m_plan.isNonIdempotent || !co_await placeNext(choice)) {
+        co_return std::nullopt;
+    }
+    const absl::StatusOr<RunRecord> record = co_await barAttempt(choice, true);
+    if (!record.ok() || (record->state != RunState::Failed && record->state != RunState::Barred)) {
+        takeNextBack(choice);
+        co_return std::nullopt;
+    }
+    note("left, since its endpoint was silent");
+    m_lastFailure = withUnknownOutcome(makeFailure(FailureCode::ConnectionSilent, "the endpoint was silent"));
+    co_return AttemptEnd::Left;
+}
+
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::follow(RunStream &stream, const RouteChoice &choice)
 {
     while (true) {
@@ -276,6 +358,11 @@
                 m_stream->setPriorTokens(update->accepted().prior_completion_tokens());
             }
             break;
+        case wire::RunUpdate::kSilent:
+            if (const std::optional<AttemptEnd> end = co_await leaveSilent(choice)) {
+                co_return *end;
+            }
+            break;
         case wire::RunUpdate::UPDATE_NOT_SET:
             break;
         }
@@ -299,16 +386,22 @@
 // true: the message may still be under way, and would start the run after the caller was told that nothing ran.
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::makeSureNotRunning(const RouteChoice &choice)
 {
-    const absl::StatusOr<RunRecord> record =
-        co_await awaitCallback<absl::StatusOr<RunRecord>>([this, &choice](auto done) {
-            const bool cancels = !m_plan.isNonIdempotent;
-            m_services.agents.bar(choice.address, m_plan.request, m_attempt, cancels, std::move(done));
-        });
+    const absl::StatusOr<RunRecord> record = co_await barAttempt(choice, !m_plan.isNonIdempotent);
     const bool isBarred = record.ok() && record->state == RunState::Barred;
-    note(isBarred ? "barred at the agent" : "the agent could not prove that it did not run");
     co_return isBarred ? AttemptEnd::NotStarted : AttemptEnd::Failed;
 }
 
+boost::asio::awaitable<absl::StatusOr<RunRecord>> RequestSession::barAttempt(const RouteChoice &choice, bool cancels)
+{
+    const auto start = [this, &choice, cancels](auto done) {
+        m_services.agents.bar(choice.address, m_plan.request, m_attempt, cancels, std::move(done));
+    };
+    absl::StatusOr<RunRecord> record = co_await awaitCallback<absl::StatusOr<RunRecord>>(start);
+    const bool isBarred = record.ok() && record->state == RunState::Barred;
+    note(isBarred ? "barred at the agent" : "the agent could not prove that it did not run");
+    co_return record;
+}
+
 // The run of an earlier copy need not have reached its agent yet, or has moved on to another one: then the home is
 // asked again where it is. This copy never bars it.
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::followDuplicate(const DuplicateRun &duplicate)
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -50,23 +50,39 @@
         NotSent,
         /// The run started and failed, or its agent cannot be reached any more.
         Failed,
+        /// The run was left for the next attempt, which has its place in `m_next`.
+        Left,
         /// The caller is gone or the deadline has passed; nothing more is to be tried.
         GivenUp,
     };
 
+    /// An attempt that may be made: it has an endpoint, a retry of the budget, and the home knows of it.
+    struct NextAttempt {
+        RouteChoice choice;
+        AttemptId attempt;
+        Duration backoff{};
+    };
+
     boost::asio::awaitable<absl::Status> serve();
     boost::asio::awaitable<absl::Status> enterQueue();
     boost::asio::awaitable<absl::StatusOr<AdmitDecision>> admit();
     boost::asio::awaitable<absl::Status> runAttempts(Grant grant);
     boost::asio::awaitable<AttemptEnd> runAttempt(const Grant &grant, const RouteChoice &choice);
-    boost::asio::awaitable<bool> announceAttempt(const RouteChoice &choice);
+    absl::StatusOr<RouteChoice> nextEndpoint() const;
+    boost::asio::awaitable<bool> beginAttempt(const RouteChoice &choice);
+    boost::asio::awaitable<absl::Status> announce(const AttemptId &attempt, const RouteChoice &choice);
+    boost::asio::awaitable<bool> placeNext(const RouteChoice &current);
+    void takeNextBack(const RouteChoice &current);
+    boost::asio::awaitable<std::optional<AttemptEnd>> leaveSilent(const RouteChoice &choice);
     boost::asio::awaitable<AttemptEnd> follow(RunStream &stream, const RouteChoice &choice);
     boost::asio::awaitable<AttemptEnd> relayChunks(RunStream &stream, wire::RunUpdate first);
     boost::asio::awaitable<AttemptEnd> followDuplicate(const DuplicateRun &duplicate);
     boost::asio::awaitable<AttemptEnd> makeSureNotRunning(const RouteChoice &choice);
+    boost::asio::awaitable<absl::StatusOr<RunRecord>> barAttempt(const RouteChoice &choice, bool cancels);
     boost::asio::awaitable<void> settle(Settlement settlement);
     absl::Status endOfFailedRun();
     bool isProvedByThisTry() const;
+    absl::StatusOr<Duration> askForRetry(bool isProvedNotStarted);
     boost::asio::awaitable<bool> waitToRetry(bool isProvedNotStarted);
     wire::RunRequest runRequest(const Grant &grant, const RouteChoice &choice) const;
     void note(std::string text);
@@ -82,6 +98,8 @@
     GatePass m_pass;
     AttemptId m_attempt;
     AttemptId m_grantedAttempt;
+    Instant m_portionConfirmedAt;
+    std::optional<NextAttempt> m_next;
     std::vector<EndpointId> m_excluded;
     absl::Status m_lastFailure;
     std::int64_t m_charged = 0;
--- a/src/libradishnet/httpclient.cpp
+++ b/src/libradishnet/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -162,10 +163,11 @@
 
     /// Connects where needed, sends, and reads the answer's head.
     net::awaitable<absl::Status> ask(ConnectionPointer connection, const HttpRequest &request, Clock::time_point end,
-                                     const HttpCancellation *cancellation = nullptr)
+                                     const HttpCancellation *cancellation = nullptr,
+                                     Clock::time_point reachEnd = Clock::time_point::max())
     {
         if (!connection->isOpen()) {
-            const absl::Status status = co_await connect(connection, end);
+            const absl::Status status = co_await connect(connection, std::min(end, reachEnd));
             if (!status.ok()) {
                 co_return status;
             }
@@ -276,10 +278,12 @@
 
 net::awaitable<absl::StatusOr<std::shared_ptr<HttpResponseStream>>>
 HttpClient::open(std::string address, HttpRequest request, Duration timeout,
-                 std::shared_ptr<HttpCancellation> cancellation)
+                 std::shared_ptr<HttpCancellation> cancellation, Duration reachTimeout)
 {
     const auto self = d;
-    const Clock::time_point end = Clock::now() + timeout;
+    const Clock::time_point begin = Clock::now();
+    const Clock::time_point end = begin + timeout;
+    const Clock::time_point reachEnd = begin + std::min(timeout, reachTimeout);
     if (!cancellation) {
         cancellation = std::make_shared<HttpCancellation>();
     }
@@ -291,7 +295,8 @@
             });
         });
         const absl::Status status = co_await net::co_spawn(
-            connection->strand(), self->ask(connection, request, end, cancellation.get()), net::use_awaitable);
+            connection->strand(), self->ask(connection, request, end, cancellation.get(), reachEnd),
+            net::use_awaitable);
         cancellation->setClose({});
         self->noteSilence(address, status);
         if (status.ok()) {
--- a/src/libradishnet/httpclient.h
+++ b/src/libradishnet/httpclient.h
@@ -81,10 +81,11 @@
     boost::asio::awaitable<absl::StatusOr<HttpResponse>>
     fetch(std::string address, HttpRequest request, Duration timeout, Duration bodyTimeout = Duration::zero());
 
-    /// Asks and returns as soon as the answer's head is there. ConnectionLost when it is cancelled before that.
+    /// Asks and returns as soon as the answer's head is there. ConnectionLost when it is cancelled before that;
+    /// ConnectionSilent with the outcome "not run" when no connection stands within `reachTimeout`.
     boost::asio::awaitable<absl::StatusOr<std::shared_ptr<HttpResponseStream>>>
     open(std::string address, HttpRequest request, Duration timeout,
-         std::shared_ptr<HttpCancellation> cancellation = nullptr);
+         std::shared_ptr<HttpCancellation> cancellation = nullptr, Duration reachTimeout = Duration::max());
 
 private:
     class Private;
--- a/tests/radishswitch-agent/agentruns_test.cpp
+++ b/tests/radishswitch-agent/agentruns_test.cpp
@@ -286,6 +286,40 @@
     EXPECT_TRUE(updates.back().has_done());
 }
 
+// The entry decides what becomes of a silent run, so it hears of the silence each time that 3 s more have passed
+// without a byte, and before the first byte each time that 30 s have.
+TEST_F(AgentRunsTest, run_endpointSilent_isToldAgainAndAgain)
+{
+    const Stream stream = run(chatRequest("r", "a"));
+    keepSilent(31s);
+    answer({kToken});
+    m_timers.advance(2s);
+    m_endpoint.calls.back()->callbacks.onBytes(kToken);
+    keepSilent(7s);
+
+    std::vector<std::int64_t> silences;
+    for (const wire::RunUpdate &update : stream->take<wire::RunUpdate>()) {
+        if (update.has_silent()) {
+            silences.push_back(update.silent().silent_ms());
+        }
+    }
+    EXPECT_EQ(silences, (std::vector<std::int64_t>{30'000, 3000, 6000}));
+    EXPECT_EQ(m_runs->runningCount(), 1);
+}
+
+// The reader's window is full of bytes that it has still to take: the silence is not the endpoint's as it sees it.
+TEST_F(AgentRunsTest, run_endpointSilentBehindASlowReader_isNotTold)
+{
+    const Stream slow = run(chatRequest("r", "a"));
+    slow->queued = 10'000'000;
+    answer({kToken});
+    keepSilent(10s);
+
+    for (const wire::RunUpdate &update : slow->take<wire::RunUpdate>()) {
+        EXPECT_FALSE(update.has_silent());
+    }
+}
+
 TEST_F(AgentRunsTest, run_deadlinePassed_isStopped)
 {
     const Stream stream = run(chatRequest("r", "a"));
--- a/tests/radishswitch-entry/entryfixture.cpp
+++ b/tests/radishswitch-entry/entryfixture.cpp
@@ -200,6 +200,14 @@
     return update;
 }
 
+wire::RunUpdate EntryFixture::silent(const std::string &attempt)
+{
+    RunUpdate update;
+    update.set_attempt_id(attempt);
+    update.mutable_silent()->set_silent_ms(3000);
+    return update;
+}
+
 wire::RunUpdate EntryFixture::failed(const std::string &attempt, const absl::Status &status)
 {
     RunUpdate update;
--- a/tests/radishswitch-entry/entryfixture.h
+++ b/tests/radishswitch-entry/entryfixture.h
@@ -87,6 +87,7 @@
     static RunUpdate chunk(const std::string &attempt, std::uint64_t offset, const std::string &data);
     static RunUpdate done(const std::string &attempt, std::int64_t chargedTokens);
     static RunUpdate refused(const std::string &attempt, const absl::Status &status);
+    static RunUpdate silent(const std::string &attempt);
     static RunUpdate failed(const std::string &attempt, const absl::Status &status);
     static absl::Status lost();
 
--- a/tests/radishswitch-entry/requestsession_test.cpp
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -32,6 +32,29 @@
         };
     }
 
+    /// An agent whose endpoint is silent for a while after the first token, and then goes on.
+    static AgentSide silentForAWhile()
+    {
+        return [](int, const StreamPointer &agent, const std::string &attempt) {
+            const std::string begun = token("c-1", "one ");
+            agent->deliver(head(attempt));
+            agent->deliver(chunk(attempt, 0, begun));
+            agent->deliver(silent(attempt));
+            agent->deliver(silent(attempt));
+            agent->deliver(chunk(attempt, begun.size(), token("c-1", "two")));
+            agent->deliver(done(attempt, 12));
+        };
+    }
+
+    void expectWholeFromTheFirst(const absl::Status &status) const
+    {
+        EXPECT_TRUE(status.ok()) << status;
+        EXPECT_EQ(exchange.written, token("c-1", "one ") + token("c-1", "two") + "data: [DONE]\n\n");
+        EXPECT_EQ(runsSent().size(), 1u);
+        ASSERT_EQ(homes.settlements.size(), 1u);
+        EXPECT_EQ(homes.settlements[0].chargedTokens, 12);
+    }
+
     std::string result() const
     {
         return journal.find(RequestId("r-1"))->result;
@@ -254,6 +277,87 @@
     EXPECT_EQ(error().at("outcome"), "not_run");
 }
 
+// The engine hangs after a token, and its agent tells of the silence. Another engine is free and the budget grants a
+// further attempt: the silent run is stopped, and the other engine goes on with the answer, on one bill.
+TEST_F(RequestSessionTest, run_endpointSilentAndAnotherToBeHad_isContinuedThere)
+{
+    agents.stateWhenBarred = RunState::Failed;
+    const std::string begun = token("c-1", "one ");
+    const absl::Status status =
+        serve(chatPlan(), [&begun](int n, const StreamPointer &agent, const std::string &attempt) {
+            agent->deliver(head(attempt));
+            if (n == 0) {
+                agent->deliver(chunk(attempt, 0, begun));
+                agent->deliver(silent(attempt));
+                return;
+            }
+            agent->deliver(chunk(attempt, begun.size(), token("c-2", "two")));
+            agent->deliver(done(attempt, 30));
+        });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_NE(exchange.written.find("two"), std::string::npos);
+    ASSERT_EQ(runsSent().size(), 2u);
+    EXPECT_EQ(runsSent()[1].prior_answer(), begun);
+    EXPECT_NE(clients.opened[0]->address, clients.opened[1]->address);
+    ASSERT_EQ(homes.dispatched.size(), 2u);
+    EXPECT_EQ(homes.dispatched[1].value(), runsSent()[1].attempt_id());
+    ASSERT_EQ(agents.barred.size(), 1u);
+    EXPECT_EQ(agents.barred[0].attempt, AttemptId(FakeHomes::kGrantedAttempt));
+    EXPECT_TRUE(agents.barred[0].isCancelled);
+    ASSERT_EQ(homes.settlements.size(), 1u);
+    EXPECT_EQ(homes.settlements[0].chargedTokens, 30);
+}
+
+// The engine is silent for a while and then goes on. The budget of retries is spent, so nobody else would make the
+// answer: the run is not touched, and the caller gets a pause and the whole answer.
+TEST_F(RequestSessionTest, run_endpointSilentAndNoRetryToBeHad_isWaitedForAndWhole)
+{
+    spendRetries();
+    agents.stateWhenBarred = RunState::Failed;
+    expectWholeFromTheFirst(serve(chatPlan(), silentForAWhile()));
+    EXPECT_TRUE(agents.barred.empty());
+}
+
+// The same when the home cannot note a further attempt, without which none is sent.
+TEST_F(RequestSessionTest, run_endpointSilentAndHomeCannotNoteAnother_isWaitedForAndWhole)
+{
+    homes.dispatchAnswer = makeFailure(FailureCode::HomeUnreachable, "the home is gone");
+    agents.stateWhenBarred = RunState::Failed;
+    expectWholeFromTheFirst(serve(chatPlan(), silentForAWhile()));
+    EXPECT_TRUE(agents.barred.empty());
+}
+
+// The answer ends while the entry has the silent run stopped, and the agent has charged it. Made a second time
+// elsewhere it would be charged twice. The home, which names the last attempt that it heard of to copies of the
+// request, is told of the first one again.
+TEST_F(RequestSessionTest, run_silentRunEndsBeforeItIsStopped_isNotMadeAgain)
+{
+    agents.stateWhenBarred = RunState::Done;
+    expectWholeFromTheFirst(serve(chatPlan(), silentForAWhile()));
+    ASSERT_GE(homes.dispatched.size(), 3u);
+    EXPECT_EQ(homes.dispatched.back(), AttemptId(FakeHomes::kGrantedAttempt));
+}
+
+// The agent cannot be asked to stop its silent run, which may be charged there. It is waited for.
+TEST_F(RequestSessionTest, run_silentRunThatCannotBeStopped_isWaitedForAndWhole)
+{
+    expectWholeFromTheFirst(serve(chatPlan(), silentForAWhile()));
+}
+
+// An order may be sent to no other endpoint, however long its own is silent.
+TEST_F(RequestSessionTest, run_orderWhoseEndpointIsSilent_isWaitedFor)
+{
+    const absl::Status status = serve(orderPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(silent(attempt));
+        agent->deliver(head(attempt, 201));
+        agent->deliver(chunk(attempt, 0, "ordered"));
+        agent->deliver(done(attempt, 7));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(runsSent().size(), 1u);
+    EXPECT_TRUE(agents.barred.empty());
+}
+
 // The network between the entry and the agent is cut for ten seconds in mid-answer; the engine goes on. So many
 // requests were tried again that the budget grants no further attempt. The run is the only one that the caller can
 // have, and is not stopped: the entry comes back for it until the deadline.
