Entry: a run whose agent is cut off is left only for an attempt that has its place

Cause: an agent that could not be reached for 4 s had its run cancelled before a retry was asked for. Without one the caller lost an answer that was being made; an order was of unknown outcome while its agent still had it.

Change: the next attempt is placed first (endpoint, retry, home). Without it the entry comes back for the run until its deadline, or until the agent is gone from the list or begins another life; it bars nothing that runs. A run that the agent says is done is fetched and not made again, which would have been charged twice.

--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -29,6 +29,11 @@
     return code == FailureCode::HomeElsewhere || code == FailureCode::HomeUnreachable || code == FailureCode::Draining;
 }
 
+bool isOfConnection(FailureCode code)
+{
+    return code == FailureCode::ConnectionLost || code == FailureCode::ConnectionSilent;
+}
+
 Settlement notRun()
 {
     Settlement settlement;
@@ -309,6 +314,29 @@
     co_return AttemptEnd::Left;
 }
 
+// The agent cannot be reached, and its run may go on. It is stopped and left when the next attempt has its place. Else
+// there is this run or none, and it is come back for until the agent is known to be gone.
+boost::asio::awaitable<std::optional<RequestSession::AttemptEnd>>
+RequestSession::leaveUnreachable(const RouteChoice &choice)
+{
+    const bool isPlaced = !m_plan.isNonIdempotent && co_await placeNext(choice);
+    const absl::StatusOr<RunRecord> record = co_await barAttempt(choice, isPlaced);
+    if (record.ok() && record->state == RunState::Barred) {
+        co_return AttemptEnd::NotStarted;
+    }
+    if (record.ok() && record->state == RunState::Done) {
+        takeNextBack(choice);
+        co_return std::nullopt;
+    }
+    if (isPlaced) {
+        co_return AttemptEnd::Left;
+    }
+    if (!record.ok() && m_services.agents.isGone(choice.address)) {
+        co_return AttemptEnd::Failed;
+    }
+    co_return std::nullopt;
+}
+
 boost::asio::awaitable<RequestSession::AttemptEnd> RequestSession::follow(RunStream &stream, const RouteChoice &choice)
 {
     while (true) {
@@ -321,7 +349,13 @@
             if (m_isDuplicate) {
                 co_return AttemptEnd::Failed;
             }
-            co_return co_await makeSureNotRunning(choice);
+            if (!isOfConnection(failureCode(update.status()))) {
+                co_return co_await makeSureNotRunning(choice);
+            }
+            if (const std::optional<AttemptEnd> end = co_await leaveUnreachable(choice)) {
+                co_return *end;
+            }
+            continue;
         }
         if (m_dispatchedAt && (update->has_chunk() || update->has_done())) {
             m_services.gate.noteFirstToken(choice, m_services.timers.now() - *m_dispatchedAt);
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -48,7 +48,7 @@
         NotStarted,
         /// The home could not be told of the attempt, so it was not sent; nor is any other.
         NotSent,
-        /// The run started and failed, or its agent cannot be reached any more.
+        /// The run started and failed, or its agent is gone.
         Failed,
         /// The run was left for the next attempt, which has its place in `m_next`.
         Left,
@@ -74,6 +74,7 @@
     boost::asio::awaitable<bool> placeNext(const RouteChoice &current);
     void takeNextBack(const RouteChoice &current);
     boost::asio::awaitable<std::optional<AttemptEnd>> leaveSilent(const RouteChoice &choice);
+    boost::asio::awaitable<std::optional<AttemptEnd>> leaveUnreachable(const RouteChoice &choice);
     boost::asio::awaitable<AttemptEnd> follow(RunStream &stream, const RouteChoice &choice);
     boost::asio::awaitable<AttemptEnd> relayChunks(RunStream &stream, wire::RunUpdate first);
     boost::asio::awaitable<AttemptEnd> followDuplicate(const DuplicateRun &duplicate);
