Entry: a copy of a request looks for a run that moved from the time when it moved

Cause: the 5 s for which a second copy looks for the first one's run counted from the copy's own start. A run that was followed for longer and then moved to another endpoint was given up at once.

Change: they count from the end of each attempt that was followed; an attempt that is named again does not renew them.

--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -76,7 +76,8 @@
     if (const absl::Status status = co_await enterQueue(); !status.ok()) {
         co_return status;
     }
-    const Instant patience = std::min(m_deadline, m_services.timers.now() + kDuplicatePatience);
+    Instant patience = m_deadline;
+    AttemptId followed;
     while (true) {
         absl::StatusOr<AdmitDecision> decision = co_await admit();
         if (!decision.ok()) {
@@ -87,6 +88,10 @@
         }
         const DuplicateRun duplicate = std::get<DuplicateRun>(*decision);
         const AttemptEnd end = co_await followDuplicate(duplicate);
+        // A run that was followed for long may have moved on just now; where it is is looked for as at the first time.
+        if (std::exchange(followed, duplicate.attempt) != duplicate.attempt) {
+            patience = std::min(m_deadline, m_services.timers.now() + kDuplicatePatience);
+        }
         if (end == AttemptEnd::Answered) {
             co_return co_await m_relay->finish();
         }
