Tests: a run whose serving entry is cut off from the home, red

Cause: when the link between a home and the entry that serves a caller is lost or silent, the home has the run of an unkeyed request stopped (`GrantedRequests::abandon`), though the entry may be alive and pass the answer on. The entry can't place another attempt then either, since its home can't note one.

--- a/tests/radishswitch-entry/homeservice_test.cpp
+++ b/tests/radishswitch-entry/homeservice_test.cpp
@@ -8,6 +8,22 @@
 
 using namespace RadishSwitch;
 
+/// The agents as a home asks them; knows whether the home had a run stopped.
+class StopRecorder : public MemoryAgentPort
+{
+public:
+    using MemoryAgentPort::MemoryAgentPort;
+
+    void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, bool cancel,
+             std::function<void(absl::StatusOr<RunRecord>)> callback) override
+    {
+        hasStopped = hasStopped || cancel;
+        MemoryAgentPort::bar(agentAddress, request, attempt, cancel, std::move(callback));
+    }
+
+    bool hasStopped = false;
+};
+
 class HomeServiceTest : public testing::Test
 {
 protected:
@@ -63,3 +79,39 @@
     EXPECT_EQ(answer.admit().refused().code(), "home_elsewhere");
     EXPECT_EQ(answer.admit().owner_address(), "entry-1:1");
 }
+
+// The network between the home and the entry that serves a caller is cut, and the transport takes their connection for
+// silent. The entry is alive and passes the answer on. The home can't know, and has the run stopped: the caller loses
+// an answer that was being made.
+TEST_F(HomeServiceTest, serveStream_linkToTheServingEntrySilent_doesNotStopTheRun)
+{
+    SeededRandom random(5);
+    StopRecorder port("home", fleet.agents, fleet.courier);
+    MemoryReservations reservations(tasks, "portion", SmallFleet::kTokens);
+    MemoryEntryDirectory directory;
+    Home home(HomePorts{fleet.timers, tasks, random, fleet.store, port, reservations, directory},
+              KeyOwner{IncarnationId("home"), "home:1", "south-central", 0}, HomeSettings());
+    HomeService homeService(home, monitor, fleet.timers, fleet.tasks);
+    AdmitQuestion question = keyedQuestion();
+    question.isKeyed = false;
+    const auto stream = std::make_shared<FakeMessageStream>(loop, "home:1", "/home", std::string());
+    homeService.serveStream(stream);
+    wire::HomeRequest asked;
+    *asked.mutable_admit() = admitQuestionToWire(question, fleet.timers.now());
+    stream->deliver(asked);
+    settle();
+    wire::HomeAnswer answer;
+    ASSERT_TRUE(answer.ParseFromString(stream->sent.at(0)));
+    const Grant grant = std::get<Grant>(*admitDecisionFromWire(answer.admit(), fleet.timers.now()));
+    wire::HomeRequest sent;
+    sent.mutable_dispatched()->set_attempt_id(grant.attempt.value());
+    sent.mutable_dispatched()->set_agent_address("agent-1");
+    stream->deliver(sent);
+    ASSERT_TRUE(fleet.start(question, grant, "agent-1").ok());
+    settle();
+
+    stream->close(makeFailure(FailureCode::ConnectionSilent, "no PING came back"));
+    settle();
+
+    EXPECT_FALSE(port.hasStopped);
+}
