Home: a run is not stopped while somebody reads its answer

Cause: a home that loses its link to the serving entry, or hears nothing on it, had the run of an unkeyed request stopped at its agent. The entry may be alive on the other side of the cut: its caller lost an answer that was being made, and no further attempt could be placed, since the home was not there to note it.

Change: `AgentPort::bar` says what becomes of a run that has started: never stopped, stopped if unread, always stopped (`RunStop`). The home asks for the second, the entry that leaves its own run for the third. The agent knows who is attached; a dead entry's stream is lost there, and the home's next try stops the run.

--- a/src/agent/agentruns.cpp
+++ b/src/agent/agentruns.cpp
@@ -192,7 +192,8 @@
     const AttemptId attempt(request.attempt_id());
     const RunRecord record = m_table.bar(requestId, attempt);
     const auto it = m_runs.find(attempt);
-    if (request.cancel() && it != m_runs.end()) {
+    const bool isStopped = request.cancel() && !(request.unless_read() && m_readers.hasReader(attempt));
+    if (isStopped && it != m_runs.end()) {
         it->second->call->cancel();
         RunResult result;
         result.status = withUnknownOutcome(makeFailure(FailureCode::OutcomeUnknown, "the run was cancelled"));
--- a/src/agent/answerreaders.cpp
+++ b/src/agent/answerreaders.cpp
@@ -54,6 +54,11 @@
     }
 }
 
+bool AnswerReaders::hasReader(const AttemptId &attempt) const
+{
+    return m_readers.contains(attempt);
+}
+
 bool AnswerReaders::isEmpty() const
 {
     return m_readers.empty() && m_attached.empty();
--- a/src/agent/answerreaders.h
+++ b/src/agent/answerreaders.h
@@ -25,6 +25,9 @@
     /// Lets each reader of the answer send what there is; `pump` does it for one. Those that are finished are let go.
     void pumpAll(const AttemptId &attempt, const std::function<void(const ReaderPointer &)> &pump);
 
+    /// Whether anybody reads the answer.
+    bool hasReader(const AttemptId &attempt) const;
+
     /// No reader is left, and every stream has ended at the other side too.
     bool isEmpty() const;
 
--- a/src/entry/fleetagentport.cpp
+++ b/src/entry/fleetagentport.cpp
@@ -94,14 +94,15 @@
 }
 
 void FleetAgentPort::bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt,
-                         bool cancel, std::function<void(absl::StatusOr<RunRecord>)> callback)
+                         RunStop stop, std::function<void(absl::StatusOr<RunRecord>)> callback)
 {
     const AgentLife life = AgentLife::parse(agentAddress);
     wire::BarRequest message;
     message.set_agent_incarnation(life.incarnation.value());
     message.set_request_id(request.value());
     message.set_attempt_id(attempt.value());
-    message.set_cancel(cancel);
+    message.set_cancel(stop != RunStop::Never);
+    message.set_unless_read(stop == RunStop::IfUnread);
     const auto convert = [agentAddress](const wire::RunRecord &answer) {
         RunRecord record = runRecordFromWire(answer);
         record.agentAddress = agentAddress;
--- a/src/entry/fleetagentport.h
+++ b/src/entry/fleetagentport.h
@@ -28,7 +28,7 @@
     void closePortions(const std::string &agentAddress, std::vector<PortionId> portions,
                        std::function<void(absl::StatusOr<std::vector<PortionCharges>>)> callback) override;
 
-    void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, bool cancel,
+    void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, RunStop stop,
              std::function<void(absl::StatusOr<RunRecord>)> callback) override;
 
 private:
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -433,7 +433,8 @@
 boost::asio::awaitable<absl::StatusOr<RunRecord>> RequestSession::barAttempt(const RouteChoice &choice, bool cancels)
 {
     const auto start = [this, &choice, cancels](auto done) {
-        m_services.agents.bar(choice.address, m_plan.request, m_attempt, cancels, std::move(done));
+        const RunStop stop = cancels ? RunStop::Always : RunStop::Never;
+        m_services.agents.bar(choice.address, m_plan.request, m_attempt, stop, std::move(done));
     };
     absl::StatusOr<RunRecord> record = co_await awaitCallback<absl::StatusOr<RunRecord>>(start);
     const bool isBarred = record.ok() && record->state == RunState::Barred;
--- a/src/libradishnet/monitor.h
+++ b/src/libradishnet/monitor.h
@@ -186,10 +186,10 @@
         m_inner.closePortions(agentAddress, std::move(portions), m_monitor.guarded(std::move(callback)));
     }
 
-    void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, bool cancel,
+    void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, RunStop stop,
              std::function<void(absl::StatusOr<RunRecord>)> callback) override
     {
-        m_inner.bar(agentAddress, request, attempt, cancel, m_monitor.guarded(std::move(callback)));
+        m_inner.bar(agentAddress, request, attempt, stop, m_monitor.guarded(std::move(callback)));
     }
 
 private:
--- a/src/libradishswitch/agents/agentport.h
+++ b/src/libradishswitch/agents/agentport.h
@@ -23,6 +23,14 @@
     Barred,
 };
 
+/// What becomes of a run that has started when its attempt is barred.
+enum class RunStop {
+    Never,
+    /// Stopped unless somebody reads its answer: for one who can't know whether the reader is alive.
+    IfUnread,
+    Always,
+};
+
 /// What an agent remembers of a run.
 struct RunRecord {
     RequestId request;
@@ -98,8 +106,8 @@
     virtual void closePortions(const std::string &agentAddress, std::vector<PortionId> portions,
                                std::function<void(absl::StatusOr<std::vector<PortionCharges>>)> callback) = 0;
 
-    /// Makes sure that the attempt does not start any more, and stops it when `cancel`. Gives its record after that.
-    virtual void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, bool cancel,
+    /// Makes sure that the attempt does not start any more, and may stop it. Gives its record after that.
+    virtual void bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt, RunStop stop,
                      std::function<void(absl::StatusOr<RunRecord>)> callback) = 0;
 };
 
--- a/src/libradishswitch/requests/runresolver.cpp
+++ b/src/libradishswitch/requests/runresolver.cpp
@@ -69,10 +69,11 @@
 {
     const Dispatch &dispatch = m_places[n].dispatch;
     m_places[n].timer = 0;
-    m_agents.bar(dispatch.agentAddress, m_request, dispatch.attempt, m_cancel,
-                 m_life.guard([this, n](const auto &record) {
-                     finishAsking(n, record);
-                 }));
+    // The entry that served the caller may be alive on the other side of a cut, and read the answer.
+    const RunStop stop = m_cancel ? RunStop::IfUnread : RunStop::Never;
+    m_agents.bar(dispatch.agentAddress, m_request, dispatch.attempt, stop, m_life.guard([this, n](const auto &record) {
+        finishAsking(n, record);
+    }));
 }
 
 void RunResolver::finishAsking(std::size_t n, const absl::StatusOr<RunRecord> &record)
