--- a/tests/radishswitch-entry/entryfixture.cpp
+++ b/tests/radishswitch-entry/entryfixture.cpp
@@ -25,6 +25,11 @@
     return {"agent-1:1", "agent-2:1"};
 }
 
+bool FakeAgentPort::isGone(const std::string &) const
+{
+    return areGone;
+}
+
 void FakeAgentPort::findRuns(const std::string &, std::vector<RequestId>, std::uint32_t, std::uint64_t,
                              std::function<void(absl::StatusOr<std::vector<RunRecord>>)> callback)
 {
@@ -38,9 +43,9 @@
 }
 
 void FakeAgentPort::bar(const std::string &agentAddress, const RequestId &request, const AttemptId &attempt,
-                        bool cancel, std::function<void(absl::StatusOr<RunRecord>)> callback)
+                        RunStop stop, std::function<void(absl::StatusOr<RunRecord>)> callback)
 {
-    barred.push_back({agentAddress, attempt, cancel});
+    barred.push_back({agentAddress, attempt, stop != RunStop::Never});
     absl::StatusOr<RunRecord> answer = makeFailure(FailureCode::ConnectionLost, "nobody is there");
     if (stateWhenBarred) {
         answer = RunRecord();
@@ -130,6 +135,13 @@
     return plan;
 }
 
+void EntryFixture::spendRetries()
+{
+    RetryQuery query;
+    query.deadline = Instant::max();
+    while (gate.retry(query).ok()) { }
+}
+
 absl::Status EntryFixture::serve(const RunPlan &plan, AgentSide agents)
 {
     m_agentSide = std::move(agents);
@@ -188,6 +200,14 @@
     return update;
 }
 
+wire::RunUpdate EntryFixture::silent(const std::string &attempt)
+{
+    RunUpdate update;
+    update.set_attempt_id(attempt);
+    update.mutable_silent()->set_silent_ms(3000);
+    return update;
+}
+
 wire::RunUpdate EntryFixture::failed(const std::string &attempt, const absl::Status &status)
 {
     RunUpdate update;
--- a/tests/radishswitch-entry/entryfixture.h
+++ b/tests/radishswitch-entry/entryfixture.h
@@ -26,6 +26,7 @@
     explicit FakeAgentPort(VirtualLoop &loop);
 
     std::vector<std::string> agentAddresses() const override;
+    bool isGone(const std::string &agentAddress) const override;
     void findRuns(const std::string &agentAddress, std::vector<RadishSwitch::RequestId> requests, std::uint32_t shard,
                   std::uint64_t epoch,
                   std::function<void(absl::StatusOr<std::vector<RadishSwitch::RunRecord>>)> callback) override;
@@ -33,11 +34,13 @@
     closePortions(const std::string &agentAddress, std::vector<RadishSwitch::PortionId> portions,
                   std::function<void(absl::StatusOr<std::vector<RadishSwitch::PortionCharges>>)> callback) override;
     void bar(const std::string &agentAddress, const RadishSwitch::RequestId &request,
-             const RadishSwitch::AttemptId &attempt, bool cancel,
+             const RadishSwitch::AttemptId &attempt, RadishSwitch::RunStop stop,
              std::function<void(absl::StatusOr<RadishSwitch::RunRecord>)> callback) override;
 
     /// What agents say of a run that is barred; unreachable without.
     std::optional<RunState> stateWhenBarred;
+    /// Whether the platform lists the agents no more.
+    bool areGone = true;
 
     struct Barred {
         std::string address;
@@ -71,6 +74,9 @@
     /// The endpoint tells of itself, now and every second from now on.
     void listEndpoint(const std::string &name, std::uint32_t capacity = 4);
 
+    /// Uses the budget of retries up, so that no further attempt is granted.
+    void spendRetries();
+
     /// Serves the request to its end.
     absl::Status serve(const RadishSwitch::RunPlan &plan, AgentSide agents);
 
@@ -81,6 +87,7 @@
     static RunUpdate chunk(const std::string &attempt, std::uint64_t offset, const std::string &data);
     static RunUpdate done(const std::string &attempt, std::int64_t chargedTokens);
     static RunUpdate refused(const std::string &attempt, const absl::Status &status);
+    static RunUpdate silent(const std::string &attempt);
     static RunUpdate failed(const std::string &attempt, const absl::Status &status);
     static absl::Status lost();
 
--- a/tests/radishswitch-entry/requestsession_test.cpp
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -13,10 +13,54 @@
         return nlohmann::json::parse(exchange.responses.at(0).body).at("error");
     }
 
+    /// An agent that is cut off for ten seconds in mid-answer, while its engine goes on; all of the answer is there
+    /// then.
+    AgentSide cutOffForAWhile(const std::string &begun, const std::string &rest)
+    {
+        return [this, begun, rest](int, const StreamPointer &agent, const std::string &attempt) {
+            const bool isCut = loop.timers.now() < m_begin + std::chrono::seconds(10);
+            if (agent->path == "/run") {
+                agent->deliver(head(attempt));
+                agent->deliver(chunk(attempt, 0, begun));
+            }
+            if (isCut) {
+                agent->close(lost());
+                return;
+            }
+            agent->deliver(chunk(attempt, begun.size(), rest));
+            agent->deliver(done(attempt, 12));
+        };
+    }
+
+    /// An agent whose endpoint is silent for a while after the first token, and then goes on.
+    static AgentSide silentForAWhile()
+    {
+        return [](int, const StreamPointer &agent, const std::string &attempt) {
+            const std::string begun = token("c-1", "one ");
+            agent->deliver(head(attempt));
+            agent->deliver(chunk(attempt, 0, begun));
+            agent->deliver(silent(attempt));
+            agent->deliver(silent(attempt));
+            agent->deliver(chunk(attempt, begun.size(), token("c-1", "two")));
+            agent->deliver(done(attempt, 12));
+        };
+    }
+
+    void expectWholeFromTheFirst(const absl::Status &status) const
+    {
+        EXPECT_TRUE(status.ok()) << status;
+        EXPECT_EQ(exchange.written, token("c-1", "one ") + token("c-1", "two") + "data: [DONE]\n\n");
+        EXPECT_EQ(runsSent().size(), 1u);
+        ASSERT_EQ(homes.settlements.size(), 1u);
+        EXPECT_EQ(homes.settlements[0].chargedTokens, 12);
+    }
+
     std::string result() const
     {
         return journal.find(RequestId("r-1"))->result;
     }
+
+    const Instant m_begin = loop.timers.now();
 };
 
 TEST_F(RequestSessionTest, run_answered_isSettledAtTheCharge)
@@ -233,6 +277,114 @@
     EXPECT_EQ(error().at("outcome"), "not_run");
 }
 
+// The engine hangs after a token, and its agent tells of the silence. Another engine is free and the budget grants a
+// further attempt: the silent run is stopped, and the other engine goes on with the answer, on one bill.
+TEST_F(RequestSessionTest, run_endpointSilentAndAnotherToBeHad_isContinuedThere)
+{
+    agents.stateWhenBarred = RunState::Failed;
+    const std::string begun = token("c-1", "one ");
+    const absl::Status status =
+        serve(chatPlan(), [&begun](int n, const StreamPointer &agent, const std::string &attempt) {
+            agent->deliver(head(attempt));
+            if (n == 0) {
+                agent->deliver(chunk(attempt, 0, begun));
+                agent->deliver(silent(attempt));
+                return;
+            }
+            agent->deliver(chunk(attempt, begun.size(), token("c-2", "two")));
+            agent->deliver(done(attempt, 30));
+        });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_NE(exchange.written.find("two"), std::string::npos);
+    ASSERT_EQ(runsSent().size(), 2u);
+    EXPECT_EQ(runsSent()[1].prior_answer(), begun);
+    EXPECT_NE(clients.opened[0]->address, clients.opened[1]->address);
+    ASSERT_EQ(homes.dispatched.size(), 2u);
+    EXPECT_EQ(homes.dispatched[1].value(), runsSent()[1].attempt_id());
+    ASSERT_EQ(agents.barred.size(), 1u);
+    EXPECT_EQ(agents.barred[0].attempt, AttemptId(FakeHomes::kGrantedAttempt));
+    EXPECT_TRUE(agents.barred[0].isCancelled);
+    ASSERT_EQ(homes.settlements.size(), 1u);
+    EXPECT_EQ(homes.settlements[0].chargedTokens, 30);
+}
+
+// The engine is silent for a while and then goes on. The budget of retries is spent, so nobody else would make the
+// answer: the run is not touched, and the caller gets a pause and the whole answer.
+TEST_F(RequestSessionTest, run_endpointSilentAndNoRetryToBeHad_isWaitedForAndWhole)
+{
+    spendRetries();
+    agents.stateWhenBarred = RunState::Failed;
+    expectWholeFromTheFirst(serve(chatPlan(), silentForAWhile()));
+    EXPECT_TRUE(agents.barred.empty());
+}
+
+// The same when the home cannot note a further attempt, without which none is sent.
+TEST_F(RequestSessionTest, run_endpointSilentAndHomeCannotNoteAnother_isWaitedForAndWhole)
+{
+    homes.dispatchAnswer = makeFailure(FailureCode::HomeUnreachable, "the home is gone");
+    agents.stateWhenBarred = RunState::Failed;
+    expectWholeFromTheFirst(serve(chatPlan(), silentForAWhile()));
+    EXPECT_TRUE(agents.barred.empty());
+}
+
+// The answer ends while the entry has the silent run stopped, and the agent has charged it. Made a second time
+// elsewhere it would be charged twice. The home, which names the last attempt that it heard of to copies of the
+// request, is told of the first one again.
+TEST_F(RequestSessionTest, run_silentRunEndsBeforeItIsStopped_isNotMadeAgain)
+{
+    agents.stateWhenBarred = RunState::Done;
+    expectWholeFromTheFirst(serve(chatPlan(), silentForAWhile()));
+    ASSERT_GE(homes.dispatched.size(), 3u);
+    EXPECT_EQ(homes.dispatched.back(), AttemptId(FakeHomes::kGrantedAttempt));
+}
+
+// The agent cannot be asked to stop its silent run, which may be charged there. It is waited for.
+TEST_F(RequestSessionTest, run_silentRunThatCannotBeStopped_isWaitedForAndWhole)
+{
+    expectWholeFromTheFirst(serve(chatPlan(), silentForAWhile()));
+}
+
+// An order may be sent to no other endpoint, however long its own is silent.
+TEST_F(RequestSessionTest, run_orderWhoseEndpointIsSilent_isWaitedFor)
+{
+    const absl::Status status = serve(orderPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(silent(attempt));
+        agent->deliver(head(attempt, 201));
+        agent->deliver(chunk(attempt, 0, "ordered"));
+        agent->deliver(done(attempt, 7));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(runsSent().size(), 1u);
+    EXPECT_TRUE(agents.barred.empty());
+}
+
+// The network between the entry and the agent is cut for ten seconds in mid-answer; the engine goes on. So many
+// requests were tried again that the budget grants no further attempt. The run is the only one that the caller can
+// have, and is not stopped: the entry comes back for it until the deadline.
+TEST_F(RequestSessionTest, run_agentCutOffAndNoRetryToBeHad_isWaitedForAndWhole)
+{
+    agents.areGone = false;
+    spendRetries();
+    const absl::Status status = serve(chatPlan(), cutOffForAWhile(token("c-1", "one "), token("c-1", "two")));
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(exchange.written, token("c-1", "one ") + token("c-1", "two") + "data: [DONE]\n\n");
+    EXPECT_EQ(runsSent().size(), 1u);
+    for (const FakeAgentPort::Barred &it : agents.barred) {
+        EXPECT_FALSE(it.isCancelled);
+    }
+}
+
+// The same with an order, which may be sent to no other endpoint whatever the budget says.
+TEST_F(RequestSessionTest, run_orderWhoseAgentIsCutOffForAWhile_isWaitedForAndWhole)
+{
+    agents.areGone = false;
+    const absl::Status status = serve(orderPlan(), cutOffForAWhile("orde", "red"));
+    EXPECT_TRUE(status.ok()) << status;
+    ASSERT_EQ(exchange.responses.size(), 1u);
+    EXPECT_EQ(exchange.responses[0].body, "ordered");
+    EXPECT_EQ(runsSent().size(), 1u);
+}
+
 // The caller hangs up in mid-answer. The run may go on at its agent, so the entry cannot say what it cost: it settles
 // nothing, and the home finds out at the agent.
 TEST_F(RequestSessionTest, run_callerGone_isLeftToTheHome)
@@ -267,6 +419,28 @@
     EXPECT_EQ(exchange.written, token("c-1", "a") + "data: [DONE]\n\n");
 }
 
+// A copy of the request has followed the first copy's run for ten seconds when that run moves on to another endpoint:
+// it ends where it was, and the home knows where it is now. Its answer is there to be had, with most of the time left.
+TEST_F(RequestSessionTest, run_duplicateWhoseRunMovesLate_findsItAgain)
+{
+    homes.decisions.push_back(AdmitDecision(DuplicateRun{"agent-2:1#life-of-agent-2", AttemptId("first"), false}));
+    homes.decisions.push_back(AdmitDecision(DuplicateRun{"agent-1:1#life-of-agent-1", AttemptId("second"), false}));
+    const absl::Status status = serve(chatPlan(), [this](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(head(attempt));
+        if (attempt == "first") {
+            loop.timers.after(std::chrono::seconds(10), [agent, attempt] {
+                agent->deliver(failed(attempt, makeFailure(FailureCode::OutcomeUnknown, "the run was cancelled")));
+            });
+            return;
+        }
+        agent->deliver(chunk(attempt, 0, token("c-1", "a")));
+        agent->deliver(done(attempt, 12));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    EXPECT_EQ(exchange.written, token("c-1", "a") + "data: [DONE]\n\n");
+    EXPECT_TRUE(homes.settlements.empty());
+}
+
 // The home that was asked has lost the keys, and the next one cannot be reached; the third grants.
 TEST_F(RequestSessionTest, run_homeElsewhere_asksAnother)
 {
