--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -170,8 +170,11 @@
             co_await awaitPause(m_services.timers, m_next->backoff);
             continue;
         }
-        if (end == AttemptEnd::GivenUp || end == AttemptEnd::NotSent
-            || !co_await waitToRetry(end == AttemptEnd::NotStarted)) {
+        if (end == AttemptEnd::GivenUp || end == AttemptEnd::NotSent) {
+            break;
+        }
+        const bool isGranted = co_await waitToRetry(end == AttemptEnd::NotStarted);
+        if (!isGranted) {
             break;
         }
     }
@@ -306,7 +309,11 @@
 // has stopped this one; a run of another request's attempt is that one's to leave.
 boost::asio::awaitable<std::optional<RequestSession::AttemptEnd>> RequestSession::leaveSilent(const RouteChoice &choice)
 {
-    if (m_isDuplicate || m_hasJoinedOther || m_plan.isNonIdempotent || !co_await placeNext(choice)) {
+    if (m_isDuplicate || m_hasJoinedOther || m_plan.isNonIdempotent) {
+        co_return std::nullopt;
+    }
+    const bool isPlaced = co_await placeNext(choice);
+    if (!isPlaced) {
         co_return std::nullopt;
     }
     const absl::StatusOr<RunRecord> record = co_await barAttempt(choice, true);
@@ -324,7 +331,10 @@
 boost::asio::awaitable<std::optional<RequestSession::AttemptEnd>>
 RequestSession::leaveUnreachable(const RouteChoice &choice)
 {
-    const bool isPlaced = !m_plan.isNonIdempotent && co_await placeNext(choice);
+    bool isPlaced = false;
+    if (!m_plan.isNonIdempotent) {
+        isPlaced = co_await placeNext(choice);
+    }
     const absl::StatusOr<RunRecord> record = co_await barAttempt(choice, isPlaced);
     if (record.ok() && record->state == RunState::Barred) {
         co_return AttemptEnd::NotStarted;
