Calls: a stream's first endpoint is kept until the second has begun to answer

What callers saw: a stream whose endpoint paused for 1.8 s was cut at its deadline, seconds later, where the endpoint that had taken its place hung: one that hangs takes a call like one that is at work, and refuses nothing.

Change: the first is left when the second's head has come, and not after a time without a refusal. Until then it is looked at every 50 ms; if its answer arrives sooner, the second, which has not begun, is left. A stream's run begins with its first event, so that no two run side by side. A call whose answer comes whole keeps the bound of 200 ms, since both may work on it. A second that says nothing counts as silent like a first.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -94,7 +94,9 @@
     boost::asio::awaitable<bool> findSuccessor();
     boost::asio::awaitable<bool> startSuccessor();
     boost::asio::awaitable<bool> isSuccessorAtWork();
-    bool isSuccessorPreferred();
+    boost::asio::awaitable<absl::StatusOr<AnswerHead>> glanceAtSuccessor(Instant end);
+    Duration longestOverlap() const;
+    void dropUnheardSuccessor();
     void keepFirst();
     void dropSuccessor(AttemptEnd end);
 
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -26,9 +26,11 @@
     Duration eventSilence = std::chrono::milliseconds(1200);
     /// How soon another endpoint is looked for again while none can be had and the first goes on saying nothing.
     Duration nextLook = std::chrono::milliseconds(300);
-    /// How long a silent endpoint's run is kept beside the one that is to take its place. A full endpoint refuses
-    /// within a few milliseconds; two runs of one call side by side for longer would be wasted work.
+    /// How long two endpoints have a call whose answer comes whole, once the first was silent. A full endpoint refuses
+    /// within a few milliseconds; both at work on it for longer would be wasted work.
     Duration overlap = std::chrono::milliseconds(200);
+    /// How often the first is looked at while the second has not answered.
+    Duration glance = std::chrono::milliseconds(50);
     /// Connections to be used for a call that can't be sent again were idle for no longer: an endpoint that drops an
     /// idle connection at that very moment leaves the call's outcome unknown.
     Duration longestIdleOnce = std::chrono::milliseconds(1500);
--- a/src/gateway/callsuccessor.cpp
+++ b/src/gateway/callsuccessor.cpp
@@ -90,21 +90,29 @@
     m_successor.reset();
 }
 
+// An endpoint that hangs takes a call like one that is at work, so that only an answer tells. Until there is one the
+// first is looked at in between; its answer, should it come sooner, is the one to have.
 net::awaitable<bool> Call::isSuccessorAtWork()
 {
-    const Duration overlap = within(m_services.times.overlap);
-    m_successor->connection->expireAfter(overlap, AtExpiry::Pause, overlap);
-    const absl::StatusOr<AnswerHead> head = co_await readHead(*m_successor);
-    if (!head.ok()) {
-        if (isPaused(*m_successor, head.status())) {
-            co_return isSuccessorPreferred();
+    const Instant end = m_services.timers.now() + longestOverlap();
+    absl::StatusOr<AnswerHead> head = co_await glanceAtSuccessor(end);
+    while (!head.ok() && isPaused(*m_successor, head.status())) {
+        if (m_attempt.connection->hasUnread()) {
+            dropUnheardSuccessor();
+            co_return false;
+        }
+        if (m_services.timers.now() >= end) {
+            co_return true;
         }
+        head = co_await glanceAtSuccessor(end);
+    }
+    if (!head.ok()) {
         dropSuccessor(endUnanswered(*m_successor, head.status()));
         co_return false;
     }
     if (head->isRefusal) {
-        const AttemptEnd end = co_await endRefused(*m_successor, *head);
-        dropSuccessor(end);
+        const AttemptEnd refused = co_await endRefused(*m_successor, *head);
+        dropSuccessor(refused);
         co_return false;
     }
     m_history.mayHaveRun = true;
@@ -116,18 +124,29 @@
     co_return true;
 }
 
-// Neither has given an answer to read: the second has not refused the call, and the first has been silent for longer.
-// An answer that has begun to arrive from the first is the one to have.
-bool Call::isSuccessorPreferred()
+// A stream begins with its head: until then only one endpoint has begun to answer. Where an answer comes whole, both
+// may work on it all the while.
+Duration Call::longestOverlap() const
+{
+    return m_route->isStreamed ? rest() : within(m_services.times.overlap);
+}
+
+net::awaitable<absl::StatusOr<AnswerHead>> Call::glanceAtSuccessor(Instant end)
 {
-    if (!m_attempt.connection->hasUnread()) {
-        return true;
+    if (silentFor(*m_successor) > m_services.times.eventSilence) {
+        m_services.gate.noteSilent(m_successor->placement.id);
     }
+    const Duration left = std::max(end - m_services.timers.now(), m_services.times.glance);
+    m_successor->connection->expireAfter(within(m_services.times.glance), AtExpiry::Pause, within(left));
+    co_return co_await readHead(*m_successor);
+}
+
+void Call::dropUnheardSuccessor()
+{
     m_history.mayHaveRun = true;
     // It had no time to answer, which is no failure of its endpoint.
     m_services.gate.noteEnded(m_successor->placement.id, RunEnd::Cancelled);
     dropSuccessor(AttemptEnd::Silent);
-    return false;
 }
 
 void Call::dropSuccessor(AttemptEnd end)
--- a/tests/radishswitch-gateway/silentendpoints_test.cpp
+++ b/tests/radishswitch-gateway/silentendpoints_test.cpp
@@ -153,6 +153,34 @@
     EXPECT_EQ(runs("call-1"), 1);
 }
 
+// The same where the other endpoint takes the call and hangs. It refuses nothing, and never answers; the caller gets
+// the whole stream from the first endpoint, which is kept until the other has begun to answer.
+TEST_F(SilentEndpointsTest, stream_pausesMidwayWhileOtherHangs_isPassedOnWhole)
+{
+    listSecond(second.port());
+    addFault(first, Fault::PauseMidway);
+    addFault(second, Fault::Hang);
+    start();
+    expectWholeStream();
+    waitUntil([this] {
+        return runAt(second, "call-1").left == 1;
+    });
+}
+
+// The same where the pause comes before the first byte.
+// The caller gets the first endpoint's answer, and the run that hangs is left.
+TEST_F(SilentEndpointsTest, stream_pausesFirstWhileOtherHangs_isPassedOnWhole)
+{
+    listSecond(second.port());
+    addFault(first, Fault::PauseFirst);
+    addFault(second, Fault::Hang);
+    start();
+    expectWholeStream();
+    waitUntil([this] {
+        return runAt(second, "call-1").left == 1;
+    });
+}
+
 // The only endpoint says nothing before the first byte of a stream, for longer than the gateway waits for it, and then
 // answers. The caller gets the answer and not a 504 with seconds left.
 TEST_F(SilentEndpointsTest, stream_pausesFirstAtOnlyEndpoint_isPassedOnWhole)
