Calls: what the lines of a silent endpoint say

Cause: `endpoint silent` named a further attempt as granted where the endpoint that was asked refused or took no connection, and `noticed_late` was measured anew after a deadline had been put off.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -213,7 +213,8 @@
         m_further = m_history.sent > 0 ? std::optional(FurtherAttempt::NoEndpoint) : std::nullopt;
         co_return m_history.mayHaveRun ? failureOfAttempts(m_history, AttemptEnd::Broken) : placement.status();
     }
-    m_attempt = Attempt{*placement};
+    m_attempt = Attempt();
+    m_attempt.placement = *placement;
     co_await start(m_attempt);
     co_return absl::OkStatus();
 }
--- a/src/gateway/callsuccessor.cpp
+++ b/src/gateway/callsuccessor.cpp
@@ -48,7 +48,7 @@
     if (isTakenOver) {
         co_return true;
     }
-    if (!std::exchange(m_attempt.isSilenceLogged, true)) {
+    if (m_further != FurtherAttempt::Granted && !std::exchange(m_attempt.isSilenceLogged, true)) {
         kLog.info("endpoint silent",
                   {field("call", m_request.id.value()), field("endpoint", m_attempt.placement.endpoint.value()),
                    field("events", m_cutter.count()), field("silent_for", silentFor(m_attempt)),
@@ -65,7 +65,7 @@
         giveRetryBack();
         co_return false;
     }
-    m_successor = Attempt{*placement};
+    m_successor.emplace().placement = *placement;
     const absl::Status status = co_await connect(*m_successor);
     if (!status.ok()) {
         dropSuccessor(AttemptEnd::NotSent);
@@ -144,13 +144,14 @@
 void Call::dropUnheardSuccessor()
 {
     m_history.mayHaveRun = true;
-    // It had no time to answer, which is no failure of its endpoint.
+    // It had little time to answer, which is no failure of its endpoint.
     m_services.gate.noteEnded(m_successor->placement.id, RunEnd::Cancelled);
     dropSuccessor(AttemptEnd::Silent);
 }
 
 void Call::dropSuccessor(AttemptEnd end)
 {
+    m_further = FurtherAttempt::NoEndpoint;
     finish(*m_successor, end);
     m_successor.reset();
 }
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -271,8 +271,10 @@
 {
     beast::error_code ec;
     const std::size_t unread = m_socket.available(ec);
-    m_expiredWait = ExpiredWait{m_watchdog.lateness(), ec ? 0 : unread};
-    if (hasReasonToReadOn(m_expiredWait->unread)) {
+    if (!m_isPutOff) {
+        m_expiredWait = ExpiredWait{m_watchdog.lateness(), ec ? 0 : unread};
+    }
+    if (hasReasonToReadOn(ec ? 0 : unread)) {
         m_isPutOff = true;
         m_watchdog.expireAfter(kLateRead);
         return;
