Tests: a call that is waited for ends at its deadline, neither later nor sooner

Cause: two tests of endpoints that hang let a call end 3 s late, and passed as well where it was given up early, which is the fault that they stand beside; a loop that waits for bytes had no end.

Change: half a second late at most, as promised; 50 ms early at most; the loop ends. Stricter, nothing is eased.

That an early end fails them now was not shown by a run. No product source changes.

--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -136,6 +136,9 @@
     sendRequest();
     EXPECT_FALSE(connection->hasUnread());
     say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    while (!connection->hasUnread()) { }
+    const auto end = std::chrono::steady_clock::now() + kLong;
+    while (!connection->hasUnread()) {
+        ASSERT_LT(std::chrono::steady_clock::now(), end) << "nothing arrived";
+    }
     EXPECT_TRUE(receiveHead(kLong).ok());
 }
--- a/tests/radishswitch-gateway/silentendpoints_test.cpp
+++ b/tests/radishswitch-gateway/silentendpoints_test.cpp
@@ -16,8 +16,9 @@
     using Fault = ReplicaServer::Fault;
 
     static constexpr Duration kPatience = std::chrono::milliseconds(2500);
-    /// What a call that has ended at its deadline may be late by on a busy machine.
-    static constexpr Duration kSlack = std::chrono::seconds(3);
+    /// What a call that ends at its deadline may be late by, and what it may end sooner for its way to the caller.
+    static constexpr Duration kSlack = std::chrono::milliseconds(500);
+    static constexpr Duration kTravel = std::chrono::milliseconds(50);
 
     void SetUp() override
     {
@@ -81,7 +82,10 @@
         const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(kPatience);
         headers.add(PlatformNames::kPatience, std::to_string(patience.count()));
         request.headers = std::move(headers);
-        return fetchFrom(gateway->port(), std::move(request), kPatience + kSlack);
+        const auto begin = std::chrono::steady_clock::now();
+        auto response = fetchFrom(gateway->port(), std::move(request), kPatience + kSlack);
+        EXPECT_GE(std::chrono::steady_clock::now() - begin, kPatience - kTravel) << "it was given up early";
+        return response;
     }
 
     void expectWholeStream()
@@ -296,8 +300,8 @@
     expectWholeStream();
 }
 
-// An endpoint pauses in the middle of a stream, and so does the one that is asked to go on. Both come back; the caller
-// gets each event once and in order, whichever gave it.
+// An endpoint pauses in the middle of a stream, and so does the one that is asked to go on. The caller gets each event
+// once and in order, whichever gave it.
 TEST_F(SilentEndpointsTest, stream_pausesMidwayAtBothEndpoints_hasEachEventOnce)
 {
     listSecond(second.port());
