--- a/src/gateway/endpointlistener.cpp
+++ b/src/gateway/endpointlistener.cpp
@@ -15,6 +15,9 @@
 /// Entries that can't be read and were told of, at most.
 constexpr std::size_t kMostTold = 1000;
 
+/// Longest time for which an endpoint that says so is taken for cold.
+constexpr Duration kLongestCold = std::chrono::seconds(60);
+
 }
 
 EndpointListener::EndpointListener(const ServingCatalogue &catalogue, CallGate &gate, TimerService &timers,
@@ -63,7 +66,7 @@
 
 void EndpointListener::take(const EndpointListing &listing, std::uint64_t revision)
 {
-    const ListedNews news = m_gate.roster().list(listing);
+    const ListedNews news = m_gate.roster().list(listing, m_timers.now());
     if (news == ListedNews::Outdated) {
         kLog.info("news of an earlier life ignored",
                   {field("endpoint", listing.id.value()), field("born_at_ms", listing.bornAtMilliseconds)});
@@ -75,7 +78,7 @@
     kLog.info(listing.isLeaving ? "leaving" : "listed",
               {field("endpoint", listing.id.value()), field("pool", listing.pool.value()),
                field("address", listing.address), field("born_at_ms", listing.bornAtMilliseconds),
-               field("revision", revision)});
+               field("cold_for", listing.coldFor), field("revision", revision)});
     if (listing.isLeaving) {
         m_onUnlisted(listing.id);
     }
@@ -94,11 +97,22 @@
     m_onUnlisted(endpoint);
 }
 
+// An endpoint that says it is cold for an hour would hardly be used for as long.
+void EndpointListener::boundColdSpan(EndpointListing &listing)
+{
+    if (listing.coldFor > kLongestCold) {
+        kLog.error("impossible cold time, bounded",
+                   {field("endpoint", listing.id.value()), field("cold_for", listing.coldFor)});
+        listing.coldFor = kLongestCold;
+    }
+}
+
 std::optional<EndpointListing> EndpointListener::read(const StoredObject &object)
 {
     absl::StatusOr<EndpointListing> listing = m_catalogue.readEndpoint(object);
     if (listing.ok()) {
         m_unreadable.erase(object.key);
+        boundColdSpan(*listing);
         return std::move(*listing);
     }
     // Whoever writes such entries may do so with each heartbeat: one line for each is enough.
--- a/src/gateway/endpointlistener.h
+++ b/src/gateway/endpointlistener.h
@@ -24,6 +24,7 @@
 
 private:
     std::optional<EndpointListing> read(const StoredObject &object);
+    static void boundColdSpan(EndpointListing &listing);
     void apply(const StoredObject &object);
     void take(const EndpointListing &listing, std::uint64_t revision);
     void unlist(const EndpointId &endpoint);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,7 +31,7 @@
     , m_timers(m_workers)
     , m_adapter(makeGatewayAdapter(m_workers, storeSettings(m_settings)))
     , m_store(*m_adapter.store, m_timers, m_metrics)
-    , m_gate(m_timers, m_random, m_settings.zone, gateSettings(m_settings))
+    , m_gate(m_timers, m_random, m_settings.instance, m_settings.zone, gateSettings(m_settings))
     , m_ledger(m_store, m_timers, m_random, ledgerSettings(m_settings))
     , m_holder(m_ledger, m_timers, m_workers, m_random, holderSettings(m_settings, m_random))
     , m_homes(m_settings.instance)
@@ -49,8 +49,7 @@
                      writePeerEntry(peerOf(m_settings, PeerKind::Gateway)))
     , m_peerRegistry(m_store, m_timers, m_random,
                      [this](const std::map<std::string, FleetPeer> &peers) {
-                         m_homes.setPeers(m_settings.ignoresHomes ? gatewaysAmong(peers) : peers);
-                         updateReady();
+                         handlePeers(peers);
                      })
     , m_connections(m_workers)
     , m_callMetrics(m_metrics)
@@ -77,10 +76,13 @@
                   [this](const EndpointId &endpoint) {
                       m_connections.forget(endpoint);
                   })
+    , m_cordons(*m_adapter.catalogue, m_gate)
     , m_configurationFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->configurationPrefix(),
                               m_configuration, followerSettings(m_settings))
     , m_endpointFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->endpointPrefix(), m_endpoints,
                          followerSettings(m_settings))
+    , m_cordonFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->cordonPrefix(), m_cordons,
+                       followerSettings(m_settings))
     , m_peerServer(m_workers, transportSettings(m_settings))
     , m_server(m_workers, callerServerSettings(m_intake),
                [this](HttpExchange &exchange) {
@@ -143,6 +145,9 @@
     });
     follow(m_configurationFollower, m_adapter.catalogue->configurationPrefix());
     follow(m_endpointFollower, m_adapter.catalogue->endpointPrefix());
+    if (followsCordons()) {
+        follow(m_cordonFollower, m_adapter.catalogue->cordonPrefix());
+    }
     m_announcement.start(m_settings.isFirstStart);
     m_peerRegistry.start();
     m_timers.every(kUpkeepInterval, [this] {
@@ -150,6 +155,30 @@
     });
 }
 
+// Where no zone is ever closed the watch would only cost.
+bool Gateway::followsCordons() const
+{
+    return m_settings.cordonBound > Duration::zero();
+}
+
+// One that does not know the orders yet would send calls into a zone that is closed.
+bool Gateway::isServing() const
+{
+    const bool knowsCordons = !followsCordons() || m_gate.roster().cordons().isKnown();
+    return m_configuration.table() && m_gate.roster().isKnown() && m_peerRegistry.isKnown() && knowsCordons;
+}
+
+void Gateway::handlePeers(const std::map<std::string, FleetPeer> &peers)
+{
+    m_homes.setPeers(m_settings.ignoresHomes ? gatewaysAmong(peers) : peers);
+    std::vector<std::string> gateways;
+    for (const auto &[name, peer] : gatewaysAmong(peers)) {
+        gateways.push_back(name);
+    }
+    m_gate.coldStarts().setGateways(gateways);
+    updateReady();
+}
+
 bool Gateway::isStoreLost() const
 {
     return !m_configurationFollower.isReached() || m_relayedStore.isDetour();
@@ -206,23 +235,23 @@
     serverLimits.readTimeout = limits.headerTimeout;
     serverLimits.idleTimeout = limits.idleTimeout;
     m_server.setLimits(serverLimits);
+    m_gate.coldStarts().setPools(table->configuration().pools);
     updateReady();
 }
 
 void Gateway::updateReady()
 {
-    const bool isServing = m_configuration.table() && m_gate.roster().isKnown() && m_peerRegistry.isKnown();
-    if (isServing) {
+    if (isServing()) {
         m_server.startAccepting();
     }
-    m_admin.setReady(isServing && !m_isStopping && !m_intake.isAway());
+    m_admin.setReady(isServing() && !m_isStopping && !m_intake.isAway());
 }
 
 boost::asio::awaitable<void> Gateway::serve(HttpExchange &exchange)
 {
     // All gateways start at once after a loss of power. One that does not know the others yet would take portions of
     // every budget, all at once with them: 1,600 calls to the store within six seconds, measured.
-    Call call(m_services, exchange, m_peerRegistry.isKnown() ? m_configuration.table() : nullptr);
+    Call call(m_services, exchange, isServing() ? m_configuration.table() : nullptr);
     co_await call.run();
 }
 
@@ -331,6 +360,10 @@
     m_metrics.gauge("radishswitch_calls_waiting", "Calls that wait for an endpoint")
         .set(static_cast<double>(m_gate.waiting()));
     m_metrics.gauge("radishswitch_endpoints", "Endpoints known").set(static_cast<double>(m_gate.roster().size()));
+    m_metrics.gauge("radishswitch_zones_closed", "Zones that get no new calls by operators' orders")
+        .set(static_cast<double>(m_gate.roster().cordons().closedZones().size()));
+    m_metrics.gauge("radishswitch_endpoints_cold", "Endpoints that are taken for cold")
+        .set(static_cast<double>(m_gate.roster().countCold(m_timers.now())));
     m_metrics.gauge("radishswitch_idle_connections", "Idle connections to endpoints")
         .set(static_cast<double>(m_connections.idleCount()));
     m_metrics.gauge("radishswitch_configuration_version", "Version of the configuration in force")
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "callintake.h"
 #include "callservices.h"
 #include "configurationlistener.h"
+#include "cordonlistener.h"
 #include "countedstore.h"
 #include "endpointlistener.h"
 #include "gatewayadapter.h"
@@ -56,6 +57,10 @@
     void begin();
     /// Whether the store itself does not answer this gateway.
     bool isStoreLost() const;
+    bool followsCordons() const;
+    /// Whether it knows all that calls are served by.
+    bool isServing() const;
+    void handlePeers(const std::map<std::string, FleetPeer> &peers);
     void keepUp();
     void logPortions() const;
     void handleNewer(const ServingTablePointer &table);
@@ -97,8 +102,10 @@
     CallIntake m_intake;
     ConfigurationListener m_configuration;
     EndpointListener m_endpoints;
+    CordonListener m_cordons;
     ObjectFollower m_configurationFollower;
     ObjectFollower m_endpointFollower;
+    ObjectFollower m_cordonFollower;
     Http2MessageServer m_peerServer;
     HttpServer m_server;
     AdminServer m_admin;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -12,6 +12,8 @@
 constexpr double kMostReadingSpeed = 1e9;
 constexpr double kMostRereadFactor = 1000;
 constexpr double kMostLimit = 100'000;
+constexpr double kLeastColdOvershoot = 0.01;
+constexpr double kMostColdOvershoot = 100;
 
 void addPlacementSettings(SettingsParser &parser, PlacementSettings &settings)
 {
@@ -38,6 +40,10 @@
     parser.add("listen", settings.listen, "where callers come in");
     parser.add("drain-notice", settings.drainNotice, "how long it goes on taking calls after it was told to stop");
     parser.add("change-bound", settings.changeBound, "within this a change in the store has to be in force");
+    parser.add("cordon-bound", settings.cordonBound,
+               "within this an order that a zone gets no new calls has to be in force; 0ms for no such orders");
+    parser.addNumber("cold-overshoot", settings.coldStarts.overshoot, kLeastColdOvershoot, kMostColdOvershoot,
+                     "times what a cold endpoint is said to bear that all gateways together may send it");
     parser.addNumber("watch-share", settings.watchShare, kLeastWatchShare, 1,
                      "share of the change bound that a watch without news waits");
     parser.add("longest-hold", settings.longestHold, "how long callers wait unread for the first configuration");
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,6 +2,7 @@
 
 #include "fleetsettings.h"
 #include "limits/loadshedder.h"
+#include "serving/coldstarts.h"
 #include "serving/placementsettings.h"
 
 namespace RadishSwitch
@@ -16,6 +17,8 @@
     Duration drainNotice = std::chrono::milliseconds(2500);
     /// Within this a change of the configuration has to be in force, and a leaving endpoint without new calls.
     Duration changeBound = std::chrono::seconds(2);
+    /// Within this an order that a zone gets no new calls has to be in force; zero where no such orders are given.
+    Duration cordonBound{};
     /// Share of the change bound that a watch without news waits before the store is asked anew.
     double watchShare = 0.4;
     /// How long callers that come before the configuration is known wait unread. They give up after a second; a gateway
@@ -33,6 +36,7 @@
     double retryBound = 0.2;
     double retryBurst = 6;
     PlacementSettings placement;
+    ColdStartSettings coldStarts;
     /// Calls are read also while this gateway has no processor time for them, and never refused unread.
     bool takesAllCalls = false;
     LoadShedderSettings shedding;
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -73,6 +73,7 @@
 {
     CallGateSettings gate;
     gate.placement = settings.placement;
+    gate.coldStarts = settings.coldStarts;
     return gate;
 }
 
--- a/src/gateway/servingcatalogue.h
+++ b/src/gateway/servingcatalogue.h
@@ -34,6 +34,12 @@
 
     /// ObjectMalformed when it can't be read.
     virtual absl::StatusOr<EndpointListing> readEndpoint(const StoredObject &object) const = 0;
+
+    /// Prefix under which the store keeps operators' orders that zones get no new calls.
+    virtual std::string cordonPrefix() const = 0;
+
+    /// The zone of such an order, also of one that was taken back. ObjectMalformed when it names none.
+    virtual absl::StatusOr<std::string> cordonedZoneOf(const std::string &key) const = 0;
 };
 
 }
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -7,11 +7,13 @@
 namespace RadishSwitch
 {
 
-CallGate::CallGate(TimerService &timers, RandomSource &random, std::string ownZone, CallGateSettings settings)
+CallGate::CallGate(TimerService &timers, RandomSource &random, std::string self, std::string ownZone,
+                   CallGateSettings settings)
     : m_timers(timers)
     , m_settings(settings)
+    , m_coldStarts(std::move(self), settings.coldStarts)
     , m_roster(settings.roster)
-    , m_placement(m_roster, random, std::move(ownZone), settings.placement)
+    , m_placement(m_roster, m_coldStarts, random, std::move(ownZone), settings.placement)
 {
 }
 
@@ -20,6 +22,33 @@
     m_timers.cancel(m_timer);
 }
 
+void CallGate::setClosedZones(const std::vector<std::string> &zones)
+{
+    takeForCold(m_roster.setClosedZones(zones));
+    noteRosterChanged();
+}
+
+void CallGate::closeZone(const std::string &zone)
+{
+    m_roster.closeZone(zone);
+    noteRosterChanged();
+}
+
+void CallGate::openZone(const std::string &zone)
+{
+    takeForCold(m_roster.openZone(zone));
+    noteRosterChanged();
+}
+
+// Endpoints of a zone that was closed may have become cold since, and their entries tell it seconds later. By then all
+// gateways would have sent them what they did not send for as long.
+void CallGate::takeForCold(const std::vector<EndpointSlot> &slots)
+{
+    for (const EndpointSlot slot : slots) {
+        m_roster.extendCold(slot, m_timers.now() + m_coldStarts.usualSpan(m_roster.at(slot).listing.pool));
+    }
+}
+
 void CallGate::place(const PlacementQuery &query, Callback callback)
 {
     const auto queue = m_queues.find(query.pool);
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -21,6 +21,7 @@
     std::chrono::milliseconds noEndpointRetryAfter{500};
     PlacementSettings placement;
     EndpointRosterSettings roster;
+    ColdStartSettings coldStarts;
 };
 
 /// Lets calls through to endpoints: at once while an endpoint has room, else in the order of a fair queue, and refuses
@@ -32,7 +33,9 @@
 public:
     using Callback = std::function<void(absl::StatusOr<Placement>)>;
 
-    CallGate(TimerService &timers, RandomSource &random, std::string ownZone, CallGateSettings settings = {});
+    /// `self` is this process's name among the gateways.
+    CallGate(TimerService &timers, RandomSource &random, std::string self, std::string ownZone,
+             CallGateSettings settings = {});
     ~CallGate();
 
     CallGate(const CallGate &) = delete;
@@ -43,6 +46,21 @@
         return m_roster;
     }
 
+    const EndpointRoster &roster() const
+    {
+        return m_roster;
+    }
+
+    ColdStarts &coldStarts()
+    {
+        return m_coldStarts;
+    }
+
+    /// Operators' orders: these zones get no new calls.
+    void setClosedZones(const std::vector<std::string> &zones);
+    void closeZone(const std::string &zone);
+    void openZone(const std::string &zone);
+
     /// Places a call, now or later. Each call that is placed must end with `noteEnded`. Errors: NoEndpoint, Overloaded,
     /// both with the time to come back, and nothing was sent.
     void place(const PlacementQuery &query, Callback callback);
@@ -88,6 +106,7 @@
         bool isSilent = false;
     };
 
+    void takeForCold(const std::vector<EndpointSlot> &slots);
     bool tryPlace(const PlacementQuery &query, Callback &callback);
     void wait(const PlacementQuery &query, Callback callback);
     void admitWaiting(const PoolId &pool);
@@ -98,6 +117,7 @@
 
     TimerService &m_timers;
     const CallGateSettings m_settings;
+    ColdStarts m_coldStarts;
     EndpointRoster m_roster;
     CallPlacement m_placement;
     std::map<PoolId, FairQueue> m_queues;
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -50,9 +50,10 @@
 
 }
 
-CallPlacement::CallPlacement(EndpointRoster &roster, RandomSource &random, std::string ownZone,
-                             PlacementSettings settings)
+CallPlacement::CallPlacement(EndpointRoster &roster, const ColdStarts &coldStarts, RandomSource &random,
+                             std::string ownZone, PlacementSettings settings)
     : m_roster(roster)
+    , m_coldStarts(coldStarts)
     , m_random(random)
     , m_ownZone(std::move(ownZone))
     , m_settings(settings)
@@ -80,13 +81,23 @@
     });
 }
 
+// Sent more than it bears while it is cold, an endpoint crashes, and its calls with it.
+bool CallPlacement::isSpared(EndpointSlot slot, Instant now) const
+{
+    if (!m_roster.isCold(slot, now)) {
+        return false;
+    }
+    const RosterEndpoint &it = m_roster.at(slot);
+    return !it.coldCalls.isBelow(m_coldStarts.ownCalls(it.listing.pool, it.hash), now);
+}
+
 bool CallPlacement::isCandidate(EndpointSlot slot, const PlacementQuery &query, Choosiness choosiness,
                                 Instant now) const
 {
     const RosterEndpoint &it = m_roster.at(slot);
     const RosterStanding standing = m_roster.standing(slot, now);
     if (it.inFlight >= static_cast<int>(it.limit)
-        || std::ranges::find(query.excluded, it.listing.id) != query.excluded.end()) {
+        || std::ranges::find(query.excluded, it.listing.id) != query.excluded.end() || isSpared(slot, now)) {
         return false;
     }
     if (choosiness == Choosiness::AnyAlive) {
@@ -188,6 +199,9 @@
     it.inFlight += 1;
     it.unreadTokens += unread;
     it.ejection.noteDispatched(now);
+    if (m_roster.isCold(slot, now)) {
+        it.coldCalls.note(now);
+    }
     return unread;
 }
 
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -3,6 +3,7 @@
 #include "base/randomsource.h"
 #include "routing/prefixcachehints.h"
 #include "routing/routequery.h"
+#include "serving/coldstarts.h"
 #include "serving/endpointroster.h"
 #include "serving/placementquery.h"
 #include "serving/placementsettings.h"
@@ -23,7 +24,8 @@
 class CallPlacement
 {
 public:
-    CallPlacement(EndpointRoster &roster, RandomSource &random, std::string ownZone, PlacementSettings settings = {});
+    CallPlacement(EndpointRoster &roster, const ColdStarts &coldStarts, RandomSource &random, std::string ownZone,
+                  PlacementSettings settings = {});
 
     /// The endpoint with the least time to the first answer among those that have room; nothing when none has.
     std::optional<EndpointSlot> choose(const PlacementQuery &query, Instant now);
@@ -57,6 +59,7 @@
         AnyAlive,
     };
 
+    bool isSpared(EndpointSlot slot, Instant now) const;
     bool isCandidate(EndpointSlot slot, const PlacementQuery &query, Choosiness choosiness, Instant now) const;
     std::optional<EndpointSlot> cheapest(const PlacementQuery &query, Choosiness choosiness, Instant now);
     std::optional<EndpointSlot> homeOf(const PlacementQuery &query, Choosiness choosiness, Instant now) const;
@@ -67,6 +70,7 @@
     void ejectUnlessTooMany(EndpointSlot slot, Instant now);
 
     EndpointRoster &m_roster;
+    const ColdStarts &m_coldStarts;
     RandomSource &m_random;
     const std::string m_ownZone;
     const PlacementSettings m_settings;
--- a/src/libradishswitch/serving/endpointlisting.h
+++ b/src/libradishswitch/serving/endpointlisting.h
@@ -25,6 +25,8 @@
     std::uint64_t revision = 0;
     /// It goes on with what it has and wants no new work.
     bool isLeaving = false;
+    /// How much longer it stays cold, as of when the entry was written; zero where it is warm.
+    Duration coldFor{};
 
     bool operator==(const EndpointListing &) const = default;
 };
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace RadishSwitch
 {
@@ -14,7 +15,7 @@
 {
 }
 
-ListedNews EndpointRoster::list(const EndpointListing &listing)
+ListedNews EndpointRoster::list(const EndpointListing &listing, Instant now)
 {
     m_isKnown = true;
     const auto found = m_slots.find(listing.id);
@@ -25,7 +26,7 @@
         }
         const bool wasLeaving = ended != m_endedLives.end() && ended->second.isLeaving
             && listing.bornAtMilliseconds == ended->second.bornAtMilliseconds;
-        at(add(listing)).listing.isLeaving |= wasLeaving;
+        at(add(listing, now)).listing.isLeaving |= wasLeaving;
         return ListedNews::Current;
     }
     RosterEndpoint &known = at(found->second);
@@ -34,15 +35,20 @@
     }
     if (listing.bornAtMilliseconds > known.listing.bornAtMilliseconds) {
         endLife(found->second);
-        add(listing);
+        add(listing, now);
         return ListedNews::Reborn;
     }
     // Leaving is final for one life of an endpoint: a late report of an earlier state must not bring it back.
     const bool isLeaving = known.listing.isLeaving || listing.isLeaving;
     known.isMissed = known.isMissed && listing.revision <= known.listing.revision;
+    // An entry that is read again has not got any colder since.
+    if (listing.revision == 0 || listing.revision > known.listing.revision) {
+        known.coldUntil = now + listing.coldFor;
+    }
     leaveAddress(found->second);
     known.listing = listing;
     known.listing.isLeaving = isLeaving;
+    known.isCordoned = m_cordons.isClosed(listing.zone);
     known.doubtfulUntil.reset();
     takeAddress(found->second);
     return ListedNews::Current;
@@ -107,7 +113,7 @@
     m_slots.erase(at(slot).listing.id);
 }
 
-EndpointSlot EndpointRoster::add(const EndpointListing &listing)
+EndpointSlot EndpointRoster::add(const EndpointListing &listing, Instant now)
 {
     EndpointSlot slot = static_cast<EndpointSlot>(m_endpoints.size());
     if (m_freeSlots.empty()) {
@@ -120,6 +126,8 @@
     endpoint->listing = listing;
     endpoint->hash = rendezvousHash(listing.id.value());
     endpoint->limit = std::max(listing.slots, 1);
+    endpoint->isCordoned = m_cordons.isClosed(listing.zone);
+    endpoint->coldUntil = now + listing.coldFor;
     m_endpoints[slot] = std::move(endpoint);
     m_slots.emplace(listing.id, slot);
     m_pools[listing.pool].push_back(slot);
@@ -171,7 +179,7 @@
     std::vector<EndpointId> reborn;
     for (const EndpointListing &listing : listings) {
         listed.insert(listing.id);
-        if (list(listing) == ListedNews::Reborn) {
+        if (list(listing, now) == ListedNews::Reborn) {
             reborn.push_back(listing.id);
         }
     }
@@ -199,10 +207,59 @@
     if (it.isReplaced) {
         return it.doubtfulUntil ? RosterStanding::Gone : RosterStanding::Replaced;
     }
+    const bool isGone = it.doubtfulUntil && now >= *it.doubtfulUntil;
+    if (it.isCordoned && !isGone) {
+        return RosterStanding::Cordoned;
+    }
     if (!it.doubtfulUntil) {
         return RosterStanding::Usable;
     }
-    return now < *it.doubtfulUntil ? RosterStanding::Doubtful : RosterStanding::Gone;
+    return !isGone ? RosterStanding::Doubtful : RosterStanding::Gone;
+}
+
+std::vector<EndpointSlot> EndpointRoster::setClosedZones(const std::vector<std::string> &zones)
+{
+    m_cordons.replaceAll(zones);
+    return reviewCordons();
+}
+
+void EndpointRoster::closeZone(const std::string &zone)
+{
+    m_cordons.close(zone);
+    reviewCordons();
+}
+
+std::vector<EndpointSlot> EndpointRoster::openZone(const std::string &zone)
+{
+    m_cordons.open(zone);
+    return reviewCordons();
+}
+
+std::vector<EndpointSlot> EndpointRoster::reviewCordons()
+{
+    std::vector<EndpointSlot> opened;
+    for (EndpointSlot slot = 0; slot < m_endpoints.size(); ++slot) {
+        if (!m_endpoints[slot]) {
+            continue;
+        }
+        const bool isCordoned = m_cordons.isClosed(at(slot).listing.zone);
+        if (std::exchange(at(slot).isCordoned, isCordoned) && !isCordoned) {
+            opened.push_back(slot);
+        }
+    }
+    return opened;
+}
+
+std::size_t EndpointRoster::countCold(Instant now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [now](const auto &endpoint) {
+        return endpoint && now < endpoint->coldUntil;
+    }));
+}
+
+void EndpointRoster::extendCold(EndpointSlot slot, Instant until)
+{
+    at(slot).coldUntil = std::max(at(slot).coldUntil, until);
 }
 
 const std::vector<EndpointSlot> &EndpointRoster::pool(const PoolId &pool) const
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "limits/slidingcount.h"
 #include "routing/endpointejection.h"
 #include "routing/endpointstate.h"
 #include "serving/endpointlisting.h"
+#include "serving/zonecordons.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -21,6 +23,8 @@
     /// Its entry has vanished lately, without a word that it leaves. Sent calls only when nothing else is usable.
     Doubtful,
     Leaving,
+    /// Operators keep new calls from its zone.
+    Cordoned,
     /// Another endpoint has its address by now: it has ended, and its entry has yet to lapse.
     Replaced,
     Gone,
@@ -49,6 +53,9 @@
     std::size_t rememberedLives = 10'000;
 };
 
+/// What a cold endpoint bears is told for a second. A call reaches it up to the time later that a new connection takes.
+inline constexpr Duration kColdCallSpan = std::chrono::milliseconds(1150);
+
 /// An endpoint that is or lately was in the platform's list, and what this process has under way there.
 struct RosterEndpoint {
     EndpointListing listing;
@@ -63,6 +70,12 @@
     /// Set once its entry has vanished: until when it is doubtful rather than gone.
     std::optional<Instant> doubtfulUntil;
     Instant vanishedAt{};
+    /// Its zone is closed to new calls.
+    bool isCordoned = false;
+    /// Until when it is taken for cold; the earliest moment where it is warm.
+    Instant coldUntil = Instant::min();
+    /// Calls that this process has sent here while it was cold.
+    SlidingCount coldCalls{kColdCallSpan};
     /// Calls of this process that are under way here.
     int inFlight = 0;
     /// Calls that this process may have under way here. Falls when the endpoint refuses work, and grows back.
@@ -83,7 +96,7 @@
 
     /// Adds an endpoint or takes in what has changed about it. An endpoint that was born anew has a slot of its own:
     /// the load, the hints, the ejection and the leaving of its earlier life say nothing of it.
-    ListedNews list(const EndpointListing &listing);
+    ListedNews list(const EndpointListing &listing, Instant now);
 
     /// The endpoint's entry was removed from the list.
     void unlist(const EndpointId &endpoint, Instant now);
@@ -96,6 +109,29 @@
 
     RosterStanding standing(EndpointSlot slot, Instant now) const;
 
+    /// Operators' orders, as they stand: these zones get no new calls, and all others may. Gives the endpoints whose
+    /// zones are open again.
+    std::vector<EndpointSlot> setClosedZones(const std::vector<std::string> &zones);
+
+    /// One more order, or one that was taken back. As above.
+    void closeZone(const std::string &zone);
+    std::vector<EndpointSlot> openZone(const std::string &zone);
+
+    const ZoneCordons &cordons() const
+    {
+        return m_cordons;
+    }
+
+    /// An endpoint that was not taken for cold, or not for as long, is until then.
+    void extendCold(EndpointSlot slot, Instant until);
+
+    bool isCold(EndpointSlot slot, Instant now) const
+    {
+        return now < at(slot).coldUntil;
+    }
+
+    std::size_t countCold(Instant now) const;
+
     /// Slots of all endpoints of a pool that are not forgotten, in order.
     const std::vector<EndpointSlot> &pool(const PoolId &pool) const;
 
@@ -126,7 +162,8 @@
     }
 
 private:
-    EndpointSlot add(const EndpointListing &listing);
+    EndpointSlot add(const EndpointListing &listing, Instant now);
+    std::vector<EndpointSlot> reviewCordons();
     void endLife(EndpointSlot slot);
     void remember(const EndpointListing &listing);
     void takeAddress(EndpointSlot slot);
@@ -145,6 +182,7 @@
     /// The latest life of each endpoint that was forgotten.
     absl::flat_hash_map<EndpointId, EndpointListing> m_endedLives;
     std::deque<EndpointId> m_endedInOrder;
+    ZoneCordons m_cordons;
     bool m_isKnown = false;
 };
 
--- a/src/libradishswitch/serving/servingconfiguration.h
+++ b/src/libradishswitch/serving/servingconfiguration.h
@@ -17,6 +17,11 @@
     bool hasEngines = false;
     /// Tokens in one event of a stream at most; zero where answers have no tokens.
     int tokensPerEvent = 0;
+    /// Calls a second from all callers together that an endpoint bears while it is cold; zero where that is not
+    /// bounded.
+    double coldCallsPerSecond = 0;
+    /// How long an endpoint stays cold after its start; zero where it never is.
+    Duration coldStart{};
 
     bool operator==(const ServedPool &) const = default;
 };
--- a/tests/core/serving/endpointroster_test.cpp
+++ b/tests/core/serving/endpointroster_test.cpp
@@ -14,6 +14,7 @@
         listing.id = EndpointId(id);
         listing.pool = PoolId("llm");
         listing.address = "10.0.0.1:1";
+        listing.zone = "north";
         listing.slots = 4;
         listing.isLeaving = isLeaving;
         return listing;
@@ -35,15 +36,15 @@
 
 TEST_F(EndpointRosterTest, leaving_isFinalForOneLife)
 {
-    roster.list(listing("a"));
-    roster.list(listing("a", true));
-    roster.list(listing("a"));
+    roster.list(listing("a"), at(0));
+    roster.list(listing("a", true), at(0));
+    roster.list(listing("a"), at(0));
     EXPECT_EQ(standing("a", 0), RosterStanding::Leaving);
 }
 
 TEST_F(EndpointRosterTest, leavingEndpointThatVanishes_isGoneAtOnce)
 {
-    roster.list(listing("a", true));
+    roster.list(listing("a", true), at(0));
     roster.unlist(EndpointId("a"), at(10));
     EXPECT_EQ(standing("a", 10), RosterStanding::Gone);
 }
@@ -51,7 +52,7 @@
 TEST_F(EndpointRosterTest, oneOfMany_thatVanishesUnannounced_isDoubtfulForAWhile)
 {
     for (const char *id : {"a", "b", "c", "d"}) {
-        roster.list(listing(id));
+        roster.list(listing(id), at(0));
     }
     roster.unlist(EndpointId("a"), at(0));
     EXPECT_EQ(standing("a", 1700), RosterStanding::Doubtful);
@@ -64,18 +65,18 @@
 TEST_F(EndpointRosterTest, lapsedList_keepsItsEndpointsUntilTheyAreBack)
 {
     for (const char *id : {"a", "b", "c", "d"}) {
-        roster.list(listing(id));
+        roster.list(listing(id), at(0));
     }
     roster.replaceAll({}, at(0));
     EXPECT_EQ(standing("a", 2500), RosterStanding::Doubtful);
-    roster.list(listing("a"));
+    roster.list(listing("a"), at(0));
     EXPECT_EQ(standing("a", 2600), RosterStanding::Usable);
     EXPECT_EQ(standing("b", 3600), RosterStanding::Gone);
 }
 
 TEST_F(EndpointRosterTest, goneEndpoint_isForgottenOnceNothingIsUnderWayThere)
 {
-    roster.list(listing("a", true));
+    roster.list(listing("a", true), at(0));
     const EndpointSlot slot = *roster.slotOf(EndpointId("a"));
     roster.at(slot).inFlight = 1;
     roster.unlist(EndpointId("a"), at(0));
@@ -89,10 +90,10 @@
 // have announced is of its earlier life: calls that ended there would otherwise free room that the new life never gave.
 TEST_F(EndpointRosterTest, rebornEndpoint_startsAnew)
 {
-    roster.list(listing("a", true));
+    roster.list(listing("a", true), at(0));
     const EndpointSlot before = *roster.slotOf(EndpointId("a"));
     roster.at(before).inFlight = 3;
-    EXPECT_EQ(roster.list(listing("a", false, 2)), ListedNews::Reborn);
+    EXPECT_EQ(roster.list(listing("a", false, 2), at(0)), ListedNews::Reborn);
     const EndpointSlot after = *roster.slotOf(EndpointId("a"));
     ASSERT_NE(before, after);
     EXPECT_EQ(roster.standing(after, at(0)), RosterStanding::Usable);
@@ -106,21 +107,21 @@
 
 TEST_F(EndpointRosterTest, newsOfAnEarlierLife_isIgnored)
 {
-    roster.list(listing("a", false, 2));
-    EXPECT_EQ(roster.list(listing("a", true, 1)), ListedNews::Outdated);
+    roster.list(listing("a", false, 2), at(0));
+    EXPECT_EQ(roster.list(listing("a", true, 1), at(0)), ListedNews::Outdated);
     EXPECT_EQ(standing("a", 0), RosterStanding::Usable);
 }
 
 // The list is read late, from a gateway that was behind: the endpoint has left and is forgotten by then.
 TEST_F(EndpointRosterTest, lateNewsOfAForgottenEndpoint_doesNotBringItBack)
 {
-    roster.list(listing("a", true, 2));
+    roster.list(listing("a", true, 2), at(0));
     roster.unlist(EndpointId("a"), at(0));
     ASSERT_EQ(roster.forgetGone(at(10)).size(), 1U);
-    EXPECT_EQ(roster.list(listing("a", false, 1)), ListedNews::Outdated);
-    roster.list(listing("a", false, 2));
+    EXPECT_EQ(roster.list(listing("a", false, 1), at(0)), ListedNews::Outdated);
+    roster.list(listing("a", false, 2), at(0));
     EXPECT_EQ(standing("a", 20), RosterStanding::Leaving);
-    roster.list(listing("a", false, 3));
+    roster.list(listing("a", false, 3), at(0));
     EXPECT_EQ(standing("a", 30), RosterStanding::Usable);
 }
 
@@ -134,6 +135,50 @@
     EXPECT_EQ(roster.pool(PoolId("llm")).size(), 2U);
 }
 
+TEST_F(EndpointRosterTest, closedZone_itsEndpointsGetNothingUntilItIsOpen)
+{
+    roster.list(listing("a"), at(0));
+    roster.setClosedZones({"north"});
+    EXPECT_EQ(standing("a", 0), RosterStanding::Cordoned);
+    EXPECT_EQ(roster.openZone("north"), std::vector<EndpointSlot>{*roster.slotOf(EndpointId("a"))});
+    EXPECT_EQ(standing("a", 0), RosterStanding::Usable);
+}
+
+// Guards against calls into a closed zone by way of an endpoint that is listed after the order.
+TEST_F(EndpointRosterTest, endpointListedInAClosedZone_getsNothing)
+{
+    roster.closeZone("north");
+    roster.list(listing("a"), at(0));
+    roster.closeZone("south");
+    EXPECT_EQ(standing("a", 0), RosterStanding::Cordoned);
+}
+
+// Guards against calls into a closed zone that go to an endpoint whose entry has lapsed there.
+TEST_F(EndpointRosterTest, doubtfulEndpointOfAClosedZone_getsNothing)
+{
+    roster.list(listing("a"), at(0));
+    roster.closeZone("north");
+    roster.unlist(EndpointId("a"), at(0));
+    EXPECT_EQ(standing("a", 100), RosterStanding::Cordoned);
+    EXPECT_EQ(standing("a", 4000), RosterStanding::Gone);
+}
+
+// Guards against an endpoint that is taken for cold again and again by one entry that is read several times.
+TEST_F(EndpointRosterTest, coldEntry_readAgain_isNoColderThanBefore)
+{
+    EndpointListing it = listing("a");
+    it.revision = 4;
+    it.coldFor = std::chrono::seconds(3);
+    roster.list(it, at(0));
+    const EndpointSlot slot = *roster.slotOf(EndpointId("a"));
+    roster.list(it, at(2000));
+    EXPECT_TRUE(roster.isCold(slot, at(2999)));
+    EXPECT_FALSE(roster.isCold(slot, at(3000)));
+    it.revision = 5;
+    roster.list(it, at(4000));
+    EXPECT_TRUE(roster.isCold(slot, at(6999)));
+}
+
 /// Entries of the store at revisions of their own, all for one address.
 class ReplacedEndpointTest : public EndpointRosterTest
 {
@@ -142,7 +187,7 @@
     {
         EndpointListing it = listing(id);
         it.revision = revision;
-        roster.list(it);
+        roster.list(it, at(0));
     }
 
     void miss(const std::string &id)
--- a/tests/core/serving/fleetload_test.cpp
+++ b/tests/core/serving/fleetload_test.cpp
@@ -41,7 +41,8 @@
         for (int n = 0; n < kGateways; ++n) {
             CallGateSettings settings;
             settings.placement = placement;
-            gates.push_back(std::make_unique<CallGate>(timers, random, zone(n), settings));
+            gates.push_back(
+                std::make_unique<CallGate>(timers, random, "gateway-" + std::to_string(n), zone(n), settings));
             list(*gates.back());
         }
         Outcome outcome;
@@ -76,7 +77,7 @@
             listing.address = "10.0.0." + std::to_string(n) + ":1";
             listing.zone = zone(n);
             listing.slots = 64;
-            gate.roster().list(listing);
+            gate.roster().list(listing, Instant());
         }
         gate.noteRosterChanged();
     }
--- a/tests/core/serving/servingload_test.cpp
+++ b/tests/core/serving/servingload_test.cpp
@@ -16,7 +16,7 @@
     static constexpr Duration kTarget = Milliseconds(250);
 
     ServingLoadTest()
-        : gate(timers, random, "a")
+        : gate(timers, random, "gateway", "a")
         , engines(timers, kEngines)
     {
     }
@@ -30,7 +30,7 @@
             listing.address = "10.0.0." + std::to_string(n) + ":1";
             listing.zone = "a";
             listing.slots = slots;
-            gate.roster().list(listing);
+            gate.roster().list(listing, Instant());
         }
         gate.noteRosterChanged();
     }
--- /dev/null
+++ b/tests/radishswitch-gateway/closedzones_test.cpp
@@ -0,0 +1,87 @@
+#include "gatewayfixture.h"
+
+using namespace RadishSwitch;
+
+/// A gateway where operators may close zones; both endpoints are in zone "a".
+class ClosedZonesTest : public GatewayFixture
+{
+protected:
+    GatewaySettings gatewaySettings() override
+    {
+        GatewaySettings settings = GatewayFixture::gatewaySettings();
+        settings.cordonBound = std::chrono::seconds(5);
+        return settings;
+    }
+
+    int statusOf(HttpRequest request)
+    {
+        const auto response = call(std::move(request));
+        return response.ok() ? response->status : 0;
+    }
+
+    void close(const std::string &zone)
+    {
+        onStandins([&] {
+            putObject("evacuations", zone, Json::object());
+        });
+    }
+
+    void open(const std::string &zone)
+    {
+        onStandins([&] {
+            store.table().remove("evacuations", zone, std::nullopt);
+        });
+    }
+
+    void waitForStatus(int status)
+    {
+        waitUntil([this, status] {
+            return statusOf(request("/safe/1", "asked-" + std::to_string(++m_asked))) == status;
+        });
+    }
+
+private:
+    int m_asked = 0;
+};
+
+// Guards against calls into a closed zone, and against a zone that stays closed.
+TEST_F(ClosedZonesTest, closedZone_callsAreRefusedUntilItIsOpen)
+{
+    start();
+    EXPECT_EQ(statusOf(request("/safe/1", "before")), 200);
+    close("a");
+    waitForStatus(503);
+    EXPECT_EQ(statusOf(request("/order/1", "meanwhile")), 503);
+    EXPECT_EQ(runs("meanwhile"), 0);
+    open("a");
+    waitForStatus(200);
+}
+
+// Guards against a gateway that starts while a zone is closed and sends calls there before it has heard of the order.
+TEST_F(ClosedZonesTest, gatewayThatStarts_knowsOfAnOlderOrder)
+{
+    close("a");
+    start();
+    EXPECT_EQ(statusOf(request("/safe/1", "first")), 503);
+    EXPECT_EQ(runs("first"), 0);
+}
+
+// Guards against an outage by an order for a zone that nobody knows.
+TEST_F(ClosedZonesTest, unknownZone_changesNothing)
+{
+    close("nowhere");
+    start();
+    EXPECT_EQ(statusOf(request("/safe/1", "first")), 200);
+}
+
+// Guards against a zone that stays closed for ever, because its opening fell into history that the store has dropped.
+TEST_F(ClosedZonesTest, openingWhileStoreForgetsItsHistory_isLearntFromAList)
+{
+    close("a");
+    start();
+    onStandins([this] {
+        store.table().remove("evacuations", "a", std::nullopt);
+        store.table().compact();
+    });
+    waitForStatus(200);
+}
