A planned removal of half a pool is no lapse of the list

Cause: an endpoint whose entry vanishes unannounced stays usable for 1.8 s, and for 3.5 s where half of its pool vanishes at once, since entries lapse while the store is away. A scale-in of two endpoints of four looked the same, and calls reached them up to 3.1 s after, beyond the 3 s that such endpoints serve for. The line of all gateways: gone from the list at 6.02 s; the call that broke the rule was placed at 9.03 s.

Change: the longer time holds only within 3 s after the store was back. The test of a lapse now says that there was an outage; the test of a removal failed before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -220,6 +220,7 @@
     follower.setContactCallback([this, prefix](bool isReached) {
         if (isReached) {
             m_homes.forgetFailures();
+            m_gate.roster().noteStoreBack(m_timers.now());
         }
         kLog.warning(isReached ? "store reached again" : "store lost", {field("prefix", prefix)});
     });
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -154,6 +154,9 @@
 // and come back with the endpoints' next heartbeats. Believing the list then would leave a pool without any endpoint.
 bool EndpointRoster::isLapse(const PoolId &pool, Instant now) const
 {
+    if (!m_storeBackAt || now - *m_storeBackAt > m_settings.lapseAfterOutage) {
+        return false;
+    }
     const std::vector<EndpointSlot> &slots = this->pool(pool);
     const auto vanished = std::ranges::count_if(slots, [&](EndpointSlot slot) {
         const RosterEndpoint &it = at(slot);
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -44,8 +44,11 @@
     /// An endpoint whose entry vanished unannounced stays usable for so long. Entries lapse while the platform's store
     /// is away, and are back about two seconds after it; one that really leaves goes on serving for at least as long.
     Duration vanishedGrace = std::chrono::milliseconds(1800);
-    /// The same when at least `lapseShare` of a pool vanishes within `lapseWindow`: that is a lapse of the list.
+    /// The same when at least `lapseShare` of a pool vanishes within `lapseWindow`, no later than `lapseAfterOutage`
+    /// after the store was back: that is a lapse of the list. While the store is sound the same is a planned removal
+    /// of half a pool, whose endpoints serve no longer than they must.
     Duration lapseGrace = std::chrono::milliseconds(3500);
+    Duration lapseAfterOutage = std::chrono::seconds(3);
     double lapseShare = 0.5;
     Duration lapseWindow = std::chrono::milliseconds(500);
     /// Ids whose latest life is remembered after they are forgotten, so that late news does not bring it back. Some
@@ -101,6 +104,12 @@
     /// The endpoint's entry was removed from the list.
     void unlist(const EndpointId &endpoint, Instant now);
 
+    /// The store answers again, after an outage in which entries may have lapsed.
+    void noteStoreBack(Instant now)
+    {
+        m_storeBackAt = now;
+    }
+
     /// Another endpoint answered at this one's address.
     void noteMissed(EndpointSlot slot);
 
@@ -183,6 +192,7 @@
     absl::flat_hash_map<EndpointId, EndpointListing> m_endedLives;
     std::deque<EndpointId> m_endedInOrder;
     ZoneCordons m_cordons;
+    std::optional<Instant> m_storeBackAt;
     bool m_isKnown = false;
 };
 
--- a/tests/core/serving/endpointroster_test.cpp
+++ b/tests/core/serving/endpointroster_test.cpp
@@ -67,6 +67,7 @@
     for (const char *id : {"a", "b", "c", "d"}) {
         roster.list(listing(id), at(0));
     }
+    roster.noteStoreBack(at(0));
     roster.replaceAll({}, at(0));
     EXPECT_EQ(standing("a", 2500), RosterStanding::Doubtful);
     roster.list(listing("a"), at(0));
@@ -74,6 +75,20 @@
     EXPECT_EQ(standing("b", 3600), RosterStanding::Gone);
 }
 
+// Guards against calls that reach endpoints seconds after they were taken away: half of a pool is removed unannounced
+// while the store is sound, which is no lapse of the list.
+TEST_F(EndpointRosterTest, halfOfAPoolRemovedWhileTheStoreIsSound_isGoneAsOneWouldBe)
+{
+    for (const char *id : {"a", "b", "c", "d"}) {
+        roster.list(listing(id), at(0));
+    }
+    roster.noteStoreBack(at(0));
+    roster.unlist(EndpointId("a"), at(5000));
+    roster.unlist(EndpointId("b"), at(5000));
+    EXPECT_EQ(standing("a", 6700), RosterStanding::Doubtful);
+    EXPECT_EQ(standing("a", 6900), RosterStanding::Gone);
+}
+
 TEST_F(EndpointRosterTest, goneEndpoint_isForgottenOnceNothingIsUnderWayThere)
 {
     roster.list(listing("a", true), at(0));
