A part of a plain service's calls is turned away while its endpoints answer late

Cause: a plain service that has lost endpoints gets a little more than it can do.

Change: AnswerPressure learns from how many answers of an endpoint come later than 0.7 of the target; calls are turned away by the pressure of the least pressed endpoint, with the time to come back.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -146,6 +146,11 @@
     const auto patience =
         std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.patienceTargets;
     query.deadline = std::min(m_deadline, m_startedAt + std::chrono::duration_cast<Duration>(patience));
+    if (!m_route->isStreamed) {
+        const auto late =
+            std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.lateShare;
+        query.lateAfter = std::chrono::duration_cast<Duration>(late);
+    }
     query.excluded = m_tried;
     if (m_attempt.connection) {
         query.excluded.push_back(m_attempt.placement.endpoint);
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -39,6 +39,9 @@
     Duration refusalBody = std::chrono::milliseconds(200);
     /// A call may wait in the queue for so many times its target latency.
     double patienceTargets = 1.5;
+    /// An answer that an endpoint takes longer for than this part of the target latency comes late, or nearly so: the
+    /// rest is for the ways and for waiting.
+    double lateShare = 0.7;
     /// Without a caller's or a route's word.
     Duration longestCall = std::chrono::seconds(30);
 };
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -56,6 +56,7 @@
     parser.addNumber("retry-burst", settings.retryBurst, 0, kMostRetries, "further attempts that may be saved up");
     parser.addFlag("take-all-calls", settings.takesAllCalls, "refuse no call for want of processor time");
     parser.add("shed-target", settings.shedding.target, "how late the process may run and still take every call");
+    parser.addFlag("ignore-pressure", settings.ignoresPressure, "send calls also where endpoints answer late already");
     addPlacementSettings(parser, settings.placement);
 }
 
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -40,6 +40,8 @@
     /// Calls are read also while this gateway has no processor time for them, and never refused unread.
     bool takesAllCalls = false;
     LoadShedderSettings shedding;
+    /// Calls are sent also where endpoints answer late already.
+    bool ignoresPressure = false;
 };
 
 void addGatewaySettings(SettingsParser &parser, GatewaySettings &settings);
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -73,6 +73,7 @@
 {
     CallGateSettings gate;
     gate.placement = settings.placement;
+    gate.ignoresPressure = settings.ignoresPressure;
     gate.coldStarts = settings.coldStarts;
     return gate;
 }
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -10,6 +10,7 @@
 CallGate::CallGate(TimerService &timers, RandomSource &random, std::string self, std::string ownZone,
                    CallGateSettings settings)
     : m_timers(timers)
+    , m_random(random)
     , m_settings(settings)
     , m_coldStarts(std::move(self), settings.coldStarts)
     , m_roster(settings.roster)
@@ -51,6 +52,11 @@
 
 void CallGate::place(const PlacementQuery &query, Callback callback)
 {
+    if (isTurnedAway(query)) {
+        return callback(makeFailure(FailureCode::Overloaded,
+                                    "the endpoints of pool " + query.pool.value() + " answer late already",
+                                    m_settings.pressedRetryAfter));
+    }
     const auto queue = m_queues.find(query.pool);
     const bool isQueueEmpty = queue == m_queues.end() || queue->second.size() == 0;
     if (isQueueEmpty && tryPlace(query, callback)) {
@@ -70,6 +76,15 @@
     wait(query, std::move(callback));
 }
 
+bool CallGate::isTurnedAway(const PlacementQuery &query)
+{
+    if (query.lateAfter == Duration::zero() || m_settings.ignoresPressure) {
+        return false;
+    }
+    const double pressure = m_placement.pressure(query, m_timers.now());
+    return pressure > 0 && m_random.fraction() < pressure;
+}
+
 bool CallGate::tryPlace(const PlacementQuery &query, Callback &callback)
 {
     const Instant now = m_timers.now();
@@ -81,7 +96,7 @@
     const Placement placement{++m_lastPlacement, listing.id, listing.address, listing.zone,
                               m_placement.expectedFirstAnswer(*slot, query, now)};
     const std::int64_t unread = m_placement.noteSent(*slot, query, now);
-    m_placed.insert_or_assign(placement.id, Placed{*slot, query.pool, unread, now});
+    m_placed.insert_or_assign(placement.id, Placed{*slot, query.pool, unread, now, query.lateAfter});
     callback(placement);
     return true;
 }
@@ -162,12 +177,23 @@
     if (!placed.isAnswered) {
         m_placement.noteRead(placed.slot, placed.unread);
     }
+    notePressure(placed, end);
     // A silence that was counted when it was noticed is not counted again.
     const bool isCounted = end == RunEnd::Failed && placed.isSilent;
     m_placement.noteEnded(placed.slot, isCounted ? RunEnd::Cancelled : end, m_timers.now());
     admitWaiting(placed.pool);
 }
 
+// A refusal by an endpoint says that its queue is full. What failed, or was left, says nothing of its load.
+void CallGate::notePressure(const Placed &placed, RunEnd end)
+{
+    if (placed.lateAfter == Duration::zero() || end == RunEnd::Failed || end == RunEnd::Cancelled) {
+        return;
+    }
+    const Instant now = m_timers.now();
+    m_placement.notePressure(placed.slot, end == RunEnd::Refused || now - placed.at > placed.lateAfter, now);
+}
+
 // The order is the queue's. A call that can't be placed now, because the endpoints that have room are those that it has
 // tried, goes back into the queue and ends the round.
 void CallGate::admitWaiting(const PoolId &pool)
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -19,6 +19,10 @@
     Duration expiryInterval = std::chrono::milliseconds(50);
     /// When to come back where a pool has no endpoint at all: a platform's list settles in about that time.
     std::chrono::milliseconds noEndpointRetryAfter{500};
+    /// When to come back where all endpoints answer late: their queues have drained by then.
+    std::chrono::milliseconds pressedRetryAfter{250};
+    /// Calls are sent also where endpoints answer late already.
+    bool ignoresPressure = false;
     PlacementSettings placement;
     EndpointRosterSettings roster;
     ColdStartSettings coldStarts;
@@ -102,11 +106,15 @@
         PoolId pool;
         std::int64_t unread = 0;
         Instant at{};
+        /// As in the query.
+        Duration lateAfter{};
         bool isAnswered = false;
         bool isSilent = false;
     };
 
     void takeForCold(const std::vector<EndpointSlot> &slots);
+    bool isTurnedAway(const PlacementQuery &query);
+    void notePressure(const Placed &placed, RunEnd end);
     bool tryPlace(const PlacementQuery &query, Callback &callback);
     void wait(const PlacementQuery &query, Callback callback);
     void admitWaiting(const PoolId &pool);
@@ -116,6 +124,7 @@
     static QueuedRequest queued(const PlacementQuery &query);
 
     TimerService &m_timers;
+    RandomSource &m_random;
     const CallGateSettings m_settings;
     ColdStarts m_coldStarts;
     EndpointRoster m_roster;
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -191,6 +191,25 @@
                                                             : it->second.tokensPerSecond();
 }
 
+// One slow endpoint is left to placement, which sends calls elsewhere; only where the least pressed one is pressed too
+// is there more work than the pool can do in time.
+double CallPlacement::pressure(const PlacementQuery &query, Instant now) const
+{
+    std::optional<double> least;
+    for (const EndpointSlot slot : m_roster.pool(query.pool)) {
+        if (isCandidate(slot, query, Choosiness::Usual, now)) {
+            const double pressure = m_roster.at(slot).pressure.value(now);
+            least = least ? std::min(*least, pressure) : pressure;
+        }
+    }
+    return least.value_or(0);
+}
+
+void CallPlacement::notePressure(EndpointSlot slot, bool isLate, Instant now)
+{
+    m_roster.at(slot).pressure.noteAnswer(isLate, now);
+}
+
 std::int64_t CallPlacement::noteSent(EndpointSlot slot, const PlacementQuery &query, Instant now)
 {
     RosterEndpoint &it = m_roster.at(slot);
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -33,6 +33,12 @@
     /// Whether the pool has any endpoint that may be sent new calls, with room or not.
     bool hasUsable(const PlacementQuery &query, Instant now) const;
 
+    /// The part of such calls that is to be turned away, since the endpoints that could take them answer late already.
+    double pressure(const PlacementQuery &query, Instant now) const;
+
+    /// How a call went that tells whether its endpoint is sent too much.
+    void notePressure(EndpointSlot slot, bool isLate, Instant now);
+
     /// A call was sent. Gives the prompt tokens that the endpoint has to read for it.
     std::int64_t noteSent(EndpointSlot slot, const PlacementQuery &query, Instant now);
 
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "limits/answerpressure.h"
 #include "limits/slidingcount.h"
 #include "routing/endpointejection.h"
 #include "routing/endpointstate.h"
@@ -88,6 +89,8 @@
     /// By how much first answers lately came later than expected, in seconds, and when that was noted.
     double delaySeconds = 0;
     Instant delayNotedAt{};
+    /// By the answers of calls that tell it.
+    AnswerPressure pressure;
     EndpointEjection ejection;
 };
 
--- a/src/libradishswitch/serving/placementquery.h
+++ b/src/libradishswitch/serving/placementquery.h
@@ -19,6 +19,9 @@
     Instant deadline{};
     /// Endpoints that earlier attempts of the call have tried.
     std::vector<EndpointId> excluded;
+    /// An answer that takes longer tells that its endpoint is sent too much; zero for calls whose answers tell nothing
+    /// of the kind, since they take as long as they are large.
+    Duration lateAfter{};
 
     bool operator==(const PlacementQuery &) const = default;
 };
