Endpoints that answer with failures of their own are left out like those that break off

Cause: an answer of 500 that an endpoint signed counted as success for it, so that one that fails half of its calls while its health is good kept its full part of them.

Change: a passed-on answer of 500 or above counts against its endpoint. The test failed before (16 of 40 calls failed).

Tried and taken out: a second endpoint for safe calls that one answered with a failure.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -354,6 +354,11 @@
     return status >= 200 && status < 300;
 }
 
+bool Call::isServerError(int status)
+{
+    return status >= 500;
+}
+
 bool Call::mayRunAgain() const
 {
     return m_route->repetition != Repetition::Never;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -39,6 +39,8 @@
         /// Whether an answer to another call is being read, behind which that of this one comes.
         bool isInStrayAnswer = false;
         bool isSilenceLogged = false;
+        /// The endpoint's answer, which is passed on, says that it failed the call.
+        bool hasFailed = false;
     };
 
     /// Nothing when the caller has its answer.
@@ -74,6 +76,7 @@
     AttemptEnd endUnanswered(const Attempt &attempt, const absl::Status &status);
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
     void finish(Attempt &attempt, AttemptResult result);
+    RunEnd runEndOf(const Attempt &attempt, AttemptResult result) const;
     AtExpiry atExpiry(Duration wait) const;
     void logAttempt(const Attempt &attempt, AttemptEnd end) const;
     Duration silentFor(const Attempt &attempt) const;
@@ -107,6 +110,7 @@
     Duration within(Duration span) const;
     bool mayRunAgain() const;
     static bool isSuccess(int status);
+    static bool isServerError(int status);
 
     CallServices &m_services;
     HttpExchange &m_exchange;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -15,7 +15,7 @@
 
 const Log kLog("call");
 
-RunEnd runEndOf(AttemptEnd end)
+RunEnd runEndWithoutAnswer(AttemptEnd end)
 {
     switch (end) {
     case AttemptEnd::RefusedByEndpoint:
@@ -148,8 +148,7 @@
     if (result == AttemptEnd::WrongEndpoint) {
         m_services.gate.noteMissed(attempt.placement.id);
     }
-    const RunEnd end = !result ? RunEnd::Ok : m_isCallerGone ? RunEnd::Cancelled : runEndOf(*result);
-    m_services.gate.noteEnded(attempt.placement.id, end);
+    m_services.gate.noteEnded(attempt.placement.id, runEndOf(attempt, result));
     if (result) {
         logAttempt(attempt, *result);
         m_tried.push_back(attempt.placement.endpoint);
@@ -160,6 +159,15 @@
     }
 }
 
+// An endpoint that fails many calls while its health is good shows it by its answers alone.
+RunEnd Call::runEndOf(const Attempt &attempt, AttemptResult result) const
+{
+    if (!result) {
+        return attempt.hasFailed ? RunEnd::Failed : RunEnd::Ok;
+    }
+    return m_isCallerGone ? RunEnd::Cancelled : runEndWithoutAnswer(*result);
+}
+
 // A wait that ends before the call does is only a reason to look for another endpoint.
 AtExpiry Call::atExpiry(Duration wait) const
 {
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -28,6 +28,7 @@
     if (!head->isSigned || (m_hasBegun && !isSuccess(head->status))) {
         co_return AttemptEnd::Broken;
     }
+    m_attempt.hasFailed = isServerError(head->status);
     const bool isStream = m_route->isStreamed && isSuccess(head->status);
     const AttemptResult result = isStream ? co_await relayStream(*head) : co_await relayWhole(*head);
     if (!result) {
--- a/tests/radishswitch-gateway/gatewaycalls_test.cpp
+++ b/tests/radishswitch-gateway/gatewaycalls_test.cpp
@@ -126,6 +126,25 @@
     }
 }
 
+// Guards against callers that go on being sent to an endpoint that fails its calls while its health is good.
+TEST_F(GatewayCallsTest, endpointThatAnswersWithFailures_isLeftOut)
+{
+    constexpr int kCalls = 40;
+    start();
+    addSecond();
+    onStandins([this] {
+        first.addFaults(ReplicaServer::Fault::Fail, kCalls);
+    });
+    int failed = 0;
+    for (int n = 0; n < kCalls; ++n) {
+        const auto response = call(request("/order/1", "call-" + std::to_string(n)));
+        ASSERT_TRUE(response.ok()) << response.status();
+        failed += response->status == 500 ? 1 : 0;
+    }
+    EXPECT_GE(failed, 1);
+    EXPECT_LE(failed, kCalls / 5);
+}
+
 // An endpoint breaks off in the middle of an event. The caller sees no gap: another goes on behind the last whole
 // event, and the half one is never shown.
 TEST_F(GatewayCallsTest, resumableStreamBrokenOff_goesOnWithoutGapOrRepetition)
