Routes and organisations may be bound to regions

What is bound and can go nowhere is refused at once; a bound call at the head of the line no longer holds up those behind it. A bound that can't be read makes the configuration malformed, and the last good one stays.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -146,6 +146,8 @@
     const auto patience =
         std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.patienceTargets;
     query.deadline = std::min(m_deadline, m_startedAt + std::chrono::duration_cast<Duration>(patience));
+    query.regions = RegionBound(m_route->allowedRegions,
+                                m_organisation ? m_organisation->allowedRegions : std::vector<std::string>());
     if (!m_route->isStreamed) {
         const auto late =
             std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.lateShare;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -1,5 +1,9 @@
 #include "gatewaysettings.h"
 
+#include "base/failure.h"
+
+#include <absl/strings/str_split.h>
+
 namespace RadishSwitch
 {
 
@@ -34,12 +38,30 @@
 
 }
 
+absl::StatusOr<std::map<std::string, std::string>> parseZoneRegions(const std::string &text)
+{
+    std::map<std::string, std::string> regions;
+    for (const absl::string_view item : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+        const std::vector<std::string> fields = absl::StrSplit(item, '=');
+        if (fields.size() != 2 || fields[0].empty() || fields[1].empty()) {
+            return makeFailure(FailureCode::InvalidSettings,
+                               "zone-regions: \"" + std::string(item) + "\" is not ZONE=REGION");
+        }
+        regions[fields[0]] = fields[1];
+    }
+    return regions;
+}
+
 void addGatewaySettings(SettingsParser &parser, GatewaySettings &settings)
 {
     addFleetSettings(parser, settings);
     parser.add("listen", settings.listen, "where callers come in");
     parser.add("drain-notice", settings.drainNotice, "how long it goes on taking calls after it was told to stop");
     parser.add("change-bound", settings.changeBound, "within this a change in the store has to be in force");
+    parser.add("zone-regions", settings.zoneRegions, "regions by their availability zones: \"north=east,south=east\"");
+    parser.addCheck([&settings] {
+        return parseZoneRegions(settings.zoneRegions).status();
+    });
     parser.add("cordon-bound", settings.cordonBound,
                "within this an order that a zone gets no new calls has to be in force; 0ms for no such orders");
     parser.addNumber("cold-overshoot", settings.coldStarts.overshoot, kLeastColdOvershoot, kMostColdOvershoot,
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -5,6 +5,11 @@
 #include "serving/coldstarts.h"
 #include "serving/placementsettings.h"
 
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+
 namespace RadishSwitch
 {
 
@@ -19,6 +24,8 @@
     Duration changeBound = std::chrono::seconds(2);
     /// Within this an order that a zone gets no new calls has to be in force; zero where no such orders are given.
     Duration cordonBound{};
+    /// Regions by their availability zones: "north=east,south=east".
+    std::string zoneRegions;
     /// Share of the change bound that a watch without news waits before the store is asked anew.
     double watchShare = 0.4;
     /// How long callers that come before the configuration is known wait unread. They give up after a second; a gateway
@@ -44,6 +51,9 @@
     bool ignoresPressure = false;
 };
 
+/// Reads "north=east,south=east"; InvalidSettings for anything else.
+absl::StatusOr<std::map<std::string, std::string>> parseZoneRegions(const std::string &text);
+
 void addGatewaySettings(SettingsParser &parser, GatewaySettings &settings);
 
 }
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -75,6 +75,8 @@
     gate.placement = settings.placement;
     gate.ignoresPressure = settings.ignoresPressure;
     gate.coldStarts = settings.coldStarts;
+    // Checked when the settings were read.
+    gate.roster.zoneRegions = parseZoneRegions(settings.zoneRegions).value_or(std::map<std::string, std::string>());
     return gate;
 }
 
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -194,16 +194,18 @@
     m_placement.notePressure(placed.slot, end == RunEnd::Refused || now - placed.at > placed.lateAfter, now);
 }
 
-// The order is the queue's. A call that can't be placed now, because the endpoints that have room are those that it has
-// tried, goes back into the queue and ends the round.
+// The order is the queue's. A call that can't be placed now, because the endpoints that have room are none that it may
+// be sent, goes back into the queue, and those behind it are looked at: a few only, since each is ranked anew.
 void CallGate::admitWaiting(const PoolId &pool)
 {
     const auto queue = m_queues.find(pool);
     if (queue == m_queues.end()) {
         return;
     }
+    constexpr std::size_t kMostMisfits = 4;
     const Instant now = m_timers.now();
-    while (queue->second.size() > 0) {
+    std::vector<Waiting> misfits;
+    while (queue->second.size() > 0 && misfits.size() < kMostMisfits) {
         PlacementQuery probe;
         probe.pool = pool;
         if (!m_placement.choose(probe, now)) {
@@ -219,10 +221,12 @@
         }
         Waiting waiting = std::move(node.mapped());
         if (!tryPlace(waiting.query, waiting.callback)) {
-            wait(waiting.query, std::move(waiting.callback));
-            break;
+            misfits.push_back(std::move(waiting));
         }
     }
+    for (Waiting &misfit : misfits) {
+        wait(misfit.query, std::move(misfit.callback));
+    }
     refuse(queue->second.expire(now));
 }
 
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -67,8 +67,9 @@
     }
     const std::vector<EndpointSlot> &slots = m_roster.pool(query.pool);
     const bool isUsualBusy = std::ranges::any_of(slots, [&](EndpointSlot slot) {
-        return m_roster.standing(slot, now) == RosterStanding::Usable && m_roster.at(slot).ejection.isAllowed(now)
-            && m_roster.at(slot).inFlight > 0;
+        const RosterEndpoint &it = m_roster.at(slot);
+        return query.regions.allows(it.region) && m_roster.standing(slot, now) == RosterStanding::Usable
+            && it.ejection.isAllowed(now) && it.inFlight > 0;
     });
     return isUsualBusy ? std::nullopt : cheapest(query, Choosiness::AnyAlive, now);
 }
@@ -77,7 +78,8 @@
 {
     return std::ranges::any_of(m_roster.pool(query.pool), [&](EndpointSlot slot) {
         const RosterStanding standing = m_roster.standing(slot, now);
-        return standing == RosterStanding::Usable || standing == RosterStanding::Doubtful;
+        return query.regions.allows(m_roster.at(slot).region)
+            && (standing == RosterStanding::Usable || standing == RosterStanding::Doubtful);
     });
 }
 
@@ -96,7 +98,7 @@
 {
     const RosterEndpoint &it = m_roster.at(slot);
     const RosterStanding standing = m_roster.standing(slot, now);
-    if (it.inFlight >= static_cast<int>(it.limit)
+    if (it.inFlight >= static_cast<int>(it.limit) || !query.regions.allows(it.region)
         || std::ranges::find(query.excluded, it.listing.id) != query.excluded.end() || isSpared(slot, now)) {
         return false;
     }
@@ -141,7 +143,7 @@
     std::optional<EndpointSlot> home;
     std::uint64_t best = 0;
     for (const EndpointSlot slot : m_roster.pool(query.pool)) {
-        if (m_roster.standing(slot, now) != RosterStanding::Usable
+        if (m_roster.standing(slot, now) != RosterStanding::Usable || !query.regions.allows(m_roster.at(slot).region)
             || (choosiness == Choosiness::Usual && !m_roster.at(slot).ejection.isAllowed(now))) {
             continue;
         }
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -11,7 +11,7 @@
 {
 
 EndpointRoster::EndpointRoster(EndpointRosterSettings settings)
-    : m_settings(settings)
+    : m_settings(std::move(settings))
 {
 }
 
@@ -48,6 +48,7 @@
     leaveAddress(found->second);
     known.listing = listing;
     known.listing.isLeaving = isLeaving;
+    known.region = regionOf(listing.zone);
     known.isCordoned = m_cordons.isClosed(listing.zone);
     known.doubtfulUntil.reset();
     takeAddress(found->second);
@@ -126,6 +127,7 @@
     endpoint->listing = listing;
     endpoint->hash = rendezvousHash(listing.id.value());
     endpoint->limit = std::max(listing.slots, 1);
+    endpoint->region = regionOf(listing.zone);
     endpoint->isCordoned = m_cordons.isClosed(listing.zone);
     endpoint->coldUntil = now + listing.coldFor;
     m_endpoints[slot] = std::move(endpoint);
@@ -135,6 +137,12 @@
     return slot;
 }
 
+std::string EndpointRoster::regionOf(const std::string &zone) const
+{
+    const auto it = m_settings.zoneRegions.find(zone);
+    return it == m_settings.zoneRegions.end() ? std::string() : it->second;
+}
+
 void EndpointRoster::unlist(const EndpointId &endpoint, Instant now)
 {
     const auto it = m_slots.find(endpoint);
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -55,6 +56,8 @@
     /// Ids whose latest life is remembered after they are forgotten, so that late news does not bring it back. Some
     /// 100 bytes each; a day with a release of 400 endpoints each hour has fewer.
     std::size_t rememberedLives = 10'000;
+    /// Regions by their availability zones.
+    std::map<std::string, std::string> zoneRegions;
 };
 
 /// What a cold endpoint bears is told for a second. A call reaches it up to the time later that a new connection takes.
@@ -63,6 +66,8 @@
 /// An endpoint that is or lately was in the platform's list, and what this process has under way there.
 struct RosterEndpoint {
     EndpointListing listing;
+    /// Empty where the region of its zone is not known.
+    std::string region;
     /// By which it takes part in rendezvous hashing.
     std::uint64_t hash = 0;
     /// The endpoint lives on in another slot.
@@ -174,6 +179,7 @@
     }
 
 private:
+    std::string regionOf(const std::string &zone) const;
     EndpointSlot add(const EndpointListing &listing, Instant now);
     std::vector<EndpointSlot> reviewCordons();
     void endLife(EndpointSlot slot);
--- a/src/libradishswitch/serving/servingconfiguration.h
+++ b/src/libradishswitch/serving/servingconfiguration.h
@@ -34,6 +34,8 @@
     std::optional<int> priority;
     /// Tokens paid for in all; nothing where the organisation's use is not limited.
     std::optional<std::int64_t> prepaidTokens;
+    /// Regions to which its calls are bound; none where they are not bound.
+    std::vector<std::string> allowedRegions;
 
     bool operator==(const ServedOrganisation &) const = default;
 };
--- a/src/libradishswitch/serving/servingroute.h
+++ b/src/libradishswitch/serving/servingroute.h
@@ -48,6 +48,8 @@
     int maximumAttempts = 1;
     /// 0 is the most urgent.
     int priority = 0;
+    /// Regions to which its calls are bound; none where they are not bound.
+    std::vector<std::string> allowedRegions;
 
     bool operator==(const ServingRoute &) const = default;
 };
--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -203,3 +203,52 @@
         EXPECT_FALSE(catalogue.readEndpoint({key, entry("", ""), 3}).ok()) << id;
     }
 }
+
+TEST_F(PlatformAdapterTest, regionsAndColdStarts_areRead)
+{
+    const auto configuration = catalogue.readConfiguration(configurationObject(R"({"version":7,"routes":[
+        {"host":"h","path-prefix":"/a/","kind":"safe","service":"x","allowed-regions":["east","west"]}],
+        "services":[{"name":"x","cold-start-s":3.0,"cold-per-s":18.0}],
+        "tenants":[{"name":"o","allowed-regions":["west"]}]})"));
+    ASSERT_TRUE(configuration.ok()) << configuration.status();
+    EXPECT_EQ(configuration->routes[0].allowedRegions, (std::vector<std::string>{"east", "west"}));
+    EXPECT_EQ(configuration->organisations[0].allowedRegions, std::vector<std::string>{"west"});
+    EXPECT_EQ(configuration->pools[0].coldStart, std::chrono::seconds(3));
+    EXPECT_EQ(configuration->pools[0].coldCallsPerSecond, 18);
+}
+
+// Guards against a prompt that leaves its region, because the bound could not be read and was taken for none.
+TEST_F(PlatformAdapterTest, regionsThatCannotBeRead_makeTheConfigurationMalformed)
+{
+    for (const char *regions : {R"("east")", "3", "[3]", "{}", "true"}) {
+        const std::string value =
+            R"({"version":7,"routes":[{"host":"h","path-prefix":"/a/","kind":"safe","service":"x",)"
+            R"("allowed-regions":)"
+            + std::string(regions) + R"(}],"services":[]})";
+        const auto configuration = catalogue.readConfiguration(configurationObject(value));
+        ASSERT_FALSE(configuration.ok()) << regions;
+        EXPECT_EQ(failureCode(configuration.status()), FailureCode::ObjectMalformed);
+    }
+}
+
+TEST_F(PlatformAdapterTest, cordon_namesItsZoneByItsKeyAlone)
+{
+    const std::string prefix = catalogue.cordonPrefix();
+    EXPECT_EQ(*catalogue.cordonedZoneOf(prefix + "hall-a"), "hall-a");
+    for (const std::string &key : {prefix, prefix + "hall a", std::string("servers/hall-a"), prefix + "hall\n"}) {
+        const auto zone = catalogue.cordonedZoneOf(key);
+        ASSERT_FALSE(zone.ok()) << key;
+        EXPECT_EQ(failureCode(zone.status()), FailureCode::ObjectMalformed);
+    }
+}
+
+// Guards against a number that overflows on its way to a span of time.
+TEST_F(PlatformAdapterTest, endlessColdTime_isReadAsALongOne)
+{
+    const auto listing = catalogue.readEndpoint(endpointObject(R"({"service":"x","address":"10.0.0.1:80","zone":"a",)"
+                                                               R"("version":"v","slots":64,"state":"ready",)"
+                                                               R"("cold-remaining-ms":1e300,"sequence":4})"));
+    ASSERT_TRUE(listing.ok()) << listing.status();
+    EXPECT_GT(listing->coldFor, std::chrono::hours(1));
+    EXPECT_LE(listing->coldFor, std::chrono::hours(24));
+}
