Cold endpoints: parts by the gateways' weights, and callers sent to another gateway at once

Cause: after a loss of power all endpoints are cold, strong instances are back first, and one of them has half of a zone's callers (344 calls a second seen). Its part was that of a small one, and who was turned away was told to come back in seconds, though the other gateways had parts to spare.

Change: the fleet's calls are divided by weight, what is left over by rendezvous hashing; a refusal for want of parts tells to come back in 30 ms, since the next try goes elsewhere.

Not built: permits by the process beside an endpoint, which alone could give one gateway what the others leave over and prove the sum.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -171,11 +171,11 @@
 void Gateway::handlePeers(const std::map<std::string, FleetPeer> &peers)
 {
     m_homes.setPeers(m_settings.ignoresHomes ? gatewaysAmong(peers) : peers);
-    std::vector<std::string> gateways;
+    std::map<std::string, double> weights;
     for (const auto &[name, peer] : gatewaysAmong(peers)) {
-        gateways.push_back(name);
+        weights[name] = peer.weight;
     }
-    m_gate.coldStarts().setGateways(gateways);
+    m_gate.coldStarts().setGateways(weights);
     updateReady();
 }
 
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -50,6 +50,17 @@
     }
 }
 
+// After a loss of power one gateway may have half of a zone's callers, all endpoints are cold, and the others have
+// their parts to spare.
+absl::Status CallGate::refusalOf(const PlacementQuery &query, const absl::Status &status) const
+{
+    if (!m_placement.isHeldByColdStarts(query, m_timers.now())) {
+        return status;
+    }
+    return makeFailure(FailureCode::Overloaded, "cold endpoints get no more calls from this gateway",
+                       m_settings.coldRetryAfter);
+}
+
 void CallGate::place(const PlacementQuery &query, Callback callback)
 {
     if (isTurnedAway(query)) {
@@ -119,7 +130,7 @@
     FairQueue &queue = m_queues.try_emplace(query.pool, m_settings.queue).first->second;
     const absl::Status status = queue.enqueue(queued(query), now);
     if (!status.ok()) {
-        return callback(status);
+        return callback(refusalOf(query, status));
     }
     m_waiting.insert_or_assign(query.call, Waiting{query, std::move(callback)});
     refuse(queue.expire(now));
@@ -255,7 +266,7 @@
     for (const QueueRefusal &refusal : refusals) {
         auto node = m_waiting.extract(refusal.request);
         if (!node.empty()) {
-            node.mapped().callback(refusal.status);
+            node.mapped().callback(refusalOf(node.mapped().query, refusal.status));
         }
     }
 }
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -19,6 +19,9 @@
     Duration expiryInterval = std::chrono::milliseconds(50);
     /// When to come back where a pool has no endpoint at all: a platform's list settles in about that time.
     std::chrono::milliseconds noEndpointRetryAfter{500};
+    /// When to come back where only this gateway's part of what cold endpoints bear is used up: the next try goes to
+    /// another gateway, which has its own.
+    std::chrono::milliseconds coldRetryAfter{30};
     /// When to come back where all endpoints answer late: their queues have drained by then.
     std::chrono::milliseconds pressedRetryAfter{250};
     /// Calls are sent also where endpoints answer late already.
@@ -112,6 +115,7 @@
         bool isSilent = false;
     };
 
+    absl::Status refusalOf(const PlacementQuery &query, const absl::Status &status) const;
     void takeForCold(const std::vector<EndpointSlot> &slots);
     bool isTurnedAway(const PlacementQuery &query);
     void notePressure(const Placed &placed, RunEnd end);
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -93,6 +93,15 @@
     return !it.coldCalls.isBelow(m_coldStarts.ownCalls(it.listing.pool, it.hash), now);
 }
 
+bool CallPlacement::isHeldByColdStarts(const PlacementQuery &query, Instant now) const
+{
+    return std::ranges::any_of(m_roster.pool(query.pool), [&](EndpointSlot slot) {
+        const RosterEndpoint &it = m_roster.at(slot);
+        return m_roster.standing(slot, now) == RosterStanding::Usable && query.regions.allows(it.region)
+            && it.inFlight < static_cast<int>(it.limit) && isSpared(slot, now);
+    });
+}
+
 bool CallPlacement::isCandidate(EndpointSlot slot, const PlacementQuery &query, Choosiness choosiness,
                                 Instant now) const
 {
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -39,6 +39,9 @@
     /// How a call went that tells whether its endpoint is sent too much.
     void notePressure(EndpointSlot slot, bool isLate, Instant now);
 
+    /// Whether an endpoint has room that is spared only since it is cold.
+    bool isHeldByColdStarts(const PlacementQuery &query, Instant now) const;
+
     /// A call was sent. Gives the prompt tokens that the endpoint has to read for it.
     std::int64_t noteSent(EndpointSlot slot, const PlacementQuery &query, Instant now);
 
--- a/src/libradishswitch/serving/coldstarts.cpp
+++ b/src/libradishswitch/serving/coldstarts.cpp
@@ -3,6 +3,7 @@
 #include "base/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace RadishSwitch
@@ -10,7 +11,7 @@
 
 ColdStarts::ColdStarts(std::string self, ColdStartSettings settings)
     : m_self(std::move(self))
-    , m_selfHash(rendezvousHash(m_self))
+    , m_own{rendezvousHash(m_self), 1}
     , m_settings(settings)
 {
 }
@@ -24,13 +25,22 @@
     }
 }
 
-void ColdStarts::setGateways(const std::vector<std::string> &gateways)
+void ColdStarts::setGateways(const std::map<std::string, double> &weights)
 {
-    m_otherHashes.clear();
+    m_others.clear();
     m_shares.clear();
-    for (const std::string &gateway : gateways) {
-        if (gateway != m_self) {
-            m_otherHashes.push_back(rendezvousHash(gateway));
+    double sum = 0;
+    for (const auto &[name, weight] : weights) {
+        sum += weight;
+    }
+    const auto self = weights.find(m_self);
+    const double average = weights.empty() || sum <= 0 ? 1 : sum / static_cast<double>(weights.size());
+    const double own = self == weights.end() ? average : self->second;
+    sum += self == weights.end() ? own : 0;
+    m_own.share = sum > 0 ? own / sum : 1;
+    for (const auto &[name, weight] : weights) {
+        if (name != m_self) {
+            m_others.push_back({rendezvousHash(name), sum > 0 ? weight / sum : 0});
         }
     }
 }
@@ -57,17 +67,23 @@
 std::size_t ColdStarts::shareOf(double callsPerSecond, std::uint64_t endpointHash) const
 {
     // One that bears less than a call a second must still get some, or it would never be of use.
-    const auto all = static_cast<std::size_t>(std::max(callsPerSecond * m_settings.overshoot, 1.0));
-    const std::size_t gateways = m_otherHashes.size() + 1;
-    const std::size_t share = std::max<std::size_t>(all / gateways, 1);
-    return isAmongFirst(endpointHash, all / share) ? share : 0;
+    const double all = std::floor(std::max(callsPerSecond * m_settings.overshoot, 1.0));
+    const auto wholeCalls = [all](const Gateway &gateway) {
+        return std::floor(all * gateway.share);
+    };
+    double left = all - wholeCalls(m_own);
+    for (const Gateway &other : m_others) {
+        left -= wholeCalls(other);
+    }
+    const bool hasOneMore = isAmongFirst(endpointHash, static_cast<std::size_t>(std::max(left, 0.0)));
+    return static_cast<std::size_t>(wholeCalls(m_own)) + (hasOneMore ? 1 : 0);
 }
 
 bool ColdStarts::isAmongFirst(std::uint64_t endpointHash, std::size_t count) const
 {
-    const std::uint64_t ownScore = rendezvousScore(m_selfHash, endpointHash);
-    const auto before = std::ranges::count_if(m_otherHashes, [&](std::uint64_t other) {
-        return rendezvousScore(other, endpointHash) > ownScore;
+    const std::uint64_t ownScore = rendezvousScore(m_own.hash, endpointHash);
+    const auto before = std::ranges::count_if(m_others, [&](const Gateway &other) {
+        return rendezvousScore(other.hash, endpointHash) > ownScore;
     });
     return static_cast<std::size_t>(before) < count;
 }
--- a/src/libradishswitch/serving/coldstarts.h
+++ b/src/libradishswitch/serving/coldstarts.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -23,9 +24,9 @@
 ///
 /// Load pattern: the endpoints of a whole zone come back at once, empty, and therefore look like the best choice to
 /// every gateway at the same moment. One that is sent far more than it bears while it is cold crashes. The bound is on
-/// what all gateways send together, and no one counts for all of them; so each has a fixed part of it. Where gateways
-/// outnumber the calls of a second, rendezvous hashing gives each endpoint as many gateways as it bears calls, without
-/// a word between them.
+/// what all gateways send together, and no one counts for all of them; so each has a fixed part of it, by its weight:
+/// after a loss of power strong instances are back first, and have the callers of all. What whole calls leave over goes
+/// to as many gateways by rendezvous hashing, other ones for each endpoint, without a word between them.
 class ColdStarts
 {
 public:
@@ -36,8 +37,9 @@
     /// What the endpoints of each pool bear.
     void setPools(const std::vector<ServedPool> &pools);
 
-    /// All gateways that may send calls, by their names; this one may be among them.
-    void setGateways(const std::vector<std::string> &gateways);
+    /// The weights of all gateways that may send calls, by their names. Where this one is not among them it counts as
+    /// one of average weight.
+    void setGateways(const std::map<std::string, double> &weights);
 
     /// How long an endpoint stays cold that has just started; zero where the pool's endpoints are never cold.
     Duration usualSpan(const PoolId &pool) const;
@@ -53,13 +55,18 @@
     };
 
     std::size_t shareOf(double callsPerSecond, std::uint64_t endpointHash) const;
+    struct Gateway {
+        std::uint64_t hash = 0;
+        /// Of the weights of all.
+        double share = 1;
+    };
+
     bool isAmongFirst(std::uint64_t endpointHash, std::size_t count) const;
 
     const std::string m_self;
-    const std::uint64_t m_selfHash;
+    Gateway m_own;
     const ColdStartSettings m_settings;
-    /// Those of the other gateways.
-    std::vector<std::uint64_t> m_otherHashes;
+    std::vector<Gateway> m_others;
     absl::flat_hash_map<PoolId, Bearing> m_pools;
     /// Own calls by endpoints' hashes, since hundreds of gateways are compared for each.
     mutable absl::flat_hash_map<std::uint64_t, std::size_t> m_shares;
--- a/tests/core/serving/coldstarts_test.cpp
+++ b/tests/core/serving/coldstarts_test.cpp
@@ -4,7 +4,7 @@
 
 #include <gtest/gtest.h>
 
-#include <numeric>
+#include <map>
 
 using namespace RadishSwitch;
 
@@ -12,16 +12,17 @@
 class ColdStartsTest : public testing::Test
 {
 protected:
-    static std::vector<std::string> names(int count)
+    /// Every fifth of them is as strong as five others.
+    static std::map<std::string, double> gateways(int count)
     {
-        std::vector<std::string> names;
+        std::map<std::string, double> weights;
         for (int n = 0; n < count; ++n) {
-            names.push_back("gateway-" + std::to_string(n));
+            weights["gateway-" + std::to_string(n)] = n % 5 == 0 ? 0.5 : 0.1;
         }
-        return names;
+        return weights;
     }
 
-    static ColdStarts coldStarts(const std::string &self, const std::vector<std::string> &gateways,
+    static ColdStarts coldStarts(const std::string &self, const std::map<std::string, double> &weights,
                                  double callsPerSecond)
     {
         ServedPool pool;
@@ -30,15 +31,15 @@
         pool.coldStart = std::chrono::seconds(3);
         ColdStarts coldStarts(self);
         coldStarts.setPools({pool});
-        coldStarts.setGateways(gateways);
+        coldStarts.setGateways(weights);
         return coldStarts;
     }
 
-    static std::size_t sumOverAll(int gateways, double callsPerSecond, const std::string &endpoint)
+    static std::size_t sumOverAll(int count, double callsPerSecond, const std::string &endpoint)
     {
         std::size_t sum = 0;
-        for (const std::string &self : names(gateways)) {
-            sum += coldStarts(self, names(gateways), callsPerSecond).ownCalls(PoolId("llm"), rendezvousHash(endpoint));
+        for (const auto &[self, weight] : gateways(count)) {
+            sum += coldStarts(self, gateways(count), callsPerSecond).ownCalls(PoolId("llm"), rendezvousHash(endpoint));
         }
         return sum;
     }
@@ -47,11 +48,10 @@
 // Guards against an endpoint that crashes again while it warms up: many gateways find it empty at the same moment.
 TEST_F(ColdStartsTest, anyFleet_allTogether_sendNoMoreThanAnEndpointBears)
 {
-    for (const int gateways : {1, 2, 5, 18, 29, 103, 410}) {
+    for (const int count : {1, 2, 5, 18, 29, 103, 410}) {
         for (const double bearing : {1.0, 3.0, 18.0, 40.0}) {
-            const std::size_t sum = sumOverAll(gateways, bearing, "endpoint-7");
-            EXPECT_LE(sum, bearing) << gateways << " gateways";
-            EXPECT_GE(sum, std::min(bearing, 1.0)) << gateways << " gateways";
+            const std::size_t sum = sumOverAll(count, bearing, "endpoint-7");
+            EXPECT_EQ(sum, bearing) << count << " gateways";
         }
     }
 }
@@ -62,16 +62,23 @@
     EXPECT_EQ(sumOverAll(29, 0.2, "endpoint-7"), 1U);
 }
 
-TEST_F(ColdStartsTest, fewGateways_shareWhatItBears)
+// Guards against calls refused after a loss of power: strong instances are back first, and have the callers of all.
+TEST_F(ColdStartsTest, strongGateway_hasThePartOfItsWeight)
 {
-    EXPECT_EQ(sumOverAll(4, 18, "endpoint-7"), 16U);
-    EXPECT_EQ(sumOverAll(29, 18, "endpoint-7"), 18U);
+    const std::map<std::string, double> weights{{"strong", 0.5}, {"weak-1", 0.1}, {"weak-2", 0.1}, {"weak-3", 0.1}};
+    EXPECT_GE(coldStarts("strong", weights, 18).ownCalls(PoolId("llm"), 7), 11U);
+    EXPECT_GE(coldStarts("weak-1", weights, 18).ownCalls(PoolId("llm"), 7), 2U);
+}
+
+TEST_F(ColdStartsTest, gatewayThatIsNotListedYet_countsAsAnAverageOne)
+{
+    EXPECT_LE(coldStarts("new", {{"a", 0.1}, {"b", 0.1}}, 18).ownCalls(PoolId("llm"), 7), 6U);
 }
 
 TEST_F(ColdStartsTest, poolWithoutABound_isNotBounded)
 {
-    EXPECT_EQ(coldStarts("gateway-0", names(3), 0).ownCalls(PoolId("llm"), 1), ColdStarts::kUnbounded);
-    EXPECT_EQ(coldStarts("gateway-0", names(3), 5).ownCalls(PoolId("other"), 1), ColdStarts::kUnbounded);
+    EXPECT_EQ(coldStarts("gateway-0", gateways(3), 0).ownCalls(PoolId("llm"), 1), ColdStarts::kUnbounded);
+    EXPECT_EQ(coldStarts("gateway-0", gateways(3), 5).ownCalls(PoolId("other"), 1), ColdStarts::kUnbounded);
 }
 
 class SlidingCountTest : public testing::Test
--- a/tests/core/serving/coldzone_test.cpp
+++ b/tests/core/serving/coldzone_test.cpp
@@ -1,10 +1,13 @@
+#include "base/failure.h"
 #include "readingengines.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 
 using namespace RadishSwitch;
 
@@ -25,14 +28,14 @@
         pool.name = PoolId("llm");
         pool.coldCallsPerSecond = bearing;
         pool.coldStart = std::chrono::seconds(3);
-        std::vector<std::string> names;
+        std::map<std::string, double> weights;
         for (int n = 0; n < kGateways; ++n) {
-            names.push_back("gateway-" + std::to_string(n));
+            weights[nameOf(n)] = 1;
         }
         for (int n = 0; n < kGateways; ++n) {
-            gates.push_back(std::make_unique<CallGate>(timers, random, names[n], zone(n)));
+            gates.push_back(std::make_unique<CallGate>(timers, random, nameOf(n), zone(n)));
             gates.back()->coldStarts().setPools({pool});
-            gates.back()->coldStarts().setGateways(names);
+            gates.back()->coldStarts().setGateways(weights);
             gates.back()->setClosedZones({});
             for (int engine = 0; engine < kEngines; ++engine) {
                 gates.back()->roster().list(listing(engine), timers.now());
@@ -40,6 +43,11 @@
         }
     }
 
+    static std::string nameOf(int n)
+    {
+        return "gateway-" + std::to_string(n);
+    }
+
     static std::string zone(int n)
     {
         return std::string(1, static_cast<char>('a' + n % 3));
@@ -210,3 +218,30 @@
     play(std::chrono::seconds(2), 400);
     EXPECT_LE(mostInOneSecond, kBearing);
 }
+
+// Guards against callers told to come back in seconds, when another gateway would take them at once.
+TEST_F(ColdZoneTest, gatewayWithoutPartsLeft_tellsCallersToComeBackAtOnce)
+{
+    closeZone();
+    openZone();
+    for (const auto &gate : gates) {
+        gate->setClosedZones({"b", "c"});
+    }
+    std::optional<std::chrono::milliseconds> retryAfter;
+    for (int n = 0; n < 200; ++n) {
+        PlacementQuery query;
+        query.call = RequestId("crowd-" + std::to_string(n));
+        query.pool = PoolId("llm");
+        query.organisation = OrganisationId("o");
+        query.deadline = timers.now() + Milliseconds(450);
+        gates.front()->place(query, [&retryAfter](const absl::StatusOr<Placement> &placement) {
+            if (!placement.ok()) {
+                retryAfter = retryAfterOf(placement.status());
+            }
+        });
+        timers.advance(Milliseconds(1));
+    }
+    timers.advance(std::chrono::seconds(1));
+    ASSERT_TRUE(retryAfter);
+    EXPECT_LE(*retryAfter, Milliseconds(50));
+}
