A stream that has not begun is refused before its caller leaves it

Cause: callers leave a stream without a first event after two seconds, four targets or eight of its longest pauses, whatever their deadline.

Change: until a stream has begun its time ends 40 ms before that; the endpoint is still told the whole deadline. The test failed before (504 after 6.0 s).

Also tried in thought: shorter patience for all calls by a share of the deadline; it would not have met these calls, whose deadline was far away.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -87,6 +87,9 @@
         longest = std::min(longest, *m_request.patience - m_services.times.travel);
     }
     m_deadline = m_startedAt + longest;
+    if (m_route->isStreamed) {
+        m_beginBy = streamPatienceEnd();
+    }
     m_history.repetition = m_route->repetition;
     m_history.maximumAttempts = m_route->maximumAttempts;
     m_cutter = EventCutter(m_request.lastEvent);
@@ -335,9 +338,20 @@
     }
 }
 
+Instant Call::streamPatienceEnd() const
+{
+    const CallTimes &times = m_services.times;
+    const auto byTarget =
+        std::chrono::duration<double, std::micro>(m_route->targetLatency) * times.streamPatienceTargets;
+    const auto byGap = std::chrono::duration<double, std::micro>(m_route->targetGap) * times.streamPatienceGaps;
+    const auto longest = std::chrono::duration_cast<Duration>(std::max(byTarget, byGap));
+    return m_startedAt + std::max(times.leastStreamPatience, longest) - times.streamPatienceMargin;
+}
+
 Duration Call::timeLeft() const
 {
-    return m_deadline - m_services.timers.now();
+    const Instant end = m_hasBegun ? m_deadline : std::min(m_deadline, m_beginBy);
+    return end - m_services.timers.now();
 }
 
 Duration Call::rest() const
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -103,6 +103,9 @@
     void keepFirst();
     void dropSuccessor(AttemptEnd end);
 
+    /// When the caller leaves that has seen no event of its stream yet.
+    Instant streamPatienceEnd() const;
+    /// Until the answer must have come, or for a stream its first event.
     Duration timeLeft() const;
     /// What is left of the call's time, and at least what a timer takes.
     Duration rest() const;
@@ -123,6 +126,8 @@
     const ServedPool *m_pool = nullptr;
     /// When the caller's patience or the route's timeout ends.
     Instant m_deadline;
+    /// By when a stream must have begun.
+    Instant m_beginBy = Instant::max();
 
     AttemptHistory m_history;
     std::vector<EndpointId> m_tried;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -80,7 +80,7 @@
     CallDispatch dispatch;
     dispatch.endpoint = attempt.placement.endpoint;
     dispatch.organisation = m_organisation ? m_organisation->name : OrganisationId();
-    dispatch.timeLeft = timeLeft();
+    dispatch.timeLeft = m_deadline - m_services.timers.now();
     dispatch.priority = priority();
     dispatch.lastEvent = m_cutter.lastEvent();
     attempt.heardAt = m_services.timers.now();
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -18,6 +18,14 @@
 struct CallTimes {
     /// Taken off the caller's patience: its call and our answer travel, and have to be read.
     Duration travel = std::chrono::milliseconds(5);
+    /// Callers leave a stream that shows no first event for the longest of these: a time, and so many times the route's
+    /// target latency and its longest pause.
+    Duration leastStreamPatience = std::chrono::seconds(2);
+    double streamPatienceTargets = 4;
+    double streamPatienceGaps = 8;
+    /// So long before that they are told. One that leaves closes its connection, and an endpoint that stands still
+    /// works on for nobody once it runs on.
+    Duration streamPatienceMargin = std::chrono::milliseconds(40);
     /// For a call that may run again another endpoint is looked for when the first of its answer is later than expected
     /// by this many times its target latency.
     double lateTargets = 2;
--- a/src/libradishswitch/serving/servingroute.h
+++ b/src/libradishswitch/serving/servingroute.h
@@ -44,6 +44,8 @@
     Duration timeout{};
     /// Within this the answer, or the first event of a stream, is in time.
     Duration targetLatency{};
+    /// The longest pause between events with which a stream is in time; zero where the route tells none.
+    Duration targetGap{};
     /// Endpoints to which one call may be sent.
     int maximumAttempts = 1;
     /// 0 is the most urgent.
--- a/tests/radishswitch-gateway/silentendpoints_test.cpp
+++ b/tests/radishswitch-gateway/silentendpoints_test.cpp
@@ -335,3 +335,19 @@
     EXPECT_EQ(response->status, 504) << response->body;
     EXPECT_EQ(runs("call-1"), 1);
 }
+
+// Guards against work for nobody at an endpoint that stands still: callers leave a stream without a first event after
+// two seconds, whatever their deadline, and a close that comes then is read seconds later.
+TEST_F(SilentEndpointsTest, stream_hangsFirstAtOnlyEndpoint_isRefusedBeforeItsCallerLeaves)
+{
+    addFault(first, Fault::Hang);
+    start();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto response = call(streamRequest("/once/a", "call-1"));
+    const auto taken = std::chrono::steady_clock::now() - begin;
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 504) << response->body;
+    EXPECT_LT(taken, std::chrono::milliseconds(2000));
+    EXPECT_GT(taken, std::chrono::milliseconds(1800)) << "it was given up early";
+    EXPECT_EQ(runs("call-1"), 1);
+}
