--- /dev/null
+++ b/benchmarks/placement.cpp
@@ -0,0 +1,114 @@
+#include "seededrandom.h"
+#include "serving/callgate.h"
+#include "virtualtimerservice.h"
+
+#include <benchmark/benchmark.h>
+
+#include <map>
+
+using namespace RadishSwitch;
+
+namespace
+{
+
+constexpr int kEndpoints = 180;
+constexpr int kGateways = 103;
+
+/// A gateway before endpoints of five zones.
+struct Gateway {
+    Gateway()
+    {
+        ServedPool pool;
+        pool.name = PoolId("llm");
+        pool.coldCallsPerSecond = 18;
+        pool.coldStart = std::chrono::seconds(3);
+        gate.coldStarts().setPools({pool});
+        std::map<std::string, double> weights;
+        for (int n = 0; n < kGateways; ++n) {
+            weights["gateway-" + std::to_string(n)] = 1;
+        }
+        gate.coldStarts().setGateways(weights);
+        for (int n = 0; n < kEndpoints; ++n) {
+            gate.roster().list(listing(n), timers.now());
+        }
+    }
+
+    static EndpointListing listing(int n)
+    {
+        EndpointListing it;
+        it.id = EndpointId("endpoint-" + std::to_string(n));
+        it.pool = PoolId("llm");
+        it.address = "10.0.0." + std::to_string(n) + ":1";
+        it.zone = "zone-" + std::to_string(n % 5);
+        it.slots = 64;
+        it.revision = 1;
+        return it;
+    }
+
+    /// The endpoints whose number leaves `rest` when divided by three turn cold.
+    void makeCold(int rest)
+    {
+        for (int n = rest; n < kEndpoints; n += 3) {
+            EndpointListing it = listing(n);
+            it.revision = 2;
+            it.coldFor = std::chrono::hours(1);
+            gate.roster().list(it, timers.now());
+        }
+    }
+
+    /// Places a call and ends it, a millisecond after the one before.
+    void placeOne()
+    {
+        PlacementQuery query;
+        query.call = RequestId("call-" + std::to_string(++calls));
+        query.pool = PoolId("llm");
+        query.organisation = OrganisationId("o");
+        query.parts = {{random.below(100), 400}, {static_cast<std::uint64_t>(1'000'000 + calls), 600}};
+        query.deadline = timers.now() + std::chrono::milliseconds(400);
+        gate.place(query, [this](const absl::StatusOr<Placement> &placement) {
+            if (placement.ok()) {
+                gate.noteEnded(placement->id, RunEnd::Ok);
+            }
+        });
+        timers.advance(std::chrono::milliseconds(1));
+    }
+
+    VirtualTimerService timers;
+    SeededRandom random{7};
+    CallGate gate{timers, random, "gateway-0", "zone-0"};
+    int calls = 0;
+};
+
+void placeAmongAll(benchmark::State &state)
+{
+    Gateway gateway;
+    for (auto _ : state) {
+        gateway.placeOne();
+    }
+}
+
+void placeWithZoneClosedAndThirdCold(benchmark::State &state)
+{
+    Gateway gateway;
+    gateway.gate.closeZone("zone-1");
+    gateway.makeCold(0);
+    for (auto _ : state) {
+        gateway.placeOne();
+    }
+}
+
+void decideColdCall(benchmark::State &state)
+{
+    Gateway gateway;
+    const RosterEndpoint &endpoint = gateway.gate.roster().at(0);
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(endpoint.coldCalls.isBelow(
+            gateway.gate.coldStarts().ownCalls(endpoint.listing.pool, endpoint.hash), gateway.timers.now()));
+    }
+}
+
+BENCHMARK(placeAmongAll);
+BENCHMARK(placeWithZoneClosedAndThirdCold);
+BENCHMARK(decideColdCall);
+
+}
