Failed attempts tell the content of their request and why they ended

Cause: whether the calls under which endpoints ended were one request could only be guessed from their token counts; ids are new with each repeat. Nor did the lines tell an endpoint that is gone from a connection that broke.

Change: `content`, a hash of method, target, organisation and body, and `reason`. The hash is made when it is first asked for, so that calls that go well pay nothing.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -380,6 +380,16 @@
     return m_route->repetition != Repetition::Never;
 }
 
+const RequestFingerprint &Call::fingerprint() const
+{
+    if (!m_fingerprint) {
+        const HttpRequest &request = m_exchange.request();
+        const std::string &caller = m_organisation ? m_organisation->name.value() : m_request.apiKey;
+        m_fingerprint = RequestFingerprint::of(request.method, request.target, caller, request.body);
+    }
+    return *m_fingerprint;
+}
+
 void Call::logEnd(const absl::Status &status) const
 {
     const Duration taken = m_services.timers.now() - m_startedAt;
@@ -389,6 +399,7 @@
     }
     const std::string route = m_route ? m_route->name : std::string();
     const std::string organisation = m_organisation ? m_organisation->name.value() : std::string();
+    const std::string content = status.ok() || !m_route ? std::string() : fingerprint().toString();
     const std::string_view outcome = status.ok() ? std::string_view("answered") : failureName(failureCode(status));
     // A call that failed is what on-call engineers look for: its line is the last to be dropped.
     kLog.write(status.ok() ? LogLevel::Info : LogLevel::Warning, status.ok() ? "call ended" : "call failed",
@@ -401,7 +412,7 @@
                 field("taken", taken),
                 field("further_attempt", m_further ? furtherAttemptName(*m_further) : std::string_view()),
                 field("time_left", timeLeft()), field("version", m_table ? m_table->configuration().version : 0),
-                field("reason", std::string(status.message()))});
+                field("content", content), field("reason", std::string(status.message()))});
 }
 
 }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -4,6 +4,7 @@
 #include "httpserver.h"
 #include "serving/attemptrules.h"
 #include "serving/eventcutter.h"
+#include "serving/requestfingerprint.h"
 
 #include <utility>
 
@@ -41,6 +42,8 @@
         bool isSilenceLogged = false;
         /// The endpoint's answer, which is passed on, says that it failed the call.
         bool hasFailed = false;
+        /// Why its connection could not be had, or gave no whole answer.
+        absl::Status failure;
     };
 
     /// Nothing when the caller has its answer.
@@ -66,6 +69,7 @@
     void noteDelivery(const absl::Status &status) const;
     void handleCallerGone();
     void logEnd(const absl::Status &status) const;
+    const RequestFingerprint &fingerprint() const;
 
     // callattempt.cpp: one attempt at an endpoint.
     boost::asio::awaitable<void> start(Attempt &attempt);
@@ -73,7 +77,7 @@
     void send(Attempt &attempt);
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt);
     boost::asio::awaitable<absl::Status> skipStrayAnswer(Attempt &attempt);
-    AttemptEnd endUnanswered(const Attempt &attempt, const absl::Status &status);
+    AttemptEnd endUnanswered(Attempt &attempt, const absl::Status &status);
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
     void finish(Attempt &attempt, AttemptResult result);
     RunEnd runEndOf(const Attempt &attempt, AttemptResult result) const;
@@ -150,6 +154,8 @@
     /// The head of a streamed answer went to the caller: from now on it gets events or a broken connection.
     bool m_hasBegun = false;
     bool m_isAnswered = false;
+    /// Made when it is first asked for: most calls need none.
+    mutable std::optional<RequestFingerprint> m_fingerprint;
 };
 
 }
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -35,8 +35,8 @@
 
 net::awaitable<void> Call::start(Attempt &attempt)
 {
-    const absl::Status status = co_await connect(attempt);
-    if (status.ok()) {
+    attempt.failure = co_await connect(attempt);
+    if (attempt.failure.ok()) {
         send(attempt);
     } else {
         ++m_history.notSent;
@@ -122,8 +122,9 @@
     co_return body.status();
 }
 
-AttemptEnd Call::endUnanswered(const Attempt &attempt, const absl::Status &status)
+AttemptEnd Call::endUnanswered(Attempt &attempt, const absl::Status &status)
 {
+    attempt.failure = status;
     if (!attempt.connection->mayHaveSent()) {
         return AttemptEnd::NotSent;
     }
@@ -180,8 +181,9 @@
     const ExpiredWait wait =
         attempt.connection ? attempt.connection->expiredWait().value_or(ExpiredWait()) : ExpiredWait();
     kLog.info("attempt failed",
-              {field("call", m_request.id.value()), field("endpoint", attempt.placement.endpoint.value()),
-               field("address", attempt.placement.address), field("end", attemptEndName(end)),
+              {field("call", m_request.id.value()), field("content", fingerprint().toString()),
+               field("endpoint", attempt.placement.endpoint.value()), field("address", attempt.placement.address),
+               field("end", attemptEndName(end)), field("reason", std::string(attempt.failure.message())),
                field("sent", m_history.sent), field("events", m_cutter.count()),
                field("may_have_run", m_history.mayHaveRun), field("silent_for", silentFor(attempt)),
                field("noticed_late", wait.late), field("unread", wait.unread), field("time_left", timeLeft())});
--- a/src/gateway/callsuccessor.cpp
+++ b/src/gateway/callsuccessor.cpp
@@ -66,8 +66,8 @@
         co_return false;
     }
     m_successor.emplace().placement = *placement;
-    const absl::Status status = co_await connect(*m_successor);
-    if (!status.ok()) {
+    m_successor->failure = co_await connect(*m_successor);
+    if (!m_successor->failure.ok()) {
         dropSuccessor(AttemptEnd::NotSent);
         giveRetryBack();
         co_return false;
