--- /dev/null
+++ b/tests/radishswitch-gateway/poisonrequests_test.cpp
@@ -0,0 +1,143 @@
+#include "base/failure.h"
+#include "gatewayfixture.h"
+
+#include <deque>
+
+using namespace RadishSwitch;
+
+/// Requests that crash each endpoint that runs them, at gateways that know one another through the store.
+class PoisonRequestsTest : public GatewayFixture
+{
+protected:
+    static constexpr char kPoison[] = "crashes engines";
+    static constexpr int kEndpoints = 8;
+    /// Ends under one request until it is refused.
+    static constexpr int kEnoughEnds = 3;
+    /// How soon after it the other gateways have to know.
+    static constexpr Duration kKnownWithin = std::chrono::seconds(3);
+
+    PoisonRequestsTest()
+    {
+        for (int n = 0; n < kEndpoints; ++n) {
+            ReplicaSettings settings;
+            settings.id = "engine-" + std::to_string(n);
+            settings.crashingBody = kPoison;
+            endpoints.emplace_back(standins, settings);
+            EXPECT_TRUE(endpoints.back().listen("127.0.0.1", 0).ok());
+        }
+    }
+
+    ~PoisonRequestsTest() override
+    {
+        other.reset();
+    }
+
+    void startTwo()
+    {
+        onStandins([this] {
+            store.table().remove("servers", "replica-1", std::nullopt);
+            for (int n = 0; n < kEndpoints; ++n) {
+                putEndpoint("engine-" + std::to_string(n), endpoints[n].port(), "ready");
+            }
+        });
+        start();
+        GatewaySettings settings = gatewaySettings();
+        settings.instance = "gateway-of-other-callers";
+        other = std::make_unique<Gateway>(settings);
+        ASSERT_TRUE(other->start().ok());
+        HttpRequest ready;
+        ready.target = "/readyz";
+        waitUntil([&] {
+            const auto response = fetchFrom(other->adminPort(), ready);
+            return response.ok() && response->status == 200;
+        });
+    }
+
+    absl::StatusOr<HttpResponse> send(Gateway &to, const std::string &target, const std::string &body)
+    {
+        HttpRequest it = request(target, "call-" + std::to_string(++m_calls));
+        it.body = body;
+        return fetchFrom(to.port(), std::move(it));
+    }
+
+    int crashes()
+    {
+        return onStandins([this] {
+            return static_cast<int>(std::ranges::count_if(endpoints, &ReplicaServer::hasCrashed));
+        });
+    }
+
+    /// Sends the request until so many endpoints have ended under it.
+    void crash(Gateway &to, int count)
+    {
+        while (crashes() < count) {
+            ASSERT_TRUE(send(to, "/once/1", kPoison).ok());
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    }
+
+    std::deque<ReplicaServer> endpoints;
+    std::unique_ptr<Gateway> other;
+
+private:
+    int m_calls = 0;
+};
+
+// Guards against a request that ends one endpoint after the other as often as it is repeated.
+TEST_F(PoisonRequestsTest, requestThatCrashedThreeEndpoints_isRefusedUnsent)
+{
+    startTwo();
+    crash(*gateway, kEnoughEnds);
+    for (int n = 0; n < 3; ++n) {
+        const auto refused = send(*gateway, "/once/1", kPoison);
+        ASSERT_TRUE(refused.ok()) << refused.status();
+        EXPECT_EQ(refused->status, 429) << refused->body;
+        EXPECT_TRUE(refused->headers.find("Retry-After").has_value());
+        EXPECT_NE(refused->body.find("\"not_run\""), std::string::npos) << refused->body;
+    }
+    EXPECT_EQ(crashes(), kEnoughEnds);
+    const auto served = send(*gateway, "/once/1", "hello");
+    ASSERT_TRUE(served.ok()) << served.status();
+    EXPECT_EQ(served->status, 200) << served->body;
+}
+
+// Guards against repeats that come to a gateway which saw none of the crashes.
+TEST_F(PoisonRequestsTest, requestThatCrashedEndpointsOfAnotherGateway_isRefusedUnsent)
+{
+    startTwo();
+    crash(*gateway, kEnoughEnds);
+    std::this_thread::sleep_for(kKnownWithin);
+    const auto refused = send(*other, "/once/1", kPoison);
+    ASSERT_TRUE(refused.ok()) << refused.status();
+    EXPECT_EQ(refused->status, 429) << refused->body;
+    EXPECT_EQ(crashes(), kEnoughEnds);
+}
+
+// Guards against a count at each gateway alone, where each would have to see three crashes for itself.
+TEST_F(PoisonRequestsTest, requestThatCrashedEndpointsOfTwoGateways_isRefusedAtBoth)
+{
+    startTwo();
+    crash(*gateway, 2);
+    crash(*other, kEnoughEnds);
+    std::this_thread::sleep_for(kKnownWithin);
+    for (Gateway *it : {gateway.get(), other.get()}) {
+        const auto refused = send(*it, "/once/1", kPoison);
+        ASSERT_TRUE(refused.ok()) << refused.status();
+        EXPECT_EQ(refused->status, 429) << refused->body;
+    }
+    EXPECT_EQ(crashes(), kEnoughEnds);
+}
+
+// Guards against a gateway that forgets with its restart what the fleet knows.
+TEST_F(PoisonRequestsTest, gatewayStartedAfterTheCrashes_refusesTheRequest)
+{
+    startTwo();
+    crash(*gateway, kEnoughEnds);
+    std::this_thread::sleep_for(kKnownWithin);
+    start();
+    std::this_thread::sleep_for(kKnownWithin);
+    const auto refused = send(*gateway, "/once/1", kPoison);
+    ASSERT_TRUE(refused.ok()) << refused.status();
+    EXPECT_EQ(refused->status, 429) << refused->body;
+    EXPECT_EQ(crashes(), kEnoughEnds);
+}
