A request under which three endpoints have crashed is kept from the others, at every gateway

What callers saw: one caller's request, repeated at any gateway, ended one engine after the other, eleven within ten seconds, and broke off what ran there: streams of all organisations, closed in the middle of their answers.

Cause: nothing names a request by its content. Each repeat was a new call with no past, at the gateway that had seen the crashes as well as at the others. The evidence of the record: content apart, the calls without events under which engines ended were alike, 49 to 104 ms after they were sent, at four gateways; each address refused connections from then on.

Change: a gateway whose connection breaks during a run asks the endpoint's address once; one that refuses has crashed, one that takes the connection or is silent has not, so that reset connections and zones without power accuse nothing. What ran there is told to all through the platform's store, one object for all crashes of 50 ms, which a gateway that restarts or was cut off reads as well. Each gateway then judges by itself: three crashes since the request was last answered whole. Crashes of one moment count twice at most, unless a run was sent with the earlier ones known; those that a barred request with more crashes explains do not count for what ran beside it. Calls ask before they are reserved for, placed and sent. The caller gets 429, "not run", at once, and no reason to come back within ten minutes.

Ways weighed: counts at each gateway (what each sees alone convicts too late, which the record shows); a home by the content's hash (lost with its process, and asked by all before each call); a word to every gateway (300 x 299 connections).

The last check of the first test asked a route of streams for a plain answer, which no endpoint gives; it asks a plain one now, as strictly.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -43,6 +43,9 @@
 net::awaitable<void> Call::run()
 {
     absl::Status status = prepare();
+    if (status.ok()) {
+        status = checkPoison();
+    }
     if (status.ok()) {
         m_exchange.setPeerGoneCallback([this] {
             handleCallerGone();
@@ -229,8 +232,13 @@
     co_return absl::OkStatus();
 }
 
+// A call may wait for an endpoint for as long as it takes to find out about its request.
 net::awaitable<absl::StatusOr<Placement>> Call::place()
 {
+    absl::Status poison = checkPoison();
+    if (!poison.ok()) {
+        co_return poison;
+    }
     const auto start = [this](auto done) {
         m_services.gate.place(placementQuery(), std::move(done));
     };
@@ -238,6 +246,11 @@
     absl::StatusOr<Placement> placement = co_await awaitCallback<absl::StatusOr<Placement>>(start);
     m_waited += m_services.timers.now() - askedAt;
     m_services.metrics.notePlaced(m_services.timers.now() - askedAt);
+    poison = checkPoison();
+    if (placement.ok() && !poison.ok()) {
+        m_services.gate.noteEnded(placement->id, RunEnd::Cancelled);
+        co_return poison;
+    }
     co_return placement;
 }
 
@@ -390,6 +403,11 @@
     return *m_fingerprint;
 }
 
+absl::Status Call::checkPoison() const
+{
+    return m_services.poison.isWatching() ? m_services.poison.check(fingerprint()) : absl::OkStatus();
+}
+
 void Call::logEnd(const absl::Status &status) const
 {
     const Duration taken = m_services.timers.now() - m_startedAt;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -42,6 +42,8 @@
         bool isSilenceLogged = false;
         /// The endpoint's answer, which is passed on, says that it failed the call.
         bool hasFailed = false;
+        /// Crashes that counted against the request when it was sent.
+        int crashesBefore = 0;
         /// Why its connection could not be had, or gave no whole answer.
         absl::Status failure;
     };
@@ -70,6 +72,7 @@
     void handleCallerGone();
     void logEnd(const absl::Status &status) const;
     const RequestFingerprint &fingerprint() const;
+    absl::Status checkPoison() const;
 
     // callattempt.cpp: one attempt at an endpoint.
     boost::asio::awaitable<void> start(Attempt &attempt);
@@ -80,6 +83,7 @@
     AttemptEnd endUnanswered(Attempt &attempt, const absl::Status &status);
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
     void finish(Attempt &attempt, AttemptResult result);
+    void notePoison(const Attempt &attempt, AttemptResult result);
     RunEnd runEndOf(const Attempt &attempt, AttemptResult result) const;
     AtExpiry atExpiry(Duration wait) const;
     void logAttempt(const Attempt &attempt, AttemptEnd end) const;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -62,6 +62,9 @@
     if (status.ok() && m_isCallerGone) {
         status = makeFailure(FailureCode::ConnectionLost, "the caller is gone");
     }
+    if (status.ok()) {
+        status = checkPoison();
+    }
     if (!status.ok()) {
         m_services.connections.forget(placement.endpoint);
         attempt.connection->close();
@@ -77,6 +80,7 @@
     }
     ++m_history.sent;
     m_hasRetry = false;
+    attempt.crashesBefore = m_services.poison.isWatching() ? m_services.poison.crashes(fingerprint()) : 0;
     CallDispatch dispatch;
     dispatch.endpoint = attempt.placement.endpoint;
     dispatch.organisation = m_organisation ? m_organisation->name : OrganisationId();
@@ -150,6 +154,7 @@
         m_services.gate.noteMissed(attempt.placement.id);
     }
     m_services.gate.noteEnded(attempt.placement.id, runEndOf(attempt, result));
+    notePoison(attempt, result);
     if (result) {
         logAttempt(attempt, *result);
         m_tried.push_back(attempt.placement.endpoint);
@@ -160,6 +165,21 @@
     }
 }
 
+// A connection that breaks may be an endpoint that has crashed, and this request the cause. One that ended with a
+// whole answer, even of a failure, has not crashed anything.
+void Call::notePoison(const Attempt &attempt, AttemptResult result)
+{
+    const Placement &placement = attempt.placement;
+    const bool isLost = failureCode(attempt.failure) == FailureCode::ConnectionLost;
+    if (result == AttemptEnd::Broken && isLost && !m_isCallerGone) {
+        const EndpointLife life{placement.endpoint, placement.bornAtMilliseconds};
+        m_services.poison.noteBroken({life, fingerprint(), attempt.crashesBefore}, placement.address);
+    }
+    if (!result && m_services.poison.isWatching()) {
+        m_services.poison.noteAnswered(fingerprint());
+    }
+}
+
 // An endpoint that fails many calls while its health is good shows it by its answers alone.
 RunEnd Call::runEndOf(const Attempt &attempt, AttemptResult result) const
 {
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -5,6 +5,7 @@
 #include "endpointconnections.h"
 #include "limits/retrybudget.h"
 #include "logsampler.h"
+#include "poisonguard.h"
 #include "serving/callgate.h"
 #include "serving/servingtable.h"
 #include "serving/sharedbudgets.h"
@@ -67,6 +68,7 @@
     CallTimes times;
     CallMetrics &metrics;
     LogSampler &sampler;
+    PoisonGuard &poison;
 
     RetryBudget &retryBudget(const PoolId &pool)
     {
--- /dev/null
+++ b/src/gateway/crashprobe.cpp
@@ -0,0 +1,64 @@
+#include "crashprobe.h"
+
+#include "asyncresult.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace RadishSwitch
+{
+
+namespace net = boost::asio;
+
+namespace
+{
+
+/// A process that ends closes its connections and its listener one after the other.
+constexpr Duration kSettling = std::chrono::milliseconds(20);
+/// A refusal comes back as fast as any packet; a lost one is sent again after a second.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(1300);
+
+}
+
+CrashProbe::CrashProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections)
+    : m_workers(workers)
+    , m_timers(timers)
+    , m_connections(connections)
+{
+}
+
+void CrashProbe::ask(const EndpointLife &life, const std::string &address, std::function<void()> onCrashed)
+{
+    std::vector<std::function<void()>> &asking = m_asking[life];
+    asking.push_back(std::move(onCrashed));
+    if (asking.size() == 1) {
+        net::co_spawn(m_workers.context(), probe(life, address), net::detached);
+    }
+}
+
+net::awaitable<void> CrashProbe::probe(EndpointLife life, std::string address)
+{
+    const std::weak_ptr<int> alive = m_alive;
+    co_await awaitPause(m_timers, kSettling);
+    if (alive.expired()) {
+        co_return;
+    }
+    const EndpointConnections::ConnectionPointer connection = m_connections.create(address);
+    (void)co_await connection->connect(kProbeTimeout);
+    const bool hasCrashed = connection->wasRefused();
+    connection->close();
+    if (alive.expired()) {
+        co_return;
+    }
+    const auto node = m_asking.extract(life);
+    if (node.empty() || !hasCrashed) {
+        co_return;
+    }
+    for (const std::function<void()> &onCrashed : node.mapped()) {
+        onCrashed();
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/crashreports.cpp
@@ -0,0 +1,214 @@
+#include "crashreports.h"
+
+#include "base/failure.h"
+#include "log.h"
+#include "serving/crashreportformat.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+const Log kLog("crashes");
+
+constexpr std::string_view kReportKey = "crashes/report.";
+constexpr std::string_view kBarredKey = "crashes/barred.";
+constexpr char kNothing[] = "{}";
+
+/// The calls of one crash break off within this, and are written together.
+constexpr Duration kGather = std::chrono::milliseconds(50);
+constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
+constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
+/// All gateways bar a request at about the same time, and one of them need write it.
+constexpr Duration kBarredWithin = std::chrono::seconds(1);
+/// A request that crashed endpoints is remembered for so long.
+constexpr Duration kRemembered = std::chrono::minutes(10);
+/// Gateways that have known an object equally long do not all remove it at once.
+constexpr Duration kRemovedWithin = std::chrono::minutes(2);
+
+std::optional<RequestFingerprint> barredRequest(const std::string &key)
+{
+    return key.starts_with(kBarredKey) ? RequestFingerprint::parse(key.substr(kBarredKey.size())) : std::nullopt;
+}
+
+}
+
+CrashReports::CrashReports(ObjectStore &store, TimerService &timers, RandomSource &random, std::string instance,
+                           PoisonDetector &detector)
+    : m_store(store)
+    , m_timers(timers)
+    , m_random(random)
+    , m_instance(std::move(instance))
+    , m_detector(detector)
+{
+}
+
+CrashReports::~CrashReports()
+{
+    m_timers.cancel(m_timer);
+}
+
+void CrashReports::addCrashed(const CrashedRun &run)
+{
+    kLog.info("endpoint crashed under a request",
+              {field("endpoint", run.life.endpoint.value()), field("content", run.request.toString()),
+               field("crashes", m_detector.crashes(run.request) + 1)});
+    add({{run}, {}});
+}
+
+void CrashReports::addAnswered(const RequestFingerprint &request)
+{
+    kLog.info("request answered whole after crashes",
+              {field("content", request.toString()), field("crashes", m_detector.crashes(request))});
+    const std::string key = std::string(kBarredKey) + request.toString();
+    if (const auto barred = m_known.find(key); barred != m_known.end()) {
+        m_store.remove(key, barred->second.version, [](const absl::Status &) {});
+    }
+    add({{}, {request}});
+}
+
+void CrashReports::add(const CrashReport &part)
+{
+    if (m_pending.isEmpty()) {
+        m_pendingKey = std::string(kReportKey) + m_instance + "." + m_random.freshName();
+        m_own.insert(m_pendingKey);
+        m_timer = m_timers.after(kGather, [this] {
+            flush();
+        });
+    }
+    m_pending.crashed.insert(m_pending.crashed.end(), part.crashed.begin(), part.crashed.end());
+    m_pending.answered.insert(m_pending.answered.end(), part.answered.begin(), part.answered.end());
+    noteBarred(m_detector.take(m_pendingKey, part, m_timers.now()));
+}
+
+void CrashReports::flush()
+{
+    m_timer = 0;
+    write(m_pendingKey, writeCrashReport(std::exchange(m_pending, {})), 0);
+}
+
+void CrashReports::write(const std::string &key, const std::string &value, int failures)
+{
+    m_store.put(key, value, 0, [=, this, alive = std::weak_ptr<int>(m_alive)](const absl::StatusOr<std::uint64_t> &at) {
+        // An object that is there already was written by an earlier try whose answer was lost, or by another gateway.
+        if (alive.expired() || at.ok() || failureCode(at.status()) == FailureCode::VersionConflict) {
+            return;
+        }
+        kLog.warning("not written", {field("key", key), field("error", std::string(at.status().message()))});
+        constexpr int kMostDoublings = 10;
+        const Duration pause = std::min(kFirstRetry * (1 << std::min(failures, kMostDoublings)), kLongestRetry);
+        m_timers.after(pause / 2 + jitter(pause / 2), [=, this] {
+            if (!alive.expired()) {
+                write(key, value, failures + 1);
+            }
+        });
+    });
+}
+
+void CrashReports::objectsListed(const std::vector<StoredObject> &objects)
+{
+    absl::flat_hash_set<std::string> listed;
+    for (const StoredObject &object : objects) {
+        listed.insert(object.key);
+    }
+    std::vector<std::string> gone;
+    for (const auto &[key, known] : m_known) {
+        if (!listed.contains(key)) {
+            gone.push_back(key);
+        }
+    }
+    std::ranges::for_each(gone, [this](const std::string &key) {
+        forget(key);
+    });
+    std::vector<StoredObject> inOrder = objects;
+    std::ranges::sort(inOrder, {}, &StoredObject::version);
+    objectsChanged(inOrder);
+}
+
+void CrashReports::objectsChanged(const std::vector<StoredObject> &objects)
+{
+    for (const StoredObject &object : objects) {
+        object.version == 0 ? forget(object.key) : takeIn(object);
+    }
+}
+
+void CrashReports::takeIn(const StoredObject &object)
+{
+    const Instant removeAt = m_timers.now() + kRemembered + jitter(kRemovedWithin);
+    if (!m_known.try_emplace(object.key, Known{object.version, removeAt}).second) {
+        return;
+    }
+    if (m_own.erase(object.key) > 0) {
+        return;
+    }
+    if (const std::optional<RequestFingerprint> request = barredRequest(object.key)) {
+        m_detector.bar(*request);
+        return;
+    }
+    const absl::StatusOr<CrashReport> report = readCrashReport(object.value);
+    if (!report.ok()) {
+        kLog.error("a report can't be read",
+                   {field("key", object.key), field("error", std::string(report.status().message()))});
+        return;
+    }
+    noteBarred(m_detector.take(object.key, *report, m_timers.now()));
+}
+
+void CrashReports::forget(const std::string &key)
+{
+    m_known.erase(key);
+    if (const std::optional<RequestFingerprint> request = barredRequest(key)) {
+        m_detector.lift(*request);
+    } else {
+        m_detector.forget(key);
+    }
+}
+
+void CrashReports::noteBarred(const std::vector<RequestFingerprint> &requests)
+{
+    for (const RequestFingerprint &request : requests) {
+        kLog.warning("request barred",
+                     {field("content", request.toString()), field("crashes", m_detector.crashes(request))});
+        m_timers.after(jitter(kBarredWithin), [this, request, alive = std::weak_ptr<int>(m_alive)] {
+            if (!alive.expired()) {
+                tellBarred(request);
+            }
+        });
+    }
+}
+
+void CrashReports::tellBarred(const RequestFingerprint &request)
+{
+    const std::string key = std::string(kBarredKey) + request.toString();
+    if (m_detector.isBarred(request) && !m_known.contains(key)) {
+        write(key, kNothing, 0);
+    }
+}
+
+void CrashReports::removeOld()
+{
+    const Instant now = m_timers.now();
+    for (auto &[key, known] : m_known) {
+        if (now >= known.removeAt) {
+            known.removeAt = now + jitter(kRemovedWithin);
+            m_store.remove(key, known.version, [key = key](const absl::Status &status) {
+                if (!status.ok() && failureCode(status) != FailureCode::ObjectMissing) {
+                    kLog.warning("not removed", {field("key", key), field("error", std::string(status.message()))});
+                }
+            });
+        }
+    }
+}
+
+Duration CrashReports::jitter(Duration most)
+{
+    return Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(most.count()))));
+}
+
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,6 +53,7 @@
                      })
     , m_connections(m_workers)
     , m_callMetrics(m_metrics)
+    , m_poison(m_workers, m_store, m_connections, m_timers, m_random, m_settings.instance)
     , m_services{*m_adapter.protocol,
                  m_timers,
                  m_random,
@@ -63,7 +64,8 @@
                  retrySettings(m_settings),
                  callTimes(m_settings),
                  m_callMetrics,
-                 m_sampler}
+                 m_sampler,
+                 m_poison}
     , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, shedderSettings(m_settings),
                [this] {
                    updateReady();
@@ -83,6 +85,7 @@
                          followerSettings(m_settings))
     , m_cordonFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->cordonPrefix(), m_cordons,
                        followerSettings(m_settings))
+    , m_crashFollower(m_relayedStore, m_timers, m_random, kCrashPrefix, m_poison.reports(), crashFollowerSettings())
     , m_peerServer(m_workers, transportSettings(m_settings))
     , m_server(m_workers, callerServerSettings(m_intake),
                [this](HttpExchange &exchange) {
@@ -148,6 +151,7 @@
     if (followsCordons()) {
         follow(m_cordonFollower, m_adapter.catalogue->cordonPrefix());
     }
+    follow(m_crashFollower, kCrashPrefix);
     m_announcement.start(m_settings.isFirstStart);
     m_peerRegistry.start();
     m_timers.every(kUpkeepInterval, [this] {
@@ -187,6 +191,7 @@
 void Gateway::keepUp()
 {
     m_connections.closeExpired();
+    m_poison.reports().removeOld();
     m_gate.noteRosterChanged();
     updateReady();
     if (Log::isEnabled(LogLevel::Debug)) {
@@ -365,6 +370,8 @@
         .set(static_cast<double>(m_gate.roster().cordons().closedZones().size()));
     m_metrics.gauge("radishswitch_endpoints_cold", "Endpoints that are taken for cold")
         .set(static_cast<double>(m_gate.roster().countCold(m_timers.now())));
+    m_metrics.gauge("radishswitch_requests_barred", "Requests that are refused since endpoints crashed under them")
+        .set(static_cast<double>(m_poison.barredCount()));
     m_metrics.gauge("radishswitch_idle_connections", "Idle connections to endpoints")
         .set(static_cast<double>(m_connections.idleCount()));
     m_metrics.gauge("radishswitch_configuration_version", "Version of the configuration in force")
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "httpserver.h"
 #include "peerannouncement.h"
 #include "peerregistry.h"
+#include "poisonguard.h"
 #include "prepaidbudgets.h"
 #include "serving/objectfollower.h"
 #include "serving/relayedstore.h"
@@ -98,6 +99,7 @@
     std::map<PoolId, RetryBudget> m_retryBudgets;
     CallMetrics m_callMetrics;
     LogSampler m_sampler;
+    PoisonGuard m_poison;
     CallServices m_services;
     CallIntake m_intake;
     ConfigurationListener m_configuration;
@@ -106,6 +108,7 @@
     ObjectFollower m_configurationFollower;
     ObjectFollower m_endpointFollower;
     ObjectFollower m_cordonFollower;
+    ObjectFollower m_crashFollower;
     Http2MessageServer m_peerServer;
     HttpServer m_server;
     AdminServer m_admin;
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -43,6 +43,14 @@
     return follower;
 }
 
+ObjectFollowerSettings crashFollowerSettings()
+{
+    ObjectFollowerSettings follower;
+    // Of a crash each gateway writes one object, and all within this.
+    follower.changePause = std::chrono::milliseconds(50);
+    return follower;
+}
+
 Duration relayTimeout(const GatewaySettings &settings)
 {
     // It speaks after each watch of its own at the latest; the rest is for the store's answer and the way here.
--- /dev/null
+++ b/src/gateway/poisonguard.cpp
@@ -0,0 +1,47 @@
+#include "poisonguard.h"
+
+#include "base/failure.h"
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+/// About as long as crashes are remembered: sooner the request is refused again.
+constexpr std::chrono::milliseconds kRetryAfter = std::chrono::minutes(10);
+/// The news of an answer matters from here on: one more crash may bar the request.
+constexpr std::size_t kCrashesWorthClearing = 2;
+
+}
+
+PoisonGuard::PoisonGuard(WorkerPool &workers, ObjectStore &store, EndpointConnections &connections,
+                         TimerService &timers, RandomSource &random, const std::string &instance)
+    : m_probe(workers, timers, connections)
+    , m_reports(store, timers, random, instance, m_detector)
+{
+}
+
+absl::Status PoisonGuard::check(const RequestFingerprint &request) const
+{
+    if (!m_detector.isBarred(request)) {
+        return absl::OkStatus();
+    }
+    return makeFailure(FailureCode::PoisonRequest, "endpoints have crashed under this request", kRetryAfter);
+}
+
+void PoisonGuard::noteBroken(const CrashedRun &run, const std::string &address)
+{
+    m_probe.ask(run.life, address, [this, run] {
+        m_reports.addCrashed(run);
+    });
+}
+
+void PoisonGuard::noteAnswered(const RequestFingerprint &request)
+{
+    if (m_detector.isBarred(request) || m_detector.crashes(request) >= kCrashesWorthClearing) {
+        m_reports.addAnswered(request);
+    }
+}
+
+}
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -92,6 +92,7 @@
     if (ec && m_watchdog.isExpired()) {
         co_return makeFailure(FailureCode::ConnectionSilent, m_address + " took no connection in time");
     }
+    m_wasRefused = ec == net::error::connection_refused;
     if (ec) {
         co_return makeFailure(FailureCode::ConnectionLost, m_address + " can't be reached: " + ec.message());
     }
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -51,6 +51,13 @@
     const std::string &address() const;
 
     boost::asio::awaitable<absl::Status> connect(Duration timeout);
+
+    /// Whether nothing listened at the address when it was last connected to: the process that did has ended.
+    bool wasRefused() const
+    {
+        return m_wasRefused;
+    }
+
     boost::asio::awaitable<absl::Status> send(const HttpRequest &request);
 
     /// Sends while the caller goes on to `receiveHead`: an endpoint may answer before it has read a long request. When
@@ -153,6 +160,7 @@
     /// What the deadline was set to, and until when pauses are possible.
     Duration m_span{};
     Clock::time_point m_end = Clock::time_point::max();
+    bool m_wasRefused = false;
     bool m_isPaused = false;
     /// Whether a deadline was put off for bytes that had arrived.
     bool m_isPutOff = false;
--- a/src/libradishswitch/base/failure.cpp
+++ b/src/libradishswitch/base/failure.cpp
@@ -42,6 +42,7 @@
     FailureKind{FailureCode::RequestTooLarge, "request_too_large", 400, absl::StatusCode::kInvalidArgument},
     FailureKind{FailureCode::Overloaded, "overloaded", 503, absl::StatusCode::kUnavailable},
     FailureKind{FailureCode::DeadlineExceeded, "deadline_exceeded", 504, absl::StatusCode::kDeadlineExceeded},
+    FailureKind{FailureCode::PoisonRequest, "poison_request", 429, absl::StatusCode::kFailedPrecondition},
     FailureKind{FailureCode::NoEndpoint, "no_endpoint", 503, absl::StatusCode::kUnavailable},
     FailureKind{FailureCode::EndpointFailed, "endpoint_failed", 502, absl::StatusCode::kUnavailable},
     FailureKind{FailureCode::EndpointLeaving, "endpoint_leaving", 503, absl::StatusCode::kUnavailable},
--- a/src/libradishswitch/base/failure.h
+++ b/src/libradishswitch/base/failure.h
@@ -32,6 +32,8 @@
     RequestTooLarge,
     Overloaded,
     DeadlineExceeded,
+    /// Endpoints have crashed under this request; it is kept from the others.
+    PoisonRequest,
     // Endpoints and runs.
     NoEndpoint,
     EndpointFailed,
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -104,8 +104,12 @@
         return false;
     }
     const EndpointListing &listing = m_roster.at(*slot).listing;
-    const Placement placement{++m_lastPlacement, listing.id, listing.address, listing.zone,
-                              m_placement.expectedFirstAnswer(*slot, query, now)};
+    const Placement placement{++m_lastPlacement,
+                              listing.id,
+                              listing.address,
+                              listing.zone,
+                              m_placement.expectedFirstAnswer(*slot, query, now),
+                              listing.bornAtMilliseconds};
     const std::int64_t unread = m_placement.noteSent(*slot, query, now);
     m_placed.insert_or_assign(placement.id, Placed{*slot, query.pool, unread, now, query.lateAfter});
     callback(placement);
--- a/src/libradishswitch/serving/placementquery.h
+++ b/src/libradishswitch/serving/placementquery.h
@@ -39,6 +39,8 @@
     std::string zone;
     /// How long the first answer should take, by what is known here.
     Duration expectedFirstAnswer{};
+    /// The life of the endpoint that is meant, as in its listing.
+    std::int64_t bornAtMilliseconds = 0;
 
     bool operator==(const Placement &) const = default;
 };
--- a/tests/radishswitch-gateway/poisonrequests_test.cpp
+++ b/tests/radishswitch-gateway/poisonrequests_test.cpp
@@ -96,7 +96,7 @@
         EXPECT_NE(refused->body.find("\"not_run\""), std::string::npos) << refused->body;
     }
     EXPECT_EQ(crashes(), kEnoughEnds);
-    const auto served = send(*gateway, "/once/1", "hello");
+    const auto served = send(*gateway, "/safe/1", "hello");
     ASSERT_TRUE(served.ok()) << served.status();
     EXPECT_EQ(served->status, 200) << served->body;
 }
