One class for what endpoints bear, cold or by another rate

Renamed from the starts of cold endpoints: the parts of the gateways are worked out from any rate over any span. Nothing behaves otherwise; the tests of cold endpoints are the same but for the names.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -179,7 +179,7 @@
     for (const auto &[name, peer] : gatewaysAmong(peers)) {
         weights[name] = peer.weight;
     }
-    m_gate.coldStarts().setGateways(weights);
+    m_gate.allowances().setGateways(weights);
     updateReady();
 }
 
@@ -241,7 +241,7 @@
     serverLimits.readTimeout = limits.headerTimeout;
     serverLimits.idleTimeout = limits.idleTimeout;
     m_server.setLimits(serverLimits);
-    m_gate.coldStarts().setPools(table->configuration().pools);
+    m_gate.allowances().setPools(table->configuration().pools);
     updateReady();
 }
 
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -64,7 +64,7 @@
     });
     parser.add("cordon-bound", settings.cordonBound,
                "within this an order that a zone gets no new calls has to be in force; 0ms for no such orders");
-    parser.addNumber("cold-overshoot", settings.coldStarts.overshoot, kLeastColdOvershoot, kMostColdOvershoot,
+    parser.addNumber("cold-overshoot", settings.allowances.overshoot, kLeastColdOvershoot, kMostColdOvershoot,
                      "times what a cold endpoint is said to bear that all gateways together may send it");
     parser.addNumber("watch-share", settings.watchShare, kLeastWatchShare, 1,
                      "share of the change bound that a watch without news waits");
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,7 +2,7 @@
 
 #include "fleetsettings.h"
 #include "limits/loadshedder.h"
-#include "serving/coldstarts.h"
+#include "serving/callallowances.h"
 #include "serving/placementsettings.h"
 
 #include <absl/status/statusor.h>
@@ -43,7 +43,7 @@
     double retryBound = 0.2;
     double retryBurst = 6;
     PlacementSettings placement;
-    ColdStartSettings coldStarts;
+    AllowanceSettings allowances;
     /// Calls are read also while this gateway has no processor time for them, and never refused unread.
     bool takesAllCalls = false;
     LoadShedderSettings shedding;
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -82,7 +82,7 @@
     CallGateSettings gate;
     gate.placement = settings.placement;
     gate.ignoresPressure = settings.ignoresPressure;
-    gate.coldStarts = settings.coldStarts;
+    gate.allowances = settings.allowances;
     // Checked when the settings were read.
     gate.roster.zoneRegions = parseZoneRegions(settings.zoneRegions).value_or(std::map<std::string, std::string>());
     return gate;
--- a/src/libradishswitch/serving/coldstarts.cpp
+++ b/src/libradishswitch/serving/callallowances.cpp
@@ -1,4 +1,4 @@
-#include "serving/coldstarts.h"
+#include "serving/callallowances.h"
 
 #include "base/rendezvous.h"
 
@@ -9,14 +9,22 @@
 namespace RadishSwitch
 {
 
-ColdStarts::ColdStarts(std::string self, ColdStartSettings settings)
+namespace
+{
+
+/// Endpoints come under new names and name other limits all day.
+constexpr std::size_t kMostShares = 10'000;
+
+}
+
+CallAllowances::CallAllowances(std::string self, AllowanceSettings settings)
     : m_self(std::move(self))
     , m_own{rendezvousHash(m_self), 1}
     , m_settings(settings)
 {
 }
 
-void ColdStarts::setPools(const std::vector<ServedPool> &pools)
+void CallAllowances::setPools(const std::vector<ServedPool> &pools)
 {
     m_pools.clear();
     m_shares.clear();
@@ -25,7 +33,7 @@
     }
 }
 
-void ColdStarts::setGateways(const std::map<std::string, double> &weights)
+void CallAllowances::setGateways(const std::map<std::string, double> &weights)
 {
     m_others.clear();
     m_shares.clear();
@@ -45,29 +53,42 @@
     }
 }
 
-Duration ColdStarts::usualSpan(const PoolId &pool) const
+Duration CallAllowances::usualColdSpan(const PoolId &pool) const
 {
     const auto it = m_pools.find(pool);
     return it == m_pools.end() ? Duration::zero() : it->second.span;
 }
 
-std::size_t ColdStarts::ownCalls(const PoolId &pool, std::uint64_t endpointHash) const
+std::size_t CallAllowances::ownColdCalls(const PoolId &pool, std::uint64_t endpointHash) const
 {
     const auto it = m_pools.find(pool);
     if (it == m_pools.end() || it->second.callsPerSecond <= 0) {
         return kUnbounded;
     }
-    const auto [share, isNew] = m_shares.try_emplace(endpointHash);
+    return ownPart(it->second.callsPerSecond * m_settings.overshoot, endpointHash);
+}
+
+std::size_t CallAllowances::ownCalls(double callsPerSecond, Duration span, std::uint64_t endpointHash) const
+{
+    return ownPart(callsPerSecond * std::chrono::duration<double>(span).count(), endpointHash);
+}
+
+std::size_t CallAllowances::ownPart(double calls, std::uint64_t endpointHash) const
+{
+    // One that bears less than a call must still get some, or it would never be of use.
+    const double all = std::floor(std::max(calls, 1.0));
+    if (m_shares.size() >= kMostShares) {
+        m_shares.clear();
+    }
+    const auto [share, isNew] = m_shares.try_emplace(std::pair(all, endpointHash));
     if (isNew) {
-        share->second = shareOf(it->second.callsPerSecond, endpointHash);
+        share->second = shareOf(all, endpointHash);
     }
     return share->second;
 }
 
-std::size_t ColdStarts::shareOf(double callsPerSecond, std::uint64_t endpointHash) const
+std::size_t CallAllowances::shareOf(double all, std::uint64_t endpointHash) const
 {
-    // One that bears less than a call a second must still get some, or it would never be of use.
-    const double all = std::floor(std::max(callsPerSecond * m_settings.overshoot, 1.0));
     const auto wholeCalls = [all](const Gateway &gateway) {
         return std::floor(all * gateway.share);
     };
@@ -79,7 +100,7 @@
     return static_cast<std::size_t>(wholeCalls(m_own)) + (hasOneMore ? 1 : 0);
 }
 
-bool ColdStarts::isAmongFirst(std::uint64_t endpointHash, std::size_t count) const
+bool CallAllowances::isAmongFirst(std::uint64_t endpointHash, std::size_t count) const
 {
     const std::uint64_t ownScore = rendezvousScore(m_own.hash, endpointHash);
     const auto before = std::ranges::count_if(m_others, [&](const Gateway &other) {
--- a/src/libradishswitch/serving/coldstarts.h
+++ b/src/libradishswitch/serving/callallowances.h
@@ -10,29 +10,30 @@
 #include <limits>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace RadishSwitch
 {
 
-struct ColdStartSettings {
+struct AllowanceSettings {
     /// All gateways together may send a cold endpoint so many times what it is said to bear.
     double overshoot = 1;
 };
 
-/// How many calls this process may send to an endpoint that is cold.
+/// How many calls this process may send to an endpoint that bears few: one that is cold, or says itself what it takes.
 ///
 /// Load pattern: the endpoints of a whole zone come back at once, empty, and therefore look like the best choice to
 /// every gateway at the same moment. One that is sent far more than it bears while it is cold crashes. The bound is on
 /// what all gateways send together, and no one counts for all of them; so each has a fixed part of it, by its weight:
 /// after a loss of power strong instances are back first, and have the callers of all. What whole calls leave over goes
 /// to as many gateways by rendezvous hashing, other ones for each endpoint, without a word between them.
-class ColdStarts
+class CallAllowances
 {
 public:
     static constexpr std::size_t kUnbounded = std::numeric_limits<std::size_t>::max();
 
-    explicit ColdStarts(std::string self, ColdStartSettings settings = {});
+    explicit CallAllowances(std::string self, AllowanceSettings settings = {});
 
     /// What the endpoints of each pool bear.
     void setPools(const std::vector<ServedPool> &pools);
@@ -42,11 +43,15 @@
     void setGateways(const std::map<std::string, double> &weights);
 
     /// How long an endpoint stays cold that has just started; zero where the pool's endpoints are never cold.
-    Duration usualSpan(const PoolId &pool) const;
+    Duration usualColdSpan(const PoolId &pool) const;
 
     /// Calls a second that this process may send to an endpoint, by its hash, while it is cold; kUnbounded where the
     /// pool has no bound.
-    std::size_t ownCalls(const PoolId &pool, std::uint64_t endpointHash) const;
+    std::size_t ownColdCalls(const PoolId &pool, std::uint64_t endpointHash) const;
+
+    /// Calls within a span that this process may send to an endpoint, by its hash, where all together may send it
+    /// `callsPerSecond`.
+    std::size_t ownCalls(double callsPerSecond, Duration span, std::uint64_t endpointHash) const;
 
 private:
     struct Bearing {
@@ -54,7 +59,8 @@
         Duration span{};
     };
 
-    std::size_t shareOf(double callsPerSecond, std::uint64_t endpointHash) const;
+    std::size_t ownPart(double calls, std::uint64_t endpointHash) const;
+    std::size_t shareOf(double all, std::uint64_t endpointHash) const;
     struct Gateway {
         std::uint64_t hash = 0;
         /// Of the weights of all.
@@ -65,11 +71,11 @@
 
     const std::string m_self;
     Gateway m_own;
-    const ColdStartSettings m_settings;
+    const AllowanceSettings m_settings;
     std::vector<Gateway> m_others;
     absl::flat_hash_map<PoolId, Bearing> m_pools;
-    /// Own calls by endpoints' hashes, since hundreds of gateways are compared for each.
-    mutable absl::flat_hash_map<std::uint64_t, std::size_t> m_shares;
+    /// Own calls by the calls of all and endpoints' hashes, since hundreds of gateways are compared for each.
+    mutable absl::flat_hash_map<std::pair<double, std::uint64_t>, std::size_t> m_shares;
 };
 
 }
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -12,9 +12,9 @@
     : m_timers(timers)
     , m_random(random)
     , m_settings(settings)
-    , m_coldStarts(std::move(self), settings.coldStarts)
+    , m_allowances(std::move(self), settings.allowances)
     , m_roster(settings.roster)
-    , m_placement(m_roster, m_coldStarts, random, std::move(ownZone), settings.placement)
+    , m_placement(m_roster, m_allowances, random, std::move(ownZone), settings.placement)
 {
 }
 
@@ -46,7 +46,7 @@
 void CallGate::takeForCold(const std::vector<EndpointSlot> &slots)
 {
     for (const EndpointSlot slot : slots) {
-        m_roster.extendCold(slot, m_timers.now() + m_coldStarts.usualSpan(m_roster.at(slot).listing.pool));
+        m_roster.extendCold(slot, m_timers.now() + m_allowances.usualColdSpan(m_roster.at(slot).listing.pool));
     }
 }
 
@@ -54,7 +54,7 @@
 // their parts to spare.
 absl::Status CallGate::refusalOf(const PlacementQuery &query, const absl::Status &status) const
 {
-    if (!m_placement.isHeldByColdStarts(query, m_timers.now())) {
+    if (!m_placement.isHeldByAllowances(query, m_timers.now())) {
         return status;
     }
     return makeFailure(FailureCode::Overloaded, "cold endpoints get no more calls from this gateway",
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -28,7 +28,7 @@
     bool ignoresPressure = false;
     PlacementSettings placement;
     EndpointRosterSettings roster;
-    ColdStartSettings coldStarts;
+    AllowanceSettings allowances;
 };
 
 /// Lets calls through to endpoints: at once while an endpoint has room, else in the order of a fair queue, and refuses
@@ -58,9 +58,9 @@
         return m_roster;
     }
 
-    ColdStarts &coldStarts()
+    CallAllowances &allowances()
     {
-        return m_coldStarts;
+        return m_allowances;
     }
 
     /// Operators' orders: these zones get no new calls.
@@ -130,7 +130,7 @@
     TimerService &m_timers;
     RandomSource &m_random;
     const CallGateSettings m_settings;
-    ColdStarts m_coldStarts;
+    CallAllowances m_allowances;
     EndpointRoster m_roster;
     CallPlacement m_placement;
     std::map<PoolId, FairQueue> m_queues;
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -50,10 +50,10 @@
 
 }
 
-CallPlacement::CallPlacement(EndpointRoster &roster, const ColdStarts &coldStarts, RandomSource &random,
+CallPlacement::CallPlacement(EndpointRoster &roster, const CallAllowances &allowances, RandomSource &random,
                              std::string ownZone, PlacementSettings settings)
     : m_roster(roster)
-    , m_coldStarts(coldStarts)
+    , m_allowances(allowances)
     , m_random(random)
     , m_ownZone(std::move(ownZone))
     , m_settings(settings)
@@ -90,10 +90,10 @@
         return false;
     }
     const RosterEndpoint &it = m_roster.at(slot);
-    return !it.coldCalls.isBelow(m_coldStarts.ownCalls(it.listing.pool, it.hash), now);
+    return !it.coldCalls.isBelow(m_allowances.ownColdCalls(it.listing.pool, it.hash), now);
 }
 
-bool CallPlacement::isHeldByColdStarts(const PlacementQuery &query, Instant now) const
+bool CallPlacement::isHeldByAllowances(const PlacementQuery &query, Instant now) const
 {
     return std::ranges::any_of(m_roster.pool(query.pool), [&](EndpointSlot slot) {
         const RosterEndpoint &it = m_roster.at(slot);
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -3,7 +3,7 @@
 #include "base/randomsource.h"
 #include "routing/prefixcachehints.h"
 #include "routing/routequery.h"
-#include "serving/coldstarts.h"
+#include "serving/callallowances.h"
 #include "serving/endpointroster.h"
 #include "serving/placementquery.h"
 #include "serving/placementsettings.h"
@@ -24,7 +24,7 @@
 class CallPlacement
 {
 public:
-    CallPlacement(EndpointRoster &roster, const ColdStarts &coldStarts, RandomSource &random, std::string ownZone,
+    CallPlacement(EndpointRoster &roster, const CallAllowances &allowances, RandomSource &random, std::string ownZone,
                   PlacementSettings settings = {});
 
     /// The endpoint with the least time to the first answer among those that have room; nothing when none has.
@@ -40,7 +40,7 @@
     void notePressure(EndpointSlot slot, bool isLate, Instant now);
 
     /// Whether an endpoint has room that is spared only since it is cold.
-    bool isHeldByColdStarts(const PlacementQuery &query, Instant now) const;
+    bool isHeldByAllowances(const PlacementQuery &query, Instant now) const;
 
     /// A call was sent. Gives the prompt tokens that the endpoint has to read for it.
     std::int64_t noteSent(EndpointSlot slot, const PlacementQuery &query, Instant now);
@@ -79,7 +79,7 @@
     void ejectUnlessTooMany(EndpointSlot slot, Instant now);
 
     EndpointRoster &m_roster;
-    const ColdStarts &m_coldStarts;
+    const CallAllowances &m_allowances;
     RandomSource &m_random;
     const std::string m_ownZone;
     const PlacementSettings m_settings;
--- a/tests/core/serving/coldstarts_test.cpp
+++ b/tests/core/serving/callallowances_test.cpp
@@ -1,6 +1,6 @@
 #include "base/rendezvous.h"
 #include "limits/slidingcount.h"
-#include "serving/coldstarts.h"
+#include "serving/callallowances.h"
 
 #include <gtest/gtest.h>
 
@@ -9,7 +9,7 @@
 using namespace RadishSwitch;
 
 /// Gateways that all know of one another, and what each of them may send to one cold endpoint.
-class ColdStartsTest : public testing::Test
+class CallAllowancesTest : public testing::Test
 {
 protected:
     /// Every fifth of them is as strong as five others.
@@ -22,31 +22,32 @@
         return weights;
     }
 
-    static ColdStarts coldStarts(const std::string &self, const std::map<std::string, double> &weights,
-                                 double callsPerSecond)
+    static CallAllowances allowances(const std::string &self, const std::map<std::string, double> &weights,
+                                     double callsPerSecond)
     {
         ServedPool pool;
         pool.name = PoolId("llm");
         pool.coldCallsPerSecond = callsPerSecond;
         pool.coldStart = std::chrono::seconds(3);
-        ColdStarts coldStarts(self);
-        coldStarts.setPools({pool});
-        coldStarts.setGateways(weights);
-        return coldStarts;
+        CallAllowances allowances(self);
+        allowances.setPools({pool});
+        allowances.setGateways(weights);
+        return allowances;
     }
 
     static std::size_t sumOverAll(int count, double callsPerSecond, const std::string &endpoint)
     {
         std::size_t sum = 0;
         for (const auto &[self, weight] : gateways(count)) {
-            sum += coldStarts(self, gateways(count), callsPerSecond).ownCalls(PoolId("llm"), rendezvousHash(endpoint));
+            sum +=
+                allowances(self, gateways(count), callsPerSecond).ownColdCalls(PoolId("llm"), rendezvousHash(endpoint));
         }
         return sum;
     }
 };
 
 // Guards against an endpoint that crashes again while it warms up: many gateways find it empty at the same moment.
-TEST_F(ColdStartsTest, anyFleet_allTogether_sendNoMoreThanAnEndpointBears)
+TEST_F(CallAllowancesTest, anyFleet_allTogether_sendNoMoreThanAnEndpointBears)
 {
     for (const int count : {1, 2, 5, 18, 29, 103, 410}) {
         for (const double bearing : {1.0, 3.0, 18.0, 40.0}) {
@@ -57,28 +58,28 @@
 }
 
 // Guards against an endpoint that stays cold and idle, because it bears less than one call a second.
-TEST_F(ColdStartsTest, endpointThatBearsAlmostNothing_stillGetsCalls)
+TEST_F(CallAllowancesTest, endpointThatBearsAlmostNothing_stillGetsCalls)
 {
     EXPECT_EQ(sumOverAll(29, 0.2, "endpoint-7"), 1U);
 }
 
 // Guards against calls refused after a loss of power: strong instances are back first, and have the callers of all.
-TEST_F(ColdStartsTest, strongGateway_hasThePartOfItsWeight)
+TEST_F(CallAllowancesTest, strongGateway_hasThePartOfItsWeight)
 {
     const std::map<std::string, double> weights{{"strong", 0.5}, {"weak-1", 0.1}, {"weak-2", 0.1}, {"weak-3", 0.1}};
-    EXPECT_GE(coldStarts("strong", weights, 18).ownCalls(PoolId("llm"), 7), 11U);
-    EXPECT_GE(coldStarts("weak-1", weights, 18).ownCalls(PoolId("llm"), 7), 2U);
+    EXPECT_GE(allowances("strong", weights, 18).ownColdCalls(PoolId("llm"), 7), 11U);
+    EXPECT_GE(allowances("weak-1", weights, 18).ownColdCalls(PoolId("llm"), 7), 2U);
 }
 
-TEST_F(ColdStartsTest, gatewayThatIsNotListedYet_countsAsAnAverageOne)
+TEST_F(CallAllowancesTest, gatewayThatIsNotListedYet_countsAsAnAverageOne)
 {
-    EXPECT_LE(coldStarts("new", {{"a", 0.1}, {"b", 0.1}}, 18).ownCalls(PoolId("llm"), 7), 6U);
+    EXPECT_LE(allowances("new", {{"a", 0.1}, {"b", 0.1}}, 18).ownColdCalls(PoolId("llm"), 7), 6U);
 }
 
-TEST_F(ColdStartsTest, poolWithoutABound_isNotBounded)
+TEST_F(CallAllowancesTest, poolWithoutABound_isNotBounded)
 {
-    EXPECT_EQ(coldStarts("gateway-0", gateways(3), 0).ownCalls(PoolId("llm"), 1), ColdStarts::kUnbounded);
-    EXPECT_EQ(coldStarts("gateway-0", gateways(3), 5).ownCalls(PoolId("other"), 1), ColdStarts::kUnbounded);
+    EXPECT_EQ(allowances("gateway-0", gateways(3), 0).ownColdCalls(PoolId("llm"), 1), CallAllowances::kUnbounded);
+    EXPECT_EQ(allowances("gateway-0", gateways(3), 5).ownColdCalls(PoolId("other"), 1), CallAllowances::kUnbounded);
 }
 
 class SlidingCountTest : public testing::Test
--- a/tests/core/serving/coldzone_test.cpp
+++ b/tests/core/serving/coldzone_test.cpp
@@ -34,8 +34,8 @@
         }
         for (int n = 0; n < kGateways; ++n) {
             gates.push_back(std::make_unique<CallGate>(timers, random, nameOf(n), zone(n)));
-            gates.back()->coldStarts().setPools({pool});
-            gates.back()->coldStarts().setGateways(weights);
+            gates.back()->allowances().setPools({pool});
+            gates.back()->allowances().setGateways(weights);
             gates.back()->setClosedZones({});
             for (int engine = 0; engine < kEngines; ++engine) {
                 gates.back()->roster().list(listing(engine), timers.now());
