--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -79,6 +79,7 @@
     boost::asio::awaitable<absl::Status> connect(Attempt &attempt);
     void send(Attempt &attempt);
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt);
+    void noteLimit(const Attempt &attempt, const AnswerHead &head) const;
     boost::asio::awaitable<absl::Status> skipStrayAnswer(Attempt &attempt);
     AttemptEnd endUnanswered(Attempt &attempt, const absl::Status &status);
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -108,12 +108,30 @@
         const AnswerHead head = m_services.protocol.readAnswer(connection.status(), connection.headers());
         const bool isOurs = head.call ? *head.call == m_request.id : !isSuccess(head.status);
         if (isOurs) {
+            noteLimit(attempt, head);
             co_return head;
         }
         attempt.isInStrayAnswer = true;
     }
 }
 
+void Call::noteLimit(const Attempt &attempt, const AnswerHead &head) const
+{
+    const EndpointId &endpoint = attempt.placement.endpoint;
+    if (head.isLimitMalformed) {
+        kLog.error("impossible limit, ignored", {field("endpoint", endpoint.value())});
+    }
+    // What answers at an address that is used again says nothing of the endpoint that was meant.
+    if (head.isLimitMalformed || head.isOtherEndpoint) {
+        return;
+    }
+    if (m_services.gate.noteNamedLimit(attempt.placement.id, head.callsPerSecond)) {
+        kLog.info(head.callsPerSecond ? "endpoint names a limit" : "endpoint names no limit any more",
+                  {field("call", m_request.id.value()), field("endpoint", endpoint.value()),
+                   field("calls_per_second", std::to_string(head.callsPerSecond.value_or(0)))});
+    }
+}
+
 // An endpoint may have sent a second answer to an earlier call on this connection. It comes where the answer to this
 // one is due, and bears the earlier call's id; the answer to this call follows it.
 net::awaitable<absl::Status> Call::skipStrayAnswer(Attempt &attempt)
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -174,6 +174,27 @@
     }
 }
 
+bool CallGate::noteNamedLimit(PlacementId placement, std::optional<double> callsPerSecond)
+{
+    const auto it = m_placed.find(placement);
+    if (it == m_placed.end()) {
+        return false;
+    }
+    const RosterEndpoint &endpoint = m_roster.at(it->second.slot);
+    if (!callsPerSecond && (!endpoint.namedLimit || it->second.at < endpoint.namedLimitAt)) {
+        return false;
+    }
+    m_roster.setNamedLimit(it->second.slot, callsPerSecond, m_timers.now());
+    return true;
+}
+
+void CallGate::setNamedLimit(const EndpointId &endpoint, std::optional<double> callsPerSecond)
+{
+    if (const std::optional<EndpointSlot> slot = m_roster.slotOf(endpoint)) {
+        m_roster.setNamedLimit(*slot, callsPerSecond, m_timers.now());
+    }
+}
+
 void CallGate::noteMissed(PlacementId placement)
 {
     if (const auto it = m_placed.find(placement); it != m_placed.end()) {
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -82,6 +82,14 @@
     /// should not be sent to an endpoint that has gone dark for as long as its runs are waited for.
     void noteSilent(PlacementId placement);
 
+    /// What an answer of the endpoint said: calls a second that it takes from all callers together, or that it names no
+    /// limit. Gives whether that holds: an answer without a limit to a call that was sent before the limit was heard of
+    /// does not end it.
+    bool noteNamedLimit(PlacementId placement, std::optional<double> callsPerSecond);
+
+    /// The same, as another gateway has heard it.
+    void setNamedLimit(const EndpointId &endpoint, std::optional<double> callsPerSecond);
+
     /// Another endpoint answered at the address of the one that was chosen.
     void noteMissed(PlacementId placement);
 
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -268,6 +268,21 @@
     }));
 }
 
+void EndpointRoster::setNamedLimit(EndpointSlot slot, std::optional<double> callsPerSecond, Instant now)
+{
+    at(slot).namedLimit = callsPerSecond;
+    at(slot).namedLimitAt = now;
+}
+
+std::size_t EndpointRoster::countLimited(Instant now) const
+{
+    std::size_t count = 0;
+    for (EndpointSlot slot = 0; slot < m_endpoints.size(); ++slot) {
+        count += m_endpoints[slot] && isLimited(slot, now) ? 1 : 0;
+    }
+    return count;
+}
+
 void EndpointRoster::extendCold(EndpointSlot slot, Instant until)
 {
     at(slot).coldUntil = std::max(at(slot).coldUntil, until);
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -63,6 +63,13 @@
 /// What a cold endpoint bears is told for a second. A call reaches it up to the time later that a new connection takes.
 inline constexpr Duration kColdCallSpan = std::chrono::milliseconds(1150);
 
+/// Calls to an endpoint that names a limit are counted over this, and the time that a new connection takes: limits
+/// below one call a second are common.
+inline constexpr Duration kNamedLimitSpan = std::chrono::seconds(4);
+inline constexpr Duration kNamedLimitMargin = std::chrono::milliseconds(150);
+/// A limit of which nothing was heard for so long counts no longer: whoever gets no answers would not hear of its end.
+inline constexpr Duration kNamedLimitLasts = std::chrono::seconds(30);
+
 /// An endpoint that is or lately was in the platform's list, and what this process has under way there.
 struct RosterEndpoint {
     EndpointListing listing;
@@ -85,6 +92,11 @@
     Instant coldUntil = Instant::min();
     /// Calls that this process has sent here while it was cold.
     SlidingCount coldCalls{kColdCallSpan};
+    /// Calls a second from all callers together that it says it takes; nothing while it names no limit. As of when.
+    std::optional<double> namedLimit;
+    Instant namedLimitAt = Instant::min();
+    /// Calls that this process has sent here while it named a limit.
+    SlidingCount limitedCalls{kNamedLimitSpan + kNamedLimitMargin};
     /// Calls of this process that are under way here.
     int inFlight = 0;
     /// Calls that this process may have under way here. Falls when the endpoint refuses work, and grows back.
@@ -149,6 +161,16 @@
 
     std::size_t countCold(Instant now) const;
 
+    /// The endpoint takes so many calls a second from now on, or names no limit any more.
+    void setNamedLimit(EndpointSlot slot, std::optional<double> callsPerSecond, Instant now);
+
+    bool isLimited(EndpointSlot slot, Instant now) const
+    {
+        return at(slot).namedLimit && now - at(slot).namedLimitAt < kNamedLimitLasts;
+    }
+
+    std::size_t countLimited(Instant now) const;
+
     /// Slots of all endpoints of a pool that are not forgotten, in order.
     const std::vector<EndpointSlot> &pool(const PoolId &pool) const;
 
--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -204,6 +204,21 @@
     }
 }
 
+// Guards against a limit that is taken for another number, or for none.
+TEST_F(PlatformAdapterTest, limitOfAnAnswer_isReadOrRefused)
+{
+    const auto read = [](const std::string &text) {
+        return PlatformCallProtocol().readAnswer(200, {{"Server-Limit", text}});
+    };
+    EXPECT_EQ(read("1.5").callsPerSecond, 1.5);
+    EXPECT_EQ(read("0").callsPerSecond, 0.0);
+    for (const std::string text : {"", "many", "-1", "nan", "inf", "1.5 a second", "1e999"}) {
+        EXPECT_EQ(read(text).callsPerSecond, std::nullopt) << text;
+        EXPECT_TRUE(read(text).isLimitMalformed) << text;
+    }
+    EXPECT_FALSE(PlatformCallProtocol().readAnswer(200, {}).isLimitMalformed);
+}
+
 TEST_F(PlatformAdapterTest, regionsAndColdStarts_areRead)
 {
     const auto configuration = catalogue.readConfiguration(configurationObject(R"({"version":7,"routes":[
