Tests of endpoints that name a limit, failing, and listed

A stand-in endpoint can say what it takes. On the current code it gets 68 and 69 calls in four seconds from two gateways, where 14 and 5 are allowed. The two tests of a limit's end and of what is no limit pass, and must go on passing.

--- /dev/null
+++ b/tests/radishswitch-gateway/limitedendpoints_test.cpp
@@ -0,0 +1,122 @@
+#include "gatewayfixture.h"
+
+#include <thread>
+
+using namespace RadishSwitch;
+
+/// Endpoints in need, which say in their answers how many calls a second they take from all gateways together.
+class LimitedEndpointsTest : public GatewayFixture
+{
+protected:
+    using Milliseconds = std::chrono::milliseconds;
+
+    static constexpr char kLimit[] = "1.5";
+    static constexpr Duration kSpan = std::chrono::seconds(4);
+    /// Within this all gateways have to keep to a limit.
+    static constexpr Duration kKeptWithin = std::chrono::seconds(3);
+    static constexpr Duration kPause = Milliseconds(25);
+    /// Calls in the span: half as much again as the endpoint says, and five.
+    static constexpr int kMost = 14;
+
+    ~LimitedEndpointsTest() override
+    {
+        other.reset();
+    }
+
+    void startBoth()
+    {
+        start();
+        addSecond();
+        GatewaySettings settings = gatewaySettings();
+        settings.instance = "gateway-of-other-callers";
+        other = std::make_unique<Gateway>(settings);
+        ASSERT_TRUE(other->start().ok());
+        HttpRequest ready;
+        ready.target = "/readyz";
+        waitUntil([&] {
+            const auto response = fetchFrom(other->adminPort(), ready);
+            return response.ok() && response->status == 200;
+        });
+    }
+
+    void setLimit(const std::string &limit)
+    {
+        onStandins([&] {
+            first.setCallLimit(limit);
+        });
+    }
+
+    int runsAtFirst()
+    {
+        return onStandins([this] {
+            int sum = 0;
+            for (const auto &[call, run] : first.runs()) {
+                sum += run.runs;
+            }
+            return sum;
+        });
+    }
+
+    /// Sends calls to both gateways by turns, and gives how many of them ran at the first endpoint.
+    int callsAtFirst(Duration span)
+    {
+        const int before = runsAtFirst();
+        const auto end = std::chrono::steady_clock::now() + span;
+        while (std::chrono::steady_clock::now() < end) {
+            Gateway &to = ++m_calls % 2 == 0 ? *gateway : *other;
+            const auto answer = fetchFrom(to.port(), request("/safe/1", "call-" + std::to_string(m_calls)));
+            EXPECT_TRUE(answer.ok() && answer->status == 200) << answer.status();
+            std::this_thread::sleep_for(kPause);
+        }
+        return runsAtFirst() - before;
+    }
+
+    std::unique_ptr<Gateway> other;
+
+private:
+    int m_calls = 0;
+};
+
+// Guards against an endpoint in need that is sent what it has no room for, and against one that is sent nothing.
+TEST_F(LimitedEndpointsTest, endpointThatNamesALimit_getsNoMoreFromAllTogether)
+{
+    startBoth();
+    setLimit(kLimit);
+    callsAtFirst(kKeptWithin);
+    const int calls = callsAtFirst(kSpan);
+    EXPECT_LE(calls, kMost);
+    EXPECT_GE(calls, 1);
+}
+
+// Guards against a limit that holds for ever, since its gateways send nothing that could tell its end.
+TEST_F(LimitedEndpointsTest, endpointThatNamesNoLimitAnyMore_getsCallsAgain)
+{
+    startBoth();
+    setLimit(kLimit);
+    callsAtFirst(kKeptWithin);
+    setLimit("");
+    callsAtFirst(kSpan);
+    EXPECT_GE(callsAtFirst(kSpan), 2 * kMost);
+}
+
+// Guards against an endpoint that is starved by what it says, and against a gateway that fails over it.
+TEST_F(LimitedEndpointsTest, limitThatIsNoRate_isIgnored)
+{
+    startBoth();
+    for (const std::string limit : {"many", "-1", "nan", "inf", "1.5 a second"}) {
+        setLimit(limit);
+        EXPECT_GE(callsAtFirst(std::chrono::seconds(1)), 5) << limit;
+    }
+}
+
+// Guards against an endpoint that is never sent a call again once it has named nothing at all.
+TEST_F(LimitedEndpointsTest, limitOfZero_isAskedForAgain)
+{
+    startBoth();
+    setLimit("0");
+    callsAtFirst(kKeptWithin);
+    EXPECT_LE(callsAtFirst(kSpan), 5);
+    setLimit("");
+    callsAtFirst(2 * kSpan);
+    EXPECT_GE(callsAtFirst(kSpan), kMost);
+}
