An endpoint that names a limit gets no more than that from all gateways together

What callers and endpoints saw: engines in need said that they take 1.5 calls a second and got four to nine, as before.

Cause: nothing read what endpoints say of their own need. The only bound on what all gateways send together was that of cold endpoints, from the configuration, by pool.

Change: the part of each gateway in what a cold endpoint bears is worked out for any rate over any span: a limit of 1.5 is six calls in four seconds, which six gateways of 29 may send, others for each endpoint. The first to hear of a limit, of a change of a fifth or of its end tells the others through the store, on the same watch as the news of crashes; a limit that still stands is told again every ten seconds, and lapses after thirty. An endpoint with a limit of nothing is sent one call in four seconds, which asks it again. Calls that fit nowhere are queued and refused as before.

--- a/benchmarks/placement.cpp
+++ b/benchmarks/placement.cpp
@@ -22,12 +22,12 @@
         pool.name = PoolId("llm");
         pool.coldCallsPerSecond = 18;
         pool.coldStart = std::chrono::seconds(3);
-        gate.coldStarts().setPools({pool});
+        gate.allowances().setPools({pool});
         std::map<std::string, double> weights;
         for (int n = 0; n < kGateways; ++n) {
             weights["gateway-" + std::to_string(n)] = 1;
         }
-        gate.coldStarts().setGateways(weights);
+        gate.allowances().setGateways(weights);
         for (int n = 0; n < kEndpoints; ++n) {
             gate.roster().list(listing(n), timers.now());
         }
@@ -103,7 +103,7 @@
     const RosterEndpoint &endpoint = gateway.gate.roster().at(0);
     for (auto _ : state) {
         benchmark::DoNotOptimize(endpoint.coldCalls.isBelow(
-            gateway.gate.coldStarts().ownCalls(endpoint.listing.pool, endpoint.hash), gateway.timers.now()));
+            gateway.gate.allowances().ownColdCalls(endpoint.listing.pool, endpoint.hash), gateway.timers.now()));
     }
 }
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -129,6 +129,7 @@
         kLog.info(head.callsPerSecond ? "endpoint names a limit" : "endpoint names no limit any more",
                   {field("call", m_request.id.value()), field("endpoint", endpoint.value()),
                    field("calls_per_second", std::to_string(head.callsPerSecond.value_or(0)))});
+        m_services.limits.noteHeard(endpoint, head.callsPerSecond);
     }
 }
 
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -3,6 +3,7 @@
 #include "callmetrics.h"
 #include "callprotocol.h"
 #include "endpointconnections.h"
+#include "limitnews.h"
 #include "limits/retrybudget.h"
 #include "logsampler.h"
 #include "poisonguard.h"
@@ -69,6 +70,7 @@
     CallMetrics &metrics;
     LogSampler &sampler;
     PoisonGuard &poison;
+    LimitNews &limits;
 
     RetryBudget &retryBudget(const PoolId &pool)
     {
--- a/src/gateway/crashreports.cpp
+++ b/src/gateway/crashreports.cpp
@@ -17,8 +17,8 @@
 
 const Log kLog("crashes");
 
-constexpr std::string_view kReportKey = "crashes/report.";
-constexpr std::string_view kBarredKey = "crashes/barred.";
+constexpr std::string_view kReportKey = "news/crash.report.";
+constexpr std::string_view kBarredKey = "news/crash.barred.";
 constexpr char kNothing[] = "{}";
 
 /// The calls of one crash break off within this, and are written together.
--- a/src/gateway/crashreports.h
+++ b/src/gateway/crashreports.h
@@ -13,9 +13,9 @@
 namespace RadishSwitch
 {
 
-/// Prefix of the store's objects by which gateways tell one another of crashes and of barred requests. Each object is
-/// written once and never changed.
-inline constexpr char kCrashPrefix[] = "crashes/";
+/// Keys of the objects by which gateways tell one another of crashes and of barred requests. Each is written once and
+/// never changed.
+inline constexpr char kCrashKeys[] = "news/crash.";
 
 /// Brings what the gateways of the fleet know of crashes together, through the platform's store: whoever reaches it
 /// knows the same, also after a restart or a cut.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,6 +54,7 @@
     , m_connections(m_workers)
     , m_callMetrics(m_metrics)
     , m_poison(m_workers, m_store, m_connections, m_timers, m_random, m_settings.instance)
+    , m_limits(m_store, m_timers, m_random, m_gate)
     , m_services{*m_adapter.protocol,
                  m_timers,
                  m_random,
@@ -65,7 +66,8 @@
                  callTimes(m_settings),
                  m_callMetrics,
                  m_sampler,
-                 m_poison}
+                 m_poison,
+                 m_limits}
     , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, shedderSettings(m_settings),
                [this] {
                    updateReady();
@@ -85,7 +87,7 @@
                          followerSettings(m_settings))
     , m_cordonFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->cordonPrefix(), m_cordons,
                        followerSettings(m_settings))
-    , m_crashFollower(m_relayedStore, m_timers, m_random, kCrashPrefix, m_poison.reports(), crashFollowerSettings())
+    , m_newsFollower(m_relayedStore, m_timers, m_random, kNewsPrefix, m_news, newsFollowerSettings())
     , m_peerServer(m_workers, transportSettings(m_settings))
     , m_server(m_workers, callerServerSettings(m_intake),
                [this](HttpExchange &exchange) {
@@ -151,7 +153,9 @@
     if (followsCordons()) {
         follow(m_cordonFollower, m_adapter.catalogue->cordonPrefix());
     }
-    follow(m_crashFollower, kCrashPrefix);
+    m_news.add(kCrashKeys, m_poison.reports());
+    m_news.add(kLimitKeys, m_limits);
+    follow(m_newsFollower, kNewsPrefix);
     m_announcement.start(m_settings.isFirstStart);
     m_peerRegistry.start();
     m_timers.every(kUpkeepInterval, [this] {
@@ -192,6 +196,7 @@
 {
     m_connections.closeExpired();
     m_poison.reports().removeOld();
+    m_limits.removeOld();
     m_gate.noteRosterChanged();
     updateReady();
     if (Log::isEnabled(LogLevel::Debug)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,8 @@
 #include "gatewayadapter.h"
 #include "gatewaysettings.h"
 #include "httpserver.h"
+#include "limitnews.h"
+#include "newslistener.h"
 #include "peerannouncement.h"
 #include "peerregistry.h"
 #include "poisonguard.h"
@@ -100,15 +102,17 @@
     CallMetrics m_callMetrics;
     LogSampler m_sampler;
     PoisonGuard m_poison;
+    LimitNews m_limits;
     CallServices m_services;
     CallIntake m_intake;
     ConfigurationListener m_configuration;
     EndpointListener m_endpoints;
     CordonListener m_cordons;
+    NewsListener m_news;
     ObjectFollower m_configurationFollower;
     ObjectFollower m_endpointFollower;
     ObjectFollower m_cordonFollower;
-    ObjectFollower m_crashFollower;
+    ObjectFollower m_newsFollower;
     Http2MessageServer m_peerServer;
     HttpServer m_server;
     AdminServer m_admin;
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -57,7 +57,7 @@
     if (!m_placement.isHeldByAllowances(query, m_timers.now())) {
         return status;
     }
-    return makeFailure(FailureCode::Overloaded, "cold endpoints get no more calls from this gateway",
+    return makeFailure(FailureCode::Overloaded, "endpoints that bear few calls get no more from this gateway",
                        m_settings.coldRetryAfter);
 }
 
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -83,14 +83,17 @@
     });
 }
 
-// Sent more than it bears while it is cold, an endpoint crashes, and its calls with it.
+// Sent more than it bears while it is cold, an endpoint crashes, and its calls with it. One that names a limit is in
+// need.
 bool CallPlacement::isSpared(EndpointSlot slot, Instant now) const
 {
-    if (!m_roster.isCold(slot, now)) {
-        return false;
-    }
     const RosterEndpoint &it = m_roster.at(slot);
-    return !it.coldCalls.isBelow(m_allowances.ownColdCalls(it.listing.pool, it.hash), now);
+    const bool isLimited = m_roster.isLimited(slot, now);
+    if (isLimited && !it.limitedCalls.isBelow(m_allowances.ownCalls(*it.namedLimit, kNamedLimitSpan, it.hash), now)) {
+        return true;
+    }
+    return m_roster.isCold(slot, now)
+        && !it.coldCalls.isBelow(m_allowances.ownColdCalls(it.listing.pool, it.hash), now);
 }
 
 bool CallPlacement::isHeldByAllowances(const PlacementQuery &query, Instant now) const
@@ -232,6 +235,9 @@
     if (m_roster.isCold(slot, now)) {
         it.coldCalls.note(now);
     }
+    if (m_roster.isLimited(slot, now)) {
+        it.limitedCalls.note(now);
+    }
     return unread;
 }
 
