--- a/src/gateway/crashreports.cpp
+++ b/src/gateway/crashreports.cpp
@@ -24,7 +24,10 @@
 /// The calls of one crash break off within this, and are written together.
 constexpr Duration kGather = std::chrono::milliseconds(50);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
-constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
+/// After an outage the others know within this.
+constexpr Duration kLongestRetry = std::chrono::milliseconds(1600);
+/// Tries of some ten minutes, for as long as a crash is remembered.
+constexpr int kMostTries = 400;
 /// All gateways bar a request at about the same time, and one of them need write it.
 constexpr Duration kBarredWithin = std::chrono::seconds(1);
 /// A request that crashed endpoints is remembered for so long.
@@ -100,7 +103,12 @@
         if (alive.expired() || at.ok() || failureCode(at.status()) == FailureCode::VersionConflict) {
             return;
         }
-        kLog.warning("not written", {field("key", key), field("error", std::string(at.status().message()))});
+        const bool isLast = failures + 1 >= kMostTries;
+        kLog.warning(isLast ? "not written, given up" : "not written",
+                     {field("key", key), field("error", std::string(at.status().message()))});
+        if (isLast) {
+            return;
+        }
         constexpr int kMostDoublings = 10;
         const Duration pause = std::min(kFirstRetry * (1 << std::min(failures, kMostDoublings)), kLongestRetry);
         m_timers.after(pause / 2 + jitter(pause / 2), [=, this] {
--- a/tests/fakes/memoryobjectstore.h
+++ b/tests/fakes/memoryobjectstore.h
@@ -110,8 +110,9 @@
             status = RadishSwitch::makeFailure(FailureCode::VersionConflict, key);
         } else {
             m_objects.erase(it);
-            ++m_version;
+            m_removed[key] = ++m_version;
             ++m_writes;
+            notifyWatchers(key);
         }
         m_tasks.post([callback = std::move(callback), status] {
             callback(status);
@@ -172,6 +173,12 @@
                 changes.objects.push_back(object);
             }
         }
+        for (const auto &[key, version] : m_removed) {
+            const bool isNews = fromVersion > 0 && version > fromVersion && !m_objects.contains(key);
+            if (isNews && key.starts_with(prefix)) {
+                changes.objects.push_back({key, std::string(), 0});
+            }
+        }
         return changes;
     }
 
@@ -190,6 +197,8 @@
 
     RadishSwitch::TaskQueue &m_tasks;
     std::map<std::string, StoredObject> m_objects;
+    /// When objects that are gone were removed.
+    std::map<std::string, std::uint64_t> m_removed;
     std::vector<Watcher> m_watchers;
     std::uint64_t m_version = 0;
     bool m_isAway = false;
--- a/tests/radishswitch-gateway/gatewayfixture.h
+++ b/tests/radishswitch-gateway/gatewayfixture.h
@@ -47,6 +47,7 @@
 
     ~GatewayFixture() override
     {
+        other.reset();
         gateway.reset();
         callers.stop();
         standins.stop();
@@ -161,14 +162,29 @@
     /// Starts the gateway and waits until it says that it is ready.
     void start()
     {
-        gateway = std::make_unique<RadishSwitch::Gateway>(gatewaySettings());
-        ASSERT_TRUE(gateway->start().ok());
+        gateway.reset();
+        gateway = startGateway(gatewaySettings());
+    }
+
+    /// Starts a second gateway of the same fleet, and waits likewise.
+    void startOther()
+    {
+        RadishSwitch::GatewaySettings settings = gatewaySettings();
+        settings.instance = "gateway-of-other-callers";
+        other = startGateway(settings);
+    }
+
+    std::unique_ptr<RadishSwitch::Gateway> startGateway(const RadishSwitch::GatewaySettings &settings)
+    {
+        auto started = std::make_unique<RadishSwitch::Gateway>(settings);
+        EXPECT_TRUE(started->start().ok());
         HttpRequest ready;
         ready.target = "/readyz";
         waitUntil([&] {
-            const auto response = fetchFrom(gateway->adminPort(), ready);
+            const auto response = fetchFrom(started->adminPort(), ready);
             return response.ok() && response->status == 200;
         });
+        return started;
     }
 
     /// Asks again and again until `condition` holds, for a long time at most.
@@ -253,4 +269,5 @@
     ReplicaServer second;
     RadishSwitch::HttpClient client;
     std::unique_ptr<RadishSwitch::Gateway> gateway;
+    std::unique_ptr<RadishSwitch::Gateway> other;
 };
--- a/tests/radishswitch-gateway/limitedendpoints_test.cpp
+++ b/tests/radishswitch-gateway/limitedendpoints_test.cpp
@@ -18,25 +18,11 @@
     /// Calls in the span: half as much again as the endpoint says, and five.
     static constexpr int kMost = 14;
 
-    ~LimitedEndpointsTest() override
-    {
-        other.reset();
-    }
-
     void startBoth()
     {
         start();
         addSecond();
-        GatewaySettings settings = gatewaySettings();
-        settings.instance = "gateway-of-other-callers";
-        other = std::make_unique<Gateway>(settings);
-        ASSERT_TRUE(other->start().ok());
-        HttpRequest ready;
-        ready.target = "/readyz";
-        waitUntil([&] {
-            const auto response = fetchFrom(other->adminPort(), ready);
-            return response.ok() && response->status == 200;
-        });
+        startOther();
     }
 
     void setLimit(const std::string &limit)
@@ -71,8 +57,6 @@
         return runsAtFirst() - before;
     }
 
-    std::unique_ptr<Gateway> other;
-
 private:
     int m_calls = 0;
 };
--- a/tests/radishswitch-gateway/poisonrequests_test.cpp
+++ b/tests/radishswitch-gateway/poisonrequests_test.cpp
@@ -27,9 +27,12 @@
         }
     }
 
+    // The endpoints end before the rest of the fixture: nothing may use them any more.
     ~PoisonRequestsTest() override
     {
         other.reset();
+        gateway.reset();
+        standins.stop();
     }
 
     void startTwo()
@@ -41,16 +44,7 @@
             }
         });
         start();
-        GatewaySettings settings = gatewaySettings();
-        settings.instance = "gateway-of-other-callers";
-        other = std::make_unique<Gateway>(settings);
-        ASSERT_TRUE(other->start().ok());
-        HttpRequest ready;
-        ready.target = "/readyz";
-        waitUntil([&] {
-            const auto response = fetchFrom(other->adminPort(), ready);
-            return response.ok() && response->status == 200;
-        });
+        startOther();
     }
 
     absl::StatusOr<HttpResponse> send(Gateway &to, const std::string &target, const std::string &body)
@@ -77,7 +71,6 @@
     }
 
     std::deque<ReplicaServer> endpoints;
-    std::unique_ptr<Gateway> other;
 
 private:
     int m_calls = 0;
