Huge named limits are bounded, and lines of impossible ones sampled

Cause: a rate of 1e300 was cast to a count without a bound, which is undefined, and each answer with a text that is no rate wrote a line. Found when the change was read through.

Change: parts are worked out of 1e9 calls at most; the line goes through the sampler of calls. The test failed before: 1e300 gave a part of nothing.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -118,7 +118,7 @@
 void Call::noteLimit(const Attempt &attempt, const AnswerHead &head) const
 {
     const EndpointId &endpoint = attempt.placement.endpoint;
-    if (head.isLimitMalformed) {
+    if (head.isLimitMalformed && m_services.sampler.keeps(m_request.id, m_services.timers.now())) {
         kLog.error("impossible limit, ignored", {field("endpoint", endpoint.value())});
     }
     // What answers at an address that is used again says nothing of the endpoint that was meant.
--- a/src/libradishswitch/serving/callallowances.cpp
+++ b/src/libradishswitch/serving/callallowances.cpp
@@ -14,6 +14,8 @@
 
 /// Endpoints come under new names and name other limits all day.
 constexpr std::size_t kMostShares = 10'000;
+/// More than any endpoint takes; what is named beyond it can't be counted.
+constexpr double kMostCalls = 1e9;
 
 }
 
@@ -76,7 +78,7 @@
 std::size_t CallAllowances::ownPart(double calls, std::uint64_t endpointHash) const
 {
     // One that bears less than a call must still get some, or it would never be of use.
-    const double all = std::floor(std::max(calls, 1.0));
+    const double all = std::floor(std::clamp(calls, 1.0, kMostCalls));
     if (m_shares.size() >= kMostShares) {
         m_shares.clear();
     }
--- a/tests/core/serving/callallowances_test.cpp
+++ b/tests/core/serving/callallowances_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <map>
 
 using namespace RadishSwitch;
@@ -57,6 +58,17 @@
     }
 }
 
+// Guards against a number that no counter holds, named by an endpoint.
+TEST_F(CallAllowancesTest, hugeRates_areBounded)
+{
+    const CallAllowances it = allowances("gateway-0", gateways(3), 1);
+    for (const double rate : {1e12, 1e300, std::numeric_limits<double>::max()}) {
+        const std::size_t calls = it.ownCalls(rate, std::chrono::seconds(4), 7);
+        EXPECT_GT(calls, 1'000'000U) << rate;
+        EXPECT_LE(calls, 1'000'000'000U) << rate;
+    }
+}
+
 // Guards against an endpoint that stays cold and idle, because it bears less than one call a second.
 TEST_F(CallAllowancesTest, endpointThatBearsAlmostNothing_stillGetsCalls)
 {
