Endpoints of the tests of poison requests have addresses of their process alone

Cause: beside 48 such runs and six busy processes 4 of 192 tests failed, "not barred" in three seconds. Traced: the port of an endpoint that had crashed was taken within 20 ms by a stand-in of another run, which took the probe's connection and answered the next call with 421 (PROBE 127.0.0.1:41037 verdict alive, then END wrong endpoint).

Change: each process listens on its own loopback addresses.

--- a/tests/radishswitch-gateway/poisonrequests_test.cpp
+++ b/tests/radishswitch-gateway/poisonrequests_test.cpp
@@ -1,6 +1,8 @@
 #include "base/failure.h"
 #include "gatewayfixture.h"
 
+#include <unistd.h>
+
 #include <deque>
 
 using namespace RadishSwitch;
@@ -27,7 +29,7 @@
             settings.id = "engine-" + std::to_string(n);
             settings.crashingBody = kPoison;
             endpoints.emplace_back(standins, settings);
-            EXPECT_TRUE(endpoints.back().listen("127.0.0.1", 0).ok());
+            EXPECT_TRUE(endpoints.back().listen(address(n), 0).ok());
         }
     }
 
@@ -39,6 +41,15 @@
         standins.stop();
     }
 
+    /// Of this process alone: on an address that others use too, one of them may get the port of an endpoint that has
+    /// crashed, and take connections there.
+    static std::string address(int n)
+    {
+        const int process = ::getpid();
+        return "127." + std::to_string((process >> 8) % 256) + "." + std::to_string(process % 256) + "."
+            + std::to_string(n + 2);
+    }
+
     GatewaySettings gatewaySettings() override
     {
         GatewaySettings settings = GatewayFixture::gatewaySettings();
@@ -52,7 +63,9 @@
         onStandins([this] {
             store.table().remove("servers", "replica-1", std::nullopt);
             for (int n = 0; n < kEndpoints; ++n) {
-                putEndpoint("engine-" + std::to_string(n), endpoints[n].port(), "ready");
+                Json entry = endpointEntry(endpoints[n].port(), "ready");
+                entry["address"] = address(n) + ":" + std::to_string(endpoints[n].port());
+                putObject("servers", "engine-" + std::to_string(n), entry);
             }
         });
         start();
