An endpoint that has crashed is left out at once

What callers saw: 503 "no endpoint took the call" while five of eight endpoints lived.

Cause: an endpoint's entry stands for up to three seconds after a crash, and a call that could not be sent counts as one failure of three. A call that tries three dead endpoints in a row is refused.

Change: the probe that tells a crash for the sake of poison requests tells placement as well, which leaves the endpoint out as it does one that failed often: for two seconds, then it is tried by one call, and no more than half of a pool at a time.

--- a/src/gateway/crashprobe.cpp
+++ b/src/gateway/crashprobe.cpp
@@ -22,17 +22,19 @@
 
 }
 
-CrashProbe::CrashProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections)
+CrashProbe::CrashProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections,
+                       std::function<void(const EndpointLife &)> onCrashed)
     : m_workers(workers)
     , m_timers(timers)
     , m_connections(connections)
+    , m_onCrashed(std::move(onCrashed))
 {
 }
 
-void CrashProbe::ask(const EndpointLife &life, const std::string &address, std::function<void()> onCrashed)
+void CrashProbe::ask(const EndpointLife &life, const std::string &address, std::function<void()> callback)
 {
     std::vector<std::function<void()>> &asking = m_asking[life];
-    asking.push_back(std::move(onCrashed));
+    asking.push_back(std::move(callback));
     if (asking.size() == 1) {
         net::co_spawn(m_workers.context(), probe(life, address), net::detached);
     }
@@ -56,8 +58,9 @@
     if (node.empty() || !hasCrashed) {
         co_return;
     }
-    for (const std::function<void()> &onCrashed : node.mapped()) {
-        onCrashed();
+    m_onCrashed(life);
+    for (const std::function<void()> &callback : node.mapped()) {
+        callback();
     }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,7 +53,11 @@
                      })
     , m_connections(m_workers)
     , m_callMetrics(m_metrics)
-    , m_poison(m_workers, m_store, m_connections, m_timers, m_random, m_settings.instance)
+    , m_poison(m_workers, m_store, m_connections, m_timers, m_random, m_settings.instance,
+               [this](const EndpointLife &life) {
+                   m_gate.noteCrashed(life.endpoint);
+                   m_connections.forget(life.endpoint);
+               })
     , m_limits(m_store, m_timers, m_random, m_gate)
     , m_services{*m_adapter.protocol,
                  m_timers,
--- a/src/gateway/poisonguard.cpp
+++ b/src/gateway/poisonguard.cpp
@@ -2,6 +2,8 @@
 
 #include "base/failure.h"
 
+#include <utility>
+
 namespace RadishSwitch
 {
 
@@ -16,8 +18,9 @@
 }
 
 PoisonGuard::PoisonGuard(WorkerPool &workers, ObjectStore &store, EndpointConnections &connections,
-                         TimerService &timers, RandomSource &random, const std::string &instance)
-    : m_probe(workers, timers, connections)
+                         TimerService &timers, RandomSource &random, const std::string &instance,
+                         std::function<void(const EndpointLife &)> onCrashed)
+    : m_probe(workers, timers, connections, std::move(onCrashed))
     , m_reports(store, timers, random, instance, m_detector)
 {
 }
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -202,6 +202,13 @@
     }
 }
 
+void CallGate::noteCrashed(const EndpointId &endpoint)
+{
+    if (const std::optional<EndpointSlot> slot = m_roster.slotOf(endpoint)) {
+        m_placement.noteCrashed(*slot, m_timers.now());
+    }
+}
+
 void CallGate::noteEnded(PlacementId placement, RunEnd end)
 {
     const auto it = m_placed.find(placement);
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -93,6 +93,9 @@
     /// Another endpoint answered at the address of the one that was chosen.
     void noteMissed(PlacementId placement);
 
+    /// The endpoint's process has ended, and its entry may stand for seconds.
+    void noteCrashed(const EndpointId &endpoint);
+
     /// The attempt is over.
     void noteEnded(PlacementId placement, RunEnd end);
 
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -294,6 +294,13 @@
     }
 }
 
+void CallPlacement::noteCrashed(EndpointSlot slot, Instant now)
+{
+    if (!m_roster.at(slot).ejection.isEjected(now)) {
+        ejectUnlessTooMany(slot, now);
+    }
+}
+
 // When most endpoints of a pool fail, the cause is rarely in each of them; leaving them all out would make sure of the
 // outage.
 void CallPlacement::ejectUnlessTooMany(EndpointSlot slot, Instant now)
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -56,6 +56,9 @@
     /// A run failed, or goes on without a word.
     void noteFailed(EndpointSlot slot, Instant now);
 
+    /// The endpoint takes no connections: it is left out at once, as if it had failed often.
+    void noteCrashed(EndpointSlot slot, Instant now);
+
     /// Forgets what is known of an endpoint whose slot was freed.
     void forget(EndpointSlot slot);
 
