A request that a cut holds up is dropped before the kernel gives its connection up

Cause: an idle connection whose other side was cut off is given up by the kernel one second after it heard anything last, 0.3 s after a call was sent on it. It is not reset then, and the bytes arrive when the cut heals. Our own close afterwards resets nothing.

Change: while a request is out, unacknowledged bytes are looked at four times within 0.6 s; with none acknowledged the connection is reset, and the kernel's own limit is three seconds meanwhile. What an endpoint has no room for is not counted.

The tests of the watch are new; the whole way can't be played on loopback, where the kernel acknowledges.

--- a/src/gateway/endpointconnections.h
+++ b/src/gateway/endpointconnections.h
@@ -19,7 +19,10 @@
     Duration idleTimeout = std::chrono::seconds(4);
     /// Taken off what an endpoint says, for the way of a call to it.
     Duration idleMargin = std::chrono::milliseconds(500);
-    SilenceLimits silenceLimits{std::chrono::milliseconds(1000), std::chrono::seconds(1)};
+    /// A held-up request is dropped before an endpoint that leaves would get it too late.
+    SilenceLimits silenceLimits{.unacknowledged = std::chrono::milliseconds(1000),
+                                .heldUpRequest = std::chrono::milliseconds(600),
+                                .probeInterval = std::chrono::seconds(1)};
 };
 
 /// The idle connections to endpoints, by the life of the endpoint to which each was made. Used on one worker.
--- a/src/libradishnet/httpclient.h
+++ b/src/libradishnet/httpclient.h
@@ -22,6 +22,9 @@
 struct SilenceLimits {
     /// Bytes that the other side has not acknowledged for so long end the connection.
     Duration unacknowledged{};
+    /// Of a request whose bytes are not acknowledged for so long the connection is reset, which drops them. What the
+    /// kernel gives up by itself may still arrive when a cut of the network heals.
+    Duration heldUpRequest{};
     /// On a connection without traffic the other side is probed after so long, again after as long each time, and given
     /// up when `unacknowledged` has passed.
     Duration probeInterval{};
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -28,6 +30,11 @@
 constexpr int kKeepAliveProbes = 2;
 constexpr std::uint32_t kMaximumHeaderBytes = 64 * 1024;
 constexpr std::uint64_t kMaximumBodyBytes = 256 * 1024 * 1024;
+/// Looks at the acknowledgements of a request within the time that it may be held up.
+constexpr int kAcknowledgementLooks = 4;
+/// Times that for which a request may be held up, until the kernel gives up its connection. Its clock runs from what
+/// was heard last, which on a connection that was idle is up to a probe before the request.
+constexpr int kKernelPatience = 5;
 /// A process that was late reads what has arrived within this.
 constexpr Duration kLateRead = std::chrono::milliseconds(100);
 constexpr std::size_t kReadBytes = 16 * 1024;
@@ -63,9 +70,15 @@
     , m_socket(m_strand)
     , m_address(std::move(address))
     , m_silenceLimits(silenceLimits)
-    , m_watchdog(m_strand, [this] {
-        expire();
-    })
+    , m_watchdog(m_strand,
+                 [this] {
+                     expire();
+                 })
+    , m_acknowledgementTimer(m_strand,
+                             [this] {
+                                 checkAcknowledgements();
+                             })
+    , m_acknowledgements(silenceLimits.heldUpRequest)
 {
 }
 
@@ -103,21 +116,33 @@
 
 void HttpConnection::applySilenceLimits()
 {
-    const auto set = [this](int level, int name, int value) {
-        if (::setsockopt(m_socket.native_handle(), level, name, &value, sizeof value) != 0) {
-            kLog.warning("a socket option was refused", {field("address", m_address), field("option", name)});
-        }
-    };
-    if (m_silenceLimits.unacknowledged > Duration::zero()) {
-        const auto span = std::chrono::duration_cast<std::chrono::milliseconds>(m_silenceLimits.unacknowledged);
-        set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(span.count()));
-    }
+    setUserTimeout(userTimeoutOfRequests());
     if (m_silenceLimits.probeInterval > Duration::zero()) {
         const auto span = std::chrono::ceil<std::chrono::seconds>(m_silenceLimits.probeInterval);
-        set(SOL_SOCKET, SO_KEEPALIVE, 1);
-        set(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(span.count()));
-        set(IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(span.count()));
-        set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+        setOption(SOL_SOCKET, SO_KEEPALIVE, 1);
+        setOption(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(span.count()));
+        setOption(IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(span.count()));
+        setOption(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+    }
+}
+
+void HttpConnection::setOption(int level, int name, int value)
+{
+    if (::setsockopt(m_socket.native_handle(), level, name, &value, sizeof value) != 0) {
+        kLog.warning("a socket option was refused", {field("address", m_address), field("option", name)});
+    }
+}
+
+Duration HttpConnection::userTimeoutOfRequests() const
+{
+    return std::max(m_silenceLimits.unacknowledged, kKernelPatience * m_silenceLimits.heldUpRequest);
+}
+
+void HttpConnection::setUserTimeout(Duration span)
+{
+    if (span > Duration::zero()) {
+        const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(span);
+        setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
     }
 }
 
@@ -128,6 +153,9 @@
     m_hasSent = true;
     m_parser.reset();
     m_isReadingHead = false;
+    if (wasIdle() && m_silenceLimits.heldUpRequest > Duration::zero()) {
+        setUserTimeout(userTimeoutOfRequests());
+    }
     http::async_write(m_socket, *m_outgoing, [self = shared_from_this()](beast::error_code ec, std::size_t n) {
         self->m_hasSent = n > 0;
         self->m_outgoing.reset();
@@ -135,6 +163,43 @@
             self->close();
         }
     });
+    watchAcknowledgements();
+}
+
+void HttpConnection::watchAcknowledgements()
+{
+    if (m_silenceLimits.heldUpRequest > Duration::zero()) {
+        m_acknowledgementTimer.expireAfter(m_silenceLimits.heldUpRequest / kAcknowledgementLooks);
+    }
+}
+
+void HttpConnection::checkAcknowledgements()
+{
+    const std::size_t n = unacknowledgedBytes();
+    const bool isHeldUp = m_acknowledgements.isHeldUp(n, Clock::now());
+    if (!isAwaitingAnswer() || !isOpen()) {
+        return;
+    }
+    if (isHeldUp) {
+        kLog.info("held-up request dropped", {field("address", m_address), field("unacknowledged", n)});
+        return close();
+    }
+    if (n > 0 || isSending()) {
+        watchAcknowledgements();
+    }
+}
+
+std::size_t HttpConnection::unacknowledgedBytes()
+{
+    int kept = 0;
+    int unsent = 0;
+    if (::ioctl(m_socket.native_handle(), SIOCOUTQ, &kept) != 0) {
+        return 0;
+    }
+    if (::ioctl(m_socket.native_handle(), SIOCOUTQNSD, &unsent) != 0) {
+        unsent = 0;
+    }
+    return static_cast<std::size_t>(std::max(kept - unsent, 0));
 }
 
 net::awaitable<absl::Status> HttpConnection::send(const HttpRequest &request)
@@ -385,6 +450,9 @@
 void HttpConnection::setIdleSince(Clock::time_point moment)
 {
     m_idleSince = moment;
+    if (m_silenceLimits.heldUpRequest > Duration::zero()) {
+        setUserTimeout(m_silenceLimits.unacknowledged);
+    }
 }
 
 HttpConnection::Clock::time_point HttpConnection::idleSince() const
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acknowledgementwatch.h"
 #include "httpclient.h"
 #include "watchdog.h"
 #include "workerpool.h"
@@ -136,6 +137,13 @@
 
     void expire();
     void goOnSending();
+    /// What the kernel gives up by itself it does not reset. While a request is watched here, that is not to come first.
+    void setUserTimeout(Duration span);
+    Duration userTimeoutOfRequests() const;
+    void watchAcknowledgements();
+    void checkAcknowledgements();
+    /// Bytes that were sent and not acknowledged; those that the other side has no room for are not among them.
+    std::size_t unacknowledgedBytes();
     Peeked peek();
     bool hasReasonToReadOn(std::size_t unread) const;
     absl::Status failure(const std::string &step, boost::beast::error_code ec) const;
@@ -144,6 +152,7 @@
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
     void applySilenceLimits();
+    void setOption(int level, int name, int value);
     /// Parses what is buffered of the body into `space`, and gives how much that was.
     std::size_t parseBody(boost::asio::mutable_buffer space, boost::beast::error_code &ec);
     /// Waits for more of the answer, or for its end.
@@ -156,6 +165,8 @@
     std::unique_ptr<Message> m_outgoing;
     bool m_hasSent = false;
     Watchdog m_watchdog;
+    Watchdog m_acknowledgementTimer;
+    AcknowledgementWatch m_acknowledgements;
     AtExpiry m_atExpiry = AtExpiry::Close;
     /// What the deadline was set to, and until when pauses are possible.
     Duration m_span{};
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -27,8 +27,7 @@
         , workers(1)
     {
         workers.start();
-        connection = std::make_shared<HttpConnection>(
-            workers, "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()));
+        connection = connectionWith(SilenceLimits());
     }
 
     ~HttpConnectionTest() override
@@ -36,6 +35,17 @@
         workers.stop();
     }
 
+    std::shared_ptr<HttpConnection> connectionWith(const SilenceLimits &limits)
+    {
+        return std::make_shared<HttpConnection>(
+            workers, "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()), limits);
+    }
+
+    void accept()
+    {
+        m_acceptor.accept(m_endpoint);
+    }
+
     /// Sends a request, which the endpoint reads whole.
     void sendRequest()
     {
@@ -69,6 +79,13 @@
         co_return co_await connection->receiveHead(true);
     }
 
+    /// Until the connection is closed, whatever pauses there are.
+    boost::asio::awaitable<absl::Status> headWithin(Duration longest)
+    {
+        connection->expireAfter(kShort, AtExpiry::Pause, longest);
+        co_return co_await connection->receiveHead(true);
+    }
+
     template<typename T>
     T wait(boost::asio::awaitable<T> work)
     {
@@ -142,3 +159,27 @@
     }
     EXPECT_TRUE(receiveHead(kLong).ok());
 }
+
+// Guards against resetting the connection of an endpoint that has not read a long request yet: what it has no room for
+// is not held up.
+TEST_F(HttpConnectionTest, endpointThatReadsLate_keepsItsConnection)
+{
+    constexpr Duration kPatience = 10 * kShort;
+    constexpr std::size_t kMoreThanFitsOnTheWay = 16 * 1024 * 1024;
+    SilenceLimits limits;
+    limits.heldUpRequest = kShort;
+    HttpRequest request;
+    request.method = "POST";
+    request.body = std::string(kMoreThanFitsOnTheWay, 'x');
+    connection = connectionWith(limits);
+    ASSERT_TRUE(wait(connection->connect(kLong)).ok());
+    workers.post([this, request] {
+        connection->startSending(request);
+    });
+    accept();
+
+    const auto askedAt = HttpConnection::Clock::now();
+    EXPECT_FALSE(wait(headWithin(kPatience)).ok());
+
+    EXPECT_GE(HttpConnection::Clock::now() - askedAt, kPatience);
+}
