Calls are refused at once while the link is full, and lines of failures are bounded

Watches of the store, budgets' homes and connections to endpoints timed out, and 14,800 lines told of it.

Change: a second shedder takes the time that connections take to be made. Only when each of the last eight was late, at whatever endpoint, is it the link. Lines of failures get the bound that lines of answered calls have, and those left out are counted in a line.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -412,14 +412,14 @@
 {
     const Duration taken = m_services.timers.now() - m_startedAt;
     m_services.metrics.noteEnded(status, taken);
-    if (status.ok() && !m_services.sampler.keeps(m_request.id, m_services.timers.now())) {
+    LogSampler &sampler = status.ok() ? m_services.sampler : m_services.failureSampler;
+    if (!sampler.keeps(m_request.id, m_services.timers.now())) {
         return;
     }
     const std::string route = m_route ? m_route->name : std::string();
     const std::string organisation = m_organisation ? m_organisation->name.value() : std::string();
     const std::string content = status.ok() || !m_route ? std::string() : fingerprint().toString();
     const std::string_view outcome = status.ok() ? std::string_view("answered") : failureName(failureCode(status));
-    // A call that failed is what on-call engineers look for: its line is the last to be dropped.
     kLog.write(status.ok() ? LogLevel::Info : LogLevel::Warning, status.ok() ? "call ended" : "call failed",
                {field("call", m_request.id.value()), field("outcome", outcome), field("status", m_answeredStatus),
                 field("route", route), field("organisation", organisation), field("attempts", m_history.sent),
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -58,7 +58,9 @@
         co_return absl::OkStatus();
     }
     attempt.connection = m_services.connections.create(placement.address);
+    const Instant askedAt = m_services.timers.now();
     absl::Status status = co_await attempt.connection->connect(within(m_services.connections.connectTimeout()));
+    noteConnected(m_services.timers.now() - askedAt, status);
     if (status.ok() && m_isCallerGone) {
         status = makeFailure(FailureCode::ConnectionLost, "the caller is gone");
     }
@@ -73,6 +75,15 @@
     co_return status;
 }
 
+// One that was given up early since the call's time was over says nothing.
+void Call::noteConnected(Duration taken, const absl::Status &status) const
+{
+    const bool isSilent = !status.ok() && failureCode(status) == FailureCode::ConnectionSilent;
+    if (!isSilent || taken >= m_services.connections.connectTimeout()) {
+        m_services.link.noteConnected(taken, m_services.timers.now());
+    }
+}
+
 void Call::send(Attempt &attempt)
 {
     if (m_history.sent == 0) {
@@ -217,6 +228,9 @@
 void Call::logAttempt(const Attempt &attempt, AttemptEnd end) const
 {
     m_services.metrics.noteAttemptFailed(end);
+    if (!m_services.failureSampler.keeps(m_request.id, m_services.timers.now())) {
+        return;
+    }
     const ExpiredWait wait =
         attempt.connection ? attempt.connection->expiredWait().value_or(ExpiredWait()) : ExpiredWait();
     kLog.info("attempt failed",
--- a/src/gateway/callintake.cpp
+++ b/src/gateway/callintake.cpp
@@ -20,12 +20,14 @@
 }
 
 CallIntake::CallIntake(WorkerPool &workers, TimerService &timers, const CallProtocol &protocol, CallMetrics &metrics,
-                       LogSampler &sampler, LoadShedderSettings settings, std::function<void()> onAwayChanged)
+                       LogSampler &sampler, LinkShedder &link, LoadShedderSettings settings,
+                       std::function<void()> onAwayChanged)
     : m_workers(workers)
     , m_timers(timers)
     , m_protocol(protocol)
     , m_metrics(metrics)
     , m_sampler(sampler)
+    , m_link(link)
     , m_settings(settings)
     , m_shedder(settings)
     , m_onAwayChanged(std::move(onAwayChanged))
@@ -56,7 +58,7 @@
     } else {
         measure(now);
     }
-    return m_shedder.isShedding(now);
+    return m_shedder.isShedding(now) || m_link.isShedding(now);
 }
 
 void CallIntake::measure(Instant now)
@@ -81,11 +83,13 @@
         kLog.info("call refused at the stop", {field("call", m_protocol.callId(request).value())});
         return m_stopRefusal;
     }
-    m_shedder.noteRefused(now);
+    const bool isLinkFull = m_link.isShedding(now);
+    isLinkFull ? m_link.noteRefused(now) : m_shedder.noteRefused(now);
     m_metrics.noteRefusedUnread();
     const RequestId call = m_protocol.callId(request);
     if (m_sampler.keeps(call, now)) {
-        kLog.warning("call refused unread", {field("call", call.value()), field("delay", m_delay)});
+        kLog.warning("call refused unread",
+                     {field("call", call.value()), field("delay", m_delay), field("link_full", isLinkFull)});
     }
     updateAway();
     return m_refusal;
@@ -93,7 +97,8 @@
 
 void CallIntake::updateAway()
 {
-    const bool isAway = m_shedder.isAway(m_timers.now());
+    const Instant now = m_timers.now();
+    const bool isAway = m_shedder.isAway(now) || m_link.isAway(now);
     if (isAway && m_timer == 0) {
         m_timer = m_timers.after(m_settings.awayFor, [this] {
             m_timer = 0;
--- a/src/gateway/callintake.h
+++ b/src/gateway/callintake.h
@@ -3,6 +3,7 @@
 #include "base/timerservice.h"
 #include "callmetrics.h"
 #include "callprotocol.h"
+#include "limits/linkshedder.h"
 #include "limits/loadshedder.h"
 #include "logsampler.h"
 #include "requestintake.h"
@@ -13,8 +14,8 @@
 namespace RadishSwitch
 {
 
-/// Refuses calls while the gateway has no processor time for them or is about to stop, and says when the balancer
-/// should know.
+/// Refuses calls while the gateway has no processor time for them, no room on its link, or is about to stop, and says
+/// when the balancer should know.
 ///
 /// A gateway's delay is measured by a task that goes to the end of its worker's line: one at a time, and only while
 /// calls come, so that an idle gateway spends nothing on it.
@@ -23,7 +24,8 @@
 public:
     /// `onAwayChanged` is called when `isAway` has changed.
     CallIntake(WorkerPool &workers, TimerService &timers, const CallProtocol &protocol, CallMetrics &metrics,
-               LogSampler &sampler, LoadShedderSettings settings, std::function<void()> onAwayChanged);
+               LogSampler &sampler, LinkShedder &link, LoadShedderSettings settings,
+               std::function<void()> onAwayChanged);
     ~CallIntake() override;
 
     /// From now on every call is refused: one that is taken now could last longer than the stop.
@@ -47,6 +49,7 @@
     const CallProtocol &m_protocol;
     CallMetrics &m_metrics;
     LogSampler &m_sampler;
+    LinkShedder &m_link;
     const LoadShedderSettings m_settings;
     LoadShedder m_shedder;
     const std::function<void()> m_onAwayChanged;
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -4,6 +4,7 @@
 #include "callprotocol.h"
 #include "endpointconnections.h"
 #include "limitnews.h"
+#include "limits/linkshedder.h"
 #include "limits/retrybudget.h"
 #include "logsampler.h"
 #include "poisonguard.h"
@@ -69,6 +70,9 @@
     CallTimes times;
     CallMetrics &metrics;
     LogSampler &sampler;
+    /// Of lines of calls and attempts that failed.
+    LogSampler &failureSampler;
+    LinkShedder &link;
     PoisonGuard &poison;
     LimitNews &limits;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,6 +53,7 @@
                      })
     , m_connections(m_workers)
     , m_callMetrics(m_metrics)
+    , m_link(shedderSettings(m_settings))
     , m_poison(m_workers, m_store, m_connections, m_timers, m_random, m_settings.instance,
                [this](const EndpointLife &life) {
                    m_gate.noteCrashed(life.endpoint);
@@ -70,9 +71,11 @@
                  callTimes(m_settings),
                  m_callMetrics,
                  m_sampler,
+                 m_failureSampler,
+                 m_link,
                  m_poison,
                  m_limits}
-    , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, shedderSettings(m_settings),
+    , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, m_link, shedderSettings(m_settings),
                [this] {
                    updateReady();
                })
@@ -202,12 +205,20 @@
     m_poison.reports().removeOld();
     m_limits.removeOld();
     m_gate.noteRosterChanged();
+    logLeftOut();
     updateReady();
     if (Log::isEnabled(LogLevel::Debug)) {
         logPortions();
     }
 }
 
+void Gateway::logLeftOut()
+{
+    if (const int n = m_failureSampler.takeLeftOut(); n > 0) {
+        kLog.warning("lines of failures left out", {field("lines", n)});
+    }
+}
+
 void Gateway::logPortions() const
 {
     for (const HeldBudgetStatus &it : m_holder.statuses()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gatewaysettings.h"
 #include "httpserver.h"
 #include "limitnews.h"
+#include "limits/linkshedder.h"
 #include "newslistener.h"
 #include "peerannouncement.h"
 #include "peerregistry.h"
@@ -66,6 +67,7 @@
     void handlePeers(const std::map<std::string, FleetPeer> &peers);
     void keepUp();
     void logPortions() const;
+    void logLeftOut();
     void handleNewer(const ServingTablePointer &table);
     void follow(ObjectFollower &follower, const std::string &prefix);
     void updateReady();
@@ -101,6 +103,8 @@
     std::map<PoolId, RetryBudget> m_retryBudgets;
     CallMetrics m_callMetrics;
     LogSampler m_sampler;
+    LogSampler m_failureSampler;
+    LinkShedder m_link;
     PoisonGuard m_poison;
     LimitNews m_limits;
     CallServices m_services;
--- a/src/gateway/logsampler.cpp
+++ b/src/gateway/logsampler.cpp
@@ -2,6 +2,8 @@
 
 #include "base/namehash.h"
 
+#include <utility>
+
 namespace RadishSwitch
 {
 
@@ -12,7 +14,14 @@
         m_lines = 0;
     }
     ++m_lines;
-    return m_lines <= kLinesPerSecond || nameHash(call) % kKeptOneIn == 0;
+    const bool isKept = m_lines <= kLinesPerSecond || nameHash(call) % kKeptOneIn == 0;
+    m_leftOut += isKept ? 0 : 1;
+    return isKept;
+}
+
+int LogSampler::takeLeftOut()
+{
+    return std::exchange(m_leftOut, 0);
 }
 
 }
--- a/src/gateway/logsampler.h
+++ b/src/gateway/logsampler.h
@@ -6,10 +6,10 @@
 namespace RadishSwitch
 {
 
-/// Which calls that were answered are logged, when there are too many for a line each.
+/// Which calls are logged, when there are too many for a line each: thousands that fail in a few seconds would take the
+/// processor time that the process needs to know what is going on.
 ///
-/// Chosen by the call's id alone, so that all processes keep lines of the same calls. Calls that failed are always
-/// logged.
+/// Beyond the rate chosen by the call's id alone, so that all processes keep lines of the same calls.
 class LogSampler
 {
 public:
@@ -20,9 +20,13 @@
 
     bool keeps(const RequestId &call, Instant now);
 
+    /// How many were not kept since this was asked last.
+    int takeLeftOut();
+
 private:
     Instant m_second{};
     int m_lines = 0;
+    int m_leftOut = 0;
 };
 
 }
--- a/tests/radishswitch-gateway/logsampler_test.cpp
+++ b/tests/radishswitch-gateway/logsampler_test.cpp
@@ -20,6 +20,15 @@
     LogSampler sampler;
 };
 
+// Guards against lines that vanish without a word.
+TEST_F(LogSamplerTest, linesThatAreNotKept_areCounted)
+{
+    const int kept = keptOf(5'000);
+
+    EXPECT_EQ(sampler.takeLeftOut(), 5'000 - kept);
+    EXPECT_EQ(sampler.takeLeftOut(), 0);
+}
+
 TEST_F(LogSamplerTest, callsWithinTheRate_areAllKept)
 {
     EXPECT_EQ(keptOf(LogSampler::kLinesPerSecond), LogSampler::kLinesPerSecond);
