The fleet's own news comes through the zone's watcher: peers, lists and the way back to a lost store

Cause: calls to the store grew with the processes. At the fleet's start each of 357 gateways watched three prefixes by itself, since it knew no watcher yet and had no zone in its own list (1,281 calls of 4,789 priced by 20 s); each watched the list of peers itself, 20 s at a time, against a history of 20 s, and listed it anew (100 lists of three pages); a gateway that had missed history listed from the store; while the store was away each of four followers of each process asked it again.

Change: peers are followed like all else, through the watcher of the zone; a process counts for its own zone before it is listed; first watches wait until the others are known; a watcher that is gone at once is followed by the zone's next one, and only then by the store; the watcher keeps all objects and answers lists; before the store's first word it lets askers wait. Of a store that does not answer, a process asks one probe at a time, the cheapest list, for all its followers, and so does a home for the gateways that read through it. The order of homes of a key is kept.

--- a/src/fleet/fleetstore.h
+++ b/src/fleet/fleetstore.h
@@ -16,8 +16,8 @@
     std::string address;
     /// How long a watch without news may last.
     Duration watchWait{};
-    /// Prefix of objects of which old news will do: they are watched for longer and at the lower price of answers that
-    /// may be seconds old.
+    /// Prefix of objects of which old news will do: they are watched at the lower price of answers that may be seconds
+    /// old.
     std::string relaxedPrefix;
 };
 
--- a/src/fleet/peerregistry.cpp
+++ b/src/fleet/peerregistry.cpp
@@ -13,17 +13,20 @@
 
 const Log kLog("peers");
 
+ObjectFollowerSettings followerSettings()
+{
+    ObjectFollowerSettings follower;
+    // Many come and go together: a release, a loss of power. What comes within this is read as one.
+    follower.changePause = std::chrono::milliseconds(200);
+    return follower;
 }
 
-PeerRegistry::PeerRegistry(ObjectStore &store, TimerService &timers, RandomSource &random, Callback onChanged)
-    : m_onChanged(std::move(onChanged))
-    , m_follower(store, timers, random, kPeersPrefix, *this)
-{
 }
 
-void PeerRegistry::start()
+PeerRegistry::PeerRegistry(ObjectStore &store, TimerService &timers, RandomSource &random, Callback onChanged)
+    : m_onChanged(std::move(onChanged))
+    , m_follower(store, timers, random, kPeersPrefix, *this, followerSettings())
 {
-    m_follower.start();
 }
 
 void PeerRegistry::objectsListed(const std::vector<StoredObject> &objects)
--- a/src/fleet/peerregistry.h
+++ b/src/fleet/peerregistry.h
@@ -17,7 +17,11 @@
 
     PeerRegistry(ObjectStore &store, TimerService &timers, RandomSource &random, Callback onChanged);
 
-    void start();
+    /// Follows the others' objects; to be started by the owner.
+    ObjectFollower &follower()
+    {
+        return m_follower;
+    }
 
     /// Whether the others were listed once. Before that a gateway takes itself for the home of everything.
     bool isKnown() const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,8 @@
 const Log kLog("process");
 
 constexpr Duration kUpkeepInterval = std::chrono::seconds(2);
+/// Processes that start for the first time have announced themselves within this.
+constexpr Duration kFirstAnnouncements = std::chrono::seconds(1);
 /// Longer than any call lasts.
 constexpr Duration kReservationExpiry = std::chrono::seconds(20);
 /// Kept back from the drain timeout: portions are given back, and the process ends, before it would be killed.
@@ -42,12 +44,13 @@
     , m_clients(m_workers, transportSettings(m_settings))
     , m_budgetPeers(m_clients, m_homes, m_timers, kReservationExpiry)
     , m_watchPeers(m_clients, m_homes, m_timers)
-    , m_relayedStore(m_store, m_homes, m_watchPeers, m_timers, relayTimeout(m_settings))
+    , m_probedStore(m_store, m_timers, m_random)
+    , m_relayedStore(m_probedStore, m_homes, m_watchPeers, m_timers, relayTimeout(m_settings))
     , m_budgets(m_homes, m_ownBudgets, m_budgetPeers, m_timers, sharedBudgetsSettings(m_settings))
     , m_budgetService(m_ownBudgets, m_timers)
     , m_announcement(m_store, m_timers, m_random, m_settings.instance,
                      writePeerEntry(peerOf(m_settings, PeerKind::Gateway)))
-    , m_peerRegistry(m_store, m_timers, m_random,
+    , m_peerRegistry(m_relayedStore, m_timers, m_random,
                      [this](const std::map<std::string, FleetPeer> &peers) {
                          handlePeers(peers);
                      })
@@ -143,6 +146,7 @@
 
 void Gateway::begin()
 {
+    m_homes.setOwn(peerOf(m_settings, PeerKind::Gateway));
     if (m_settings.watchesAlone) {
         m_homes.watchAlone();
     }
@@ -164,12 +168,21 @@
     m_news.add(kLimitKeys, m_limits);
     follow(m_newsFollower, kNewsPrefix);
     m_announcement.start(m_settings.isFirstStart);
-    m_peerRegistry.start();
+    followPeers();
     m_timers.every(kUpkeepInterval, [this] {
         keepUp();
     });
 }
 
+// On the fleet's first start all announce themselves at once. One that listed the others sooner would know few of them,
+// and watch the store itself.
+void Gateway::followPeers()
+{
+    m_timers.after(m_settings.isFirstStart ? kFirstAnnouncements : Duration::zero(), [this] {
+        follow(m_peerRegistry.follower(), kPeersPrefix);
+    });
+}
+
 // Where no zone is ever closed the watch would only cost.
 bool Gateway::followsCordons() const
 {
@@ -236,7 +249,7 @@
         if (!progress.isReached) {
             log.noteLost();
         } else if (progress.wasListed) {
-            log.noteListed(progress.changes.nextVersion);
+            log.noteListed(progress.changes);
             updateReady();
         } else {
             log.noteChanges(progress.changes);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "poisonguard.h"
 #include "prepaidbudgets.h"
 #include "serving/objectfollower.h"
+#include "serving/probedstore.h"
 #include "serving/relayedstore.h"
 #include "systemrandom.h"
 #include "watchpeers.h"
@@ -69,6 +70,7 @@
     void logPortions() const;
     void logLeftOut();
     void handleNewer(const ServingTablePointer &table);
+    void followPeers();
     void follow(ObjectFollower &follower, const std::string &prefix);
     void updateReady();
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
@@ -94,6 +96,7 @@
     MessageClients m_clients;
     BudgetPeers m_budgetPeers;
     WatchPeers m_watchPeers;
+    ProbedStore m_probedStore;
     RelayedStore m_relayedStore;
     SharedBudgets m_budgets;
     BudgetService m_budgetService;
--- a/src/home/home.h
+++ b/src/home/home.h
@@ -11,6 +11,7 @@
 #include "peerannouncement.h"
 #include "prepaidbudgets.h"
 #include "serving/coalescingstore.h"
+#include "serving/probedstore.h"
 #include "systemrandom.h"
 
 #include <functional>
@@ -59,6 +60,7 @@
     std::unique_ptr<ObjectStore> m_platformStore;
     CountedStore m_store;
     /// For gateways that are cut off from the store.
+    ProbedStore m_probedStore;
     CoalescingStore m_sharedReads;
     Ledger m_ledger;
     BudgetHolder m_holder;
--- a/src/libradishswitch/serving/homedirectory.cpp
+++ b/src/libradishswitch/serving/homedirectory.cpp
@@ -15,6 +15,13 @@
 
 constexpr std::string_view kWatchKey = "watch";
 
+/// Of each kind of process so many are kept in the order of a key. As many must be unreachable at once before all have
+/// to be ranked.
+constexpr std::size_t kKeptOfEachKind = 24;
+
+/// Keys are those of the ledger's shards.
+constexpr std::size_t kMostOrders = 1000;
+
 /// Of peers with weights v and w, the first has the greater score for v / (v + w) of all keys.
 double weightedScore(std::uint64_t hash, std::uint64_t key, double weight)
 {
@@ -38,12 +45,22 @@
     , m_settings(settings)
 {
     setPeers({});
+    m_arePeersKnown = false;
+}
+
+void HomeDirectory::setOwn(const FleetPeer &own)
+{
+    m_own = own;
+    m_standings[m_self].peer = own;
+    m_orders.clear();
 }
 
 void HomeDirectory::setPeers(const std::map<std::string, FleetPeer> &peers)
 {
+    m_arePeersKnown = true;
+    m_orders.clear();
     absl::flat_hash_map<std::string, Standing> standings;
-    standings[m_self] = Standing{FleetPeer(), rendezvousHash(m_self)};
+    standings[m_self] = Standing{m_own, rendezvousHash(m_self)};
     for (const auto &[name, peer] : peers) {
         const auto known = m_standings.find(name);
         Standing standing = known == m_standings.end() ? Standing() : known->second;
@@ -65,27 +82,75 @@
     return {isHome, weightedScore(standing.hash, keyHash, standing.peer.weight)};
 }
 
-std::vector<std::string> HomeDirectory::candidates(std::string_view key, Instant now) const
+HomeDirectory::Order HomeDirectory::ranked(std::string_view key, std::size_t most) const
 {
     const std::uint64_t keyHash = rendezvousHash(key);
-    std::vector<std::pair<Rank, std::string>> ranked;
+    std::vector<std::pair<Rank, std::string_view>> all;
+    all.reserve(m_standings.size());
     for (const auto &[name, standing] : m_standings) {
-        if (name == m_self || now >= standing.pausedUntil) {
-            ranked.emplace_back(rankOf(standing, keyHash), name);
+        all.emplace_back(rankOf(standing, keyHash), name);
+    }
+    std::ranges::sort(all, std::greater<>());
+    Order order;
+    std::size_t homes = 0;
+    std::size_t gateways = 0;
+    for (const auto &[rank, name] : all) {
+        std::size_t &kept = std::get<bool>(rank) ? homes : gateways;
+        if (kept++ < most) {
+            order.names.emplace_back(name);
         }
     }
-    std::ranges::sort(ranked, std::greater<>());
+    order.isCut = homes > most || gateways > most;
+    return order;
+}
+
+const HomeDirectory::Order &HomeDirectory::orderOf(std::string_view key) const
+{
+    if (m_orders.size() >= kMostOrders) {
+        m_orders.clear();
+    }
+    const auto [it, isNew] = m_orders.try_emplace(std::string(key));
+    if (isNew) {
+        it->second = ranked(key, kKeptOfEachKind);
+    }
+    return it->second;
+}
+
+std::vector<std::string> HomeDirectory::candidates(std::string_view key, Instant now) const
+{
+    if (const auto few = candidatesAmong(orderOf(key), now)) {
+        return *few;
+    }
+    return *candidatesAmong(ranked(key, m_standings.size()), now);
+}
+
+std::optional<std::vector<std::string>> HomeDirectory::candidatesAmong(const Order &order, Instant now) const
+{
     std::vector<std::string> names;
     std::size_t homes = 0;
     std::size_t gateways = 0;
-    for (const auto &[rank, name] : ranked) {
-        const bool isHome = std::get<bool>(rank);
+    bool hasSelf = false;
+    for (const std::string &name : order.names) {
+        const Standing &standing = m_standings.at(name);
+        if (name == m_self) {
+            hasSelf = true;
+            names.push_back(name);
+            continue;
+        }
+        const bool isHome = standing.peer.kind == PeerKind::Home;
         std::size_t &taken = isHome ? homes : gateways;
-        taken += name == m_self ? 0 : 1;
-        if (name == m_self || taken <= (isHome ? m_settings.mostHomes : m_settings.mostGateways)) {
+        if (now >= standing.pausedUntil && taken < (isHome ? m_settings.mostHomes : m_settings.mostGateways)) {
+            ++taken;
             names.push_back(name);
         }
     }
+    const bool isEnough = homes == m_settings.mostHomes && gateways == m_settings.mostGateways;
+    if (order.isCut && !isEnough) {
+        return std::nullopt;
+    }
+    if (!hasSelf) {
+        names.push_back(m_self);
+    }
     if (m_isLeaving && names.size() > 1) {
         std::erase(names, m_self);
     }
@@ -145,17 +210,26 @@
 }
 
 std::string HomeDirectory::usualHome(std::string_view key) const
+{
+    if (const auto home = usualHomeAmong(orderOf(key))) {
+        return *home;
+    }
+    return usualHomeAmong(ranked(key, m_standings.size())).value_or(std::string());
+}
+
+std::optional<std::string> HomeDirectory::usualHomeAmong(const Order &order) const
 {
     constexpr int kFailuresOfTheGone = 4;
-    const std::uint64_t keyHash = rendezvousHash(key);
-    std::pair<Rank, std::string> best;
-    for (const auto &[name, standing] : m_standings) {
-        const bool isGone = standing.failures >= kFailuresOfTheGone || (m_isLeaving && name == m_self);
-        if (!isGone) {
-            best = std::max(best, {rankOf(standing, keyHash), name});
+    for (const std::string &name : order.names) {
+        const Standing &standing = m_standings.at(name);
+        if (order.isCut && standing.peer.kind == PeerKind::Gateway) {
+            return std::nullopt;
+        }
+        if (standing.failures < kFailuresOfTheGone && !(m_isLeaving && name == m_self)) {
+            return name;
         }
     }
-    return best.second;
+    return std::nullopt;
 }
 
 std::vector<std::string> HomeDirectory::reachablePeers(Instant now) const
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -60,9 +61,18 @@
 public:
     HomeDirectory(std::string self, HomeDirectorySettings settings = {});
 
+    /// What the others are told of this process: until the list of all has it, it counts as this.
+    void setOwn(const FleetPeer &own);
+
     /// The processes of the fleet, by their names; this one may be among them.
     void setPeers(const std::map<std::string, FleetPeer> &peers);
 
+    /// Whether the others were named once.
+    bool arePeersKnown() const
+    {
+        return m_arePeersKnown;
+    }
+
     /// This gateway is about to stop: it is the home of nothing any more, as far as there are others.
     void leave();
 
@@ -105,9 +115,23 @@
     struct Standing;
     using Rank = std::tuple<bool, double>;
 
+    /// The first of those that may be home of a key, the nearest first: ranking all of a thousand takes a hundred
+    /// times what a look at the first few does.
+    struct Order {
+        std::vector<std::string> names;
+        /// Whether there are more.
+        bool isCut = false;
+    };
+
     /// The greater rank is nearer to being the home of a key.
     static Rank rankOf(const Standing &standing, std::uint64_t keyHash);
 
+    const Order &orderOf(std::string_view key) const;
+    Order ranked(std::string_view key, std::size_t most) const;
+    /// Whom to ask, of those in `order`; nothing when that does not have enough that may be asked.
+    std::optional<std::vector<std::string>> candidatesAmong(const Order &order, Instant now) const;
+    std::optional<std::string> usualHomeAmong(const Order &order) const;
+
     struct Standing {
         FleetPeer peer;
         std::uint64_t hash = 0;
@@ -118,10 +142,13 @@
     double greatestWeight(const std::string &zone) const;
 
     const std::string m_self;
+    FleetPeer m_own;
+    bool m_arePeersKnown = false;
     bool m_isLeaving = false;
     bool m_watchesAlone = false;
     const HomeDirectorySettings m_settings;
     absl::flat_hash_map<std::string, Standing> m_standings;
+    mutable absl::flat_hash_map<std::string, Order> m_orders;
 };
 
 }
--- a/src/libradishswitch/serving/objectfollower.cpp
+++ b/src/libradishswitch/serving/objectfollower.cpp
@@ -74,7 +74,7 @@
     setReached(true);
     m_version = changes->nextVersion;
     m_listener.objectsListed(changes->objects);
-    tellProgress({true, true, StoreChanges{{}, m_version}});
+    tellProgress({true, true, *changes});
     watch();
 }
 
--- a/src/libradishswitch/serving/objectfollower.h
+++ b/src/libradishswitch/serving/objectfollower.h
@@ -29,7 +29,7 @@
 class ObjectFollower
 {
 public:
-    /// Everything up to a version is known: by these changes, or by a list if there are none to tell; nothing when the
+    /// Everything up to a version is known: by these changes, or by a list, which has all objects; nothing when the
     /// store failed to answer.
     struct Progress {
         bool isReached = false;
--- /dev/null
+++ b/src/libradishswitch/serving/probedstore.cpp
@@ -0,0 +1,121 @@
+#include "serving/probedstore.h"
+
+#include "base/failure.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace RadishSwitch
+{
+
+namespace
+{
+
+constexpr int kMostDoublings = 10;
+
+/// Nothing is ever kept under it, so that a list of it is answered at once and costs next to nothing.
+constexpr char kProbePrefix[] = "probe/";
+
+bool isAnswer(const absl::StatusOr<StoreChanges> &changes)
+{
+    if (changes.ok()) {
+        return true;
+    }
+    const FailureCode code = failureCode(changes.status());
+    return code == FailureCode::HistoryGone || code == FailureCode::ObjectMissing;
+}
+
+}
+
+ProbedStore::ProbedStore(ObjectStore &store, TimerService &timers, RandomSource &random, ProbedStoreSettings settings)
+    : ForwardingStore(store)
+    , m_timers(timers)
+    , m_random(random)
+    , m_settings(settings)
+{
+}
+
+void ProbedStore::list(const std::string &prefix, Callback<StoreChanges> callback)
+{
+    ask(
+        [this, prefix](Callback<StoreChanges> onAnswer) {
+            store().list(prefix, std::move(onAnswer));
+        },
+        std::move(callback));
+}
+
+void ProbedStore::listRelaxed(const std::string &prefix, Callback<StoreChanges> callback)
+{
+    ask(
+        [this, prefix](Callback<StoreChanges> onAnswer) {
+            store().listRelaxed(prefix, std::move(onAnswer));
+        },
+        std::move(callback));
+}
+
+void ProbedStore::watch(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback)
+{
+    ask(
+        [this, prefix, fromVersion](Callback<StoreChanges> onAnswer) {
+            store().watch(prefix, fromVersion, std::move(onAnswer));
+        },
+        std::move(callback));
+}
+
+void ProbedStore::ask(const Question &question, Callback<StoreChanges> callback)
+{
+    if (m_failures == 0) {
+        return question(noted(std::move(callback)));
+    }
+    if (m_timers.now() < m_nextProbeAt) {
+        return callback(makeFailure(FailureCode::StoreUnavailable, "the store did not answer before"));
+    }
+    probe(question, std::move(callback));
+}
+
+void ProbedStore::probe(const Question &question, Callback<StoreChanges> callback)
+{
+    m_nextProbeAt = m_timers.now() + drawPause();
+    const Instant askedAt = m_timers.now();
+    store().listRelaxed(kProbePrefix, [this, question, askedAt, callback = std::move(callback)](const auto &changes) {
+        if (isAnswer(changes)) {
+            m_failures = 0;
+            return question(noted(callback));
+        }
+        noteFailed(askedAt);
+        callback(changes.status());
+    });
+}
+
+ObjectStore::Callback<StoreChanges> ProbedStore::noted(Callback<StoreChanges> callback)
+{
+    const Instant askedAt = m_timers.now();
+    return [this, askedAt, callback = std::move(callback)](const absl::StatusOr<StoreChanges> &changes) {
+        if (isAnswer(changes)) {
+            m_failures = 0;
+        } else {
+            noteFailed(askedAt);
+        }
+        callback(changes);
+    };
+}
+
+// Questions that were under way together fail together, and are one failure.
+void ProbedStore::noteFailed(Instant askedAt)
+{
+    if (m_failures > 0 && askedAt <= m_failedAt) {
+        return;
+    }
+    m_failures = std::min(m_failures + 1, kMostDoublings);
+    m_failedAt = m_timers.now();
+    m_nextProbeAt = std::max(m_nextProbeAt, m_failedAt + drawPause());
+}
+
+Duration ProbedStore::drawPause()
+{
+    const int doublings = std::max(m_failures - 1, 0);
+    const Duration whole = std::min(m_settings.longestPause, m_settings.firstPause * (1 << doublings));
+    return whole / 2 + Duration(static_cast<Duration::rep>(m_random.below(whole.count() / 2 + 1)));
+}
+
+}
--- a/src/libradishswitch/serving/relayedstore.cpp
+++ b/src/libradishswitch/serving/relayedstore.cpp
@@ -2,6 +2,7 @@
 
 #include "base/failure.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace RadishSwitch
@@ -14,6 +15,13 @@
 /// no news comes; cuts seen last seven to nine seconds.
 constexpr Duration kDetour = std::chrono::seconds(2);
 
+/// Gateways of a zone that are asked one after the other before the store itself is.
+constexpr int kMostWatchers = 3;
+
+/// The others are known soon after a start, if the store answers. Longer than that is not waited for them.
+constexpr Duration kLongestPeerWait = std::chrono::seconds(2);
+constexpr Duration kPeerCheck = std::chrono::milliseconds(50);
+
 }
 
 RelayedStore::RelayedStore(ObjectStore &store, HomeDirectory &homes, WatchPeerPort &peers, TimerService &timers,
@@ -28,36 +36,80 @@
 
 void RelayedStore::list(const std::string &prefix, Callback<StoreChanges> callback)
 {
-    read(prefix, 0, std::move(callback));
+    askWatcher({prefix, 0}, 0, remembered(prefix, std::move(callback)));
 }
 
 void RelayedStore::listRelaxed(const std::string &prefix, Callback<StoreChanges> callback)
 {
-    store().listRelaxed(prefix, [this, prefix, callback = std::move(callback)](const auto &changes) {
-        changes.ok() ? callback(changes) : read(prefix, 0, callback);
-    });
+    store().listRelaxed(prefix,
+                        [this, prefix, callback = remembered(prefix, std::move(callback))](const auto &changes) {
+                            changes.ok() ? callback(changes) : read(prefix, 0, callback);
+                        });
 }
 
 void RelayedStore::watch(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback)
+{
+    askWhenPeersAreKnown({prefix, fromVersion}, m_timers.now() + kLongestPeerWait,
+                         remembered(prefix, std::move(callback)));
+}
+
+ObjectStore::Callback<StoreChanges> RelayedStore::remembered(const std::string &prefix, Callback<StoreChanges> callback)
+{
+    return [this, prefix, callback = std::move(callback)](const absl::StatusOr<StoreChanges> &changes) {
+        if (changes.ok()) {
+            std::uint64_t &heard = m_heard[prefix];
+            heard = std::max(heard, changes->nextVersion);
+        }
+        callback(changes);
+    };
+}
+
+bool RelayedStore::isCurrent(const Question &question, const StoreChanges &changes) const
+{
+    const auto it = m_heard.find(question.prefix);
+    return question.fromVersion != 0 || it == m_heard.end() || changes.nextVersion >= it->second;
+}
+
+void RelayedStore::askWhenPeersAreKnown(const Question &question, Instant until, Callback<StoreChanges> callback)
+{
+    if (m_homes.arePeersKnown() || m_timers.now() >= until) {
+        return askWatcher(question, 0, std::move(callback));
+    }
+    m_timers.after(
+        kPeerCheck,
+        [this, question, until, callback = std::move(callback), alive = std::weak_ptr<int>(m_alive)]() mutable {
+            if (!alive.expired()) {
+                askWhenPeersAreKnown(question, until, std::move(callback));
+            }
+        });
+}
+
+void RelayedStore::askWatcher(const Question &question, int asked, Callback<StoreChanges> callback)
 {
     const std::string watcher = m_homes.watcher(m_timers.now());
-    if (watcher == m_homes.self()) {
-        return read(prefix, fromVersion, std::move(callback));
+    if (watcher == m_homes.self() || asked == kMostWatchers) {
+        return read(question.prefix, question.fromVersion, std::move(callback));
     }
-    m_peers.watch(watcher, prefix, fromVersion, m_timeout,
-                  [this, watcher, prefix, fromVersion,
-                   callback = std::move(callback)](const absl::StatusOr<StoreChanges> &changes) {
-                      if (changes.ok()) {
-                          m_homes.noteReached(watcher);
-                          return callback(changes);
-                      }
-                      // One that doesn't know so much history is sound; the caller lists, and goes on with it.
-                      if (failureCode(changes.status()) == FailureCode::HistoryGone) {
-                          return callback(changes);
-                      }
-                      m_homes.noteUnreachable(watcher, m_timers.now());
-                      read(prefix, fromVersion, callback);
-                  });
+    const auto onAnswer = [this, watcher, question, asked,
+                           callback = std::move(callback)](const absl::StatusOr<StoreChanges> &changes) {
+        if (changes.ok()) {
+            m_homes.noteReached(watcher);
+            return isCurrent(question, *changes) ? callback(changes)
+                                                 : read(question.prefix, question.fromVersion, callback);
+        }
+        const FailureCode code = failureCode(changes.status());
+        // One that doesn't know so much history is sound; the caller lists, and goes on with it.
+        if (code == FailureCode::HistoryGone) {
+            return callback(changes);
+        }
+        m_homes.noteUnreachable(watcher, m_timers.now());
+        // Silence has taken most of the time that news may take. What failed at once leaves time for another.
+        if (code == FailureCode::ConnectionSilent) {
+            return read(question.prefix, question.fromVersion, callback);
+        }
+        askWatcher(question, asked + 1, callback);
+    };
+    m_peers.watch(watcher, question.prefix, question.fromVersion, m_timeout, onAnswer);
 }
 
 void RelayedStore::setDetourCallback(std::function<void(bool isDetour)> callback)
--- a/src/libradishswitch/serving/relayedstore.h
+++ b/src/libradishswitch/serving/relayedstore.h
@@ -5,6 +5,8 @@
 #include "serving/watchpeerport.h"
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 
 namespace RadishSwitch
@@ -14,7 +16,8 @@
 ///
 /// Each call to the store is paid for, a waiting watch too. Watches of every gateway would cost more than all else
 /// together: 2,900 of 4,900 calls of a calm day of 23 gateways, measured. While the gateway that watches can't be
-/// reached, or does not reach the store, the store itself is asked.
+/// reached, or does not reach the store, the next one of the zone is asked, and then the store itself. What a gateway
+/// has to list anew it asks there too. At a process's start its first watches wait until it knows the others.
 ///
 /// Gateways that are cut off from the store read it through a home beside an endpoint, which mostly is not. Without
 /// that they learn of no endpoint that starts while the cut lasts: where a quarter of twelve engines crashed just
@@ -40,6 +43,18 @@
     void watch(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback) override;
 
 private:
+    struct Question {
+        std::string prefix;
+        /// Zero for everything.
+        std::uint64_t fromVersion = 0;
+    };
+
+    void askWhenPeersAreKnown(const Question &question, Instant until, Callback<StoreChanges> callback);
+    /// Asks the gateway that watches; `asked` of its zone were asked before it.
+    void askWatcher(const Question &question, int asked, Callback<StoreChanges> callback);
+    /// Whether an answer knows all that this process has heard before.
+    bool isCurrent(const Question &question, const StoreChanges &changes) const;
+    Callback<StoreChanges> remembered(const std::string &prefix, Callback<StoreChanges> callback);
     /// Reads from the store, and through a home if it does not answer. Version zero reads everything.
     void read(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback);
     void readItself(const std::string &prefix, std::uint64_t fromVersion, Callback<StoreChanges> callback);
@@ -53,6 +68,9 @@
     const Duration m_timeout;
     std::function<void(bool)> m_onDetour;
     bool m_isDetour = false;
+    /// The newest version heard of, by prefix.
+    std::map<std::string, std::uint64_t> m_heard;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
     /// While a detour is made, when the store itself is to be tried again.
     Instant m_tryItselfAt = Instant::min();
 };
--- a/src/libradishswitch/serving/watchlog.cpp
+++ b/src/libradishswitch/serving/watchlog.cpp
@@ -10,35 +10,50 @@
 
 void WatchLog::noteChanges(const StoreChanges &changes)
 {
+    m_isKnown = true;
     m_isReached = true;
     m_version = std::max(m_version, changes.nextVersion);
     for (const StoredObject &object : changes.objects) {
-        // A removal does not tell its version; that of the whole answer is late enough.
-        // Only the newest state of an object is of use; a configuration that changes often would be sent many times
-        // over.
-        std::erase_if(m_entries, [&object](const Entry &entry) {
-            return entry.object.key == object.key;
-        });
-        m_entries.push_back({m_version, object});
+        applyChange(object);
     }
-    while (m_entries.size() > kMostEntries) {
-        m_completeFrom = m_entries.front().version;
-        m_entries.pop_front();
+    while (m_removals.size() > kMostRemovals) {
+        m_completeFrom = m_removals.front().version;
+        m_removals.pop_front();
     }
     answerAll();
 }
 
-void WatchLog::noteListed(std::uint64_t version)
+void WatchLog::applyChange(const StoredObject &object)
 {
+    std::erase_if(m_removals, [&object](const Removal &it) {
+        return it.key == object.key;
+    });
+    if (object.version != 0) {
+        m_objects[object.key] = object;
+        return;
+    }
+    m_objects.erase(object.key);
+    // A removal does not tell its version; that of the whole answer is late enough.
+    m_removals.push_back({m_version, object.key});
+}
+
+void WatchLog::noteListed(const StoreChanges &all)
+{
+    m_isKnown = true;
     m_isReached = true;
-    m_version = version;
-    m_completeFrom = version;
-    m_entries.clear();
+    m_version = all.nextVersion;
+    m_completeFrom = all.nextVersion;
+    m_removals.clear();
+    m_objects.clear();
+    for (const StoredObject &object : all.objects) {
+        m_objects[object.key] = object;
+    }
     answerAll();
 }
 
 void WatchLog::noteLost()
 {
+    m_isKnown = true;
     m_isReached = false;
     answerAll();
 }
@@ -46,7 +61,8 @@
 void WatchLog::watch(std::uint64_t fromVersion, Callback callback)
 {
     const auto answer = answerNow(fromVersion);
-    if (answer && (!answer->ok() || !(*answer)->objects.empty())) {
+    const bool isList = fromVersion == 0;
+    if (answer && (!answer->ok() || isList || !(*answer)->objects.empty())) {
         return callback(*answer);
     }
     m_waiting.push_back({fromVersion, std::move(callback)});
@@ -54,18 +70,27 @@
 
 std::optional<absl::StatusOr<StoreChanges>> WatchLog::answerNow(std::uint64_t fromVersion) const
 {
+    if (!m_isKnown) {
+        return std::nullopt;
+    }
     if (!m_isReached) {
         return makeFailure(FailureCode::StoreUnavailable, "the gateway that watches does not reach the store");
     }
-    if (fromVersion < m_completeFrom) {
+    const bool isList = fromVersion == 0;
+    if (!isList && fromVersion < m_completeFrom) {
         return makeFailure(FailureCode::HistoryGone, "the gateway that watches does not know what came after that");
     }
     StoreChanges changes;
     // An asker may have heard of more than this gateway.
     changes.nextVersion = std::max(fromVersion, m_version);
-    for (const Entry &entry : m_entries) {
-        if (entry.version > fromVersion) {
-            changes.objects.push_back(entry.object);
+    for (const auto &[key, object] : m_objects) {
+        if (object.version > fromVersion) {
+            changes.objects.push_back(object);
+        }
+    }
+    for (const Removal &removal : m_removals) {
+        if (!isList && removal.version > fromVersion) {
+            changes.objects.push_back({removal.key, std::string(), 0});
         }
     }
     return changes;
--- a/src/libradishswitch/serving/watchlog.h
+++ b/src/libradishswitch/serving/watchlog.h
@@ -4,13 +4,15 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace RadishSwitch
 {
 
-/// What one gateway has heard of a prefix of the store, kept for others that watch through it.
+/// What one gateway knows of a prefix of the store, kept for others that list and watch through it.
 ///
 /// An answer is given when there is news, and also each time the store said that there is none: silence would leave the
 /// others in doubt whether this gateway still hears the store.
@@ -23,13 +25,14 @@
     void noteChanges(const StoreChanges &changes);
 
     /// Everything was listed anew; what led there is not known.
-    void noteListed(std::uint64_t version);
+    void noteListed(const StoreChanges &all);
 
     /// The store does not answer. Those that wait get StoreUnavailable, and those that ask from now on.
     void noteLost();
 
-    /// Calls back with what changed after `fromVersion`, now or with the store's next word. HistoryGone when that is
-    /// not known here, StoreUnavailable while the store is lost.
+    /// Calls back with what changed after `fromVersion`, now or with the store's next word; with everything for version
+    /// zero. HistoryGone when that is not known here, StoreUnavailable while the store is lost. Before the first word
+    /// of the store it waits: after a loss of power all of a zone start at once, and one list is to do for all.
     void watch(std::uint64_t fromVersion, Callback callback);
 
     std::size_t waiting() const
@@ -38,9 +41,9 @@
     }
 
 private:
-    struct Entry {
+    struct Removal {
         std::uint64_t version = 0;
-        StoredObject object;
+        std::string key;
     };
 
     struct Waiting {
@@ -48,17 +51,21 @@
         Callback callback;
     };
 
-    /// Entries kept; about a minute of the busiest times.
-    static constexpr std::size_t kMostEntries = 256;
+    /// Removals kept; about a minute of the busiest times.
+    static constexpr std::size_t kMostRemovals = 256;
 
     std::optional<absl::StatusOr<StoreChanges>> answerNow(std::uint64_t fromVersion) const;
     void answerAll();
 
-    std::deque<Entry> m_entries;
+    void applyChange(const StoredObject &object);
+
+    std::map<std::string, StoredObject> m_objects;
+    std::deque<Removal> m_removals;
     std::vector<Waiting> m_waiting;
-    /// Changes after this version are all in `m_entries`.
+    /// Removals after this version are all in `m_removals`.
     std::uint64_t m_completeFrom = 0;
     std::uint64_t m_version = 0;
+    bool m_isKnown = false;
     bool m_isReached = false;
 };
 
