A budget is not called used up when the ledger is silent and said last that much is free

Cause: a call that waits for the ledger until its time ends was told that its budget is exhausted whenever the ledger had said anything of the budget in the last four seconds, also that there is plenty. Change: only when that was less than the call lacks; else the ledger is late, and the caller may come back.

The test failed before (BudgetExhausted); the one for a dry budget that is asked again passes as before.

--- a/src/libradishswitch/budgets/budgetholder.cpp
+++ b/src/libradishswitch/budgets/budgetholder.cpp
@@ -263,7 +263,7 @@
     }
     // A budget that has run dry is asked about again and again. That the latest answer is still due is no reason to say
     // that the ledger is late, when the one before said that there is too little.
-    const bool isLate = entry.second.isAsking && !wasFreeKnownLately(entry.second);
+    const bool isLate = entry.second.isAsking && !wasTooLittleLately(entry.second, it->request);
     answer(std::move(it->callback),
            isLate ? makeFailure(FailureCode::LedgerLate, "the ledger did not answer in time",
                                 m_settings.unavailableRetryAfter)
@@ -317,6 +317,12 @@
     }
 }
 
+bool BudgetHolder::wasTooLittleLately(const HeldBudget &budget, const ReservationRequest &request) const
+{
+    const std::int64_t missing = request.tokens - std::max<std::int64_t>(budget.current().available(), 0);
+    return wasFreeKnownLately(budget) && budget.lastFree < missing;
+}
+
 // While the ledger may bring enough, requests are served in turn: small ones would take each portion before a large one
 // has its share. Once nothing more comes, a large one can only wait for open reservations to end; small ones that
 // waited behind it for its whole patience were refused as late, 150 a second of 250, with room for most of them.
--- a/src/libradishswitch/budgets/budgetholder.h
+++ b/src/libradishswitch/budgets/budgetholder.h
@@ -148,6 +148,8 @@
     static bool isPortionLost(const absl::Status &status);
     bool isFreeKnown(const HeldBudget &budget) const;
     bool wasFreeKnownLately(const HeldBudget &budget) const;
+    /// Whether the ledger has said lately that it has less than the request lacks here.
+    bool wasTooLittleLately(const HeldBudget &budget, const ReservationRequest &request) const;
     bool isLow(const HeldBudget &budget) const;
     Urgency calmUrgency(const HeldBudget &budget) const;
     void askIfLow(Entry &entry);
--- a/tests/core/budgets/budgetfailures_test.cpp
+++ b/tests/core/budgets/budgetfailures_test.cpp
@@ -219,4 +219,19 @@
     EXPECT_EQ(audit->value().size(), 3u);
 }
 
+// Guards against callers who are told that a budget is used up while it has plenty, and the ledger does not answer.
+TEST_F(BudgetFailuresTest, reserve_ledgerSilentAfterItSaidThatMuchIsFree_isLateAndNotExhausted)
+{
+    holderSettings.shareOfFree = 0.01;
+    topUp("p", 1'000'000);
+    const auto process = start("h1");
+    ASSERT_TRUE(spend(*process, "first", 100, 100));
+    process->link.setDelay(Seconds(5));
+
+    const auto waits = reserve(*process, "large", 200'000, Milliseconds(600));
+    run(Seconds(1));
+
+    EXPECT_TRUE(waits->isRefusedWith(FailureCode::LedgerLate));
+}
+
 }
