Homes that are not needed stay silent

Cause: 625 homes beside as many endpoints each announced themselves at the start (625 of 982 writes of announcements) and were in the list of each of 357 gateways, where eight shards have eight homes. The platform runs the role on all machines of the class.

Zero, the default, lets all announce themselves at once, as before.

--- a/src/home/home.cpp
+++ b/src/home/home.cpp
@@ -31,9 +31,16 @@
     return store;
 }
 
+HomeCandidacySettings candidacySettings(const HomeSettings &settings)
+{
+    HomeCandidacySettings candidacy;
+    candidacy.wantedInZone = settings.homesOfZone;
+    return candidacy;
+}
+
 }
 
-Home::Home(FleetSettings settings)
+Home::Home(HomeSettings settings)
     : m_settings(std::move(settings))
     , m_workers(1)
     , m_timers(m_workers)
@@ -50,6 +57,8 @@
     , m_service(m_budgets, m_timers)
     , m_announcement(m_store, m_timers, m_random, m_settings.instance,
                      writePeerEntry(peerOf(m_settings, PeerKind::Home)))
+    , m_candidacy(m_store, m_timers, m_random, m_announcement, m_settings.instance, m_settings.zone,
+                  candidacySettings(m_settings))
     , m_server(m_workers, transportSettings(m_settings))
     , m_admin(m_workers, m_metrics)
 {
@@ -82,7 +91,7 @@
         m_metrics.beforeCollection([this] {
             countGauges();
         });
-        m_announcement.start(m_settings.isFirstStart);
+        m_candidacy.start(m_settings.isFirstStart);
         m_admin.setReady(true);
     });
     m_workers.start();
--- a/src/home/home.h
+++ b/src/home/home.h
@@ -5,8 +5,9 @@
 #include "budgets/budgetholder.h"
 #include "budgetservice.h"
 #include "countedstore.h"
-#include "fleetsettings.h"
 #include "fleetstore.h"
+#include "homecandidacy.h"
+#include "homesettings.h"
 #include "http2transport.h"
 #include "peerannouncement.h"
 #include "prepaidbudgets.h"
@@ -27,7 +28,7 @@
 class Home
 {
 public:
-    explicit Home(FleetSettings settings);
+    explicit Home(HomeSettings settings);
     ~Home();
 
     Home(const Home &) = delete;
@@ -52,7 +53,7 @@
     void end();
     void countGauges();
 
-    const FleetSettings m_settings;
+    const HomeSettings m_settings;
     WorkerPool m_workers;
     AsioTimerService m_timers;
     SystemRandom m_random;
@@ -67,6 +68,7 @@
     PrepaidBudgets m_budgets;
     BudgetService m_service;
     PeerAnnouncement m_announcement;
+    HomeCandidacy m_candidacy;
     Http2MessageServer m_server;
     AdminServer m_admin;
     std::function<void()> m_onDrained;
--- /dev/null
+++ b/src/home/homesettings.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "fleetsettings.h"
+
+namespace RadishSwitch
+{
+
+/// What a home is told at its start.
+struct HomeSettings : FleetSettings {
+    /// Homes of one availability zone that make themselves known to the others; zero for all.
+    int homesOfZone = 0;
+};
+
+void addHomeSettings(SettingsParser &parser, HomeSettings &settings);
+
+}
