--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -137,7 +137,8 @@
 
     void expire();
     void goOnSending();
-    /// What the kernel gives up by itself it does not reset. While a request is watched here, that is not to come first.
+    /// What the kernel gives up by itself it does not reset. While a request is watched here, that is not to come
+    /// first.
     void setUserTimeout(Duration span);
     Duration userTimeoutOfRequests() const;
     void watchAcknowledgements();
