The quickest connection is that into the same zone

Found in the read of the diff: a gateway whose last eight calls all went to endpoints of another region, 90 ms away, would have taken the distance for a full link, since the quickest connection had been one next door. The test of far endpoints now makes near connections first and failed before.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -77,7 +77,7 @@
     // callattempt.cpp: one attempt at an endpoint.
     boost::asio::awaitable<void> start(Attempt &attempt);
     boost::asio::awaitable<absl::Status> connect(Attempt &attempt);
-    void noteConnected(Duration taken, const absl::Status &status) const;
+    void noteConnected(const Placement &placement, Duration taken, const absl::Status &status) const;
     void send(Attempt &attempt);
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt);
     void noteLimit(const Attempt &attempt, const AnswerHead &head) const;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -60,7 +60,7 @@
     attempt.connection = m_services.connections.create(placement.address);
     const Instant askedAt = m_services.timers.now();
     absl::Status status = co_await attempt.connection->connect(within(m_services.connections.connectTimeout()));
-    noteConnected(m_services.timers.now() - askedAt, status);
+    noteConnected(placement, m_services.timers.now() - askedAt, status);
     if (status.ok() && m_isCallerGone) {
         status = makeFailure(FailureCode::ConnectionLost, "the caller is gone");
     }
@@ -76,11 +76,11 @@
 }
 
 // One that was given up early since the call's time was over says nothing.
-void Call::noteConnected(Duration taken, const absl::Status &status) const
+void Call::noteConnected(const Placement &placement, Duration taken, const absl::Status &status) const
 {
     const bool isSilent = !status.ok() && failureCode(status) == FailureCode::ConnectionSilent;
     if (!isSilent || taken >= m_services.connections.connectTimeout()) {
-        m_services.link.noteConnected(taken, m_services.timers.now());
+        m_services.link.noteConnected(placement.zone, taken, m_services.timers.now());
     }
 }
 
--- a/src/libradishswitch/limits/linkshedder.cpp
+++ b/src/libradishswitch/limits/linkshedder.cpp
@@ -14,6 +14,9 @@
 /// A queue that makes connections late is worked off within this, and nothing is measured while all are refused.
 constexpr Duration kMemory = std::chrono::milliseconds(100);
 
+/// Zones are named by entries that others write.
+constexpr std::size_t kMostZones = 1000;
+
 LoadShedderSettings settingsOfLink(LoadShedderSettings settings)
 {
     settings.memory = kMemory;
@@ -28,10 +31,14 @@
 {
 }
 
-void LinkShedder::noteConnected(Duration taken, Instant now)
+void LinkShedder::noteConnected(const std::string &zone, Duration taken, Instant now)
 {
-    m_quickest = std::min(m_quickest, taken);
-    const Duration delay = taken - m_quickest;
+    if (m_quickest.size() >= kMostZones) {
+        m_quickest.clear();
+    }
+    Duration &quickest = m_quickest.try_emplace(zone, taken).first->second;
+    quickest = std::min(quickest, taken);
+    const Duration delay = taken - quickest;
     m_lateInARow = delay < m_target ? 0 : m_lateInARow + 1;
     if (m_lateInARow == 0 || m_lateInARow >= kLeastInARow) {
         m_shedder.noteDelay(delay, now);
--- a/src/libradishswitch/limits/linkshedder.h
+++ b/src/libradishswitch/limits/linkshedder.h
@@ -2,6 +2,10 @@
 
 #include "limits/loadshedder.h"
 
+#include <absl/container/flat_hash_map.h>
+
+#include <string>
+
 namespace RadishSwitch
 {
 
@@ -11,16 +15,16 @@
 /// The link's queue grows to half a second while the processor has time to spare: connections to endpoints and answers
 /// of budgets' homes come too late, and so does a new configuration. Callers wait until their deadline.
 ///
-/// The measure is how much longer new connections take than the quickest did. Each passes the link both ways and waits
-/// for nobody's work. One endpoint that takes connections late, or none, says nothing of the link: only when each of
-/// the last connections was late, whatever endpoint it led to, is the link.
+/// The measure is how much longer new connections take than the quickest into the same availability zone did. Each
+/// passes the link both ways and waits for nobody's work. One endpoint that takes connections late, or none, says
+/// nothing of the link: only when each of the last connections was late, whatever endpoint it led to, is the link.
 class LinkShedder
 {
 public:
     explicit LinkShedder(LoadShedderSettings settings = {});
 
-    /// A connection took so long to make, or was given up after so long.
-    void noteConnected(Duration taken, Instant now);
+    /// A connection into `zone` took so long to make, or was given up after so long.
+    void noteConnected(const std::string &zone, Duration taken, Instant now);
 
     /// Whether new requests are to be refused.
     bool isShedding(Instant now) const
@@ -43,7 +47,7 @@
 private:
     const Duration m_target;
     LoadShedder m_shedder;
-    Duration m_quickest = Duration::max();
+    absl::flat_hash_map<std::string, Duration> m_quickest;
     int m_lateInARow = 0;
 };
 
--- a/tests/core/limits/linkshedder_test.cpp
+++ b/tests/core/limits/linkshedder_test.cpp
@@ -18,11 +18,11 @@
 {
 protected:
     /// Connections that took so long each, one every five milliseconds.
-    void connect(int count, Duration taken)
+    void connect(int count, Duration taken, const std::string &zone = "near")
     {
         for (int n = 0; n < count; ++n) {
             now += 5 * kMillisecond;
-            shedder.noteConnected(taken, now);
+            shedder.noteConnected(zone, taken, now);
         }
     }
 
@@ -55,7 +55,8 @@
 // Guards against taking distance for a queue.
 TEST_F(LinkShedderTest, endpointsFarAway_refusesNothing)
 {
-    connect(200, 90 * kMillisecond);
+    connect(20, 3 * kMillisecond);
+    connect(200, 90 * kMillisecond, "far");
 
     EXPECT_FALSE(shedder.isShedding(now));
 }
@@ -86,7 +87,7 @@
         now += kBetween;
         queued = std::max(0.0, queued - kBytesPerSecond * std::chrono::duration<double>(kBetween).count());
         while (!underWay.empty() && underWay.front().first <= now) {
-            shedder.noteConnected(underWay.front().second, now);
+            shedder.noteConnected("near", underWay.front().second, now);
             underWay.pop_front();
         }
         if (shedder.isShedding(now)) {
