Tests of what gateways ask when their zone's watcher is gone, silent, cut off or not known yet

They were missing beside the change: the next of the zone is asked, the store at once after silence, lists through the watcher unless older than what was heard, first watches wait for the others and no longer than two seconds, and in fleets of 30 to 1,000 as many watch the store as there are zones. No source of the product changed.

--- a/tests/core/serving/homedirectory_test.cpp
+++ b/tests/core/serving/homedirectory_test.cpp
@@ -186,3 +186,29 @@
     weak.noteUnreachable("strong-2", at(0));
     EXPECT_TRUE(weak.watcher(at(1)).starts_with("weak"));
 }
+
+// Guards against a process that takes itself for its zone's watcher until it is listed.
+TEST_F(HomeDirectoryTest, ownEntryNotListedYet_itsZoneIsKnownAllTheSame)
+{
+    HomeDirectory self("self");
+    self.setOwn({"10.0.0.9:1", 0.1, "east"});
+    self.setPeers({{"strong", {"10.0.0.1:1", 1, "east"}}, {"other", {"10.0.0.2:1", 1, "west"}}});
+    EXPECT_EQ(self.watcher(at(0)), "strong");
+}
+
+// Guards against an order that is kept for a few and asked for more: with all of these unreachable others are named.
+TEST_F(HomeDirectoryTest, manyUnreachable_thoseBehindThemAreNamed)
+{
+    std::map<std::string, FleetPeer> many;
+    for (int n = 0; n < 100; ++n) {
+        many["home-" + std::to_string(n)] = {"10.0.1." + std::to_string(n) + ":1", 1, "east", PeerKind::Home};
+    }
+    HomeDirectory directory("self");
+    directory.setPeers(many);
+    for (int n = 0; n < 30; ++n) {
+        directory.noteUnreachable(directory.candidates(key(1), at(0)).front(), at(0));
+    }
+    const std::vector<std::string> named = directory.candidates(key(1), at(0));
+    ASSERT_EQ(named.size(), 3U);
+    EXPECT_NE(named.front(), "self");
+}
--- a/tests/core/serving/relayedstore_test.cpp
+++ b/tests/core/serving/relayedstore_test.cpp
@@ -222,3 +222,151 @@
     ASSERT_EQ(result->objects.size(), 1u);
     EXPECT_EQ(port.asked, std::vector<std::string>{"w"});
 }
+
+namespace
+{
+
+/// Gateways of a zone that answer as each is told to, and writes down who was asked.
+class ZoneWatchPeers : public WatchPeerPort
+{
+public:
+    void watch(const std::string &peer, const std::string &, std::uint64_t, Duration,
+               ObjectStore::Callback<StoreChanges> callback) override
+    {
+        asked.push_back(peer);
+        const auto it = failures.find(peer);
+        it == failures.end() ? callback(StoreChanges{{}, version}) : callback(makeFailure(it->second, "told to"));
+    }
+
+    std::map<std::string, FailureCode> failures;
+    std::uint64_t version = 10;
+    std::vector<std::string> asked;
+};
+
+}
+
+/// A gateway with four others in its zone, all stronger than it.
+class ZoneWatcherTest : public testing::Test
+{
+protected:
+    ZoneWatcherTest()
+    {
+        homes.setOwn({"10.0.0.9:1", 0.1, "a"});
+    }
+
+    void nameOthers()
+    {
+        std::map<std::string, FleetPeer> peers;
+        for (int n = 0; n < 4; ++n) {
+            peers["g-" + std::to_string(n)] = {"10.0.0." + std::to_string(n) + ":1", 1, "a"};
+        }
+        homes.setPeers(peers);
+    }
+
+    void watch()
+    {
+        relayed.watch("servers/", 1, [this](const absl::StatusOr<StoreChanges> &) {
+            ++answers;
+        });
+    }
+
+    void pass(Duration span)
+    {
+        timers.advance(span);
+        tasks.runAll();
+    }
+
+    ManualTaskQueue tasks;
+    VirtualTimerService timers;
+    MemoryObjectStore store{tasks};
+    StoreLink link{store, tasks, timers};
+    HomeDirectory homes{"self"};
+    ZoneWatchPeers port;
+    RelayedStore relayed{link, homes, port, timers, std::chrono::seconds(1)};
+    int answers = 0;
+};
+
+// Guards against a zone whose gateways all ask the store when the one that watches is gone.
+TEST_F(ZoneWatcherTest, watcherIsGone_nextOfItsZoneIsAskedAndNotTheStore)
+{
+    nameOthers();
+    port.failures[homes.watcher(timers.now())] = FailureCode::ConnectionLost;
+    watch();
+    EXPECT_EQ(answers, 1);
+    EXPECT_EQ(port.asked.size(), 2U);
+    EXPECT_EQ(link.calls(), 0);
+}
+
+// Guards against news that come late: the time that they may take was used up by the silence.
+TEST_F(ZoneWatcherTest, watcherIsSilent_storeIsAskedAtOnce)
+{
+    nameOthers();
+    port.failures[homes.watcher(timers.now())] = FailureCode::ConnectionSilent;
+    watch();
+    EXPECT_EQ(port.asked.size(), 1U);
+    EXPECT_EQ(link.calls(), 1);
+}
+
+// Guards against a gateway that waits for its zone's watchers while only these are cut off from the store.
+TEST_F(ZoneWatcherTest, noneOfTheZoneReachesTheStore_storeIsAskedInTheEnd)
+{
+    nameOthers();
+    for (int n = 0; n < 4; ++n) {
+        port.failures["g-" + std::to_string(n)] = FailureCode::StoreUnavailable;
+    }
+    watch();
+    EXPECT_EQ(port.asked.size(), 3U);
+    EXPECT_EQ(link.calls(), 1);
+}
+
+// Guards against watches of the store by every process of a fleet that starts.
+TEST_F(ZoneWatcherTest, othersNotKnownYet_watchWaitsForThem)
+{
+    watch();
+    pass(std::chrono::milliseconds(200));
+    EXPECT_EQ(link.calls(), 0);
+    nameOthers();
+    pass(std::chrono::milliseconds(60));
+    EXPECT_EQ(port.asked.size(), 1U);
+    EXPECT_EQ(link.calls(), 0);
+}
+
+TEST_F(ZoneWatcherTest, othersNeverKnown_storeIsWatchedAfterAWhile)
+{
+    watch();
+    for (int n = 0; n < 50; ++n) {
+        pass(std::chrono::milliseconds(50));
+    }
+    EXPECT_EQ(link.calls(), 1);
+}
+
+// Guards against lists from the store by all that were cut off, and against a list older than what was heard before.
+TEST_F(ZoneWatcherTest, list_isTakenFromTheWatcherUnlessItIsOlder)
+{
+    nameOthers();
+    relayed.list("servers/", [](const absl::StatusOr<StoreChanges> &) {});
+    EXPECT_EQ(link.calls(), 0);
+
+    port.version = 9;
+    relayed.list("servers/", [](const absl::StatusOr<StoreChanges> &) {});
+
+    EXPECT_EQ(link.calls(), 1);
+}
+
+// Guards against calls to the store that grow with the fleet: one gateway of each zone watches, however many there are.
+TEST_F(RelayedStoreTest, fleetsOfThirtyToAThousand_asManyWatchTheStoreAsThereAreZones)
+{
+    constexpr int kZones = 5;
+    for (const int size : {30, 100, 300, 1'000}) {
+        peers.clear();
+        for (int n = 0; n < size; ++n) {
+            const double weight = n % 7 == 0 ? 1 : 0.09;
+            peers["gateway-" + std::to_string(n)] = {"10.0.0.1:1", weight, "zone-" + std::to_string(n % kZones)};
+        }
+        int watching = 0;
+        for (const auto &[name, peer] : peers) {
+            watching += askedBy(name).empty() ? 1 : 0;
+        }
+        EXPECT_EQ(watching, kZones) << size << " gateways";
+    }
+}
