--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,4 +17,7 @@
     cat KNOWN-RED.txt
     ctest --test-dir "$folder" -R "^($red)$" || true
 fi
-ctest --test-dir "$folder" --output-on-failure --no-tests=error -j "$(nproc)" ${red:+-E "^($red)$"}
+# The output of a run is kept with its time, so that what fails seldom still has its name when the next run has passed.
+kept="$folder/test-output-$(date +%Y%m%d-%H%M%S).log"
+ctest --test-dir "$folder" --output-on-failure --no-tests=error -j "$(nproc)" --output-log "$(pwd)/$kept" \
+    ${red:+-E "^($red)$"}
