What an endpoint says of itself is one value, and its demands for rest are told in lines

The record could not tell that an endpoint had asked for rest, when, for how long and of which gateway. What the head of an answer says of the endpoint itself is now one value, EndpointNotice, read by the adapter and taken in by the gate at one place; the limit that endpoints name moved into it. New in it is the rest that a 503 (or 429) asks for: seconds with fractions, a date, the longest of several; what is no time is told in a line and concludes nothing.

Where calls are sent is not touched; the tests of limits pass.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -80,7 +80,7 @@
     void noteConnected(const Placement &placement, Duration taken, const absl::Status &status) const;
     void send(Attempt &attempt);
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt);
-    void noteLimit(const Attempt &attempt, const AnswerHead &head) const;
+    void noteNotice(const Attempt &attempt, const AnswerHead &head) const;
     boost::asio::awaitable<absl::Status> skipStrayAnswer(Attempt &attempt);
     AttemptEnd endUnanswered(Attempt &attempt, const absl::Status &status);
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -119,28 +119,41 @@
         const AnswerHead head = m_services.protocol.readAnswer(connection.status(), connection.headers());
         const bool isOurs = head.call ? *head.call == m_request.id : !isSuccess(head.status);
         if (isOurs) {
-            noteLimit(attempt, head);
+            noteNotice(attempt, head);
             co_return head;
         }
         attempt.isInStrayAnswer = true;
     }
 }
 
-void Call::noteLimit(const Attempt &attempt, const AnswerHead &head) const
+void Call::noteNotice(const Attempt &attempt, const AnswerHead &head) const
 {
-    const EndpointId &endpoint = attempt.placement.endpoint;
-    if (head.isLimitMalformed && m_services.sampler.keeps(m_request.id, m_services.timers.now())) {
-        kLog.error("impossible limit, ignored", {field("endpoint", endpoint.value())});
-    }
     // What answers at an address that is used again says nothing of the endpoint that was meant.
-    if (head.isLimitMalformed || head.isOtherEndpoint) {
+    if (head.isOtherEndpoint) {
         return;
     }
-    if (m_services.gate.noteNamedLimit(attempt.placement.id, head.callsPerSecond)) {
-        kLog.info(head.callsPerSecond ? "endpoint names a limit" : "endpoint names no limit any more",
+    const EndpointId &endpoint = attempt.placement.endpoint;
+    for (const NoticeField unreadable : head.notice.unreadable) {
+        if (m_services.sampler.keeps(m_request.id, m_services.timers.now())) {
+            kLog.error("what an endpoint says can't be read",
+                       {field("endpoint", endpoint.value()), field("field", noticeFieldName(unreadable))});
+        }
+    }
+    const NoticeNews news = m_services.gate.noteNotice(attempt.placement.id, head.notice);
+    if (news.hasLimitChanged) {
+        const std::optional<double> &limit = head.notice.callsPerSecond;
+        kLog.info(limit ? "endpoint names a limit" : "endpoint names no limit any more",
                   {field("call", m_request.id.value()), field("endpoint", endpoint.value()),
-                   field("calls_per_second", std::to_string(head.callsPerSecond.value_or(0)))});
-        m_services.limits.noteHeard(endpoint, head.callsPerSecond);
+                   field("calls_per_second", std::to_string(limit.value_or(0)))});
+        m_services.limits.noteHeard(endpoint, limit);
+    }
+    if (news.isRestLonger) {
+        m_services.metrics.noteRest();
+        if (m_services.failureSampler.keeps(m_request.id, m_services.timers.now())) {
+            kLog.warning("endpoint asks for rest",
+                         {field("call", m_request.id.value()), field("endpoint", endpoint.value()),
+                          field("rest", *head.notice.rest), field("sent", m_history.sent)});
+        }
     }
 }
 
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -22,6 +22,8 @@
     : m_metrics(metrics)
     , m_refusedUnread(metrics.counter("radishswitch_calls_refused_unread_total",
                                       "Calls refused before they were read, for want of processor time"))
+    , m_rests(
+          metrics.counter("radishswitch_endpoint_rests_total", "Demands of endpoints to be sent nothing for a time"))
     , m_whole(stage(metrics, "whole"))
     , m_firstAnswer(stage(metrics, "first_answer"))
     , m_reserving(stage(metrics, "reserving"))
@@ -70,4 +72,9 @@
     m_metrics.counter("radishswitch_attempts_failed_total", "Attempts at endpoints that failed", {{"end", name}}).add();
 }
 
+void CallMetrics::noteRest()
+{
+    m_rests.add();
+}
+
 }
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -33,9 +33,13 @@
     void noteCutOff(const absl::Status &status);
     void noteAttemptFailed(AttemptEnd end);
 
+    /// An endpoint asked for rest, or for a longer one.
+    void noteRest();
+
 private:
     Metrics &m_metrics;
     Counter &m_refusedUnread;
+    Counter &m_rests;
     Histogram &m_whole;
     Histogram &m_firstAnswer;
     Histogram &m_reserving;
--- a/src/gateway/callprotocol.h
+++ b/src/gateway/callprotocol.h
@@ -2,6 +2,7 @@
 
 #include "httpmessages.h"
 #include "serving/callrequest.h"
+#include "serving/endpointnotice.h"
 
 #include <absl/status/statusor.h>
 
@@ -36,11 +37,8 @@
     bool isRefusal = false;
     /// Another endpoint has the address by now.
     bool isOtherEndpoint = false;
-    /// Calls a second that the endpoint takes from all callers together, while it is in need; nothing where it names no
-    /// limit.
-    std::optional<double> callsPerSecond;
-    /// It names a limit that can't be read.
-    bool isLimitMalformed = false;
+    /// What the endpoint says of itself.
+    EndpointNotice notice;
     /// How long the endpoint keeps the connection open for more.
     std::optional<Duration> idleTimeout;
 
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -2,6 +2,7 @@
 
 #include "base/failure.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace RadishSwitch
@@ -174,17 +175,29 @@
     }
 }
 
-bool CallGate::noteNamedLimit(PlacementId placement, std::optional<double> callsPerSecond)
+NoticeNews CallGate::noteNotice(PlacementId placement, const EndpointNotice &notice)
 {
     const auto it = m_placed.find(placement);
     if (it == m_placed.end()) {
-        return false;
+        return {};
+    }
+    NoticeNews news;
+    if (std::ranges::find(notice.unreadable, NoticeField::Limit) == notice.unreadable.end()) {
+        news.hasLimitChanged = noteNamedLimit(it->second, notice.callsPerSecond);
+    }
+    if (notice.rest) {
+        news.isRestLonger = m_roster.extendRest(it->second.slot, *notice.rest, m_timers.now());
     }
-    const RosterEndpoint &endpoint = m_roster.at(it->second.slot);
-    if (!callsPerSecond && (!endpoint.namedLimit || it->second.at < endpoint.namedLimitAt)) {
+    return news;
+}
+
+bool CallGate::noteNamedLimit(const Placed &placed, std::optional<double> callsPerSecond)
+{
+    const RosterEndpoint &endpoint = m_roster.at(placed.slot);
+    if (!callsPerSecond && (!endpoint.namedLimit || placed.at < endpoint.namedLimitAt)) {
         return false;
     }
-    m_roster.setNamedLimit(it->second.slot, callsPerSecond, m_timers.now());
+    m_roster.setNamedLimit(placed.slot, callsPerSecond, m_timers.now());
     return true;
 }
 
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -2,6 +2,7 @@
 
 #include "limits/fairqueue.h"
 #include "serving/callplacement.h"
+#include "serving/endpointnotice.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/statusor.h>
@@ -82,12 +83,11 @@
     /// should not be sent to an endpoint that has gone dark for as long as its runs are waited for.
     void noteSilent(PlacementId placement);
 
-    /// What an answer of the endpoint said: calls a second that it takes from all callers together, or that it names no
-    /// limit. Gives whether that holds: an answer without a limit to a call that was sent before the limit was heard of
-    /// does not end it.
-    bool noteNamedLimit(PlacementId placement, std::optional<double> callsPerSecond);
+    /// What the endpoint said of itself in an answer to the call. An answer without a limit to a call that was sent
+    /// before the limit was heard of does not end it.
+    NoticeNews noteNotice(PlacementId placement, const EndpointNotice &notice);
 
-    /// The same, as another gateway has heard it.
+    /// A limit, or its end, as another gateway has heard it.
     void setNamedLimit(const EndpointId &endpoint, std::optional<double> callsPerSecond);
 
     /// Another endpoint answered at the address of the one that was chosen.
@@ -127,6 +127,7 @@
     };
 
     absl::Status refusalOf(const PlacementQuery &query, const absl::Status &status) const;
+    bool noteNamedLimit(const Placed &placed, std::optional<double> callsPerSecond);
     void takeForCold(const std::vector<EndpointSlot> &slots);
     bool isTurnedAway(const PlacementQuery &query);
     void notePressure(const Placed &placed, RunEnd end);
--- /dev/null
+++ b/src/libradishswitch/serving/endpointnotice.cpp
@@ -0,0 +1,17 @@
+#include "serving/endpointnotice.h"
+
+namespace RadishSwitch
+{
+
+std::string_view noticeFieldName(NoticeField field)
+{
+    switch (field) {
+    case NoticeField::Limit:
+        return "limit";
+    case NoticeField::Rest:
+        break;
+    }
+    return "rest";
+}
+
+}
--- /dev/null
+++ b/src/libradishswitch/serving/endpointnotice.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/timerservice.h"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace RadishSwitch
+{
+
+/// What an endpoint can say of itself beside its answer to a call.
+enum class NoticeField {
+    Limit,
+    Rest,
+};
+
+/// The stable name of a field, such as "limit".
+std::string_view noticeFieldName(NoticeField field);
+
+/// What an endpoint says of itself in the head of an answer.
+struct EndpointNotice {
+    /// Calls a second that the endpoint takes from all callers together, while it is in need; nothing where it names no
+    /// limit.
+    std::optional<double> callsPerSecond;
+    /// For how long it wants no calls of this gateway; nothing where it asks for no rest.
+    std::optional<Duration> rest;
+    /// What it says and can't be read. Nothing is concluded from that.
+    std::vector<NoticeField> unreadable;
+
+    bool operator==(const EndpointNotice &) const = default;
+};
+
+/// What of a notice is new here.
+struct NoticeNews {
+    bool hasLimitChanged = false;
+    /// It rests for longer than was known.
+    bool isRestLonger = false;
+
+    bool operator==(const NoticeNews &) const = default;
+};
+
+}
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -70,6 +70,9 @@
 /// A limit of which nothing was heard for so long counts no longer: whoever gets no answers would not hear of its end.
 inline constexpr Duration kNamedLimitLasts = std::chrono::seconds(30);
 
+/// Longer demands for rest count as so long.
+inline constexpr Duration kLongestRest = std::chrono::hours(24);
+
 /// An endpoint that is or lately was in the platform's list, and what this process has under way there.
 struct RosterEndpoint {
     EndpointListing listing;
@@ -97,6 +100,8 @@
     Instant namedLimitAt = Instant::min();
     /// Calls that this process has sent here while it named a limit.
     SlidingCount limitedCalls{kNamedLimitSpan + kNamedLimitMargin};
+    /// Until when it wants no calls of this process; the earliest moment where it asked for no rest.
+    Instant restsUntil = Instant::min();
     /// Calls of this process that are under way here.
     int inFlight = 0;
     /// Calls that this process may have under way here. Falls when the endpoint refuses work, and grows back.
@@ -171,6 +176,17 @@
 
     std::size_t countLimited(Instant now) const;
 
+    /// The endpoint wants no calls of this process for so long, or for as long as it has said already. Gives whether
+    /// that is longer than was known.
+    bool extendRest(EndpointSlot slot, Duration rest, Instant now);
+
+    bool isResting(EndpointSlot slot, Instant now) const
+    {
+        return now < at(slot).restsUntil;
+    }
+
+    std::size_t countResting(Instant now) const;
+
     /// Slots of all endpoints of a pool that are not forgotten, in order.
     const std::vector<EndpointSlot> &pool(const PoolId &pool) const;
 
--- a/tests/core/serving/limitedendpoint_test.cpp
+++ b/tests/core/serving/limitedendpoint_test.cpp
@@ -90,7 +90,9 @@
     void answer(CallGate &gate, const Placement &placement)
     {
         const bool isLimited = placement.endpoint == EndpointId("engine-0");
-        if (gate.noteNamedLimit(placement.id, isLimited ? limit : std::nullopt)) {
+        EndpointNotice notice;
+        notice.callsPerSecond = isLimited ? limit : std::nullopt;
+        if (gate.noteNotice(placement.id, notice).hasLimitChanged) {
             timers.after(kNews, [this, heard = limit] {
                 for (const auto &it : gates) {
                     it->setNamedLimit(EndpointId("engine-0"), heard);
@@ -179,7 +181,7 @@
     }
     timers.advance(Milliseconds(1));
     gate.setNamedLimit(EndpointId("engine-0"), 1.5);
-    EXPECT_FALSE(gate.noteNamedLimit(before.id, std::nullopt));
+    EXPECT_FALSE(gate.noteNotice(before.id, EndpointNotice()).hasLimitChanged);
     EXPECT_EQ(gate.roster().countLimited(timers.now()), 1U);
 }
 
--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -208,15 +208,44 @@
 TEST_F(PlatformAdapterTest, limitOfAnAnswer_isReadOrRefused)
 {
     const auto read = [](const std::string &text) {
-        return PlatformCallProtocol().readAnswer(200, {{"Server-Limit", text}});
+        return PlatformCallProtocol().readAnswer(200, {{"Server-Limit", text}}).notice;
     };
     EXPECT_EQ(read("1.5").callsPerSecond, 1.5);
     EXPECT_EQ(read("0").callsPerSecond, 0.0);
     for (const std::string text : {"", "many", "-1", "nan", "inf", "1.5 a second", "1e999"}) {
         EXPECT_EQ(read(text).callsPerSecond, std::nullopt) << text;
-        EXPECT_TRUE(read(text).isLimitMalformed) << text;
+        EXPECT_EQ(read(text).unreadable, std::vector{NoticeField::Limit}) << text;
     }
-    EXPECT_FALSE(PlatformCallProtocol().readAnswer(200, {}).isLimitMalformed);
+    EXPECT_TRUE(PlatformCallProtocol().readAnswer(200, {}).notice.unreadable.empty());
+}
+
+// Guards against a demand for rest that is taken for another time, or for none.
+TEST_F(PlatformAdapterTest, restOfARefusal_isReadOrRefused)
+{
+    const auto read = [](const HttpHeaders &headers, int status = 503) {
+        return PlatformCallProtocol().readAnswer(status, headers).notice;
+    };
+    const auto rest = [&read](const std::string &text) {
+        return read({{"Retry-After", text}}).rest;
+    };
+    EXPECT_EQ(rest("3"), std::chrono::seconds(3));
+    EXPECT_EQ(rest("0.25"), std::chrono::milliseconds(250));
+    EXPECT_EQ(rest("0"), Duration::zero());
+    EXPECT_EQ(rest("3600"), std::chrono::hours(1));
+    EXPECT_GE(rest("1e300"), std::chrono::hours(24));
+    for (const std::string text : {"", "soon", "-1", "nan", "inf", "3 s", "1e999", "Fri, 13 Mar"}) {
+        EXPECT_EQ(rest(text), std::nullopt) << text;
+        EXPECT_EQ(read({{"Retry-After", text}}).unreadable, std::vector{NoticeField::Rest}) << text;
+    }
+    const HttpHeaders dated{{"Date", "Fri, 13 Mar 2026 10:49:04 GMT"},
+                            {"Retry-After", "Fri, 13 Mar 2026 10:49:07 GMT"}};
+    EXPECT_EQ(read(dated).rest, std::chrono::seconds(3));
+    EXPECT_EQ(rest("Fri, 13 Mar 2020 10:49:07 GMT"), Duration::zero());
+    EXPECT_EQ(read({{"Retry-After", "1"}, {"retry-after", "2.5"}}).rest, std::chrono::milliseconds(2500));
+    EXPECT_EQ(read({{"Retry-After", "1"}, {"Retry-After", "much"}}).rest, std::chrono::seconds(1));
+    EXPECT_EQ(read({{"Retry-After", "3"}}, 429).rest, std::chrono::seconds(3));
+    EXPECT_EQ(read({{"Retry-After", "3"}}, 200).rest, std::nullopt);
+    EXPECT_EQ(read({{"Retry-After", "3"}}, 500).rest, std::nullopt);
 }
 
 TEST_F(PlatformAdapterTest, regionsAndColdStarts_areRead)
