--- /dev/null
+++ b/tests/radishswitch-gateway/restingendpoints_test.cpp
@@ -0,0 +1,155 @@
+#include "gatewayfixture.h"
+
+#include <algorithm>
+#include <thread>
+
+using namespace RadishSwitch;
+
+/// Endpoints that turn calls away and say for how long they want none of the gateway that sent them.
+class RestingEndpointsTest : public GatewayFixture
+{
+protected:
+    using Milliseconds = std::chrono::milliseconds;
+
+    static constexpr Duration kPause = Milliseconds(25);
+    /// Calls under way when an endpoint asks for rest may still arrive so long after.
+    static constexpr Duration kOnTheirWay = Milliseconds(500);
+    /// Calls of one gateway that may reach an endpoint while it rests.
+    static constexpr std::size_t kMost = 2;
+
+    void startWithBoth()
+    {
+        start();
+        addSecond();
+    }
+
+    void turnAway(ReplicaServer &endpoint, std::optional<std::string> rest)
+    {
+        onStandins([&] {
+            endpoint.turnAway(rest);
+        });
+    }
+
+    /// Sends calls for a time, and gives how many were answered.
+    int send(Duration span, const std::string &target = "/safe/1")
+    {
+        int answered = 0;
+        const auto end = std::chrono::steady_clock::now() + span;
+        while (std::chrono::steady_clock::now() < end) {
+            const auto answer = call(request(target, "call-" + std::to_string(++m_calls)));
+            answered += answer.ok() && answer->status == 200 ? 1 : 0;
+            std::this_thread::sleep_for(kPause);
+        }
+        return answered;
+    }
+
+    /// The most calls that reached an endpoint while one of its demands held, but for those on their way.
+    std::size_t mostWhileResting(const ReplicaServer &endpoint, Duration rest)
+    {
+        return onStandins([&] {
+            std::size_t most = 0;
+            const std::vector<Instant> &arrivals = endpoint.arrivals();
+            for (const Instant demand : endpoint.demands()) {
+                const auto first = std::ranges::lower_bound(arrivals, demand + kOnTheirWay);
+                const auto last = std::ranges::lower_bound(arrivals, demand + rest);
+                most = std::max(most, static_cast<std::size_t>(std::max(last - first, std::ptrdiff_t(0))));
+            }
+            return most;
+        });
+    }
+
+    std::size_t arrivalsAt(const ReplicaServer &endpoint)
+    {
+        return onStandins([&endpoint] {
+            return endpoint.arrivals().size();
+        });
+    }
+
+private:
+    int m_calls = 0;
+};
+
+// Guards against an endpoint that is sent calls while it has asked for none.
+TEST_F(RestingEndpointsTest, endpointThatAsksForRest_isSentNothingMeanwhile)
+{
+    startWithBoth();
+    turnAway(first, "3");
+    const int answered = send(std::chrono::seconds(4));
+    EXPECT_LE(mostWhileResting(first, std::chrono::seconds(3)), kMost);
+    // All but the first few of some 150, which the other endpoint can take.
+    EXPECT_GE(answered, 100);
+}
+
+// Guards against further attempts, streams and calls that must not run twice that pass a rest by.
+TEST_F(RestingEndpointsTest, callsOfAllKinds_keepToARest)
+{
+    startWithBoth();
+    turnAway(first, "3");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    for (int n = 0; std::chrono::steady_clock::now() < end; ++n) {
+        const std::string id = "mixed-" + std::to_string(n);
+        (void)call(n % 2 == 0 ? streamRequest(n % 4 == 0 ? "/resumable/1" : "/once/1", id) : request("/order/1", id));
+        std::this_thread::sleep_for(kPause / 2);
+    }
+    EXPECT_LE(mostWhileResting(first, std::chrono::seconds(3)), kMost);
+}
+
+// Guards against an endpoint that is never sent a call again, or much later than it asked for.
+TEST_F(RestingEndpointsTest, restThatIsOver_letsCallsThrough)
+{
+    startWithBoth();
+    turnAway(first, "1");
+    send(Milliseconds(500));
+    turnAway(first, std::nullopt);
+    send(Milliseconds(1500));
+    const std::size_t before = arrivalsAt(first);
+    send(std::chrono::seconds(1));
+    EXPECT_GE(arrivalsAt(first) - before, 5U);
+}
+
+// Guards against callers that wait for their deadline, or come back too early, while all endpoints rest.
+TEST_F(RestingEndpointsTest, callWhileAllRest_isRefusedAtOnceWithTheTimeOfTheFirst)
+{
+    startWithBoth();
+    turnAway(first, "6");
+    turnAway(second, "4");
+    send(Milliseconds(500));
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = call(request("/order/1", "told"));
+    ASSERT_TRUE(answer.ok());
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, Milliseconds(500));
+    EXPECT_EQ(answer->status, 503);
+    const double retryAfter = std::stod(answer->headers.find(PlatformNames::kRetryAfter).value_or("0"));
+    EXPECT_GT(retryAfter, 2.5);
+    EXPECT_LT(retryAfter, 6.0);
+    EXPECT_EQ(runs("told"), 0);
+}
+
+// Guards against an endpoint that is starved by what it says, and against a gateway that fails over it.
+TEST_F(RestingEndpointsTest, demandThatIsNoTime_isIgnored)
+{
+    startWithBoth();
+    for (const std::string rest : {"soon", "-3", "nan", "inf", "3 s", "0", ""}) {
+        turnAway(first, rest);
+        send(Milliseconds(200));
+        turnAway(first, std::nullopt);
+        const std::size_t before = arrivalsAt(first);
+        send(std::chrono::seconds(1));
+        EXPECT_GE(arrivalsAt(first) - before, 5U) << rest;
+    }
+}
+
+// Guards against a later life that pays for what the one before it asked for.
+TEST_F(RestingEndpointsTest, laterLifeOfAnEndpoint_isFree)
+{
+    startWithBoth();
+    turnAway(first, "60");
+    send(Milliseconds(500));
+    turnAway(first, std::nullopt);
+    onStandins([this] {
+        putObject("servers", "replica-1", endpointEntry(first.port(), "ready", 2'000));
+    });
+    const std::size_t before = arrivalsAt(first);
+    send(std::chrono::seconds(2));
+    EXPECT_GE(arrivalsAt(first) - before, 5U);
+}
