One home for the rule whether an endpoint may be sent a call

Roster, placement and gate each decided a part of it: standing, regions, excluded endpoints, room, ejection, cold and limited parts. EndpointAdmission now says it for the usual choice, the choice when nothing else is left, the home of a prompt, and what is told to callers.

--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -15,7 +15,8 @@
     , m_settings(settings)
     , m_allowances(std::move(self), settings.allowances)
     , m_roster(settings.roster)
-    , m_placement(m_roster, m_allowances, random, std::move(ownZone), settings.placement)
+    , m_admission(m_roster, m_allowances)
+    , m_placement(m_roster, m_admission, random, std::move(ownZone), settings.placement)
 {
 }
 
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -144,6 +144,7 @@
     const CallGateSettings m_settings;
     CallAllowances m_allowances;
     EndpointRoster m_roster;
+    EndpointAdmission m_admission;
     CallPlacement m_placement;
     std::map<PoolId, FairQueue> m_queues;
     absl::flat_hash_map<RequestId, Waiting> m_waiting;
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -43,10 +43,10 @@
     }
 }
 
-CallPlacement::CallPlacement(EndpointRoster &roster, const CallAllowances &allowances, RandomSource &random,
+CallPlacement::CallPlacement(EndpointRoster &roster, const EndpointAdmission &admission, RandomSource &random,
                              std::string ownZone, PlacementSettings settings)
     : m_roster(roster)
-    , m_allowances(allowances)
+    , m_admission(admission)
     , m_random(random)
     , m_ownZone(std::move(ownZone))
     , m_settings(settings)
@@ -60,9 +60,7 @@
     }
     const std::vector<EndpointSlot> &slots = m_roster.pool(query.pool);
     const bool isUsualBusy = std::ranges::any_of(slots, [&](EndpointSlot slot) {
-        const RosterEndpoint &it = m_roster.at(slot);
-        return query.regions.allows(it.region) && m_roster.standing(slot, now) == RosterStanding::Usable
-            && it.ejection.isAllowed(now) && it.inFlight > 0;
+        return m_admission.isInUse(slot, query, now) && m_roster.at(slot).inFlight > 0;
     });
     return isUsualBusy ? std::nullopt : cheapest(query, Choosiness::AnyAlive, now);
 }
@@ -70,47 +68,23 @@
 bool CallPlacement::hasUsable(const PlacementQuery &query, Instant now) const
 {
     return std::ranges::any_of(m_roster.pool(query.pool), [&](EndpointSlot slot) {
-        const RosterStanding standing = m_roster.standing(slot, now);
-        return query.regions.allows(m_roster.at(slot).region)
-            && (standing == RosterStanding::Usable || standing == RosterStanding::Doubtful);
+        return m_admission.isOpen(slot, query, now);
     });
 }
 
-// Sent more than it bears while it is cold, an endpoint crashes, and its calls with it. One that names a limit is in
-// need.
-bool CallPlacement::isSpared(EndpointSlot slot, Instant now) const
-{
-    const RosterEndpoint &it = m_roster.at(slot);
-    const bool isLimited = m_roster.isLimited(slot, now);
-    if (isLimited && !it.limitedCalls.isBelow(m_allowances.ownCalls(*it.namedLimit, kNamedLimitSpan, it.hash), now)) {
-        return true;
-    }
-    return m_roster.isCold(slot, now)
-        && !it.coldCalls.isBelow(m_allowances.ownColdCalls(it.listing.pool, it.hash), now);
-}
-
 bool CallPlacement::isHeldByAllowances(const PlacementQuery &query, Instant now) const
 {
     return std::ranges::any_of(m_roster.pool(query.pool), [&](EndpointSlot slot) {
-        const RosterEndpoint &it = m_roster.at(slot);
-        return m_roster.standing(slot, now) == RosterStanding::Usable && query.regions.allows(it.region)
-            && it.inFlight < static_cast<int>(it.limit) && isSpared(slot, now);
+        return m_admission.admission(slot, query, now) == Admission::PartUsedUp;
     });
 }
 
 bool CallPlacement::isCandidate(EndpointSlot slot, const PlacementQuery &query, Choosiness choosiness,
                                 Instant now) const
 {
-    const RosterEndpoint &it = m_roster.at(slot);
-    const RosterStanding standing = m_roster.standing(slot, now);
-    if (it.inFlight >= static_cast<int>(it.limit) || !query.regions.allows(it.region)
-        || std::ranges::find(query.excluded, it.listing.id) != query.excluded.end() || isSpared(slot, now)) {
-        return false;
-    }
-    if (choosiness == Choosiness::AnyAlive) {
-        return standing == RosterStanding::Usable || standing == RosterStanding::Doubtful;
-    }
-    return standing == RosterStanding::Usable && it.ejection.isAllowed(now);
+    const Admission admission = m_admission.admission(slot, query, now);
+    const bool isLastResort = admission == Admission::Ejected || admission == Admission::Doubtful;
+    return admission == Admission::Allowed || (choosiness == Choosiness::AnyAlive && isLastResort);
 }
 
 std::optional<EndpointSlot> CallPlacement::cheapest(const PlacementQuery &query, Choosiness choosiness, Instant now)
@@ -149,8 +123,9 @@
     std::optional<EndpointSlot> home;
     std::uint64_t best = 0;
     for (const EndpointSlot slot : m_roster.pool(query.pool)) {
-        if (m_roster.standing(slot, now) != RosterStanding::Usable || !query.regions.allows(m_roster.at(slot).region)
-            || (choosiness == Choosiness::Usual && !m_roster.at(slot).ejection.isAllowed(now))) {
+        const bool isEligible = choosiness == Choosiness::Usual ? m_admission.isInUse(slot, query, now)
+                                                                : m_admission.isOpen(slot, query, now);
+        if (!isEligible) {
             continue;
         }
         const std::uint64_t score = rendezvousScore(m_roster.at(slot).hash, key);
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -3,7 +3,7 @@
 #include "base/randomsource.h"
 #include "routing/prefixcachehints.h"
 #include "routing/routequery.h"
-#include "serving/callallowances.h"
+#include "serving/endpointadmission.h"
 #include "serving/endpointroster.h"
 #include "serving/placementquery.h"
 #include "serving/placementsettings.h"
@@ -24,7 +24,7 @@
 class CallPlacement
 {
 public:
-    CallPlacement(EndpointRoster &roster, const CallAllowances &allowances, RandomSource &random, std::string ownZone,
+    CallPlacement(EndpointRoster &roster, const EndpointAdmission &admission, RandomSource &random, std::string ownZone,
                   PlacementSettings settings = {});
 
     /// The endpoint with the least time to the first answer among those that have room; nothing when none has.
@@ -81,7 +81,6 @@
         AnyAlive,
     };
 
-    bool isSpared(EndpointSlot slot, Instant now) const;
     bool isCandidate(EndpointSlot slot, const PlacementQuery &query, Choosiness choosiness, Instant now) const;
     std::optional<EndpointSlot> cheapest(const PlacementQuery &query, Choosiness choosiness, Instant now);
     std::optional<EndpointSlot> homeOf(const PlacementQuery &query, Choosiness choosiness, Instant now) const;
@@ -93,7 +92,7 @@
     void ejectUnlessTooMany(EndpointSlot slot, Instant now);
 
     EndpointRoster &m_roster;
-    const CallAllowances &m_allowances;
+    const EndpointAdmission &m_admission;
     RandomSource &m_random;
     const std::string m_ownZone;
     const PlacementSettings m_settings;
