An endpoint that asks for rest is sent nothing until it is over

Callers saw a third of their calls refused for nine seconds while eight of twelve endpoints had room. Cause: nobody read the time for which an endpoint that turned a call away wanted none. A refusal halved the calls that a gateway may have under way there, down to one; as it comes within a millisecond, the endpoint looked idle and hence best, and got two to five times its calls.

EndpointRest keeps the longest demand, for one life of one endpoint, by the process's own clock. EndpointAdmission says so for every way of choosing, and again once a connection stands (an attempt ends as "withdrawn", which costs no retry and says nothing of the endpoint). While all endpoints of a pool rest, calls are refused at once, those that wait too, with the time at which the first is back; so is a call that nobody took. Returns are put off by chance, 20 ms for each gateway and at most half of the rest at first, and begin with one call at a time.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -40,6 +40,8 @@
         /// Whether an answer to another call is being read, behind which that of this one comes.
         bool isInStrayAnswer = false;
         bool isSilenceLogged = false;
+        /// Its connection stood, and it was not sent all the same.
+        bool isWithdrawn = false;
         /// The endpoint's answer, which is passed on, says that it failed the call.
         bool hasFailed = false;
         /// Crashes that counted against the request when it was sent.
@@ -77,6 +79,9 @@
     // callattempt.cpp: one attempt at an endpoint.
     boost::asio::awaitable<void> start(Attempt &attempt);
     boost::asio::awaitable<absl::Status> connect(Attempt &attempt);
+    boost::asio::awaitable<absl::Status> connectAnew(Attempt &attempt);
+    absl::Status checkBeforeSending(const Attempt &attempt) const;
+    static AttemptEnd endUnsent(const Attempt &attempt);
     void noteConnected(const Placement &placement, Duration taken, const absl::Status &status) const;
     void send(Attempt &attempt);
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt);
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -22,6 +22,7 @@
         return RunEnd::Refused;
     case AttemptEnd::WrongEndpoint:
         // It says nothing of how well the endpoint works: there is none.
+    case AttemptEnd::Withdrawn:
         return RunEnd::Cancelled;
     case AttemptEnd::NotSent:
     case AttemptEnd::Broken:
@@ -50,31 +51,51 @@
     if (m_isCallerGone) {
         co_return makeFailure(FailureCode::ConnectionLost, "the caller is gone");
     }
-    const Placement &placement = attempt.placement;
-    const CallTimes &times = m_services.times;
-    const Duration longestIdle = mayRunAgain() ? times.longestIdle : times.longestIdleOnce;
-    attempt.connection = m_services.connections.takeIdle(placement.endpoint, longestIdle);
-    if (attempt.connection) {
-        co_return absl::OkStatus();
-    }
-    attempt.connection = m_services.connections.create(placement.address);
-    const Instant askedAt = m_services.timers.now();
-    absl::Status status = co_await attempt.connection->connect(within(m_services.connections.connectTimeout()));
-    noteConnected(placement, m_services.timers.now() - askedAt, status);
-    if (status.ok() && m_isCallerGone) {
-        status = makeFailure(FailureCode::ConnectionLost, "the caller is gone");
+    const Duration longestIdle = mayRunAgain() ? m_services.times.longestIdle : m_services.times.longestIdleOnce;
+    attempt.connection = m_services.connections.takeIdle(attempt.placement.endpoint, longestIdle);
+    absl::Status status;
+    if (!attempt.connection) {
+        status = co_await connectAnew(attempt);
     }
     if (status.ok()) {
-        status = checkPoison();
+        status = checkBeforeSending(attempt);
+        attempt.isWithdrawn = !status.ok();
     }
     if (!status.ok()) {
-        m_services.connections.forget(placement.endpoint);
+        m_services.connections.forget(attempt.placement.endpoint);
         attempt.connection->close();
         attempt.connection.reset();
     }
     co_return status;
 }
 
+net::awaitable<absl::Status> Call::connectAnew(Attempt &attempt)
+{
+    const Placement &placement = attempt.placement;
+    attempt.connection = m_services.connections.create(placement.address);
+    const Instant askedAt = m_services.timers.now();
+    absl::Status status = co_await attempt.connection->connect(within(m_services.connections.connectTimeout()));
+    noteConnected(placement, m_services.timers.now() - askedAt, status);
+    co_return status;
+}
+
+// Much can have been heard since the endpoint was chosen.
+absl::Status Call::checkBeforeSending(const Attempt &attempt) const
+{
+    if (m_isCallerGone) {
+        return makeFailure(FailureCode::ConnectionLost, "the caller is gone");
+    }
+    if (!m_services.gate.mayStillBeSent(attempt.placement.id)) {
+        return makeFailure(FailureCode::Overloaded, "the endpoint takes no calls any more");
+    }
+    return checkPoison();
+}
+
+AttemptEnd Call::endUnsent(const Attempt &attempt)
+{
+    return attempt.isWithdrawn ? AttemptEnd::Withdrawn : AttemptEnd::NotSent;
+}
+
 // One that was given up early since the call's time was over says nothing.
 void Call::noteConnected(const Placement &placement, Duration taken, const absl::Status &status) const
 {
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -14,7 +14,7 @@
 net::awaitable<Call::AttemptResult> Call::relay()
 {
     if (!m_attempt.connection) {
-        co_return AttemptEnd::NotSent;
+        co_return endUnsent(m_attempt);
     }
     const absl::StatusOr<AnswerHead> head = co_await awaitHead();
     if (!head.ok()) {
--- a/src/gateway/callsuccessor.cpp
+++ b/src/gateway/callsuccessor.cpp
@@ -68,7 +68,7 @@
     m_successor.emplace().placement = *placement;
     m_successor->failure = co_await connect(*m_successor);
     if (!m_successor->failure.ok()) {
-        dropSuccessor(AttemptEnd::NotSent);
+        dropSuccessor(endUnsent(*m_successor));
         giveRetryBack();
         co_return false;
     }
--- a/src/libradishswitch/serving/attemptrules.cpp
+++ b/src/libradishswitch/serving/attemptrules.cpp
@@ -20,6 +20,8 @@
     switch (end) {
     case AttemptEnd::NotSent:
         return "not_sent";
+    case AttemptEnd::Withdrawn:
+        return "withdrawn";
     case AttemptEnd::RefusedByEndpoint:
         return "refused";
     case AttemptEnd::WrongEndpoint:
@@ -57,19 +59,21 @@
     if (mayHaveRun && history.repetition == Repetition::Never) {
         return FurtherAttempt::NotIdempotent;
     }
-    const bool isTried = end == AttemptEnd::NotSent && history.notSent >= kMostNotSent;
+    const bool isTried = !isRetry(end) && history.notSent >= kMostNotSent;
     return isTried || history.sent >= history.maximumAttempts ? FurtherAttempt::AttemptsUsed : FurtherAttempt::Granted;
 }
 
 bool isRetry(AttemptEnd end)
 {
-    return end != AttemptEnd::NotSent;
+    return end != AttemptEnd::NotSent && end != AttemptEnd::Withdrawn;
 }
 
-absl::Status failureOfAttempts(const AttemptHistory &history, AttemptEnd end)
+absl::Status failureOfAttempts(const AttemptHistory &history, AttemptEnd end,
+                               std::optional<std::chrono::milliseconds> untilRested)
 {
     if (!history.mayHaveRun) {
-        return makeFailure(FailureCode::Overloaded, "no endpoint took the call", kRetryAfterRefusal);
+        return makeFailure(FailureCode::Overloaded, "no endpoint took the call",
+                           untilRested.value_or(kRetryAfterRefusal));
     }
     if (end == AttemptEnd::Silent) {
         return withUnknownOutcome(makeFailure(FailureCode::ConnectionSilent, "the endpoint did not answer in time"));
--- a/src/libradishswitch/serving/attemptrules.h
+++ b/src/libradishswitch/serving/attemptrules.h
@@ -4,6 +4,8 @@
 
 #include <absl/status/status.h>
 
+#include <chrono>
+#include <optional>
 #include <string_view>
 
 namespace RadishSwitch
@@ -13,6 +15,8 @@
 enum class AttemptEnd {
     /// No byte of the call left this process.
     NotSent,
+    /// The same, since the endpoint or the call was closed to the other after it was chosen.
+    Withdrawn,
     /// The endpoint said that it has not run the call and won't.
     RefusedByEndpoint,
     /// The endpoint's address belongs to another endpoint by now, which has not run the call.
@@ -60,7 +64,9 @@
 /// Whether a further attempt draws on the fleet's retry budget: it does when the endpoint before saw the call.
 bool isRetry(AttemptEnd end);
 
-/// What the caller is told when no further attempt is made. "Not run" only if no attempt may have run.
-absl::Status failureOfAttempts(const AttemptHistory &history, AttemptEnd end);
+/// What the caller is told when no further attempt is made. "Not run" only if no attempt may have run. `untilRested` is
+/// how long all endpoints rest, where they do.
+absl::Status failureOfAttempts(const AttemptHistory &history, AttemptEnd end,
+                               std::optional<std::chrono::milliseconds> untilRested = std::nullopt);
 
 }
--- a/src/libradishswitch/serving/callallowances.h
+++ b/src/libradishswitch/serving/callallowances.h
@@ -42,6 +42,12 @@
     /// one of average weight.
     void setGateways(const std::map<std::string, double> &weights);
 
+    /// How many gateways may send calls, this one among them.
+    std::size_t gateways() const
+    {
+        return m_others.size() + 1;
+    }
+
     /// How long an endpoint stays cold that has just started; zero where the pool's endpoints are never cold.
     Duration usualColdSpan(const PoolId &pool) const;
 
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -80,6 +80,9 @@
                                     "no endpoint of pool " + query.pool.value() + " takes calls",
                                     m_settings.noEndpointRetryAfter));
     }
+    if (const std::optional<absl::Status> status = whileAllRest(query)) {
+        return callback(*status);
+    }
     // A further attempt has used up time and an endpoint's work already; it doesn't take a place from those that wait.
     if (!query.excluded.empty()) {
         return callback(makeFailure(FailureCode::Overloaded,
@@ -164,6 +167,7 @@
     Placed &placed = it->second;
     placed.isAnswered = true;
     const Instant now = m_timers.now();
+    m_placement.noteTaken(placed.slot, placed.at);
     m_placement.noteRead(placed.slot, placed.unread);
     m_placement.noteFirstAnswer(placed.slot, placed.unread, now - placed.at, now);
 }
@@ -187,11 +191,57 @@
         news.hasLimitChanged = noteNamedLimit(it->second, notice.callsPerSecond);
     }
     if (notice.rest) {
-        news.isRestLonger = m_roster.extendRest(it->second.slot, *notice.rest, m_timers.now());
+        const EndpointSlot slot = it->second.slot;
+        news.isRestLonger = m_placement.noteRest(slot, *notice.rest, m_allowances.gateways(), m_timers.now());
+    }
+    if (news.isRestLonger) {
+        refuseWhileAllRest(it->second.pool);
     }
     return news;
 }
 
+// Nothing that waits for these endpoints can be in time, and its callers can do better than wait.
+void CallGate::refuseWhileAllRest(const PoolId &pool)
+{
+    const auto queue = m_queues.find(pool);
+    if (queue == m_queues.end()) {
+        return;
+    }
+    std::vector<RequestId> refused;
+    for (const auto &[call, waiting] : m_waiting) {
+        if (waiting.query.pool == pool && whileAllRest(waiting.query)) {
+            refused.push_back(call);
+        }
+    }
+    for (const RequestId &call : refused) {
+        queue->second.remove(call, m_timers.now());
+        if (auto node = m_waiting.extract(call); !node.empty()) {
+            node.mapped().callback(*whileAllRest(node.mapped().query));
+        }
+    }
+}
+
+std::optional<absl::Status> CallGate::whileAllRest(const PlacementQuery &query) const
+{
+    const std::optional<std::chrono::milliseconds> wait = untilRested(query);
+    if (!wait) {
+        return std::nullopt;
+    }
+    return makeFailure(FailureCode::Overloaded, "all endpoints of pool " + query.pool.value() + " rest", *wait);
+}
+
+std::optional<std::chrono::milliseconds> CallGate::untilRested(const PlacementQuery &query) const
+{
+    const std::optional<Duration> wait = m_placement.untilRested(query, m_timers.now());
+    return wait ? std::optional(std::chrono::ceil<std::chrono::milliseconds>(*wait)) : std::nullopt;
+}
+
+bool CallGate::mayStillBeSent(PlacementId placement) const
+{
+    const auto it = m_placed.find(placement);
+    return it != m_placed.end() && m_admission.mayStillBeSent(it->second.slot, m_timers.now());
+}
+
 bool CallGate::noteNamedLimit(const Placed &placed, std::optional<double> callsPerSecond)
 {
     const RosterEndpoint &endpoint = m_roster.at(placed.slot);
@@ -234,6 +284,9 @@
     if (!placed.isAnswered) {
         m_placement.noteRead(placed.slot, placed.unread);
     }
+    if (end == RunEnd::Ok) {
+        m_placement.noteTaken(placed.slot, placed.at);
+    }
     notePressure(placed, end);
     // A silence that was counted when it was noticed is not counted again.
     const bool isCounted = end == RunEnd::Failed && placed.isSilent;
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -60,7 +60,8 @@
     }
     const std::vector<EndpointSlot> &slots = m_roster.pool(query.pool);
     const bool isUsualBusy = std::ranges::any_of(slots, [&](EndpointSlot slot) {
-        return m_admission.isInUse(slot, query, now) && m_roster.at(slot).inFlight > 0;
+        const RosterEndpoint &it = m_roster.at(slot);
+        return m_admission.isInUse(slot, query, now) && (it.inFlight > 0 || it.rest.isOn(now));
     });
     return isUsualBusy ? std::nullopt : cheapest(query, Choosiness::AnyAlive, now);
 }
@@ -72,6 +73,22 @@
     });
 }
 
+std::optional<Duration> CallPlacement::untilRested(const PlacementQuery &query, Instant now) const
+{
+    std::optional<Instant> first;
+    for (const EndpointSlot slot : m_roster.pool(query.pool)) {
+        if (!m_admission.isOpen(slot, query, now)) {
+            continue;
+        }
+        const EndpointRest &rest = m_roster.at(slot).rest;
+        if (!rest.isOn(now)) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(rest.returnAt()), rest.returnAt());
+    }
+    return first ? std::optional<Duration>(*first - now) : std::nullopt;
+}
+
 bool CallPlacement::isHeldByAllowances(const PlacementQuery &query, Instant now) const
 {
     return std::ranges::any_of(m_roster.pool(query.pool), [&](EndpointSlot slot) {
@@ -125,7 +142,7 @@
     for (const EndpointSlot slot : m_roster.pool(query.pool)) {
         const bool isEligible = choosiness == Choosiness::Usual ? m_admission.isInUse(slot, query, now)
                                                                 : m_admission.isOpen(slot, query, now);
-        if (!isEligible) {
+        if (!isEligible || m_roster.at(slot).rest.isOn(now)) {
             continue;
         }
         const std::uint64_t score = rendezvousScore(m_roster.at(slot).hash, key);
@@ -241,7 +258,7 @@
     switch (end) {
     case RunEnd::Ok:
         if (wasAtLimit) {
-            it.limit = std::min(fullLimit, it.limit + 1 / it.limit);
+            it.limit = std::min(fullLimit, it.limit + (it.limit < it.quickLimit ? 1 : 1 / it.limit));
         }
         it.ejection.noteSucceeded(m_settings.ejection, now);
         return;
@@ -259,6 +276,25 @@
     }
 }
 
+bool CallPlacement::noteRest(EndpointSlot slot, Duration rest, std::size_t gateways, Instant now)
+{
+    RosterEndpoint &it = m_roster.at(slot);
+    const bool wasResting = it.rest.isOn(now);
+    if (!it.rest.extend(rest, gateways, m_random.fraction(), now)) {
+        return false;
+    }
+    if (!wasResting) {
+        it.quickLimit = it.limit / 2;
+        it.limit = m_settings.leastLimit;
+    }
+    return true;
+}
+
+void CallPlacement::noteTaken(EndpointSlot slot, Instant sentAt)
+{
+    m_roster.at(slot).rest.noteTaken(sentAt);
+}
+
 void CallPlacement::noteFailed(EndpointSlot slot, Instant now)
 {
     if (m_roster.at(slot).ejection.noteFailed(m_settings.ejection, now)) {
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -33,6 +33,10 @@
     /// Whether the pool has any endpoint that may be sent new calls, with room or not.
     bool hasUsable(const PlacementQuery &query, Instant now) const;
 
+    /// How long until the first of the endpoints that may be sent such calls has rested; nothing where any does not
+    /// rest.
+    std::optional<Duration> untilRested(const PlacementQuery &query, Instant now) const;
+
     /// The part of such calls that is to be turned away, since the endpoints that could take them answer late already.
     double pressure(const PlacementQuery &query, Instant now) const;
 
@@ -53,6 +57,13 @@
 
     void noteEnded(EndpointSlot slot, RunEnd end, Instant now);
 
+    /// The endpoint wants nothing for a time, and `gateways` may have been told so. Gives whether that is longer than
+    /// what was known.
+    bool noteRest(EndpointSlot slot, Duration rest, std::size_t gateways, Instant now);
+
+    /// The endpoint has begun to answer a call, or has answered it, that was sent at `sentAt`.
+    void noteTaken(EndpointSlot slot, Instant sentAt);
+
     /// A run failed, or goes on without a word.
     void noteFailed(EndpointSlot slot, Instant now);
 
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -283,23 +283,11 @@
     return count;
 }
 
-bool EndpointRoster::extendRest(EndpointSlot slot, Duration rest, Instant now)
-{
-    const Instant until = now + std::min(rest, kLongestRest);
-    if (until <= std::max(at(slot).restsUntil, now)) {
-        return false;
-    }
-    at(slot).restsUntil = until;
-    return true;
-}
-
 std::size_t EndpointRoster::countResting(Instant now) const
 {
-    std::size_t count = 0;
-    for (EndpointSlot slot = 0; slot < m_endpoints.size(); ++slot) {
-        count += m_endpoints[slot] && isResting(slot, now) ? 1 : 0;
-    }
-    return count;
+    return static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [now](const auto &endpoint) {
+        return endpoint && endpoint->rest.isOn(now);
+    }));
 }
 
 void EndpointRoster::extendCold(EndpointSlot slot, Instant until)
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limits/answerpressure.h"
+#include "limits/endpointrest.h"
 #include "limits/slidingcount.h"
 #include "routing/endpointejection.h"
 #include "routing/endpointstate.h"
@@ -70,9 +71,6 @@
 /// A limit of which nothing was heard for so long counts no longer: whoever gets no answers would not hear of its end.
 inline constexpr Duration kNamedLimitLasts = std::chrono::seconds(30);
 
-/// Longer demands for rest count as so long.
-inline constexpr Duration kLongestRest = std::chrono::hours(24);
-
 /// An endpoint that is or lately was in the platform's list, and what this process has under way there.
 struct RosterEndpoint {
     EndpointListing listing;
@@ -100,12 +98,14 @@
     Instant namedLimitAt = Instant::min();
     /// Calls that this process has sent here while it named a limit.
     SlidingCount limitedCalls{kNamedLimitSpan + kNamedLimitMargin};
-    /// Until when it wants no calls of this process; the earliest moment where it asked for no rest.
-    Instant restsUntil = Instant::min();
+    /// While it is on, the endpoint has asked to be sent nothing by this process.
+    EndpointRest rest;
     /// Calls of this process that are under way here.
     int inFlight = 0;
     /// Calls that this process may have under way here. Falls when the endpoint refuses work, and grows back.
     double limit = 1;
+    /// Up to this limit each call that the endpoint takes after a rest makes room for one more, and beyond it for less.
+    double quickLimit = 0;
     /// Prompt tokens sent here that the endpoint has yet to read before it answers.
     std::int64_t unreadTokens = 0;
     /// By how much first answers lately came later than expected, in seconds, and when that was noted.
@@ -176,15 +176,6 @@
 
     std::size_t countLimited(Instant now) const;
 
-    /// The endpoint wants no calls of this process for so long, or for as long as it has said already. Gives whether
-    /// that is longer than was known.
-    bool extendRest(EndpointSlot slot, Duration rest, Instant now);
-
-    bool isResting(EndpointSlot slot, Instant now) const
-    {
-        return now < at(slot).restsUntil;
-    }
-
     std::size_t countResting(Instant now) const;
 
     /// Slots of all endpoints of a pool that are not forgotten, in order.
