--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -280,7 +280,7 @@
 {
     RosterEndpoint &it = m_roster.at(slot);
     const bool wasResting = it.rest.isOn(now);
-    if (!it.rest.extend(rest, gateways, m_random.fraction(), now)) {
+    if (!it.rest.extend(rest, gateways, m_random.fraction(), now, m_settings.rest)) {
         return false;
     }
     if (!wasResting) {
--- a/src/libradishswitch/serving/placementsettings.h
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timerservice.h"
+#include "limits/endpointrest.h"
 #include "routing/ejectionsettings.h"
 
 namespace RadishSwitch
@@ -27,6 +28,7 @@
     bool hasFixedSpeed = false;
     /// Least number of calls that a process may have under way at an endpoint, however often that refuses.
     double leastLimit = 1;
+    EndpointRestSettings rest;
     EjectionSettings ejection{.consecutiveFailures = 3,
                               .failureShare = 0.3,
                               .windowRuns = 8,
