An endpoint that turns calls away without a time is left alone for a moment

The same cause as that of endpoints that ask for rest, where none is asked for: a refusal comes at once, so that an endpoint which refuses everything has nothing under way and looks best. After a refusal it is sent nothing for 25 ms, doubled up to a second by each that follows without a call taken in between; calls wait for it, or go elsewhere.

ServingLoadTest.endpointThatRefuses_getsHalfAsMuchAndGrowsBack lets 50 ms pass after its refusal: its calls waited for the end of the pause, and were answered into a vector that was gone. What it asserts has not changed.

--- /dev/null
+++ b/src/libradishswitch/limits/refusalpause.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/timerservice.h"
+
+#include <algorithm>
+
+namespace RadishSwitch
+{
+
+struct RefusalPauseSettings {
+    /// After a refusal; doubled by each that follows without a call taken in between.
+    Duration first = std::chrono::milliseconds(25);
+    Duration longest = std::chrono::seconds(1);
+
+    bool operator==(const RefusalPauseSettings &) const = default;
+};
+
+/// How long an endpoint that turned a call away, without saying for how long, is sent nothing.
+///
+/// Load pattern: some endpoints turn away all that they are sent. A refusal comes at once, so that they have nothing
+/// under way and look best of all; they get more calls than those that answer.
+class RefusalPause
+{
+public:
+    void noteRefused(const RefusalPauseSettings &settings, Instant now)
+    {
+        // Calls that were under way together are turned away together.
+        if (isOn(now)) {
+            return;
+        }
+        m_span = m_span == Duration::zero() ? settings.first : std::min(2 * m_span, settings.longest);
+        m_until = now + m_span;
+    }
+
+    /// The endpoint takes calls.
+    void noteTaken()
+    {
+        m_span = Duration::zero();
+        m_until = Instant::min();
+    }
+
+    bool isOn(Instant now) const
+    {
+        return now < m_until;
+    }
+
+private:
+    Duration m_span{};
+    Instant m_until = Instant::min();
+};
+
+}
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -260,11 +260,13 @@
         if (wasAtLimit) {
             it.limit = std::min(fullLimit, it.limit + (it.limit < it.quickLimit ? 1 : 1 / it.limit));
         }
+        it.pause.noteTaken();
         it.ejection.noteSucceeded(m_settings.ejection, now);
         return;
     case RunEnd::Refused:
         // The endpoint is full with the work of others: half as much until it takes work again.
         it.limit = std::max(m_settings.leastLimit, it.limit / 2);
+        it.pause.noteRefused(m_settings.pause, now);
         it.ejection.noteNeutral();
         return;
     case RunEnd::Cancelled:
@@ -293,6 +295,7 @@
 void CallPlacement::noteTaken(EndpointSlot slot, Instant sentAt)
 {
     m_roster.at(slot).rest.noteTaken(sentAt);
+    m_roster.at(slot).pause.noteTaken();
 }
 
 void CallPlacement::noteFailed(EndpointSlot slot, Instant now)
--- a/src/libradishswitch/serving/endpointadmission.cpp
+++ b/src/libradishswitch/serving/endpointadmission.cpp
@@ -37,7 +37,7 @@
     if (std::ranges::find(query.excluded, it.listing.id) != query.excluded.end()) {
         return Admission::Tried;
     }
-    if (it.inFlight >= static_cast<int>(it.limit)) {
+    if (it.inFlight >= static_cast<int>(it.limit) || it.pause.isOn(now)) {
         return Admission::Full;
     }
     if (isPartUsedUp(slot, now)) {
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -2,6 +2,7 @@
 
 #include "limits/answerpressure.h"
 #include "limits/endpointrest.h"
+#include "limits/refusalpause.h"
 #include "limits/slidingcount.h"
 #include "routing/endpointejection.h"
 #include "routing/endpointstate.h"
@@ -100,6 +101,8 @@
     SlidingCount limitedCalls{kNamedLimitSpan + kNamedLimitMargin};
     /// While it is on, the endpoint has asked to be sent nothing by this process.
     EndpointRest rest;
+    /// After it has turned calls away without a time.
+    RefusalPause pause;
     /// Calls of this process that are under way here.
     int inFlight = 0;
     /// Calls that this process may have under way here. Falls when the endpoint refuses work, and grows back.
--- a/src/libradishswitch/serving/placementsettings.h
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -2,6 +2,7 @@
 
 #include "base/timerservice.h"
 #include "limits/endpointrest.h"
+#include "limits/refusalpause.h"
 #include "routing/ejectionsettings.h"
 
 namespace RadishSwitch
@@ -29,6 +30,7 @@
     /// Least number of calls that a process may have under way at an endpoint, however often that refuses.
     double leastLimit = 1;
     EndpointRestSettings rest;
+    RefusalPauseSettings pause;
     EjectionSettings ejection{.consecutiveFailures = 3,
                               .failureShare = 0.3,
                               .windowRuns = 8,
--- a/tests/core/serving/servingload_test.cpp
+++ b/tests/core/serving/servingload_test.cpp
@@ -299,6 +299,7 @@
     };
     run(RunEnd::Refused, 1);
     EXPECT_EQ(gate.roster().at(slot).limit, 8);
+    timers.advance(Milliseconds(50));
     for (int n = 0; n < 400; ++n) {
         run(RunEnd::Ok, 20);
         timers.advance(Milliseconds(300));
