--- a/src/libradishnet/storeanswers.cpp
+++ b/src/libradishnet/storeanswers.cpp
@@ -1,8 +1,7 @@
 #include "storeanswers.h"
 
 #include "base/failure.h"
-
-#include <absl/strings/numbers.h>
+#include "retryafter.h"
 
 namespace RadishSwitch
 {
@@ -14,12 +13,8 @@
 
 std::chrono::milliseconds retryAfter(const HttpResponse &response)
 {
-    std::int64_t seconds = 0;
-    const auto text = response.headers.find("Retry-After");
-    if (!text || !absl::SimpleAtoi(*text, &seconds) || seconds < 0) {
-        return kDefaultRetryAfter;
-    }
-    return std::chrono::seconds(seconds);
+    const std::optional<Duration> wait = readRetryAfter(response.headers).wait;
+    return wait ? std::chrono::ceil<std::chrono::milliseconds>(*wait) : kDefaultRetryAfter;
 }
 
 }
