Tests of endpoints that say in their answers that they leave, failing, and listed

An endpoint that leaves may say so in all its answers before its entry in the list does. Nobody reads that: 14 calls in a second reach it after its first such answer, 12 streams, 4 orders that it refuses, and as many again while the list says ready. The stand-in of an endpoint can say it.

--- /dev/null
+++ b/tests/radishswitch-gateway/leavingendpoints_test.cpp
@@ -0,0 +1,128 @@
+#include "gatewayfixture.h"
+
+#include <thread>
+
+using namespace RadishSwitch;
+
+/// Endpoints that say in their answers that they leave, while the list still calls them ready.
+class LeavingEndpointsTest : public GatewayFixture
+{
+protected:
+    using Milliseconds = std::chrono::milliseconds;
+
+    static constexpr Duration kPause = Milliseconds(20);
+
+    void startWithBoth()
+    {
+        start();
+        addSecond();
+    }
+
+    void leave(ReplicaServer &endpoint)
+    {
+        onStandins([&] {
+            endpoint.leave();
+        });
+    }
+
+    std::size_t arrivalsAt(const ReplicaServer &endpoint)
+    {
+        return onStandins([&endpoint] {
+            return endpoint.arrivals().size();
+        });
+    }
+
+    /// Sends calls until the endpoint has answered one, and gives how many reached it in a second of calls after that.
+    std::size_t arrivalsAfterTheWord(const ReplicaServer &endpoint, const HttpRequest &prototype)
+    {
+        const std::size_t before = arrivalsAt(endpoint);
+        while (arrivalsAt(endpoint) == before) {
+            send(prototype);
+        }
+        const std::size_t atWord = arrivalsAt(endpoint);
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+        while (std::chrono::steady_clock::now() < end) {
+            send(prototype);
+            std::this_thread::sleep_for(kPause);
+        }
+        return arrivalsAt(endpoint) - atWord;
+    }
+
+    void send(HttpRequest prototype)
+    {
+        HttpHeaders headers{{PlatformNames::kCallId, "leaving-" + std::to_string(++m_calls)}};
+        for (const auto &[name, value] : prototype.headers.fields()) {
+            if (name != PlatformNames::kCallId) {
+                headers.add(name, value);
+            }
+        }
+        prototype.headers = headers;
+        (void)call(prototype);
+    }
+
+private:
+    int m_calls = 0;
+};
+
+// Guards against an endpoint that leaves and is sent calls for as long as the list lags.
+TEST_F(LeavingEndpointsTest, endpointThatSaysItLeaves_isSentNothingMore)
+{
+    startWithBoth();
+    leave(first);
+    EXPECT_EQ(arrivalsAfterTheWord(first, request("/safe/1", "")), 0U);
+}
+
+// Guards against a word that is only read in answers that came whole.
+TEST_F(LeavingEndpointsTest, headOfAStreamThatSaysSo_counts)
+{
+    startWithBoth();
+    leave(first);
+    EXPECT_EQ(arrivalsAfterTheWord(first, streamRequest("/once/1", "")), 0U);
+}
+
+// Guards against a word that is not read in refusals.
+TEST_F(LeavingEndpointsTest, refusalThatSaysSo_counts)
+{
+    startWithBoth();
+    leave(first);
+    onStandins([this] {
+        first.turnAway("");
+    });
+    EXPECT_EQ(arrivalsAfterTheWord(first, request("/order/1", "")), 0U);
+}
+
+// Guards against a list that is read anew and takes the word back, and against a gateway out of touch that forgets it.
+TEST_F(LeavingEndpointsTest, listThatStillSaysReady_doesNotTakeItBack)
+{
+    startWithBoth();
+    leave(first);
+    (void)arrivalsAfterTheWord(first, request("/safe/1", ""));
+    onStandins([this] {
+        Json entry = endpointEntry(first.port(), "ready");
+        entry["sequence"] = 7;
+        putObject("servers", "replica-1", entry);
+    });
+    const std::size_t before = arrivalsAt(first);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+    while (std::chrono::steady_clock::now() < end) {
+        send(request("/safe/1", ""));
+        std::this_thread::sleep_for(kPause);
+    }
+    EXPECT_EQ(arrivalsAt(first), before);
+}
+
+// Guards against a later life under the same id and address that nobody uses.
+TEST_F(LeavingEndpointsTest, laterLife_isSentCalls)
+{
+    startWithBoth();
+    leave(first);
+    (void)arrivalsAfterTheWord(first, request("/safe/1", ""));
+    onStandins([this] {
+        putObject("servers", "replica-1", endpointEntry(first.port(), "ready", 2'000));
+    });
+    const std::size_t before = arrivalsAt(first);
+    waitUntil([this, before] {
+        send(request("/safe/1", ""));
+        return arrivalsAt(first) > before;
+    });
+}
