An endpoint that says in its answers that it leaves gets no call any more

Callers saw nothing of it yet; the rule is new, and the list is the only word that was read. Now the header counts in all answers of the endpoint, refusals and heads of streams among them, from the moment it is read, for this life of it, in touch with the store or not: entries that lag, lists read anew and entries that lapse and come back do not take it back. Told in a line and in radishswitch_endpoints_leaving.

The tests of the roster, of the adapter and of a later life are new with the mend.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -168,6 +168,10 @@
                    field("calls_per_second", std::to_string(limit.value_or(0)))});
         m_services.limits.noteHeard(endpoint, limit);
     }
+    if (news.isLeavingNow) {
+        kLog.info("endpoint says that it leaves",
+                  {field("call", m_request.id.value()), field("endpoint", endpoint.value())});
+    }
     if (news.isRestLonger) {
         m_services.metrics.noteRest();
         if (m_services.failureSampler.keeps(m_request.id, m_services.timers.now())) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -407,6 +407,8 @@
         .set(static_cast<double>(m_poison.barredCount()));
     m_metrics.gauge("radishswitch_endpoints_limited", "Endpoints that name a limit")
         .set(static_cast<double>(m_gate.roster().countLimited(m_timers.now())));
+    m_metrics.gauge("radishswitch_endpoints_leaving", "Endpoints that leave, by the list or by their own word")
+        .set(static_cast<double>(m_gate.roster().countLeaving(m_timers.now())));
     m_metrics.gauge("radishswitch_endpoints_resting", "Endpoints that asked to be sent nothing for a time")
         .set(static_cast<double>(m_gate.roster().countResting(m_timers.now())));
     m_metrics.gauge("radishswitch_idle_connections", "Idle connections to endpoints")
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -190,6 +190,9 @@
     if (std::ranges::find(notice.unreadable, NoticeField::Limit) == notice.unreadable.end()) {
         news.hasLimitChanged = noteNamedLimit(it->second, notice.callsPerSecond);
     }
+    if (notice.isLeaving) {
+        news.isLeavingNow = m_roster.noteLeaving(it->second.slot);
+    }
     if (notice.rest) {
         const EndpointSlot slot = it->second.slot;
         news.isRestLonger = m_placement.noteRest(slot, *notice.rest, m_allowances.gateways(), m_timers.now());
--- a/src/libradishswitch/serving/endpointnotice.cpp
+++ b/src/libradishswitch/serving/endpointnotice.cpp
@@ -9,9 +9,11 @@
     case NoticeField::Limit:
         return "limit";
     case NoticeField::Rest:
+        return "rest";
+    case NoticeField::Leaving:
         break;
     }
-    return "rest";
+    return "leaving";
 }
 
 }
--- a/src/libradishswitch/serving/endpointnotice.h
+++ b/src/libradishswitch/serving/endpointnotice.h
@@ -13,6 +13,7 @@
 enum class NoticeField {
     Limit,
     Rest,
+    Leaving,
 };
 
 /// The stable name of a field, such as "limit".
@@ -25,6 +26,8 @@
     std::optional<double> callsPerSecond;
     /// For how long it wants no calls of this gateway; nothing where it asks for no rest.
     std::optional<Duration> rest;
+    /// It leaves, and takes no calls that come later.
+    bool isLeaving = false;
     /// What it says and can't be read. Nothing is concluded from that.
     std::vector<NoticeField> unreadable;
 
@@ -36,6 +39,8 @@
     bool hasLimitChanged = false;
     /// It rests for longer than was known.
     bool isRestLonger = false;
+    /// It was not known to leave.
+    bool isLeavingNow = false;
 
     bool operator==(const NoticeNews &) const = default;
 };
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -61,6 +61,11 @@
     reviewAddress(at(slot).listing.address);
 }
 
+bool EndpointRoster::noteLeaving(EndpointSlot slot)
+{
+    return !std::exchange(at(slot).listing.isLeaving, true);
+}
+
 void EndpointRoster::takeAddress(EndpointSlot slot)
 {
     const std::string &address = at(slot).listing.address;
@@ -268,6 +273,15 @@
     }));
 }
 
+std::size_t EndpointRoster::countLeaving(Instant now) const
+{
+    std::size_t count = 0;
+    for (EndpointSlot slot = 0; slot < m_endpoints.size(); ++slot) {
+        count += m_endpoints[slot] && standing(slot, now) == RosterStanding::Leaving ? 1 : 0;
+    }
+    return count;
+}
+
 void EndpointRoster::setNamedLimit(EndpointSlot slot, std::optional<double> callsPerSecond, Instant now)
 {
     at(slot).namedLimit = callsPerSecond;
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -141,6 +141,10 @@
     /// Another endpoint answered at this one's address.
     void noteMissed(EndpointSlot slot);
 
+    /// The endpoint itself has said that it leaves. Final for this life, whatever the list says. Gives whether that is
+    /// news.
+    bool noteLeaving(EndpointSlot slot);
+
     /// The whole list, as read anew: what it does not hold was removed. Gives the endpoints that have started again.
     std::vector<EndpointId> replaceAll(const std::vector<EndpointListing> &listings, Instant now);
 
@@ -169,6 +173,9 @@
 
     std::size_t countCold(Instant now) const;
 
+    /// Endpoints that leave and are not gone yet.
+    std::size_t countLeaving(Instant now) const;
+
     /// The endpoint takes so many calls a second from now on, or names no limit any more.
     void setNamedLimit(EndpointSlot slot, std::optional<double> callsPerSecond, Instant now);
 
--- a/tests/core/serving/endpointroster_test.cpp
+++ b/tests/core/serving/endpointroster_test.cpp
@@ -42,6 +42,38 @@
     EXPECT_EQ(standing("a", 0), RosterStanding::Leaving);
 }
 
+// Guards against a list, late, read anew or after a lapse, that takes back what an endpoint has said itself.
+TEST_F(EndpointRosterTest, leavingByItsOwnWord_isFinalForOneLife)
+{
+    roster.list(listing("a"), at(0));
+    const EndpointSlot slot = *roster.slotOf(EndpointId("a"));
+    EXPECT_TRUE(roster.noteLeaving(slot));
+    EXPECT_FALSE(roster.noteLeaving(slot));
+    roster.list(listing("a"), at(10));
+    EXPECT_EQ(standing("a", 10), RosterStanding::Leaving);
+    roster.replaceAll({listing("a")}, at(20));
+    EXPECT_EQ(standing("a", 20), RosterStanding::Leaving);
+    EXPECT_EQ(roster.countLeaving(at(20)), 1U);
+    roster.noteStoreBack(at(30));
+    roster.replaceAll({}, at(30));
+    EXPECT_EQ(standing("a", 30), RosterStanding::Gone);
+    roster.forgetGone(at(40));
+    roster.list(listing("a"), at(2'000));
+    EXPECT_EQ(standing("a", 2'000), RosterStanding::Leaving);
+    roster.list(listing("a", false, 2), at(3'000));
+    EXPECT_EQ(standing("a", 3'000), RosterStanding::Usable);
+}
+
+// Guards against the word of an earlier life that empties a later one.
+TEST_F(EndpointRosterTest, leavingOfAnEarlierLife_saysNothingOfTheLater)
+{
+    roster.list(listing("a"), at(0));
+    const EndpointSlot earlier = *roster.slotOf(EndpointId("a"));
+    roster.list(listing("a", false, 2), at(10));
+    roster.noteLeaving(earlier);
+    EXPECT_EQ(standing("a", 10), RosterStanding::Usable);
+}
+
 TEST_F(EndpointRosterTest, leavingEndpointThatVanishes_isGoneAtOnce)
 {
     roster.list(listing("a", true), at(0));
--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -219,6 +219,23 @@
     EXPECT_TRUE(PlatformCallProtocol().readAnswer(200, {}).notice.unreadable.empty());
 }
 
+// Guards against an endpoint's word that it leaves which is read in some answers and not in others.
+TEST_F(PlatformAdapterTest, leavingOfAnAnswer_isReadWhateverItsStatus)
+{
+    const auto read = [](const std::string &text, int status) {
+        return PlatformCallProtocol().readAnswer(status, {{"server-leaving", text}}).notice;
+    };
+    for (const int status : {200, 206, 404, 429, 500, 503, 504}) {
+        EXPECT_TRUE(read("1", status).isLeaving) << status;
+        EXPECT_FALSE(PlatformCallProtocol().readAnswer(status, {}).notice.isLeaving) << status;
+    }
+    EXPECT_EQ(read("0", 200), EndpointNotice());
+    for (const std::string text : {"", "yes", "2", "true", "1 "}) {
+        EXPECT_FALSE(read(text, 200).isLeaving) << text;
+        EXPECT_EQ(read(text, 200).unreadable, std::vector{NoticeField::Leaving}) << text;
+    }
+}
+
 // Guards against a demand for rest that is taken for another time, or for none.
 TEST_F(PlatformAdapterTest, restOfARefusal_isReadOrRefused)
 {
