Requests dropped since nothing of them was acknowledged are counted

A narrow way can be late to acknowledge though nothing is cut. The counter beside the line tells how often requests are dropped, so that an operator sees it where no endpoint is out of reach.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -201,6 +201,9 @@
         return AttemptEnd::NotSent;
     }
     m_history.mayHaveRun = true;
+    if (attempt.connection->wasHeldUp()) {
+        m_services.metrics.noteHeldUp();
+    }
     return failureCode(status) == FailureCode::ConnectionSilent ? AttemptEnd::Silent : AttemptEnd::Broken;
 }
 
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -24,6 +24,8 @@
                                       "Calls refused before they were read, for want of processor time"))
     , m_rests(
           metrics.counter("radishswitch_endpoint_rests_total", "Demands of endpoints to be sent nothing for a time"))
+    , m_heldUp(metrics.counter("radishswitch_requests_held_up_total",
+                               "Requests dropped since nothing of them was acknowledged"))
     , m_whole(stage(metrics, "whole"))
     , m_firstAnswer(stage(metrics, "first_answer"))
     , m_reserving(stage(metrics, "reserving"))
@@ -72,6 +74,11 @@
     m_metrics.counter("radishswitch_attempts_failed_total", "Attempts at endpoints that failed", {{"end", name}}).add();
 }
 
+void CallMetrics::noteHeldUp()
+{
+    m_heldUp.add();
+}
+
 void CallMetrics::noteRest()
 {
     m_rests.add();
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -33,6 +33,9 @@
     void noteCutOff(const absl::Status &status);
     void noteAttemptFailed(AttemptEnd end);
 
+    /// A request was dropped since the way to its endpoint acknowledged nothing.
+    void noteHeldUp();
+
     /// An endpoint asked for rest, or for a longer one.
     void noteRest();
 
@@ -40,6 +43,7 @@
     Metrics &m_metrics;
     Counter &m_refusedUnread;
     Counter &m_rests;
+    Counter &m_heldUp;
     Histogram &m_whole;
     Histogram &m_firstAnswer;
     Histogram &m_reserving;
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -180,6 +180,7 @@
     if (!isAwaitingAnswer() || !isOpen()) {
         return;
     }
+    m_wasHeldUp = isHeldUp;
     if (isHeldUp) {
         kLog.info("held-up request dropped", {field("address", m_address), field("unacknowledged", n)});
         return close();
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -71,6 +71,12 @@
         return m_hasSent;
     }
 
+    /// Whether a request was dropped since the other side acknowledged nothing of it.
+    bool wasHeldUp() const
+    {
+        return m_wasHeldUp;
+    }
+
     /// Whether what `startSending` began is still going on.
     bool isSending() const
     {
@@ -163,6 +169,7 @@
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand> m_socket;
     const std::string m_address;
     const SilenceLimits m_silenceLimits;
+    bool m_wasHeldUp = false;
     std::unique_ptr<Message> m_outgoing;
     bool m_hasSent = false;
     Watchdog m_watchdog;
--- a/tests/net/heldupbytes_test.cpp
+++ b/tests/net/heldupbytes_test.cpp
@@ -109,6 +109,7 @@
     const auto begin = std::chrono::steady_clock::now();
     EXPECT_EQ(outcomeOf(sendIntoTheCut(limits, kLong)), RunOutcome::Unknown);
     EXPECT_LT(std::chrono::steady_clock::now() - begin, 3 * kHeldUp);
+    EXPECT_TRUE(connection->wasHeldUp());
     EXPECT_FALSE(arrivesWhenTheCutHeals());
 }
 
