--- a/tests/core/serving/refusingendpoint_test.cpp
+++ b/tests/core/serving/refusingendpoint_test.cpp
@@ -58,8 +58,8 @@
     int refused = 0;
 };
 
-// Load: a third of the endpoints refuses everything at once. They have nothing under way, look best, and got two to five
-// times the calls of the others.
+// Load: a third of the endpoints refuses everything at once. They have nothing under way, look best, and got two to
+// five times the calls of the others.
 TEST_F(RefusingEndpointTest, endpointsThatRefuseEverything_getFewCalls)
 {
     play(std::chrono::seconds(10));
