The soak has endpoints that ask for rest, and such that say that they leave

From outside, by the gateway that each caller asked, the soak judges that no more than two calls of one gateway reach a resting endpoint half a second after its demand, and none whose caller sent it two seconds after the word of leaving; a gateway or endpoint that was struck meanwhile is excused, and a later life starts free.

--- a/tests/radishswitch-gateway/soakrecord_test.cpp
+++ b/tests/radishswitch-gateway/soakrecord_test.cpp
@@ -114,3 +114,70 @@
     record.runs["c"] = SoakRun{1, "o", 0, {2}};
     EXPECT_EQ(broken(), 0U);
 }
+
+/// Two gateways and an endpoint that says something of itself.
+class SoakWordsTest : public SoakRecordTest
+{
+protected:
+    void send(const std::string &id, int gateway, std::int64_t at)
+    {
+        SoakCall call{id, SoakKind::Safe, "o", 503, ""};
+        call.gateway = gateway;
+        call.span = {at, at + 10};
+        record.calls.push_back(call);
+        record.words.push_back({SoakWord::Kind::Arrival, 0, id, at + 5});
+    }
+
+    void say(SoakWord::Kind kind, const std::string &id, std::int64_t at)
+    {
+        record.words.push_back({kind, 0, id, at});
+    }
+
+    /// A gateway is told to wait until 3,000, and sends so many calls there after 600.
+    void sendWhileResting(int gateway, int count)
+    {
+        send("told", 1, 0);
+        say(SoakWord::Kind::Rest, "told", 3'000);
+        for (int n = 0; n < count; ++n) {
+            send("later-" + std::to_string(n), gateway, 600 + n);
+        }
+    }
+};
+
+TEST_F(SoakWordsTest, thirdCallDuringARest_isFound)
+{
+    sendWhileResting(1, 3);
+    EXPECT_EQ(broken(), 1U);
+}
+
+TEST_F(SoakWordsTest, twoCallsOrThoseOfAnotherGateway_breakNothing)
+{
+    sendWhileResting(1, 2);
+    EXPECT_EQ(broken(), 0U);
+    record.words.clear();
+    record.calls.clear();
+    sendWhileResting(2, 9);
+    EXPECT_EQ(broken(), 0U);
+}
+
+TEST_F(SoakWordsTest, laterLifeOrATroubledGateway_isExcused)
+{
+    sendWhileResting(1, 3);
+    record.troubles.push_back({SoakTrouble::Part::Gateway, 1, {100, 200}});
+    EXPECT_EQ(broken(), 0U);
+    record.troubles.clear();
+    record.words.insert(record.words.begin() + 2, {SoakWord::Kind::Start, 0, "replica", 300});
+    EXPECT_EQ(broken(), 0U);
+}
+
+TEST_F(SoakWordsTest, callToAnEndpointThatSaidItLeaves_isFound)
+{
+    send("told", 1, 0);
+    say(SoakWord::Kind::Leaving, "told", 5);
+    send("soon", 1, 1'900);
+    EXPECT_EQ(broken(), 0U);
+    send("late", 1, 2'100);
+    EXPECT_EQ(broken(), 1U);
+    record.troubles.push_back({SoakTrouble::Part::Replica, 0, {1'000, 1'100}});
+    EXPECT_EQ(broken(), 0U);
+}
