Backoff is the word for the time that an endpoint asks for

The line is now "endpoint asks for backoff", the metrics radishswitch_endpoint_backoffs_total and radishswitch_endpoints_backed_off.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -203,7 +203,7 @@
         }
         m_further = m_successor ? FurtherAttempt::Granted : askForAnother(*end);
         if (m_further != FurtherAttempt::Granted) {
-            co_return failureOfAttempts(m_history, *end, m_services.gate.untilRested(placementQuery()));
+            co_return failureOfAttempts(m_history, *end, m_services.gate.untilBackoffEnds(placementQuery()));
         }
     }
     if (m_successor) {
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -172,12 +172,12 @@
         kLog.info("endpoint says that it leaves",
                   {field("call", m_request.id.value()), field("endpoint", endpoint.value())});
     }
-    if (news.isRestLonger) {
-        m_services.metrics.noteRest();
+    if (news.isBackoffLonger) {
+        m_services.metrics.noteBackoff();
         if (m_services.failureSampler.keeps(m_request.id, m_services.timers.now())) {
-            kLog.warning("endpoint asks for rest",
+            kLog.warning("endpoint asks for backoff",
                          {field("call", m_request.id.value()), field("endpoint", endpoint.value()),
-                          field("rest", *head.notice.rest), field("sent", m_history.sent)});
+                          field("backoff", *head.notice.backoff), field("sent", m_history.sent)});
         }
     }
 }
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -22,8 +22,8 @@
     : m_metrics(metrics)
     , m_refusedUnread(metrics.counter("radishswitch_calls_refused_unread_total",
                                       "Calls refused before they were read, for want of processor time"))
-    , m_rests(
-          metrics.counter("radishswitch_endpoint_rests_total", "Demands of endpoints to be sent nothing for a time"))
+    , m_backoffs(
+          metrics.counter("radishswitch_endpoint_backoffs_total", "Demands of endpoints to be sent nothing for a time"))
     , m_heldUp(metrics.counter("radishswitch_requests_held_up_total",
                                "Requests dropped since nothing of them was acknowledged"))
     , m_whole(stage(metrics, "whole"))
@@ -79,9 +79,9 @@
     m_heldUp.add();
 }
 
-void CallMetrics::noteRest()
+void CallMetrics::noteBackoff()
 {
-    m_rests.add();
+    m_backoffs.add();
 }
 
 }
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -36,13 +36,13 @@
     /// A request was dropped since the way to its endpoint acknowledged nothing.
     void noteHeldUp();
 
-    /// An endpoint asked for rest, or for a longer one.
-    void noteRest();
+    /// An endpoint asked for backoff, or for a longer one.
+    void noteBackoff();
 
 private:
     Metrics &m_metrics;
     Counter &m_refusedUnread;
-    Counter &m_rests;
+    Counter &m_backoffs;
     Counter &m_heldUp;
     Histogram &m_whole;
     Histogram &m_firstAnswer;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -409,8 +409,8 @@
         .set(static_cast<double>(m_gate.roster().countLimited(m_timers.now())));
     m_metrics.gauge("radishswitch_endpoints_leaving", "Endpoints that leave, by the list or by their own word")
         .set(static_cast<double>(m_gate.roster().countLeaving(m_timers.now())));
-    m_metrics.gauge("radishswitch_endpoints_resting", "Endpoints that asked to be sent nothing for a time")
-        .set(static_cast<double>(m_gate.roster().countResting(m_timers.now())));
+    m_metrics.gauge("radishswitch_endpoints_backed_off", "Endpoints that asked to be sent nothing for a time")
+        .set(static_cast<double>(m_gate.roster().countBackedOff(m_timers.now())));
     m_metrics.gauge("radishswitch_idle_connections", "Idle connections to endpoints")
         .set(static_cast<double>(m_connections.idleCount()));
     m_metrics.gauge("radishswitch_configuration_version", "Version of the configuration in force")
--- a/src/libradishswitch/limits/endpointrest.cpp
+++ b/src/libradishswitch/limits/endpointbackoff.cpp
@@ -1,4 +1,4 @@
-#include "limits/endpointrest.h"
+#include "limits/endpointbackoff.h"
 
 #include <algorithm>
 #include <cmath>
@@ -18,8 +18,8 @@
 
 }
 
-bool EndpointRest::extend(Duration span, std::size_t gateways, double chance, Instant now,
-                          const EndpointRestSettings &settings)
+bool EndpointBackoff::extend(Duration span, std::size_t gateways, double chance, Instant now,
+                             const EndpointBackoffSettings &settings)
 {
     const Duration bounded = std::min(span, settings.longest);
     if (bounded <= Duration::zero() || now + bounded <= m_askedUntil) {
@@ -34,15 +34,15 @@
     return true;
 }
 
-void EndpointRest::noteTaken(Instant sentAt)
+void EndpointBackoff::noteTaken(Instant sentAt)
 {
     if (!isOn(sentAt)) {
         m_isAwaitingReturn = false;
     }
 }
 
-// Never longer than the rest itself: an endpoint that is well again must not be starved.
-Duration EndpointRest::spread(Duration span, std::size_t gateways, const EndpointRestSettings &settings) const
+// Never longer than the backoff itself: an endpoint that is well again must not be starved.
+Duration EndpointBackoff::spread(Duration span, std::size_t gateways, const EndpointBackoffSettings &settings) const
 {
     const auto others = static_cast<double>(std::max<std::size_t>(gateways, 1) - 1);
     const Duration first = std::min(times(settings.returnGap, others), times(span, settings.spreadShare));
--- a/src/libradishswitch/limits/endpointrest.h
+++ b/src/libradishswitch/limits/endpointbackoff.h
@@ -7,29 +7,29 @@
 namespace RadishSwitch
 {
 
-struct EndpointRestSettings {
+struct EndpointBackoffSettings {
     /// Longer demands count as so long.
     Duration longest = std::chrono::hours(24);
     /// Between the returns of two gateways.
     Duration returnGap = std::chrono::milliseconds(20);
-    /// The returns of all are spread over no more than this part of the rest, at first.
+    /// The returns of all are spread over no more than this part of the backoff, at first.
     double spreadShare = 0.5;
 
-    bool operator==(const EndpointRestSettings &) const = default;
+    bool operator==(const EndpointBackoffSettings &) const = default;
 };
 
-/// How long an endpoint that asked for rest is left alone by this process.
+/// How long an endpoint that asked for backoff is left alone by this process.
 ///
 /// Load pattern: an endpoint that has too much to do turns away the calls of all gateways within a moment, with the
 /// same time. When that is over it is idle and looks best to all of them: they come back together, and it turns them
 /// away again. So each comes back a little later by chance, over a time that doubles with each demand made at a return.
-class EndpointRest
+class EndpointBackoff
 {
 public:
     /// The endpoint wants nothing for a time, or for as long as it has said already. `gateways` may have been told the
     /// same; `chance`, from 0 to 1, is drawn anew. Gives whether that is longer than what was known.
     bool extend(Duration span, std::size_t gateways, double chance, Instant now,
-                const EndpointRestSettings &settings = {});
+                const EndpointBackoffSettings &settings = {});
 
     bool isOn(Instant now) const
     {
@@ -42,11 +42,11 @@
         return m_returnAt;
     }
 
-    /// A call was taken: where it was sent after the rest, the next demand is a first one again.
+    /// A call was taken: where it was sent after the backoff, the next demand is a first one again.
     void noteTaken(Instant sentAt);
 
 private:
-    Duration spread(Duration span, std::size_t gateways, const EndpointRestSettings &settings) const;
+    Duration spread(Duration span, std::size_t gateways, const EndpointBackoffSettings &settings) const;
 
     Instant m_askedUntil = Instant::min();
     Instant m_returnAt = Instant::min();
--- a/src/libradishswitch/serving/attemptrules.cpp
+++ b/src/libradishswitch/serving/attemptrules.cpp
@@ -69,11 +69,11 @@
 }
 
 absl::Status failureOfAttempts(const AttemptHistory &history, AttemptEnd end,
-                               std::optional<std::chrono::milliseconds> untilRested)
+                               std::optional<std::chrono::milliseconds> untilBackoffEnds)
 {
     if (!history.mayHaveRun) {
         return makeFailure(FailureCode::Overloaded, "no endpoint took the call",
-                           untilRested.value_or(kRetryAfterRefusal));
+                           untilBackoffEnds.value_or(kRetryAfterRefusal));
     }
     if (end == AttemptEnd::Silent) {
         return withUnknownOutcome(makeFailure(FailureCode::ConnectionSilent, "the endpoint did not answer in time"));
--- a/src/libradishswitch/serving/attemptrules.h
+++ b/src/libradishswitch/serving/attemptrules.h
@@ -64,9 +64,9 @@
 /// Whether a further attempt draws on the fleet's retry budget: it does when the endpoint before saw the call.
 bool isRetry(AttemptEnd end);
 
-/// What the caller is told when no further attempt is made. "Not run" only if no attempt may have run. `untilRested` is
-/// how long all endpoints rest, where they do.
+/// What the caller is told when no further attempt is made. "Not run" only if no attempt may have run.
+/// `untilBackoffEnds` is how long until the first endpoint takes calls again, where all have asked for backoff.
 absl::Status failureOfAttempts(const AttemptHistory &history, AttemptEnd end,
-                               std::optional<std::chrono::milliseconds> untilRested = std::nullopt);
+                               std::optional<std::chrono::milliseconds> untilBackoffEnds = std::nullopt);
 
 }
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -80,7 +80,7 @@
                                     "no endpoint of pool " + query.pool.value() + " takes calls",
                                     m_settings.noEndpointRetryAfter));
     }
-    if (const std::optional<absl::Status> status = whileAllRest(query)) {
+    if (const std::optional<absl::Status> status = whileAllBackedOff(query)) {
         return callback(*status);
     }
     // A further attempt has used up time and an endpoint's work already; it doesn't take a place from those that wait.
@@ -193,18 +193,18 @@
     if (notice.isLeaving) {
         news.isLeavingNow = m_roster.noteLeaving(it->second.slot);
     }
-    if (notice.rest) {
+    if (notice.backoff) {
         const EndpointSlot slot = it->second.slot;
-        news.isRestLonger = m_placement.noteRest(slot, *notice.rest, m_allowances.gateways(), m_timers.now());
+        news.isBackoffLonger = m_placement.noteBackoff(slot, *notice.backoff, m_allowances.gateways(), m_timers.now());
     }
-    if (news.isRestLonger) {
-        refuseWhileAllRest(it->second.pool);
+    if (news.isBackoffLonger) {
+        refuseWhileAllBackedOff(it->second.pool);
     }
     return news;
 }
 
 // Nothing that waits for these endpoints can be in time, and its callers can do better than wait.
-void CallGate::refuseWhileAllRest(const PoolId &pool)
+void CallGate::refuseWhileAllBackedOff(const PoolId &pool)
 {
     const auto queue = m_queues.find(pool);
     if (queue == m_queues.end()) {
@@ -212,30 +212,31 @@
     }
     std::vector<RequestId> refused;
     for (const auto &[call, waiting] : m_waiting) {
-        if (waiting.query.pool == pool && whileAllRest(waiting.query)) {
+        if (waiting.query.pool == pool && whileAllBackedOff(waiting.query)) {
             refused.push_back(call);
         }
     }
     for (const RequestId &call : refused) {
         queue->second.remove(call, m_timers.now());
         if (auto node = m_waiting.extract(call); !node.empty()) {
-            node.mapped().callback(*whileAllRest(node.mapped().query));
+            node.mapped().callback(*whileAllBackedOff(node.mapped().query));
         }
     }
 }
 
-std::optional<absl::Status> CallGate::whileAllRest(const PlacementQuery &query) const
+std::optional<absl::Status> CallGate::whileAllBackedOff(const PlacementQuery &query) const
 {
-    const std::optional<std::chrono::milliseconds> wait = untilRested(query);
+    const std::optional<std::chrono::milliseconds> wait = untilBackoffEnds(query);
     if (!wait) {
         return std::nullopt;
     }
-    return makeFailure(FailureCode::Overloaded, "all endpoints of pool " + query.pool.value() + " rest", *wait);
+    return makeFailure(FailureCode::Overloaded,
+                       "all endpoints of pool " + query.pool.value() + " have asked for backoff", *wait);
 }
 
-std::optional<std::chrono::milliseconds> CallGate::untilRested(const PlacementQuery &query) const
+std::optional<std::chrono::milliseconds> CallGate::untilBackoffEnds(const PlacementQuery &query) const
 {
-    const std::optional<Duration> wait = m_placement.untilRested(query, m_timers.now());
+    const std::optional<Duration> wait = m_placement.untilBackoffEnds(query, m_timers.now());
     return wait ? std::optional(std::chrono::ceil<std::chrono::milliseconds>(*wait)) : std::nullopt;
 }
 
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -90,8 +90,9 @@
     /// Whether a call that was placed may still be sent: its endpoint may have said otherwise since.
     bool mayStillBeSent(PlacementId placement) const;
 
-    /// How long until the first endpoint that may be sent such calls has rested; nothing where any does not rest.
-    std::optional<std::chrono::milliseconds> untilRested(const PlacementQuery &query) const;
+    /// How long until the first endpoint that may be sent such calls may be sent calls again; nothing where any may
+    /// now.
+    std::optional<std::chrono::milliseconds> untilBackoffEnds(const PlacementQuery &query) const;
 
     /// A limit, or its end, as another gateway has heard it.
     void setNamedLimit(const EndpointId &endpoint, std::optional<double> callsPerSecond);
@@ -134,8 +135,8 @@
 
     absl::Status refusalOf(const PlacementQuery &query, const absl::Status &status) const;
     bool noteNamedLimit(const Placed &placed, std::optional<double> callsPerSecond);
-    void refuseWhileAllRest(const PoolId &pool);
-    std::optional<absl::Status> whileAllRest(const PlacementQuery &query) const;
+    void refuseWhileAllBackedOff(const PoolId &pool);
+    std::optional<absl::Status> whileAllBackedOff(const PlacementQuery &query) const;
     void takeForCold(const std::vector<EndpointSlot> &slots);
     bool isTurnedAway(const PlacementQuery &query);
     void notePressure(const Placed &placed, RunEnd end);
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -61,7 +61,7 @@
     const std::vector<EndpointSlot> &slots = m_roster.pool(query.pool);
     const bool isUsualBusy = std::ranges::any_of(slots, [&](EndpointSlot slot) {
         const RosterEndpoint &it = m_roster.at(slot);
-        return m_admission.isInUse(slot, query, now) && (it.inFlight > 0 || it.rest.isOn(now));
+        return m_admission.isInUse(slot, query, now) && (it.inFlight > 0 || it.backoff.isOn(now));
     });
     return isUsualBusy ? std::nullopt : cheapest(query, Choosiness::AnyAlive, now);
 }
@@ -73,18 +73,18 @@
     });
 }
 
-std::optional<Duration> CallPlacement::untilRested(const PlacementQuery &query, Instant now) const
+std::optional<Duration> CallPlacement::untilBackoffEnds(const PlacementQuery &query, Instant now) const
 {
     std::optional<Instant> first;
     for (const EndpointSlot slot : m_roster.pool(query.pool)) {
         if (!m_admission.isOpen(slot, query, now)) {
             continue;
         }
-        const EndpointRest &rest = m_roster.at(slot).rest;
-        if (!rest.isOn(now)) {
+        const EndpointBackoff &backoff = m_roster.at(slot).backoff;
+        if (!backoff.isOn(now)) {
             return std::nullopt;
         }
-        first = std::min(first.value_or(rest.returnAt()), rest.returnAt());
+        first = std::min(first.value_or(backoff.returnAt()), backoff.returnAt());
     }
     return first ? std::optional<Duration>(*first - now) : std::nullopt;
 }
@@ -142,7 +142,7 @@
     for (const EndpointSlot slot : m_roster.pool(query.pool)) {
         const bool isEligible = choosiness == Choosiness::Usual ? m_admission.isInUse(slot, query, now)
                                                                 : m_admission.isOpen(slot, query, now);
-        if (!isEligible || m_roster.at(slot).rest.isOn(now)) {
+        if (!isEligible || m_roster.at(slot).backoff.isOn(now)) {
             continue;
         }
         const std::uint64_t score = rendezvousScore(m_roster.at(slot).hash, key);
@@ -278,14 +278,14 @@
     }
 }
 
-bool CallPlacement::noteRest(EndpointSlot slot, Duration rest, std::size_t gateways, Instant now)
+bool CallPlacement::noteBackoff(EndpointSlot slot, Duration backoff, std::size_t gateways, Instant now)
 {
     RosterEndpoint &it = m_roster.at(slot);
-    const bool wasResting = it.rest.isOn(now);
-    if (!it.rest.extend(rest, gateways, m_random.fraction(), now, m_settings.rest)) {
+    const bool wasBackedOff = it.backoff.isOn(now);
+    if (!it.backoff.extend(backoff, gateways, m_random.fraction(), now, m_settings.backoff)) {
         return false;
     }
-    if (!wasResting) {
+    if (!wasBackedOff) {
         it.quickLimit = it.limit / 2;
         it.limit = m_settings.leastLimit;
     }
@@ -294,7 +294,7 @@
 
 void CallPlacement::noteTaken(EndpointSlot slot, Instant sentAt)
 {
-    m_roster.at(slot).rest.noteTaken(sentAt);
+    m_roster.at(slot).backoff.noteTaken(sentAt);
     m_roster.at(slot).pause.noteTaken();
 }
 
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -33,9 +33,9 @@
     /// Whether the pool has any endpoint that may be sent new calls, with room or not.
     bool hasUsable(const PlacementQuery &query, Instant now) const;
 
-    /// How long until the first of the endpoints that may be sent such calls has rested; nothing where any does not
-    /// rest.
-    std::optional<Duration> untilRested(const PlacementQuery &query, Instant now) const;
+    /// How long until the first of the endpoints that may be sent such calls may be sent calls again; nothing where
+    /// any may now.
+    std::optional<Duration> untilBackoffEnds(const PlacementQuery &query, Instant now) const;
 
     /// The part of such calls that is to be turned away, since the endpoints that could take them answer late already.
     double pressure(const PlacementQuery &query, Instant now) const;
@@ -59,7 +59,7 @@
 
     /// The endpoint wants nothing for a time, and `gateways` may have been told so. Gives whether that is longer than
     /// what was known.
-    bool noteRest(EndpointSlot slot, Duration rest, std::size_t gateways, Instant now);
+    bool noteBackoff(EndpointSlot slot, Duration backoff, std::size_t gateways, Instant now);
 
     /// The endpoint has begun to answer a call, or has answered it, that was sent at `sentAt`.
     void noteTaken(EndpointSlot slot, Instant sentAt);
--- a/src/libradishswitch/serving/endpointadmission.cpp
+++ b/src/libradishswitch/serving/endpointadmission.cpp
@@ -31,8 +31,8 @@
     if (!isOpenStanding(standing)) {
         return Admission::Closed;
     }
-    if (it.rest.isOn(now)) {
-        return Admission::Resting;
+    if (it.backoff.isOn(now)) {
+        return Admission::BackedOff;
     }
     if (std::ranges::find(query.excluded, it.listing.id) != query.excluded.end()) {
         return Admission::Tried;
@@ -63,7 +63,7 @@
 
 bool EndpointAdmission::mayStillBeSent(EndpointSlot slot, Instant now) const
 {
-    return isOpenStanding(m_roster.standing(slot, now)) && !m_roster.at(slot).rest.isOn(now);
+    return isOpenStanding(m_roster.standing(slot, now)) && !m_roster.at(slot).backoff.isOn(now);
 }
 
 // Sent more than it bears while it is cold, an endpoint crashes, and its calls with it. One that names a limit is in
--- a/src/libradishswitch/serving/endpointadmission.h
+++ b/src/libradishswitch/serving/endpointadmission.h
@@ -18,8 +18,8 @@
     Full,
     /// This process's part of what it takes, cold or by its own word, is used up.
     PartUsedUp,
-    /// It has asked for rest.
-    Resting,
+    /// It has asked for backoff.
+    BackedOff,
     /// An earlier attempt of the call was there.
     Tried,
     /// The call may not go to its region.
@@ -42,7 +42,7 @@
     /// Whether calls of the kind go there as a rule, room or not.
     bool isInUse(EndpointSlot slot, const PlacementQuery &query, Instant now) const;
 
-    /// Whether calls of the kind may go there at all, at the latest after a rest.
+    /// Whether calls of the kind may go there at all, at the latest after a backoff.
     bool isOpen(EndpointSlot slot, const PlacementQuery &query, Instant now) const;
 
     /// Whether a call that was placed here may still be sent.
--- a/src/libradishswitch/serving/endpointnotice.cpp
+++ b/src/libradishswitch/serving/endpointnotice.cpp
@@ -8,8 +8,8 @@
     switch (field) {
     case NoticeField::Limit:
         return "limit";
-    case NoticeField::Rest:
-        return "rest";
+    case NoticeField::Backoff:
+        return "backoff";
     case NoticeField::Leaving:
         break;
     }
--- a/src/libradishswitch/serving/endpointnotice.h
+++ b/src/libradishswitch/serving/endpointnotice.h
@@ -12,7 +12,7 @@
 /// What an endpoint can say of itself beside its answer to a call.
 enum class NoticeField {
     Limit,
-    Rest,
+    Backoff,
     Leaving,
 };
 
@@ -24,8 +24,8 @@
     /// Calls a second that the endpoint takes from all callers together, while it is in need; nothing where it names no
     /// limit.
     std::optional<double> callsPerSecond;
-    /// For how long it wants no calls of this gateway; nothing where it asks for no rest.
-    std::optional<Duration> rest;
+    /// For how long it wants no calls of this gateway; nothing where it asks for none.
+    std::optional<Duration> backoff;
     /// It leaves, and takes no calls that come later.
     bool isLeaving = false;
     /// What it says and can't be read. Nothing is concluded from that.
@@ -37,8 +37,8 @@
 /// What of a notice is new here.
 struct NoticeNews {
     bool hasLimitChanged = false;
-    /// It rests for longer than was known.
-    bool isRestLonger = false;
+    /// It wants none for longer than was known.
+    bool isBackoffLonger = false;
     /// It was not known to leave.
     bool isLeavingNow = false;
 
--- a/src/libradishswitch/serving/endpointroster.cpp
+++ b/src/libradishswitch/serving/endpointroster.cpp
@@ -297,10 +297,10 @@
     return count;
 }
 
-std::size_t EndpointRoster::countResting(Instant now) const
+std::size_t EndpointRoster::countBackedOff(Instant now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [now](const auto &endpoint) {
-        return endpoint && endpoint->rest.isOn(now);
+        return endpoint && endpoint->backoff.isOn(now);
     }));
 }
 
--- a/src/libradishswitch/serving/endpointroster.h
+++ b/src/libradishswitch/serving/endpointroster.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "limits/answerpressure.h"
-#include "limits/endpointrest.h"
+#include "limits/endpointbackoff.h"
 #include "limits/refusalpause.h"
 #include "limits/slidingcount.h"
 #include "routing/endpointejection.h"
@@ -100,14 +100,15 @@
     /// Calls that this process has sent here while it named a limit.
     SlidingCount limitedCalls{kNamedLimitSpan + kNamedLimitMargin};
     /// While it is on, the endpoint has asked to be sent nothing by this process.
-    EndpointRest rest;
+    EndpointBackoff backoff;
     /// After it has turned calls away without a time.
     RefusalPause pause;
     /// Calls of this process that are under way here.
     int inFlight = 0;
     /// Calls that this process may have under way here. Falls when the endpoint refuses work, and grows back.
     double limit = 1;
-    /// Up to this limit each call that the endpoint takes after a rest makes room for one more, and beyond it for less.
+    /// Up to this limit each call that the endpoint takes after a backoff makes room for one more, and beyond it for
+    /// less.
     double quickLimit = 0;
     /// Prompt tokens sent here that the endpoint has yet to read before it answers.
     std::int64_t unreadTokens = 0;
@@ -186,7 +187,7 @@
 
     std::size_t countLimited(Instant now) const;
 
-    std::size_t countResting(Instant now) const;
+    std::size_t countBackedOff(Instant now) const;
 
     /// Slots of all endpoints of a pool that are not forgotten, in order.
     const std::vector<EndpointSlot> &pool(const PoolId &pool) const;
--- a/src/libradishswitch/serving/placementsettings.h
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/timerservice.h"
-#include "limits/endpointrest.h"
+#include "limits/endpointbackoff.h"
 #include "limits/refusalpause.h"
 #include "routing/ejectionsettings.h"
 
@@ -29,7 +29,7 @@
     bool hasFixedSpeed = false;
     /// Least number of calls that a process may have under way at an endpoint, however often that refuses.
     double leastLimit = 1;
-    EndpointRestSettings rest;
+    EndpointBackoffSettings backoff;
     RefusalPauseSettings pause;
     EjectionSettings ejection{.consecutiveFailures = 3,
                               .failureShare = 0.3,
--- a/tests/core/serving/attemptrules_test.cpp
+++ b/tests/core/serving/attemptrules_test.cpp
@@ -39,8 +39,8 @@
     EXPECT_TRUE(retryAfterOf(failure).has_value());
 }
 
-// All endpoints rest: a caller that comes back sooner is refused again.
-TEST_F(AttemptRulesTest, callThatNobodyTookWhileAllRest_isToldWhenTheFirstIsBack)
+// All endpoints have asked for backoff: a caller that comes back sooner is refused again.
+TEST_F(AttemptRulesTest, callThatNobodyTookWhileAllBackedOff_isToldWhenTheFirstIsBack)
 {
     const AttemptHistory call = history(Repetition::Never, 1, 1, false);
     const absl::Status failure =
--- a/tests/core/serving/restingendpoint_test.cpp
+++ b/tests/core/serving/backedoffendpoint_test.cpp
@@ -13,7 +13,7 @@
 using namespace RadishSwitch;
 
 /// Endpoints that turn calls away and say for how long they want none, at fleets of several sizes, in virtual time.
-class RestingEndpointTest : public testing::TestWithParam<int>
+class BackedOffEndpointTest : public testing::TestWithParam<int>
 {
 protected:
     using Milliseconds = std::chrono::milliseconds;
@@ -26,7 +26,7 @@
 
     struct Demand {
         Instant at{};
-        Duration rest{};
+        Duration backoff{};
     };
 
     /// What one gateway and one endpoint have seen of one another.
@@ -35,7 +35,7 @@
         std::vector<Demand> demands;
     };
 
-    RestingEndpointTest()
+    BackedOffEndpointTest()
     {
         std::map<std::string, double> weights;
         for (int n = 0; n < GetParam(); ++n) {
@@ -108,11 +108,11 @@
         Pair &pair = pairs[{gateway, placement.endpoint}];
         pair.arrivals.push_back(timers.now());
         EndpointNotice notice;
-        if (resting.contains(placement.endpoint)) {
-            notice.rest = rest;
-            pair.demands.push_back({timers.now(), rest});
+        if (backedOff.contains(placement.endpoint)) {
+            notice.backoff = backoff;
+            pair.demands.push_back({timers.now(), backoff});
         }
-        timers.after(notice.rest ? kTravel : kWork, [this, gateway, placement, notice] {
+        timers.after(notice.backoff ? kTravel : kWork, [this, gateway, placement, notice] {
             answer(gateway, placement, notice);
         });
     }
@@ -120,18 +120,18 @@
     void answer(std::size_t gateway, const Placement &placement, const EndpointNotice &notice)
     {
         gates[gateway]->noteNotice(placement.id, notice);
-        gates[gateway]->noteEnded(placement.id, notice.rest ? RunEnd::Refused : RunEnd::Ok);
-        (notice.rest ? turnedAway : answered) += 1;
+        gates[gateway]->noteEnded(placement.id, notice.backoff ? RunEnd::Refused : RunEnd::Ok);
+        (notice.backoff ? turnedAway : answered) += 1;
     }
 
     /// The most calls of one gateway that reached an endpoint while a demand held, but for those on their way.
-    std::size_t mostWhileResting() const
+    std::size_t mostWhileBackedOff() const
     {
         std::size_t most = 0;
         for (const auto &[names, pair] : pairs) {
             for (const Demand &demand : pair.demands) {
                 const auto first = std::ranges::lower_bound(pair.arrivals, demand.at + kOnTheirWay);
-                const auto last = std::ranges::lower_bound(pair.arrivals, demand.at + demand.rest);
+                const auto last = std::ranges::lower_bound(pair.arrivals, demand.at + demand.backoff);
                 most = std::max(most, static_cast<std::size_t>(std::max(last - first, std::ptrdiff_t(0))));
             }
         }
@@ -167,7 +167,7 @@
     {
         const Placement placement = placeAt(endpoint);
         EndpointNotice notice;
-        notice.rest = span;
+        notice.backoff = span;
         gates.front()->noteNotice(placement.id, notice);
         gates.front()->noteEnded(placement.id, RunEnd::Refused);
     }
@@ -194,8 +194,8 @@
     VirtualTimerService timers;
     SeededRandom random{7};
     std::vector<std::unique_ptr<CallGate>> gates;
-    std::set<EndpointId> resting;
-    Duration rest = std::chrono::seconds(3);
+    std::set<EndpointId> backedOff;
+    Duration backoff = std::chrono::seconds(3);
     std::map<std::pair<std::size_t, EndpointId>, Pair> pairs;
     int sent = 0;
     int refused = 0;
@@ -208,27 +208,27 @@
 
 // Load: a third of the endpoints turns away all calls for nine seconds. Their refusals come at once, so that they look
 // idle, and got two to five times the calls of the others.
-TEST_P(RestingEndpointTest, endpointsThatAskForRest_areSentNothingMeanwhile)
+TEST_P(BackedOffEndpointTest, endpointsThatAskForBackoff_areSentNothingMeanwhile)
 {
-    resting = {id(0), id(3), id(5), id(9)};
+    backedOff = {id(0), id(3), id(5), id(9)};
     play(std::chrono::seconds(9), 400);
     timers.advance(std::chrono::seconds(1));
-    EXPECT_LE(mostWhileResting(), kMost);
+    EXPECT_LE(mostWhileBackedOff(), kMost);
     EXPECT_EQ(answered + turnedAway + refused, sent);
-    // A call or two for each gateway, endpoint and rest, and never more than a third of the endpoints would get.
-    const int rests = static_cast<int>(std::chrono::seconds(9) / rest);
-    const int most = 2 * GetParam() * static_cast<int>(resting.size()) * rests;
+    // A call or two for each gateway, endpoint and backoff, and never more than a third of the endpoints would get.
+    const int backoffs = static_cast<int>(std::chrono::seconds(9) / backoff);
+    const int most = 2 * GetParam() * static_cast<int>(backedOff.size()) * backoffs;
     EXPECT_LE(turnedAway, std::min(most, sent / 3));
 }
 
 // Guards against a short demand that ends a longer one, and an answer without one that ends any.
-TEST_P(RestingEndpointTest, longestOfSeveralDemands_holds)
+TEST_P(BackedOffEndpointTest, longestOfSeveralDemands_holds)
 {
     const Placement before = placeAt(id(2));
     demand(id(2), std::chrono::seconds(3));
     timers.advance(Milliseconds(100));
     EndpointNotice shorter;
-    shorter.rest = Milliseconds(200);
+    shorter.backoff = Milliseconds(200);
     gates.front()->noteNotice(before.id, shorter);
     gates.front()->noteNotice(before.id, EndpointNotice());
     gates.front()->noteEnded(before.id, RunEnd::Ok);
@@ -239,7 +239,7 @@
 }
 
 // Guards against calls that wait for their deadline while nothing can take them, and callers told nothing of use.
-TEST_P(RestingEndpointTest, callWhileAllRest_isRefusedAtOnceWithTheTimeOfTheFirst)
+TEST_P(BackedOffEndpointTest, callWhileAllBackedOff_isRefusedAtOnceWithTheTimeOfTheFirst)
 {
     for (int n = 0; n < kEndpoints; ++n) {
         demand(id(n), std::chrono::seconds(n == 4 ? 2 : 5));
@@ -255,7 +255,7 @@
 }
 
 // Guards against a later life that pays for what the one before it asked for, and the other way round.
-TEST_P(RestingEndpointTest, demand_bindsOneLife)
+TEST_P(BackedOffEndpointTest, demand_bindsOneLife)
 {
     const Placement ofEarlier = placeAt(id(2));
     demand(id(2), std::chrono::seconds(60));
@@ -265,19 +265,19 @@
     gates.front()->roster().list(reborn, timers.now());
     EXPECT_TRUE(isSentCalls(id(2)));
     EndpointNotice late;
-    late.rest = std::chrono::seconds(60);
+    late.backoff = std::chrono::seconds(60);
     gates.front()->noteNotice(ofEarlier.id, late);
     gates.front()->noteEnded(ofEarlier.id, RunEnd::Refused);
     EXPECT_TRUE(isSentCalls(id(2)));
 }
 
-// Guards against the call that asks a limit of nothing again while the endpoint rests.
-TEST_P(RestingEndpointTest, limitOfNothing_isNotAskedAgainDuringARest)
+// Guards against the call that asks a limit of nothing again while the endpoint wants none.
+TEST_P(BackedOffEndpointTest, limitOfNothing_isNotAskedAgainDuringABackoff)
 {
     const Placement placement = placeAt(id(2));
     EndpointNotice notice;
     notice.callsPerSecond = 0;
-    notice.rest = std::chrono::seconds(20);
+    notice.backoff = std::chrono::seconds(20);
     gates.front()->noteNotice(placement.id, notice);
     gates.front()->noteEnded(placement.id, RunEnd::Refused);
     for (int n = 0; n < 19; ++n) {
@@ -287,7 +287,7 @@
 }
 
 // Guards against a call that was placed before the demand came, and is sent once its connection stands.
-TEST_P(RestingEndpointTest, callPlacedBeforeADemand_mayNotBeSentAfterIt)
+TEST_P(BackedOffEndpointTest, callPlacedBeforeADemand_mayNotBeSentAfterIt)
 {
     const Placement before = placeAt(id(2));
     EXPECT_TRUE(gates.front()->mayStillBeSent(before.id));
@@ -298,7 +298,7 @@
 }
 
 // Guards against calls that waited for room when the demand came, and are sent there once there is room.
-TEST_P(RestingEndpointTest, callsThatWait_keepToADemand)
+TEST_P(BackedOffEndpointTest, callsThatWait_keepToADemand)
 {
     std::vector<Placement> placed;
     const auto note = [&](const absl::StatusOr<Placement> &placement) {
@@ -311,7 +311,7 @@
     }
     const std::size_t before = placed.size();
     EndpointNotice notice;
-    notice.rest = std::chrono::seconds(3);
+    notice.backoff = std::chrono::seconds(3);
     for (std::size_t n = 0; n < before; ++n) {
         const bool isResting = placed[n].endpoint == id(2);
         gates.front()->noteNotice(placed[n].id, isResting ? notice : EndpointNotice());
@@ -331,4 +331,4 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(Fleets, RestingEndpointTest, testing::Values(1, 4, 30, 300));
+INSTANTIATE_TEST_SUITE_P(Fleets, BackedOffEndpointTest, testing::Values(1, 4, 30, 300));
--- a/tests/core/serving/restload_test.cpp
+++ b/tests/core/serving/backoffload_test.cpp
@@ -12,9 +12,10 @@
 
 using namespace RadishSwitch;
 
-/// Pools at their worst load, whose endpoints ask for rest when they are full, replayed in virtual time over the real
-/// decision classes of fleets of several sizes. Other ways of deciding, played beside ours, show what each is worth.
-class RestLoadTest : public testing::TestWithParam<int>
+/// Pools at their worst load, whose endpoints ask for backoff when they are full, replayed in virtual time over the
+/// real decision classes of fleets of several sizes. Other ways of deciding, played beside ours, show what each is
+/// worth.
+class BackoffLoadTest : public testing::TestWithParam<int>
 {
 protected:
     using Milliseconds = std::chrono::milliseconds;
@@ -25,7 +26,7 @@
     static constexpr int kSlots = 16;
     static constexpr int kQueue = 8;
     static constexpr double kTakenPerSecond = kSlots * 1000.0 / 320;
-    static constexpr Duration kRest = std::chrono::seconds(2);
+    static constexpr Duration kBackoff = std::chrono::seconds(2);
 
     struct Load {
         int endpoints = 12;
@@ -164,10 +165,10 @@
                 timers.after(kTravel, [this, &gate, placement, mayComeBack] {
                     ++outcome.turnedAway;
                     EndpointNotice notice;
-                    notice.rest = kRest;
+                    notice.backoff = kBackoff;
                     gate.noteNotice(placement.id, notice);
                     gate.noteEnded(placement.id, RunEnd::Refused);
-                    comeBack(mayComeBack, gate.untilRested(anyCall()).value_or(Milliseconds(250)));
+                    comeBack(mayComeBack, gate.untilBackoffEnds(anyCall()).value_or(Milliseconds(250)));
                 });
                 return;
             }
@@ -218,11 +219,11 @@
         return text;
     }
 
-    /// All come back when the rest is over, with as many calls as before.
+    /// All come back when the backoff is over, with as many calls as before.
     static CallGateSettings returningAtOnce()
     {
         CallGateSettings settings;
-        settings.placement.rest.spreadShare = 0;
+        settings.placement.backoff.spreadShare = 0;
         settings.placement.leastLimit = kSlots;
         return settings;
     }
@@ -249,9 +250,9 @@
     }
 };
 
-// Load: a burst makes all endpoints ask for rest, and gateways and callers come back when it is over. The returns turn
-// away fewer calls than the burst did.
-TEST_P(RestLoadTest, burstAfterWhichAllRest_doesNotFollowItself)
+// Load: a burst makes all endpoints ask for backoff, and gateways and callers come back when it is over. The returns
+// turn away fewer calls than the burst did.
+TEST_P(BackoffLoadTest, burstAfterWhichAllBackOff_doesNotFollowItself)
 {
     for (const int endpoints : {2, 4, 12}) {
         const Outcome ours = play(burst(endpoints, 0.5));
@@ -261,7 +262,7 @@
 
 // Load: the same while the pool has little to spare. Where all come back at once, the storm follows itself every two
 // seconds.
-TEST_P(RestLoadTest, returnsOfManyGateways_areSpreadAndGrow)
+TEST_P(BackoffLoadTest, returnsOfManyGateways_areSpreadAndGrow)
 {
     for (const int endpoints : {2, 4, 12}) {
         const Outcome ours = play(burst(endpoints, 0.8));
@@ -275,8 +276,8 @@
 }
 
 // Load: a quarter of the endpoints turns away all calls, and the others could take five of six that are offered. What
-// they shed must not make them rest down to the last.
-TEST_P(RestLoadTest, endpointsThatTakeOverTooMuch_goOnAnswering)
+// they shed must not make them ask for backoff down to the last.
+TEST_P(BackoffLoadTest, endpointsThatTakeOverTooMuch_goOnAnswering)
 {
     Load load;
     load.offered = 0.9;
@@ -292,7 +293,7 @@
 
 // Load: a third of the endpoints turns away all calls, and the others have room. Nobody is refused but at an endpoint
 // that a gateway had not heard of yet.
-TEST_P(RestLoadTest, endpointsWithRoom_takeTheCallsOfThoseThatRest)
+TEST_P(BackoffLoadTest, endpointsWithRoom_takeTheCallsOfThoseThatAreBackedOff)
 {
     Load load;
     load.offered = 0.4;
@@ -304,4 +305,4 @@
     EXPECT_LE(ours.turnedAway, std::min(2 * demands, ours.sent / 3)) << story("room", ours);
 }
 
-INSTANTIATE_TEST_SUITE_P(Fleets, RestLoadTest, testing::Values(1, 4, 30, 300));
+INSTANTIATE_TEST_SUITE_P(Fleets, BackoffLoadTest, testing::Values(1, 4, 30, 300));
--- a/tests/radishswitch-gateway/restingendpoints_test.cpp
+++ b/tests/radishswitch-gateway/backedoffendpoints_test.cpp
@@ -6,15 +6,15 @@
 using namespace RadishSwitch;
 
 /// Endpoints that turn calls away and say for how long they want none of the gateway that sent them.
-class RestingEndpointsTest : public GatewayFixture
+class BackedOffEndpointsTest : public GatewayFixture
 {
 protected:
     using Milliseconds = std::chrono::milliseconds;
 
     static constexpr Duration kPause = Milliseconds(25);
-    /// Calls under way when an endpoint asks for rest may still arrive so long after.
+    /// Calls under way when an endpoint asks for backoff may still arrive so long after.
     static constexpr Duration kOnTheirWay = Milliseconds(500);
-    /// Calls of one gateway that may reach an endpoint while it rests.
+    /// Calls of one gateway that may reach an endpoint while it wants none.
     static constexpr std::size_t kMost = 2;
 
     void startWithBoth()
@@ -23,10 +23,10 @@
         addSecond();
     }
 
-    void turnAway(ReplicaServer &endpoint, std::optional<std::string> rest)
+    void turnAway(ReplicaServer &endpoint, std::optional<std::string> backoff)
     {
         onStandins([&] {
-            endpoint.turnAway(rest);
+            endpoint.turnAway(backoff);
         });
     }
 
@@ -44,14 +44,14 @@
     }
 
     /// The most calls that reached an endpoint while one of its demands held, but for those on their way.
-    std::size_t mostWhileResting(const ReplicaServer &endpoint, Duration rest)
+    std::size_t mostWhileBackedOff(const ReplicaServer &endpoint, Duration backoff)
     {
         return onStandins([&] {
             std::size_t most = 0;
             const std::vector<Instant> &arrivals = endpoint.arrivals();
             for (const Instant demand : endpoint.demands()) {
                 const auto first = std::ranges::lower_bound(arrivals, demand + kOnTheirWay);
-                const auto last = std::ranges::lower_bound(arrivals, demand + rest);
+                const auto last = std::ranges::lower_bound(arrivals, demand + backoff);
                 most = std::max(most, static_cast<std::size_t>(std::max(last - first, std::ptrdiff_t(0))));
             }
             return most;
@@ -70,18 +70,18 @@
 };
 
 // Guards against an endpoint that is sent calls while it has asked for none.
-TEST_F(RestingEndpointsTest, endpointThatAsksForRest_isSentNothingMeanwhile)
+TEST_F(BackedOffEndpointsTest, endpointThatAsksForBackoff_isSentNothingMeanwhile)
 {
     startWithBoth();
     turnAway(first, "3");
     const int answered = send(std::chrono::seconds(4));
-    EXPECT_LE(mostWhileResting(first, std::chrono::seconds(3)), kMost);
+    EXPECT_LE(mostWhileBackedOff(first, std::chrono::seconds(3)), kMost);
     // All but the first few of some 150, which the other endpoint can take.
     EXPECT_GE(answered, 100);
 }
 
-// Guards against further attempts, streams and calls that must not run twice that pass a rest by.
-TEST_F(RestingEndpointsTest, callsOfAllKinds_keepToARest)
+// Guards against further attempts, streams and calls that must not run twice that pass a backoff by.
+TEST_F(BackedOffEndpointsTest, callsOfAllKinds_keepToABackoff)
 {
     startWithBoth();
     turnAway(first, "3");
@@ -91,11 +91,11 @@
         (void)call(n % 2 == 0 ? streamRequest(n % 4 == 0 ? "/resumable/1" : "/once/1", id) : request("/order/1", id));
         std::this_thread::sleep_for(kPause / 2);
     }
-    EXPECT_LE(mostWhileResting(first, std::chrono::seconds(3)), kMost);
+    EXPECT_LE(mostWhileBackedOff(first, std::chrono::seconds(3)), kMost);
 }
 
 // Guards against an endpoint that is never sent a call again, or much later than it asked for.
-TEST_F(RestingEndpointsTest, restThatIsOver_letsCallsThrough)
+TEST_F(BackedOffEndpointsTest, backoffThatIsOver_letsCallsThrough)
 {
     startWithBoth();
     turnAway(first, "1");
@@ -107,8 +107,8 @@
     EXPECT_GE(arrivalsAt(first) - before, 5U);
 }
 
-// Guards against callers that wait for their deadline, or come back too early, while all endpoints rest.
-TEST_F(RestingEndpointsTest, callWhileAllRest_isRefusedAtOnceWithTheTimeOfTheFirst)
+// Guards against callers that wait for their deadline, or come back too early, while all endpoints want none.
+TEST_F(BackedOffEndpointsTest, callWhileAllBackedOff_isRefusedAtOnceWithTheTimeOfTheFirst)
 {
     startWithBoth();
     turnAway(first, "6");
@@ -126,21 +126,21 @@
 }
 
 // Guards against an endpoint that is starved by what it says, and against a gateway that fails over it.
-TEST_F(RestingEndpointsTest, demandThatIsNoTime_isIgnored)
+TEST_F(BackedOffEndpointsTest, demandThatIsNoTime_isIgnored)
 {
     startWithBoth();
-    for (const std::string rest : {"soon", "-3", "nan", "inf", "3 s", "0", ""}) {
-        turnAway(first, rest);
+    for (const std::string backoff : {"soon", "-3", "nan", "inf", "3 s", "0", ""}) {
+        turnAway(first, backoff);
         send(Milliseconds(200));
         turnAway(first, std::nullopt);
         const std::size_t before = arrivalsAt(first);
         send(std::chrono::seconds(1));
-        EXPECT_GE(arrivalsAt(first) - before, 5U) << rest;
+        EXPECT_GE(arrivalsAt(first) - before, 5U) << backoff;
     }
 }
 
 // Guards against a later life that pays for what the one before it asked for.
-TEST_F(RestingEndpointsTest, laterLifeOfAnEndpoint_isFree)
+TEST_F(BackedOffEndpointsTest, laterLifeOfAnEndpoint_isFree)
 {
     startWithBoth();
     turnAway(first, "60");
--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -236,33 +236,33 @@
     }
 }
 
-// Guards against a demand for rest that is taken for another time, or for none.
-TEST_F(PlatformAdapterTest, restOfARefusal_isReadOrRefused)
+// Guards against a demand for backoff that is taken for another time, or for none.
+TEST_F(PlatformAdapterTest, backoffOfARefusal_isReadOrRefused)
 {
     const auto read = [](const HttpHeaders &headers, int status = 503) {
         return PlatformCallProtocol().readAnswer(status, headers).notice;
     };
-    const auto rest = [&read](const std::string &text) {
-        return read({{"Retry-After", text}}).rest;
+    const auto backoff = [&read](const std::string &text) {
+        return read({{"Retry-After", text}}).backoff;
     };
-    EXPECT_EQ(rest("3"), std::chrono::seconds(3));
-    EXPECT_EQ(rest("0.25"), std::chrono::milliseconds(250));
-    EXPECT_EQ(rest("0"), Duration::zero());
-    EXPECT_EQ(rest("3600"), std::chrono::hours(1));
-    EXPECT_GE(rest("1e300"), std::chrono::hours(24));
+    EXPECT_EQ(backoff("3"), std::chrono::seconds(3));
+    EXPECT_EQ(backoff("0.25"), std::chrono::milliseconds(250));
+    EXPECT_EQ(backoff("0"), Duration::zero());
+    EXPECT_EQ(backoff("3600"), std::chrono::hours(1));
+    EXPECT_GE(backoff("1e300"), std::chrono::hours(24));
     for (const std::string text : {"", "soon", "-1", "nan", "inf", "3 s", "1e999", "Fri, 13 Mar"}) {
-        EXPECT_EQ(rest(text), std::nullopt) << text;
-        EXPECT_EQ(read({{"Retry-After", text}}).unreadable, std::vector{NoticeField::Rest}) << text;
+        EXPECT_EQ(backoff(text), std::nullopt) << text;
+        EXPECT_EQ(read({{"Retry-After", text}}).unreadable, std::vector{NoticeField::Backoff}) << text;
     }
     const HttpHeaders dated{{"Date", "Fri, 13 Mar 2026 10:49:04 GMT"},
                             {"Retry-After", "Fri, 13 Mar 2026 10:49:07 GMT"}};
-    EXPECT_EQ(read(dated).rest, std::chrono::seconds(3));
-    EXPECT_EQ(rest("Fri, 13 Mar 2020 10:49:07 GMT"), Duration::zero());
-    EXPECT_EQ(read({{"Retry-After", "1"}, {"retry-after", "2.5"}}).rest, std::chrono::milliseconds(2500));
-    EXPECT_EQ(read({{"Retry-After", "1"}, {"Retry-After", "much"}}).rest, std::chrono::seconds(1));
-    EXPECT_EQ(read({{"Retry-After", "3"}}, 429).rest, std::chrono::seconds(3));
-    EXPECT_EQ(read({{"Retry-After", "3"}}, 200).rest, std::nullopt);
-    EXPECT_EQ(read({{"Retry-After", "3"}}, 500).rest, std::nullopt);
+    EXPECT_EQ(read(dated).backoff, std::chrono::seconds(3));
+    EXPECT_EQ(backoff("Fri, 13 Mar 2020 10:49:07 GMT"), Duration::zero());
+    EXPECT_EQ(read({{"Retry-After", "1"}, {"retry-after", "2.5"}}).backoff, std::chrono::milliseconds(2500));
+    EXPECT_EQ(read({{"Retry-After", "1"}, {"Retry-After", "much"}}).backoff, std::chrono::seconds(1));
+    EXPECT_EQ(read({{"Retry-After", "3"}}, 429).backoff, std::chrono::seconds(3));
+    EXPECT_EQ(read({{"Retry-After", "3"}}, 200).backoff, std::nullopt);
+    EXPECT_EQ(read({{"Retry-After", "3"}}, 500).backoff, std::nullopt);
 }
 
 TEST_F(PlatformAdapterTest, regionsAndColdStarts_areRead)
--- a/tests/radishswitch-gateway/soakrecord_test.cpp
+++ b/tests/radishswitch-gateway/soakrecord_test.cpp
@@ -134,35 +134,35 @@
     }
 
     /// A gateway is told to wait until 3,000, and sends so many calls there after 600.
-    void sendWhileResting(int gateway, int count)
+    void sendWhileBackedOff(int gateway, int count)
     {
         send("told", 1, 0);
-        say(SoakWord::Kind::Rest, "told", 3'000);
+        say(SoakWord::Kind::Backoff, "told", 3'000);
         for (int n = 0; n < count; ++n) {
             send("later-" + std::to_string(n), gateway, 600 + n);
         }
     }
 };
 
-TEST_F(SoakWordsTest, thirdCallDuringARest_isFound)
+TEST_F(SoakWordsTest, thirdCallDuringABackoff_isFound)
 {
-    sendWhileResting(1, 3);
+    sendWhileBackedOff(1, 3);
     EXPECT_EQ(broken(), 1U);
 }
 
 TEST_F(SoakWordsTest, twoCallsOrThoseOfAnotherGateway_breakNothing)
 {
-    sendWhileResting(1, 2);
+    sendWhileBackedOff(1, 2);
     EXPECT_EQ(broken(), 0U);
     record.words.clear();
     record.calls.clear();
-    sendWhileResting(2, 9);
+    sendWhileBackedOff(2, 9);
     EXPECT_EQ(broken(), 0U);
 }
 
 TEST_F(SoakWordsTest, laterLifeOrATroubledGateway_isExcused)
 {
-    sendWhileResting(1, 3);
+    sendWhileBackedOff(1, 3);
     record.troubles.push_back({SoakTrouble::Part::Gateway, 1, {100, 200}});
     EXPECT_EQ(broken(), 0U);
     record.troubles.clear();
