--- a/scripts/checks/promises.sh
+++ b/scripts/checks/promises.sh
@@ -1,19 +1,16 @@
 #!/usr/bin/env bash
-# Every test and scenario that docs/PROMISES.md names is there. A test is named between backticks, as Fixture.name or
+# Every test and scenario that docs/PROMISES.md names is there, and every test that the page of others' words names. A test is named between backticks, as Fixture.name or
 # by a name of its own that has an underscore and a capital; `scripts/measure.sh NAME` names a scenario.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 
 page=docs/PROMISES.md
-if [ ! -f "$page" ]; then
-    echo "promises: no $page, so it names nothing"
-    exit 0
-fi
+pages=("$page" docs/design/what-others-say.md)
 
 # One line a test: Fixture.name
 tests=$(git ls-files 'tests/*.cpp' | xargs perl -0777 -ne \
     'while (/\bTEST(?:_F|_P)?\(\s*(\w+)\s*,\s*(\w+)\s*\)/g) { print "$1.$2\n" }')
-quoted=$(perl -ne 'while (/`([^`]+)`/g) { print "$1\n" }' "$page")
+quoted=$(perl -ne 'while (/`([^`]+)`/g) { print "$1\n" }' "${pages[@]}")
 
 missing=0
 named=0
@@ -34,4 +31,4 @@
 done < <(grep -oE 'scripts/measure\.sh [a-z][a-z0-9-]*' "$page" | cut -d' ' -f2 | sort -u)
 
 [ $missing -eq 0 ] || exit 1
-echo "promises: all $named tests and scenarios that $page names are there"
+echo "promises: all $named tests and scenarios that ${pages[*]} name are there"
--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -219,6 +219,20 @@
     EXPECT_TRUE(PlatformCallProtocol().readAnswer(200, {}).notice.unreadable.empty());
 }
 
+// Guards against calls on connections that their endpoint is about to close.
+TEST_F(PlatformAdapterTest, idleTimeoutOfAnAnswer_isRead)
+{
+    const auto read = [](const std::string &text) {
+        return PlatformCallProtocol().readAnswer(200, {{"Keep-Alive", text}}).idleTimeout;
+    };
+    EXPECT_EQ(read("timeout=5"), std::chrono::seconds(5));
+    EXPECT_EQ(read("max=100, timeout=2"), std::chrono::seconds(2));
+    for (const std::string text : {"", "max=100", "timeout=soon"}) {
+        EXPECT_EQ(read(text), std::nullopt) << text;
+    }
+    EXPECT_EQ(PlatformCallProtocol().readAnswer(200, {}).idleTimeout, std::nullopt);
+}
+
 // Guards against an endpoint's word that it leaves which is read in some answers and not in others.
 TEST_F(PlatformAdapterTest, leavingOfAnAnswer_isReadWhateverItsStatus)
 {
