A call sent before an endpoint's refusal does not end the pause after it

Long answers go on at an endpoint that turns away all that is new; each that ended made it look as if it took calls. Only a call that was sent after the refusal does so now.

--- a/src/libradishswitch/limits/refusalpause.h
+++ b/src/libradishswitch/limits/refusalpause.h
@@ -29,14 +29,18 @@
             return;
         }
         m_span = m_span == Duration::zero() ? settings.first : std::min(2 * m_span, settings.longest);
+        m_refusedAt = now;
         m_until = now + m_span;
     }
 
-    /// The endpoint takes calls.
-    void noteTaken()
+    /// A call was taken. One that was sent before the refusal says nothing: long answers go on while all that is new is
+    /// turned away.
+    void noteTaken(Instant sentAt)
     {
-        m_span = Duration::zero();
-        m_until = Instant::min();
+        if (sentAt >= m_refusedAt) {
+            m_span = Duration::zero();
+            m_until = Instant::min();
+        }
     }
 
     bool isOn(Instant now) const
@@ -46,6 +50,7 @@
 
 private:
     Duration m_span{};
+    Instant m_refusedAt = Instant::min();
     Instant m_until = Instant::min();
 };
 
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -204,7 +204,7 @@
 }
 
 // Nothing that waits for these endpoints can be in time, and its callers can do better than wait.
-void CallGate::refuseWhileAllBackedOff(const PoolId &pool)
+void CallGate::refuseWhileAllBackedOff(PoolId pool)
 {
     const auto queue = m_queues.find(pool);
     if (queue == m_queues.end()) {
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -35,7 +35,7 @@
 /// Lets calls through to endpoints: at once while an endpoint has room, else in the order of a fair queue, and refuses
 /// at once those whose turn would come too late.
 ///
-/// Single-threaded. Callbacks come inside `place`, `noteEnded` and the timer's calls.
+/// Single-threaded. Callbacks come inside `place`, `noteNotice`, `noteEnded` and the timer's calls.
 class CallGate
 {
 public:
@@ -135,7 +135,7 @@
 
     absl::Status refusalOf(const PlacementQuery &query, const absl::Status &status) const;
     bool noteNamedLimit(const Placed &placed, std::optional<double> callsPerSecond);
-    void refuseWhileAllBackedOff(const PoolId &pool);
+    void refuseWhileAllBackedOff(PoolId pool);
     std::optional<absl::Status> whileAllBackedOff(const PlacementQuery &query) const;
     void takeForCold(const std::vector<EndpointSlot> &slots);
     bool isTurnedAway(const PlacementQuery &query);
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -260,7 +260,6 @@
         if (wasAtLimit) {
             it.limit = std::min(fullLimit, it.limit + (it.limit < it.quickLimit ? 1 : 1 / it.limit));
         }
-        it.pause.noteTaken();
         it.ejection.noteSucceeded(m_settings.ejection, now);
         return;
     case RunEnd::Refused:
@@ -295,7 +294,7 @@
 void CallPlacement::noteTaken(EndpointSlot slot, Instant sentAt)
 {
     m_roster.at(slot).backoff.noteTaken(sentAt);
-    m_roster.at(slot).pause.noteTaken();
+    m_roster.at(slot).pause.noteTaken(sentAt);
 }
 
 void CallPlacement::noteFailed(EndpointSlot slot, Instant now)
