Homes: reports of endpoints, their load at the collectors of all zones

Cause: a gateway sees of an engine's load and speed only what its own calls show, so slow engines get as many calls as fast ones. HomeDirectory gives the nearest home of any zone.

--- a/src/home/home.cpp
+++ b/src/home/home.cpp
@@ -60,6 +60,9 @@
                      writePeerEntry(peerOf(m_settings, PeerKind::Home)))
     , m_candidacy(m_store, m_timers, m_random, m_announcement, m_settings.instance, m_settings.zone,
                   candidacySettings(m_settings))
+    , m_loadReporting(m_settings.endpoint.empty() ? nullptr
+                                                  : std::make_unique<LoadReporting>(m_settings, m_workers, m_store,
+                                                                                    m_timers, m_random, m_metrics))
     , m_server(m_workers, transportSettings(m_settings))
     , m_admin(m_workers, m_metrics)
 {
@@ -81,6 +84,9 @@
     m_server.handle(kWatchPath, [this](const MessageStreamPointer &stream) {
         serveFromStore(m_coalescingStore, stream);
     });
+    if (m_loadReporting) {
+        m_loadReporting->addHandlers(m_server);
+    }
     absl::Status status = m_admin.listen(m_settings.adminListen.ip(), m_settings.adminListen.port());
     if (status.ok()) {
         status = m_server.listen(m_settings.peerListen.ip(), m_settings.peerListen.port());
@@ -93,6 +99,9 @@
             updateGauges();
         });
         m_candidacy.start(m_settings.isFirstStart);
+        if (m_loadReporting) {
+            m_loadReporting->start();
+        }
         m_admin.setReady(true);
     });
     m_workers.start();
@@ -135,6 +144,9 @@
 void Home::updateGauges()
 {
     countBudgets(m_holder, m_metrics);
+    if (m_loadReporting) {
+        m_loadReporting->updateGauges();
+    }
 }
 
 }
--- a/src/home/home.h
+++ b/src/home/home.h
@@ -9,6 +9,7 @@
 #include "fleetstore.h"
 #include "homecandidacy.h"
 #include "http2transport.h"
+#include "loadreporting.h"
 #include "peerannouncement.h"
 #include "prepaidbudgets.h"
 #include "serving/coalescingstore.h"
@@ -73,6 +74,8 @@
     BudgetService m_service;
     PeerAnnouncement m_announcement;
     HomeCandidacy m_candidacy;
+    /// Null without an endpoint whose reports are read.
+    std::unique_ptr<LoadReporting> m_loadReporting;
     Http2MessageServer m_server;
     AdminServer m_admin;
     std::function<void()> m_onDrained;
--- a/src/libradishswitch/serving/homedirectory.cpp
+++ b/src/libradishswitch/serving/homedirectory.cpp
@@ -159,7 +159,11 @@
 
 std::string HomeDirectory::nearestHome(Instant now) const
 {
-    const std::string &zone = m_peers.at(m_self).peer.zone;
+    return nearestHome(m_peers.at(m_self).peer.zone, now);
+}
+
+std::string HomeDirectory::nearestHome(const std::string &zone, Instant now) const
+{
     const std::uint64_t keyHash = rendezvousHash(kWatchKey);
     std::pair<Rank, std::string> best;
     for (const auto &[name, state] : m_peers) {
@@ -264,6 +268,14 @@
     it->second.pausedUntil = now + std::min(pause, m_settings.longestPause);
 }
 
+void HomeDirectory::noteRefused(const std::string &peer, Instant now, Duration pause)
+{
+    const auto it = m_peers.find(peer);
+    if (it != m_peers.end()) {
+        it->second.pausedUntil = std::max(it->second.pausedUntil, now + pause);
+    }
+}
+
 void HomeDirectory::forgetFailures()
 {
     for (auto &[name, state] : m_peers) {
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -91,6 +91,9 @@
     /// zone get the same home.
     std::string nearestHome(Instant now) const;
 
+    /// The same for any zone, so that processes of different zones choose the same home for it.
+    std::string nearestHome(const std::string &zone, Instant now) const;
+
     /// Makes this gateway its own watcher from now on.
     void watchAlone();
 
@@ -105,6 +108,9 @@
     std::string addressOf(const std::string &peer) const;
 
     void noteUnreachable(const std::string &peer, Instant now);
+    /// Called when a peer answers that it does not do what it was asked for, as processes of an older version do. It is
+    /// not asked for `pause`.
+    void noteRefused(const std::string &peer, Instant now, Duration pause);
     void noteReached(const std::string &peer);
     /// Called when this gateway's network works again: earlier failures then say nothing about the peers.
     void forgetFailures();
--- a/tests/core/serving/homedirectory_test.cpp
+++ b/tests/core/serving/homedirectory_test.cpp
@@ -215,3 +215,37 @@
     ASSERT_EQ(named.size(), 3U);
     EXPECT_NE(named.front(), "self");
 }
+
+// Guards against homes and gateways of different zones that choose different collectors for a zone.
+TEST_F(HomeDirectoryTest, nearestHome_ofAnyZone_isTheSameForAllProcesses)
+{
+    std::map<std::string, FleetPeer> fleet;
+    for (const std::string zone : {"a", "b", "c"}) {
+        for (int n = 0; n < 5; ++n) {
+            fleet["home-" + zone + std::to_string(n)] = {"10.0.0.1:1", 1, zone, PeerKind::Home};
+        }
+        fleet["gateway-" + zone] = {"10.0.0.2:1", 1, zone, PeerKind::Gateway};
+    }
+    for (const std::string zone : {"a", "b", "c"}) {
+        HomeDirectory own("gateway-" + zone);
+        own.setPeers(fleet);
+        const std::string chosen = own.nearestHome(at(0));
+        EXPECT_EQ(fleet.at(chosen).zone, zone);
+        for (const auto &[name, peer] : fleet) {
+            HomeDirectory other(name);
+            other.setPeers(fleet);
+            EXPECT_EQ(other.nearestHome(zone, at(0)), chosen);
+        }
+    }
+}
+
+// Guards against a process of an older version that is asked again and again for what it does not do.
+TEST_F(HomeDirectoryTest, refusingHome_isNotAskedForThePause)
+{
+    HomeDirectory a("a");
+    a.setPeers({{"h1", {"10.0.0.1:1", 1, "a", PeerKind::Home}}, {"h2", {"10.0.0.2:1", 1, "a", PeerKind::Home}}});
+    const std::string first = a.nearestHome("a", at(0));
+    a.noteRefused(first, at(0), std::chrono::seconds(10));
+    EXPECT_NE(a.nearestHome("a", at(9'999)), first);
+    EXPECT_EQ(a.nearestHome("a", at(10'000)), first);
+}
