Load updates at gateways: what they let one expect of endpoints

Cause: a gateway knows only its own calls, so that slow and crowded endpoints get as many calls as others. Nothing decides by them yet.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -82,6 +82,15 @@
                [this] {
                    updateReady();
                })
+    , m_gatewayLoads(m_settings.instance, m_settings.zone)
+    , m_loadSubscription(
+          m_clients, m_homes, m_timers, m_metrics, m_gate.loads(), m_gatewayLoads, loadSubscriptionSettings(m_settings),
+          [] {
+              return 0.0;
+          },
+          [this] {
+              return m_isStopping || m_intake.isDiverting();
+          })
     , m_configuration(*m_adapter.catalogue,
                       [this](const ServingTablePointer &table) {
                           applyConfiguration(table);
@@ -173,6 +182,9 @@
     m_timers.every(kMaintenanceInterval, [this] {
         runMaintenance();
     });
+    if (m_settings.receivesLoadNews) {
+        m_loadSubscription.start();
+    }
 }
 
 // On the fleet's first start all processes announce themselves at once. A gateway that listed its peers earlier would
@@ -395,6 +407,9 @@
 void Gateway::updateGauges()
 {
     countBudgets(m_holder, m_metrics);
+    if (m_settings.receivesLoadNews) {
+        m_loadSubscription.updateGauges();
+    }
     m_metrics.gauge("radishswitch_store_reached", "Whether the store answered last")
         .set(m_configurationFollower.isStoreReachable() ? 1 : 0);
     m_metrics.gauge("radishswitch_calls_placed", "Calls under way at endpoints")
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,11 +16,13 @@
 #include "httpserver.h"
 #include "limitreports.h"
 #include "limits/linkshedder.h"
+#include "loadsubscription.h"
 #include "peerannouncement.h"
 #include "peerregistry.h"
 #include "poisonguard.h"
 #include "prepaidbudgets.h"
 #include "reportrouter.h"
+#include "serving/gatewayloads.h"
 #include "serving/objectfollower.h"
 #include "serving/probedstore.h"
 #include "serving/relayedstore.h"
@@ -113,6 +115,8 @@
     LimitReports m_limits;
     CallServices m_services;
     CallIntake m_intake;
+    GatewayLoads m_gatewayLoads;
+    LoadSubscription m_loadSubscription;
     ConfigurationListener m_configuration;
     EndpointListener m_endpoints;
     CordonListener m_cordons;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -88,6 +88,8 @@
     parser.add("shed-target", settings.shedding.target, "queueing delay up to which every call is accepted");
     parser.addFlag("ignore-pressure", settings.ignoresPressure,
                    "send calls to endpoints even if these already answer late");
+    parser.addFlag("load-news", settings.receivesLoadNews,
+                   "receive the load of endpoints and gateways from a home of the zone, and report the own load to it");
     addPlacementSettings(parser, settings.placement);
 }
 
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -49,6 +49,8 @@
     LoadShedderSettings shedding;
     /// Calls are sent to endpoints even if these already answer late.
     bool ignoresPressure = false;
+    /// Load updates of endpoints and other gateways are received from a home of the zone.
+    bool receivesLoadNews = false;
 };
 
 /// Reads "north=east,south=east"; InvalidSettings for anything else.
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -110,4 +110,12 @@
     return shedding;
 }
 
+LoadSubscriptionSettings loadSubscriptionSettings(const GatewaySettings &settings)
+{
+    LoadSubscriptionSettings subscription;
+    subscription.instance = settings.instance;
+    subscription.zone = settings.zone;
+    return subscription;
+}
+
 }
--- a/src/gateway/partsettings.h
+++ b/src/gateway/partsettings.h
@@ -6,6 +6,7 @@
 #include "gatewaysettings.h"
 #include "httpserver.h"
 #include "limits/retrybudget.h"
+#include "loadsubscription.h"
 #include "serving/callgate.h"
 #include "serving/objectfollower.h"
 
@@ -26,5 +27,6 @@
 CallGateSettings gateSettings(const GatewaySettings &settings);
 HttpServerSettings callerServerSettings(RequestIntake &intake);
 LoadShedderSettings shedderSettings(const GatewaySettings &settings);
+LoadSubscriptionSettings loadSubscriptionSettings(const GatewaySettings &settings);
 
 }
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -15,6 +15,7 @@
     , m_settings(settings)
     , m_allowances(std::move(self), settings.allowances)
     , m_registry(settings.registry)
+    , m_loads(m_registry)
     , m_admission(m_registry, m_allowances)
     , m_placement(m_registry, m_admission, random, std::move(ownZone), settings.placement)
 {
@@ -352,6 +353,7 @@
 {
     for (const EndpointSlot slot : m_registry.forgetGone(m_timers.now())) {
         m_placement.forget(slot);
+        m_loads.forget(slot);
     }
     for (const auto &[pool, queue] : m_queues) {
         admitWaiting(pool);
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -2,6 +2,7 @@
 
 #include "limits/fairqueue.h"
 #include "serving/callplacement.h"
+#include "serving/endpointloads.h"
 #include "serving/endpointnotice.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -62,6 +63,12 @@
         return m_registry;
     }
 
+    /// The reported load of the endpoints. The news of an endpoint that leaves the registry are discarded.
+    EndpointLoads &loads()
+    {
+        return m_loads;
+    }
+
     CallAllowances &allowances()
     {
         return m_allowances;
@@ -158,6 +165,7 @@
     const CallGateSettings m_settings;
     CallAllowances m_allowances;
     EndpointRegistry m_registry;
+    EndpointLoads m_loads;
     EndpointAdmission m_admission;
     CallPlacement m_placement;
     std::map<PoolId, FairQueue> m_queues;
--- a/src/libradishswitch/serving/endpointregistry.cpp
+++ b/src/libradishswitch/serving/endpointregistry.cpp
@@ -325,6 +325,13 @@
     return it == m_slots.end() ? std::nullopt : std::optional(it->second);
 }
 
+const std::vector<EndpointSlot> &EndpointRegistry::slotsAt(const std::string &address) const
+{
+    static const std::vector<EndpointSlot> kNone;
+    const auto it = m_addresses.find(address);
+    return it == m_addresses.end() ? kNone : it->second;
+}
+
 std::vector<EndpointSlot> EndpointRegistry::forgetGone(Instant now)
 {
     std::vector<EndpointSlot> forgotten;
--- a/src/libradishswitch/serving/endpointregistry.h
+++ b/src/libradishswitch/serving/endpointregistry.h
@@ -212,6 +212,10 @@
 
     std::optional<EndpointSlot> slotOf(const EndpointId &endpoint) const;
 
+    /// Slots of the endpoints at an address ("ip:port"), without those of earlier incarnations. There is more than one
+    /// while an ended endpoint is still listed at the address that another one has taken over.
+    const std::vector<EndpointSlot> &slotsAt(const std::string &address) const;
+
     /// Removes endpoints that are gone and have no calls in flight. Returns the slots that they had.
     std::vector<EndpointSlot> forgetGone(Instant now);
 
