Placement by callers' needs in pools whose endpoints differ in speed

Cause: with a third of the engines 2.4 times slower, placement sends them almost as many long prompts as the others, and the streams that run there pause for longer than their callers accept.

Change: with a source of load (CallGate::setLoadSource) and an uneven pool, endpoints are compared by NeedCost: time to the first answer at the endpoint's own speed, and calls expected to be late, the running streams included. Affinity skips endpoints that are too slow for the prompt, and at most 16 endpoints are examined. Without a source, in even pools and for calls without tokens the choice is the same as before, with the same random draws.

--- a/benchmarks/placement.cpp
+++ b/benchmarks/placement.cpp
@@ -5,6 +5,7 @@
 #include <benchmark/benchmark.h>
 
 #include <map>
+#include <vector>
 
 using namespace RadishSwitch;
 
@@ -17,6 +18,35 @@
 constexpr int kMany = 625;
 constexpr int kGateways = 103;
 
+/// Load of endpoints of which every third is slow.
+class UnevenLoads : public EndpointLoadSource
+{
+public:
+    explicit UnevenLoads(int endpoints)
+        : m_loads(static_cast<std::size_t>(endpoints))
+    {
+        for (std::size_t n = 0; n < m_loads.size(); ++n) {
+            const double factor = n % 3 == 0 ? 2.4 : 1;
+            m_loads[n].idleEventSeconds = 0.0267 * factor;
+            m_loads[n].relativeSpeed = 1 / factor;
+            m_loads[n].running = 10;
+        }
+    }
+
+    std::optional<LoadEstimate> estimate(EndpointSlot slot, Instant /*now*/) const override
+    {
+        return m_loads[slot];
+    }
+
+    bool isUneven(const PoolId & /*pool*/) const override
+    {
+        return true;
+    }
+
+private:
+    std::vector<LoadEstimate> m_loads;
+};
+
 /// A gateway before endpoints of five zones.
 struct Gateway {
     explicit Gateway(int endpoints = kEndpoints)
@@ -61,13 +91,21 @@
 
     /// Places a call and ends it, a millisecond after the one before.
     void placeOne()
+    {
+        placeOne(random.below(100));
+    }
+
+    void placeOne(std::uint64_t sharedPrefix)
     {
         PlacementQuery query;
         query.call = RequestId("call-" + std::to_string(++calls));
         query.pool = PoolId("llm");
         query.organisation = OrganisationId("o");
-        query.parts = {{random.below(100), 400}, {static_cast<std::uint64_t>(1'000'000 + calls), 600}};
+        query.parts = {{sharedPrefix, 400}, {static_cast<std::uint64_t>(1'000'000 + calls), 600}};
         query.deadline = timers.now() + std::chrono::milliseconds(400);
+        query.targetLatency = std::chrono::milliseconds(300);
+        query.targetGap = std::chrono::milliseconds(250);
+        query.expectedEvents = 42;
         gate.place(query, [this](const absl::StatusOr<Placement> &placement) {
             if (placement.ok()) {
                 gate.noteEnded(placement->id, RunEnd::Ok);
@@ -90,6 +128,29 @@
     }
 }
 
+void placeByNeed(benchmark::State &state)
+{
+    const int endpoints = static_cast<int>(state.range(0));
+    const UnevenLoads loads(endpoints);
+    Gateway gateway(endpoints);
+    gateway.gate.setLoadSource(&loads);
+    for (auto _ : state) {
+        gateway.placeOne();
+    }
+}
+
+// The worst case: no call shares its prefix with an earlier one, so that no order of endpoints is known.
+void placeByNeedWithNewPrefixes(benchmark::State &state)
+{
+    const int endpoints = static_cast<int>(state.range(0));
+    const UnevenLoads loads(endpoints);
+    Gateway gateway(endpoints);
+    gateway.gate.setLoadSource(&loads);
+    for (auto _ : state) {
+        gateway.placeOne(static_cast<std::uint64_t>(10'000'000 + gateway.calls));
+    }
+}
+
 void placeWithZoneClosedAndThirdCold(benchmark::State &state)
 {
     Gateway gateway;
@@ -112,6 +173,8 @@
 }
 
 BENCHMARK(placeAmongAll)->Arg(kFew)->Arg(kEndpoints)->Arg(kMany);
+BENCHMARK(placeByNeed)->Arg(kFew)->Arg(kEndpoints)->Arg(kMany);
+BENCHMARK(placeByNeedWithNewPrefixes)->Arg(kFew)->Arg(kMany);
 BENCHMARK(placeWithZoneClosedAndThirdCold);
 BENCHMARK(decideColdCall);
 
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -160,6 +160,11 @@
             std::chrono::duration<double, std::micro>(m_route->targetLatency) * m_services.times.lateAnswerShare;
         query.lateAfter = std::chrono::duration_cast<Duration>(late);
     }
+    query.targetLatency = m_route->targetLatency;
+    if (m_route->isStreamed) {
+        query.targetGap = m_route->targetGap;
+        query.expectedEvents = expectedEvents();
+    }
     query.excluded = m_tried;
     if (m_attempt.connection) {
         query.excluded.push_back(m_attempt.placement.endpoint);
@@ -167,6 +172,15 @@
     return query;
 }
 
+std::int64_t Call::expectedEvents() const
+{
+    if (!m_request.tokens || m_pool->tokensPerEvent <= 0) {
+        return 0;
+    }
+    const std::int64_t perEvent = m_pool->tokensPerEvent;
+    return (m_request.tokens->maximumOutput + perEvent - 1) / perEvent;
+}
+
 net::awaitable<absl::Status> Call::reserve()
 {
     if (!m_request.tokens || !m_organisation || !m_organisation->prepaidTokens) {
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -15,6 +15,7 @@
 constexpr double kMinimumPrefillSpeed = 1;
 constexpr double kMaximumPrefillSpeed = 1e9;
 constexpr double kMaximumRereadFactor = 1000;
+constexpr double kMaximumLateCallSeconds = 60;
 constexpr double kMaximumLimit = 100'000;
 constexpr double kMinimumColdOvershoot = 0.01;
 constexpr double kMaximumColdOvershoot = 100;
@@ -38,6 +39,10 @@
                      "maximum share of a pool that may be ejected for failures; 0 for none");
     parser.addFlag("no-speed-learning", settings.hasFixedSpeed,
                    "keep the prefill speed as set instead of learning it from answers");
+    parser.addFlag("no-need-placement", settings.hasNoNeedPlacement,
+                   "ignore the load and speed of endpoints, also in pools whose endpoints differ in speed");
+    parser.addNumber("late-call-seconds", settings.lateCallSeconds, 0, kMaximumLateCallSeconds,
+                     "cost of a late call, in seconds of waiting, where endpoints are chosen by callers' needs");
     parser.addFlag("no-affinity", settings.hasNoAffinity, "disable prefix affinity between calls and endpoints");
 }
 
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -67,6 +67,12 @@
         return m_allowances;
     }
 
+    /// See CallPlacement::setLoadSource.
+    void setLoadSource(const EndpointLoadSource *source)
+    {
+        m_placement.setLoadSource(source);
+    }
+
     /// Replaces the list of zones that operators have closed. Endpoints in closed zones get no new calls.
     void setClosedZones(const std::vector<std::string> &zones);
     void closeZone(const std::string &zone);
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -1,6 +1,8 @@
 #include "serving/callplacement.h"
 
 #include "base/rendezvous.h"
+#include "serving/cheapestendpoint.h"
+#include "serving/needcost.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,10 +14,6 @@
 namespace
 {
 
-/// Costs that differ by less than this count as equal, and one of the endpoints is chosen at random, so that the
-/// gateways do not all choose the same one.
-constexpr double kCostToleranceSeconds = 0.002;
-
 double seconds(Duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -50,6 +48,7 @@
     , m_random(random)
     , m_ownZone(std::move(ownZone))
     , m_settings(settings)
+    , m_ranking(registry)
 {
 }
 
@@ -105,27 +104,18 @@
 
 std::optional<EndpointSlot> CallPlacement::cheapest(const PlacementQuery &query, SelectionMode mode, Instant now)
 {
+    if (isPlacedByNeed(query)) {
+        return cheapestByNeed(query, mode, now);
+    }
     const std::optional<EndpointSlot> affinity = affinityEndpoint(query, mode, now);
     const Prompt prompt(query.parts);
-    const std::vector<EndpointSlot> &slots = m_registry.pool(query.pool);
-    std::optional<EndpointSlot> best;
-    double bestCost = 0;
-    std::uint64_t equals = 0;
-    for (const EndpointSlot slot : slots) {
-        if (!isCandidate(slot, query, mode, now)) {
-            continue;
-        }
-        const double slotCost = cost(slot, query, prompt, affinity, now);
-        if (!best || slotCost < bestCost - kCostToleranceSeconds) {
-            best = slot;
-            bestCost = slotCost;
-            equals = 1;
-        } else if (slotCost < bestCost + kCostToleranceSeconds && m_random.below(++equals) == 0) {
-            best = slot;
-            bestCost = std::min(bestCost, slotCost);
+    CheapestEndpoint cheapest(m_random);
+    for (const EndpointSlot slot : m_registry.pool(query.pool)) {
+        if (isCandidate(slot, query, mode, now)) {
+            cheapest.add(slot, cost(slot, query, prompt, affinity, now));
         }
     }
-    return best;
+    return cheapest.slot();
 }
 
 // Rendezvous hashing over all candidates: when an endpoint leaves, only the prompts assigned to it move.
@@ -239,14 +229,17 @@
 void CallPlacement::noteFirstAnswer(EndpointSlot slot, std::int64_t prefillTokens, Duration taken, Instant now)
 {
     RegisteredEndpoint &it = m_registry.at(slot);
-    const double expected = static_cast<double>(prefillTokens) / prefillTokensPerSecond(it.listing.pool);
+    const double speed = relativeSpeed(slot, now);
+    const double expected = static_cast<double>(prefillTokens) / (prefillTokensPerSecond(it.listing.pool) * speed);
     const double late = std::max(seconds(taken) - expected, 0.0);
     const double before = delaySeconds(it, now);
     it.delaySeconds = before + m_settings.delayStep * (late - before);
     it.delayNotedAt = now;
-    PrefillSpeedSettings speed;
-    speed.assumed = m_settings.prefillTokensPerSecond;
-    m_speeds.try_emplace(it.listing.pool, speed).first->second.note(prefillTokens, taken, now);
+    PrefillSpeedSettings learning;
+    learning.assumed = m_settings.prefillTokensPerSecond;
+    // The speed of the pool is that of its median endpoint.
+    const auto takenByMedian = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(taken) * speed);
+    m_speeds.try_emplace(it.listing.pool, learning).first->second.note(prefillTokens, takenByMedian, now);
 }
 
 void CallPlacement::noteEnded(EndpointSlot slot, RunEnd end, Instant now)
@@ -335,7 +328,8 @@
 {
     const RegisteredEndpoint &it = m_registry.at(slot);
     const double tokens = static_cast<double>(tokensToPrefill(slot, Prompt(query.parts)) + it.pendingPrefillTokens);
-    const double span = tokens / prefillTokensPerSecond(query.pool) + delaySeconds(it, now);
+    const double speed = prefillTokensPerSecond(query.pool) * relativeSpeed(slot, now);
+    const double span = tokens / speed + delaySeconds(it, now);
     return Duration(static_cast<Duration::rep>(span * 1e6));
 }
 
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -3,12 +3,16 @@
 #include "base/randomsource.h"
 #include "routing/prefixcachehints.h"
 #include "routing/routequery.h"
+#include "serving/affinityranking.h"
 #include "serving/endpointadmission.h"
+#include "serving/endpointloadsource.h"
 #include "serving/endpointregistry.h"
 #include "serving/placementquery.h"
 #include "serving/placementsettings.h"
 #include "serving/prefillspeed.h"
 
+#include <absl/container/inlined_vector.h>
+
 #include <string>
 
 namespace RadishSwitch
@@ -23,12 +27,22 @@
 /// Calls that share a prefix are sent to the endpoint that rendezvous hashing selects for it. All gateways select the
 /// same endpoint without communication. When that endpoint is so busy that recomputing the prefix elsewhere is quicker,
 /// the call goes elsewhere.
+///
+/// In a pool whose endpoints differ in speed, according to the source of their load, the cost is that of NeedCost. A
+/// bounded number of endpoints is examined there.
 class CallPlacement
 {
 public:
     CallPlacement(EndpointRegistry &registry, const EndpointAdmission &admission, RandomSource &random,
                   std::string ownZone, PlacementSettings settings = {});
 
+    /// The source must outlive this object. Null, the default: load and speed of endpoints are known only from this
+    /// process's calls.
+    void setLoadSource(const EndpointLoadSource *source)
+    {
+        m_loads = source;
+    }
+
     /// The endpoint with the shortest expected time to the first answer among those with room; nullopt if none has
     /// room.
     std::optional<EndpointSlot> choose(const PlacementQuery &query, Instant now);
@@ -98,9 +112,36 @@
         LastResort,
     };
 
+    /// One call for which endpoints are compared by its needs.
+    struct NeedChoice {
+        const PlacementQuery &query;
+        const Prompt &prompt;
+        SelectionMode mode;
+        Instant now;
+        double poolTokensPerSecond;
+        std::optional<EndpointSlot> affinity;
+    };
+
+    /// The maximum number of endpoints that are examined for a call by its needs, of those drawn at random among them,
+    /// and of random draws for these. Further draws seldom find room if half of the endpoints are full.
+    static constexpr std::size_t kMaximumCandidates = 16;
+    static constexpr std::size_t kRandomCandidates = 8;
+    static constexpr std::size_t kMaximumHolders = kMaximumCandidates - kRandomCandidates - 1;
+    static constexpr std::size_t kMaximumDraws = 3 * kRandomCandidates;
+
+    using Candidates = absl::InlinedVector<EndpointSlot, kMaximumCandidates>;
+
     bool isCandidate(EndpointSlot slot, const PlacementQuery &query, SelectionMode mode, Instant now) const;
     std::optional<EndpointSlot> cheapest(const PlacementQuery &query, SelectionMode mode, Instant now);
     std::optional<EndpointSlot> affinityEndpoint(const PlacementQuery &query, SelectionMode mode, Instant now) const;
+    std::optional<EndpointSlot> cheapestByNeed(const PlacementQuery &query, SelectionMode mode, Instant now);
+    std::optional<EndpointSlot> affinityByNeed(const NeedChoice &choice);
+    bool isWithoutLongPause(EndpointSlot slot, const NeedChoice &choice) const;
+    Candidates drawCandidates(const NeedChoice &choice);
+    double needCost(EndpointSlot slot, const NeedChoice &choice) const;
+    double relativeSpeed(EndpointSlot slot, Instant now) const;
+    bool isPlacedByNeed(const PlacementQuery &query) const;
+    bool isUneven(const PoolId &pool) const;
     std::int64_t tokensToPrefill(EndpointSlot slot, const Prompt &prompt) const;
     double cost(EndpointSlot slot, const PlacementQuery &query, const Prompt &prompt,
                 std::optional<EndpointSlot> affinity, Instant now) const;
@@ -115,6 +156,8 @@
     const PlacementSettings m_settings;
     PrefixCacheHints m_hints;
     absl::flat_hash_map<PoolId, PrefillSpeed> m_speeds;
+    AffinityRanking m_ranking;
+    const EndpointLoadSource *m_loads = nullptr;
 };
 
 }
--- a/src/libradishswitch/serving/endpointregistry.cpp
+++ b/src/libradishswitch/serving/endpointregistry.cpp
@@ -140,6 +140,7 @@
     m_endpoints[slot] = std::move(endpoint);
     m_slots.emplace(listing.id, slot);
     m_pools[listing.pool].push_back(slot);
+    ++m_poolsVersion;
     indexAddress(slot);
     return slot;
 }
@@ -335,6 +336,7 @@
     }
     for (const EndpointSlot slot : forgotten) {
         std::erase(m_pools[at(slot).listing.pool], slot);
+        ++m_poolsVersion;
         if (!at(slot).isEarlierIncarnation) {
             unindexAddress(slot);
             remember(at(slot).listing);
--- a/src/libradishswitch/serving/endpointregistry.h
+++ b/src/libradishswitch/serving/endpointregistry.h
@@ -200,6 +200,12 @@
     /// Slots of all endpoints of a pool that were not forgotten, in the order in which they were added.
     const std::vector<EndpointSlot> &pool(const PoolId &pool) const;
 
+    /// Changes whenever an endpoint is added to a pool or forgotten.
+    std::uint64_t poolsVersion() const
+    {
+        return m_poolsVersion;
+    }
+
     RegisteredEndpoint &at(EndpointSlot slot)
     {
         return *m_endpoints[slot];
@@ -243,6 +249,7 @@
     std::vector<EndpointSlot> m_freeSlots;
     absl::flat_hash_map<EndpointId, EndpointSlot> m_slots;
     absl::flat_hash_map<PoolId, std::vector<EndpointSlot>> m_pools;
+    std::uint64_t m_poolsVersion = 0;
     /// Slots of the endpoints at each address, without those of earlier incarnations.
     absl::flat_hash_map<std::string, std::vector<EndpointSlot>> m_addresses;
     /// The last incarnation of each endpoint that was removed.
--- a/src/libradishswitch/serving/placementquery.h
+++ b/src/libradishswitch/serving/placementquery.h
@@ -24,6 +24,13 @@
     /// An answer that takes longer counts as late and indicates that its endpoint is overloaded. Zero for calls whose
     /// latency depends on their size and therefore says nothing about the endpoint's load.
     Duration lateAfter{};
+    /// The first part of the answer is in time if it arrives within this time; zero if unknown.
+    Duration targetLatency{};
+    /// The longest pause between two events of a stream that is in time; zero if unknown, and for calls that are not
+    /// streamed.
+    Duration targetGap{};
+    /// Expected number of events of a streamed answer; zero if unknown.
+    std::int64_t expectedEvents = 0;
 
     bool operator==(const PlacementQuery &) const = default;
 };
--- a/src/libradishswitch/serving/placementsettings.h
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -31,6 +31,10 @@
     bool hasNoAffinity = false;
     /// The prefill speed stays as set and is not learnt from answers.
     bool hasFixedSpeed = false;
+    /// Endpoints are never chosen by the needs of callers, not even in pools whose endpoints differ in speed.
+    bool hasNoNeedPlacement = false;
+    /// Cost of a call that is late, in seconds of waiting.
+    double lateCallSeconds = 1;
     /// Lower bound of the in-flight limit that this process sets itself for an endpoint that refuses calls.
     double minimumLimit = 1;
     EndpointBackoffSettings backoff;
