Wire the load updates into placement; one file for the messages about load

Cause: the parts were built side by side, each with its own conversion of the same messages. Change: loadwire has all conversions; the gateway gives its load source to the placement while it receives load updates.

--- a/src/fleet/loadwire.cpp
+++ b/src/fleet/loadwire.cpp
@@ -102,6 +102,30 @@
     return report;
 }
 
+wire::LoadNews loadNewsToWire(const LoadCollector::News &news)
+{
+    wire::LoadNews message;
+    for (const EndpointLoadReport &it : news.endpoints) {
+        *message.add_endpoints() = endpointLoadToWire(it);
+    }
+    for (const GatewayLoadReport &it : news.gateways) {
+        *message.add_gateways() = gatewayLoadToWire(it);
+    }
+    return message;
+}
+
+LoadCollector::News loadNewsFromWire(const wire::LoadNews &message)
+{
+    LoadCollector::News news;
+    for (const wire::EndpointLoadReport &it : message.endpoints()) {
+        news.endpoints.push_back(endpointLoadFromWire(it));
+    }
+    for (const wire::GatewayLoadReport &it : message.gateways()) {
+        news.gateways.push_back(gatewayLoadFromWire(it));
+    }
+    return news;
+}
+
 absl::StatusOr<wire::LoadMessage> parseLoadFrame(const std::string &frame)
 {
     if (frame.size() > kMaximumLoadFrameBytes) {
--- a/src/fleet/loadwire.h
+++ b/src/fleet/loadwire.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/endpointloadreport.h"
+#include "serving/loadcollector.h"
 #include "wire.h"
 
 #include <absl/status/statusor.h>
@@ -28,6 +28,9 @@
 wire::GatewayLoadReport gatewayLoadToWire(const GatewayLoadReport &report);
 GatewayLoadReport gatewayLoadFromWire(const wire::GatewayLoadReport &message);
 
+wire::LoadNews loadNewsToWire(const LoadCollector::News &news);
+LoadCollector::News loadNewsFromWire(const wire::LoadNews &message);
+
 /// Reads a frame of a "/load" stream; MessageTooLarge if it is oversized, MalformedMessage if it is not a LoadMessage.
 /// A message of a kind that is not known here is read as one without content, to be ignored by the receiver.
 absl::StatusOr<wire::LoadMessage> parseLoadFrame(const std::string &frame);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -183,6 +183,7 @@
         runMaintenance();
     });
     if (m_settings.receivesLoadNews) {
+        m_gate.setLoadSource(&m_gate.loads());
         m_loadSubscription.start();
     }
 }
--- a/src/home/loadpublisher.cpp
+++ b/src/home/loadpublisher.cpp
@@ -1,7 +1,7 @@
 #include "loadpublisher.h"
 
 #include "base/failure.h"
-#include "loadmessages.h"
+#include "loadwire.h"
 #include "log.h"
 
 #include <algorithm>
--- a/src/home/loadreporting.cpp
+++ b/src/home/loadreporting.cpp
@@ -1,7 +1,7 @@
 #include "loadreporting.h"
 
 #include "fleetparts.h"
-#include "loadmessages.h"
+#include "loadwire.h"
 
 namespace RadishSwitch
 {
--- a/src/home/loadservice.cpp
+++ b/src/home/loadservice.cpp
@@ -1,7 +1,7 @@
 #include "loadservice.h"
 
 #include "base/failure.h"
-#include "loadmessages.h"
+#include "loadwire.h"
 #include "log.h"
 #include "wireconversion.h"
 
--- a/tests/radishswitch-home/loadreporting_test.cpp
+++ b/tests/radishswitch-home/loadreporting_test.cpp
@@ -3,7 +3,7 @@
 #include "base/failure.h"
 #include "fleetparts.h"
 #include "httpclient.h"
-#include "loadmessages.h"
+#include "loadwire.h"
 #include "peerentry.h"
 #include "platformobjectstore.h"
 #include "replicaserver.h"
--- a/tests/radishswitch-home/loadservice_test.cpp
+++ b/tests/radishswitch-home/loadservice_test.cpp
@@ -1,5 +1,5 @@
 #include "fakeloadstreams.h"
-#include "loadmessages.h"
+#include "loadwire.h"
 #include "loadservice.h"
 #include "manualtaskqueue.h"
 #include "virtualtimerservice.h"
