--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -163,7 +163,7 @@
     query.targetLatency = m_route->targetLatency;
     if (m_route->isStreamed) {
         query.targetGap = m_route->targetGap;
-        query.expectedEvents = expectedEvents();
+        query.expectedEvents = m_request.tokens ? m_pool->eventsOf(m_request.tokens->maximumOutput) : 0;
     }
     query.excluded = m_tried;
     if (m_attempt.connection) {
@@ -172,15 +172,6 @@
     return query;
 }
 
-std::int64_t Call::expectedEvents() const
-{
-    if (!m_request.tokens || m_pool->tokensPerEvent <= 0) {
-        return 0;
-    }
-    const std::int64_t perEvent = m_pool->tokensPerEvent;
-    return (m_request.tokens->maximumOutput + perEvent - 1) / perEvent;
-}
-
 net::awaitable<absl::Status> Call::reserve()
 {
     if (!m_request.tokens || !m_organisation || !m_organisation->prepaidTokens) {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -60,9 +60,6 @@
     absl::Status identifyOrganisation();
     const ServedPool *choosePool();
     PlacementQuery placementQuery() const;
-
-    /// Maximum number of events of a streamed answer; 0 if it is not known.
-    std::int64_t expectedEvents() const;
     int priority() const;
     boost::asio::awaitable<absl::Status> reserve();
     boost::asio::awaitable<absl::Status> serve();
--- a/src/libradishswitch/serving/servingconfiguration.h
+++ b/src/libradishswitch/serving/servingconfiguration.h
@@ -3,6 +3,7 @@
 #include "serving/servingroute.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace RadishSwitch
@@ -22,6 +23,12 @@
     /// How long an endpoint stays cold after its start; zero if it has no cold phase.
     Duration coldStart{};
 
+    /// Number of events of a streamed answer with so many tokens; zero if answers have no tokens.
+    std::int64_t eventsOf(std::int64_t tokens) const
+    {
+        return tokensPerEvent > 0 ? (tokens + tokensPerEvent - 1) / tokensPerEvent : 0;
+    }
+
     bool operator==(const ServedPool &) const = default;
 };
 
--- a/tests/core/serving/needplacement_test.cpp
+++ b/tests/core/serving/needplacement_test.cpp
@@ -182,8 +182,8 @@
     EXPECT_GE(place(shortCall()), 0);
 }
 
-// Guards the path of today: an even pool, a call without tokens, the flag and a source that is not set choose the same
-// endpoints with the same random draws.
+// Guards deployments that do not need the part: an even pool, a call without tokens and the flag choose the same
+// endpoints as without a source, with the same random draws.
 TEST_F(NeedPlacementTest, evenPoolOrNoTokensOrSwitchedOff_choosesAsWithoutSource)
 {
     const auto choices = [this](const EndpointLoadSource *source, bool isOff, bool hasTokens) {
--- a/tests/core/serving/servingtable_test.cpp
+++ b/tests/core/serving/servingtable_test.cpp
@@ -52,3 +52,16 @@
     EXPECT_EQ(table.organisationOfKey("k3"), nullptr);
     EXPECT_EQ(table.organisationOfKey(""), nullptr);
 }
+
+// Guards against an answer of a few tokens that counts as one of unknown length, and against a division by zero for
+// pools whose answers have no tokens.
+TEST(ServedPoolTest, eventsOf_tokens_countsBegunEvents)
+{
+    ServedPool pool;
+    EXPECT_EQ(pool.eventsOf(100), 0);
+    pool.tokensPerEvent = 7;
+    EXPECT_EQ(pool.eventsOf(0), 0);
+    EXPECT_EQ(pool.eventsOf(3), 1);
+    EXPECT_EQ(pool.eventsOf(7), 1);
+    EXPECT_EQ(pool.eventsOf(8), 2);
+}
--- a/tests/radishswitch-gateway/partsettings_test.cpp
+++ b/tests/radishswitch-gateway/partsettings_test.cpp
@@ -1,5 +1,6 @@
 #include "partsettings.h"
 
+#include "base/failure.h"
 #include "budgets/budgetrecord.h"
 #include "systemrandom.h"
 
@@ -36,3 +37,35 @@
 
     EXPECT_LT(retrySettings(settings).share, 0.05);
 }
+
+// Guards against a price of late calls that is taken as given: a negative one would attract calls to overloaded
+// endpoints, and a typing error would be noticed only under load.
+TEST(GatewaySettingsTest, lateCallSeconds_outOfRange_isRefusedWithItsRange)
+{
+    for (const std::string &value : {"-1", "60.5", "nan", "much"}) {
+        GatewaySettings settings;
+        SettingsParser parser("gateway", "");
+        addGatewaySettings(parser, settings);
+        const absl::Status status = parser.parse({"--platform=127.0.0.1:1", "--region=r", "--zone=z", "--instance=g",
+                                                  "--fleet-key=0123456789abcdef", "--late-call-seconds=" + value});
+        EXPECT_EQ(failureCode(status), FailureCode::InvalidSettings);
+        for (const std::string &part : {std::string("--late-call-seconds"), value, std::string("from 0 to 60")}) {
+            EXPECT_NE(status.message().find(part), absl::string_view::npos) << status.message();
+        }
+    }
+}
+
+// Guards against flags that are read and not passed on to the choice of endpoints.
+TEST(GatewaySettingsTest, placementByNeed_switchedOff_reachesGate)
+{
+    GatewaySettings settings;
+    SettingsParser parser("gateway", "");
+    addGatewaySettings(parser, settings);
+    const absl::Status status =
+        parser.parse({"--platform=127.0.0.1:1", "--region=r", "--zone=z", "--instance=g",
+                      "--fleet-key=0123456789abcdef", "--late-call-seconds=2.5", "--no-need-placement"});
+    ASSERT_TRUE(status.ok()) << status;
+    EXPECT_TRUE(gateSettings(settings).placement.hasNoNeedPlacement);
+    EXPECT_EQ(gateSettings(settings).placement.lateCallSeconds, 2.5);
+    EXPECT_FALSE(gateSettings(GatewaySettings()).placement.hasNoNeedPlacement);
+}
