Load subscription: no arithmetic with the least time point

Cause: the first tick subtracted Instant::min() from the present, a signed overflow. Change: the time of the last update starts at the start of the subscription.

--- a/src/gateway/loadsubscription.cpp
+++ b/src/gateway/loadsubscription.cpp
@@ -74,6 +74,7 @@
 {
     m_rejected = &m_metrics.counter("radishswitch_load_news_rejected_total",
                                     "Load reports and messages that were rejected as unreadable or impossible");
+    m_updatedAt = m_timers.now();
     m_tickTimer = m_timers.every(m_settings.interval, [this] {
         tick();
     });
--- a/src/gateway/loadsubscription.h
+++ b/src/gateway/loadsubscription.h
@@ -106,7 +106,8 @@
     Instant m_openedAt = Instant::min();
     Instant m_newsAt = Instant::min();
     Instant m_endpointNewsAt = Instant::min();
-    Instant m_updatedAt = Instant::min();
+    /// Of the last update of `m_endpoints`.
+    Instant m_updatedAt{};
     bool m_hasNews = false;
     /// The home that is ranked before the collector in use, and since when.
     std::string m_preferred;
