Remove functions without callers, order the search world's members

SteeringTable::weightPercent has no caller either and stays: the operator's documentation of weight_percent relies on it, and no routing applies it yet.

--- a/src/libradishswitch/limits/fairqueue.cpp
+++ b/src/libradishswitch/limits/fairqueue.cpp
@@ -125,12 +125,6 @@
     band->second.heads.insert({queue.headStart, organisation});
 }
 
-Duration FairQueue::expectedWait(const QueuedRequest &request, Instant now)
-{
-    advance(now);
-    return estimateWait(request, now);
-}
-
 void FairQueue::add(const QueuedRequest &request, Instant now)
 {
     Band &band = m_bands[request.priority];
--- a/src/libradishswitch/limits/fairqueue.h
+++ b/src/libradishswitch/limits/fairqueue.h
@@ -66,9 +66,6 @@
     /// Corrects an organisation's virtual time after a served request cost `actual` instead of `estimated` tokens.
     void noteActualCost(const OrganisationId &organisation, int priority, std::int64_t estimated, std::int64_t actual);
 
-    /// How long such a request would wait at the measured rate. Zero until a rate is known.
-    Duration expectedWait(const QueuedRequest &request, Instant now);
-
     std::size_t size() const
     {
         return m_locations.size();
--- a/src/libradishswitch/requests/chatrequest.cpp
+++ b/src/libradishswitch/requests/chatrequest.cpp
@@ -153,11 +153,6 @@
     return m_wantsUsage;
 }
 
-std::int64_t ChatRequest::maximumTokens() const
-{
-    return m_maximumTokens;
-}
-
 std::int64_t ChatRequest::promptTokensBound() const
 {
     return m_promptTokensBound;
--- a/src/libradishswitch/requests/chatrequest.h
+++ b/src/libradishswitch/requests/chatrequest.h
@@ -29,8 +29,6 @@
     /// Whether the caller asked for the token usage at the end of the stream.
     bool wantsUsage() const;
 
-    std::int64_t maximumTokens() const;
-
     /// An upper bound for the number of prompt tokens. A tokenizer makes no more tokens than the text has bytes, and
     /// each message adds a few tokens of its own.
     std::int64_t promptTokensBound() const;
--- a/src/libradishswitch/requests/runtable.cpp
+++ b/src/libradishswitch/requests/runtable.cpp
@@ -277,11 +277,6 @@
     m_isLeaving = true;
 }
 
-bool RunTable::isLeaving() const
-{
-    return m_isLeaving;
-}
-
 int RunTable::runningCount() const
 {
     return static_cast<int>(m_running.size());
--- a/src/libradishswitch/requests/runtable.h
+++ b/src/libradishswitch/requests/runtable.h
@@ -116,7 +116,6 @@
 
     /// Refuses every new run from now on. It cannot be undone.
     void setLeaving();
-    bool isLeaving() const;
 
     int runningCount() const;
 
--- a/tests/core/budgets/searchworld.h
+++ b/tests/core/budgets/searchworld.h
@@ -219,7 +219,7 @@
         std::int64_t tokens;
         std::int64_t charge;
         Stage stage = Stage::NotOffered;
-        PortionId portion;
+        PortionId portion{};
         Instant confirmedAt{};
         std::string agent{};
     };
@@ -235,9 +235,9 @@
     const BudgetRecord &record() const;
     bool isEverythingDone() const;
 
+    mutable ManualTaskQueue m_agentTasks;
     FakeAgents m_agents;
     SearchStore::Shared m_shared;
-    mutable ManualTaskQueue m_agentTasks;
     std::vector<std::unique_ptr<Actor>> m_actors;
     std::vector<Request> m_requests;
     std::array<int, 2> m_submittedPayments{};
