Gateway test of older configurations: write only what the gateway reads

newerConfiguration_isNeverReplacedByOlderOne wrote its second stale configuration as config/other, which no gateway reads, and did not wait until the first was read: part of the 50 calls after it came before. It now writes versions 4 and 5 without the route as config/main beside version 5 in force, and sends its calls after the gateway has read each.

--- a/tests/radishswitch-gateway/gatewaystate_test.cpp
+++ b/tests/radishswitch-gateway/gatewaystate_test.cpp
@@ -15,6 +15,21 @@
         return response.ok() ? response->status : 0;
     }
 
+    /// Writes a configuration, and waits until the gateway has read it: it then watches for further changes.
+    void putConfigurationUntilRead(int version)
+    {
+        const auto watches = [this] {
+            return store.calls().at("GET config");
+        };
+        const int before = onTestServers([&] {
+            putConfiguration(version, 1'000'000);
+            return watches();
+        });
+        waitUntil([&] {
+            return onTestServers(watches) > before;
+        });
+    }
+
     /// The ledger's record of the only budget; null if there is none.
     Json budgetRecord()
     {
@@ -65,6 +80,8 @@
     });
 }
 
+// Guards against a gateway that replaces its configuration by one whose version is not higher, read from a store with
+// stale answers.
 TEST_F(GatewayStateTest, newerConfiguration_isNeverReplacedByOlderOne)
 {
     start();
@@ -76,13 +93,11 @@
     waitUntil([this] {
         return statusOf(request("/added/1", "call-2")) == 200;
     });
-    // A store with stale answers returns version 4, which lacks the route, and then another object of version 4.
-    onTestServers([this] {
-        extraRoutes = {};
-        putConfiguration(4, 1'000'000);
-        extraRoutes = {"/added/"};
-        putObject("config", "other", configuration(4, 1'000'000));
-    });
+    // Both lack the route.
+    extraRoutes = {};
+    for (const int version : {4, 5}) {
+        putConfigurationUntilRead(version);
+    }
     for (int n = 0; n < 50; ++n) {
         EXPECT_EQ(statusOf(request("/added/1", "again-" + std::to_string(n))), 200);
     }
