Check declarations of a table in one place

The readers of CSV and JSON files and TableDeclaration::merged each appended the problems of repeated names and chose between TableInvalid and the declaration. checkedDeclaration does it for all three; a CSV file with an unreadable header has no rows and thus no repeated names, as before.

--- a/src/libradishswitch/table/tablecsv.cpp
+++ b/src/libradishswitch/table/tablecsv.cpp
@@ -106,13 +106,8 @@
             for (std::size_t n = 1; n < m_records.size(); ++n) {
                 readRecord(m_records[n]);
             }
-            const std::vector<TableProblem> repeated = repeatedNames(m_declaration.rows);
-            m_problems.insert(m_problems.end(), repeated.begin(), repeated.end());
         }
-        if (!m_problems.empty()) {
-            return tableInvalid(m_problems);
-        }
-        return std::move(m_declaration);
+        return checkedDeclaration(std::move(m_declaration), std::move(m_problems));
     }
 
 private:
--- a/src/libradishswitch/table/tabledeclaration.cpp
+++ b/src/libradishswitch/table/tabledeclaration.cpp
@@ -30,6 +30,22 @@
     return problem;
 }
 
+/// Problems with names that stand more than once.
+std::vector<TableProblem> repeatedNames(const std::vector<DeclaredRow> &rows)
+{
+    std::vector<TableProblem> problems;
+    std::map<std::string, std::size_t> lines;
+    for (const DeclaredRow &row : rows) {
+        const std::string name = absl::StrCat(std::string(tableKindName(row.kind)), " ", row.name);
+        const auto [it, isNew] = lines.emplace(name, row.line);
+        if (!isNew) {
+            const std::string where = it->second > 0 ? absl::StrCat(" on line ", it->second) : "";
+            problems.push_back(rowProblem(row, "name", row.name, absl::StrCat("there once; it stands", where, " too")));
+        }
+    }
+    return problems;
+}
+
 absl::Status invalidFile(const std::string &value, const std::string &expected)
 {
     TableProblem problem;
@@ -56,12 +72,7 @@
         for (const nlohmann::json &it : json) {
             readRow(it);
         }
-        const std::vector<TableProblem> repeated = repeatedNames(m_declaration.rows);
-        m_problems.insert(m_problems.end(), repeated.begin(), repeated.end());
-        if (!m_problems.empty()) {
-            return tableInvalid(m_problems);
-        }
-        return std::move(m_declaration);
+        return checkedDeclaration(std::move(m_declaration), std::move(m_problems));
     }
 
 private:
@@ -124,19 +135,14 @@
     return buf;
 }
 
-std::vector<TableProblem> repeatedNames(const std::vector<DeclaredRow> &rows)
+absl::StatusOr<TableDeclaration> checkedDeclaration(TableDeclaration declaration, std::vector<TableProblem> problems)
 {
-    std::vector<TableProblem> problems;
-    std::map<std::string, std::size_t> lines;
-    for (const DeclaredRow &row : rows) {
-        const std::string name = absl::StrCat(std::string(tableKindName(row.kind)), " ", row.name);
-        const auto [it, isNew] = lines.emplace(name, row.line);
-        if (!isNew) {
-            const std::string where = it->second > 0 ? absl::StrCat(" on line ", it->second) : "";
-            problems.push_back(rowProblem(row, "name", row.name, absl::StrCat("there once; it stands", where, " too")));
-        }
+    const std::vector<TableProblem> repeated = repeatedNames(declaration.rows);
+    problems.insert(problems.end(), repeated.begin(), repeated.end());
+    if (!problems.empty()) {
+        return tableInvalid(problems);
     }
-    return problems;
+    return declaration;
 }
 
 absl::StatusOr<TableDeclaration> TableDeclaration::merged(TableDeclaration left, const TableDeclaration &right)
@@ -147,11 +153,7 @@
             left.kinds.push_back(kind);
         }
     }
-    const std::vector<TableProblem> repeated = repeatedNames(left.rows);
-    if (!repeated.empty()) {
-        return tableInvalid(repeated);
-    }
-    return left;
+    return checkedDeclaration(std::move(left), {});
 }
 
 absl::StatusOr<TableDeclaration> readTableJson(std::string_view text, TableKind kind)
--- a/src/libradishswitch/table/tabledeclaration.h
+++ b/src/libradishswitch/table/tabledeclaration.h
@@ -51,8 +51,9 @@
 /// Eight hexadecimal digits over a row's cells, so that a row of an old export that nobody has edited is known.
 std::string fingerprintOf(const TableRow &row);
 
-/// Problems with names that stand more than once.
-std::vector<struct TableProblem> repeatedNames(const std::vector<DeclaredRow> &rows);
+/// The declaration, or TableInvalid if its files have problems or a name is declared more than once.
+absl::StatusOr<TableDeclaration> checkedDeclaration(TableDeclaration declaration,
+                                                    std::vector<struct TableProblem> problems);
 
 /// Reads a JSON file of one kind: a list of objects with "name" and columns, which `null` sets to their defaults.
 absl::StatusOr<TableDeclaration> readTableJson(std::string_view text, TableKind kind);
