--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -1,5 +1,7 @@
 #include "fleetsettings.h"
 
+#include "loglevelsetting.h"
+
 namespace RadishSwitch
 {
 
@@ -17,12 +19,7 @@
 
 void addFleetSettings(SettingsParser &parser, FleetSettings &settings)
 {
-    parser.addChoice(
-        "log-level", {"debug", "info", "warning", "error", "off"},
-        [&settings](std::size_t n) {
-            settings.log.level = static_cast<LogLevel>(n);
-        },
-        "info", "severity of the least severe log lines that are written");
+    addLogLevel(parser, settings.log, "severity of the least severe log lines that are written");
     parser.add("peer-listen", settings.peerListen, "address on which other processes of the fleet connect");
     parser.add("fleet-key", settings.fleetKey, "secret that all processes of the fleet share");
     parser.add("admin-listen", settings.adminListen, "address on which /metrics, /livez and /readyz are served");
--- a/src/libradishnet/commonsettings.cpp
+++ b/src/libradishnet/commonsettings.cpp
@@ -1,6 +1,7 @@
 #include "commonsettings.h"
 
 #include "base/failure.h"
+#include "loglevelsetting.h"
 
 #include <absl/strings/ascii.h>
 
@@ -52,12 +53,7 @@
 
 void addProcessSettings(SettingsParser &parser, ProcessSettings &settings)
 {
-    parser.addChoice(
-        "log-level", {"debug", "info", "warning", "error", "off"},
-        [&settings](std::size_t n) {
-            settings.log.level = static_cast<LogLevel>(n);
-        },
-        "info", "The least severe log line that is written");
+    addLogLevel(parser, settings.log, "The least severe log line that is written");
     parser.addChoice(
         "log-format", {"text", "json"},
         [&settings](std::size_t n) {
