HTTP server: let the intake end kept connections after their answers

A caller of a kept connection stays at a gateway that has left the load balancer's rotation. RequestIntake::closesAfterAnswer() is asked when the head of a whole or streamed answer is written, at most once a second for each connection, so that a share of true answers is a share of the connections in each second whatever their rate of requests. The answer is marked and the connection ended as while draining; never with bytes of a next request read or waiting in the kernel.

Without the check for a next request closesAfterAnswer_nextRequestAlreadySent_bothAreAnswered fails.

--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -295,6 +295,20 @@
     return intake && intake->isRefusing();
 }
 
+// A caller may send its next request before it has the answer. Closed now, the connection would leave that request
+// unanswered.
+template<typename Stream>
+bool HttpSession<Stream>::isClosedByIntake()
+{
+    RequestIntake *intake = m_context->settings.intake;
+    const auto now = Clock::now();
+    if (!intake || (m_closeAskedAt && now - *m_closeAskedAt < kCloseQuestionInterval)) {
+        return false;
+    }
+    m_closeAskedAt = now;
+    return intake->closesAfterAnswer() && m_buffer.size() == 0 && unread() == 0;
+}
+
 template<typename Stream>
 net::awaitable<void> HttpSession<Stream>::refuseUnread()
 {
@@ -561,7 +575,8 @@
     for (const auto &[name, value] : headers.fields()) {
         message.insert(name, value);
     }
-    m_isKeptAlive = m_isKeptAlive && !m_isDraining && !m_context->isClosing && message.keep_alive();
+    const bool isLast = m_isDraining || m_context->isClosing;
+    m_isKeptAlive = m_isKeptAlive && !isLast && message.keep_alive() && !isClosedByIntake();
     message.keep_alive(m_isKeptAlive);
 }
 
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -95,6 +95,8 @@
     /// How often a deadline is put off because this process was late. A caller that has a byte unread each time, by
     /// chance or on purpose, is cut off after this many more read timeouts.
     static constexpr int kMostExtensions = 4;
+    /// How often a connection asks the intake whether to close.
+    static constexpr Duration kCloseQuestionInterval = std::chrono::seconds(1);
 
     boost::asio::awaitable<bool> handshake();
     boost::asio::awaitable<bool> serveOne();
@@ -108,6 +110,8 @@
     boost::beast::error_code parse();
     void endReading();
     bool isRefusedUnread() const;
+    /// Whether the intake asks for the end of the connection. Never with bytes of a next request at hand.
+    bool isClosedByIntake();
     boost::asio::awaitable<void> refuseUnread();
     boost::asio::awaitable<boost::beast::error_code> sendContinue();
     boost::asio::awaitable<void> refuse(boost::beast::error_code ec);
@@ -153,6 +157,8 @@
     /// When the request's first byte was read.
     std::optional<std::chrono::steady_clock::time_point> m_begunAt;
     std::chrono::steady_clock::time_point m_lastRead;
+    /// When the intake was last asked whether to close the connection.
+    std::optional<std::chrono::steady_clock::time_point> m_closeAskedAt;
     /// Since when the connection is read on after the last answer.
     std::optional<std::chrono::steady_clock::time_point> m_lingerSince;
     bool m_isWatchingPeer = false;
--- a/src/libradishnet/requestintake.h
+++ b/src/libradishnet/requestintake.h
@@ -18,6 +18,14 @@
 
     /// The answer to a request that is refused; `request` has no body. The connection ends with it.
     virtual HttpResponse refuse(const HttpRequest &request) = 0;
+
+    /// Whether a kept connection is to be closed after the answer whose head is about to be written, so that its caller
+    /// connects anew. Asked at most once a second for each connection, however many requests it carries, so that the
+    /// share of true answers is about the share of the connections that close in a second.
+    virtual bool closesAfterAnswer()
+    {
+        return false;
+    }
 };
 
 }
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -65,6 +65,30 @@
     std::string lastTarget;
 };
 
+/// Accepts everything and, if told so, closes connections after their answers.
+class ClosingIntake : public RequestIntake
+{
+public:
+    bool isRefusing() override
+    {
+        return false;
+    }
+
+    HttpResponse refuse(const HttpRequest & /*request*/) override
+    {
+        return HttpResponse{503, {}, ""};
+    }
+
+    bool closesAfterAnswer() override
+    {
+        ++asked;
+        return isClosing;
+    }
+
+    std::atomic<bool> isClosing = true;
+    std::atomic<int> asked = 0;
+};
+
 }
 
 class HttpServerTest : public LoopbackFixture
@@ -465,6 +489,105 @@
     EXPECT_EQ(response->status, 200);
 }
 
+// Guards against callers of kept connections that never move to another instance, and against an answer that is cut
+// short by the end of its connection.
+TEST_F(HttpServerTest, closesAfterAnswer_wholeAndStreamedAnswers_areCompleteAndEndTheirConnections)
+{
+    ClosingIntake intake;
+    HttpServerSettings settings;
+    settings.intake = &intake;
+    const std::string address = serve(
+        [](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+            if (exchange.request().target == "/stream") {
+                HttpHeaders headers;
+                headers.add("X-Peer", exchange.peer());
+                (void)co_await exchange.beginStream(200, headers);
+                (void)co_await exchange.write("first ");
+                (void)co_await exchange.write("second");
+                (void)co_await exchange.endStream();
+            } else {
+                co_await echo(exchange);
+            }
+        },
+        settings);
+
+    const auto whole = fetch(address, post("hello"));
+    HttpRequest request;
+    request.target = "/stream";
+    const auto streamed = fetch(address, request);
+    const auto next = fetch(address);
+
+    ASSERT_TRUE(whole.ok() && streamed.ok() && next.ok());
+    EXPECT_EQ(whole->body, "POST / hello");
+    EXPECT_EQ(whole->headers.find("connection"), "close");
+    EXPECT_EQ(streamed->body, "first second");
+    EXPECT_EQ(streamed->headers.find("connection"), "close");
+    EXPECT_NE(whole->headers.find("x-peer"), streamed->headers.find("x-peer"));
+    EXPECT_NE(streamed->headers.find("x-peer"), next->headers.find("x-peer"));
+}
+
+// Guards against connections with many requests that all close at once: each is asked about once a second at most.
+TEST_F(HttpServerTest, closesAfterAnswer_manyRequestsOnAConnection_isAskedOnceASecond)
+{
+    ClosingIntake intake;
+    intake.isClosing = false;
+    HttpServerSettings settings;
+    settings.intake = &intake;
+    const std::string address = serve(echo, settings);
+    const auto begunAt = std::chrono::steady_clock::now();
+    for (int n = 0; n < 20; ++n) {
+        ASSERT_TRUE(fetch(address).ok());
+    }
+    const auto taken = std::chrono::steady_clock::now() - begunAt;
+
+    EXPECT_GE(intake.asked, 1);
+    EXPECT_LE(intake.asked, 1 + taken / std::chrono::seconds(1));
+}
+
+// Guards against a request that is read, or waits to be read, when its connection closes: its caller would not know
+// whether it ran.
+TEST_F(HttpServerTest, closesAfterAnswer_nextRequestAlreadySent_bothAreAnswered)
+{
+    ClosingIntake intake;
+    HttpServerSettings settings;
+    settings.intake = &intake;
+    using Resume = std::function<void(bool)>;
+    std::promise<Resume> started;
+    HttpServer &server = start(
+        [&started](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+            if (exchange.request().target == "/slow") {
+                (void)co_await awaitCallback<bool>([&started](Resume resume) {
+                    started.set_value(std::move(resume));
+                });
+            }
+            co_await echo(exchange);
+        },
+        settings);
+    const auto get = [](const std::string &target) {
+        return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    };
+
+    // Both in one piece: the second is read with the first.
+    const std::string together = exchangeRaw(server.port(), get("/one") + get("/two"));
+    EXPECT_NE(together.find("GET /one "), std::string::npos);
+    EXPECT_NE(together.find("GET /two "), std::string::npos);
+
+    // The second arrives while the first is served, and waits in the kernel.
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), server.port()});
+    boost::asio::write(socket, boost::asio::buffer(get("/slow")));
+    const Resume resume = started.get_future().get();
+    boost::asio::write(socket, boost::asio::buffer(get("/next")));
+    resume(true);
+    socket.shutdown(boost::asio::socket_base::shutdown_send);
+    std::string answers;
+    boost::system::error_code ec;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answers), ec);
+    EXPECT_NE(answers.find("GET /slow "), std::string::npos);
+    EXPECT_NE(answers.find("GET /next "), std::string::npos);
+}
+
 /// A server with one worker, which also plays the caller: whatever the machine does, the order of things is that of the
 /// test. A worker that waits in the play is one that is busy, with a large configuration say.
 class LateHttpServerTest : public testing::Test
