--- a/src/gateway/callintake.cpp
+++ b/src/gateway/callintake.cpp
@@ -3,6 +3,7 @@
 #include "base/failure.h"
 #include "log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace RadishSwitch
@@ -71,6 +72,7 @@
         const Instant now = m_timers.now();
         m_isProbePending = false;
         m_queueDelay = now - m_probeStartedAt;
+        m_queueDelayMeasuredAt = now;
         m_shedder.noteDelay(m_queueDelay, now);
     });
 }
@@ -94,9 +96,33 @@
     return m_refusal;
 }
 
+bool CallIntake::closesAfterAnswer()
+{
+    return m_rotation && m_rotation->closesConnection();
+}
+
+void CallIntake::setRotation(std::unique_ptr<GatewayRotation> rotation)
+{
+    m_rotation = std::move(rotation);
+}
+
+double CallIntake::processorFullness(Instant now) const
+{
+    const bool isValid = now - m_queueDelayMeasuredAt < m_settings.measurementLifetime;
+    const Duration measured = isValid ? m_queueDelay : Duration::zero();
+    const Duration pending = m_isProbePending ? now - m_probeStartedAt : Duration::zero();
+    // The target may be set to zero.
+    const Duration target = std::max(m_settings.target, Duration(1));
+    return std::chrono::duration<double>(std::max(measured, pending)) / std::chrono::duration<double>(target);
+}
+
 void CallIntake::updateAway()
 {
     const Instant now = m_timers.now();
+    if (m_rotation) {
+        m_rotation->noteRefused(m_link.isShedding(now) ? RotationReason::Link : RotationReason::Processor);
+        return;
+    }
     const bool isDiverting = m_shedder.isDiverting(now) || m_link.isDiverting(now);
     if (isDiverting && m_timer == 0) {
         m_timer = m_timers.after(m_settings.divertFor, [this] {
--- a/src/gateway/callintake.h
+++ b/src/gateway/callintake.h
@@ -3,6 +3,7 @@
 #include "base/timerservice.h"
 #include "callmetrics.h"
 #include "callprotocol.h"
+#include "gatewayrotation.h"
 #include "limits/linkshedder.h"
 #include "limits/loadshedder.h"
 #include "logsampler.h"
@@ -10,6 +11,7 @@
 #include "workerpool.h"
 
 #include <functional>
+#include <memory>
 
 namespace RadishSwitch
 {
@@ -33,15 +35,23 @@
 
     bool isRefusing() override;
     HttpResponse refuse(const HttpRequest &request) override;
+    bool closesAfterAnswer() override;
+
+    /// Lets `rotation` decide when new callers should go to other instances, in place of the rule of the shedders.
+    void setRotation(std::unique_ptr<GatewayRotation> rotation);
 
     /// Whether the load balancer should send new callers to other instances for now.
     bool isDiverting() const
     {
-        return m_isDiverting;
+        return m_rotation ? m_rotation->isAway() : m_isDiverting;
     }
 
+    /// How late the process runs its tasks, relative to the delay at which it refuses calls.
+    double processorFullness(Instant now) const;
+
 private:
     void startProbe(Instant now);
+    /// Called with each refusal, and until the gateway is no longer away.
     void updateAway();
 
     WorkerPool &m_workers;
@@ -55,7 +65,9 @@
     const std::function<void()> m_onAwayChanged;
     const HttpResponse m_refusal;
     const HttpResponse m_stopRefusal;
+    std::unique_ptr<GatewayRotation> m_rotation;
     Duration m_queueDelay{};
+    Instant m_queueDelayMeasuredAt{};
     Instant m_probeStartedAt{};
     bool m_isProbePending = false;
     bool m_isDiverting = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -147,6 +147,9 @@
 void Gateway::startOnWorker()
 {
     m_homes.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
+    if (m_settings.rotatesByLoad) {
+        startRotation();
+    }
     if (m_settings.watchesAlone) {
         m_homes.watchAlone();
     }
@@ -287,6 +290,22 @@
     m_admin.setReady(isServing() && !m_isStopping && !m_intake.isDiverting());
 }
 
+void Gateway::startRotation()
+{
+    RotationInputs inputs;
+    inputs.fullness = [this](Instant now) {
+        return m_intake.processorFullness(now);
+    };
+    // Nothing is known of the zone's other gateways yet, so that the gateway leaves only because of refusals.
+    inputs.neighbours = [](Instant /*now*/) {
+        return std::vector<GatewayLoadReport>();
+    };
+    m_intake.setRotation(std::make_unique<GatewayRotation>(m_timers, m_random, m_metrics, rotationSettings(m_settings),
+                                                           std::move(inputs), [this] {
+                                                               updateReady();
+                                                           }));
+}
+
 boost::asio::awaitable<void> Gateway::serve(HttpExchange &exchange)
 {
     // After a power loss all gateways start at once. Gateways that do not know their peers yet would all take portions
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,8 @@
     void followPeers();
     void follow(ObjectFollower &follower, const std::string &prefix);
     void updateReady();
+    /// Lets the load of the zone's gateways decide when this one leaves the load balancer's rotation.
+    void startRotation();
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     void stopAccepting();
     void releaseBudgets();
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -86,6 +86,8 @@
                      "unused retries that a gateway may accumulate for a pool");
     parser.addFlag("take-all-calls", settings.takesAllCalls, "never refuse calls because of overload");
     parser.add("shed-target", settings.shedding.target, "queueing delay up to which every call is accepted");
+    parser.addFlag("rotation-by-load", settings.rotatesByLoad,
+                   "leave the load balancer's rotation by the load of this gateway and of its zone's gateways");
     parser.addFlag("ignore-pressure", settings.ignoresPressure,
                    "send calls to endpoints even if these already answer late");
     addPlacementSettings(parser, settings.placement);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -47,6 +47,8 @@
     /// Calls are never refused unread, not even while the gateway has too little processor time for them.
     bool takesAllCalls = false;
     LoadShedderSettings shedding;
+    /// The gateway leaves the load balancer's rotation by its own load and that of the zone's gateways.
+    bool rotatesByLoad = false;
     /// Calls are sent to endpoints even if these already answer late.
     bool ignoresPressure = false;
 };
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -110,4 +110,14 @@
     return shedding;
 }
 
+RotationSettings rotationSettings(const GatewaySettings &settings)
+{
+    RotationSettings rotation;
+    rotation.gateway = settings.instance;
+    rotation.refusingFor = settings.shedding.divertAfter;
+    rotation.refusalGap = settings.shedding.overloadGap;
+    rotation.firstAway = settings.shedding.divertFor;
+    return rotation;
+}
+
 }
--- a/src/gateway/partsettings.h
+++ b/src/gateway/partsettings.h
@@ -8,6 +8,7 @@
 #include "limits/retrybudget.h"
 #include "serving/callgate.h"
 #include "serving/objectfollower.h"
+#include "serving/rotationpolicy.h"
 
 /// Derives the settings of the components of a gateway from the settings of the gateway. Values that operators cannot
 /// set are constants here.
@@ -26,5 +27,6 @@
 CallGateSettings gateSettings(const GatewaySettings &settings);
 HttpServerSettings callerServerSettings(RequestIntake &intake);
 LoadShedderSettings shedderSettings(const GatewaySettings &settings);
+RotationSettings rotationSettings(const GatewaySettings &settings);
 
 }
