--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -118,4 +118,14 @@
     return subscription;
 }
 
+RotationSettings rotationSettings(const GatewaySettings &settings)
+{
+    RotationSettings rotation;
+    rotation.gateway = settings.instance;
+    rotation.refusingFor = settings.shedding.divertAfter;
+    rotation.refusalGap = settings.shedding.overloadGap;
+    rotation.firstAway = settings.shedding.divertFor;
+    return rotation;
+}
+
 }
--- a/src/gateway/partsettings.h
+++ b/src/gateway/partsettings.h
@@ -9,6 +9,7 @@
 #include "loadsubscription.h"
 #include "serving/callgate.h"
 #include "serving/objectfollower.h"
+#include "serving/rotationpolicy.h"
 
 /// Derives the settings of the components of a gateway from the settings of the gateway. Values that operators cannot
 /// set are constants here.
@@ -28,5 +29,6 @@
 HttpServerSettings callerServerSettings(RequestIntake &intake);
 LoadShedderSettings shedderSettings(const GatewaySettings &settings);
 LoadSubscriptionSettings loadSubscriptionSettings(const GatewaySettings &settings);
+RotationSettings rotationSettings(const GatewaySettings &settings);
 
 }
