Count the link's bytes and refuse calls by them, with a reason

Log lines and the counter of refused calls tell the reason in place of link_full. CallIntake::fullness gives the use of the link or the delay of the process, whichever is greater.

--- a/src/gateway/callintake.cpp
+++ b/src/gateway/callintake.cpp
@@ -3,6 +3,7 @@
 #include "base/failure.h"
 #include "log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace RadishSwitch
@@ -16,11 +17,12 @@
 /// The retry normally reaches another instance that has capacity, so that a long wait is not needed. The short wait
 /// spreads out a crowd of callers.
 constexpr std::chrono::milliseconds kRetryAfter{20};
+constexpr char kOverloaded[] = "this instance is overloaded";
 
 }
 
 CallIntake::CallIntake(WorkerPool &workers, TimerService &timers, const CallProtocol &protocol, CallMetrics &metrics,
-                       LogSampler &sampler, LinkShedder &link, LoadShedderSettings settings,
+                       LogSampler &sampler, LinkShedder &link, IntakeBudget &budget, LoadShedderSettings settings,
                        std::function<void()> onAwayChanged)
     : m_workers(workers)
     , m_timers(timers)
@@ -28,10 +30,11 @@
     , m_metrics(metrics)
     , m_sampler(sampler)
     , m_link(link)
+    , m_budget(budget)
     , m_settings(settings)
     , m_shedder(settings)
     , m_onAwayChanged(std::move(onAwayChanged))
-    , m_refusal(protocol.failure(makeFailure(FailureCode::Overloaded, "this instance is overloaded", kRetryAfter)))
+    , m_refusal(protocol.failure(makeFailure(FailureCode::Overloaded, kOverloaded, kRetryAfter)))
     , m_stopRefusal(protocol.failure(makeFailure(FailureCode::Draining, "this instance is shutting down", kRetryAfter)))
 {
 }
@@ -46,18 +49,57 @@
     m_isStopped = true;
 }
 
-bool CallIntake::isRefusing()
+void CallIntake::setTable(ServingTablePointer table)
+{
+    m_table = std::move(table);
+}
+
+bool CallIntake::isRefusing(const HttpRequest &head)
 {
     if (m_isStopped) {
         return true;
     }
-    const Instant now = m_timers.now();
+    m_reason = reasonToRefuse(head, m_timers.now());
+    return m_reason.has_value();
+}
+
+std::optional<RefusalReason> CallIntake::reasonToRefuse(const HttpRequest &head, Instant now)
+{
     if (m_isProbePending) {
         m_shedder.noteOverdue(now - m_probeStartedAt, now);
     } else {
         startProbe(now);
     }
-    return m_shedder.isShedding(now) || m_link.isShedding(now);
+    if (m_link.isShedding(now)) {
+        return RefusalReason::LinkDelay;
+    }
+    if (m_shedder.isShedding(now)) {
+        return RefusalReason::Processor;
+    }
+    return m_budget.isActive() ? m_budget.refusalOf(intakeRequest(head), now) : std::nullopt;
+}
+
+// The organisation of an unknown key is the empty one, so that invented keys share one part of the link.
+IntakeRequest CallIntake::intakeRequest(const HttpRequest &head) const
+{
+    const CallHead call = m_protocol.readHead(head);
+    const ServedOrganisation *organisation = m_table ? m_table->organisationOfKey(call.apiKey) : nullptr;
+    return {organisation ? organisation->name : OrganisationId(), call.declaredLength.value_or(0)};
+}
+
+void CallIntake::noteCutOff(std::int64_t unread, Duration age)
+{
+    m_budget.noteCutOff(unread, age, m_timers.now());
+}
+
+double CallIntake::fullness(Instant now) const
+{
+    Duration delay = now - m_measuredAt < m_settings.measurementLifetime ? m_queueDelay : Duration::zero();
+    if (m_isProbePending) {
+        delay = std::max(delay, now - m_probeStartedAt);
+    }
+    const double lateness = std::chrono::duration<double>(delay) / std::chrono::duration<double>(m_settings.target);
+    return std::max(m_budget.linkUse(now), lateness);
 }
 
 void CallIntake::startProbe(Instant now)
@@ -70,6 +112,7 @@
         }
         const Instant now = m_timers.now();
         m_isProbePending = false;
+        m_measuredAt = now;
         m_queueDelay = now - m_probeStartedAt;
         m_shedder.noteDelay(m_queueDelay, now);
     });
@@ -82,16 +125,28 @@
         kLog.info("call refused during shutdown", {field("call", m_protocol.callId(request).value())});
         return m_stopRefusal;
     }
-    const bool isLinkFull = m_link.isShedding(now);
-    isLinkFull ? m_link.noteRefused(now) : m_shedder.noteRefused(now);
-    m_metrics.noteRefusedUnread();
+    const RefusalReason reason = m_reason.value_or(RefusalReason::Processor);
+    // A link that has no room by counted bytes is as full as one that is late.
+    reason == RefusalReason::Processor ? m_shedder.noteRefused(now) : m_link.noteRefused(now);
+    m_metrics.noteRefusedUnread(reason);
     const RequestId call = m_protocol.callId(request);
     if (m_sampler.shouldLog(call, now)) {
         kLog.warning("call refused because of overload",
-                     {field("call", call.value()), field("delay", m_queueDelay), field("link_full", isLinkFull)});
+                     {field("call", call.value()), field("delay", m_queueDelay),
+                      field("reason", std::string(refusalReasonName(reason)))});
     }
     updateAway();
-    return m_refusal;
+    return refusal(reason, now);
+}
+
+HttpResponse CallIntake::refusal(RefusalReason reason, Instant now)
+{
+    const bool isByBytes = reason == RefusalReason::LinkBytes || reason == RefusalReason::Share;
+    if (!isByBytes) {
+        return m_refusal;
+    }
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(m_budget.retryAfter(now));
+    return m_protocol.failure(makeFailure(FailureCode::Overloaded, kOverloaded, wait));
 }
 
 void CallIntake::updateAway()
--- a/src/gateway/callintake.h
+++ b/src/gateway/callintake.h
@@ -3,13 +3,16 @@
 #include "base/timerservice.h"
 #include "callmetrics.h"
 #include "callprotocol.h"
+#include "limits/intakebudget.h"
 #include "limits/linkshedder.h"
 #include "limits/loadshedder.h"
 #include "logsampler.h"
 #include "requestintake.h"
+#include "serving/servingtable.h"
 #include "workerpool.h"
 
 #include <functional>
+#include <optional>
 
 namespace RadishSwitch
 {
@@ -17,6 +20,9 @@
 /// Refuses calls while the gateway has too little processor time or link capacity for them, or is stopping, and tells
 /// when the load balancer should send new callers to other instances.
 ///
+/// The first of these reasons counts: the process is late, new connections are late, the counted bytes of the link
+/// leave no room for the call or for more of its organisation.
+///
 /// The queueing delay of the gateway is measured by a probe task appended to the worker's queue. There is at most one
 /// probe at a time, and only while calls arrive, so that an idle gateway spends no processor time on it.
 class CallIntake : public RequestIntake
@@ -24,15 +30,23 @@
 public:
     /// `onAwayChanged` is called whenever the value of `isDiverting` changes.
     CallIntake(WorkerPool &workers, TimerService &timers, const CallProtocol &protocol, CallMetrics &metrics,
-               LogSampler &sampler, LinkShedder &link, LoadShedderSettings settings,
+               LogSampler &sampler, LinkShedder &link, IntakeBudget &budget, LoadShedderSettings settings,
                std::function<void()> onAwayChanged);
     ~CallIntake() override;
 
     /// Refuses every call from now on, since a call accepted now could last longer than the shutdown.
     void stop();
 
-    bool isRefusing() override;
+    /// The organisations of API keys.
+    void setTable(ServingTablePointer table);
+
+    bool isRefusing(const HttpRequest &head) override;
     HttpResponse refuse(const HttpRequest &request) override;
+    void noteCutOff(std::int64_t unread, Duration age) override;
+
+    /// How full the gateway is: the greater of the use of its link in the last second, relative to its bandwidth, and
+    /// of the delay of the process relative to its target. Above 1 it has more work than it can do.
+    double fullness(Instant now) const;
 
     /// Whether the load balancer should send new callers to other instances for now.
     bool isDiverting() const
@@ -41,6 +55,9 @@
     }
 
 private:
+    std::optional<RefusalReason> reasonToRefuse(const HttpRequest &head, Instant now);
+    IntakeRequest intakeRequest(const HttpRequest &head) const;
+    HttpResponse refusal(RefusalReason reason, Instant now);
     void startProbe(Instant now);
     void updateAway();
 
@@ -50,12 +67,18 @@
     CallMetrics &m_metrics;
     LogSampler &m_sampler;
     LinkShedder &m_link;
+    IntakeBudget &m_budget;
     const LoadShedderSettings m_settings;
     LoadShedder m_shedder;
     const std::function<void()> m_onAwayChanged;
     const HttpResponse m_refusal;
     const HttpResponse m_stopRefusal;
+    ServingTablePointer m_table;
+    /// Why the request about which `isRefusing` was asked last is refused; empty if it is not, or because of a
+    /// shutdown.
+    std::optional<RefusalReason> m_reason;
     Duration m_queueDelay{};
+    Instant m_measuredAt{};
     Instant m_probeStartedAt{};
     bool m_isProbePending = false;
     bool m_isDiverting = false;
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -16,12 +16,22 @@
     return metrics.histogram(kStageName, kStageHelp, kLatencyRange, {{"stage", name}});
 }
 
+std::array<Counter *, kRefusalReasons.size()> refusalCounters(Metrics &metrics)
+{
+    std::array<Counter *, kRefusalReasons.size()> counters{};
+    for (const RefusalReason it : kRefusalReasons) {
+        counters[static_cast<std::size_t>(it)] =
+            &metrics.counter("radishswitch_calls_refused_unread_total", "Calls refused before they were read",
+                             {{"reason", std::string(refusalReasonName(it))}});
+    }
+    return counters;
+}
+
 }
 
 CallMetrics::CallMetrics(Metrics &metrics)
     : m_metrics(metrics)
-    , m_refusedUnread(metrics.counter("radishswitch_calls_refused_unread_total",
-                                      "Calls refused before they were read, for want of processor time"))
+    , m_refusedUnread(refusalCounters(metrics))
     , m_backoffs(
           metrics.counter("radishswitch_endpoint_backoffs_total", "Demands of endpoints to be sent nothing for a time"))
     , m_heldUp(metrics.counter("radishswitch_requests_held_up_total",
@@ -55,9 +65,9 @@
     m_placing.record(taken);
 }
 
-void CallMetrics::noteRefusedUnread()
+void CallMetrics::noteRefusedUnread(RefusalReason reason)
 {
-    m_refusedUnread.add();
+    m_refusedUnread[static_cast<std::size_t>(reason)]->add();
 }
 
 void CallMetrics::noteCutOff(const absl::Status &status)
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "limits/refusalreason.h"
 #include "metrics.h"
 #include "serving/attemptrules.h"
 
 #include <absl/status/status.h>
 
+#include <array>
 #include <string>
 
 namespace RadishSwitch
@@ -28,7 +30,8 @@
     /// Records the time in the queue until an endpoint was found or the call was refused.
     void notePlaced(Duration taken);
 
-    void noteRefusedUnread();
+    /// Counts a call that was refused before its body was read.
+    void noteRefusedUnread(RefusalReason reason);
 
     /// Counts an answer that was aborted after its head had been sent to the caller.
     void noteCutOff(const absl::Status &status);
@@ -43,7 +46,8 @@
 
 private:
     Metrics &m_metrics;
-    Counter &m_refusedUnread;
+    /// By reason.
+    std::array<Counter *, kRefusalReasons.size()> m_refusedUnread;
     Counter &m_backoffs;
     Counter &m_heldUp;
     Histogram &m_total;
--- a/src/gateway/callprotocol.h
+++ b/src/gateway/callprotocol.h
@@ -45,6 +45,17 @@
     bool operator==(const AnswerHead &) const = default;
 };
 
+/// What the head of a request tells about the load of the call, before its body is read.
+struct CallHead {
+    /// Empty if the caller sent no API key.
+    std::string apiKey;
+    std::string host;
+    /// Length of the body, if the head declares it.
+    std::optional<std::int64_t> declaredLength;
+
+    bool operator==(const CallHead &) const = default;
+};
+
 /// The HTTP headers by which callers, gateways and endpoints exchange the properties of a call.
 class CallProtocol
 {
@@ -54,6 +65,9 @@
     /// Reads the call from the headers; InvalidRequest if they are malformed.
     virtual absl::StatusOr<CallRequest> readCall(const HttpRequest &request) const = 0;
 
+    /// Reads only what is needed to decide whether the body is read; nothing of it is validated.
+    virtual CallHead readHead(const HttpRequest &request) const = 0;
+
     /// The id of a call even if its other headers are invalid; empty if there is no id.
     virtual RequestId callId(const HttpRequest &request) const = 0;
 
--- a/src/gateway/endpointconnections.cpp
+++ b/src/gateway/endpointconnections.cpp
@@ -36,7 +36,7 @@
 
 EndpointConnections::ConnectionPointer EndpointConnections::create(const std::string &address)
 {
-    return std::make_shared<HttpConnection>(m_workers, address, m_settings.silenceLimits);
+    return std::make_shared<HttpConnection>(m_workers, address, m_settings.silenceLimits, m_settings.traffic);
 }
 
 void EndpointConnections::release(const EndpointId &endpoint, const ConnectionPointer &connection,
--- a/src/gateway/endpointconnections.h
+++ b/src/gateway/endpointconnections.h
@@ -24,6 +24,8 @@
     SilenceLimits silenceLimits{.unacknowledged = std::chrono::milliseconds(1000),
                                 .heldUpRequest = std::chrono::milliseconds(600),
                                 .probeInterval = std::chrono::seconds(1)};
+    /// Counts the bytes of all connections; null to count none.
+    LinkTraffic *traffic = nullptr;
 };
 
 /// The pool of idle connections to endpoints. It is used on one worker only.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,9 +54,10 @@
                      [this](const std::map<std::string, FleetPeer> &peers) {
                          handlePeers(peers);
                      })
-    , m_connections(m_workers)
+    , m_connections(m_workers, connectionSettings(m_settings, m_traffic))
     , m_callMetrics(m_metrics)
     , m_link(shedderSettings(m_settings))
+    , m_intakeBudget(intakeBudgetSettings(m_settings), m_traffic, m_random)
     , m_poison(m_workers, m_store, m_connections, m_timers, m_random, m_settings.instance,
                [this](const EndpointIncarnation &incarnation) {
                    m_gate.noteCrashed(incarnation.endpoint);
@@ -78,7 +79,8 @@
                  m_link,
                  m_poison,
                  m_limits}
-    , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, m_link, shedderSettings(m_settings),
+    , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, m_link, m_intakeBudget,
+               shedderSettings(m_settings),
                [this] {
                    updateReady();
                })
@@ -99,7 +101,7 @@
                        followerSettings(m_settings))
     , m_reportFollower(m_relayedStore, m_timers, m_random, kReportPrefix, m_reportRouter, reportFollowerSettings())
     , m_peerServer(m_workers, transportSettings(m_settings))
-    , m_server(m_workers, callerServerSettings(m_intake),
+    , m_server(m_workers, callerServerSettings(m_settings, m_intake, m_traffic),
                [this](HttpExchange &exchange) {
                    return serve(exchange);
                })
@@ -276,6 +278,7 @@
     serverLimits.idleTimeout = limits.idleTimeout;
     m_server.setLimits(serverLimits);
     m_gate.allowances().setPools(table->configuration().pools);
+    m_intake.setTable(table);
     updateReady();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,7 +15,9 @@
 #include "gatewaysettings.h"
 #include "httpserver.h"
 #include "limitreports.h"
+#include "limits/intakebudget.h"
 #include "limits/linkshedder.h"
+#include "limits/linktraffic.h"
 #include "peerannouncement.h"
 #include "peerregistry.h"
 #include "poisonguard.h"
@@ -103,12 +105,15 @@
     BudgetService m_budgetService;
     PeerAnnouncement m_announcement;
     PeerRegistry m_peerRegistry;
+    /// Bytes on the connections of callers and to endpoints, if the bandwidth of the link is known.
+    LinkTraffic m_traffic;
     EndpointConnections m_connections;
     std::map<PoolId, RetryBudget> m_retryBudgets;
     CallMetrics m_callMetrics;
     LogSampler m_sampler;
     LogSampler m_failureSampler;
     LinkShedder m_link;
+    IntakeBudget m_intakeBudget;
     PoisonGuard m_poison;
     LimitReports m_limits;
     CallServices m_services;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -16,6 +16,7 @@
 constexpr double kMaximumPrefillSpeed = 1e9;
 constexpr double kMaximumRereadFactor = 1000;
 constexpr double kMaximumLimit = 100'000;
+constexpr double kMaximumLinkMbps = 100'000;
 constexpr double kMinimumColdOvershoot = 0.01;
 constexpr double kMaximumColdOvershoot = 100;
 
@@ -86,6 +87,10 @@
                      "unused retries that a gateway may accumulate for a pool");
     parser.addFlag("take-all-calls", settings.takesAllCalls, "never refuse calls because of overload");
     parser.add("shed-target", settings.shedding.target, "queueing delay up to which every call is accepted");
+    parser.addNumber("link-mbps", settings.linkMbps, 0, kMaximumLinkMbps,
+                     "bandwidth of the link in each direction, in Mbit/s; 0 if unknown");
+    parser.addFlag("intake-budget", settings.hasIntakeBudget,
+                   "refuse calls by the counted bytes of the link; only with --link-mbps from above 0 to 50");
     parser.addFlag("ignore-pressure", settings.ignoresPressure,
                    "send calls to endpoints even if these already answer late");
     addPlacementSettings(parser, settings.placement);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -13,6 +13,9 @@
 namespace RadishSwitch
 {
 
+/// Wider links have not been seen full.
+constexpr double kWidestBudgetedLinkMbps = 50;
+
 /// The settings of a gateway, given when it is started.
 struct GatewaySettings : FleetSettings {
     /// The address at which the gateway accepts calls.
@@ -47,6 +50,12 @@
     /// Calls are never refused unread, not even while the gateway has too little processor time for them.
     bool takesAllCalls = false;
     LoadShedderSettings shedding;
+    /// Bandwidth of the gateway's link in each direction, in Mbit/s; zero if it is unknown. Bytes are counted only if
+    /// it is known.
+    double linkMbps = 0;
+    /// Calls are refused unread if the counted bytes of the link leave no room for them. Only for links of at most
+    /// `kWidestBudgetedLinkMbps`.
+    bool hasIntakeBudget = false;
     /// Calls are sent to endpoints even if these already answer late.
     bool ignoresPressure = false;
 };
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -89,10 +89,32 @@
     return gate;
 }
 
-HttpServerSettings callerServerSettings(RequestIntake &intake)
+LinkTraffic *countedTraffic(const GatewaySettings &settings, LinkTraffic &traffic)
+{
+    return settings.linkMbps > 0 ? &traffic : nullptr;
+}
+
+EndpointConnectionSettings connectionSettings(const GatewaySettings &settings, LinkTraffic &traffic)
+{
+    EndpointConnectionSettings connections;
+    connections.traffic = countedTraffic(settings, traffic);
+    return connections;
+}
+
+IntakeBudgetSettings intakeBudgetSettings(const GatewaySettings &settings)
+{
+    IntakeBudgetSettings budget;
+    budget.megabitsPerSecond = settings.linkMbps;
+    budget.isRefusing =
+        settings.hasIntakeBudget && !settings.takesAllCalls && settings.linkMbps <= kWidestBudgetedLinkMbps;
+    return budget;
+}
+
+HttpServerSettings callerServerSettings(const GatewaySettings &settings, RequestIntake &intake, LinkTraffic &traffic)
 {
     HttpServerSettings server;
     server.intake = &intake;
+    server.traffic = countedTraffic(settings, traffic);
     // Kept connections are closed shortly after the load balancer has turned to other instances. A request that arrives
     // three seconds after the start of the drain could last longer than the drain.
     server.drainGrace = std::chrono::milliseconds(300);
--- a/src/gateway/partsettings.h
+++ b/src/gateway/partsettings.h
@@ -5,6 +5,7 @@
 #include "gatewayadapter.h"
 #include "gatewaysettings.h"
 #include "httpserver.h"
+#include "limits/intakebudget.h"
 #include "limits/retrybudget.h"
 #include "serving/callgate.h"
 #include "serving/objectfollower.h"
@@ -24,7 +25,12 @@
 RetrySettings retrySettings(const GatewaySettings &settings);
 CallTimes callTimes(const GatewaySettings &settings);
 CallGateSettings gateSettings(const GatewaySettings &settings);
-HttpServerSettings callerServerSettings(RequestIntake &intake);
+/// Null if the bandwidth of the link is unknown: then no bytes are counted.
+LinkTraffic *countedTraffic(const GatewaySettings &settings, LinkTraffic &traffic);
+
+EndpointConnectionSettings connectionSettings(const GatewaySettings &settings, LinkTraffic &traffic);
+IntakeBudgetSettings intakeBudgetSettings(const GatewaySettings &settings);
+HttpServerSettings callerServerSettings(const GatewaySettings &settings, RequestIntake &intake, LinkTraffic &traffic);
 LoadShedderSettings shedderSettings(const GatewaySettings &settings);
 
 }
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -65,11 +65,13 @@
 
 }
 
-HttpConnection::HttpConnection(WorkerPool &workers, std::string address, SilenceLimits silenceLimits)
+HttpConnection::HttpConnection(WorkerPool &workers, std::string address, SilenceLimits silenceLimits,
+                               LinkTraffic *traffic)
     : m_strand(workers.connectionExecutor())
     , m_socket(m_strand)
     , m_address(std::move(address))
     , m_silenceLimits(silenceLimits)
+    , m_traffic(traffic)
     , m_watchdog(m_strand,
                  [this] {
                      expire();
@@ -158,6 +160,7 @@
     }
     http::async_write(m_socket, *m_outgoing, [self = shared_from_this()](beast::error_code ec, std::size_t n) {
         self->m_hasSent = n > 0;
+        self->noteWritten(n);
         self->m_outgoing.reset();
         if (ec) {
             self->close();
@@ -211,6 +214,7 @@
     const auto message = messageOf(request, m_address);
     m_parser.reset();
     const std::size_t n = co_await http::async_write(m_socket, message, awaitInto(ec));
+    noteWritten(n);
     if (!ec) {
         co_return absl::OkStatus();
     }
@@ -228,7 +232,9 @@
         m_parser->body_limit(kMaximumBodyBytes);
         m_parser->skip(!hasBody);
     }
-    co_await http::async_read_header(m_socket, m_buffer, *m_parser, awaitInto(ec));
+    const std::size_t buffered = m_buffer.size();
+    const std::size_t parsed = co_await http::async_read_header(m_socket, m_buffer, *m_parser, awaitInto(ec));
+    noteRead(parsed + m_buffer.size() - buffered);
     m_isReadingHead = ec == net::error::operation_aborted;
     co_return ec ? withUnknownOutcome(failure("reading", ec)) : absl::OkStatus();
 }
@@ -280,12 +286,27 @@
 {
     const std::size_t n = co_await m_socket.async_read_some(m_buffer.prepare(size), awaitInto(ec));
     m_buffer.commit(n);
+    noteRead(n);
     if (ec == net::error::eof) {
         ec = {};
         m_parser->put_eof(ec);
     }
 }
 
+void HttpConnection::noteRead(std::size_t n)
+{
+    if (m_traffic) {
+        m_traffic->noteIn(static_cast<std::int64_t>(n));
+    }
+}
+
+void HttpConnection::noteWritten(std::size_t n)
+{
+    if (m_traffic) {
+        m_traffic->noteOut(static_cast<std::int64_t>(n));
+    }
+}
+
 net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveAll(Duration silence, Clock::time_point end)
 {
     std::string data;
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -2,6 +2,7 @@
 
 #include "acknowledgementwatch.h"
 #include "httpclient.h"
+#include "limits/linktraffic.h"
 #include "watchdog.h"
 #include "workerpool.h"
 
@@ -46,7 +47,9 @@
     using Strand = boost::asio::any_io_executor;
     using Clock = std::chrono::steady_clock;
 
-    HttpConnection(WorkerPool &workers, std::string address, SilenceLimits silenceLimits = {});
+    /// `traffic` counts the bytes of the connection; null to count none.
+    HttpConnection(WorkerPool &workers, std::string address, SilenceLimits silenceLimits = {},
+                   LinkTraffic *traffic = nullptr);
 
     Strand strand() const;
     const std::string &address() const;
@@ -159,6 +162,8 @@
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
     void applySilenceLimits();
+    void noteRead(std::size_t n);
+    void noteWritten(std::size_t n);
     void setOption(int level, int name, int value);
     /// Parses what is buffered of the body into `space`, and gives how much that was.
     std::size_t parseBody(boost::asio::mutable_buffer space, boost::beast::error_code &ec);
@@ -169,6 +174,7 @@
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand> m_socket;
     const std::string m_address;
     const SilenceLimits m_silenceLimits;
+    LinkTraffic *const m_traffic;
     bool m_wasHeldUp = false;
     std::unique_ptr<Message> m_outgoing;
     bool m_hasSent = false;
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "base/timerservice.h"
 #include "httpmessages.h"
+#include "limits/linktraffic.h"
 #include "requestintake.h"
 #include "workerpool.h"
 
@@ -41,6 +42,8 @@
     Duration lingerTimeout = std::chrono::seconds(2);
     /// Asked about each request before its body is read; null to take them all. Outlives the server's workers.
     RequestIntake *intake = nullptr;
+    /// Counts the bytes of all connections; null to count none. Outlives the server's workers.
+    LinkTraffic *traffic = nullptr;
     /// PEM files; TLS is on when both are given.
     std::string certificateFile;
     std::string privateKeyFile;
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -134,6 +134,9 @@
     }
     if (!ec) {
         ec = co_await readBody();
+        if (ec) {
+            noteCutOff();
+        }
     }
     if (ec) {
         if (isMalformed(ec) && !m_isClosed) {
@@ -151,6 +154,7 @@
 net::awaitable<beast::error_code> HttpSession<Stream>::readHeader()
 {
     m_parser.emplace();
+    m_hasHead = false;
     m_limits = m_context->limits();
     m_idleSince = Clock::now();
     m_begunAt.reset();
@@ -215,7 +219,10 @@
     if (!m_begunAt) {
         beginRequest();
     }
-    m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+    const bool isBody = m_parser->is_header_done();
+    const std::size_t n = m_parser->put(m_buffer.data(), ec);
+    m_buffer.consume(n);
+    noteRead(n, isBody);
     return ec;
 }
 
@@ -288,44 +295,89 @@
     co_return n;
 }
 
+// Bytes are counted when they are parsed, so that the head of a request is counted before the intake is asked, and what
+// was read of its body after that.
+template<typename Stream>
+void HttpSession<Stream>::noteRead(std::size_t n, bool isBody)
+{
+    LinkTraffic *traffic = m_context->settings.traffic;
+    if (!traffic || n == 0) {
+        return;
+    }
+    const bool isDeclared = isBody && m_parser->content_length();
+    isDeclared ? traffic->noteDeclaredIn(static_cast<std::int64_t>(n)) : traffic->noteIn(static_cast<std::int64_t>(n));
+}
+
+template<typename Stream>
+void HttpSession<Stream>::noteWritten(std::size_t n)
+{
+    if (LinkTraffic *traffic = m_context->settings.traffic) {
+        traffic->noteOut(static_cast<std::int64_t>(n));
+    }
+}
+
 template<typename Stream>
-bool HttpSession<Stream>::isRefusedUnread() const
+bool HttpSession<Stream>::isRefusedUnread()
 {
     RequestIntake *intake = m_context->settings.intake;
-    return intake && intake->isRefusing();
+    if (!intake) {
+        return false;
+    }
+    takeHead();
+    return intake->isRefusing(m_request);
+}
+
+template<typename Stream>
+void HttpSession<Stream>::takeHead()
+{
+    const auto &message = m_parser->get();
+    m_request = HttpRequest();
+    m_request.method = std::string(message.method_string());
+    m_request.target = std::string(message.target());
+    m_request.headers = headersOf(message);
+    m_version = message.version();
+    m_hasHead = true;
 }
 
 template<typename Stream>
 net::awaitable<void> HttpSession<Stream>::refuseUnread()
 {
     endReading();
-    m_request = HttpRequest();
-    m_request.method = std::string(m_parser->get().method_string());
-    m_request.target = std::string(m_parser->get().target());
-    m_request.headers = headersOf(m_parser->get());
-    m_version = m_parser->get().version();
+    // What has arrived of the body won't be parsed.
+    noteRead(m_buffer.size(), false);
     m_isKeptAlive = false;
     (void)co_await respond(m_context->settings.intake->refuse(m_request));
 }
 
+template<typename Stream>
+void HttpSession<Stream>::noteCutOff()
+{
+    RequestIntake *intake = m_context->settings.intake;
+    const auto unread = m_parser->content_length_remaining();
+    if (intake && unread && *unread > 0) {
+        intake->noteCutOff(static_cast<std::int64_t>(*unread),
+                           std::chrono::duration_cast<Duration>(Clock::now() - *m_begunAt));
+    }
+}
+
 template<typename Stream>
 net::awaitable<beast::error_code> HttpSession<Stream>::sendContinue()
 {
     beast::error_code ec;
     http::response<http::empty_body> message(http::status::continue_, 11);
-    co_await http::async_write(m_stream, message, awaitInto(ec));
+    noteWritten(co_await http::async_write(m_stream, message, awaitInto(ec)));
     co_return ec;
 }
 
 template<typename Stream>
 void HttpSession<Stream>::takeRequest()
 {
+    // A body in chunks may be followed by more fields.
+    if (!m_hasHead || m_parser->chunked()) {
+        takeHead();
+    }
     auto message = m_parser->release();
-    m_request.method = std::string(message.method_string());
-    m_request.target = std::string(message.target());
-    m_request.headers = headersOf(message);
     m_request.body = std::move(message.body());
-    m_version = message.version();
     m_isKeptAlive = message.keep_alive();
     m_answer = AnswerState::None;
     m_parser.reset();
@@ -390,6 +442,7 @@
     std::array<char, 4096> discarded;
     while (!ec) {
         const std::size_t n = co_await readSocket(net::buffer(discarded), ec);
+        noteRead(n, false);
         m_lastRead = Clock::now();
         if (n == discarded.size()) {
             co_await net::post(strand(), net::use_awaitable);
@@ -573,7 +626,7 @@
     http::response_serializer<Body> serializer(message);
     while (!ec && !serializer.is_done()) {
         m_watchdog.expireAfter(m_context->settings.writeTimeout);
-        co_await http::async_write_some(m_stream, serializer, awaitInto(ec));
+        noteWritten(co_await http::async_write_some(m_stream, serializer, awaitInto(ec)));
     }
     co_return ec;
 }
@@ -610,7 +663,7 @@
     message.chunked(m_version >= 11);
     http::response_serializer<http::empty_body> serializer(message);
     m_watchdog.expireAfter(m_context->settings.writeTimeout);
-    co_await http::async_write_header(m_stream, serializer, awaitInto(ec));
+    noteWritten(co_await http::async_write_header(m_stream, serializer, awaitInto(ec)));
     co_return outcomeOfWrite(ec);
 }
 
@@ -628,6 +681,7 @@
         m_watchdog.expireAfter(m_context->settings.writeTimeout);
         n += co_await m_stream.async_write_some(net::buffer(bytes) + n, awaitInto(ec));
     }
+    noteWritten(n);
     co_return outcomeOfWrite(ec);
 }
 
@@ -657,7 +711,7 @@
     m_answer = AnswerState::Done;
     m_watchdog.expireAfter(m_context->settings.writeTimeout);
     if (m_version >= 11) {
-        co_await net::async_write(m_stream, http::make_chunk_last(), awaitInto(ec));
+        noteWritten(co_await net::async_write(m_stream, http::make_chunk_last(), awaitInto(ec)));
     }
     co_return outcomeOfWrite(ec);
 }
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -107,7 +107,12 @@
     boost::asio::awaitable<std::size_t> readSocket(boost::asio::mutable_buffer buf, boost::beast::error_code &ec);
     boost::beast::error_code parse();
     void endReading();
-    bool isRefusedUnread() const;
+    bool isRefusedUnread();
+    void takeHead();
+    /// Tells the intake what is missing of a body that won't come.
+    void noteCutOff();
+    void noteRead(std::size_t n, bool isBody);
+    void noteWritten(std::size_t n);
     boost::asio::awaitable<void> refuseUnread();
     boost::asio::awaitable<boost::beast::error_code> sendContinue();
     boost::asio::awaitable<void> refuse(boost::beast::error_code ec);
@@ -145,6 +150,8 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     HttpRequest m_request;
+    /// Whether `m_request` has the head of the request that is being read.
+    bool m_hasHead = false;
     unsigned m_version = 11;
     std::function<void()> m_onPeerGone;
     std::chrono::steady_clock::time_point m_idleSince;
--- a/src/libradishnet/requestintake.h
+++ b/src/libradishnet/requestintake.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "httpmessages.h"
 
+#include <cstdint>
+
 namespace RadishSwitch
 {
 
@@ -13,11 +16,18 @@
 public:
     virtual ~RequestIntake() = default;
 
-    /// Whether the request that has just come is refused. Asked once for each.
-    virtual bool isRefusing() = 0;
+    /// Whether the request with this head, which has no body yet, is refused. Asked once for each.
+    virtual bool isRefusing(const HttpRequest &head) = 0;
 
-    /// The answer to a request that is refused; `request` has no body. The connection ends with it.
+    /// The answer to the request about which `isRefusing` was asked last; `request` has no body. The connection ends
+    /// with it.
     virtual HttpResponse refuse(const HttpRequest &request) = 0;
+
+    /// A request that was not refused ended before its body was there: `unread` bytes of the declared length are
+    /// missing `age` after the request began.
+    virtual void noteCutOff(std::int64_t /*unread*/, Duration /*age*/)
+    {
+    }
 };
 
 }
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -35,10 +35,10 @@
         workers.stop();
     }
 
-    std::shared_ptr<HttpConnection> connectionWith(const SilenceLimits &limits)
+    std::shared_ptr<HttpConnection> connectionWith(const SilenceLimits &limits, LinkTraffic *traffic = nullptr)
     {
         return std::make_shared<HttpConnection>(
-            workers, "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()), limits);
+            workers, "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()), limits, traffic);
     }
 
     void accept()
@@ -183,3 +183,22 @@
 
     EXPECT_GE(HttpConnection::Clock::now() - askedAt, kPatience);
 }
+
+// Guards against a link whose use is not seen: the bytes of requests, heads and answers are counted, each once.
+TEST_F(HttpConnectionTest, traffic_ofAnsweredRequest_isCounted)
+{
+    LinkTraffic traffic;
+    connection = connectionWith(SilenceLimits(), &traffic);
+    sendRequest();
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
+    say(head + "first");
+    ASSERT_TRUE(receiveHead(kLong).ok());
+    EXPECT_EQ(*receiveSome(kLong), "first");
+    say("other");
+    EXPECT_EQ(*receiveSome(kLong), "other");
+
+    EXPECT_EQ(traffic.totals().in, static_cast<std::int64_t>(head.size()) + 10);
+    // The request is "GET / HTTP/1.1" with the header Host.
+    EXPECT_EQ(traffic.totals().out, 16 + 6 + static_cast<std::int64_t>(connection->address().size()) + 2 + 2);
+    EXPECT_EQ(traffic.totals().declaredIn, 0);
+}
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -50,8 +50,9 @@
 class ClosedIntake : public RequestIntake
 {
 public:
-    bool isRefusing() override
+    bool isRefusing(const HttpRequest &head) override
     {
+        lastLength = head.headers.find("Content-Length").value_or("");
         return isClosed;
     }
 
@@ -61,8 +62,15 @@
         return HttpResponse{503, {{"Retry-After", "0.02"}}, "busy"};
     }
 
+    void noteCutOff(std::int64_t unread, Duration /*age*/) override
+    {
+        unreadBytes = unread;
+    }
+
     std::atomic<bool> isClosed = true;
+    std::atomic<std::int64_t> unreadBytes = 0;
     std::string lastTarget;
+    std::string lastLength;
 };
 
 }
@@ -458,6 +466,7 @@
     EXPECT_NE(answer.find("Retry-After: 0.02"), std::string::npos);
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
     EXPECT_EQ(intake.lastTarget, "/large");
+    EXPECT_EQ(intake.lastLength, "5000000");
     EXPECT_EQ(handled, 0);
     intake.isClosed = false;
     const auto response = fetch(addressOf(server));
@@ -922,3 +931,82 @@
 
     EXPECT_GE(taken, kBytes);
 }
+
+// Guards against promised bytes of a caller that are waited for after its connection has ended.
+TEST_F(HttpServerTest, connection_endedInsideAcceptedBody_isToldToTheIntake)
+{
+    ClosedIntake intake;
+    intake.isClosed = false;
+    HttpServerSettings settings;
+    settings.intake = &intake;
+    HttpServer &server = start(
+        [](HttpExchange &) -> boost::asio::awaitable<void> {
+            co_return;
+        },
+        settings);
+
+    exchangeRaw(server.port(), "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\nthe first bytes");
+
+    EXPECT_EQ(intake.unreadBytes, 5000 - 15);
+}
+
+// Guards against a link whose use is not seen: each byte of heads, bodies and answers is counted, and those of a body
+// apart whose length the head had told.
+TEST_F(HttpServerTest, traffic_ofAnsweredRequests_isCounted)
+{
+    LinkTraffic traffic;
+    HttpServerSettings settings;
+    settings.traffic = &traffic;
+    HttpServer &server = start(
+        [](HttpExchange &exchange) -> boost::asio::awaitable<void> {
+            (void)co_await exchange.beginStream(200, HttpHeaders());
+            (void)co_await exchange.write("streamed");
+            (void)co_await exchange.endStream();
+        },
+        settings);
+    const std::string head = "POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n";
+
+    const std::string answer = exchangeRaw(server.port(), head + std::string(100'000, 'x'));
+
+    TrafficTotals expected;
+    expected.in = static_cast<std::int64_t>(head.size()) + 100'000;
+    expected.declaredIn = 100'000;
+    expected.out = static_cast<std::int64_t>(answer.size());
+    EXPECT_EQ(traffic.totals(), expected);
+
+    const std::string chunked = "POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "3\r\nabc\r\n0\r\n\r\n";
+    const std::string second = exchangeRaw(server.port(), chunked);
+
+    expected.in += static_cast<std::int64_t>(chunked.size());
+    expected.out += static_cast<std::int64_t>(second.size());
+    EXPECT_EQ(traffic.totals(), expected);
+}
+
+// Guards against refused bodies that fill the link without being counted, or that count as awaited.
+TEST_F(HttpServerTest, traffic_ofRefusedRequest_isCountedAsUndeclared)
+{
+    ClosedIntake intake;
+    LinkTraffic traffic;
+    HttpServerSettings settings;
+    settings.intake = &intake;
+    settings.traffic = &traffic;
+    HttpServer &server = start(
+        [](HttpExchange &) -> boost::asio::awaitable<void> {
+            co_return;
+        },
+        settings);
+    const std::string request =
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + std::string(100'000, 'x');
+
+    const std::string answer = exchangeRaw(server.port(), request);
+    // The answer ends before the rest of the body is read and dropped.
+    while (server.openConnections() > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+    TrafficTotals expected;
+    expected.in = static_cast<std::int64_t>(request.size());
+    expected.out = static_cast<std::int64_t>(answer.size());
+    EXPECT_EQ(traffic.totals(), expected);
+}
--- a/tests/radishswitch-gateway/partsettings_test.cpp
+++ b/tests/radishswitch-gateway/partsettings_test.cpp
@@ -36,3 +36,24 @@
 
     EXPECT_LT(retrySettings(settings).share, 0.05);
 }
+
+// Guards against refusals by counted bytes at links that were never seen full, or whose bandwidth is not known.
+TEST(PartSettingsTest, intakeBudget_actsOnlyAtNarrowLinks)
+{
+    GatewaySettings settings;
+    LinkTraffic traffic;
+    EXPECT_FALSE(intakeBudgetSettings(settings).isRefusing);
+    EXPECT_EQ(countedTraffic(settings, traffic), nullptr);
+
+    settings.linkMbps = 50;
+    EXPECT_FALSE(intakeBudgetSettings(settings).isRefusing);
+    EXPECT_EQ(connectionSettings(settings, traffic).traffic, &traffic);
+
+    settings.hasIntakeBudget = true;
+    EXPECT_EQ(intakeBudgetSettings(settings), (IntakeBudgetSettings{50, true}));
+    settings.linkMbps = 50.5;
+    EXPECT_EQ(intakeBudgetSettings(settings), (IntakeBudgetSettings{50.5, false}));
+    settings.linkMbps = 10;
+    settings.takesAllCalls = true;
+    EXPECT_FALSE(intakeBudgetSettings(settings).isRefusing);
+}
--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -51,6 +51,22 @@
     EXPECT_EQ(call->parts, (std::vector<PromptPart>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}}));
 }
 
+// Guards against an overloaded gateway that charges a call to the wrong organisation, or stumbles over a head that it
+// has not validated.
+TEST_F(PlatformAdapterTest, head_ofAnyCall_tellsKeyHostAndLength)
+{
+    EXPECT_EQ(protocol.readHead(request({{"Host", "shop.example"},
+                                         {PlatformNames::kAuthorization, "Token k1"},
+                                         {PlatformNames::kPatience, "soon"},
+                                         {"content-length", "70000"}})),
+              (CallHead{"k1", "shop.example", 70'000}));
+    EXPECT_EQ(protocol.readHead(request({})), CallHead());
+    for (const char *length : {"-1", "x", "", "99999999999999999999"}) {
+        EXPECT_EQ(protocol.readHead(request({{"Content-Length", length}})), CallHead()) << length;
+    }
+    EXPECT_EQ(protocol.readHead(request({{PlatformNames::kAuthorization, "Basic k1"}})), CallHead());
+}
+
 TEST_F(PlatformAdapterTest, callWithInvalidHeaders_isRejected)
 {
     const std::vector<std::pair<std::string, std::string>> cases{
