--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -17,6 +17,7 @@
 constexpr double kMaximumRereadFactor = 1000;
 constexpr double kMaximumLateCallSeconds = 60;
 constexpr double kMaximumLimit = 100'000;
+constexpr double kMaximumLinkMbps = 100'000;
 constexpr double kMinimumColdOvershoot = 0.01;
 constexpr double kMaximumColdOvershoot = 100;
 
@@ -93,6 +94,10 @@
     parser.add("shed-target", settings.shedding.target, "queueing delay up to which every call is accepted");
     parser.addFlag("rotation-by-load", settings.rotatesByLoad,
                    "leave the load balancer's rotation by the load of this gateway and of its zone's gateways");
+    parser.addNumber("link-mbps", settings.linkMbps, 0, kMaximumLinkMbps,
+                     "bandwidth of the link in each direction, in Mbit/s; 0 if unknown");
+    parser.addFlag("intake-budget", settings.hasIntakeBudget,
+                   "refuse calls by the counted bytes of the link; only with --link-mbps from above 0 to 50");
     parser.addFlag("ignore-pressure", settings.ignoresPressure,
                    "send calls to endpoints even if these already answer late");
     parser.addFlag("load-news", settings.receivesLoadNews,
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -13,6 +13,9 @@
 namespace RadishSwitch
 {
 
+/// Wider links have not been seen full.
+constexpr double kWidestBudgetedLinkMbps = 50;
+
 /// The settings of a gateway, given when it is started.
 struct GatewaySettings : FleetSettings {
     /// The address at which the gateway accepts calls.
@@ -49,6 +52,12 @@
     LoadShedderSettings shedding;
     /// The gateway leaves the load balancer's rotation by its own load and that of the zone's gateways.
     bool rotatesByLoad = false;
+    /// Bandwidth of the gateway's link in each direction, in Mbit/s; zero if it is unknown. Bytes are counted only if
+    /// it is known.
+    double linkMbps = 0;
+    /// Calls are refused unread if the counted bytes of the link leave no room for them. Only for links of at most
+    /// `kWidestBudgetedLinkMbps`.
+    bool hasIntakeBudget = false;
     /// Calls are sent to endpoints even if these already answer late.
     bool ignoresPressure = false;
     /// Load updates of endpoints and other gateways are received from a home of the zone.
