Separate endpoints for short and for long prompts in uneven pools

Cause: short prompts wait behind long ones for longer than their targets while most engines are idle; reports about other gateways' prompts are older than such a queue. Change: PromptSeparation divides a pool's endpoints by size of prompt: slow ones and as many of the others as the share of short prompts needs; a price for the wrong side, not a limit. A late call costs 0.3 s of waiting in place of 1 s, which keeps more prefixes where they are cached.

--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -44,6 +44,9 @@
                    "ignore the load and speed of endpoints, also in pools whose endpoints differ in speed");
     parser.addNumber("late-call-seconds", settings.lateCallSeconds, 0, kMaximumLateCallSeconds,
                      "cost of a late call, in seconds of waiting, where endpoints are chosen by callers' needs");
+    parser.addNumber(
+        "misplaced-prompt-seconds", settings.misplacedPromptSeconds, 0, kMaximumLateCallSeconds,
+        "cost of a prompt at an endpoint meant for shorter or longer ones, in seconds of waiting; 0 for none");
     parser.addFlag("no-affinity", settings.hasNoAffinity, "disable prefix affinity between calls and endpoints");
 }
 
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -208,6 +208,9 @@
     const Prompt prompt(query.parts);
     const std::int64_t prefillTokens = tokensToPrefill(slot, prompt);
     m_hints.noteDispatched(slot, prompt.prefixHashes);
+    if (const auto separation = m_separations.find(query.pool); separation != m_separations.end()) {
+        separation->second.noteSent(prompt.tokensFrom.front(), prefillTokens, now);
+    }
     it.inFlight += 1;
     it.pendingPrefillTokens += prefillTokens;
     it.ejection.noteDispatched(now);
--- a/src/libradishswitch/serving/callplacement.h
+++ b/src/libradishswitch/serving/callplacement.h
@@ -10,6 +10,7 @@
 #include "serving/placementquery.h"
 #include "serving/placementsettings.h"
 #include "serving/prefillspeed.h"
+#include "serving/promptseparation.h"
 
 #include <absl/container/inlined_vector.h>
 
@@ -119,6 +120,7 @@
         SelectionMode mode;
         Instant now;
         double poolTokensPerSecond;
+        const PromptSeparation &separation;
         std::optional<EndpointSlot> affinity;
     };
 
@@ -137,6 +139,8 @@
     std::optional<EndpointSlot> cheapestByNeed(const PlacementQuery &query, SelectionMode mode, Instant now);
     std::optional<EndpointSlot> affinityByNeed(const NeedChoice &choice);
     bool isWithoutLongPause(EndpointSlot slot, const NeedChoice &choice) const;
+    const PromptSeparation &separation(const PoolId &pool, Instant now);
+    bool isMisplaced(EndpointSlot slot, const NeedChoice &choice) const;
     Candidates drawCandidates(const NeedChoice &choice);
     double needCost(EndpointSlot slot, const NeedChoice &choice) const;
     double relativeSpeed(EndpointSlot slot, Instant now) const;
@@ -157,6 +161,8 @@
     PrefixCacheHints m_hints;
     absl::flat_hash_map<PoolId, PrefillSpeed> m_speeds;
     AffinityRanking m_ranking;
+    /// Of the pools in which calls are placed by needs.
+    absl::flat_hash_map<PoolId, PromptSeparation> m_separations;
     const EndpointLoadSource *m_loads = nullptr;
 };
 
--- a/src/libradishswitch/serving/callplacementneeds.cpp
+++ b/src/libradishswitch/serving/callplacementneeds.cpp
@@ -34,7 +34,8 @@
 std::optional<EndpointSlot> CallPlacement::cheapestByNeed(const PlacementQuery &query, SelectionMode mode, Instant now)
 {
     const Prompt prompt(query.parts);
-    NeedChoice choice{query, prompt, mode, now, prefillTokensPerSecond(query.pool), std::nullopt};
+    NeedChoice choice{query,       prompt, mode, now, prefillTokensPerSecond(query.pool), separation(query.pool, now),
+                      std::nullopt};
     choice.affinity = affinityByNeed(choice);
     CheapestEndpoint cheapest(m_random);
     for (const EndpointSlot slot : drawCandidates(choice)) {
@@ -67,7 +68,7 @@
         if (!isEligible || m_registry.at(slot).backoff.isActive(choice.now)) {
             continue;
         }
-        if (isWithoutLongPause(slot, choice)) {
+        if (!isMisplaced(slot, choice) && isWithoutLongPause(slot, choice)) {
             return slot;
         }
         firstUsable = firstUsable ? firstUsable : slot;
@@ -75,6 +76,27 @@
     return firstUsable;
 }
 
+const PromptSeparation &CallPlacement::separation(const PoolId &pool, Instant now)
+{
+    PromptSeparation &separation = m_separations[pool];
+    if (separation.needsUpdate(now)) {
+        PromptSeparation::Capacity capacity;
+        for (const EndpointSlot slot : m_registry.pool(pool)) {
+            const double speed = relativeSpeed(slot, now);
+            (PromptSeparation::isSlow(speed) ? capacity.slow : capacity.fast) += speed;
+        }
+        separation.update(capacity, now);
+    }
+    return separation;
+}
+
+// The whole prompt counts, whatever is cached, so that all calls with a prefix prefer the same endpoints.
+bool CallPlacement::isMisplaced(EndpointSlot slot, const NeedChoice &choice) const
+{
+    const bool isForShort = choice.separation.isForShort(relativeSpeed(slot, choice.now), m_registry.at(slot).hash);
+    return isForShort == PromptSeparation::isLong(choice.prompt.tokensFrom.front());
+}
+
 // The whole prompt counts, whatever is cached, so that all calls with the prefix and all gateways agree.
 bool CallPlacement::isWithoutLongPause(EndpointSlot slot, const NeedChoice &choice) const
 {
@@ -114,9 +136,13 @@
             addOnce(slot);
         }
     }
+    // The last draws accept endpoints that are meant for prompts of the other size, in case that those for this one are
+    // full.
     std::size_t found = 0;
     for (std::size_t n = 0; n < kMaximumDraws && found < kRandomCandidates; ++n) {
-        found += addOnce(slots[m_random.below(slots.size())]) ? 1 : 0;
+        const EndpointSlot slot = slots[m_random.below(slots.size())];
+        const bool isWanted = n >= kMaximumDraws - kRandomCandidates || !isMisplaced(slot, choice);
+        found += isWanted && addOnce(slot) ? 1 : 0;
     }
     return candidates;
 }
@@ -144,7 +170,8 @@
     inputs.targetGapSeconds = seconds(choice.query.targetGap);
     inputs.expectedEvents = static_cast<double>(choice.query.expectedEvents);
     inputs.lateCallSeconds = m_settings.lateCallSeconds;
-    return NeedCost(inputs).total();
+    const double misplaced = isMisplaced(slot, choice) ? m_settings.misplacedPromptSeconds : 0;
+    return NeedCost(inputs).total() + misplaced;
 }
 
 double CallPlacement::relativeSpeed(EndpointSlot slot, Instant now) const
--- a/src/libradishswitch/serving/placementsettings.h
+++ b/src/libradishswitch/serving/placementsettings.h
@@ -34,7 +34,10 @@
     /// Endpoints are never chosen by the needs of callers, not even in pools whose endpoints differ in speed.
     bool hasNoNeedPlacement = false;
     /// Cost of a call that is late, in seconds of waiting.
-    double lateCallSeconds = 1;
+    double lateCallSeconds = 0.3;
+    /// Cost of sending a short prompt to an endpoint that is meant for long ones, or the other way round, in seconds of
+    /// waiting: that of one late call. Zero puts all prompts on all endpoints.
+    double misplacedPromptSeconds = 0.3;
     /// Lower bound of the in-flight limit that this process sets itself for an endpoint that refuses calls.
     double minimumLimit = 1;
     EndpointBackoffSettings backoff;
