--- a/src/fleet/endpointreportreader.h
+++ b/src/fleet/endpointreportreader.h
@@ -22,8 +22,8 @@
     virtual ~EndpointReportReader() = default;
 
     /// Reads one report, and calls `callback` once, never from inside this call. Fails with ConnectionLost or
-    /// ConnectionSilent if the endpoint does not answer within `timeout`, MessageTooLarge if its answer is too large,
-    /// and MalformedMessage if it is no usable report.
+    /// ConnectionSilent if the endpoint does not answer within `timeout`, EndpointFailed if it answers with a failure,
+    /// MessageTooLarge if its answer is too large, and MalformedMessage if it is no usable report.
     virtual void read(Duration timeout, Callback callback) = 0;
 };
 
--- a/src/home/loadreporting.cpp
+++ b/src/home/loadreporting.cpp
@@ -13,8 +13,8 @@
 TransportSettings collectorTransport(const BudgetHomeSettings &settings)
 {
     TransportSettings transport = transportSettings(settings);
-    transport.pingInterval = std::chrono::milliseconds(500);
-    transport.pingTimeout = std::chrono::milliseconds(1000);
+    transport.pingInterval = std::chrono::milliseconds(750);
+    transport.pingTimeout = std::chrono::milliseconds(750);
     return transport;
 }
 
--- a/src/libradishnet/httpclient.cpp
+++ b/src/libradishnet/httpclient.cpp
@@ -200,14 +200,15 @@
 
     net::awaitable<absl::StatusOr<HttpResponse>> askForAll(ConnectionPointer connection, const HttpRequest &request,
                                                            Clock::time_point end, Duration timeout,
-                                                           Duration bodyTimeout)
+                                                           Duration bodyTimeout, std::size_t maximumBodyBytes)
     {
         const absl::Status status = co_await ask(connection, request, end);
         if (!status.ok()) {
             co_return status;
         }
         const Duration silence = bodyTimeout > Duration::zero() ? timeout : Duration::zero();
-        absl::StatusOr<std::string> body = co_await connection->receiveAll(silence, end + bodyTimeout);
+        absl::StatusOr<std::string> body =
+            co_await connection->receiveAll(silence, end + bodyTimeout, maximumBodyBytes);
         if (!body.ok()) {
             co_return body.status();
         }
@@ -258,14 +259,16 @@
 HttpClient::~HttpClient() = default;
 
 net::awaitable<absl::StatusOr<HttpResponse>> HttpClient::fetch(std::string address, HttpRequest request,
-                                                               Duration timeout, Duration bodyTimeout)
+                                                               Duration timeout, Duration bodyTimeout,
+                                                               std::size_t maximumBodyBytes)
 {
     const auto self = d;
     const Clock::time_point end = Clock::now() + timeout;
     for (;;) {
         const ConnectionPointer connection = self->connectionTo(address);
         auto response = co_await net::co_spawn(
-            connection->strand(), self->askForAll(connection, request, end, timeout, bodyTimeout), net::use_awaitable);
+            connection->strand(), self->askForAll(connection, request, end, timeout, bodyTimeout, maximumBodyBytes),
+            net::use_awaitable);
         if (response.ok() && connection->isKeptAlive()) {
             self->pool->giveBack(connection);
         }
--- a/src/libradishnet/httpclient.h
+++ b/src/libradishnet/httpclient.h
@@ -9,7 +9,9 @@
 #include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 
@@ -80,9 +82,10 @@
     ~HttpClient();
 
     /// Asks "address:port" and reads the whole answer. A body of which bytes go on arriving may take `bodyTimeout`
-    /// more, with no pause in it longer than `timeout`.
+    /// more, with no pause in it longer than `timeout`. MessageTooLarge when it is longer than `maximumBodyBytes`.
     boost::asio::awaitable<absl::StatusOr<HttpResponse>>
-    fetch(std::string address, HttpRequest request, Duration timeout, Duration bodyTimeout = Duration::zero());
+    fetch(std::string address, HttpRequest request, Duration timeout, Duration bodyTimeout = Duration::zero(),
+          std::size_t maximumBodyBytes = std::numeric_limits<std::size_t>::max());
 
     /// Asks and returns as soon as the answer's head is there. ConnectionLost when it is cancelled before that;
     /// ConnectionSilent with the outcome "not run" when no connection stands within `reachTimeout`.
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -286,7 +286,8 @@
     }
 }
 
-net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveAll(Duration silence, Clock::time_point end)
+net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveAll(Duration silence, Clock::time_point end,
+                                                                       std::size_t maximumBytes)
 {
     std::string data;
     std::array<char, kReadBytes> buf;
@@ -295,6 +296,9 @@
     while (!m_parser->is_done()) {
         const std::size_t n = parseBody(net::buffer(buf), ec);
         data.append(buf.data(), n);
+        if (data.size() > maximumBytes) {
+            co_return withUnknownOutcome(makeFailure(FailureCode::MessageTooLarge, m_address + " sent too much"));
+        }
         if (!ec && n == 0 && !m_parser->is_done()) {
             co_await fillBuffer(kReadBytes, ec);
         }
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -14,6 +14,8 @@
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -86,9 +88,10 @@
     /// After a pause it goes on where it was.
     boost::asio::awaitable<absl::Status> receiveHead(bool hasBody);
     /// The whole body. With a `silence` other than zero it may take until `end` as long as no pause is longer than
-    /// that.
-    boost::asio::awaitable<absl::StatusOr<std::string>> receiveAll(Duration silence = Duration::zero(),
-                                                                   Clock::time_point end = Clock::time_point::max());
+    /// that. MessageTooLarge when it is longer than `maximumBytes`.
+    boost::asio::awaitable<absl::StatusOr<std::string>>
+    receiveAll(Duration silence = Duration::zero(), Clock::time_point end = Clock::time_point::max(),
+               std::size_t maximumBytes = std::numeric_limits<std::size_t>::max());
     /// The next bytes of the body; empty at its end.
     boost::asio::awaitable<absl::StatusOr<std::string>>
     receiveSome(Duration timeout, AtExpiry atExpiry = AtExpiry::Close, Duration longest = Duration::max());
--- a/tests/radishswitch-home/loadreporting_test.cpp
+++ b/tests/radishswitch-home/loadreporting_test.cpp
@@ -232,3 +232,13 @@
         EXPECT_NE(status.message().find(value), std::string::npos) << status;
     }
 }
+
+// Guards against a home that does not start where the flag is given and switched off.
+TEST(BudgetHomeSettingsTest, endpointFlag_empty_isOff)
+{
+    BudgetHomeSettings settings;
+    SettingsParser parser("radishswitch-home", "");
+    addBudgetHomeSettings(parser, settings);
+    EXPECT_TRUE(parser.parse({"--platform", "10.0.0.1:1", "--region", "south", "--zone", "a", "--endpoint", ""}).ok());
+    EXPECT_EQ(settings.endpoint, "");
+}
--- a/tests/radishswitch-home/loadservice_test.cpp
+++ b/tests/radishswitch-home/loadservice_test.cpp
@@ -125,6 +125,31 @@
     EXPECT_EQ(collector.subscriberCount(), 0U);
 }
 
+// Guards against load updates that fill a narrow link: 4 KB/s is the bound, with any number of endpoints and gateways.
+TEST_F(LoadServiceTest, manyInstances_messageStaysUnderTwoKilobytes)
+{
+    const auto home = connect();
+    const auto gateway = connect();
+    for (int n = 0; n < 200; ++n) {
+        EndpointLoadReport report = endpoint();
+        report.address = "10.112.113." + std::to_string(n) + ":18000";
+        report.running = 64;
+        report.waiting = 200;
+        report.eventInterval = 400ms;
+        report.idleEventInterval = 300ms;
+        report.longestPause = 1'900ms;
+        report.expectedWait = 60s;
+        report.memoryShare = 0.99;
+        sendEndpoint(*home, report);
+        sendGateway(*gateway, "i-79ad3ab14e-" + std::to_string(n), "zone-a");
+    }
+    runFor(600ms);
+    ASSERT_FALSE(gateway->news.empty());
+    EXPECT_GT(gateway->news[0].endpoints_size(), 10);
+    EXPECT_GT(gateway->news[0].gateways_size(), 10);
+    EXPECT_LE(gateway->far->sent[0].size(), 2'000U);
+}
+
 // Gateways tell by a silence of 1.5 s that a collector is lost. Guards against silence when nothing has changed.
 TEST_F(LoadServiceTest, gateway_isSentSomethingEveryHalfSecond)
 {
