--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -77,7 +77,7 @@
 class ClosingIntake : public RequestIntake
 {
 public:
-    bool isRefusing() override
+    bool isRefusing(const HttpRequest & /*head*/) override
     {
         return false;
     }
--- a/tests/radishswitch-home/loadservice_test.cpp
+++ b/tests/radishswitch-home/loadservice_test.cpp
@@ -1,6 +1,6 @@
 #include "fakeloadstreams.h"
-#include "loadwire.h"
 #include "loadservice.h"
+#include "loadwire.h"
 #include "manualtaskqueue.h"
 #include "virtualtimerservice.h"
 #include "wireconversion.h"
