--- a/src/libradishswitch/serving/promptseparation.cpp
+++ b/src/libradishswitch/serving/promptseparation.cpp
@@ -9,9 +9,10 @@
 namespace
 {
 
-/// Share of the short prompts that is assumed until this many tokens were sent: half a second of one engine.
-constexpr double kAssumedShare = 0.4;
-constexpr double kAssumptionTokens = 50'000;
+/// Share of the short prompts that is assumed until a gateway has sent about this many tokens, which takes it a minute
+/// or two. A share measured in seconds differs too much between gateways.
+constexpr double kAssumedShare = 0.36;
+constexpr double kAssumptionTokens = 4'000'000;
 
 double seconds(Duration span)
 {
--- a/src/libradishswitch/serving/promptseparation.h
+++ b/src/libradishswitch/serving/promptseparation.h
@@ -28,8 +28,9 @@
     /// Capacity for short prompts relative to their share of the tokens. Short prompts have the tightest targets, so
     /// that their endpoints have to be idle more often.
     static constexpr double kShortHeadroom = 1.2;
-    /// The share of tokens is measured over about this time; it is the half-life of what was counted.
-    static constexpr Duration kHalfLife = std::chrono::seconds(20);
+    /// Half-life of the counted tokens. It is long, since gateways that measure different shares select different
+    /// endpoints, and prefixes are then prefilled at the endpoints of both.
+    static constexpr Duration kHalfLife = std::chrono::minutes(5);
     /// The division is computed anew at this interval.
     static constexpr Duration kUpdateInterval = std::chrono::seconds(1);
 
