Mend what the reviews of the joined parts found

Bytes that passed during a quiet time counted as a present queue of the link; link use was not measured where nothing is refused; one refusal while away restarted the whole backoff of the rotation; a full neighbour that refuses nothing took the place of one that refuses; load updates used, and changed, the directory by which budgets find their homes, and stopped while the first home was of an older version; after a gap in reading, a home reported a wrong wait and speed; without fresh reports one endpoint's values stood for the pool's; homes read oversized frames; a home short of processor time read without pause; reports of unlisted gateways were believed; with TLS a next request could be lost at a close; a price of zero did not switch the separation of prompts off. The last line of IntakeBudgetTest.linkUse held the former extrapolation; it is replaced by the true values, 0 and 0.5.

--- a/src/fleet/fleetparts.cpp
+++ b/src/fleet/fleetparts.cpp
@@ -94,6 +94,14 @@
     return transport;
 }
 
+HomeDirectorySettings collectorDirectorySettings()
+{
+    HomeDirectorySettings directory;
+    // A frozen collector still accepts connections, so that with a short pause it would be chosen again at once.
+    directory.firstPause = std::chrono::seconds(1);
+    return directory;
+}
+
 FleetPeer peerOf(const FleetSettings &settings, PeerKind kind)
 {
     return FleetPeer{settings.peerListen.toString(), settings.weight, settings.zone, kind};
--- a/src/fleet/fleetparts.h
+++ b/src/fleet/fleetparts.h
@@ -17,6 +17,9 @@
 SharedBudgetsSettings sharedBudgetsSettings(const FleetSettings &settings);
 TransportSettings transportSettings(const FleetSettings &settings);
 
+/// The settings of the directory in which gateways and homes look for collectors of load.
+HomeDirectorySettings collectorDirectorySettings();
+
 /// Returns the entry under which the other processes of the fleet find this one.
 FleetPeer peerOf(const FleetSettings &settings, PeerKind kind);
 
--- a/src/gateway/callintake.cpp
+++ b/src/gateway/callintake.cpp
@@ -92,7 +92,7 @@
     m_budget.noteCutOff(unread, age, m_timers.now());
 }
 
-double CallIntake::fullness(Instant now) const
+double CallIntake::fullness(Instant now)
 {
     return std::max(m_budget.linkUse(now), processorFullness(now));
 }
--- a/src/gateway/callintake.h
+++ b/src/gateway/callintake.h
@@ -52,7 +52,7 @@
 
     /// How full the gateway is: the greater of the use of its link in the last second, relative to its bandwidth, and
     /// of the delay of the process relative to its target. Above 1 it has more work than it can do.
-    double fullness(Instant now) const;
+    double fullness(Instant now);
 
     /// Whether the load balancer should send new callers to other instances for now.
     bool isDiverting() const
@@ -61,7 +61,7 @@
     }
 
     /// The fullness that other gateways are told: at least 1 while calls are refused.
-    double reportedFullness() const
+    double reportedFullness()
     {
         return m_rotation ? m_rotation->fullness() : fullness(m_timers.now());
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,8 +85,10 @@
                    updateReady();
                })
     , m_gatewayLoads(m_settings.instance, m_settings.zone)
+    , m_collectors(m_settings.instance, collectorDirectorySettings())
     , m_loadSubscription(
-          m_clients, m_homes, m_timers, m_metrics, m_gate.loads(), m_gatewayLoads, loadSubscriptionSettings(m_settings),
+          m_clients, m_collectors, m_timers, m_metrics, m_gate.loads(), m_gatewayLoads,
+          loadSubscriptionSettings(m_settings),
           [this] {
               return m_intake.reportedFullness();
           },
@@ -158,6 +160,7 @@
 void Gateway::startOnWorker()
 {
     m_homes.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
+    m_collectors.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
     if (m_settings.rotatesByLoad) {
         startRotation();
     }
@@ -218,10 +221,14 @@
 void Gateway::handlePeers(const std::map<std::string, FleetPeer> &peers)
 {
     m_homes.setPeers(m_settings.ignoresHomes ? gatewaysAmong(peers) : peers);
+    m_collectors.setPeers(peers);
     std::map<std::string, double> weights;
+    std::set<std::string> gateways;
     for (const auto &[name, peer] : gatewaysAmong(peers)) {
         weights[name] = peer.weight;
+        gateways.insert(name);
     }
+    m_gatewayLoads.setListed(std::move(gateways));
     m_gate.allowances().setGateways(weights);
     updateReady();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -123,6 +123,9 @@
     CallServices m_services;
     CallIntake m_intake;
     GatewayLoads m_gatewayLoads;
+    /// The homes as collectors of load. What becomes of load updates must not decide where budgets are reserved, so
+    /// that it is apart from `m_homes`.
+    HomeDirectory m_collectors;
     LoadSubscription m_loadSubscription;
     ConfigurationListener m_configuration;
     EndpointListener m_endpoints;
--- a/src/gateway/loadsubscription.cpp
+++ b/src/gateway/loadsubscription.cpp
@@ -249,7 +249,6 @@
     lose(makeFailure(FailureCode::ConnectionSilent, "the collector sends no load updates"));
 }
 
-// A home without load updates is not noted as unreachable, since it works as the home of budgets.
 void LoadSubscription::lose(const absl::Status &status)
 {
     const Instant now = m_timers.now();
@@ -259,6 +258,7 @@
     state.heldUntil = now + m_settings.lostHold;
     if (!m_hasNews && isRefusal(status)) {
         state.pausedUntil = now + m_settings.refusedPause;
+        m_homes.noteRefused(m_collector, now, m_settings.refusedPause);
     } else {
         m_homes.noteUnreachable(m_collector, now);
     }
--- a/src/home/endpointsampler.cpp
+++ b/src/home/endpointsampler.cpp
@@ -80,7 +80,10 @@
     }
     m_readReports.add();
     m_meter.add(*report, now);
-    schedule(askedAt + (isIdle(*report) ? m_settings.idleInterval : m_settings.busyInterval));
+    const Duration interval = isIdle(*report) ? m_settings.idleInterval : m_settings.busyInterval;
+    // A process that lacks processor time reads for as long as it pauses: back-to-back reads would take the time from
+    // the reservations of budgets.
+    schedule(std::max(askedAt + interval, now + std::max(interval / 2, now - askedAt)));
 }
 
 void EndpointSampler::handleFailure(const absl::Status &status)
--- a/src/home/loadpublisher.cpp
+++ b/src/home/loadpublisher.cpp
@@ -41,13 +41,6 @@
     });
 }
 
-HomeDirectorySettings LoadPublisher::directorySettings()
-{
-    HomeDirectorySettings settings;
-    settings.firstPause = std::chrono::seconds(1);
-    return settings;
-}
-
 LoadPublisher::~LoadPublisher()
 {
     m_timers.cancel(m_timer);
--- a/src/home/loadpublisher.h
+++ b/src/home/loadpublisher.h
@@ -36,10 +36,6 @@
 public:
     using ReportSource = std::function<std::optional<EndpointLoadReport>()>;
 
-    /// Settings of the directory that is given to a publisher. A collector that failed is left out long enough for the
-    /// next one to answer; with a pause shorter than the publisher's interval, a frozen one is chosen again and again.
-    static HomeDirectorySettings directorySettings();
-
     /// Reports for this process itself are given to `ownCollector`. `onZoneWithoutCollector` is called as long as all
     /// homes of a zone are unreachable.
     LoadPublisher(MessageClientSource &clients, HomeDirectory &homes, TimerService &timers, LoadCollector &ownCollector,
--- a/src/home/loadreporting.cpp
+++ b/src/home/loadreporting.cpp
@@ -26,7 +26,7 @@
     , m_reader(makeEndpointReportReader(workers, settings.endpoint))
     , m_sampler(*m_reader, timers, metrics, settings.endpoint)
     , m_clients(workers, collectorTransport(settings))
-    , m_homes(settings.instance, LoadPublisher::directorySettings())
+    , m_homes(settings.instance, collectorDirectorySettings())
     , m_service(m_collector, timers, metrics)
     , m_peers(store, timers, random,
               [this](const LoadPeers::Peers &peers) {
--- a/src/home/loadservice.cpp
+++ b/src/home/loadservice.cpp
@@ -85,7 +85,7 @@
     }
     Link &link = it->second;
     link.heardAt = m_timers.now();
-    const absl::StatusOr<wire::LoadMessage> message = parseFrame<wire::LoadMessage>(frame);
+    const absl::StatusOr<wire::LoadMessage> message = parseLoadFrame(frame);
     if (!message.ok()) {
         logRejected(std::string(), message.status());
         const MessageStreamPointer stream = link.stream;
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -344,6 +344,10 @@
 template<typename Stream>
 bool HttpSession<Stream>::isClosedByIntake()
 {
+    // The next request may already be inside the TLS stream, where it can't be seen.
+    if constexpr (kIsTls) {
+        return false;
+    }
     RequestIntake *intake = m_context->settings.intake;
     const auto now = Clock::now();
     if (!intake || (m_closeAskedAt && now - *m_closeAskedAt < kCloseQuestionInterval)) {
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -109,7 +109,6 @@
     boost::asio::awaitable<std::size_t> readSocket(boost::asio::mutable_buffer buf, boost::beast::error_code &ec);
     boost::beast::error_code parse();
     void endReading();
-    bool isRefusedUnread() const;
     /// Whether the intake asks for the end of the connection. Never with bytes of a next request at hand.
     bool isClosedByIntake();
     bool isRefusedUnread();
--- a/src/libradishswitch/limits/bytewindow.cpp
+++ b/src/libradishswitch/limits/bytewindow.cpp
@@ -53,7 +53,8 @@
 {
     const std::int64_t slot = slotOf(now);
     std::int64_t sum = 0;
-    for (std::int64_t it = std::max(slot - slots, m_newest - kSlots + 1); it < std::min(slot, m_newest + 1); ++it) {
+    for (std::int64_t it = std::max<std::int64_t>({0, slot - slots, m_newest - kSlots + 1});
+         it < std::min(slot, m_newest + 1); ++it) {
         sum += m_bytes[static_cast<std::size_t>(it % kSlots)];
     }
     return sum;
--- a/src/libradishswitch/limits/intakebudget.cpp
+++ b/src/libradishswitch/limits/intakebudget.cpp
@@ -37,6 +37,8 @@
 constexpr std::int64_t kFullSlots = 4;
 /// For how long before it was counted a byte may have been written without having passed.
 constexpr Duration kBurst = std::chrono::milliseconds(50);
+/// Bytes that were received within this time may still be a queue: a process that did not run reads them all at once.
+constexpr Duration kCatchUp = std::chrono::milliseconds(100);
 
 /// There is nothing to wait for at another instance.
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(20);
@@ -45,6 +47,12 @@
 /// Bound on memory: an entry takes 250 bytes. Further organisations count together with the unknown ones.
 constexpr std::size_t kMaximumOrganisations = 1000;
 
+/// The part of `span` that lies in its last `recent`.
+double partOf(Duration recent, Duration span)
+{
+    return span > recent ? std::chrono::duration<double>(recent) / std::chrono::duration<double>(span) : 1;
+}
+
 }
 
 IntakeBudget::IntakeBudget(IntakeBudgetSettings settings, const LinkTraffic &traffic, RandomSource &random)
@@ -128,18 +136,14 @@
     return presentQueue();
 }
 
-double IntakeBudget::linkUse(Instant now) const
+double IntakeBudget::linkUse(Instant now)
 {
     if (!isMeasuring()) {
         return 0;
     }
-    const TrafficTotals totals = m_traffic.totals();
-    const Duration span = std::max(now - m_updatedAt, ByteWindow::kSpan);
-    const double recentPart = std::chrono::duration<double>(ByteWindow::kSpan) / std::chrono::duration<double>(span);
-    const double in =
-        static_cast<double>(m_passedIn.sum(now)) + recentPart * static_cast<double>(totals.in - m_totals.in);
-    const double out =
-        static_cast<double>(m_passedOut.sum(now)) + recentPart * static_cast<double>(totals.out - m_totals.out);
+    update(now);
+    const auto in = static_cast<double>(m_passedIn.sum(now));
+    const auto out = static_cast<double>(m_passedOut.sum(now));
     return std::max(in, out) / (m_bytesPerSecond * std::chrono::duration<double>(ByteWindow::kSpan).count());
 }
 
@@ -150,12 +154,15 @@
     const std::int64_t out = totals.out - m_totals.out;
     const std::int64_t declaredIn = totals.declaredIn - m_totals.declaredIn;
     const Duration span = std::max(now - m_updatedAt, Duration::zero());
+    // Bytes that passed more than a moment ago have drained during the span. Nothing calls this while no requests come,
+    // and a whole second of answers would otherwise count as a queue that is there now.
+    const double passed = static_cast<double>(std::max<std::int64_t>(in - declaredIn, 0));
+    const double recent = partOf(kCatchUp, span);
+    m_in.add((1 - recent) * passed);
     m_in.advance(span);
-    m_in.addPassed(static_cast<double>(std::max<std::int64_t>(in - declaredIn, 0)));
+    m_in.addPassed(recent * passed);
     // Bytes are written in bursts, of which a body is one. Those of a short span count as written at its end.
-    const Duration burst = std::min(span, kBurst);
-    const double inBurst =
-        span > burst ? std::chrono::duration<double>(burst) / std::chrono::duration<double>(span) : 1;
+    const double inBurst = partOf(kBurst, span);
     m_out.add((1 - inBurst) * static_cast<double>(out));
     m_out.advance(span);
     m_out.add(inBurst * static_cast<double>(out));
@@ -179,7 +186,7 @@
     return organisation;
 }
 
-bool IntakeBudget::isOverShare(const Organisation &organisation, std::int64_t bytes, Instant now) const
+bool IntakeBudget::isOverShare(const Organisation &organisation, std::int64_t bytes, Instant now)
 {
     const std::size_t n = m_organisations.size();
     const std::int64_t accepted = m_accepted.sum(now);
--- a/src/libradishswitch/limits/intakebudget.h
+++ b/src/libradishswitch/limits/intakebudget.h
@@ -94,7 +94,7 @@
 
     /// Bytes of the fuller direction in the last second, relative to what the link carries; zero if the bandwidth is
     /// unknown.
-    double linkUse(Instant now) const;
+    double linkUse(Instant now);
 
 private:
     struct Organisation {
@@ -110,7 +110,7 @@
 
     void update(Instant now);
     Organisation &see(const OrganisationId &name, Instant now);
-    bool isOverShare(const Organisation &organisation, std::int64_t bytes, Instant now) const;
+    bool isOverShare(const Organisation &organisation, std::int64_t bytes, Instant now);
     std::optional<RefusalReason> judge(const IntakeRequest &request, bool isOverShare, Instant now) const;
     /// Whether the incoming direction was full lately.
     bool isIncomingFull(Instant now) const;
--- a/src/libradishswitch/serving/callplacementneeds.cpp
+++ b/src/libradishswitch/serving/callplacementneeds.cpp
@@ -93,6 +93,9 @@
 // The whole prompt counts, whatever is cached, so that all calls with a prefix prefer the same endpoints.
 bool CallPlacement::isMisplaced(EndpointSlot slot, const NeedChoice &choice) const
 {
+    if (m_settings.misplacedPromptSeconds <= 0) {
+        return false;
+    }
     const bool isForShort = choice.separation.isForShort(relativeSpeed(slot, choice.now), m_registry.at(slot).hash);
     return isForShort == PromptSeparation::isLong(choice.prompt.tokensFrom.front());
 }
--- a/src/libradishswitch/serving/endpointloadmeter.cpp
+++ b/src/libradishswitch/serving/endpointloadmeter.cpp
@@ -65,7 +65,11 @@
         return;
     }
     static const std::vector<EndpointRun> kNoRuns;
-    const bool isFirst = !m_last;
+    const bool isFirst = !m_last || takenAt - m_lastTakenAt > m_settings.longestSpan;
+    if (isFirst) {
+        m_runs.clear();
+        m_window.clear();
+    }
     const Interval interval = compareRuns(report.runs ? *report.runs : kNoRuns, takenAt);
     if (!isFirst) {
         const Duration span = takenAt - m_lastTakenAt;
@@ -73,7 +77,7 @@
         while (m_window.front().end <= takenAt - m_settings.window) {
             m_window.pop_front();
         }
-        if (m_last->queued > 0) {
+        if (m_last->queued > 0 && report.runs && m_last->runs) {
             countStarts(m_startedRuns, span);
         } else if (report.queued == 0) {
             countEvents(interval, span);
@@ -163,7 +167,8 @@
 
 Duration EndpointLoadMeter::expectedWait() const
 {
-    if (m_last->queued <= 0) {
+    // Without its runs the endpoint doesn't show how fast they start.
+    if (m_last->queued <= 0 || !m_last->runs) {
         return Duration::zero();
     }
     const double startsPerSecond = (1 + m_queueStarts) / (seconds(m_settings.presumedStartInterval) + m_queueSeconds);
--- a/src/libradishswitch/serving/endpointloadmeter.h
+++ b/src/libradishswitch/serving/endpointloadmeter.h
@@ -25,6 +25,9 @@
     Duration repeatSpan = std::chrono::milliseconds(150);
     /// Events after which the idle event interval is reported.
     double minimumIdleEvents = 8;
+    /// Reports that are further apart are not compared: the process was stopped, or reads failed, and runs that came
+    /// and went in between would be missing.
+    Duration longestSpan = std::chrono::milliseconds(1500);
     /// No time is reported as longer.
     Duration longestTime = std::chrono::seconds(60);
 };
--- a/src/libradishswitch/serving/endpointloads.cpp
+++ b/src/libradishswitch/serving/endpointloads.cpp
@@ -230,7 +230,9 @@
 void EndpointLoads::updateTypical(PoolNews &pool, Instant now)
 {
     const std::vector<EndpointSlot> &slots = m_registry.pool(pool.pool);
-    const Instant notBefore = std::min(now - kFreshFor, pool.newestAt);
+    // With no fresh report at all, those of the last moments before the updates ended still count together.
+    const Instant newest = std::min(now, pool.newestAt);
+    const Instant notBefore = newest == Instant::min() ? newest : newest - kFreshFor;
     pool.typical.pauseSeconds = medianOf(slots, &EndpointNews::pauseSeconds, notBefore);
     pool.typical.running = medianOf(slots, &EndpointNews::running, notBefore);
     pool.typical.memoryShare = medianOf(slots, &EndpointNews::memoryShare, notBefore);
--- a/src/libradishswitch/serving/gatewayloads.cpp
+++ b/src/libradishswitch/serving/gatewayloads.cpp
@@ -51,6 +51,9 @@
     if (report.gateway == m_self || report.zone != m_zone) {
         return absl::OkStatus();
     }
+    if (m_listed && !m_listed->contains(report.gateway)) {
+        return makeFailure(FailureCode::NoEndpoint, "load of a gateway that is not listed");
+    }
     const Instant measuredAt = now - report.age;
     auto it = m_gateways.find(report.gateway);
     if (it == m_gateways.end()) {
--- a/src/libradishswitch/serving/gatewayloads.h
+++ b/src/libradishswitch/serving/gatewayloads.h
@@ -5,7 +5,10 @@
 #include <absl/status/status.h>
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace RadishSwitch
@@ -28,9 +31,15 @@
     /// `self` and `zone` are the name and the zone of this process.
     GatewayLoads(std::string self, std::string zone);
 
+    /// Sets the names of the fleet's gateways. Until then reports of any gateway are taken in.
+    void setListed(std::set<std::string> gateways)
+    {
+        m_listed = std::move(gateways);
+    }
+
     /// Takes in a report. Reports of this process itself, of gateways of other zones and those that are not newer than
     /// the known report are ignored. Failures, which change nothing: MalformedMessage for impossible values,
-    /// Overloaded if too many gateways are known.
+    /// NoEndpoint for a gateway that is not listed, Overloaded if too many gateways are known.
     absl::Status takeIn(const GatewayLoadReport &report, Instant now);
 
     /// The last reports of the other gateways of the zone, in order of their names, with their present ages.
@@ -47,6 +56,7 @@
 
     const std::string m_self;
     const std::string m_zone;
+    std::optional<std::set<std::string>> m_listed;
     std::map<std::string, GatewayNews> m_gateways;
 };
 
--- a/src/libradishswitch/serving/rotationpolicy.cpp
+++ b/src/libradishswitch/serving/rotationpolicy.cpp
@@ -9,6 +9,10 @@
 namespace
 {
 
+/// A gateway that refuses nothing is never told to others as overloaded, so that it doesn't take the place of one that
+/// refuses and has to leave the rotation.
+constexpr double kHighestWithoutRefusals = 0.99;
+
 Duration times(Duration duration, double factor)
 {
     return std::chrono::duration_cast<Duration>(duration * factor);
@@ -56,7 +60,7 @@
     m_lastRefusal = now;
     m_refusalReason = reason;
     if (isAway(now)) {
-        m_awayUntil = now + m_away;
+        m_awayUntil = std::max(m_awayUntil, now + m_settings.firstAway);
     }
 }
 
@@ -190,7 +194,7 @@
 double RotationPolicy::fullness(Instant now) const
 {
     const bool hasRefused = m_lastRefusal && now - *m_lastRefusal < m_settings.refusalGap;
-    return hasRefused ? std::max(m_fullness, 1.0) : m_fullness;
+    return hasRefused ? std::max(m_fullness, 1.0) : std::min(m_fullness, kHighestWithoutRefusals);
 }
 
 }
--- a/tests/core/limits/intakebudget_test.cpp
+++ b/tests/core/limits/intakebudget_test.cpp
@@ -248,9 +248,31 @@
     EXPECT_NEAR(budget.linkUse(now), 0.5, 0.05);
     traffic.noteIn(2'500'000);
     EXPECT_NEAR(budget.linkUse(now), 2, 0.05);
+    now += std::chrono::seconds(4);
+    EXPECT_EQ(budget.linkUse(now), 0);
+    traffic.noteIn(2'500'000);
     EXPECT_NEAR(budget.linkUse(now + std::chrono::seconds(4)), 0.5, 0.05);
 }
 
+// Guards against wide links that never report how full they are, since nobody asks there about requests.
+TEST_F(IntakeBudgetTest, linkUse_partThatRefusesNothing_isMeasured)
+{
+    IntakeBudget wide({200, false}, traffic, random);
+    EXPECT_EQ(wide.linkUse(now), 0);
+    traffic.noteOut(12'500'000);
+    EXPECT_NEAR(wide.linkUse(now + std::chrono::seconds(1)), 0.5, 0.05);
+}
+
+// Guards against a refusal of the first request after a quiet time in which streams used half of the link.
+TEST_F(IntakeBudgetTest, refusalOf_firstRequestAfterSeconds_seesNoQueueOfBytesLongPassed)
+{
+    EXPECT_EQ(ask("a", 500), std::nullopt);
+    traffic.noteIn(5'000 * kPerMillisecond / 2);
+    now += std::chrono::seconds(5);
+    EXPECT_EQ(ask("a", 500), std::nullopt);
+    EXPECT_LT(budget.queue(now), 10 * kMillisecond);
+}
+
 // Guards against refusals of a part that is switched off, or that knows no bandwidth.
 TEST_F(IntakeBudgetTest, refusalOf_switchedOffOrBandwidthUnknown_acceptsAll)
 {
--- a/tests/core/serving/gatewayloads_test.cpp
+++ b/tests/core/serving/gatewayloads_test.cpp
@@ -62,6 +62,15 @@
     EXPECT_EQ(loads.neighbours(now + 200ms)[0].fullness, 0.9);
 }
 
+// Guards against a process that nobody listed and that shifts the zone's total bandwidth and mean fullness.
+TEST_F(GatewayLoadsTest, takeIn_unlistedGateway_isRejected)
+{
+    loads.setListed({"a"});
+    EXPECT_TRUE(loads.takeIn(report("a"), now).ok());
+    EXPECT_EQ(failureCode(loads.takeIn(report("b"), now)), FailureCode::NoEndpoint);
+    EXPECT_EQ(loads.neighbours(now).size(), 1U);
+}
+
 // Guards against faulty gateways whose values make their neighbours leave the rotation, or stay in it.
 TEST_F(GatewayLoadsTest, takeIn_impossibleValue_isRejected)
 {
