Lines and counters name the software version at which a stream goes on

What callers saw: ORDER, streams that hold events of two software versions. By our lines nobody could tell whether a gateway's own further attempt, a caller's new try or a wrong idea of an endpoint's version was the cause: no line named a version or the try that a call resumes.

No decision changes.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -429,16 +429,27 @@
     const std::string content = status.ok() || !m_route ? std::string() : fingerprint().toString();
     const std::string_view outcome = status.ok() ? std::string_view("answered") : failureName(failureCode(status));
     kLog.write(status.ok() ? LogLevel::Info : LogLevel::Warning, status.ok() ? "call ended" : "call failed",
-               {field("call", m_request.id.value()), field("outcome", outcome), field("status", m_answeredStatus),
-                field("route", route), field("organisation", organisation), field("attempts", m_history.sent),
+               {field("call", m_request.id.value()),
+                field("outcome", outcome),
+                field("status", m_answeredStatus),
+                field("route", route),
+                field("organisation", organisation),
+                field("attempts", m_history.sent),
                 field("endpoint", m_attempt.placement.endpoint.value()),
-                field("pool", m_pool ? m_pool->name.value() : std::string()), field("events", m_eventSplitter.count()),
-                field("tokens", m_isReserved ? usedTokens() : 0), field("reserved_after", m_reservationTime),
-                field("waited", m_queueWait), field("first_answer", m_firstAnswerTime.value_or(Duration::zero())),
+                field("software_version", m_attempt.placement.softwareVersion.value()),
+                field("resumes", m_request.resumedCall.value_or(RequestId()).value()),
+                field("pool", m_pool ? m_pool->name.value() : std::string()),
+                field("events", m_eventSplitter.count()),
+                field("tokens", m_isReserved ? usedTokens() : 0),
+                field("reserved_after", m_reservationTime),
+                field("waited", m_queueWait),
+                field("first_answer", m_firstAnswerTime.value_or(Duration::zero())),
                 field("taken", taken),
                 field("further_attempt", m_furtherAttempt ? furtherAttemptName(*m_furtherAttempt) : std::string_view()),
-                field("time_left", timeLeft()), field("version", m_table ? m_table->configuration().version : 0),
-                field("content", content), field("reason", std::string(status.message()))});
+                field("time_left", timeLeft()),
+                field("version", m_table ? m_table->configuration().version : 0),
+                field("content", content),
+                field("reason", std::string(status.message()))});
 }
 
 }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -86,6 +86,7 @@
     static AttemptEnd endUnsent(const Attempt &attempt);
     void noteConnectTime(const Placement &placement, Duration taken, const absl::Status &status) const;
     void send(Attempt &attempt);
+    void noteContinued(const Attempt &attempt) const;
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt);
     void applyNotice(const Attempt &attempt, const AnswerHead &head) const;
     boost::asio::awaitable<absl::Status> skipStrayAnswer(Attempt &attempt);
@@ -153,6 +154,8 @@
     /// The attempt at another endpoint that replaces `m_attempt` once it has begun to answer.
     std::optional<Attempt> m_successor;
     EventSplitter m_eventSplitter;
+    /// Where the first event was made that this call has relayed.
+    std::optional<Placement> m_streamOrigin;
     /// The last decision on whether a further attempt may be made; for the log.
     std::optional<FurtherAttempt> m_furtherAttempt;
     std::optional<Duration> m_firstAnswerTime;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -123,9 +123,35 @@
     dispatch.priority = priority();
     dispatch.lastEvent = m_eventSplitter.lastEvent();
     attempt.lastActivityAt = m_services.timers.now();
+    noteContinued(attempt);
     attempt.connection->startSending(m_services.protocol.endpointCall(m_exchange.request(), dispatch));
 }
 
+void Call::noteContinued(const Attempt &attempt) const
+{
+    if (!m_eventSplitter.lastEvent()) {
+        return;
+    }
+    ContinuedAt at = ContinuedAt::UnknownVersion;
+    if (m_streamOrigin) {
+        const bool isSame = m_streamOrigin->softwareVersion == attempt.placement.softwareVersion;
+        at = isSame ? ContinuedAt::SameVersion : ContinuedAt::OtherVersion;
+    }
+    const bool isByGateway = m_eventSplitter.count() > 0;
+    m_services.metrics.noteContinued(isByGateway ? ContinuedBy::Gateway : ContinuedBy::Caller, at);
+    if (!m_services.failureSampler.shouldLog(m_request.id, m_services.timers.now())) {
+        return;
+    }
+    const Placement origin = m_streamOrigin.value_or(Placement());
+    kLog.info("stream continues at an endpoint",
+              {field("call", m_request.id.value()),
+               field("resumes", m_request.resumedCall.value_or(RequestId()).value()),
+               field("last_event", *m_eventSplitter.lastEvent()), field("begun_at", origin.endpoint.value()),
+               field("begun_at_version", origin.softwareVersion.value()),
+               field("endpoint", attempt.placement.endpoint.value()),
+               field("software_version", attempt.placement.softwareVersion.value())});
+}
+
 // Reads until the connection's deadline. After a deadline that only pauses, the next call resumes where this one
 // stopped.
 net::awaitable<absl::StatusOr<AnswerHead>> Call::readHead(Attempt &attempt)
@@ -283,10 +309,11 @@
     kLog.info("attempt failed",
               {field("call", m_request.id.value()), field("content", fingerprint().toString()),
                field("endpoint", attempt.placement.endpoint.value()), field("address", attempt.placement.address),
-               field("end", attemptEndName(end)), field("reason", std::string(attempt.failure.message())),
-               field("sent", m_history.sent), field("events", m_eventSplitter.count()),
-               field("may_have_run", m_history.mayHaveRun), field("silent_for", silenceDuration(attempt)),
-               field("noticed_late", wait.late), field("unread", wait.unread), field("time_left", timeLeft())});
+               field("software_version", attempt.placement.softwareVersion.value()), field("end", attemptEndName(end)),
+               field("reason", std::string(attempt.failure.message())), field("sent", m_history.sent),
+               field("events", m_eventSplitter.count()), field("may_have_run", m_history.mayHaveRun),
+               field("silent_for", silenceDuration(attempt)), field("noticed_late", wait.late),
+               field("unread", wait.unread), field("time_left", timeLeft())});
 }
 
 Duration Call::silenceDuration(const Attempt &attempt) const
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -11,6 +11,24 @@
 constexpr char kStageName[] = "radishswitch_call_stage_seconds";
 constexpr char kStageHelp[] = "Time that calls spent in a stage";
 
+std::string nameOf(ContinuedBy by)
+{
+    return by == ContinuedBy::Gateway ? "gateway" : "caller";
+}
+
+std::string nameOf(ContinuedAt at)
+{
+    switch (at) {
+    case ContinuedAt::SameVersion:
+        return "same";
+    case ContinuedAt::OtherVersion:
+        return "other";
+    case ContinuedAt::UnknownVersion:
+        break;
+    }
+    return "unknown";
+}
+
 Histogram &stage(Metrics &metrics, const std::string &name)
 {
     return metrics.histogram(kStageName, kStageHelp, kLatencyRange, {{"stage", name}});
@@ -84,6 +102,15 @@
     m_metrics.counter("radishswitch_attempts_failed_total", "Attempts at endpoints that failed", {{"end", name}}).add();
 }
 
+void CallMetrics::noteContinued(ContinuedBy by, ContinuedAt at)
+{
+    m_metrics
+        .counter("radishswitch_streams_continued_total",
+                 "Streams sent to an endpoint to be continued, by the version of its software against that which began",
+                 {{"by", nameOf(by)}, {"version", nameOf(at)}})
+        .add();
+}
+
 void CallMetrics::noteHeldUp()
 {
     m_heldUp.add();
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -12,6 +12,22 @@
 namespace RadishSwitch
 {
 
+/// Who continued a stream that had broken off.
+enum class ContinuedBy {
+    /// The gateway, with a further attempt within the same call.
+    Gateway,
+    /// The caller, with another call.
+    Caller,
+};
+
+/// The software that continues a stream, compared with the software that began it.
+enum class ContinuedAt {
+    SameVersion,
+    OtherVersion,
+    /// It is not known which version began the stream.
+    UnknownVersion,
+};
+
 /// The metrics of calls: their outcomes, the duration of each stage, and the failures of attempts at endpoints.
 class CallMetrics
 {
@@ -38,6 +54,9 @@
 
     void noteAttemptFailed(AttemptEnd end);
 
+    /// Counts a stream that was sent to an endpoint to be continued after its last event.
+    void noteContinued(ContinuedBy by, ContinuedAt at);
+
     /// Counts a request that was dropped because its endpoint acknowledged none of its bytes.
     void noteHeldUp();
 
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -137,6 +137,9 @@
 
 net::awaitable<absl::Status> Call::forwardToCaller(const AnswerHead &head, const std::string &events)
 {
+    if (!events.empty() && !m_streamOrigin && !m_request.lastEvent) {
+        m_streamOrigin = m_attempt.placement;
+    }
     if (!m_hasStreamStarted) {
         noteFirstAnswer();
         m_hasStreamStarted = true;
--- a/src/libradishswitch/base/identifier.h
+++ b/src/libradishswitch/base/identifier.h
@@ -64,6 +64,8 @@
 using PoolId = Identifier<struct PoolTag>;
 /// An endpoint: an instance of a model engine or of a plain service.
 using EndpointId = Identifier<struct EndpointTag>;
+/// The version of the software that an endpoint runs, as opposed to that of its model's weights. Empty if not known.
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
 
 /// The full name of a budget: its organisation, and its name within that organisation.
 struct BudgetId {
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -116,7 +116,8 @@
                               listing.address,
                               listing.zone,
                               m_placement.expectedFirstAnswer(*slot, query, now),
-                              listing.startedAtMilliseconds};
+                              listing.startedAtMilliseconds,
+                              listing.softwareVersion};
     const std::int64_t prefillTokens = m_placement.noteSent(*slot, query, now);
     m_placed.insert_or_assign(placement.id, PlacedCall{*slot, query.pool, prefillTokens, now, query.lateAfter});
     callback(placement);
--- a/src/libradishswitch/serving/callrequest.h
+++ b/src/libradishswitch/serving/callrequest.h
@@ -38,6 +38,8 @@
     std::optional<Duration> callerTimeout;
     /// The last event of a stream that the caller has received. The caller asks for the events after it.
     std::optional<std::uint64_t> lastEvent;
+    /// The caller's try that received the first event of the stream that this call continues.
+    std::optional<RequestId> resumedCall;
     /// nullopt for calls without tokens.
     std::optional<TokenBounds> tokens;
     /// The parts of the prompt in order. The last one belongs to this call or its session only.
--- a/src/libradishswitch/serving/endpointlisting.h
+++ b/src/libradishswitch/serving/endpointlisting.h
@@ -16,6 +16,8 @@
     /// id and has a later start time. Zero if the platform does not report it.
     std::int64_t startedAtMilliseconds = 0;
     PoolId pool;
+    /// Empty if the entry names none that can be used.
+    SoftwareVersion softwareVersion;
     /// "ip:port".
     std::string address;
     std::string zone;
--- a/src/libradishswitch/serving/placementquery.h
+++ b/src/libradishswitch/serving/placementquery.h
@@ -49,6 +49,8 @@
     Duration expectedFirstAnswer{};
     /// Start time of the endpoint's incarnation that was chosen, as in its listing.
     std::int64_t startedAtMilliseconds = 0;
+    /// The software that this incarnation runs, as in its listing.
+    SoftwareVersion softwareVersion;
 
     bool operator==(const Placement &) const = default;
 };
