--- a/tests/radishswitch-gateway/gatewayfixture.h
+++ b/tests/radishswitch-gateway/gatewayfixture.h
@@ -86,12 +86,13 @@
         }
     }
 
-    static Json endpointEntry(std::uint16_t port, const std::string &state, std::int64_t startedAtMilliseconds = 1'000)
+    static Json endpointEntry(std::uint16_t port, const std::string &state, std::int64_t startedAtMilliseconds = 1'000,
+                              const std::string &softwareVersion = "v1")
     {
         return {{"service", "llm"},
                 {"address", "127.0.0.1:" + std::to_string(port)},
                 {"zone", "a"},
-                {"version", "v1"},
+                {"version", softwareVersion},
                 {"slots", 64},
                 {"state", state},
                 {"sequence", 0},
