Streams continue only at the software version that began them

Cause: the version of an endpoint was not part of any decision. A gateway's own next attempt, the successor of a silent endpoint and a caller's new try (Last-Event-Id, Resumes) could go to any endpoint of the pool, and no gateway but the one that began a stream could have known its version.

Change: - PlacementQuery names the version that a stream requires, and EndpointAdmission, through which every choice goes (first, further, successor, last resort, waiting), refuses others. No endpoint matches an unknown version. An endpoint that runs other software under its id is a new incarnation. - StreamOrigins: who relays the first event records call, organisation, pool and version, and sends the record to two homes and a gateway that rendezvous hashing by the call selects (path /stream-origins). Who gets a caller's new try asks them. Unknown origins are refused at once (stream_origin_unknown, 503, not run), as are versions without an endpoint (stream_version_gone). - PoolVersions, VersionReports: a pool of one version needs no record and no question. So that no gateway relies on that wrongly, a second version is announced under news/versions.POOL, and streams begin there 2.5 s later; a gateway whose watch of the announcements is older than 1.5 s asks the others. Announcements outlive restarts of all gateways.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -50,6 +50,9 @@
         m_exchange.setPeerGoneCallback([this] {
             handleCallerDisconnected();
         });
+        status = co_await findStreamOrigin();
+    }
+    if (status.ok()) {
         status = co_await reserve();
     }
     if (status.ok()) {
@@ -132,6 +135,51 @@
     return nullptr;
 }
 
+bool Call::continuesStream() const
+{
+    return m_route->isStreamed && (m_request.lastEvent || m_request.resumedCall);
+}
+
+// Only endpoints of the software that began the stream can continue it, and only the fleet's records tell which
+// software that was. A call that can't be continued is refused before it costs anything.
+net::awaitable<absl::Status> Call::findStreamOrigin()
+{
+    if (!continuesStream()) {
+        co_return absl::OkStatus();
+    }
+    StreamOriginQuery query;
+    query.call = m_request.resumedCall.value_or(RequestId());
+    query.organisation = m_organisation ? m_organisation->name : OrganisationId();
+    query.pools.push_back(m_pool->name);
+    for (const WeightedPool &it : m_route->pools) {
+        if (it.pool != m_pool->name) {
+            query.pools.push_back(it.pool);
+        }
+    }
+    const auto start = [this, &query](auto done) {
+        m_services.streamOrigins.find(query, std::move(done));
+    };
+    const absl::StatusOr<StreamOrigin> origin = co_await awaitCallback<absl::StatusOr<StreamOrigin>>(start);
+    co_return origin.ok() ? continueAt(*origin) : origin.status();
+}
+
+// A route may be split among pools. The stream continues in the pool in which it began, unless the route has left it.
+absl::Status Call::continueAt(const StreamOrigin &origin)
+{
+    const auto isOrigin = [&origin](const WeightedPool &it) {
+        return it.pool == origin.pool;
+    };
+    const bool isOnRoute = std::ranges::any_of(m_route->pools, isOrigin);
+    const ServedPool *pool = isOnRoute ? m_table->findPool(origin.pool) : nullptr;
+    if (!pool) {
+        return makeFailure(FailureCode::StreamVersionGone,
+                           "the route has no longer the pool " + origin.pool.value() + ", in which the stream began");
+    }
+    m_pool = pool;
+    m_streamOrigin = origin;
+    return absl::OkStatus();
+}
+
 // The organisation's priority takes precedence; the route's priority orders calls of the same level.
 int Call::priority() const
 {
@@ -165,6 +213,11 @@
         query.targetGap = m_route->targetGap;
         query.expectedEvents = m_request.tokens ? m_pool->eventsOf(m_request.tokens->maximumOutput) : 0;
     }
+    if (m_streamOrigin) {
+        query.requiredVersion = m_streamOrigin->version;
+    }
+    query.beginsStream =
+        m_route->isStreamed && m_route->repetition == Repetition::ByResuming && !m_streamOrigin.has_value();
     query.excluded = m_tried;
     if (m_attempt.connection) {
         query.excluded.push_back(m_attempt.placement.endpoint);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -59,6 +59,9 @@
     absl::Status prepare();
     absl::Status identifyOrganisation();
     const ServedPool *choosePool();
+    bool continuesStream() const;
+    boost::asio::awaitable<absl::Status> findStreamOrigin();
+    absl::Status continueAt(const StreamOrigin &origin);
     PlacementQuery placementQuery() const;
     int priority() const;
     boost::asio::awaitable<absl::Status> reserve();
@@ -106,6 +109,7 @@
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
+    void noteFirstEvents();
     void noteFirstAnswer();
     Duration firstAnswerWait() const;
 
@@ -154,8 +158,10 @@
     /// The attempt at another endpoint that replaces `m_attempt` once it has begun to answer.
     std::optional<Attempt> m_successor;
     EventSplitter m_eventSplitter;
-    /// Where the first event was made that this call has relayed.
-    std::optional<Placement> m_streamOrigin;
+    /// Where the stream began, from its first event on; for a call that continues a stream from the start.
+    std::optional<StreamOrigin> m_streamOrigin;
+    /// The endpoint that sent the first events to this call's caller; empty before.
+    EndpointId m_firstWriter;
     /// The last decision on whether a further attempt may be made; for the log.
     std::optional<FurtherAttempt> m_furtherAttempt;
     std::optional<Duration> m_firstAnswerTime;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -129,27 +129,26 @@
 
 void Call::noteContinued(const Attempt &attempt) const
 {
-    if (!m_eventSplitter.lastEvent()) {
+    const bool isByGateway = !m_firstWriter.isEmpty();
+    if (!isByGateway && !continuesStream()) {
         return;
     }
+    const StreamOrigin origin = m_streamOrigin.value_or(StreamOrigin());
+    const SoftwareVersion &version = attempt.placement.softwareVersion;
     ContinuedAt at = ContinuedAt::UnknownVersion;
-    if (m_streamOrigin) {
-        const bool isSame = m_streamOrigin->softwareVersion == attempt.placement.softwareVersion;
-        at = isSame ? ContinuedAt::SameVersion : ContinuedAt::OtherVersion;
+    if (!origin.version.isEmpty()) {
+        at = origin.version == version ? ContinuedAt::SameVersion : ContinuedAt::OtherVersion;
     }
-    const bool isByGateway = m_eventSplitter.count() > 0;
     m_services.metrics.noteContinued(isByGateway ? ContinuedBy::Gateway : ContinuedBy::Caller, at);
     if (!m_services.failureSampler.shouldLog(m_request.id, m_services.timers.now())) {
         return;
     }
-    const Placement origin = m_streamOrigin.value_or(Placement());
     kLog.info("stream continues at an endpoint",
               {field("call", m_request.id.value()),
                field("resumes", m_request.resumedCall.value_or(RequestId()).value()),
-               field("last_event", *m_eventSplitter.lastEvent()), field("begun_at", origin.endpoint.value()),
-               field("begun_at_version", origin.softwareVersion.value()),
-               field("endpoint", attempt.placement.endpoint.value()),
-               field("software_version", attempt.placement.softwareVersion.value())});
+               field("last_event", m_eventSplitter.lastEvent().value_or(0)), field("begun_at", m_firstWriter.value()),
+               field("begun_at_version", origin.version.value()), field("endpoint", attempt.placement.endpoint.value()),
+               field("software_version", version.value())});
 }
 
 // Reads until the connection's deadline. After a deadline that only pauses, the next call resumes where this one
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -137,8 +137,8 @@
 
 net::awaitable<absl::Status> Call::forwardToCaller(const AnswerHead &head, const std::string &events)
 {
-    if (!events.empty() && !m_streamOrigin && !m_request.lastEvent) {
-        m_streamOrigin = m_attempt.placement;
+    if (!events.empty() && m_firstWriter.isEmpty()) {
+        noteFirstEvents();
     }
     if (!m_hasStreamStarted) {
         noteFirstAnswer();
@@ -153,6 +153,20 @@
     co_return co_await m_exchange.write(events);
 }
 
+// The origin is recorded before the caller has an event, so that whoever the caller asks next can find it.
+void Call::noteFirstEvents()
+{
+    const Placement &placement = m_attempt.placement;
+    m_firstWriter = placement.endpoint;
+    if (!m_streamOrigin) {
+        const OrganisationId organisation = m_organisation ? m_organisation->name : OrganisationId();
+        m_streamOrigin = StreamOrigin{organisation, m_pool->name, m_services.gate.writerVersion(placement)};
+    }
+    if (m_route->repetition == Repetition::ByResuming) {
+        m_services.streamOrigins.note({m_request.id, *m_streamOrigin});
+    }
+}
+
 void Call::noteFirstAnswer()
 {
     m_services.gate.noteFirstAnswer(m_attempt.placement.id);
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -11,6 +11,7 @@
 #include "serving/callgate.h"
 #include "serving/servingtable.h"
 #include "serving/sharedbudgets.h"
+#include "serving/streamorigins.h"
 
 #include <map>
 
@@ -76,6 +77,7 @@
     LinkShedder &link;
     PoisonGuard &poison;
     LimitReports &limits;
+    StreamOrigins &streamOrigins;
 
     RetryBudget &retryBudget(const PoolId &pool)
     {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "partsettings.h"
 #include "peerentry.h"
+#include "streamoriginwire.h"
 
 #include <utility>
 
@@ -64,6 +65,20 @@
                    m_connections.closeIdle(incarnation.endpoint);
                })
     , m_limits(m_store, m_timers, m_random, m_gate)
+    , m_versionReports(m_store, m_timers, m_random, m_gate.registry().versions())
+    , m_originHolders(m_settings.instance)
+    , m_originPeers(m_clients, m_originHolders, m_timers)
+    , m_streamOrigins(m_originHolders, m_originPeers, m_gate.registry().versions(), m_timers,
+                      [this] {
+                          return announcementAge();
+                      })
+    , m_originService(
+          [this](const StreamOriginRecord &record) {
+              m_streamOrigins.table().note(record, m_timers.now());
+          },
+          [this](const StreamOriginQuery &query) {
+              return m_streamOrigins.answer(query);
+          })
     , m_services{*m_adapter.protocol,
                  m_timers,
                  m_random,
@@ -78,7 +93,8 @@
                  m_failureSampler,
                  m_link,
                  m_poison,
-                 m_limits}
+                 m_limits,
+                 m_streamOrigins}
     , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, m_link, m_intakeBudget,
                shedderSettings(m_settings),
                [this] {
@@ -137,6 +153,9 @@
     m_peerServer.handle(kBudgetPath, [this](const MessageStreamPointer &stream) {
         m_budgetService.serve(stream);
     });
+    m_peerServer.handle(kStreamOriginPath, [this](const MessageStreamPointer &stream) {
+        m_originService.serve(stream);
+    });
     absl::Status status = m_admin.listen(m_settings.adminListen.ip(), m_settings.adminListen.port());
     if (status.ok() && m_settings.metricsListen.port() != 0) {
         status = m_metricsServer.listen(m_settings.metricsListen.ip(), m_settings.metricsListen.port());
@@ -161,6 +180,8 @@
 {
     m_homes.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
     m_collectors.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
+    m_originHolders.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
+    followVersions();
     if (m_settings.rotatesByLoad) {
         startRotation();
     }
@@ -184,6 +205,7 @@
     }
     m_reportRouter.add(kCrashPrefix, m_poison.reports());
     m_reportRouter.add(kLimitPrefix, m_limits);
+    m_reportRouter.add(kVersionPrefix, m_versionReports);
     follow(m_reportFollower, kReportPrefix);
     m_announcement.start(m_settings.isFirstStart);
     followPeers();
@@ -196,6 +218,23 @@
     }
 }
 
+// The origins of streams are sent before other versions begin any, and the announcement is written at once.
+void Gateway::followVersions()
+{
+    m_gate.registry().versions().setSeveralCallback([this](const PoolId &pool) {
+        m_timers.after(Duration::zero(), [this, pool] {
+            m_streamOrigins.publish(pool);
+            m_versionReports.announce();
+        });
+    });
+}
+
+Duration Gateway::announcementAge() const
+{
+    const Instant confirmedAt = m_reportFollower.confirmedAt();
+    return confirmedAt == Instant::min() ? Duration::max() : m_timers.nowWithSuspension() - confirmedAt;
+}
+
 // On the fleet's first start all processes announce themselves at once. A gateway that listed its peers earlier would
 // find few of them, and would watch the store itself instead of through a peer.
 void Gateway::followPeers()
@@ -222,6 +261,7 @@
 {
     m_homes.setPeers(m_settings.ignoresHomes ? gatewaysAmong(peers) : peers);
     m_collectors.setPeers(peers);
+    m_originHolders.setPeers(peers);
     std::map<std::string, double> weights;
     std::set<std::string> gateways;
     for (const auto &[name, peer] : gatewaysAmong(peers)) {
@@ -243,6 +283,7 @@
     m_connections.closeExpired();
     m_poison.reports().removeExpired();
     m_limits.removeExpired();
+    m_versionReports.removeExpired();
     m_gate.noteRegistryChanged();
     logDroppedLines();
     updateReady();
@@ -458,6 +499,8 @@
         .set(static_cast<double>(m_gate.registry().countLeaving(m_timers.now())));
     m_metrics.gauge("radishswitch_endpoints_backed_off", "Endpoints that asked to be sent nothing for a time")
         .set(static_cast<double>(m_gate.registry().countBackedOff(m_timers.now())));
+    m_metrics.gauge("radishswitch_stream_origins", "Recent streams of which it is known at which version they began")
+        .set(static_cast<double>(m_streamOrigins.table().size()));
     m_metrics.gauge("radishswitch_idle_connections", "Idle connections to endpoints")
         .set(static_cast<double>(m_connections.idleCount()));
     m_metrics.gauge("radishswitch_configuration_version", "Version of the configuration in force")
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,7 +28,11 @@
 #include "serving/objectfollower.h"
 #include "serving/probedstore.h"
 #include "serving/relayedstore.h"
+#include "serving/streamorigins.h"
+#include "streamoriginpeers.h"
+#include "streamoriginservice.h"
 #include "systemrandom.h"
+#include "versionreports.h"
 #include "watchpeers.h"
 
 #include <functional>
@@ -68,6 +72,9 @@
     /// Whether the store does not answer this gateway directly; a home may still relay it.
     bool isStoreUnreachable() const;
     bool followsCordons() const;
+    /// How long ago this gateway last had everything that the gateways announce to each other.
+    Duration announcementAge() const;
+    void followVersions();
     /// Whether the gateway knows everything needed to serve calls: configuration, endpoints, peers and cordons.
     bool isServing() const;
     void handlePeers(const std::map<std::string, FleetPeer> &peers);
@@ -120,6 +127,13 @@
     IntakeBudget m_intakeBudget;
     PoisonGuard m_poison;
     LimitReports m_limits;
+    VersionReports m_versionReports;
+    /// The processes that keep origins of streams. Apart from `m_homes`, so that what becomes of origins does not
+    /// decide where budgets are reserved.
+    HomeDirectory m_originHolders;
+    StreamOriginPeers m_originPeers;
+    StreamOrigins m_streamOrigins;
+    StreamOriginService m_originService;
     CallServices m_services;
     CallIntake m_intake;
     GatewayLoads m_gatewayLoads;
--- a/src/home/home.cpp
+++ b/src/home/home.cpp
@@ -5,8 +5,10 @@
 #include "fleetparts.h"
 #include "log.h"
 #include "peerentry.h"
+#include "streamoriginwire.h"
 #include "watchpeers.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace RadishSwitch
@@ -56,6 +58,13 @@
                     return false;
                 })
     , m_service(m_budgets, m_timers)
+    , m_originService(
+          [this](const StreamOriginRecord &record) {
+              m_streamOrigins.note(record, m_timers.now());
+          },
+          [this](const StreamOriginQuery &query) {
+              return answerOrigin(query);
+          })
     , m_announcement(m_store, m_timers, m_random, m_settings.instance,
                      writePeerEntry(peerOf(m_settings, PeerKind::Home)))
     , m_candidacy(m_store, m_timers, m_random, m_announcement, m_settings.instance, m_settings.zone,
@@ -81,6 +90,9 @@
     m_server.handle(kBudgetPath, [this](const MessageStreamPointer &stream) {
         m_service.serve(stream);
     });
+    m_server.handle(kStreamOriginPath, [this](const MessageStreamPointer &stream) {
+        m_originService.serve(stream);
+    });
     m_server.handle(kWatchPath, [this](const MessageStreamPointer &stream) {
         serveFromStore(m_coalescingStore, stream);
     });
@@ -108,6 +120,20 @@
     return absl::OkStatus();
 }
 
+// Gateways send origins only of pools that have several versions.
+StreamOriginAnswer Home::answerOrigin(const StreamOriginQuery &query) const
+{
+    StreamOriginAnswer answer;
+    const std::optional<StreamOrigin> origin = m_streamOrigins.find(query.call);
+    if (origin && origin->organisation == query.organisation) {
+        answer.origin = origin;
+    }
+    answer.hasSeveralVersions = std::ranges::any_of(query.pools, [this](const PoolId &pool) {
+        return m_streamOrigins.hasPool(pool, m_timers.now());
+    });
+    return answer;
+}
+
 void Home::drain(std::function<void()> callback)
 {
     m_workers.post([this, callback = std::move(callback)]() mutable {
@@ -144,6 +170,8 @@
 void Home::updateGauges()
 {
     countBudgets(m_holder, m_metrics);
+    m_metrics.gauge("radishswitch_stream_origins", "Recent streams of which it is known at which version they began")
+        .set(static_cast<double>(m_streamOrigins.size()));
     if (m_loadReporting) {
         m_loadReporting->updateGauges();
     }
--- a/src/home/home.h
+++ b/src/home/home.h
@@ -14,6 +14,8 @@
 #include "prepaidbudgets.h"
 #include "serving/coalescingstore.h"
 #include "serving/probedstore.h"
+#include "serving/streamorigintable.h"
+#include "streamoriginservice.h"
 #include "systemrandom.h"
 
 #include <functional>
@@ -56,6 +58,7 @@
 
 private:
     void finishDrain();
+    StreamOriginAnswer answerOrigin(const StreamOriginQuery &query) const;
     void updateGauges();
 
     const BudgetHomeSettings m_settings;
@@ -72,6 +75,9 @@
     BudgetHolder m_holder;
     PrepaidBudgets m_budgets;
     BudgetService m_service;
+    /// Origins of the streams of gateways, which may be killed before their callers continue them elsewhere.
+    StreamOriginTable m_streamOrigins;
+    StreamOriginService m_originService;
     PeerAnnouncement m_announcement;
     HomeCandidacy m_candidacy;
     /// Null without an endpoint whose reports are read.
--- a/src/libradishnet/asiotimerservice.cpp
+++ b/src/libradishnet/asiotimerservice.cpp
@@ -136,6 +136,16 @@
     return Instant(std::chrono::duration_cast<Duration>(SteadyClock::now().time_since_epoch()));
 }
 
+Instant AsioTimerService::nowWithSuspension() const
+{
+    timespec time{};
+    if (clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+        return now();
+    }
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                        + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 std::int64_t AsioTimerService::wallClockMilliseconds() const
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/src/libradishnet/asiotimerservice.h
+++ b/src/libradishnet/asiotimerservice.h
@@ -19,6 +19,7 @@
     ~AsioTimerService() override;
 
     Instant now() const override;
+    Instant nowWithSuspension() const override;
     std::int64_t wallClockMilliseconds() const override;
     TimerId after(Duration delay, std::function<void()> callback) override;
     TimerId every(Duration interval, std::function<void()> callback) override;
--- a/src/libradishswitch/base/failure.cpp
+++ b/src/libradishswitch/base/failure.cpp
@@ -52,6 +52,8 @@
     FailureKind{FailureCode::StaleFence, "stale_fence", 503, absl::StatusCode::kFailedPrecondition},
     FailureKind{FailureCode::RunUnknown, "run_unknown", 404, absl::StatusCode::kNotFound},
     FailureKind{FailureCode::AnswerGone, "answer_gone", 410, absl::StatusCode::kDataLoss},
+    FailureKind{FailureCode::StreamOriginUnknown, "stream_origin_unknown", 503, absl::StatusCode::kFailedPrecondition},
+    FailureKind{FailureCode::StreamVersionGone, "stream_version_gone", 503, absl::StatusCode::kUnavailable},
     FailureKind{FailureCode::OutcomeUnknown, "outcome_unknown", 503, absl::StatusCode::kUnknown},
     FailureKind{FailureCode::HomeUnreachable, "home_unreachable", 503, absl::StatusCode::kUnavailable},
     FailureKind{FailureCode::HomeElsewhere, "home_elsewhere", 503, absl::StatusCode::kFailedPrecondition},
--- a/src/libradishswitch/base/failure.h
+++ b/src/libradishswitch/base/failure.h
@@ -44,6 +44,10 @@
     StaleFence,
     RunUnknown,
     AnswerGone,
+    /// It is not known at which software version the stream began that is to be continued.
+    StreamOriginUnknown,
+    /// No endpoint of the software version at which the stream began takes calls.
+    StreamVersionGone,
     OutcomeUnknown,
     // The fleet.
     HomeUnreachable,
--- a/src/libradishswitch/base/timerservice.h
+++ b/src/libradishswitch/base/timerservice.h
@@ -34,6 +34,12 @@
     /// The current time. Never goes back.
     virtual Instant now() const = 0;
 
+    /// As `now`, on a clock that also counts time during which the machine was suspended. Comparable only with itself.
+    virtual Instant nowWithSuspension() const
+    {
+        return now();
+    }
+
     /// The wall clock in milliseconds since 1970, for records that people read. Never used for a decision.
     virtual std::int64_t wallClockMilliseconds() const = 0;
 
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -77,9 +77,7 @@
         return;
     }
     if (!m_placement.hasOpenEndpoint(query, m_timers.now())) {
-        return callback(makeFailure(FailureCode::NoEndpoint,
-                                    "no endpoint of pool " + query.pool.value() + " takes calls",
-                                    m_settings.noEndpointRetryAfter));
+        return callback(refusalWithoutOpenEndpoint(query));
     }
     if (const std::optional<absl::Status> status = refusalIfAllBackedOff(query)) {
         return callback(*status);
@@ -94,6 +92,18 @@
     wait(query, std::move(callback));
 }
 
+absl::Status CallGate::refusalWithoutOpenEndpoint(const PlacementQuery &query) const
+{
+    if (query.requiredVersion) {
+        return makeFailure(FailureCode::StreamVersionGone,
+                           "no endpoint of pool " + query.pool.value() + " takes calls that runs the version \""
+                               + query.requiredVersion->value() + "\", at which the stream began",
+                           m_settings.noEndpointRetryAfter);
+    }
+    return makeFailure(FailureCode::NoEndpoint, "no endpoint of pool " + query.pool.value() + " takes calls",
+                       m_settings.noEndpointRetryAfter);
+}
+
 bool CallGate::shouldShed(const PlacementQuery &query)
 {
     if (query.lateAfter == Duration::zero() || m_settings.ignoresPressure) {
@@ -250,6 +260,13 @@
     return it != m_placed.end() && m_admission.mayStillBeSent(it->second.slot, m_timers.now());
 }
 
+SoftwareVersion CallGate::writerVersion(const Placement &placement) const
+{
+    const std::optional<EndpointSlot> slot = m_registry.slotOf(placement.endpoint);
+    const bool isSame = !slot || m_registry.at(*slot).listing.softwareVersion == placement.softwareVersion;
+    return isSame ? placement.softwareVersion : SoftwareVersion();
+}
+
 bool CallGate::noteAnnouncedLimit(const PlacedCall &placed, std::optional<double> callsPerSecond)
 {
     const RegisteredEndpoint &endpoint = m_registry.at(placed.slot);
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -108,6 +108,10 @@
     /// closed since.
     bool mayStillBeSent(PlacementId placement) const;
 
+    /// The software version that wrote what came from a placement until now; empty if the endpoint has been restarted
+    /// with other software since, so that either may have written it.
+    SoftwareVersion writerVersion(const Placement &placement) const;
+
     /// Time until the first endpoint open to such calls ends its backoff, in milliseconds; nullopt if at least one of
     /// them is not in backoff.
     std::optional<std::chrono::milliseconds> untilBackoffEnds(const PlacementQuery &query) const;
@@ -151,6 +155,7 @@
         bool isSilent = false;
     };
 
+    absl::Status refusalWithoutOpenEndpoint(const PlacementQuery &query) const;
     absl::Status refusalFor(const PlacementQuery &query, const absl::Status &status) const;
     bool noteAnnouncedLimit(const PlacedCall &placed, std::optional<double> callsPerSecond);
     void refuseWaitingIfAllBackedOff(PoolId pool);
--- a/src/libradishswitch/serving/endpointadmission.cpp
+++ b/src/libradishswitch/serving/endpointadmission.cpp
@@ -27,10 +27,16 @@
     if (!query.regions.allows(it.region)) {
         return Admission::OutsideRegions;
     }
+    if (!isOfRequiredVersion(it, query)) {
+        return Admission::OtherVersion;
+    }
     const EndpointAvailability availability = m_registry.availability(slot, now);
     if (!acceptsCalls(availability)) {
         return Admission::Closed;
     }
+    if (!isVersionSettled(it, query, now)) {
+        return Admission::VersionNotSettled;
+    }
     if (it.backoff.isActive(now)) {
         return Admission::BackedOff;
     }
@@ -52,13 +58,13 @@
 bool EndpointAdmission::isHealthy(EndpointSlot slot, const PlacementQuery &query, Instant now) const
 {
     const RegisteredEndpoint &it = m_registry.at(slot);
-    return query.regions.allows(it.region) && m_registry.availability(slot, now) == EndpointAvailability::Usable
-        && it.ejection.isAllowed(now);
+    return isAllowed(it, query) && m_registry.availability(slot, now) == EndpointAvailability::Usable
+        && isVersionSettled(it, query, now) && it.ejection.isAllowed(now);
 }
 
 bool EndpointAdmission::isOpen(EndpointSlot slot, const PlacementQuery &query, Instant now) const
 {
-    return query.regions.allows(m_registry.at(slot).region) && acceptsCalls(m_registry.availability(slot, now));
+    return isAllowed(m_registry.at(slot), query) && acceptsCalls(m_registry.availability(slot, now));
 }
 
 bool EndpointAdmission::mayStillBeSent(EndpointSlot slot, Instant now) const
@@ -66,6 +72,24 @@
     return acceptsCalls(m_registry.availability(slot, now)) && !m_registry.at(slot).backoff.isActive(now);
 }
 
+bool EndpointAdmission::isAllowed(const RegisteredEndpoint &endpoint, const PlacementQuery &query)
+{
+    return query.regions.allows(endpoint.region) && isOfRequiredVersion(endpoint, query);
+}
+
+bool EndpointAdmission::isOfRequiredVersion(const RegisteredEndpoint &endpoint, const PlacementQuery &query)
+{
+    const std::optional<SoftwareVersion> &required = query.requiredVersion;
+    return !required || (!required->isEmpty() && endpoint.listing.softwareVersion == *required);
+}
+
+bool EndpointAdmission::isVersionSettled(const RegisteredEndpoint &endpoint, const PlacementQuery &query,
+                                         Instant now) const
+{
+    const EndpointListing &listing = endpoint.listing;
+    return !query.beginsStream || m_registry.versions().mayBegin(listing.pool, listing.softwareVersion, now);
+}
+
 // A cold endpoint that is sent more calls than it can take crashes, and all its calls fail. An endpoint that announces
 // a limit is overloaded.
 bool EndpointAdmission::isShareUsedUp(EndpointSlot slot, Instant now) const
--- a/src/libradishswitch/serving/endpointadmission.h
+++ b/src/libradishswitch/serving/endpointadmission.h
@@ -24,6 +24,10 @@
     Tried,
     /// The call may not go to its region.
     OutsideRegions,
+    /// The call continues a stream that began at another software version.
+    OtherVersion,
+    /// Its software version is new in the pool, and no streams begin there yet.
+    VersionNotSettled,
     /// It is leaving, its zone is closed, it was replaced, or it is gone.
     Closed,
 };
@@ -50,6 +54,10 @@
     bool mayStillBeSent(EndpointSlot slot, Instant now) const;
 
 private:
+    /// Whether the call may ever go to the endpoint, by the call's regions and the version of its stream.
+    static bool isAllowed(const RegisteredEndpoint &endpoint, const PlacementQuery &query);
+    static bool isOfRequiredVersion(const RegisteredEndpoint &endpoint, const PlacementQuery &query);
+    bool isVersionSettled(const RegisteredEndpoint &endpoint, const PlacementQuery &query, Instant now) const;
     bool isShareUsedUp(EndpointSlot slot, Instant now) const;
 
     const EndpointRegistry &m_registry;
--- a/src/libradishswitch/serving/endpointregistry.cpp
+++ b/src/libradishswitch/serving/endpointregistry.cpp
@@ -33,7 +33,9 @@
     if (listing.startedAtMilliseconds < known.listing.startedAtMilliseconds) {
         return ListingOutcome::Outdated;
     }
-    if (listing.startedAtMilliseconds > known.listing.startedAtMilliseconds) {
+    // An endpoint that runs other software was restarted, even if its entry does not give a later start time.
+    if (listing.startedAtMilliseconds > known.listing.startedAtMilliseconds
+        || listing.softwareVersion != known.listing.softwareVersion) {
         endIncarnation(found->second);
         add(listing, now);
         return ListingOutcome::Restarted;
@@ -139,6 +141,7 @@
     endpoint->coldUntil = now + listing.coldFor;
     m_endpoints[slot] = std::move(endpoint);
     m_slots.emplace(listing.id, slot);
+    m_versions.noteListed(listing.pool, listing.softwareVersion, now);
     m_pools[listing.pool].push_back(slot);
     ++m_poolsVersion;
     indexAddress(slot);
@@ -194,7 +197,7 @@
 
 std::vector<EndpointId> EndpointRegistry::replaceAll(const std::vector<EndpointListing> &listings, Instant now)
 {
-    m_isKnown = true;
+    const bool isFirstList = !std::exchange(m_isKnown, true);
     absl::flat_hash_set<EndpointId> listed;
     std::vector<EndpointId> reborn;
     for (const EndpointListing &listing : listings) {
@@ -212,6 +215,9 @@
     for (const EndpointId &id : missing) {
         unlist(id, now);
     }
+    if (isFirstList) {
+        m_versions.noteFirstListComplete();
+    }
     return reborn;
 }
 
@@ -333,8 +339,24 @@
     return it == m_addresses.end() ? kNone : it->second;
 }
 
+// A version counts until some time after its last endpoint is gone, since its streams may still be continued.
+void EndpointRegistry::noteVersions(Instant now)
+{
+    constexpr Duration kInterval = std::chrono::seconds(1);
+    if (m_versionsNotedAt && now - *m_versionsNotedAt < kInterval) {
+        return;
+    }
+    m_versionsNotedAt = now;
+    for (const auto &endpoint : m_endpoints) {
+        if (endpoint && !endpoint->isEarlierIncarnation) {
+            m_versions.noteListed(endpoint->listing.pool, endpoint->listing.softwareVersion, now);
+        }
+    }
+}
+
 std::vector<EndpointSlot> EndpointRegistry::forgetGone(Instant now)
 {
+    noteVersions(now);
     std::vector<EndpointSlot> forgotten;
     for (EndpointSlot slot = 0; slot < m_endpoints.size(); ++slot) {
         if (m_endpoints[slot] && availability(slot, now) == EndpointAvailability::Gone && at(slot).inFlight == 0) {
--- a/src/libradishswitch/serving/endpointregistry.h
+++ b/src/libradishswitch/serving/endpointregistry.h
@@ -7,6 +7,7 @@
 #include "routing/endpointejection.h"
 #include "routing/endpointstate.h"
 #include "serving/endpointlisting.h"
+#include "serving/poolversions.h"
 #include "serving/zonecordons.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -167,6 +168,17 @@
     void closeZone(const std::string &zone);
     std::vector<EndpointSlot> openZone(const std::string &zone);
 
+    /// The software versions that serve in each pool.
+    PoolVersions &versions()
+    {
+        return m_versions;
+    }
+
+    const PoolVersions &versions() const
+    {
+        return m_versions;
+    }
+
     const ZoneCordons &cordons() const
     {
         return m_cordons;
@@ -245,6 +257,7 @@
     void indexAddress(EndpointSlot slot);
     void unindexAddress(EndpointSlot slot);
     void updateReplaced(const std::string &address);
+    void noteVersions(Instant now);
     bool isMassExpiry(const PoolId &pool, Instant now) const;
     void extendSuspicion(const PoolId &pool, Instant now);
 
@@ -260,6 +273,8 @@
     absl::flat_hash_map<EndpointId, EndpointListing> m_endedIncarnations;
     std::deque<EndpointId> m_endedInOrder;
     ZoneCordons m_cordons;
+    PoolVersions m_versions;
+    std::optional<Instant> m_versionsNotedAt;
     std::optional<Instant> m_storeBackAt;
     bool m_isKnown = false;
 };
--- a/src/libradishswitch/serving/objectfollower.cpp
+++ b/src/libradishswitch/serving/objectfollower.cpp
@@ -58,11 +58,13 @@
 
 void ObjectFollower::list()
 {
+    m_askedAt = m_timers.nowWithSuspension();
     m_store.list(m_prefix, guarded(&ObjectFollower::handleListed));
 }
 
 void ObjectFollower::watch()
 {
+    m_askedAt = m_timers.nowWithSuspension();
     m_store.watch(m_prefix, m_version, guarded(&ObjectFollower::handleChanged));
 }
 
@@ -72,6 +74,8 @@
         return retryLater(changes.status(), &ObjectFollower::list);
     }
     setStoreReachable(true);
+    // Unset for the first list, which may be outdated.
+    m_confirmedAt = m_askedAt;
     m_version = changes->nextVersion;
     m_listener.objectsListed(changes->objects);
     reportProgress({true, true, *changes});
@@ -90,6 +94,7 @@
         return retryLater(changes.status(), isRefused ? &ObjectFollower::watch : &ObjectFollower::list);
     }
     setStoreReachable(true);
+    m_confirmedAt = m_askedAt;
     m_version = std::max(m_version, changes->nextVersion);
     if (!changes->objects.empty()) {
         m_listener.objectsChanged(changes->objects);
--- a/src/libradishswitch/serving/objectfollower.h
+++ b/src/libradishswitch/serving/objectfollower.h
@@ -62,6 +62,13 @@
         return m_isStoreReachable;
     }
 
+    /// As of when everything in the store is known, by the clock that counts suspensions: when the last watch or
+    /// up-to-date list was begun that the store has answered. Instant::min() before the first.
+    Instant confirmedAt() const
+    {
+        return m_confirmedAt;
+    }
+
     /// The version of the store up to which the objects are known; zero before the first list.
     std::uint64_t version() const
     {
@@ -89,6 +96,8 @@
     std::uint64_t m_version = 0;
     int m_failures = 0;
     bool m_isStoreReachable = true;
+    Instant m_askedAt = Instant::min();
+    Instant m_confirmedAt = Instant::min();
     TimerId m_timer = 0;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/src/libradishswitch/serving/placementquery.h
+++ b/src/libradishswitch/serving/placementquery.h
@@ -18,6 +18,11 @@
     std::vector<PromptPart> parts;
     /// The last moment at which the call may be placed. After it, the answer would come too late for the caller.
     Instant deadline{};
+    /// The software version at which a stream began that this call continues; nullopt for other calls. No endpoint
+    /// matches an unknown version.
+    std::optional<SoftwareVersion> requiredVersion;
+    /// The call begins a stream that may be continued later.
+    bool beginsStream = false;
     /// Endpoints that earlier attempts of the call have tried.
     std::vector<EndpointId> excluded;
     AllowedRegions regions;
--- /dev/null
+++ b/src/libradishswitch/serving/streamorigin.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/identifier.h"
+
+namespace RadishSwitch
+{
+
+/// Where a stream began. What endpoints of different software versions write does not fit together, so that a stream
+/// may continue only at an endpoint of this pool and version.
+struct StreamOrigin {
+    /// The caller's organisation; empty for calls without one.
+    OrganisationId organisation;
+    PoolId pool;
+    /// Empty if it is not known; the stream then cannot be continued.
+    SoftwareVersion version;
+
+    bool operator==(const StreamOrigin &) const = default;
+};
+
+/// The origin of the stream whose first event the call brought to its caller.
+struct StreamOriginRecord {
+    RequestId call;
+    StreamOrigin origin;
+
+    bool operator==(const StreamOriginRecord &) const = default;
+};
+
+}
--- a/tests/radishswitch-gateway/streamversions_test.cpp
+++ b/tests/radishswitch-gateway/streamversions_test.cpp
@@ -1,6 +1,7 @@
 #include "base/failure.h"
 #include "gatewayfixture.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include <array>
@@ -33,6 +34,7 @@
     GatewaySettings gatewaySettings() override
     {
         GatewaySettings settings = GatewayFixture::gatewaySettings();
+        settings.peerListen = {"127.0.0.1", freePort()};
         if (!continuesItself) {
             settings.retryBound = 0;
             settings.retryBurst = 0;
@@ -40,6 +42,14 @@
         return settings;
     }
 
+    /// Gateways tell each other their ports, so that these have to be known before they listen.
+    static std::uint16_t freePort()
+    {
+        boost::asio::io_context context;
+        const boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        return acceptor.local_endpoint().port();
+    }
+
     void list(const std::string &id, const ReplicaServer &replica, const std::string &version,
               const std::string &state = "ready", std::int64_t startedAtMilliseconds = 1'000)
     {
@@ -48,8 +58,17 @@
         });
     }
 
+    /// Puts the announcement in the store that gateways write when they see a second version.
+    void announceVersions()
+    {
+        onTestServers([this] {
+            putObject("news", "versions.llm", {{"versions", {"v1", "v2"}}});
+        });
+    }
+
     void listAll()
     {
+        announceVersions();
         list("replica-1", first, "v1");
         list("replica-2", second, "v2");
         list("replica-3", third, "v1");
@@ -154,26 +173,22 @@
         return begun;
     }
 
-    /// Waits until a gateway that was just started serves streams that the other one began.
-    void waitUntilTakenUp(std::uint16_t from, std::uint16_t to)
+    /// Waits until the first gateway sends origins of streams to the other one.
+    void waitUntilGatewaysMeet()
     {
         int n = 0;
         waitUntil([&] {
-            const std::string id = "first-" + std::to_string(n++);
-            beginBroken(from, id);
-            const auto response = fetchFrom(to, resumption(id + "-again", id));
-            return response.ok() && response->status == 200;
+            beginBroken(gateway->port(), "first-" + std::to_string(n++));
+            return !hasMetric(*otherGateway, "radishswitch_stream_origins 0");
         });
     }
 
-    void waitForMetric(const std::string &line)
+    bool hasMetric(const Gateway &source, const std::string &line)
     {
         HttpRequest metrics;
         metrics.target = "/metrics";
-        waitUntil([&] {
-            const auto response = fetchFrom(gateway->adminPort(), metrics);
-            return response.ok() && response->body.find(line + "\n") != std::string::npos;
-        });
+        const auto response = fetchFrom(source.adminPort(), metrics);
+        return response.ok() && response->body.find(line + "\n") != std::string::npos;
     }
 
     /// Whether gateways continue broken streams themselves.
@@ -205,6 +220,7 @@
 TEST_F(StreamVersionsTest, interruptedStream_withoutOtherEndpointOfItsVersion_isBrokenOff)
 {
     continuesItself = true;
+    announceVersions();
     list("replica-1", first, "v1");
     list("replica-2", second, "v2");
     start();
@@ -254,7 +270,7 @@
     listAll();
     start();
     startOther();
-    waitUntilTakenUp(gateway->port(), otherGateway->port());
+    waitUntilGatewaysMeet();
     const auto begun = beginAll(gateway->port());
     EXPECT_GE(takeUp(otherGateway->port(), begun), kLeastContinued);
 }
@@ -265,7 +281,7 @@
     listAll();
     start();
     startOther();
-    waitUntilTakenUp(gateway->port(), otherGateway->port());
+    waitUntilGatewaysMeet();
     const auto begun = beginAll(gateway->port());
     gateway.reset();
     EXPECT_GE(takeUp(otherGateway->port(), begun), kLeastContinued);
@@ -289,7 +305,9 @@
     const auto begun = beginAll(gateway->port());
     list("replica-2", second, "v2", "draining");
     list("replica-4", fourth, "v2", "draining");
-    waitForMetric("radishswitch_endpoints_leaving 2");
+    waitUntil([&] {
+        return hasMetric(*gateway, "radishswitch_endpoints_leaving 2");
+    });
     for (const auto &[id, version] : begun) {
         const auto sentAt = std::chrono::steady_clock::now();
         const auto response = call(resumption(id + "-again", id));
