Entries continue an answer only by the software that began it

An entry that continues a chat at another engine chose by load and prefix cache; heartbeats of agents named the version of the weights, which nobody read, and none of the software.

Change: engines tell software_version in their load report, agents pass it on in heartbeats, RouteQuery names the version that an answer requires, and RouteCandidates, through which every policy chooses, refuses others. An answer of which the caller has seen nothing is made anew by other software. Engines that tell no version count as one version, as before.

--- a/src/agent/endpointmonitor.cpp
+++ b/src/agent/endpointmonitor.cpp
@@ -85,6 +85,7 @@
     *heartbeat.mutable_load() = loadLocked();
     heartbeat.set_healthy(m_isHealthy);
     heartbeat.set_model_version(m_report.version);
+    heartbeat.set_software_version(m_report.softwareVersion);
     const std::vector<std::string> &models = m_report.models.empty() ? m_settings.models : m_report.models;
     heartbeat.mutable_models()->Add(models.begin(), models.end());
     heartbeat.mutable_adapters()->Add(m_report.adapters.begin(), m_report.adapters.end());
--- a/src/agent/loadreport.cpp
+++ b/src/agent/loadreport.cpp
@@ -141,6 +141,7 @@
     fields.readCount("queued_tokens", report.queuedTokens);
     fields.readNumber("tokens_per_second", report.tokensPerSecond);
     fields.readText("version", report.version);
+    fields.readText("software_version", report.softwareVersion);
     fields.readList("models", [&](const Json &model) {
         return takeName(model, report.models);
     });
--- a/src/agent/loadreport.h
+++ b/src/agent/loadreport.h
@@ -21,7 +21,9 @@
     double tokensPerSecond = 0;
     std::vector<std::string> models;
     std::vector<std::string> adapters;
+    /// Of the weights.
     std::string version;
+    std::string softwareVersion;
     std::vector<CacheEvent> cacheEvents;
 
     bool operator==(const LoadReport &) const = default;
--- a/src/entry/agentlinks.cpp
+++ b/src/entry/agentlinks.cpp
@@ -37,6 +37,7 @@
     if (message.uptime_us() > 0) {
         report.uptime = Duration(message.uptime_us());
     }
+    report.softwareVersion = SoftwareVersion(message.software_version());
     report.models.assign(message.models().begin(), message.models().end());
     report.adapters.assign(message.adapters().begin(), message.adapters().end());
     for (const wire::CacheEvent &event : message.cache_events()) {
--- a/src/entry/dispatchgate.cpp
+++ b/src/entry/dispatchgate.cpp
@@ -176,10 +176,13 @@
 }
 
 absl::StatusOr<RouteChoice> DispatchGate::choose(const RunPlan &plan, const std::vector<EndpointId> &excluded,
-                                                 Instant startedBefore)
+                                                 Instant startedBefore,
+                                                 const std::optional<SoftwareVersion> &requiredVersion)
 {
     return m_monitor.run([&]() -> absl::StatusOr<RouteChoice> {
-        absl::StatusOr<RouteChoice> choice = m_router.choose(queryOf(plan, excluded, startedBefore), m_timers.now());
+        RouteQuery query = queryOf(plan, excluded, startedBefore);
+        query.requiredVersion = requiredVersion;
+        absl::StatusOr<RouteChoice> choice = m_router.choose(query, m_timers.now());
         if (choice.ok()) {
             const EndpointState *state = m_directory.find(choice->endpoint);
             const IncarnationId incarnation = state == nullptr ? IncarnationId() : state->incarnation;
--- a/src/entry/dispatchgate.h
+++ b/src/entry/dispatchgate.h
@@ -87,9 +87,11 @@
     void enter(const RunPlan &plan, Instant deadline, EnterCallback callback);
 
     /// The endpoint for the next attempt; its address names the life of its agent.
-    /// Only agents that had started before `startedBefore` are chosen.
+    /// Only agents that had started before `startedBefore` are chosen, and only endpoints of `requiredVersion` if
+    /// given.
     absl::StatusOr<RouteChoice> choose(const RunPlan &plan, const std::vector<EndpointId> &excluded,
-                                       Instant startedBefore);
+                                       Instant startedBefore,
+                                       const std::optional<SoftwareVersion> &requiredVersion = std::nullopt);
 
     /// Called, under the gate's lock, when an agent is heard of that was not there before. Before `start`.
     void setNewAgentCallback(std::function<void()> callback);
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -185,12 +185,25 @@
     co_return endOfFailedRun();
 }
 
-absl::StatusOr<RouteChoice> RequestSession::nextEndpoint() const
+absl::StatusOr<RouteChoice> RequestSession::nextEndpoint()
 {
     if (m_next) {
         return m_next->choice;
     }
-    return m_services.gate.choose(m_plan, m_excluded, m_portionConfirmedAt);
+    absl::StatusOr<RouteChoice> choice =
+        m_services.gate.choose(m_plan, m_excluded, m_portionConfirmedAt, requiredVersion());
+    // A part that the caller has not seen can be made anew by other software.
+    if (!choice.ok() && requiredVersion() && m_relay->restart()) {
+        choice = m_services.gate.choose(m_plan, m_excluded, m_portionConfirmedAt);
+    }
+    return choice;
+}
+
+// What different versions of an engine's software write does not fit together.
+std::optional<SoftwareVersion> RequestSession::requiredVersion() const
+{
+    const bool hasBegun = m_stream != nullptr && m_stream->hasDelivered();
+    return hasBegun ? std::optional(m_answerVersion) : std::nullopt;
 }
 
 // A non-idempotent request that may have started is not sent again: the first copy could still take effect, and the
@@ -278,7 +291,8 @@
 {
     std::vector<EndpointId> excluded = m_excluded;
     excluded.push_back(current.endpoint);
-    const absl::StatusOr<RouteChoice> choice = m_services.gate.choose(m_plan, excluded, m_portionConfirmedAt);
+    const absl::StatusOr<RouteChoice> choice =
+        m_services.gate.choose(m_plan, excluded, m_portionConfirmedAt, requiredVersion());
     if (!choice.ok()) {
         co_return false;
     }
@@ -387,6 +401,9 @@
             m_relay->setHead(update->head().status(), update->head().content_type());
             break;
         case wire::RunUpdate::kChunk: {
+            if (!requiredVersion()) {
+                m_answerVersion = choice.softwareVersion;
+            }
             const AttemptEnd end = co_await relayChunks(stream, std::move(*update));
             if (end != AttemptEnd::Answered) {
                 co_return end;
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -68,7 +68,8 @@
     boost::asio::awaitable<absl::StatusOr<AdmitDecision>> admit();
     boost::asio::awaitable<absl::Status> runAttempts(Grant grant);
     boost::asio::awaitable<AttemptEnd> runAttempt(const Grant &grant, const RouteChoice &choice);
-    absl::StatusOr<RouteChoice> nextEndpoint() const;
+    absl::StatusOr<RouteChoice> nextEndpoint();
+    std::optional<SoftwareVersion> requiredVersion() const;
     boost::asio::awaitable<bool> beginAttempt(const RouteChoice &choice);
     boost::asio::awaitable<absl::Status> announce(const AttemptId &attempt, const RouteChoice &choice);
     boost::asio::awaitable<bool> placeNext(const RouteChoice &current);
@@ -102,6 +103,8 @@
     Instant m_portionConfirmedAt;
     std::optional<NextAttempt> m_next;
     std::vector<EndpointId> m_excluded;
+    /// The software that began the answer of which a part was delivered or kept.
+    SoftwareVersion m_answerVersion;
     absl::Status m_lastFailure;
     std::int64_t m_charged = 0;
     int m_attempts = 0;
--- a/src/libradishswitch/routing/endpointdirectory.cpp
+++ b/src/libradishswitch/routing/endpointdirectory.cpp
@@ -220,6 +220,7 @@
     state.address = report.address;
     state.zone = report.zone;
     state.region = report.region;
+    state.softwareVersion = report.softwareVersion;
     state.adapters = report.adapters;
     state.isLeavingByAgent = report.isLeaving;
     state.isHealthy = report.isHealthy;
--- a/src/libradishswitch/routing/endpointreport.h
+++ b/src/libradishswitch/routing/endpointreport.h
@@ -53,6 +53,8 @@
     EndpointLoad load;
     /// How long ago the agent process had started when it sent the report. Empty when the agent did not say.
     std::optional<Duration> uptime;
+    /// Empty if the endpoint does not report it.
+    SoftwareVersion softwareVersion;
     /// Models that the endpoint serves. Empty for a plain service, which has no models.
     std::vector<std::string> models;
     /// Adapters that are loaded at the endpoint, each named "model:adapter".
--- a/src/libradishswitch/routing/endpointstate.h
+++ b/src/libradishswitch/routing/endpointstate.h
@@ -36,6 +36,7 @@
     std::string address;
     std::string zone;
     std::string region;
+    SoftwareVersion softwareVersion;
     std::vector<std::string> models;
     std::vector<std::string> adapters;
     EndpointLoad load;
--- a/src/libradishswitch/routing/poolrouter.cpp
+++ b/src/libradishswitch/routing/poolrouter.cpp
@@ -47,7 +47,7 @@
     }
     m_hints.noteDispatched(*slot, query.prefixHashes);
     const EndpointState &state = m_directory.state(*slot);
-    return RouteChoice{state.endpoint, state.address};
+    return RouteChoice{state.endpoint, state.address, state.softwareVersion};
 }
 
 void PoolRouter::noteDispatched(const EndpointId &endpoint, std::int64_t, Instant now)
--- a/src/libradishswitch/routing/routecandidates.cpp
+++ b/src/libradishswitch/routing/routecandidates.cpp
@@ -16,6 +16,9 @@
     if (directory.state(slot).startedAtLatest > query.startedBefore) {
         return false;
     }
+    if (query.requiredVersion && directory.state(slot).softwareVersion != *query.requiredVersion) {
+        return false;
+    }
     return query.excluded.empty()
         || std::ranges::find(query.excluded, directory.state(slot).endpoint) == query.excluded.end();
 }
--- a/src/libradishswitch/routing/routequery.h
+++ b/src/libradishswitch/routing/routequery.h
@@ -4,6 +4,7 @@
 #include "base/timerservice.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
     std::int64_t maximumTokens = 0;
     /// Endpoints that earlier attempts of the request used already.
     std::vector<EndpointId> excluded;
+    /// The software version of the endpoint that began the answer which is to be continued; nullopt for any. Endpoints
+    /// that report no version count as being of one version.
+    std::optional<SoftwareVersion> requiredVersion;
     /// Only endpoints whose agents started before this time may be chosen.
     Instant startedBefore = Instant::max();
     /// Availability zone and region of this process.
@@ -35,6 +39,8 @@
 struct RouteChoice {
     EndpointId endpoint;
     std::string address;
+    /// The software that the endpoint ran according to its last report.
+    SoftwareVersion softwareVersion = {};
 
     bool operator==(const RouteChoice &) const = default;
 };
--- a/src/standins/engine/engine.cpp
+++ b/src/standins/engine/engine.cpp
@@ -121,6 +121,7 @@
         {"models", configuration.models},
         {"adapters", configuration.adapters},
         {"version", configuration.version},
+        {"software_version", m_settings.softwareVersion},
         {"role", configuration.role},
         {"cache_events", events},
     };
--- a/src/standins/engine/enginesettings.h
+++ b/src/standins/engine/enginesettings.h
@@ -15,6 +15,7 @@
     std::vector<std::string> models{"standin"};
     std::vector<std::string> adapters;
     std::string version = "1";
+    std::string softwareVersion = "1";
     /// Runs that are batched at once; more wait.
     int slots = 16;
     /// Speed of a run that is alone in the batch.
--- a/src/standins/engine/main.cpp
+++ b/src/standins/engine/main.cpp
@@ -17,6 +17,8 @@
     app.add_option("--model", settings.models, "Models that are loaded at the start")->capture_default_str();
     app.add_option("--adapter", settings.adapters, "Adapters that are loaded at the start");
     app.add_option("--model-version", settings.version, "Version of the models")->capture_default_str();
+    app.add_option("--software-version", settings.softwareVersion, "Version of the engine's software")
+        ->capture_default_str();
     app.add_option("--slots", settings.slots, "Runs in the batch at once")
         ->check(CLI::PositiveNumber)
         ->capture_default_str();
--- a/tests/radishswitch-entry/entryfixture.cpp
+++ b/tests/radishswitch-entry/entryfixture.cpp
@@ -81,9 +81,10 @@
     }
 }
 
-void EntryFixture::listEndpoint(const std::string &name, std::uint32_t capacity)
+void EntryFixture::listEndpoint(const std::string &name, std::uint32_t capacity, const std::string &softwareVersion)
 {
     m_capacities[name] = capacity;
+    m_softwareVersions[name] = softwareVersion;
     report(name);
 }
 
@@ -99,6 +100,7 @@
     report.region = "south-central";
     report.models = {"quilt"};
     report.load.capacity = m_capacities.at(name);
+    report.softwareVersion = SoftwareVersion(m_softwareVersions.at(name));
     gate.applyReport(report);
 }
 
--- a/tests/radishswitch-entry/entryfixture.h
+++ b/tests/radishswitch-entry/entryfixture.h
@@ -72,7 +72,7 @@
     RadishSwitch::RunPlan orderPlan() const;
 
     /// The endpoint tells of itself, now and every second from now on.
-    void listEndpoint(const std::string &name, std::uint32_t capacity = 4);
+    void listEndpoint(const std::string &name, std::uint32_t capacity = 4, const std::string &softwareVersion = {});
 
     /// Uses the budget of retries up, so that no further attempt is granted.
     void spendRetries();
@@ -110,4 +110,5 @@
     AgentSide m_agentSide;
     std::uint64_t m_reports = 0;
     std::map<std::string, std::uint32_t> m_capacities;
+    std::map<std::string, std::string> m_softwareVersions;
 };
--- a/tests/radishswitch-entry/requestsession_test.cpp
+++ b/tests/radishswitch-entry/requestsession_test.cpp
@@ -140,6 +140,41 @@
     EXPECT_EQ(homes.settlements[0].chargedTokens, 30);
 }
 
+// Guards against an answer that two versions of an engine's software wrote.
+TEST_F(RequestSessionTest, run_engineFailsMidStream_isNotContinuedByOtherSoftware)
+{
+    listEndpoint("agent-1", 4, "1.0");
+    listEndpoint("agent-2", 4, "2.0");
+    const absl::Status status = serve(chatPlan(), [](int, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(head(attempt));
+        agent->deliver(chunk(attempt, 0, token("c-1", "one ")));
+        agent->deliver(failed(attempt, makeFailure(FailureCode::EndpointFailed, "the engine died")));
+    });
+    EXPECT_FALSE(status.ok());
+    EXPECT_EQ(runsSent().size(), 1u);
+}
+
+// Guards against an answer that is lost though nothing of it was shown: other software makes it anew.
+TEST_F(RequestSessionTest, run_engineFailsInAWholeAnswer_isMadeAnewByOtherSoftware)
+{
+    listEndpoint("agent-1", 4, "1.0");
+    listEndpoint("agent-2", 4, "2.0");
+    RunPlan plan = chatPlan();
+    plan.isStreamed = false;
+    const absl::Status status = serve(plan, [](int n, const StreamPointer &agent, const std::string &attempt) {
+        agent->deliver(head(attempt));
+        agent->deliver(chunk(attempt, 0, token("c-1", "one ")));
+        if (n == 0) {
+            agent->deliver(failed(attempt, makeFailure(FailureCode::EndpointFailed, "the engine died")));
+            return;
+        }
+        agent->deliver(done(attempt, 12));
+    });
+    EXPECT_TRUE(status.ok()) << status;
+    ASSERT_EQ(runsSent().size(), 2u);
+    EXPECT_TRUE(runsSent()[1].prior_answer().empty());
+}
+
 // The same where the caller asked for no stream: it waits, and gets one whole answer, with one usage and one bill.
 TEST_F(RequestSessionTest, run_engineFailsInAWholeAnswer_isContinuedOnOneBill)
 {
