--- a/tests/radishswitch-gateway/platformadapter_test.cpp
+++ b/tests/radishswitch-gateway/platformadapter_test.cpp
@@ -153,9 +153,39 @@
     EXPECT_EQ(listing->address, "10.0.0.1:80");
     EXPECT_EQ(listing->slots, 64);
     EXPECT_EQ(listing->startedAtMilliseconds, 17);
+    EXPECT_EQ(listing->softwareVersion, SoftwareVersion("v"));
     EXPECT_TRUE(listing->isLeaving);
 }
 
+// Guards against a version of which nothing is known being taken for one: no stream continues there.
+TEST_F(PlatformAdapterTest, unusableVersionOfEndpoint_isUnknown)
+{
+    for (const std::string &version : {std::string(), std::string("v 1"), std::string(1000, 'v')}) {
+        const auto listing = catalogue.readEndpoint(endpointObject(
+            R"({"service":"x","address":"10.0.0.1:80","zone":"a","slots":64,"state":"ready","cold-remaining-ms":0,)"
+            R"("sequence":4,"version":")"
+            + version + "\"}"));
+        ASSERT_TRUE(listing.ok()) << listing.status();
+        EXPECT_TRUE(listing->softwareVersion.isEmpty()) << version;
+    }
+}
+
+TEST_F(PlatformAdapterTest, resumedCall_isReadAndMalformedOnesAreRefused)
+{
+    HttpRequest request;
+    request.headers = {{PlatformNames::kCallId, "call-2"}, {PlatformNames::kResumedCall, "call-1"}};
+    const auto call = protocol.readCall(request);
+    ASSERT_TRUE(call.ok()) << call.status();
+    EXPECT_EQ(call->resumedCall, RequestId("call-1"));
+    for (const std::string &id : {std::string(), std::string("call 1"), std::string(1000, 'c'), std::string("\x01")}) {
+        HttpRequest malformed;
+        malformed.headers = {{PlatformNames::kCallId, "call-2"}, {PlatformNames::kResumedCall, id}};
+        EXPECT_EQ(failureCode(protocol.readCall(malformed).status()), FailureCode::InvalidRequest) << id;
+    }
+    request.headers.add(PlatformNames::kResumedCall, "call-0");
+    EXPECT_EQ(failureCode(protocol.readCall(request).status()), FailureCode::InvalidRequest) << "named twice";
+}
+
 // Guards against calls to an address from a malformed entry. Another process may write to the list or overwrite an
 // endpoint's entry. A gateway that guessed the missing fields would send calls to whatever listens at that address.
 TEST_F(PlatformAdapterTest, malformedEndpointEntry_isRejected)
--- a/tests/radishswitch-gateway/soakrecord_test.cpp
+++ b/tests/radishswitch-gateway/soakrecord_test.cpp
@@ -181,3 +181,19 @@
     record.troubles.push_back({SoakTrouble::Part::Replica, 0, {1'000, 1'100}});
     EXPECT_EQ(broken(), 0U);
 }
+
+// Guards against a soak that overlooks a stream of two software versions, within a call or over a caller's tries.
+TEST_F(SoakRecordTest, streamOfTwoVersions_isFound)
+{
+    const std::string first = "id: 1\ndata: c-1@v1\n\n";
+    const std::string second = "id: 2\ndata: c-2@v2\n\n";
+    add(SoakKind::Resumable, 200, first + second, 1, 2);
+    EXPECT_EQ(broken(), 1U);
+    record.calls = {{"c", SoakKind::Resumable, "o", 0, first},
+                    {"d", SoakKind::Resumable, "o", 200, "id: 2\ndata: d-2@v2\n\n"}};
+    record.calls[1].resumes = "c";
+    record.calls[1].lastEvent = 1;
+    EXPECT_EQ(broken(), 1U);
+    record.calls[1].body = "id: 2\ndata: d-2@v1\n\n";
+    EXPECT_EQ(broken(), 0U);
+}
--- a/tests/radishswitch-gateway/streamversions_test.cpp
+++ b/tests/radishswitch-gateway/streamversions_test.cpp
@@ -328,3 +328,71 @@
     start();
     EXPECT_EQ(takeUp(gateway->port(), begun), kStreams);
 }
+
+// Guards against streams at a version that other gateways don't know of, which would continue them at any endpoint.
+TEST_F(StreamVersionsTest, secondVersionAppears_isAnnouncedBeforeItBeginsStreams)
+{
+    list("replica-1", first, "v1");
+    start();
+    list("replica-2", second, "v2");
+    int n = 0;
+    waitUntil([&] {
+        const std::string id = "stream-" + std::to_string(n++);
+        EXPECT_EQ(call(streamRequest("/resumable/a", id))->status, 200);
+        const bool isAnnounced = onTestServers([this] {
+            return store.table().get("news", "versions.llm").status == 200;
+        });
+        const bool hasBegunAtSecond = versionsOf(id).contains("v2");
+        EXPECT_TRUE(isAnnounced || !hasBegunAtSecond);
+        return hasBegunAtSecond;
+    });
+}
+
+// Guards against a stream that is lost since no version may begin streams while none is announced: it waits its turn,
+// and its caller is told when to come back.
+TEST_F(StreamVersionsTest, firstStartWithSeveralVersions_streamsAreServedOnceAnnounced)
+{
+    list("replica-1", first, "v1");
+    list("replica-2", second, "v2");
+    start();
+    int n = 0;
+    waitUntil([&] {
+        const auto response = call(streamRequest("/resumable/a", "stream-" + std::to_string(n++)));
+        EXPECT_TRUE(response->status == 200 || response->headers.find(PlatformNames::kRetryAfter)) << response->body;
+        return response->status == 200;
+    });
+}
+
+// Guards against a stream continued at the version that its endpoint's entry names by now.
+TEST_F(StreamVersionsTest, endpointStartedAgainWithOtherSoftware_itsStreamsAreNotContinuedThere)
+{
+    listAll();
+    list("replica-2", second, "v2", "draining");
+    list("replica-4", fourth, "v2", "draining");
+    start();
+    const auto begun = beginAll(gateway->port());
+    list("replica-1", first, "v3", "ready", 2'000);
+    list("replica-3", third, "v3", "ready", 2'000);
+    int n = 0;
+    waitUntil([&] {
+        const auto response = call(resumption("probe-" + std::to_string(n++), begun.begin()->first));
+        return response.ok() && response->status == 503;
+    });
+    EXPECT_EQ(takeUp(gateway->port(), begun), 0);
+}
+
+// Guards against guesses from malformed headers of callers.
+TEST_F(StreamVersionsTest, callerResumes_withoutUsableId_neverRuns)
+{
+    listAll();
+    start();
+    HttpRequest malformed = resumption("call-1", "");
+    EXPECT_EQ(call(malformed)->status, 400);
+    HttpRequest unnamed = streamRequest("/resumable/a", "call-2");
+    unnamed.headers.add(PlatformNames::kLastEvent, "2");
+    EXPECT_EQ(call(unnamed)->status, 503);
+    EXPECT_EQ(call(resumption("call-3", "never-sent"))->status, 503);
+    for (const std::string id : {"call-1", "call-2", "call-3"}) {
+        EXPECT_TRUE(versionsOf(id).empty()) << id;
+    }
+}
--- a/tests/radishswitch-home/home_test.cpp
+++ b/tests/radishswitch-home/home_test.cpp
@@ -5,6 +5,7 @@
 #include "fleetparts.h"
 #include "peerentry.h"
 #include "storeserver.h"
+#include "streamoriginpeers.h"
 #include "watchpeers.h"
 
 #include <gtest/gtest.h>
@@ -44,6 +45,7 @@
         , clients(callers, transportSettings(FleetSettings()))
         , directory("gateway")
         , peers(clients, directory, timers, std::chrono::seconds(20))
+        , origins(clients, directory, timers)
     {
         EXPECT_TRUE(store.listen("127.0.0.1", 0).ok());
         storeWorkers.start();
@@ -115,6 +117,7 @@
     MessageClients clients;
     HomeDirectory directory;
     BudgetPeers peers;
+    StreamOriginPeers origins;
     std::unique_ptr<Home> home;
 };
 
@@ -186,3 +189,25 @@
     ASSERT_TRUE(changes.ok()) << changes.status();
     EXPECT_FALSE(changes->objects.empty());
 }
+
+// Guards against origins of streams that are lost with the gateway that began them.
+TEST_F(HomeTest, originOfStream_isKeptForOtherGatewaysAndNotToldToOtherOrganisations)
+{
+    const StreamOrigin origin{OrganisationId("magnolia"), PoolId("llm"), SoftwareVersion("v2")};
+    const auto ask = [&](const std::string &organisation) {
+        std::promise<absl::StatusOr<StreamOriginAnswer>> answered;
+        callers.post([&] {
+            const StreamOriginQuery query{RequestId("call-1"), OrganisationId(organisation), {PoolId("llm")}};
+            origins.ask("home-1", query, kAnswerTimeout, [&](const absl::StatusOr<StreamOriginAnswer> &answer) {
+                answered.set_value(answer);
+            });
+        });
+        return answered.get_future().get();
+    };
+    EXPECT_EQ(*ask("magnolia"), StreamOriginAnswer());
+    runOnCallers([&] {
+        origins.tell("home-1", {{RequestId("call-1"), origin}});
+    });
+    EXPECT_EQ(*ask("magnolia"), (StreamOriginAnswer{origin, true}));
+    EXPECT_EQ(*ask("thistle"), (StreamOriginAnswer{std::nullopt, true}));
+}
