--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -218,7 +218,7 @@
     }
 }
 
-// The origins of streams are sent before other versions begin any, and the announcement is written at once.
+// Origins of earlier streams are published as well: until now nobody needed them.
 void Gateway::followVersions()
 {
     m_gate.registry().versions().setSeveralCallback([this](const PoolId &pool) {
--- a/src/gateway/versionreports.cpp
+++ b/src/gateway/versionreports.cpp
@@ -139,7 +139,7 @@
     }
 }
 
-// The key says it all; what the value names is for operators.
+// Only the key matters. The versions in the value are for operators.
 void VersionReports::applyObject(const StoredObject &object, bool wasBeforeStart)
 {
     const PoolId pool = poolOf(object.key);
