Lines name the shared parts of a prompt and for how long it was answered

Cause: the lines could not tell a part that crashes endpoints from endpoints that end for reasons of their own: they named neither the parts of a prompt nor whether the endpoint had begun to answer it. Change: 'attempt failed' and 'call failed' have 'parts', the former 'answering_for' too; the line of a crash names the parts of a run whose endpoint had not been answering it for 300 ms, since a prompt that crashes endpoints does so at the beginning. No decision has changed.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -464,6 +464,20 @@
     return *m_fingerprint;
 }
 
+SharedPrompt Call::sharedPrompt() const
+{
+    SharedPrompt prompt;
+    prompt.pool = m_pool ? m_pool->name : PoolId();
+    prompt.organisation = m_organisation ? m_organisation->name : OrganisationId();
+    for (const PromptPart &part : m_request.parts) {
+        prompt.parts.push_back(part.id);
+    }
+    if (!prompt.parts.empty()) {
+        prompt.parts.pop_back();
+    }
+    return prompt;
+}
+
 absl::Status Call::checkPoison() const
 {
     return m_services.poison.hasSuspects() ? m_services.poison.check(fingerprint()) : absl::OkStatus();
@@ -502,6 +516,7 @@
                 field("time_left", timeLeft()),
                 field("version", m_table ? m_table->configuration().version : 0),
                 field("content", content),
+                field("parts", status.ok() ? std::string() : partIdsText(sharedPrompt().parts)),
                 field("reason", std::string(status.message()))});
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -46,6 +46,8 @@
         bool isWithdrawn = false;
         /// The endpoint answered with a server error, which is relayed to the caller.
         bool hasFailed = false;
+        /// When the first part of the answer's body arrived.
+        std::optional<Instant> answeringSince;
         /// Number of crashes attributed to the request at the time it was sent.
         int crashesBefore = 0;
         /// Why no connection could be established, or why it did not deliver a complete answer.
@@ -79,6 +81,7 @@
     void handleCallerDisconnected();
     void logEnd(const absl::Status &status) const;
     const RequestFingerprint &fingerprint() const;
+    SharedPrompt sharedPrompt() const;
     absl::Status checkPoison() const;
 
     // callattempt.cpp: one attempt at an endpoint.
@@ -101,6 +104,7 @@
     AtExpiry atExpiry(Duration wait) const;
     void logAttempt(const Attempt &attempt, AttemptEnd end) const;
     Duration silenceDuration(const Attempt &attempt) const;
+    Duration answeringTime(const Attempt &attempt) const;
 
     // callrelay.cpp: relaying the answer to the caller.
     boost::asio::awaitable<AttemptResult> relay();
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -273,7 +273,10 @@
     const bool isLost = failureCode(attempt.failure) == FailureCode::ConnectionLost;
     if (result == AttemptEnd::Broken && isLost && !m_isCallerDisconnected) {
         const EndpointIncarnation incarnation{placement.endpoint, placement.startedAtMilliseconds};
-        m_services.poison.noteBroken({incarnation, fingerprint(), attempt.crashesBefore}, placement.address);
+        const bool isSound = answeringTime(attempt) >= m_services.times.soundAnswerTime;
+        m_services.poison.noteBroken(
+            {incarnation, fingerprint(), attempt.crashesBefore, isSound ? SharedPrompt() : sharedPrompt()},
+            placement.address);
     }
     if (!result && m_services.poison.hasSuspects()) {
         m_services.poison.noteAnswered(fingerprint());
@@ -307,6 +310,7 @@
         attempt.connection ? attempt.connection->expiredWait().value_or(ExpiredWait()) : ExpiredWait();
     kLog.info("attempt failed",
               {field("call", m_request.id.value()), field("content", fingerprint().toString()),
+               field("parts", partIdsText(sharedPrompt().parts)), field("answering_for", answeringTime(attempt)),
                field("endpoint", attempt.placement.endpoint.value()), field("address", attempt.placement.address),
                field("software_version", attempt.placement.softwareVersion.value()), field("end", attemptEndName(end)),
                field("reason", std::string(attempt.failure.message())), field("sent", m_history.sent),
@@ -320,4 +324,10 @@
     return attempt.lastActivityAt == Instant() ? Duration::zero() : m_services.timers.now() - attempt.lastActivityAt;
 }
 
+// Until the last bytes arrived: a silent endpoint does not go on writing.
+Duration Call::answeringTime(const Attempt &attempt) const
+{
+    return attempt.answeringSince ? attempt.lastActivityAt - *attempt.answeringSince : Duration::zero();
+}
+
 }
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -123,6 +123,7 @@
             co_await m_attempt.connection->receiveSome(span, atExpiry(span), remainingWait());
         if (data.ok()) {
             m_attempt.lastActivityAt = m_services.timers.now();
+            m_attempt.answeringSince = m_attempt.answeringSince.value_or(m_attempt.lastActivityAt);
         }
         if (data.ok() || !isSilentButOpen(m_attempt, data.status())) {
             co_return data;
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -55,6 +55,8 @@
     /// An unstreamed answer is considered late if its endpoint takes longer than this share of the target latency. The
     /// remaining share is for the network and for the queue.
     double lateAnswerShare = 0.7;
+    /// An endpoint that has been writing an answer for this long does not crash because it began to.
+    Duration soundAnswerTime = std::chrono::milliseconds(300);
     /// Deadline of a call until the timeouts of its caller and its route have been read.
     Duration defaultCallTimeout = std::chrono::seconds(30);
 };
--- a/src/gateway/crashreports.cpp
+++ b/src/gateway/crashreports.cpp
@@ -63,7 +63,7 @@
 {
     kLog.info("endpoint crashed while running a request",
               {field("endpoint", run.incarnation.endpoint.value()), field("content", run.request.toString()),
-               field("crashes", m_detector.crashes(run.request) + 1)});
+               field("crashes", m_detector.crashes(run.request) + 1), field("parts", partIdsText(run.prompt.parts))});
     add({{run}, {}});
 }
 
--- a/src/libradishswitch/serving/crashreport.h
+++ b/src/libradishswitch/serving/crashreport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/requestfingerprint.h"
+#include "serving/sharedprompt.h"
 
 #include <cstdint>
 #include <string>
@@ -32,6 +33,9 @@
     RequestFingerprint request;
     /// Number of crashes that counted against the request when this run was sent.
     int crashesBefore = 0;
+    /// Empty if the endpoint had been writing the answer for some time, since a prompt that crashes endpoints does so
+    /// when they begin to answer it.
+    SharedPrompt prompt{};
 
     bool operator==(const CrashedRun &) const = default;
 };
