Bar the parts of prompts that crash endpoints, whatever else the prompts hold

What callers saw: requests with one part in their prompts, no two alike, ended one endpoint after the other; 38 and 40 of them reached endpoints later than 3 s after the fifth crash, and the calls beside them broke off. Cause: what a crash is laid to was the request as a whole (RequestFingerprint). Requests that share only the part have one crash each, so that the detector never barred any. The record's broken attempts without an event all had fingerprints of their own. Change: a crash makes suspects of the shared parts of all prompts whose endpoint was about to answer or had done so for less than 300 ms. A part that any endpoint goes on answering is exonerated of the crashes before; gateways tell one another of that only when a part has two crashes or more. A part with three crashes (five where it has under 0.4 of all crashes of the time) that nobody exonerates within 0.8 s is barred at each gateway. Refused is what has everything in common that the crashed prompts have in common: parts that always came together, one organisation, one pool. The bar is announced in the store, renewed while such prompts come, and lifted by an answer. Why it works: sound parts are answered all the time, one that crashes whoever begins to answer it never is.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -480,7 +480,7 @@
 
 absl::Status Call::checkPoison() const
 {
-    return m_services.poison.hasSuspects() ? m_services.poison.check(fingerprint()) : absl::OkStatus();
+    return m_services.poison.hasSuspects() ? m_services.poison.check(fingerprint(), sharedPrompt()) : absl::OkStatus();
 }
 
 void Call::logEnd(const absl::Status &status) const
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -44,6 +44,8 @@
         bool isSilenceLogged = false;
         /// The connection was established, but the gateway decided not to send the call.
         bool isWithdrawn = false;
+        /// The answer has no length of its own and ends with its connection.
+        bool endsWithConnection = false;
         /// The endpoint answered with a server error, which is relayed to the caller.
         bool hasFailed = false;
         /// When the first part of the answer's body arrived.
@@ -100,6 +102,8 @@
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
     void finish(Attempt &attempt, AttemptResult result);
     void notePoison(const Attempt &attempt, AttemptResult result);
+    CrashedRun crashedRun(const Attempt &attempt) const;
+    void noteAnswering();
     RunEnd runEndOf(const Attempt &attempt, AttemptResult result) const;
     AtExpiry atExpiry(Duration wait) const;
     void logAttempt(const Attempt &attempt, AttemptEnd end) const;
@@ -181,6 +185,8 @@
     /// connection.
     bool m_hasStreamStarted = false;
     bool m_isAnswered = false;
+    /// When the detection of poison parts was last told that the endpoint goes on writing the answer.
+    Instant m_answeringNotedAt = Instant::min();
     /// Computed on first use, since most calls need none.
     mutable std::optional<RequestFingerprint> m_fingerprint;
 };
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -269,17 +269,36 @@
 // error status, shows that the request has not crashed the endpoint.
 void Call::notePoison(const Attempt &attempt, AttemptResult result)
 {
-    const Placement &placement = attempt.placement;
     const bool isLost = failureCode(attempt.failure) == FailureCode::ConnectionLost;
     if (result == AttemptEnd::Broken && isLost && !m_isCallerDisconnected) {
-        const EndpointIncarnation incarnation{placement.endpoint, placement.startedAtMilliseconds};
-        const bool isSound = answeringTime(attempt) >= m_services.times.soundAnswerTime;
-        m_services.poison.noteBroken(
-            {incarnation, fingerprint(), attempt.crashesBefore, isSound ? SharedPrompt() : sharedPrompt()},
-            placement.address);
-    }
-    if (!result && m_services.poison.hasSuspects()) {
-        m_services.poison.noteAnswered(fingerprint());
+        m_services.poison.noteBroken(crashedRun(attempt), attempt.placement.address);
+    }
+    if (result || !m_services.poison.hasSuspects()) {
+        return;
+    }
+    if (attempt.endsWithConnection) {
+        m_services.poison.noteAnsweredUnlessCrashed(crashedRun(attempt), attempt.placement.address);
+    } else {
+        m_services.poison.noteAnswered(fingerprint(), sharedPrompt());
+    }
+}
+
+CrashedRun Call::crashedRun(const Attempt &attempt) const
+{
+    const EndpointIncarnation incarnation{attempt.placement.endpoint, attempt.placement.startedAtMilliseconds};
+    const bool isSound = answeringTime(attempt) >= m_services.times.soundAnswerTime;
+    return {incarnation, fingerprint(), attempt.crashesBefore, isSound ? SharedPrompt() : sharedPrompt()};
+}
+
+// Long answers tell early that their prompt crashes nothing.
+void Call::noteAnswering()
+{
+    constexpr Duration kInterval = std::chrono::milliseconds(200);
+    const Instant now = m_services.timers.now();
+    const bool isDue = m_answeringNotedAt == Instant::min() || now - m_answeringNotedAt >= kInterval;
+    if (isDue && m_services.poison.hasSuspects() && answeringTime(m_attempt) >= m_services.times.soundAnswerTime) {
+        m_answeringNotedAt = now;
+        m_services.poison.noteAnswering(sharedPrompt());
     }
 }
 
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -29,6 +29,7 @@
         co_return AttemptEnd::Broken;
     }
     m_attempt.hasFailed = isServerError(head->status);
+    m_attempt.endsWithConnection = m_attempt.connection->endsWithConnection();
     const bool isStream = m_route->isStreamed && isSuccess(head->status);
     const AttemptResult result = isStream ? co_await relayStream(*head) : co_await relayWhole(*head);
     if (!result) {
@@ -91,6 +92,7 @@
         if (data->empty()) {
             break;
         }
+        noteAnswering();
         const std::string events = m_eventSplitter.take(*data);
         if (!events.empty()) {
             const absl::Status status = co_await forwardToCaller(head, events);
--- a/src/gateway/crashprobe.cpp
+++ b/src/gateway/crashprobe.cpp
@@ -31,17 +31,17 @@
 {
 }
 
-void CrashProbe::notifyIfCrashed(const EndpointIncarnation &incarnation, const std::string &address,
-                                 std::function<void()> callback)
+void CrashProbe::probe(const EndpointIncarnation &incarnation, const std::string &address,
+                       std::function<void(bool hasCrashed)> callback)
 {
-    std::vector<std::function<void()>> &waiters = m_waiters[incarnation];
+    std::vector<std::function<void(bool)>> &waiters = m_waiters[incarnation];
     waiters.push_back(std::move(callback));
     if (waiters.size() == 1) {
-        net::co_spawn(m_workers.context(), probe(incarnation, address), net::detached);
+        net::co_spawn(m_workers.context(), connect(incarnation, address), net::detached);
     }
 }
 
-net::awaitable<void> CrashProbe::probe(EndpointIncarnation incarnation, std::string address)
+net::awaitable<void> CrashProbe::connect(EndpointIncarnation incarnation, std::string address)
 {
     const std::weak_ptr<int> alive = m_alive;
     co_await awaitPause(m_timers, kSettleDelay);
@@ -56,12 +56,14 @@
         co_return;
     }
     const auto node = m_waiters.extract(incarnation);
-    if (node.empty() || !hasCrashed) {
+    if (node.empty()) {
         co_return;
     }
-    m_onCrashed(incarnation);
-    for (const std::function<void()> &callback : node.mapped()) {
-        callback();
+    if (hasCrashed) {
+        m_onCrashed(incarnation);
+    }
+    for (const std::function<void(bool)> &callback : node.mapped()) {
+        callback(hasCrashed);
     }
 }
 
--- a/src/gateway/crashprobe.h
+++ b/src/gateway/crashprobe.h
@@ -19,23 +19,23 @@
 class CrashProbe
 {
 public:
-    /// `onCrashed` is called for each crashed endpoint, before the callbacks given to `notifyIfCrashed`.
+    /// `onCrashed` is called for each crashed endpoint, before the callbacks given to `probe`.
     CrashProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections,
                std::function<void(const EndpointIncarnation &)> onCrashed);
 
-    /// Calls back if the endpoint has crashed, and otherwise never. Concurrent requests for the same incarnation share
-    /// one connection attempt.
-    void notifyIfCrashed(const EndpointIncarnation &incarnation, const std::string &address,
-                         std::function<void()> callback);
+    /// Calls back with whether the endpoint has crashed. Concurrent requests for the same incarnation share one
+    /// connection attempt.
+    void probe(const EndpointIncarnation &incarnation, const std::string &address,
+               std::function<void(bool hasCrashed)> callback);
 
 private:
-    boost::asio::awaitable<void> probe(EndpointIncarnation incarnation, std::string address);
+    boost::asio::awaitable<void> connect(EndpointIncarnation incarnation, std::string address);
 
     WorkerPool &m_workers;
     TimerService &m_timers;
     EndpointConnections &m_connections;
     const std::function<void(const EndpointIncarnation &)> m_onCrashed;
-    absl::flat_hash_map<EndpointIncarnation, std::vector<std::function<void()>>> m_waiters;
+    absl::flat_hash_map<EndpointIncarnation, std::vector<std::function<void(bool)>>> m_waiters;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/src/gateway/crashreports.cpp
+++ b/src/gateway/crashreports.cpp
@@ -45,12 +45,14 @@
 }
 
 CrashReports::CrashReports(ObjectStore &store, TimerService &timers, RandomSource &random, std::string instance,
-                           PoisonDetector &detector)
+                           PoisonDetector &detector, PoisonPartDetector &parts, std::function<void()> onChanged)
     : m_store(store)
     , m_timers(timers)
     , m_random(random)
     , m_instance(std::move(instance))
     , m_detector(detector)
+    , m_parts(parts)
+    , m_onChanged(std::move(onChanged))
 {
 }
 
@@ -78,6 +80,12 @@
     add({{}, {request}});
 }
 
+void CrashReports::addExonerated(std::vector<ExoneratedPart> exonerated)
+{
+    kLog.info("parts of prompts answered after earlier crashes", {field("parts", exonerated.size())});
+    add({{}, {}, std::move(exonerated)});
+}
+
 void CrashReports::add(const CrashReport &part)
 {
     if (m_pending.isEmpty()) {
@@ -89,7 +97,15 @@
     }
     m_pending.crashed.insert(m_pending.crashed.end(), part.crashed.begin(), part.crashed.end());
     m_pending.answered.insert(m_pending.answered.end(), part.answered.begin(), part.answered.end());
-    noteBarred(m_detector.addReport(m_pendingKey, part, m_timers.now()));
+    m_pending.exonerated.insert(m_pending.exonerated.end(), part.exonerated.begin(), part.exonerated.end());
+    apply(m_pendingKey, part);
+}
+
+void CrashReports::apply(const std::string &source, const CrashReport &report)
+{
+    noteBarred(m_detector.addReport(source, report, m_timers.now()));
+    m_parts.addReport(source, report, m_timers.now());
+    m_onChanged();
 }
 
 void CrashReports::flush()
@@ -169,7 +185,7 @@
                    {field("key", object.key), field("error", std::string(report.status().message()))});
         return;
     }
-    noteBarred(m_detector.addReport(object.key, *report, m_timers.now()));
+    apply(object.key, *report);
 }
 
 void CrashReports::forget(const std::string &key)
@@ -179,6 +195,7 @@
         m_detector.lift(*request);
     } else {
         m_detector.forget(key);
+        m_parts.forget(key, m_timers.now());
     }
 }
 
--- a/src/gateway/crashreports.h
+++ b/src/gateway/crashreports.h
@@ -4,7 +4,9 @@
 #include "base/randomsource.h"
 #include "serving/objectlistener.h"
 #include "serving/poisondetector.h"
+#include "serving/poisonpartdetector.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -22,14 +24,17 @@
 class CrashReports : public ObjectListener
 {
 public:
+    /// `onChanged` is called when a report was handed to the detectors.
     CrashReports(ObjectStore &store, TimerService &timers, RandomSource &random, std::string instance,
-                 PoisonDetector &detector);
+                 PoisonDetector &detector, PoisonPartDetector &parts, std::function<void()> onChanged);
     ~CrashReports() override;
 
     /// The report takes effect in this gateway at once, and in the others once it is written to the store.
     void addCrashed(const CrashedRun &run);
     /// As `addCrashed`, for a request with earlier crashes that an endpoint has now answered completely.
     void addAnswered(const RequestFingerprint &request);
+    /// Tells the other gateways of parts that endpoints have answered since crashes.
+    void addExonerated(std::vector<ExoneratedPart> exonerated);
 
     /// Removes objects from the store whose retention period is over.
     void removeExpired();
@@ -44,6 +49,7 @@
     };
 
     void add(const CrashReport &part);
+    void apply(const std::string &source, const CrashReport &report);
     void flush();
     void write(const std::string &key, const std::string &value, int failures);
     void applyObject(const StoredObject &object);
@@ -57,6 +63,8 @@
     RandomSource &m_random;
     const std::string m_instance;
     PoisonDetector &m_detector;
+    PoisonPartDetector &m_parts;
+    const std::function<void()> m_onChanged;
     /// The report that is not written yet, and the key that it will have in the store.
     CrashReport m_pending;
     std::string m_pendingKey;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -204,6 +204,7 @@
         follow(m_cordonFollower, m_adapter.catalogue->cordonPrefix());
     }
     m_reportRouter.add(kCrashPrefix, m_poison.reports());
+    m_reportRouter.add(kPartBarPrefix, m_poison.partBars());
     m_reportRouter.add(kLimitPrefix, m_limits);
     m_reportRouter.add(kVersionPrefix, m_versionReports);
     follow(m_reportFollower, kReportPrefix);
@@ -282,6 +283,7 @@
 {
     m_connections.closeExpired();
     m_poison.reports().removeExpired();
+    m_poison.partBars().removeExpired();
     m_limits.removeExpired();
     m_versionReports.removeExpired();
     m_gate.noteRegistryChanged();
@@ -493,6 +495,8 @@
         .set(static_cast<double>(m_gate.registry().countCold(m_timers.now())));
     m_metrics.gauge("radishswitch_requests_barred", "Requests that are refused since endpoints crashed under them")
         .set(static_cast<double>(m_poison.barredCount()));
+    m_metrics.gauge("radishswitch_prompt_parts_barred", "Parts of prompts that are refused since endpoints crashed")
+        .set(static_cast<double>(m_poison.barredPartCount()));
     m_metrics.gauge("radishswitch_endpoints_limited", "Endpoints that name a limit")
         .set(static_cast<double>(m_gate.registry().countLimited(m_timers.now())));
     m_metrics.gauge("radishswitch_endpoints_leaving", "Endpoints that leave, by the list or by their own word")
--- /dev/null
+++ b/src/gateway/partbars.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/objectstore.h"
+#include "base/randomsource.h"
+#include "serving/objectlistener.h"
+#include "serving/poisonpartdetector.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace RadishSwitch
+{
+
+/// Key prefix of the objects by which gateways announce barred parts of prompts; the part's id follows.
+inline constexpr char kPartBarPrefix[] = "news/poison_part.";
+
+/// Announces barred parts to the other gateways through the platform's store. Reports of crashes expire; the
+/// announcement is renewed for as long as prompts with the part arrive, at whichever gateway, and then expires too.
+class PartBars : public ObjectListener
+{
+public:
+    PartBars(ObjectStore &store, TimerService &timers, RandomSource &random, PoisonPartDetector &detector);
+
+    /// This gateway bars the part from now on.
+    void announce(std::uint64_t part);
+
+    /// An endpoint has answered a prompt with the part.
+    void withdraw(std::uint64_t part);
+
+    /// A call was refused because of the part. Renews the announcement if that is due.
+    void noteRefused(std::uint64_t part);
+
+    /// Removes announcements from the store that were not renewed for a long time.
+    void removeExpired();
+
+    void objectsListed(const std::vector<StoredObject> &objects) override;
+    void objectsChanged(const std::vector<StoredObject> &objects) override;
+
+private:
+    struct Announced {
+        std::uint64_t version = 0;
+        SharedPrompt pattern;
+        Instant renewedAt{};
+        Instant removeAt{};
+    };
+
+    bool isDue(std::uint64_t part) const;
+    void write(std::uint64_t part);
+    void remove(std::uint64_t part, std::uint64_t version);
+    void applyObject(std::uint64_t part, const StoredObject &object);
+    void forget(std::uint64_t part);
+    Duration jitter(Duration maximum);
+
+    ObjectStore &m_store;
+    TimerService &m_timers;
+    RandomSource &m_random;
+    PoisonPartDetector &m_detector;
+    std::map<std::uint64_t, Announced> m_announced;
+    /// When this gateway last tried to write an announcement.
+    std::map<std::uint64_t, Instant> m_triedAt;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}
--- a/src/gateway/poisonguard.cpp
+++ b/src/gateway/poisonguard.cpp
@@ -1,7 +1,9 @@
 #include "poisonguard.h"
 
 #include "base/failure.h"
+#include "log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace RadishSwitch
@@ -10,42 +12,134 @@
 namespace
 {
 
+const Log kLog("crashes");
+
 /// About the retention period of crashes. A request that is repeated sooner is refused again.
 constexpr std::chrono::milliseconds kRetryAfter = std::chrono::minutes(10);
 /// A complete answer is reported to the other gateways if the request has at least this many crashes, since one more
 /// crash may bar it.
 constexpr std::size_t kMinimumCrashesToReport = 2;
+/// Many gateways see a part answered at the same time. Random delays up to this let one of them report it first. Much
+/// shorter than the time for which a part is suspect before it is barred.
+constexpr Duration kExonerationSpread = std::chrono::milliseconds(300);
+/// Bounds the reports of crashes: a prompt may have hundreds of parts. Those beyond are not suspected.
+constexpr std::size_t kMaximumReportedParts = 256;
 
 }
 
 PoisonGuard::PoisonGuard(WorkerPool &workers, ObjectStore &store, EndpointConnections &connections,
                          TimerService &timers, RandomSource &random, const std::string &instance,
                          std::function<void(const EndpointIncarnation &)> onCrashed)
-    : m_probe(workers, timers, connections, std::move(onCrashed))
-    , m_reports(store, timers, random, instance, m_detector)
+    : m_timers(timers)
+    , m_random(random)
+    , m_probe(workers, timers, connections, std::move(onCrashed))
+    , m_reports(store, timers, random, instance, m_detector, m_parts,
+                [this] {
+                    scheduleUpdates();
+                })
+    , m_bars(store, timers, random, m_parts)
+{
+}
+
+PoisonGuard::~PoisonGuard()
 {
+    m_timers.cancel(m_updateTimer);
+    m_timers.cancel(m_exonerationTimer);
 }
 
-absl::Status PoisonGuard::check(const RequestFingerprint &request) const
+absl::Status PoisonGuard::check(const RequestFingerprint &request, const SharedPrompt &prompt)
 {
-    if (!m_detector.isBarred(request)) {
+    if (m_detector.isBarred(request)) {
+        return makeFailure(FailureCode::PoisonRequest, "endpoints have crashed while running this request",
+                           kRetryAfter);
+    }
+    const std::optional<std::uint64_t> part = m_parts.barredPart(prompt);
+    if (!part) {
         return absl::OkStatus();
     }
-    return makeFailure(FailureCode::PoisonRequest, "endpoints have crashed while running this request", kRetryAfter);
+    m_bars.noteRefused(*part);
+    return makeFailure(FailureCode::PoisonRequest,
+                       "endpoints have crashed when they began to answer prompts with the part " + partIdText(*part),
+                       kRetryAfter);
 }
 
-void PoisonGuard::noteBroken(const CrashedRun &run, const std::string &address)
+void PoisonGuard::noteBroken(CrashedRun run, const std::string &address)
 {
-    m_probe.notifyIfCrashed(run.incarnation, address, [this, run] {
-        m_reports.addCrashed(run);
+    run.prompt.parts.resize(std::min(run.prompt.parts.size(), kMaximumReportedParts));
+    const EndpointIncarnation incarnation = run.incarnation;
+    m_probe.probe(incarnation, address, [this, run = std::move(run)](bool hasCrashed) {
+        if (hasCrashed) {
+            m_reports.addCrashed(run);
+        }
     });
 }
 
-void PoisonGuard::noteAnswered(const RequestFingerprint &request)
+void PoisonGuard::noteAnswered(const RequestFingerprint &request, const SharedPrompt &prompt)
 {
     if (m_detector.isBarred(request) || m_detector.crashes(request) >= kMinimumCrashesToReport) {
         m_reports.addAnswered(request);
     }
+    noteAnswering(prompt);
+}
+
+void PoisonGuard::noteAnsweredUnlessCrashed(CrashedRun run, const std::string &address)
+{
+    if (!m_parts.hasOpenCrashes(run.prompt) && m_detector.crashes(run.request) == 0) {
+        return;
+    }
+    const EndpointIncarnation incarnation = run.incarnation;
+    m_probe.probe(incarnation, address, [this, run = std::move(run)](bool hasCrashed) {
+        hasCrashed ? m_reports.addCrashed(run) : noteAnswered(run.request, run.prompt);
+    });
+}
+
+void PoisonGuard::noteAnswering(const SharedPrompt &prompt)
+{
+    m_parts.noteAnswered(prompt);
+    for (const std::uint64_t part : m_parts.takeLifted()) {
+        kLog.warning("part of prompts no longer barred", {field("part", partIdText(part))});
+        m_bars.withdraw(part);
+    }
+    scheduleUpdates();
+}
+
+void PoisonGuard::scheduleUpdates()
+{
+    if (m_parts.hasUnreported() && m_exonerationTimer == 0) {
+        const auto spread = m_random.below(static_cast<std::uint64_t>(kExonerationSpread.count()));
+        m_exonerationTimer = m_timers.after(Duration(static_cast<Duration::rep>(spread)), [this] {
+            m_exonerationTimer = 0;
+            reportExonerated();
+        });
+    }
+    const std::optional<Instant> next = m_parts.nextUpdate();
+    if (next && m_updateTimer == 0) {
+        m_updateTimer = m_timers.after(std::max(*next - m_timers.now(), Duration::zero()), [this] {
+            m_updateTimer = 0;
+            updateParts();
+        });
+    }
+}
+
+void PoisonGuard::updateParts()
+{
+    for (const std::uint64_t part : m_parts.update(m_timers.now())) {
+        const SharedPrompt pattern = m_parts.pattern(part).value_or(SharedPrompt());
+        kLog.warning("part of prompts barred",
+                     {field("part", partIdText(part)), field("crashes", m_parts.crashes(part)),
+                      field("refused_with_parts", partIdsText(pattern.parts)), field("pool", pattern.pool.value()),
+                      field("organisation", pattern.organisation.value())});
+        m_bars.announce(part);
+    }
+    scheduleUpdates();
+}
+
+void PoisonGuard::reportExonerated()
+{
+    std::vector<ExoneratedPart> exonerated = m_parts.takeUnreported();
+    if (!exonerated.empty()) {
+        m_reports.addExonerated(std::move(exonerated));
+    }
 }
 
 }
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -448,6 +448,11 @@
     return m_parser && m_parser->is_done() && m_parser->keep_alive();
 }
 
+bool HttpConnection::endsWithConnection() const
+{
+    return m_parser && m_parser->need_eof();
+}
+
 bool HttpConnection::wasIdle() const
 {
     return m_idleSince != Clock::time_point();
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -128,6 +128,10 @@
     /// Whether the answer was read whole and the other side keeps the connection open.
     bool isKeptAlive() const;
 
+    /// Whether the answer has neither a length nor chunks, so that the end of the connection is its end. To be called
+    /// once its head is there.
+    bool endsWithConnection() const;
+
     /// Whether the connection was taken from among the idle ones.
     bool wasIdle() const;
 
--- a/tests/radishswitch-gateway/gatewayreports_test.cpp
+++ b/tests/radishswitch-gateway/gatewayreports_test.cpp
@@ -2,6 +2,7 @@
 #include "limitreports.h"
 #include "manualtaskqueue.h"
 #include "memoryobjectstore.h"
+#include "partbars.h"
 #include "reportrouter.h"
 #include "seededrandom.h"
 #include "serving/objectfollower.h"
@@ -21,7 +22,8 @@
         TestGateway(MemoryObjectStore &store, VirtualTimerService &timers, SeededRandom &random,
                     const std::string &name)
             : gate(timers, random, name, "a")
-            , reports(store, timers, random, name, detector)
+            , reports(store, timers, random, name, detector, parts, [] {})
+            , bars(store, timers, random, parts)
             , limits(store, timers, random, gate)
             , follower(store, timers, random, kReportPrefix, news)
         {
@@ -30,6 +32,7 @@
             listing.pool = PoolId("llm");
             gate.registry().list(listing, timers.now());
             news.add(kCrashPrefix, reports);
+            news.add(kPartBarPrefix, bars);
             news.add(kLimitPrefix, limits);
             follower.start();
         }
@@ -40,8 +43,10 @@
         }
 
         PoisonDetector detector;
+        PoisonPartDetector parts;
         CallGate gate;
         CrashReports reports;
+        PartBars bars;
         LimitReports limits;
         ReportRouter news;
         ObjectFollower follower;
