A stream that ends with its connection before its first event is no success

What callers would see: an endpoint that crashes as it begins to write, and whose answers have neither length nor chunks, gives a success without an event. Cause: the end of such a connection is the end of the answer, and an answer without an unfinished event was taken for whole. Change: a stream framed by its connection that brought no event, and takes none up, has been broken off, as one that ends inside an event; both count as lost connections, so that the endpoint is looked at for a crash. The stand-in of an endpoint can end its answers so. What can't be told: a whole answer or a stream cut between two events by the end of its connection.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -115,6 +115,7 @@
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> awaitHead();
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
+    bool hasEndedBeforeFirstEvent() const;
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
     void noteFirstEvents();
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -105,7 +105,8 @@
             co_return AttemptEnd::Broken;
         }
     }
-    if (!m_eventSplitter.isBetweenEvents()) {
+    if (!m_eventSplitter.isBetweenEvents() || hasEndedBeforeFirstEvent()) {
+        m_attempt.failure = makeFailure(FailureCode::ConnectionLost, "the stream ended before or inside an event");
         co_return AttemptEnd::Broken;
     }
     if (!m_hasStreamStarted) {
@@ -116,6 +117,13 @@
     co_return std::nullopt;
 }
 
+// Where the end of the connection is the end of the answer, an endpoint that crashes as it begins to write looks as if
+// it had nothing to say.
+bool Call::hasEndedBeforeFirstEvent() const
+{
+    return m_attempt.endsWithConnection && !m_hasStreamStarted && !m_eventSplitter.lastEvent();
+}
+
 net::awaitable<absl::StatusOr<std::string>> Call::awaitEvents()
 {
     Duration wait = m_services.times.eventSilenceTimeout;
--- a/src/libradishnet/httpserver.cpp
+++ b/src/libradishnet/httpserver.cpp
@@ -348,6 +348,11 @@
     d->context->isClosing = true;
 }
 
+void HttpServer::setEndsAnswersByClosing(bool endsAnswersByClosing)
+{
+    d->context->endsAnswersByClosing = endsAnswersByClosing;
+}
+
 void HttpServer::drain(std::function<void()> onDrained)
 {
     {
--- a/src/libradishnet/httpserver.h
+++ b/src/libradishnet/httpserver.h
@@ -108,6 +108,10 @@
     /// notice. Safe on any thread.
     void closeAfterAnswers();
 
+    /// From now on answers have neither a length nor chunks and end with their connections, as HTTP/1.1 allows it. For
+    /// stand-ins of servers that answer so. Safe on any thread.
+    void setEndsAnswersByClosing(bool endsAnswersByClosing);
+
     /// Takes no more connections than those that wait already, and closes each open one after the request that it is
     /// in. `onDrained` is called once on a worker when none is left.
     void drain(std::function<void()> onDrained = {});
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -662,9 +662,12 @@
         ec = co_await writeMessage(message);
     } else {
         http::response<http::string_body> message;
+        m_isKeptAlive = m_isKeptAlive && !m_context->endsAnswersByClosing;
         prepare(message, response.status, response.headers);
         message.body() = std::move(response.body);
-        message.prepare_payload();
+        if (!m_context->endsAnswersByClosing) {
+            message.prepare_payload();
+        }
         ec = co_await writeMessage(message);
     }
     co_return outcomeOfWrite(ec);
@@ -676,10 +679,11 @@
     beast::error_code ec;
     m_answer = AnswerState::Streaming;
     // HTTP/1.0 has no chunks: there the end of the connection ends the body.
-    m_isKeptAlive = m_isKeptAlive && m_version >= 11;
+    m_isChunked = m_version >= 11 && !m_context->endsAnswersByClosing;
+    m_isKeptAlive = m_isKeptAlive && m_isChunked;
     http::response<http::empty_body> message;
     prepare(message, status, headers);
-    message.chunked(m_version >= 11);
+    message.chunked(m_isChunked);
     http::response_serializer<http::empty_body> serializer(message);
     m_watchdog.expireAfter(m_context->settings.writeTimeout);
     noteWritten(co_await http::async_write_header(m_stream, serializer, awaitInto(ec)));
@@ -694,7 +698,7 @@
         // An empty chunk would end the answer.
         co_return absl::OkStatus();
     }
-    const std::string bytes = m_version >= 11 ? chunkOf(data) : std::move(data);
+    const std::string bytes = m_isChunked ? chunkOf(data) : std::move(data);
     std::size_t n = writeAtOnce(bytes, ec);
     while (!ec && n < bytes.size()) {
         m_watchdog.expireAfter(m_context->settings.writeTimeout);
@@ -729,7 +733,7 @@
     beast::error_code ec;
     m_answer = AnswerState::Done;
     m_watchdog.expireAfter(m_context->settings.writeTimeout);
-    if (m_version >= 11) {
+    if (m_isChunked) {
         noteWritten(co_await net::async_write(m_stream, http::make_chunk_last(), awaitInto(ec)));
     }
     co_return outcomeOfWrite(ec);
--- a/src/libradishnet/httpsession.h
+++ b/src/libradishnet/httpsession.h
@@ -44,6 +44,8 @@
     std::atomic<int> requestsInProgress = 0;
     /// Whether each answer ends its connection.
     std::atomic<bool> isClosing = false;
+    /// See HttpServer::setEndsAnswersByClosing.
+    std::atomic<bool> endsAnswersByClosing = false;
     /// Guards the limits in the settings; the rest of them is never changed.
     mutable std::mutex mutex;
 };
@@ -157,6 +159,8 @@
     /// Whether `m_request` has the head of the request that is being read.
     bool m_hasHead = false;
     unsigned m_version = 11;
+    /// The answer that is being streamed is sent in chunks; otherwise the end of the connection is its end.
+    bool m_isChunked = false;
     std::function<void()> m_onPeerGone;
     std::chrono::steady_clock::time_point m_idleSince;
     /// Those in force then.
