Tests: announcements of barred parts, their renewal, expiry and withdrawal

Cause: reports of crashes expire after ten minutes; a bar must not, while such prompts come. Change: GatewayReportsTest has five tests of PartBars over the store in memory, in virtual time.

--- a/tests/radishswitch-gateway/gatewayreports_test.cpp
+++ b/tests/radishswitch-gateway/gatewayreports_test.cpp
@@ -81,6 +81,56 @@
         }
     }
 
+    static SharedPrompt poisonPrompt(const std::string &organisation)
+    {
+        return {PoolId("llm"), OrganisationId(organisation), {0x5a, 0xbad}};
+    }
+
+    /// Endpoints crash as they begin to answer prompts with a poison part, until the gateway bars it.
+    void crashWithPart(TestGateway &at)
+    {
+        for (int n = 0; n < 3; ++n) {
+            const EndpointIncarnation incarnation{EndpointId("engine-" + std::to_string(++m_crashes)), 0};
+            const auto content = RequestFingerprint::of("POST", "/a", "magnolia", std::to_string(m_crashes));
+            at.reports.addCrashed({incarnation, content, 0, poisonPrompt("org-" + std::to_string(n))});
+            advanceTime(Milliseconds(700));
+        }
+        advanceTime(std::chrono::seconds(2));
+        updateParts(one);
+        updateParts(two);
+    }
+
+    void updateParts(TestGateway &at)
+    {
+        for (const std::uint64_t part : at.parts.update(timers.now())) {
+            at.bars.announce(part);
+        }
+        advanceTime(std::chrono::seconds(1));
+    }
+
+    /// Lets time pass while prompts with the part arrive at one gateway.
+    void refuseFor(TestGateway &at, Duration span)
+    {
+        const Instant end = timers.now() + span;
+        while (timers.now() < end) {
+            timers.advance(std::chrono::seconds(30));
+            tasks.runAll();
+            if (const auto part = at.parts.barredPart(poisonPrompt("magnolia"))) {
+                at.bars.noteRefused(*part);
+            }
+            removeExpired();
+        }
+    }
+
+    void removeExpired()
+    {
+        for (TestGateway *it : {&one, &two}) {
+            it->reports.removeExpired();
+            it->bars.removeExpired();
+        }
+        advanceTime(Milliseconds(50));
+    }
+
     std::size_t objects(const std::string &prefix) const
     {
         return static_cast<std::size_t>(std::ranges::count_if(store.objects(), [&prefix](const auto &entry) {
@@ -155,6 +205,70 @@
     EXPECT_EQ(objects("news/crash.barred."), 0U);
 }
 
+// Guards against poison parts that a gateway learns of only by crashes of its own.
+TEST_F(GatewayReportsTest, barredPart_isKnownToAllGatewaysAlsoToOneStartedLater)
+{
+    crashWithPart(one);
+    EXPECT_TRUE(one.parts.barredPart(poisonPrompt("magnolia")));
+    EXPECT_TRUE(two.parts.barredPart(poisonPrompt("magnolia")));
+    EXPECT_EQ(objects(kPartBarPrefix), 1U);
+    TestGateway late(store, timers, random, "late");
+    advanceTime(Milliseconds(100));
+    EXPECT_TRUE(late.parts.barredPart(poisonPrompt("magnolia")));
+}
+
+// Guards against a bar that ends with the reports of the crashes though such prompts still arrive.
+TEST_F(GatewayReportsTest, barOfPartInUse_holdsWhenReportsHaveExpired)
+{
+    crashWithPart(one);
+    refuseFor(two, std::chrono::minutes(45));
+    EXPECT_EQ(objects(kCrashPrefix), 0U);
+    EXPECT_TRUE(one.parts.barredPart(poisonPrompt("magnolia")));
+    EXPECT_TRUE(two.parts.barredPart(poisonPrompt("magnolia")));
+}
+
+// Guards against a store that fills up with parts that nobody sends any more.
+TEST_F(GatewayReportsTest, barOfPartNotInUse_expires)
+{
+    crashWithPart(one);
+    for (int n = 0; n < 60; ++n) {
+        timers.advance(std::chrono::seconds(30));
+        tasks.runAll();
+        removeExpired();
+    }
+    EXPECT_EQ(objects(kReportPrefix), 0U);
+    EXPECT_TRUE(one.parts.isEmpty());
+    EXPECT_TRUE(two.parts.isEmpty());
+}
+
+// Guards against a part that the others still refuse after an endpoint has answered a prompt with it.
+TEST_F(GatewayReportsTest, barredPartAnswered_isAllowedAtBothGateways)
+{
+    crashWithPart(one);
+    two.parts.noteAnswered(poisonPrompt("magnolia"));
+    for (const std::uint64_t part : two.parts.takeLifted()) {
+        two.bars.withdraw(part);
+    }
+    two.reports.addExonerated(two.parts.takeUnreported());
+    advanceTime(std::chrono::seconds(1));
+    EXPECT_FALSE(one.parts.barredPart(poisonPrompt("magnolia")));
+    EXPECT_FALSE(two.parts.barredPart(poisonPrompt("magnolia")));
+    EXPECT_EQ(objects(kPartBarPrefix), 0U);
+}
+
+// Guards against a write to the store for each prompt that is refused.
+TEST_F(GatewayReportsTest, refusedPrompts_renewTheBarRarely)
+{
+    crashWithPart(one);
+    const int before = store.writes();
+    for (int n = 0; n < 1000; ++n) {
+        TestGateway &at = n % 2 == 0 ? one : two;
+        at.bars.noteRefused(0xbad);
+        advanceTime(Milliseconds(20));
+    }
+    EXPECT_LE(store.writes() - before, 2);
+}
+
 // Guards against a store that fills up with expired reports.
 TEST_F(GatewayReportsTest, expiredReports_areRemovedFromStoreAndMemory)
 {
@@ -174,11 +288,13 @@
 // Guards against a gateway that fails on an object which another process wrote under the prefix.
 TEST_F(GatewayReportsTest, unreadableObjects_areIgnored)
 {
-    for (const std::string key : {"news/crash.report.x", "news/crash.barred.zz", "news/limit.engine", "news/other"}) {
+    for (const std::string key : {"news/crash.report.x", "news/crash.barred.zz", "news/limit.engine",
+                                  "news/poison_part.x", "news/poison_part.bad", "news/other"}) {
         store.put(key, "no JSON", 0, [](const absl::StatusOr<std::uint64_t> &) {});
     }
     advanceTime(std::chrono::seconds(1));
     EXPECT_TRUE(one.detector.isEmpty());
+    EXPECT_TRUE(one.parts.isEmpty());
     EXPECT_FALSE(one.isLimited(timers.now()));
     crash(one, 3);
     EXPECT_TRUE(two.detector.isBarred(request()));
