Few gateways report that a part was answered; suspects settle for a second

Cause: all gateways that have seen a suspected part answered reported it within 300 ms: 17 writes a crash in a fleet of 300, near the store's rate while endpoints crash quickly. Change: one in sixteen gateways reports within 100 ms, the others after 300 to 400 ms unless they have read it by then. A part is suspect for a second before it is barred, so that late reports still come in time.

--- a/src/gateway/poisonguard.cpp
+++ b/src/gateway/poisonguard.cpp
@@ -19,9 +19,12 @@
 /// A complete answer is reported to the other gateways if the request has at least this many crashes, since one more
 /// crash may bar it.
 constexpr std::size_t kMinimumCrashesToReport = 2;
-/// Many gateways see a part answered at the same time. Random delays up to this let one of them report it first. Much
-/// shorter than the time for which a part is suspect before it is barred.
-constexpr Duration kExonerationSpread = std::chrono::milliseconds(300);
+/// Many gateways see a part answered at the same time. One in so many reports it within the first spread, which the
+/// others have read before their delay is over. Both together are shorter than the time for which a part is suspect
+/// before it is barred.
+constexpr std::uint64_t kGatewaysPerEarlyReport = 16;
+constexpr Duration kReportSpread = std::chrono::milliseconds(100);
+constexpr Duration kLateReportDelay = std::chrono::milliseconds(300);
 /// Bounds the reports of crashes: a prompt may have hundreds of parts. Those beyond are not suspected.
 constexpr std::size_t kMaximumReportedParts = 256;
 
@@ -106,8 +109,7 @@
 void PoisonGuard::scheduleUpdates()
 {
     if (m_parts.hasUnreported() && m_exonerationTimer == 0) {
-        const auto spread = m_random.below(static_cast<std::uint64_t>(kExonerationSpread.count()));
-        m_exonerationTimer = m_timers.after(Duration(static_cast<Duration::rep>(spread)), [this] {
+        m_exonerationTimer = m_timers.after(exonerationDelay(), [this] {
             m_exonerationTimer = 0;
             reportExonerated();
         });
@@ -121,6 +123,13 @@
     }
 }
 
+Duration PoisonGuard::exonerationDelay()
+{
+    const bool isEarly = m_random.below(kGatewaysPerEarlyReport) == 0;
+    const auto spread = m_random.below(static_cast<std::uint64_t>(kReportSpread.count()));
+    return (isEarly ? Duration::zero() : kLateReportDelay) + Duration(static_cast<Duration::rep>(spread));
+}
+
 void PoisonGuard::updateParts()
 {
     for (const std::uint64_t part : m_parts.update(m_timers.now())) {
--- a/src/gateway/poisonguard.h
+++ b/src/gateway/poisonguard.h
@@ -69,6 +69,7 @@
 
 private:
     void scheduleUpdates();
+    Duration exonerationDelay();
     void updateParts();
     void reportExonerated();
 
--- a/src/libradishswitch/serving/poisonpartdetector.h
+++ b/src/libradishswitch/serving/poisonpartdetector.h
@@ -32,7 +32,7 @@
     int maxCoincidentCrashes = 2;
     /// How long a part must have reached the threshold before it is barred. Gateways that have seen it answered tell
     /// the others within this time.
-    Duration settleTime = std::chrono::milliseconds(800);
+    Duration settleTime = std::chrono::milliseconds(1000);
     /// Crashes of a part that are known to be no fault of it are kept for this time, in case further gateways report
     /// them.
     Duration duplicateLifetime = std::chrono::seconds(10);
