--- a/src/libradishswitch/serving/poisonpartdetector.cpp
+++ b/src/libradishswitch/serving/poisonpartdetector.cpp
@@ -275,7 +275,7 @@
         return counted >= m_settings.clearThreshold;
     }
     const Instant since = std::min(crashes.front()->knownAt, now - m_settings.shareWindow);
-    const double share = static_cast<double>(crashes.size()) / static_cast<double>(crashesSince(since));
+    const double share = static_cast<double>(crashes.size()) / static_cast<double>(crashesSince(since, id));
     return share >= m_settings.clearShare || (counted >= m_settings.crashThreshold && share >= m_settings.minimumShare);
 }
 
@@ -308,10 +308,21 @@
     return counted;
 }
 
-std::size_t PoisonPartDetector::crashesSince(Instant moment) const
+std::size_t PoisonPartDetector::crashesSince(Instant moment, std::uint64_t id) const
 {
     const auto first = std::ranges::lower_bound(m_crashes, moment, {}, &std::pair<Instant, EndpointIncarnation>::first);
-    return static_cast<std::size_t>(m_crashes.end() - first);
+    return static_cast<std::size_t>(std::count_if(first, m_crashes.end(), [this, id](const auto &crash) {
+        return !isCausedByOther(crash.second, id);
+    }));
+}
+
+bool PoisonPartDetector::isCausedByOther(const EndpointIncarnation &incarnation, std::uint64_t id) const
+{
+    const auto it = m_partsAt.find(incarnation);
+    return it != m_partsAt.end() && std::ranges::any_of(it->second, [&](std::uint64_t other) {
+               const Part &part = m_parts.at(other);
+               return other != id && part.isBarredHere && isOpenAt(part, incarnation);
+           });
 }
 
 // Of two parts with as many crashes the one that is barred explains the other.
--- a/src/libradishswitch/serving/poisonpartdetector.h
+++ b/src/libradishswitch/serving/poisonpartdetector.h
@@ -19,13 +19,13 @@
 
 struct PoisonPartSettings {
     /// Number of endpoints that must have crashed under a part before it is barred, if it has the share `clearShare` of
-    /// all crashes since its first one and in the last `shareWindow`.
+    /// all crashes since its first one and in the last `shareWindow`. Crashes under other barred parts don't count.
     int clearThreshold = 3;
     double clearShare = 0.4;
     /// The same for parts with a smaller share. Where endpoints often crash for other reasons, rare parts are in
     /// prompts at some of these crashes by chance.
     int crashThreshold = 5;
-    double minimumShare = 0.1;
+    double minimumShare = 0.25;
     Duration shareWindow = std::chrono::seconds(15);
     /// See PoisonSettings.
     Duration coincidenceWindow = std::chrono::milliseconds(500);
@@ -150,7 +150,8 @@
     bool isSuspicious(std::uint64_t id, const Part &part, Instant now) const;
     std::vector<const Crash *> unexplainedCrashes(std::uint64_t id, const Part &part) const;
     int countedCrashes(const std::vector<const Crash *> &crashes) const;
-    std::size_t crashesSince(Instant moment) const;
+    std::size_t crashesSince(Instant moment, std::uint64_t id) const;
+    bool isCausedByOther(const EndpointIncarnation &incarnation, std::uint64_t id) const;
     void noteCrash(const EndpointIncarnation &incarnation, Instant now);
     bool isExplained(const EndpointIncarnation &incarnation, std::uint64_t id, std::size_t own, bool isBarred) const;
     static bool isOpenAt(const Part &part, const EndpointIncarnation &incarnation);
