A barred part gets a trial now and then

Cause: no call with a barred part is sent, so that no answer can lift a bar that came by chance, or one that is needless since the software that crashed was replaced. Change: a minute after the bar, then after ten, a hundred, a thousand minutes and so on, one gateway of the fleet lets one call through, without further attempts; it claims the trial with the version of the announcement. An answer lifts the bar. Measured: GatewayReportsTest.barredPart_getsOneTrialInTheFleetAtGrowingIntervals, one trial in the first ten minutes and a second one after eleven, at two gateways. The price is one more endpoint at each trial of a true poison part.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -44,7 +44,7 @@
 {
     absl::Status status = prepare();
     if (status.ok()) {
-        status = checkPoison();
+        status = checkPoisonOnArrival();
     }
     if (status.ok()) {
         m_exchange.setPeerGoneCallback([this] {
@@ -480,7 +480,20 @@
 
 absl::Status Call::checkPoison() const
 {
-    return m_services.poison.hasSuspects() ? m_services.poison.check(fingerprint(), sharedPrompt()) : absl::OkStatus();
+    const bool isToBeChecked = m_services.poison.hasSuspects() && !m_isPoisonTrial;
+    return isToBeChecked ? m_services.poison.check(fingerprint(), sharedPrompt()) : absl::OkStatus();
+}
+
+// A trial makes no further attempts, each of which might crash another endpoint.
+absl::Status Call::checkPoisonOnArrival()
+{
+    const absl::Status status = checkPoison();
+    if (status.ok() || !m_services.poison.takeTrial(sharedPrompt())) {
+        return status;
+    }
+    m_isPoisonTrial = true;
+    m_history.maximumAttempts = 1;
+    return absl::OkStatus();
 }
 
 void Call::logEnd(const absl::Status &status) const
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -85,6 +85,7 @@
     const RequestFingerprint &fingerprint() const;
     SharedPrompt sharedPrompt() const;
     absl::Status checkPoison() const;
+    absl::Status checkPoisonOnArrival();
 
     // callattempt.cpp: one attempt at an endpoint.
     boost::asio::awaitable<void> start(Attempt &attempt);
@@ -181,6 +182,8 @@
     /// The retry budget has granted a retry that has not been sent yet.
     bool m_hasRetry = false;
     bool m_isReserved = false;
+    /// The call is sent though a part of its prompt is barred; see PartBars.
+    bool m_isPoisonTrial = false;
     bool m_isCallerDisconnected = false;
     /// The head of a streamed answer was sent to the caller. From then on a failure can only be shown by closing the
     /// connection.
--- a/src/gateway/partbars.cpp
+++ b/src/gateway/partbars.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <set>
+#include <algorithm>
 #include <utility>
 
 namespace RadishSwitch
@@ -18,6 +18,7 @@
 const Log kLog("crashes");
 
 constexpr char kRefusedField[] = "pattern";
+constexpr char kTrialsField[] = "trials";
 /// A random value that makes each write a change of the object, which tells the other gateways that the bar is in use.
 constexpr char kNonceField[] = "writing";
 
@@ -26,6 +27,10 @@
 constexpr Duration kRetryInterval = std::chrono::seconds(1);
 /// A bar that is in use is renewed at this interval, which is much shorter than the time until it expires.
 constexpr Duration kRenewalInterval = std::chrono::minutes(2);
+/// Time until the first trial of a barred part; the time until each further one is ten times as long.
+constexpr Duration kFirstTrialDelay = std::chrono::minutes(1);
+constexpr int kTrialDelayFactor = 10;
+constexpr int kMaximumTrialDelays = 4;
 constexpr Duration kRetention = std::chrono::minutes(10);
 /// Random delay before an expired announcement is removed, so that not all gateways remove it at once.
 constexpr Duration kRemovalSpread = std::chrono::minutes(2);
@@ -40,10 +45,20 @@
     return parsePartId(std::string_view(key).substr(std::char_traits<char>::length(kPartBarPrefix)));
 }
 
-absl::StatusOr<SharedPrompt> readPattern(const std::string &value)
+struct PartBar {
+    SharedPrompt pattern;
+    int trials = 0;
+};
+
+absl::StatusOr<PartBar> readPartBar(const std::string &value)
 {
     try {
-        return readSharedPrompt(nlohmann::json::parse(value).at(kRefusedField));
+        const nlohmann::json json = nlohmann::json::parse(value);
+        absl::StatusOr<SharedPrompt> pattern = readSharedPrompt(json.at(kRefusedField));
+        if (!pattern.ok()) {
+            return pattern.status();
+        }
+        return PartBar{std::move(*pattern), std::max(json.at(kTrialsField).get<int>(), 0)};
     } catch (const nlohmann::json::exception &e) {
         return makeFailure(FailureCode::ObjectMalformed, e.what());
     }
@@ -93,17 +108,40 @@
     if (!pattern || it == m_announced.end()) {
         return pattern.has_value();
     }
-    return it->second.pattern != *pattern || m_timers.now() - it->second.renewedAt >= kRenewalInterval;
+    return it->second.pattern != *pattern || m_timers.now() - it->second.renewedAt >= kRenewalInterval
+        || isTrialDue(it->second);
+}
+
+bool PartBars::isTrialDue(const Announced &announced) const
+{
+    Duration delay = kFirstTrialDelay;
+    for (int n = 0; n < std::min(announced.trials, kMaximumTrialDelays); ++n) {
+        delay *= kTrialDelayFactor;
+    }
+    return m_timers.now() - announced.trialsSince >= delay;
+}
+
+bool PartBars::takeTrial(std::uint64_t part)
+{
+    return m_trials.erase(part) > 0;
 }
 
 void PartBars::write(std::uint64_t part)
 {
     m_triedAt[part] = m_timers.now();
+    const auto it = m_announced.find(part);
+    const bool isTrial = it != m_announced.end() && isTrialDue(it->second);
+    const int trials = it == m_announced.end() ? 0 : it->second.trials + (isTrial ? 1 : 0);
     const nlohmann::json value{{kRefusedField, writeSharedPrompt(*m_detector.pattern(part))},
+                               {kTrialsField, trials},
                                {kNonceField, m_random.freshName()}};
-    const auto it = m_announced.find(part);
     m_store.put(keyOf(part), value.dump(), it == m_announced.end() ? 0 : it->second.version,
-                [part](const absl::StatusOr<std::uint64_t> &at) {
+                [this, part, isTrial, alive = std::weak_ptr<int>(m_alive)](const absl::StatusOr<std::uint64_t> &at) {
+                    // Only one gateway can write a version, so that the fleet makes one trial.
+                    if (at.ok() && isTrial && !alive.expired()) {
+                        kLog.info("one call with a barred part is let through", {field("part", partIdText(part))});
+                        m_trials.insert(part);
+                    }
                     // On a version conflict another gateway was first. After other failures the next refused call
                     // tries again.
                     if (!at.ok() && failureCode(at.status()) != FailureCode::VersionConflict) {
@@ -175,20 +213,24 @@
     if (it != m_announced.end() && it->second.version == object.version) {
         return;
     }
-    const absl::StatusOr<SharedPrompt> pattern = readPattern(object.value);
-    if (!pattern.ok()) {
+    const absl::StatusOr<PartBar> bar = readPartBar(object.value);
+    if (!bar.ok()) {
         kLog.error("unreadable announcement of a barred part ignored",
-                   {field("key", object.key), field("error", std::string(pattern.status().message()))});
+                   {field("key", object.key), field("error", std::string(bar.status().message()))});
         return;
     }
     const Instant now = m_timers.now();
-    m_announced[part] = {object.version, *pattern, now, now + kRetention + jitter(kRemovalSpread)};
-    m_detector.setAnnounced(part, *pattern);
+    const bool isKnownTrial = it != m_announced.end() && it->second.trials == bar->trials;
+    const Instant trialsSince = isKnownTrial ? it->second.trialsSince : now;
+    m_announced[part] = {object.version, bar->pattern, bar->trials,
+                         trialsSince,    now,          now + kRetention + jitter(kRemovalSpread)};
+    m_detector.setAnnounced(part, bar->pattern);
 }
 
 void PartBars::forget(std::uint64_t part)
 {
     m_announced.erase(part);
+    m_trials.erase(part);
     m_detector.removeAnnounced(part);
 }
 
--- a/src/gateway/partbars.h
+++ b/src/gateway/partbars.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace RadishSwitch
@@ -17,6 +18,10 @@
 
 /// Announces barred parts to the other gateways through the platform's store. Reports of crashes expire; the
 /// announcement is renewed for as long as prompts with the part arrive, at whichever gateway, and then expires too.
+///
+/// A part may have been barred by chance, or the software that it crashed may have been replaced. From time to time one
+/// gateway of the fleet therefore lets a single call through: if an endpoint answers it, the bar is lifted. The times
+/// between such trials grow tenfold, since each of a true poison part crashes one more endpoint.
 class PartBars : public ObjectListener
 {
 public:
@@ -31,6 +36,10 @@
     /// A call was refused because of the part. Renews the announcement if that is due.
     void noteRefused(std::uint64_t part);
 
+    /// Whether one call with the part may be sent although it is barred. Asked for each such call; the next one after a
+    /// trial was granted to this gateway gets it.
+    bool takeTrial(std::uint64_t part);
+
     /// Removes announcements from the store that were not renewed for a long time.
     void removeExpired();
 
@@ -41,11 +50,15 @@
     struct Announced {
         std::uint64_t version = 0;
         SharedPrompt pattern;
+        /// Number of trials granted so far, and since when the time until the next one counts.
+        int trials = 0;
+        Instant trialsSince{};
         Instant renewedAt{};
         Instant removeAt{};
     };
 
     bool isDue(std::uint64_t part) const;
+    bool isTrialDue(const Announced &announced) const;
     void write(std::uint64_t part);
     void remove(std::uint64_t part, std::uint64_t version);
     void applyObject(std::uint64_t part, const StoredObject &object);
@@ -59,6 +72,8 @@
     std::map<std::uint64_t, Announced> m_announced;
     /// When this gateway last tried to write an announcement.
     std::map<std::uint64_t, Instant> m_triedAt;
+    /// Parts of which this gateway may let one call through.
+    std::set<std::uint64_t> m_trials;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/src/gateway/poisonguard.cpp
+++ b/src/gateway/poisonguard.cpp
@@ -66,6 +66,12 @@
                        kRetryAfter);
 }
 
+bool PoisonGuard::takeTrial(const SharedPrompt &prompt)
+{
+    const std::optional<std::uint64_t> part = m_parts.barredPart(prompt);
+    return part && m_bars.takeTrial(*part);
+}
+
 void PoisonGuard::noteBroken(CrashedRun run, const std::string &address)
 {
     run.prompt.parts.resize(std::min(run.prompt.parts.size(), kMaximumReportedParts));
--- a/src/gateway/poisonguard.h
+++ b/src/gateway/poisonguard.h
@@ -29,6 +29,9 @@
     /// PoisonRequest if the request must not be sent to endpoints.
     absl::Status check(const RequestFingerprint &request, const SharedPrompt &prompt);
 
+    /// Whether this one call may be sent though a part of its prompt is barred, to find out whether it still has to be.
+    bool takeTrial(const SharedPrompt &prompt);
+
     /// The number of crashes attributed to the request.
     int crashes(const RequestFingerprint &request) const
     {
--- a/tests/radishswitch-gateway/gatewayreports_test.cpp
+++ b/tests/radishswitch-gateway/gatewayreports_test.cpp
@@ -256,6 +256,31 @@
     EXPECT_EQ(objects(kPartBarPrefix), 0U);
 }
 
+// Guards against a part that stays barred though it was barred by chance, and against a trial at each gateway.
+TEST_F(GatewayReportsTest, barredPart_getsOneTrialInTheFleetAtGrowingIntervals)
+{
+    crashWithPart(one);
+    int trials = 0;
+    const auto tryFor = [&](Duration span) {
+        const Instant end = timers.now() + span;
+        while (timers.now() < end) {
+            advanceTime(std::chrono::seconds(1));
+            for (TestGateway *it : {&one, &two}) {
+                it->bars.noteRefused(0xbad);
+                trials += it->bars.takeTrial(0xbad) ? 1 : 0;
+            }
+        }
+    };
+    tryFor(std::chrono::seconds(50));
+    EXPECT_EQ(trials, 0);
+    tryFor(std::chrono::seconds(30));
+    EXPECT_EQ(trials, 1);
+    tryFor(std::chrono::minutes(9));
+    EXPECT_EQ(trials, 1);
+    tryFor(std::chrono::minutes(3));
+    EXPECT_EQ(trials, 2);
+}
+
 // Guards against a write to the store for each prompt that is refused.
 TEST_F(GatewayReportsTest, refusedPrompts_renewTheBarRarely)
 {
