Empty entries of parts are dropped; gateways do not overwrite each other's announcements

Cause, found while reading: a late exoneration could leave an entry without crashes, by which the gateway goes on computing fingerprints in calm; and a gateway that knows of fewer crashes would write its narrower pattern over the others', each in turn once a second. Change: entries without crashes are erased; only a wider pattern replaces one that was announced. Measured: PoisonPartDetectorTest.lateExoneration_leavesNothing, GatewayReportsTest.gatewayWithNarrowerPattern_keepsTheWiderAnnouncement (at most two writes in 20 s). Neither was run on the code before.

--- a/src/gateway/partbars.cpp
+++ b/src/gateway/partbars.cpp
@@ -100,7 +100,8 @@
     }
 }
 
-// Also when more calls match by now than was announced.
+// Also when more calls match by now than was announced. A gateway that knows of fewer crashes keeps the wider pattern
+// of the others, so that gateways do not overwrite each other in turn.
 bool PartBars::isDue(std::uint64_t part) const
 {
     const std::optional<SharedPrompt> pattern = m_detector.pattern(part);
@@ -108,8 +109,8 @@
     if (!pattern || it == m_announced.end()) {
         return pattern.has_value();
     }
-    return it->second.pattern != *pattern || m_timers.now() - it->second.renewedAt >= kRenewalInterval
-        || isTrialDue(it->second);
+    const bool isWider = *pattern != it->second.pattern && matches(*pattern, it->second.pattern);
+    return isWider || m_timers.now() - it->second.renewedAt >= kRenewalInterval || isTrialDue(it->second);
 }
 
 bool PartBars::isTrialDue(const Announced &announced) const
--- a/src/libradishswitch/serving/poisonpartdetector.cpp
+++ b/src/libradishswitch/serving/poisonpartdetector.cpp
@@ -67,6 +67,7 @@
     }
     removeDuplicates(exonerated.part, part, now);
     noteExonerated(exonerated.part, part);
+    eraseIfEmpty(exonerated.part);
 }
 
 PoisonPartDetector::Part &PoisonPartDetector::partOf(std::uint64_t id, std::size_t depth)
--- a/tests/core/serving/poisonpartdetector_test.cpp
+++ b/tests/core/serving/poisonpartdetector_test.cpp
@@ -238,6 +238,18 @@
     EXPECT_FALSE(detector.hasUnreported());
 }
 
+// Guards against a gateway that goes on looking for poison parts, which costs time for each call, when all is over.
+TEST_F(PoisonPartDetectorTest, lateExoneration_leavesNothing)
+{
+    crash({prompt({kSystem})});
+    const CrashReport late{{}, {}, {{kSystem, {incarnation(1)}}}};
+    wait(Seconds(60));
+    detector.addReport("late", late, now);
+    detector.forget("report-1", now);
+    detector.forget("late", now);
+    EXPECT_TRUE(detector.isEmpty());
+}
+
 // Guards against a caller that makes the gateway forget a poison part by crashing endpoints with new parts all the
 // time.
 TEST_F(PoisonPartDetectorTest, moreThanMaximumParts_oldestIsForgottenButNoBar)
--- a/tests/radishswitch-gateway/gatewayreports_test.cpp
+++ b/tests/radishswitch-gateway/gatewayreports_test.cpp
@@ -281,6 +281,25 @@
     EXPECT_EQ(trials, 2);
 }
 
+// Guards against gateways that overwrite each other's announcements because one knows of fewer crashes.
+TEST_F(GatewayReportsTest, gatewayWithNarrowerPattern_keepsTheWiderAnnouncement)
+{
+    crashWithPart(one);
+    store.setUnavailable(true);
+    const EndpointIncarnation incarnation{EndpointId("engine-x"), 0};
+    one.reports.addCrashed({incarnation, request(), 0, {PoolId("llm"), OrganisationId("other"), {0xbad}}});
+    advanceTime(Milliseconds(200));
+    store.setUnavailable(false);
+    advanceTime(std::chrono::seconds(3));
+    const int before = store.writes();
+    for (int n = 0; n < 20; ++n) {
+        one.bars.noteRefused(0xbad);
+        two.bars.noteRefused(0xbad);
+        advanceTime(std::chrono::seconds(1));
+    }
+    EXPECT_LE(store.writes() - before, 2);
+}
+
 // Guards against a write to the store for each prompt that is refused.
 TEST_F(GatewayReportsTest, refusedPrompts_renewTheBarRarely)
 {
