--- a/tests/radishswitch-gateway/gatewayfixture.h
+++ b/tests/radishswitch-gateway/gatewayfixture.h
@@ -10,6 +10,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <future>
 
 /// A gateway on loopback, with test servers in place of the platform's store and of two endpoints of one pool, "llm".
@@ -100,6 +102,15 @@
                 {"born", startedAtMilliseconds}};
     }
 
+    /// A loopback address that only this process uses. On a shared address another process could get the port of a
+    /// crashed endpoint and accept connections there.
+    static std::string ownAddress(int n)
+    {
+        const int process = ::getpid();
+        return "127." + std::to_string((process >> 8) % 256) + "." + std::to_string(process % 256) + "."
+            + std::to_string(n + 2);
+    }
+
     void putEndpoint(const std::string &id, std::uint16_t port, const std::string &state)
     {
         putObject("servers", id, endpointEntry(port, state));
--- a/tests/radishswitch-gateway/poisonparts_test.cpp
+++ b/tests/radishswitch-gateway/poisonparts_test.cpp
@@ -1,7 +1,5 @@
 #include "gatewayfixture.h"
 
-#include <unistd.h>
-
 #include <atomic>
 #include <deque>
 #include <thread>
@@ -47,15 +45,6 @@
         testServers.stop();
     }
 
-    /// The address of an endpoint, which only this process uses. On a shared address another process could get the port
-    /// of a crashed endpoint and accept connections there.
-    static std::string address(int n)
-    {
-        const int process = ::getpid();
-        return "127." + std::to_string((process >> 8) % 256) + "." + std::to_string(process % 256) + "."
-            + std::to_string(n + 2);
-    }
-
     GatewaySettings gatewaySettings() override
     {
         GatewaySettings settings = GatewayFixture::gatewaySettings();
@@ -71,9 +60,9 @@
         settings.id = "engine-" + std::to_string(n) + "-" + std::to_string(++m_starts);
         settings.crashingParts = {kPoison, kOtherPoison};
         Endpoint &it = endpoints.emplace_back(n, testServers, settings);
-        EXPECT_TRUE(it.server.listen(address(n), 0).ok());
+        EXPECT_TRUE(it.server.listen(ownAddress(n), 0).ok());
         Json entry = endpointEntry(it.server.port(), "ready", m_starts);
-        entry["address"] = address(n) + ":" + std::to_string(it.server.port());
+        entry["address"] = ownAddress(n) + ":" + std::to_string(it.server.port());
         putObject("servers", settings.id, entry);
         it.id = settings.id;
     }
--- a/tests/radishswitch-gateway/poisonrequests_test.cpp
+++ b/tests/radishswitch-gateway/poisonrequests_test.cpp
@@ -1,8 +1,6 @@
 #include "base/failure.h"
 #include "gatewayfixture.h"
 
-#include <unistd.h>
-
 #include <deque>
 
 using namespace RadishSwitch;
@@ -29,7 +27,7 @@
             settings.id = "engine-" + std::to_string(n);
             settings.crashingBody = kPoison;
             endpoints.emplace_back(testServers, settings);
-            EXPECT_TRUE(endpoints.back().listen(address(n), 0).ok());
+            EXPECT_TRUE(endpoints.back().listen(ownAddress(n), 0).ok());
         }
     }
 
@@ -41,15 +39,6 @@
         testServers.stop();
     }
 
-    /// The address of an endpoint, which only this process uses. On a shared address another process could get the port
-    /// of a crashed endpoint and accept connections there.
-    static std::string address(int n)
-    {
-        const int process = ::getpid();
-        return "127." + std::to_string((process >> 8) % 256) + "." + std::to_string(process % 256) + "."
-            + std::to_string(n + 2);
-    }
-
     GatewaySettings gatewaySettings() override
     {
         GatewaySettings settings = GatewayFixture::gatewaySettings();
@@ -64,7 +53,7 @@
             store.table().remove("servers", "replica-1", std::nullopt);
             for (int n = 0; n < kEndpoints; ++n) {
                 Json entry = endpointEntry(endpoints[n].port(), "ready");
-                entry["address"] = address(n) + ":" + std::to_string(endpoints[n].port());
+                entry["address"] = ownAddress(n) + ":" + std::to_string(endpoints[n].port());
                 putObject("servers", "engine-" + std::to_string(n), entry);
             }
         });
