--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -90,6 +90,9 @@
             ::waitpid(m_pid, &status, 0);
             m_pid = 0;
         }
+        // Only the whole system's first start has `bootstrap` set.
+        std::replace(m_command.begin(), m_command.end(), std::string("--first-start=true"),
+                     std::string("--first-start=false"));
     }
 
     /// How the process ended by itself, if it did.
--- a/review/standins/replica.h
+++ b/review/standins/replica.h
@@ -68,11 +68,13 @@
         return m_attempts.contains(attempt);
     }
 
-    /// Bytes that the replica sends once on each kept connection, as the next request arrives there.
-    void setExtraBytes(const std::string &bytes)
+    /// Bytes that the replica sends behind one of so many complete answers, late: as the next request arrives on that
+    /// connection.
+    void setExtraBytes(const std::string &bytes, int answersPerFault)
     {
         const std::lock_guard lock(m_mutex);
         m_extraBytes = bytes;
+        m_answersPerFault = answersPerFault;
     }
 
     /// Ends the replica as a crash does: its port and its connections are closed, its entry stays as it is.
@@ -195,10 +197,10 @@
         std::string bytes;
         {
             const std::lock_guard lock(m_mutex);
-            std::swap(bytes, m_extraBytes);
-        }
-        if (bytes.empty()) {
-            return true;
+            if (m_extraBytes.empty() || ++m_keptAnswers % m_answersPerFault != 0) {
+                return true;
+            }
+            bytes = m_extraBytes;
         }
         m_record.line(m_settings.id, "sends-extra-bytes in front of the answer to " + attempt);
         return sendAll(fd, bytes);
@@ -264,6 +266,8 @@
     std::set<int> m_open;
     std::set<std::string> m_attempts;
     std::string m_extraBytes;
+    int m_answersPerFault = 0;
+    int m_keptAnswers = 0;
     std::vector<std::thread> m_threads;
 };
 
