--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,7 @@
-// The replicas of a service are replaced one after the other by starts with newer software, each under the id that it
-// had, while the platform's store is down. Clients have resumable streams in progress.
+// While the platform's store is down, two of the five replicas of a service end, one after the other, and start again
+// under the ids that they had, with newer software. Clients have resumable streams in progress.
+//
+// TROUBLE=0 leaves all of this out, TROUBLE=release the outage of the store alone.
 
 #include "client.h"
 #include "fleet.h"
@@ -11,23 +13,26 @@
 {
 
 constexpr int kGateways = 2;
-constexpr int kReplicas = 3;
-constexpr int kClients = 30;
-/// 3 s a stream.
-constexpr int kEvents = 30;
+constexpr int kReplicas = 5;
+constexpr int kClients = 240;
+/// 1.5 s a stream.
+constexpr int kEvents = 15;
 constexpr int kEventPauseMs = 100;
 /// From the first stream to the outage, and from there to the last stream.
 constexpr int kBeforeMs = 6000;
 constexpr int kStreamsMs = 11000;
 /// The rule allows two.
 constexpr int kAllowedStreams = 2;
-/// `gap_s` of a release, and how long a replica is away.
-constexpr int kReleaseGapMs = 1000;
-constexpr int kRestartMs = 300;
+/// Replicas that are replaced: a share of 0.4, and 0.2 at once. In the site file a release takes 0.45 of the replicas, one
+/// at a time, and a crash 0.17 to 0.25 of them for up to 4.8 s.
+constexpr int kReplaced = 2;
+constexpr int kFirstAtMs = 200;
+constexpr int kGapMs = 3900;
+constexpr int kAwayMs = 300;
 /// 4.5 s in the site file.
 constexpr int kOutageMs = 4500;
 /// Clients abandon a stream after such a gap.
-constexpr int kGapMs = 2000;
+constexpr int kClientGapMs = 2000;
 constexpr int kDeadlineMs = 12000;
 
 nlohmann::json routes()
@@ -106,7 +111,7 @@
         }
         ClientConnection connection(fleet.gatewayAddress((index + attempt) % kGateways));
         record.line(who, "sends " + id + " after=" + std::to_string(events.last));
-        const Answer answer = connection.ask("POST", "/draft/1", id, headers, kDeadlineMs, kGapMs);
+        const Answer answer = connection.ask("POST", "/draft/1", id, headers, kDeadlineMs, kClientGapMs);
         if (answer.status == 200) {
             events.add(answer.body);
         }
@@ -170,13 +175,14 @@
         record.say("the store is down");
         fleet.store().setDown(true);
     }
-    for (int n = 0; n < kReplicas && isRelease; ++n) {
-        pause(kReleaseGapMs - kRestartMs);
+    for (int n = 0; n < kReplaced && isRelease; ++n) {
+        pause(n == 0 ? kFirstAtMs : kGapMs - kAwayMs);
         record.say("replica i-llm-" + std::to_string(n) + " ends and starts again under its id with v2");
-        replicas[static_cast<std::size_t>(n)].reset();
-        pause(kRestartMs);
-        replicas[static_cast<std::size_t>(n)] =
-            std::make_unique<Replica>(settingsOf(fleet, n, "v2"), fleet.store(), record);
+        std::unique_ptr<Replica> &replica = replicas[static_cast<std::size_t>(n)];
+        replica->crash();
+        pause(kAwayMs);
+        replica.reset();
+        replica = std::make_unique<Replica>(settingsOf(fleet, n, "v2"), fleet.store(), record);
     }
     if (isOutage) {
         std::this_thread::sleep_until(outageBegin + milliseconds(kOutageMs));
