--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -82,8 +82,9 @@
         answer = connection.ask("POST", "/draft/1", first, promptHeaders(index), kDeadlineMs, kClientGapMs);
     }
     const int last = lastEvent(answer.body);
-    record.line(who, "gets " + first + " status=" + std::to_string(answer.status)
-                         + (answer.isComplete ? " complete" : " given-up") + " last-event=" + std::to_string(last));
+    record.line(who,
+                "gets " + first + " status=" + std::to_string(answer.status)
+                    + (answer.isComplete ? " complete" : " given-up") + " last-event=" + std::to_string(last));
     if (answer.isComplete || last == 0) {
         return;
     }
@@ -91,14 +92,15 @@
     bool wentOn = false;
     for (int n = 0; n < kRetries && !wentOn; ++n) {
         const std::string id = first + "-again-" + std::to_string(n);
-        const std::string headers = promptHeaders(index) + "Resumes: " + first + "\r\nLast-Event-Id: "
-            + std::to_string(last) + "\r\n";
+        const std::string headers =
+            promptHeaders(index) + "Resumes: " + first + "\r\nLast-Event-Id: " + std::to_string(last) + "\r\n";
         ClientConnection connection(fleet.gatewayAddress(1 + (index + n) % (kGateways - 1)), keyOf(index));
         record.line(who, "sends " + id + " after=" + std::to_string(last));
         const Answer again = connection.ask("POST", "/draft/1", id, headers, kDeadlineMs / 2, kClientGapMs);
         wentOn = again.status == 200 && lastEvent(again.body) > last;
-        record.line(who, "gets " + id + " status=" + std::to_string(again.status) + " "
-                             + (wentOn ? "last-event=" + std::to_string(lastEvent(again.body)) : again.body));
+        record.line(who,
+                    "gets " + id + " status=" + std::to_string(again.status) + " "
+                        + (wentOn ? "last-event=" + std::to_string(lastEvent(again.body)) : again.body));
         if (!wentOn) {
             pauseAsTold(again);
         }
@@ -115,8 +117,9 @@
     const Answer answer =
         connection.ask("POST", "/draft/1", id, promptHeaders(1000 + index), kDeadlineMs, kClientGapMs);
     const bool hasBegun = answer.status == 200 && lastEvent(answer.body) > 0;
-    fleet.record().line(id, "gets " + id + " status=" + std::to_string(answer.status)
-                                + " last-event=" + std::to_string(lastEvent(answer.body)));
+    fleet.record().line(id,
+                        "gets " + id + " status=" + std::to_string(answer.status)
+                            + " last-event=" + std::to_string(lastEvent(answer.body)));
     tally.begun += hasBegun ? 1 : 0;
 }
 
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -273,16 +273,15 @@
             const std::string number = std::to_string(n);
             tenants.push_back({{"name", "shop-" + number}, {"api-keys", {"key-" + number}}, {"reserved", 100000000}});
         }
-        const nlohmann::json configuration{
-            {"version", ++m_version},
-            {"routes", routes},
-            {"services", services},
-            {"limits",
-             {{"max-header-bytes", 16384},
-              {"max-body-bytes", 4194304},
-              {"header-timeout-ms", 5000},
-              {"idle-timeout-ms", 15000}}},
-            {"tenants", tenants}};
+        const nlohmann::json configuration{{"version", ++m_version},
+                                           {"routes", routes},
+                                           {"services", services},
+                                           {"limits",
+                                            {{"max-header-bytes", 16384},
+                                             {"max-body-bytes", 4194304},
+                                             {"header-timeout-ms", 5000},
+                                             {"idle-timeout-ms", 15000}}},
+                                           {"tenants", tenants}};
         m_store.write("config", "main", configuration.dump());
     }
 
@@ -316,11 +315,11 @@
             cannotRun(command.front() + " isn't built");
         }
         m_record.line(name, "start");
-        m_programs.push_back(std::make_unique<Program>(
-            name, command,
-            std::vector<std::string>{"PATH=/usr/bin:/bin", "HOME=/tmp", "LANG=C",
-                                     "RADISHSWITCH_ZONE_REGIONS=zone-a=south-central"},
-            m_folder + "/" + name + ".log"));
+        m_programs.push_back(
+            std::make_unique<Program>(name, command,
+                                      std::vector<std::string>{"PATH=/usr/bin:/bin", "HOME=/tmp", "LANG=C",
+                                                               "RADISHSWITCH_ZONE_REGIONS=zone-a=south-central"},
+                                      m_folder + "/" + name + ".log"));
         return *m_programs.back();
     }
 
--- a/review/standins/replica.h
+++ b/review/standins/replica.h
@@ -189,13 +189,15 @@
         const std::string usage = request.header("Token-Usage");
         const int events = std::atoi(usage.substr(usage.find(',') + 1).c_str());
         const int last = std::atoi(request.header("Last-Event-Id").c_str());
-        bool isSent = sendAll(fd, "HTTP/1.1 200 -\r\n" + answerHeaders(attempt)
+        bool isSent = sendAll(fd,
+                              "HTTP/1.1 200 -\r\n" + answerHeaders(attempt)
                                   + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int id = last + 1; id <= events && isSent; ++id) {
             pause(m_settings.eventPauseMs);
             isSent = !m_isDown
-                && sendAll(fd, chunk("id: " + std::to_string(id) + "\ndata: " + m_settings.version + " "
-                                     + m_settings.id + "\n\n"));
+                && sendAll(fd,
+                           chunk("id: " + std::to_string(id) + "\ndata: " + m_settings.version + " " + m_settings.id
+                                 + "\n\n"));
         }
         return isSent && sendAll(fd, "0\r\n\r\n");
     }
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -297,7 +297,8 @@
             }
             entries += (n++ == 0 ? "" : ",") + textOf(name, object);
         }
-        return {200, R"({"entries":[)" + entries + R"(],"has-more":)" + (hasMore ? "true" : "false") + R"(,"at":)"
+        return {200,
+                R"({"entries":[)" + entries + R"(],"has-more":)" + (hasMore ? "true" : "false") + R"(,"at":)"
                     + std::to_string(m_revision) + "}"};
     }
 
