--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,7 +1,7 @@
-// While the platform's store is down, two of the five replicas of a service end, one after the other, and start again
-// under the ids that they had, with newer software. Clients have resumable streams in progress.
+// One of three gateways freezes for four seconds. Half a second later the first replica with newer software joins its
+// service. The clients of the frozen gateway give their streams up and take them up again at the others.
 //
-// TROUBLE=0 leaves all of this out, TROUBLE=release the outage of the store alone.
+// TROUBLE=0 leaves both out, TROUBLE=freeze the new replica alone, TROUBLE=version the freeze alone.
 
 #include "client.h"
 #include "fleet.h"
@@ -12,62 +12,35 @@
 namespace
 {
 
-constexpr int kGateways = 2;
-constexpr int kReplicas = 5;
-constexpr int kClients = 240;
-/// 1.5 s a stream.
-constexpr int kEvents = 15;
-constexpr int kEventPauseMs = 100;
-/// From the first stream to the outage, and from there to the last stream.
-constexpr int kBeforeMs = 6000;
-constexpr int kStreamsMs = 11000;
-/// The rule allows two.
-constexpr int kAllowedStreams = 2;
-/// Replicas that are replaced: a share of 0.4, and 0.2 at once. In the site file a release takes 0.45 of the replicas, one
-/// at a time, and a crash 0.17 to 0.25 of them for up to 4.8 s.
-constexpr int kReplaced = 2;
-constexpr int kFirstAtMs = 200;
-constexpr int kGapMs = 3900;
-constexpr int kAwayMs = 300;
-/// 4.5 s in the site file.
-constexpr int kOutageMs = 4500;
-/// Clients abandon a stream after such a gap.
-constexpr int kClientGapMs = 2000;
+constexpr int kGateways = 3;
+constexpr int kReplicas = 4;
+/// The rule counts from 12 streams on.
+constexpr int kStreams = 20;
+constexpr int kLeastStreams = 12;
+constexpr int kNewStreams = 20;
+/// 6 s a stream.
+constexpr int kEvents = 40;
+constexpr int kEventPauseMs = 150;
 constexpr int kDeadlineMs = 12000;
+/// Two seconds, or four times the objective of 600 ms, whichever is longer.
+constexpr int kClientGapMs = 2400;
+/// Tries at which a client takes its stream up; the sheet says one.
+constexpr int kRetries = 3;
+constexpr int kFreezeAtMs = 1000;
+/// 4 s in the site file, one machine.
+constexpr int kFreezeMs = 4000;
+constexpr int kVersionAfterMs = 500;
+constexpr int kNewStreamPauseMs = 100;
 
-nlohmann::json routes()
+std::string trouble()
 {
-    return {{{"name", "draft"},
-             {"host", "shop.example"},
-             {"path-prefix", "/draft/"},
-             {"kind", "streaming"},
-             {"resumable", true},
-             {"sticky", true},
-             {"timeout-ms", kDeadlineMs},
-             {"target-latency-ms", 600},
-             {"target-gap-ms", 200},
-             {"priority", 1},
-             {"service", "drape-llm"},
-             {"max-attempts", 2}}};
+    const char *text = std::getenv("TROUBLE");
+    return text ? text : "1";
 }
 
-nlohmann::json services()
+std::string keyOf(int index)
 {
-    return {{{"name", "drape-llm"},
-             {"health-path", "/healthz"},
-             {"max-connections", 360},
-             {"inference-engine", {{"slots", 64}, {"stride", 1}}}}};
-}
-
-ReplicaSettings settingsOf(const Fleet &fleet, int index, const std::string &version)
-{
-    ReplicaSettings settings;
-    settings.id = "i-llm-" + std::to_string(index);
-    settings.service = "drape-llm";
-    settings.address = fleet.address(100 + index, 9000);
-    settings.version = version;
-    settings.eventPauseMs = kEventPauseMs;
-    return settings;
+    return "key-" + std::to_string(index % kTenants);
 }
 
 std::string promptHeaders(int index)
@@ -76,59 +49,75 @@
         + ":50,ab" + std::to_string(index) + ":50\r\n";
 }
 
-/// The id of the last whole event, and the versions that wrote events.
-struct Events {
-    int last = 0;
-    std::set<std::string> versions;
+int lastEvent(const std::string &body)
+{
+    const std::size_t end = body.rfind("\n\n");
+    const std::size_t begin = end == std::string::npos ? end : body.rfind("id: ", end);
+    return begin == std::string::npos ? 0 : std::atoi(body.c_str() + begin + 4);
+}
 
-    void add(const std::string &body)
-    {
-        std::size_t begin = 0;
-        std::size_t end = 0;
-        while ((end = body.find("\n\n", begin)) != std::string::npos) {
-            const std::string event = body.substr(begin, end - begin);
-            last = std::max(last, std::atoi(event.c_str() + event.find("id: ") + 4));
-            const std::size_t data = event.find("data: ") + 6;
-            versions.insert(event.substr(data, event.find(' ', data) - data));
-            begin = end + 2;
-        }
-    }
+struct Tally {
+    std::atomic<int> takenUp = 0;
+    std::atomic<int> wentOn = 0;
+    std::atomic<int> newStreams = 0;
+    std::atomic<int> begun = 0;
 };
 
-/// One stream of a client, with its one retry. Returns whether it holds events of two versions.
-bool readStream(Fleet &fleet, int index, int number)
+void pauseAsTold(const Answer &answer)
+{
+    const auto after = answer.headers.find("retry-after");
+    pause(after == answer.headers.end() ? 100 : static_cast<int>(1000 * std::atof(after->second.c_str())));
+}
+
+/// A stream that begins at gateway 0; broken off, it is taken up at the other gateways.
+void readStream(Fleet &fleet, int index, Tally &tally)
 {
     Record &record = fleet.record();
     const std::string who = "client-" + std::to_string(index);
-    Events events;
-    std::string beganWith;
-    for (int attempt = 0; attempt < 2; ++attempt) {
-        const std::string id =
-            "draft-" + std::to_string(index) + "-" + std::to_string(number) + "-" + std::to_string(attempt);
-        std::string headers = promptHeaders(index);
-        if (events.last > 0) {
-            headers += "Last-Event-Id: " + std::to_string(events.last) + "\r\nResumes: " + beganWith + "\r\n";
-        }
-        ClientConnection connection(fleet.gatewayAddress((index + attempt) % kGateways));
-        record.line(who, "sends " + id + " after=" + std::to_string(events.last));
-        const Answer answer = connection.ask("POST", "/draft/1", id, headers, kDeadlineMs, kClientGapMs);
-        if (answer.status == 200) {
-            events.add(answer.body);
-        }
-        beganWith = beganWith.empty() && events.last > 0 ? id : beganWith;
-        std::string versions;
-        for (const std::string &it : events.versions) {
-            versions += " " + it;
-        }
-        record.line(who, "gets " + id + " status=" + std::to_string(answer.status)
-                             + (answer.isComplete ? " complete" : " incomplete") + " last-event="
-                             + std::to_string(events.last) + " versions so far:" + versions);
-        if (answer.isServed()) {
-            break;
+    const std::string first = "draft-" + std::to_string(index);
+    Answer answer;
+    {
+        ClientConnection connection(fleet.gatewayAddress(0), keyOf(index));
+        record.line(who, "sends " + first);
+        answer = connection.ask("POST", "/draft/1", first, promptHeaders(index), kDeadlineMs, kClientGapMs);
+    }
+    const int last = lastEvent(answer.body);
+    record.line(who, "gets " + first + " status=" + std::to_string(answer.status)
+                         + (answer.isComplete ? " complete" : " given-up") + " last-event=" + std::to_string(last));
+    if (answer.isComplete || last == 0) {
+        return;
+    }
+    ++tally.takenUp;
+    bool wentOn = false;
+    for (int n = 0; n < kRetries && !wentOn; ++n) {
+        const std::string id = first + "-again-" + std::to_string(n);
+        const std::string headers = promptHeaders(index) + "Resumes: " + first + "\r\nLast-Event-Id: "
+            + std::to_string(last) + "\r\n";
+        ClientConnection connection(fleet.gatewayAddress(1 + (index + n) % (kGateways - 1)), keyOf(index));
+        record.line(who, "sends " + id + " after=" + std::to_string(last));
+        const Answer again = connection.ask("POST", "/draft/1", id, headers, kDeadlineMs / 2, kClientGapMs);
+        wentOn = again.status == 200 && lastEvent(again.body) > last;
+        record.line(who, "gets " + id + " status=" + std::to_string(again.status) + " "
+                             + (wentOn ? "last-event=" + std::to_string(lastEvent(again.body)) : again.body));
+        if (!wentOn) {
+            pauseAsTold(again);
         }
-        pause(200);
     }
-    return events.versions.size() > 1;
+    tally.wentOn += wentOn ? 1 : 0;
+}
+
+void readNewStream(Fleet &fleet, int index, Tally &tally)
+{
+    const std::string id = "new-" + std::to_string(index);
+    ClientConnection connection(fleet.gatewayAddress(1 + index % (kGateways - 1)), keyOf(index));
+    ++tally.newStreams;
+    fleet.record().line(id, "sends " + id);
+    const Answer answer =
+        connection.ask("POST", "/draft/1", id, promptHeaders(1000 + index), kDeadlineMs, kClientGapMs);
+    const bool hasBegun = answer.status == 200 && lastEvent(answer.body) > 0;
+    fleet.record().line(id, "gets " + id + " status=" + std::to_string(answer.status)
+                                + " last-event=" + std::to_string(lastEvent(answer.body)));
+    tally.begun += hasBegun ? 1 : 0;
 }
 
 }
@@ -137,64 +126,86 @@
 {
     Record record(argv[1]);
     Fleet fleet(record);
-    fleet.configure(routes(), services());
+    fleet.configure({{{"name", "draft"},
+                      {"host", "shop.example"},
+                      {"path-prefix", "/draft/"},
+                      {"kind", "streaming"},
+                      {"resumable", true},
+                      {"sticky", true},
+                      {"timeout-ms", kDeadlineMs},
+                      {"target-latency-ms", 600},
+                      {"target-gap-ms", 200},
+                      {"priority", 1},
+                      {"service", "drape-llm"},
+                      {"max-attempts", 2}}},
+                    {{{"name", "drape-llm"},
+                      {"health-path", "/healthz"},
+                      {"max-connections", 360},
+                      {"inference-engine", {{"slots", 64}, {"stride", 1}}}}});
+    const auto settingsOf = [&fleet](int index, const std::string &version) {
+        ReplicaSettings settings;
+        settings.id = "i-llm-" + std::to_string(index);
+        settings.service = "drape-llm";
+        settings.address = fleet.address(100 + index, 9000);
+        settings.version = version;
+        settings.eventPauseMs = kEventPauseMs;
+        return settings;
+    };
     std::vector<std::unique_ptr<Replica>> replicas;
+    std::vector<Program *> gateways;
     for (int n = 0; n < kReplicas; ++n) {
-        replicas.push_back(std::make_unique<Replica>(settingsOf(fleet, n, "v1"), fleet.store(), record));
+        replicas.push_back(std::make_unique<Replica>(settingsOf(n, "v1"), fleet.store(), record));
         fleet.startHome(n, replicas.back()->settings().address);
     }
     for (int n = 0; n < kGateways; ++n) {
-        fleet.startGateway(n);
+        gateways.push_back(&fleet.startGateway(n));
     }
     for (int n = 0; n < kGateways; ++n) {
         fleet.awaitReady(n);
     }
     record.say("all gateways are ready");
-    pause(2000);
+    // Longer than `stable-window-ms`, so that all machines are in touch.
+    pause(3500);
 
-    std::atomic<int> mixed = 0;
+    const bool isFreeze = isTrouble() && trouble() != "version";
+    const bool isVersion = isTrouble() && trouble() != "freeze";
+    Tally tally;
     std::vector<std::thread> clients;
-    std::atomic<int> streams = 0;
-    const auto begin = Clock::now();
-    for (int n = 0; n < kClients; ++n) {
-        clients.emplace_back([&, n] {
-            pause(n * kEvents * kEventPauseMs / kClients);
-            for (int number = 0; Clock::now() < begin + milliseconds(kStreamsMs); ++number) {
-                ++streams;
-                mixed += readStream(fleet, n, number) ? 1 : 0;
-                pause(100);
-            }
+    for (int n = 0; n < kStreams; ++n) {
+        clients.emplace_back([&fleet, &tally, n] {
+            readStream(fleet, n, tally);
         });
     }
-    pause(kBeforeMs);
-    const char *trouble = std::getenv("TROUBLE");
-    const bool isRelease = isTrouble();
-    const bool isOutage = isRelease && !(trouble && std::strcmp(trouble, "release") == 0);
-    const auto outageBegin = Clock::now();
-    if (isOutage) {
-        record.say("the store is down");
-        fleet.store().setDown(true);
+    pause(kFreezeAtMs);
+    if (isFreeze) {
+        record.say("gateway 0 freezes");
+        gateways.front()->signal(SIGSTOP);
     }
-    for (int n = 0; n < kReplaced && isRelease; ++n) {
-        pause(n == 0 ? kFirstAtMs : kGapMs - kAwayMs);
-        record.say("replica i-llm-" + std::to_string(n) + " ends and starts again under its id with v2");
-        std::unique_ptr<Replica> &replica = replicas[static_cast<std::size_t>(n)];
-        replica->crash();
-        pause(kAwayMs);
-        replica.reset();
-        replica = std::make_unique<Replica>(settingsOf(fleet, n, "v2"), fleet.store(), record);
+    pause(kVersionAfterMs);
+    if (isVersion) {
+        record.say("a replica with v2 joins");
+        replicas.push_back(std::make_unique<Replica>(settingsOf(kReplicas, "v2"), fleet.store(), record));
+    }
+    for (int n = 0; n < kNewStreams; ++n) {
+        clients.emplace_back([&fleet, &tally, n] {
+            pause(n * kNewStreamPauseMs);
+            readNewStream(fleet, n, tally);
+        });
     }
-    if (isOutage) {
-        std::this_thread::sleep_until(outageBegin + milliseconds(kOutageMs));
-        fleet.store().setDown(false);
-        record.say("the store is back");
+    pause(kFreezeMs - kVersionAfterMs);
+    if (isFreeze) {
+        gateways.front()->signal(SIGCONT);
+        record.say("gateway 0 wakes");
     }
     for (std::thread &it : clients) {
         it.join();
     }
-    record.say("streams " + std::to_string(streams) + ", of these with events of two versions "
-               + std::to_string(mixed) + " (allowed " + std::to_string(kAllowedStreams) + ")");
-    const bool isBroken = mixed > kAllowedStreams;
-    record.say(isBroken ? "ORDER is broken" : "ORDER held");
+    record.say("streams taken up again " + std::to_string(tally.takenUp) + ", of these gone on "
+               + std::to_string(tally.wentOn) + "; new streams " + std::to_string(tally.newStreams)
+               + ", of these begun " + std::to_string(tally.begun));
+    // wentOn / takenUp < half of begun / newStreams
+    const bool isBroken =
+        tally.takenUp >= kLeastStreams && 2 * tally.wentOn * tally.newStreams < tally.begun * tally.takenUp;
+    record.say(isBroken ? "LOST is broken" : "LOST held");
     fleet.finish(isBroken ? 1 : 0);
 }
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -172,6 +172,9 @@
     return text;
 }
 
+/// As many as on the smallest deployment; their keys are key-0 and so on.
+constexpr int kTenants = 10;
+
 class Fleet
 {
 public:
@@ -265,6 +268,11 @@
     /// Writes config/main as the operator does.
     void configure(const nlohmann::json &routes, const nlohmann::json &services)
     {
+        nlohmann::json tenants = nlohmann::json::array();
+        for (int n = 0; n < kTenants; ++n) {
+            const std::string number = std::to_string(n);
+            tenants.push_back({{"name", "shop-" + number}, {"api-keys", {"key-" + number}}, {"reserved", 100000000}});
+        }
         const nlohmann::json configuration{
             {"version", ++m_version},
             {"routes", routes},
@@ -274,7 +282,7 @@
               {"max-body-bytes", 4194304},
               {"header-timeout-ms", 5000},
               {"idle-timeout-ms", 15000}}},
-            {"tenants", nlohmann::json::array({{{"name", "shop-1"}, {"api-keys", {"key-1"}}, {"reserved", 100000000}}})}};
+            {"tenants", tenants}};
         m_store.write("config", "main", configuration.dump());
     }
 
