Refusals of streams that callers take up say what the asked processes answered

Whether a record exists at a process that did not answer, or at none but the gateway that began the stream, could not be told from the message.

--- a/src/libradishswitch/serving/streamorigins.cpp
+++ b/src/libradishswitch/serving/streamorigins.cpp
@@ -128,13 +128,16 @@
 
 absl::StatusOr<StreamOrigin> StreamOrigins::originWithoutRecord(const Search &search) const
 {
+    const std::string answers = std::to_string(search.answered) + " of " + std::to_string(search.asked)
+        + " processes answered, none has a record";
     if (search.answered < search.asked && (search.hasSeveralVersions || search.answered == 0)) {
         return makeFailure(FailureCode::StreamOriginUnknown,
-                           "the processes that know at which version the stream began can't be reached",
+                           "the processes that know at which version the stream began can't be reached: " + answers,
                            m_settings.retryAfter);
     }
     if (search.hasSeveralVersions) {
-        return makeFailure(FailureCode::StreamOriginUnknown, "it is not known at which version the stream began");
+        return makeFailure(FailureCode::StreamOriginUnknown,
+                           "it is not known at which version the stream began: " + answers);
     }
     return onlyOrigin(search.query);
 }
