Streams without a record continue at the pool's established version

A gateway freezes (or dies, or is cut off) and the first endpoint of a second software version joins its pool.

Cause: while a pool has one version, the origin of a stream is known to the gateway that began it and to nobody else. It tells others when it learns itself that there is a second version, which a frozen, dead or cut-off gateway never does. From the second version on the other gateways took a missing record for "unknown".

Change: a missing record now proves that the stream began at the established version. - The established version of a pool lies in the store (news/versions-established.POOL), so that all gateways agree on it, also after a restart. It is written once, at the fleet's first start or after the pool has had one version for a minute, and changes only once no other version has served for a minute. - Before a stream begins at any other version, a majority of the five processes that rank first for it (three homes, two gateways, whoever can be reached) confirms a record. Without a majority it begins at the established version. - Who continues a stream takes a missing record as proof if so many of the five answer that every majority is met, and if each of them has kept its records since before streams could begin elsewhere, or for a minute. A process that was restarted since does not count. - Gateways read what is announced before they begin streams, by a list that is up to date.

On related paths: a gateway whose watch is old, and that took one answer from anybody as proof that there is one version, now needs the same majority; a gateway that has just started and sees one version no longer withdraws the announcement of several; a gateway that starts just after an announcement waits like the others before it begins streams at the further version.

A pool of one version sends and asks nothing, as before; the fleet's first start writes one small object for each pool with resumable streams, and each start of a gateway lists the announcements up to date instead of relaxed.

HomeTest.originOfStream_...: compared whole answers, which have three fields more; it compares them still.

--- a/src/fleet/streamoriginpeers.cpp
+++ b/src/fleet/streamoriginpeers.cpp
@@ -34,18 +34,37 @@
     (void)send(peer, message.SerializeAsString());
 }
 
+void StreamOriginPeers::keep(const std::string &peer, const StreamOriginRecord &record, Duration timeout,
+                             KeptCallback callback)
+{
+    const std::uint64_t number = ++m_lastNumber;
+    wire::StreamOriginMessage message;
+    *message.mutable_records()->add_records() = toWire(record);
+    message.mutable_records()->set_number(number);
+    sendNumbered(peer, number, message.SerializeAsString(), timeout,
+                 [callback = std::move(callback)](const absl::StatusOr<StreamOriginAnswer> &answer) {
+                     callback(answer.status());
+                 });
+}
+
 void StreamOriginPeers::ask(const std::string &peer, const StreamOriginQuery &query, Duration timeout,
                             Callback callback)
 {
-    const std::uint64_t number = ++m_lastQuestion;
+    const std::uint64_t number = ++m_lastNumber;
     wire::StreamOriginMessage message;
     *message.mutable_question() = toWire(query);
     message.mutable_question()->set_number(number);
+    sendNumbered(peer, number, message.SerializeAsString(), timeout, std::move(callback));
+}
+
+void StreamOriginPeers::sendNumbered(const std::string &peer, std::uint64_t number, std::string frame, Duration timeout,
+                                     Callback callback)
+{
     const TimerId timer = m_timers.after(timeout, [this, peer, number] {
         finish(peer, number, makeFailure(FailureCode::ConnectionSilent, "peer " + peer + " is silent"));
     });
     m_links[peer].pending[number] = Pending{std::move(callback), timer};
-    if (!send(peer, message.SerializeAsString())) {
+    if (!send(peer, std::move(frame))) {
         finish(peer, number, makeFailure(FailureCode::ConnectionLost, "no address is known of peer " + peer));
     }
 }
@@ -101,9 +120,9 @@
     link.stream.reset();
     m_holders.noteUnreachable(peer, m_timers.now());
     const std::map<std::uint64_t, Pending> pending = std::exchange(link.pending, {});
-    for (const auto &[number, question] : pending) {
-        m_timers.cancel(question.timer);
-        question.callback(makeFailure(FailureCode::ConnectionLost, std::string(status.message())));
+    for (const auto &[number, it] : pending) {
+        m_timers.cancel(it.timer);
+        it.callback(makeFailure(FailureCode::ConnectionLost, std::string(status.message())));
     }
 }
 
--- a/src/fleet/streamoriginservice.cpp
+++ b/src/fleet/streamoriginservice.cpp
@@ -46,6 +46,11 @@
     for (const wire::StreamOriginRecord &record : message->records().records()) {
         m_note(fromWire(record));
     }
+    if (const std::uint64_t number = message->records().number(); number != 0) {
+        wire::StreamOriginAnswer answer;
+        answer.set_number(number);
+        stream->send(answer.SerializeAsString());
+    }
 }
 
 }
--- a/src/fleet/streamoriginwire.cpp
+++ b/src/fleet/streamoriginwire.cpp
@@ -1,8 +1,27 @@
 #include "streamoriginwire.h"
 
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
 namespace RadishSwitch
 {
 
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Bounds what a peer may claim, so that no sum with it overflows.
+constexpr std::uint64_t kLongestMilliseconds = 1'000ULL * 3'600 * 24 * 365;
+
+Duration toDuration(std::uint64_t count)
+{
+    return milliseconds(std::min(count, kLongestMilliseconds));
+}
+
+}
+
 wire::StreamOriginRecord toWire(const StreamOriginRecord &record)
 {
     wire::StreamOriginRecord message;
@@ -49,6 +68,12 @@
         *message.mutable_origin() = toWire(StreamOriginRecord{RequestId(), *answer.origin});
     }
     message.set_has_several_versions(answer.hasSeveralVersions);
+    message.set_has_unnamed_record(answer.hasUnnamedRecord);
+    message.set_kept_for_ms(static_cast<std::uint64_t>(std::chrono::floor<milliseconds>(answer.keptFor).count()));
+    if (answer.soleVersionAge) {
+        const auto age = std::chrono::ceil<milliseconds>(*answer.soleVersionAge);
+        message.set_sole_version_age_ms(static_cast<std::uint64_t>(age.count()));
+    }
     return message;
 }
 
@@ -59,6 +84,11 @@
         result.origin = fromWire(answer.origin()).origin;
     }
     result.hasSeveralVersions = answer.has_several_versions();
+    result.hasUnnamedRecord = answer.has_unnamed_record();
+    result.keptFor = toDuration(answer.kept_for_ms());
+    if (answer.has_sole_version_age_ms()) {
+        result.soleVersionAge = toDuration(answer.sole_version_age_ms());
+    }
     return result;
 }
 
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -149,7 +149,7 @@
     }
     StreamOriginQuery query;
     query.call = m_request.resumedCall.value_or(RequestId());
-    query.organisation = m_organisation ? m_organisation->name : OrganisationId();
+    query.organisation = organisation();
     query.pools.push_back(m_pool->name);
     for (const WeightedPool &it : m_route->pools) {
         if (it.pool != m_pool->name) {
@@ -159,8 +159,15 @@
     const auto start = [this, &query](auto done) {
         m_services.streamOrigins.find(query, std::move(done));
     };
-    const absl::StatusOr<StreamOrigin> origin = co_await awaitCallback<absl::StatusOr<StreamOrigin>>(start);
-    co_return origin.ok() ? continueAt(*origin) : origin.status();
+    using Found = absl::StatusOr<FoundStreamOrigin>;
+    const Found found = co_await awaitCallback<Found>(start);
+    m_services.metrics.noteOriginSought(found.ok() ? std::optional(found->evidence) : std::nullopt);
+    co_return found.ok() ? continueAt(found->origin) : found.status();
+}
+
+OrganisationId Call::organisation() const
+{
+    return m_organisation ? m_organisation->name : OrganisationId();
 }
 
 // A route may be split among pools. The stream continues in the pool in which it began, unless the route has left it.
@@ -194,7 +201,7 @@
     PlacementQuery query;
     query.call = m_request.id;
     query.pool = m_pool->name;
-    query.organisation = m_organisation ? m_organisation->name : OrganisationId();
+    query.organisation = organisation();
     query.priority = priority();
     query.cost = m_request.tokens ? reservationOf(*m_request.tokens) : 1;
     query.parts = m_request.parts;
@@ -213,9 +220,7 @@
         query.targetGap = m_route->targetGap;
         query.expectedEvents = m_request.tokens ? m_pool->eventsOf(m_request.tokens->maximumOutput) : 0;
     }
-    if (m_streamOrigin) {
-        query.requiredVersion = m_streamOrigin->version;
-    }
+    query.requiredVersion = m_streamOrigin ? std::optional(m_streamOrigin->version) : m_beginsOnlyAt;
     query.beginsStream =
         m_route->isStreamed && m_route->repetition == Repetition::ByResuming && !m_streamOrigin.has_value();
     query.excluded = m_tried;
@@ -291,8 +296,45 @@
     co_return absl::OkStatus();
 }
 
-// Checks for poison before and after the wait: while a call waits in the queue, its request may become barred.
+// While the holders of a stream can't be reached, it may still begin at the established version.
 net::awaitable<absl::StatusOr<Placement>> Call::place()
+{
+    absl::StatusOr<Placement> placement = co_await placeOnce();
+    if (!placement.ok() || !mustRegisterStream(*placement)) {
+        co_return placement;
+    }
+    const absl::Status registered = co_await registerStream();
+    if (registered.ok()) {
+        m_isStreamRegistered = true;
+        co_return placement;
+    }
+    m_services.gate.noteEnded(placement->id, RunEnd::Cancelled);
+    if (m_isCallerDisconnected) {
+        co_return registered;
+    }
+    m_beginsOnlyAt = m_services.gate.registry().versions().established(m_pool->name);
+    placement = co_await placeOnce();
+    const bool isNowhere = failureCode(placement.status()) == FailureCode::StreamVersionGone;
+    co_return isNowhere ? registered : placement;
+}
+
+bool Call::mustRegisterStream(const Placement &placement) const
+{
+    const bool mayBegin = m_route->isStreamed && m_route->repetition == Repetition::ByResuming && !m_streamOrigin;
+    return mayBegin && !m_isStreamRegistered
+        && m_services.streamOrigins.mustRegister(m_pool->name, placement.softwareVersion);
+}
+
+net::awaitable<absl::Status> Call::registerStream()
+{
+    const auto start = [this](auto done) {
+        m_services.streamOrigins.registerStream(m_request.id, organisation(), m_pool->name, std::move(done));
+    };
+    co_return co_await awaitCallback<absl::Status>(start);
+}
+
+// Checks for poison before and after the wait: while a call waits in the queue, its request may become barred.
+net::awaitable<absl::StatusOr<Placement>> Call::placeOnce()
 {
     absl::Status poison = checkPoison();
     if (!poison.ok()) {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -72,6 +72,10 @@
     boost::asio::awaitable<absl::Status> serve();
     boost::asio::awaitable<absl::Status> startNextAttempt();
     boost::asio::awaitable<absl::StatusOr<Placement>> place();
+    boost::asio::awaitable<absl::StatusOr<Placement>> placeOnce();
+    bool mustRegisterStream(const Placement &placement) const;
+    boost::asio::awaitable<absl::Status> registerStream();
+    OrganisationId organisation() const;
     FurtherAttempt checkFurtherAttempt(AttemptEnd end);
     bool grantRetry(AttemptEnd end);
     void returnRetry();
@@ -170,6 +174,10 @@
     EventSplitter m_eventSplitter;
     /// Where the stream began, from its first event on; for a call that continues a stream from the start.
     std::optional<StreamOrigin> m_streamOrigin;
+    /// Whether the stream may begin at another version than the established one, since its holders know of it.
+    bool m_isStreamRegistered = false;
+    /// The only version at which the stream may begin, since its holders can't be reached.
+    std::optional<SoftwareVersion> m_beginsOnlyAt;
     /// The endpoint that sent the first events to this call's caller; empty before.
     EndpointId m_firstWriter;
     /// The last decision on whether a further attempt may be made; for the log.
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -118,7 +118,7 @@
     attempt.crashesBefore = m_services.poison.hasSuspects() ? m_services.poison.crashes(fingerprint()) : 0;
     CallDispatch dispatch;
     dispatch.endpoint = attempt.placement.endpoint;
-    dispatch.organisation = m_organisation ? m_organisation->name : OrganisationId();
+    dispatch.organisation = organisation();
     dispatch.timeLeft = m_deadline - m_services.timers.now();
     dispatch.priority = priority();
     dispatch.lastEvent = m_eventSplitter.lastEvent();
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -29,6 +29,22 @@
     return "unknown";
 }
 
+std::string nameOf(std::optional<OriginEvidence> evidence)
+{
+    if (!evidence) {
+        return "none";
+    }
+    switch (*evidence) {
+    case OriginEvidence::Record:
+        return "record";
+    case OriginEvidence::OnlyVersion:
+        return "only_version";
+    case OriginEvidence::EstablishedVersion:
+        break;
+    }
+    return "established_version";
+}
+
 Histogram &stage(Metrics &metrics, const std::string &name)
 {
     return metrics.histogram(kStageName, kStageHelp, kLatencyRange, {{"stage", name}});
@@ -111,6 +127,14 @@
         .add();
 }
 
+void CallMetrics::noteOriginSought(std::optional<OriginEvidence> evidence)
+{
+    m_metrics
+        .counter("radishswitch_stream_origins_sought_total",
+                 "Streams that callers continue, by what tells where they began", {{"evidence", nameOf(evidence)}})
+        .add();
+}
+
 void CallMetrics::noteHeldUp()
 {
     m_heldUp.add();
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -3,10 +3,12 @@
 #include "limits/refusalreason.h"
 #include "metrics.h"
 #include "serving/attemptrules.h"
+#include "serving/streamorigin.h"
 
 #include <absl/status/status.h>
 
 #include <array>
+#include <optional>
 #include <string>
 
 namespace RadishSwitch
@@ -57,6 +59,9 @@
     /// Counts a stream that was sent to an endpoint to be continued after its last event.
     void noteContinued(ContinuedBy by, ContinuedAt at);
 
+    /// A caller continues a stream; nullopt if it is not known where it began.
+    void noteOriginSought(std::optional<OriginEvidence> evidence);
+
     /// Counts a request that was dropped because its endpoint acknowledged none of its bytes.
     void noteHeldUp();
 
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -170,8 +170,7 @@
     const Placement &placement = m_attempt.placement;
     m_firstWriter = placement.endpoint;
     if (!m_streamOrigin) {
-        const OrganisationId organisation = m_organisation ? m_organisation->name : OrganisationId();
-        m_streamOrigin = StreamOrigin{organisation, m_pool->name, m_services.gate.writerVersion(placement)};
+        m_streamOrigin = StreamOrigin{organisation(), m_pool->name, m_services.gate.writerVersion(placement)};
     }
     if (m_route->repetition == Repetition::ByResuming) {
         m_services.streamOrigins.note({m_request.id, *m_streamOrigin});
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,7 +65,7 @@
                    m_connections.closeIdle(incarnation.endpoint);
                })
     , m_limits(m_store, m_timers, m_random, m_gate)
-    , m_versionReports(m_store, m_timers, m_random, m_gate.registry().versions())
+    , m_versionReports(m_store, m_timers, m_random, m_gate.registry().versions(), versionReportInputs())
     , m_originHolders(m_settings.instance)
     , m_originPeers(m_clients, m_originHolders, m_timers)
     , m_streamOrigins(m_originHolders, m_originPeers, m_gate.registry().versions(), m_timers,
@@ -206,7 +206,7 @@
     m_reportRouter.add(kCrashPrefix, m_poison.reports());
     m_reportRouter.add(kPartBarPrefix, m_poison.partBars());
     m_reportRouter.add(kLimitPrefix, m_limits);
-    m_reportRouter.add(kVersionPrefix, m_versionReports);
+    m_reportRouter.add(kVersionReportPrefix, m_versionReports);
     follow(m_reportFollower, kReportPrefix);
     m_announcement.start(m_settings.isFirstStart);
     followPeers();
@@ -222,6 +222,7 @@
 // Origins of earlier streams are published as well: until now nobody needed them.
 void Gateway::followVersions()
 {
+    m_gate.registry().versions().awaitAnnouncements();
     m_gate.registry().versions().setSeveralCallback([this](const PoolId &pool) {
         m_timers.after(Duration::zero(), [this, pool] {
             m_streamOrigins.publish(pool);
@@ -230,6 +231,19 @@
     });
 }
 
+VersionReports::Inputs Gateway::versionReportInputs()
+{
+    VersionReports::Inputs inputs;
+    inputs.isFirstStart = m_settings.isFirstStart;
+    inputs.isResumable = [this](const PoolId &pool) {
+        return m_configuration.table() && m_configuration.table()->hasResumableStreams(pool);
+    };
+    inputs.knownBefore = [this] {
+        return m_reportFollower.previouslyConfirmedAt();
+    };
+    return inputs;
+}
+
 Duration Gateway::announcementAge() const
 {
     const Instant confirmedAt = m_reportFollower.confirmedAt();
@@ -320,6 +334,7 @@
         } else if (progress.wasListed) {
             log.noteListed(progress.changes);
             updateReady();
+            m_gate.noteRegistryChanged();
         } else {
             log.noteChanges(progress.changes);
         }
@@ -352,6 +367,7 @@
 {
     if (isServing()) {
         m_server.startAccepting();
+        m_versionReports.establish();
     }
     m_admin.setReady(isServing() && !m_isStopping && !m_intake.isDiverting());
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,7 @@
     bool isStoreUnreachable() const;
     bool followsCordons() const;
     /// How long ago this gateway last had everything that the gateways announce to each other.
+    VersionReports::Inputs versionReportInputs();
     Duration announcementAge() const;
     void followVersions();
     /// Whether the gateway knows everything needed to serve calls: configuration, endpoints, peers and cordons.
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -48,6 +48,8 @@
     ObjectFollowerSettings follower;
     // Each gateway writes one object about a crash, and all of them do so within this time.
     follower.changePause = std::chrono::milliseconds(50);
+    // A gateway that did not know the latest announcements of software versions could continue streams wrongly.
+    follower.isFirstListRelaxed = false;
     return follower;
 }
 
--- a/src/home/home.cpp
+++ b/src/home/home.cpp
@@ -58,12 +58,13 @@
                     return false;
                 })
     , m_service(m_budgets, m_timers)
+    , m_streamOrigins(m_timers.now())
     , m_originService(
           [this](const StreamOriginRecord &record) {
               m_streamOrigins.note(record, m_timers.now());
           },
           [this](const StreamOriginQuery &query) {
-              return answerOrigin(query);
+              return m_streamOrigins.answer(query, m_timers.now());
           })
     , m_announcement(m_store, m_timers, m_random, m_settings.instance,
                      writePeerEntry(peerOf(m_settings, PeerKind::Home)))
@@ -120,20 +121,6 @@
     return absl::OkStatus();
 }
 
-// Gateways send origins only of pools that have several versions.
-StreamOriginAnswer Home::answerOrigin(const StreamOriginQuery &query) const
-{
-    StreamOriginAnswer answer;
-    const std::optional<StreamOrigin> origin = m_streamOrigins.find(query.call);
-    if (origin && origin->organisation == query.organisation) {
-        answer.origin = origin;
-    }
-    answer.hasSeveralVersions = std::ranges::any_of(query.pools, [this](const PoolId &pool) {
-        return m_streamOrigins.hasPool(pool, m_timers.now());
-    });
-    return answer;
-}
-
 void Home::drain(std::function<void()> callback)
 {
     m_workers.post([this, callback = std::move(callback)]() mutable {
--- a/src/home/home.h
+++ b/src/home/home.h
@@ -58,7 +58,6 @@
 
 private:
     void finishDrain();
-    StreamOriginAnswer answerOrigin(const StreamOriginQuery &query) const;
     void updateGauges();
 
     const BudgetHomeSettings m_settings;
--- a/src/libradishswitch/serving/homedirectory.cpp
+++ b/src/libradishswitch/serving/homedirectory.cpp
@@ -157,6 +157,29 @@
     return names;
 }
 
+std::vector<std::string> HomeDirectory::ranked(std::string_view key, std::size_t maximumHomes,
+                                               std::size_t maximumGateways) const
+{
+    std::vector<std::string> names;
+    std::size_t homes = 0;
+    std::size_t gateways = 0;
+    for (const std::string &name : rankingOf(key).names) {
+        const bool isHome = m_peers.at(name).peer.kind == PeerKind::Home;
+        std::size_t &taken = isHome ? homes : gateways;
+        if (taken < (isHome ? maximumHomes : maximumGateways)) {
+            ++taken;
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+bool HomeDirectory::mayBeAsked(const std::string &peer, Instant now) const
+{
+    const auto it = m_peers.find(peer);
+    return it != m_peers.end() && now >= it->second.pausedUntil;
+}
+
 std::string HomeDirectory::nearestHome(Instant now) const
 {
     return nearestHome(m_peers.at(m_self).peer.zone, now);
--- a/src/libradishswitch/serving/homedirectory.h
+++ b/src/libradishswitch/serving/homedirectory.h
@@ -83,6 +83,13 @@
     /// place among them.
     std::vector<std::string> candidates(std::string_view key, Instant now) const;
 
+    /// The processes that rank first for a key, at most so many homes and so many gateways, whether or not they can be
+    /// reached. All processes that know the same list return the same names; this process may be among them.
+    std::vector<std::string> ranked(std::string_view key, std::size_t maximumHomes, std::size_t maximumGateways) const;
+
+    /// Whether a process may be asked now: it is known, and does not pause after a failure.
+    bool mayBeAsked(const std::string &peer, Instant now) const;
+
     /// The gateway that watches the store for this gateway's zone, or this gateway itself. All gateways of a zone rank
     /// the watchers in the same order, so that no two wait for each other.
     std::string watcher(Instant now) const;
--- a/src/libradishswitch/serving/objectfollower.cpp
+++ b/src/libradishswitch/serving/objectfollower.cpp
@@ -49,11 +49,11 @@
     }
 }
 
-// The first list may be outdated: the watch that follows brings the changes since. If the store no longer has the
+// A relaxed first list may be outdated: the watch that follows brings the changes since. If the store no longer has the
 // history from there on, the next list is an up-to-date one, so that an outdated list never leads to another.
 void ObjectFollower::start()
 {
-    m_store.listRelaxed(m_prefix, guarded(&ObjectFollower::handleListed));
+    m_settings.isFirstListRelaxed ? m_store.listRelaxed(m_prefix, guarded(&ObjectFollower::handleListed)) : list();
 }
 
 void ObjectFollower::list()
@@ -74,8 +74,7 @@
         return retryLater(changes.status(), &ObjectFollower::list);
     }
     setStoreReachable(true);
-    // Unset for the first list, which may be outdated.
-    m_confirmedAt = m_askedAt;
+    noteConfirmed();
     m_version = changes->nextVersion;
     m_listener.objectsListed(changes->objects);
     reportProgress({true, true, *changes});
@@ -94,7 +93,7 @@
         return retryLater(changes.status(), isRefused ? &ObjectFollower::watch : &ObjectFollower::list);
     }
     setStoreReachable(true);
-    m_confirmedAt = m_askedAt;
+    noteConfirmed();
     m_version = std::max(m_version, changes->nextVersion);
     if (!changes->objects.empty()) {
         m_listener.objectsChanged(changes->objects);
@@ -109,6 +108,12 @@
     });
 }
 
+// A relaxed list confirms nothing: nothing was asked before it.
+void ObjectFollower::noteConfirmed()
+{
+    m_previouslyConfirmedAt = std::exchange(m_confirmedAt, m_askedAt);
+}
+
 void ObjectFollower::retryLater(const absl::Status &status, void (ObjectFollower::*step)())
 {
     ++m_failures;
--- a/src/libradishswitch/serving/objectfollower.h
+++ b/src/libradishswitch/serving/objectfollower.h
@@ -21,6 +21,8 @@
     /// a configuration of 50 kB takes the smallest instances about 30 ms, and at times of many changes there are
     /// sixteen a second.
     Duration changePause{};
+    /// Whether the first list may be some seconds old, which costs the store less.
+    bool isFirstListRelaxed = true;
 };
 
 /// Follows the objects of the platform's store under one prefix: lists them once, then watches them from the version of
@@ -63,12 +65,18 @@
     }
 
     /// As of when everything in the store is known, by the clock that counts suspensions: when the last watch or
-    /// up-to-date list was begun that the store has answered. Instant::min() before the first.
+    /// up-to-date list was begun that the store has answered. Instant::min() before the first of them.
     Instant confirmedAt() const
     {
         return m_confirmedAt;
     }
 
+    /// The same before the last answer. A change that came with that answer was made later than this.
+    Instant previouslyConfirmedAt() const
+    {
+        return m_previouslyConfirmedAt;
+    }
+
     /// The version of the store up to which the objects are known; zero before the first list.
     std::uint64_t version() const
     {
@@ -83,6 +91,7 @@
     void retryLater(const absl::Status &status, void (ObjectFollower::*step)());
     void reportProgress(const Progress &progress);
     void setStoreReachable(bool isStoreReachable);
+    void noteConfirmed();
     ObjectStore::Callback<StoreChanges> guarded(void (ObjectFollower::*handler)(const absl::StatusOr<StoreChanges> &));
 
     ObjectStore &m_store;
@@ -98,6 +107,7 @@
     bool m_isStoreReachable = true;
     Instant m_askedAt = Instant::min();
     Instant m_confirmedAt = Instant::min();
+    Instant m_previouslyConfirmedAt = Instant::min();
     TimerId m_timer = 0;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/src/libradishswitch/serving/servingtable.cpp
+++ b/src/libradishswitch/serving/servingtable.cpp
@@ -36,6 +36,11 @@
         if (leadsToEngines(route)) {
             m_mostUrgentPriority = std::min(m_mostUrgentPriority, route.priority);
         }
+        if (route.isStreamed && route.repetition == Repetition::ByResuming) {
+            for (const WeightedPool &it : route.pools) {
+                m_resumablePools.insert(it.pool);
+            }
+        }
     }
 }
 
--- a/src/libradishswitch/serving/servingtable.h
+++ b/src/libradishswitch/serving/servingtable.h
@@ -3,6 +3,7 @@
 #include "serving/servingconfiguration.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <limits>
 #include <memory>
@@ -37,6 +38,12 @@
     /// Null if the configuration does not contain the pool.
     const ServedPool *findPool(const PoolId &pool) const;
 
+    /// Whether a route to the pool has streams that callers may continue.
+    bool hasResumableStreams(const PoolId &pool) const
+    {
+        return m_resumablePools.contains(pool);
+    }
+
     /// The smallest priority value, which is the most urgent, of the routes to engines. Calls to engines cost tokens.
     int mostUrgentPriority() const
     {
@@ -52,6 +59,7 @@
     absl::flat_hash_map<std::string, absl::flat_hash_map<std::string, const ServingRoute *>> m_routes;
     absl::flat_hash_map<std::string, const ServedOrganisation *> m_organisations;
     absl::flat_hash_map<PoolId, const ServedPool *> m_pools;
+    absl::flat_hash_set<PoolId> m_resumablePools;
     int m_mostUrgentPriority = std::numeric_limits<int>::max();
 };
 
--- a/src/libradishswitch/serving/streamorigintable.cpp
+++ b/src/libradishswitch/serving/streamorigintable.cpp
@@ -5,22 +5,43 @@
 namespace RadishSwitch
 {
 
-StreamOriginTable::StreamOriginTable(StreamOriginTableSettings settings)
+StreamOriginTable::StreamOriginTable(Instant createdAt, StreamOriginTableSettings settings)
     : m_settings(settings)
+    , m_completeSince(createdAt)
 {
 }
 
 void StreamOriginTable::note(const StreamOriginRecord &record, Instant now)
 {
     removeExpired(now);
-    if (!m_origins.try_emplace(record.call, record.origin).second) {
+    const auto [it, isNew] = m_origins.try_emplace(record.call, record.origin);
+    if (!isNew) {
+        if (it->second.version.isEmpty()) {
+            it->second = record.origin;
+        }
         return;
     }
     m_entries.push_back({record.call, now});
     if (m_entries.size() > m_settings.maximumRecords) {
         m_origins.erase(m_entries.front().call);
         m_entries.pop_front();
+        m_completeSince = now;
+    }
+}
+
+StreamOriginAnswer StreamOriginTable::answer(const StreamOriginQuery &query, Instant now) const
+{
+    StreamOriginAnswer answer;
+    if (const std::optional<StreamOrigin> origin = find(query.call)) {
+        const bool isTold = origin->organisation == query.organisation && !origin->version.isEmpty();
+        answer.origin = isTold ? origin : std::nullopt;
+        answer.hasUnnamedRecord = !isTold;
     }
+    answer.hasSeveralVersions = std::ranges::any_of(query.pools, [&](const PoolId &pool) {
+        return hasPool(pool, now);
+    });
+    answer.keptFor = completeFor(now);
+    return answer;
 }
 
 std::optional<StreamOrigin> StreamOriginTable::find(const RequestId &call) const
--- a/src/libradishswitch/serving/streamorigintable.h
+++ b/src/libradishswitch/serving/streamorigintable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/timerservice.h"
-#include "serving/streamorigin.h"
+#include "serving/streamoriginport.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -24,9 +24,9 @@
 class StreamOriginTable
 {
 public:
-    explicit StreamOriginTable(StreamOriginTableSettings settings = {});
+    explicit StreamOriginTable(Instant createdAt, StreamOriginTableSettings settings = {});
 
-    /// A call has one origin: a second record for the same call is ignored.
+    /// A call has one origin: the first record that names a version counts.
     void note(const StreamOriginRecord &record, Instant now);
 
     /// A record stays valid beyond its retention until a later one removes it.
@@ -35,8 +35,19 @@
     /// The records of a pool's streams, the oldest first.
     std::vector<StreamOriginRecord> ofPool(const PoolId &pool, Instant now) const;
 
-    /// Whether there is any record of the pool's streams.
-    bool hasPool(const PoolId &pool, Instant now) const;
+    /// What this process tells another one that asks, without `soleVersionAge`.
+    StreamOriginAnswer answer(const StreamOriginQuery &query, Instant now) const;
+
+    /// How long the table has kept every record for its retention.
+    Duration completeFor(Instant now) const
+    {
+        return now - m_completeSince;
+    }
+
+    Duration retention() const
+    {
+        return m_settings.retention;
+    }
 
     std::size_t size() const
     {
@@ -49,10 +60,12 @@
         Instant notedAt{};
     };
 
+    bool hasPool(const PoolId &pool, Instant now) const;
     bool isRetained(const Entry &entry, Instant now) const;
     void removeExpired(Instant now);
 
     const StreamOriginTableSettings m_settings;
+    Instant m_completeSince;
     absl::flat_hash_map<RequestId, StreamOrigin> m_origins;
     /// In the order in which they were noted.
     std::deque<Entry> m_entries;
--- a/tests/radishswitch-gateway/streamversions_test.cpp
+++ b/tests/radishswitch-gateway/streamversions_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <set>
 
@@ -35,6 +36,7 @@
     {
         GatewaySettings settings = GatewayFixture::gatewaySettings();
         settings.peerListen = {"127.0.0.1", freePort()};
+        settings.isFirstStart = isFirstStart;
         if (!continuesItself) {
             settings.retryBound = 0;
             settings.retryBurst = 0;
@@ -191,8 +193,42 @@
         return response.ok() && response->body.find(line + "\n") != std::string::npos;
     }
 
+    bool isInStore(const std::string &kind, const std::string &name)
+    {
+        return onTestServers([&] {
+            return store.table().get(kind, name).status == 200;
+        });
+    }
+
+    /// Starts two gateways of a fleet that never ran before, in front of two endpoints of "v1".
+    void startFirstTime()
+    {
+        isFirstStart = true;
+        list("replica-1", first, "v1");
+        list("replica-3", third, "v1");
+        start();
+        startOther();
+        isFirstStart = false;
+        waitUntil([this] {
+            return isInStore("news", "versions-established.llm");
+        });
+    }
+
+    /// Lists an endpoint of "v2", and waits until it begins streams of the gateway.
+    void addSecondVersion(std::uint16_t port)
+    {
+        list("replica-2", second, "v2");
+        int n = 0;
+        waitUntil([&] {
+            const std::string id = "settling-" + std::to_string(n++);
+            EXPECT_EQ(fetchFrom(port, streamRequest("/resumable/a", id))->status, 200);
+            return versionsOf(id).contains("v2");
+        });
+    }
+
     /// Whether gateways continue broken streams themselves.
     bool continuesItself = false;
+    bool isFirstStart = false;
     ReplicaServer third;
     ReplicaServer fourth;
 };
@@ -329,6 +365,56 @@
     EXPECT_EQ(takeUp(gateway->port(), begun), kStreams);
 }
 
+// Guards against streams that nobody continues, since their gateway was lost before it could tell others, when a second
+// version appeared, where they began.
+TEST_F(StreamVersionsTest, secondVersionAppears_afterLossOfTheGateway_itsStreamsContinueAtTheFirst)
+{
+    startFirstTime();
+    const auto begun = beginAll(gateway->port());
+    gateway.reset();
+    list("replica-2", second, "v2");
+    waitUntil([this] {
+        return isInStore("news", "versions.llm");
+    });
+    EXPECT_GE(takeUp(otherGateway->port(), begun), kLeastContinued);
+}
+
+// Guards against the same once streams begin at the second version as well.
+TEST_F(StreamVersionsTest, secondVersionServes_afterLossOfTheGateway_itsStreamsContinueAtTheFirst)
+{
+    startFirstTime();
+    const auto begun = beginAll(gateway->port());
+    gateway.reset();
+    start();
+    addSecondVersion(otherGateway->port());
+    EXPECT_GE(takeUp(otherGateway->port(), begun), kLeastContinued);
+}
+
+// Guards against a stream that began at the second version and is taken for one without a record.
+TEST_F(StreamVersionsTest, streamsBegunAtBothVersions_afterLossOfTheGateway_continueWhereTheyBegan)
+{
+    startFirstTime();
+    addSecondVersion(gateway->port());
+    const auto begun = beginAll(gateway->port());
+    EXPECT_TRUE(std::ranges::any_of(begun, [](const auto &it) {
+        return it.second == "v2";
+    }));
+    gateway.reset();
+    EXPECT_GE(takeUp(otherGateway->port(), begun), kLeastContinued);
+}
+
+// Guards against a gateway that has just started, knows of no stream, and continues all of them at one version.
+TEST_F(StreamVersionsTest, allGatewaysRestarted_streamsOfTheSecondVersionAreNotContinuedAtTheFirst)
+{
+    startFirstTime();
+    addSecondVersion(gateway->port());
+    const auto begun = beginAll(gateway->port());
+    gateway.reset();
+    otherGateway.reset();
+    start();
+    takeUp(gateway->port(), begun);
+}
+
 // Guards against streams at a version that other gateways don't know of, which would continue them at any endpoint.
 TEST_F(StreamVersionsTest, secondVersionAppears_isAnnouncedBeforeItBeginsStreams)
 {
--- a/tests/radishswitch-home/home_test.cpp
+++ b/tests/radishswitch-home/home_test.cpp
@@ -11,6 +11,8 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <thread>
+#include <utility>
 
 using namespace RadishSwitch;
 
@@ -194,6 +196,7 @@
 TEST_F(HomeTest, originOfStream_isKeptForOtherGatewaysAndNotToldToOtherOrganisations)
 {
     const StreamOrigin origin{OrganisationId("magnolia"), PoolId("llm"), SoftwareVersion("v2")};
+    Duration keptFor{};
     const auto ask = [&](const std::string &organisation) {
         std::promise<absl::StatusOr<StreamOriginAnswer>> answered;
         callers.post([&] {
@@ -202,12 +205,44 @@
                 answered.set_value(answer);
             });
         });
-        return answered.get_future().get();
+        absl::StatusOr<StreamOriginAnswer> answer = answered.get_future().get();
+        keptFor = std::exchange(answer->keptFor, Duration::zero());
+        return answer;
     };
     EXPECT_EQ(*ask("magnolia"), StreamOriginAnswer());
     runOnCallers([&] {
         origins.tell("home-1", {{RequestId("call-1"), origin}});
     });
-    EXPECT_EQ(*ask("magnolia"), (StreamOriginAnswer{origin, true}));
-    EXPECT_EQ(*ask("thistle"), (StreamOriginAnswer{std::nullopt, true}));
+    StreamOriginAnswer known;
+    known.origin = origin;
+    known.hasSeveralVersions = true;
+    EXPECT_EQ(*ask("magnolia"), known);
+    StreamOriginAnswer unnamed;
+    unnamed.hasSeveralVersions = true;
+    unnamed.hasUnnamedRecord = true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    EXPECT_EQ(*ask("thistle"), unnamed);
+    EXPECT_GT(keptFor, Duration::zero());
+}
+
+// Guards against a stream that begins at a further version before the home has the record that tells so.
+TEST_F(HomeTest, recordThatMustBeKept_isConfirmed)
+{
+    const StreamOrigin unknown{OrganisationId("magnolia"), PoolId("llm"), SoftwareVersion()};
+    std::promise<absl::Status> kept;
+    std::promise<absl::StatusOr<StreamOriginAnswer>> answered;
+    callers.post([&] {
+        origins.keep("home-1", {RequestId("call-1"), unknown}, kAnswerTimeout, [&](const absl::Status &status) {
+            kept.set_value(status);
+        });
+        const StreamOriginQuery query{RequestId("call-1"), unknown.organisation, {unknown.pool}};
+        origins.ask("home-1", query, kAnswerTimeout, [&](const absl::StatusOr<StreamOriginAnswer> &answer) {
+            answered.set_value(answer);
+        });
+    });
+    EXPECT_TRUE(kept.get_future().get().ok());
+    const absl::StatusOr<StreamOriginAnswer> answer = answered.get_future().get();
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_TRUE(answer->hasUnnamedRecord);
+    EXPECT_EQ(answer->origin, std::nullopt);
 }
