Search over schedules of versions and faults in virtual time

The classes that decide at which version streams begin and continue, in a fleet of four gateways, five homes, a store and a network that are simulated: versions join, leave and return while gateways freeze, die, start again and are cut off, homes restart, the fleet is cut through, the store is away or loses answers, and everything restarts at once.

--- /dev/null
+++ b/tests/radishswitch-gateway/streamversionschedule_test.cpp
@@ -0,0 +1,237 @@
+#include "streamversionfleet.h"
+
+#include <gtest/gtest.h>
+
+using namespace RadishSwitch;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kGateways = 4;
+constexpr int kHomes = 5;
+constexpr int kEndpointsOfVersion = 3;
+constexpr Duration kFirstStart = seconds(5);
+constexpr Duration kEnd = seconds(60);
+constexpr Duration kStreamInterval = milliseconds(20);
+/// Of the streams that are taken up, the rule counts from so many on.
+constexpr int kLeastStreams = 12;
+
+}
+
+/// Schedules of joining and leaving software versions beside faults, drawn from a seed, over a fleet in virtual time.
+class StreamVersionScheduleTest : public testing::TestWithParam<int>
+{
+protected:
+    StreamVersionScheduleTest()
+        : fleet(static_cast<std::uint64_t>(GetParam()), kGateways, kHomes)
+    {
+        listVersion("v1");
+        for (const std::string &name : fleet.names) {
+            fleet.startGateway(name, true);
+        }
+        fleet.clock.advance(kFirstStart);
+        fleet.clock.every(kStreamInterval, [this] {
+            const std::string gateway = anyOf(fleet.names);
+            fleet.beginStream(gateway, otherThan(gateway), between(milliseconds(200), seconds(9)));
+        });
+    }
+
+    Duration between(Duration shortest, Duration longest)
+    {
+        return shortest + Duration(fleet.random.below(static_cast<std::uint64_t>((longest - shortest).count())));
+    }
+
+    std::string anyOf(const std::vector<std::string> &names)
+    {
+        return names[fleet.random.below(names.size())];
+    }
+
+    std::string otherThan(const std::string &gateway)
+    {
+        std::string other = gateway;
+        while (other == gateway) {
+            other = anyOf(fleet.names);
+        }
+        return other;
+    }
+
+    void at(Duration time, const std::function<void()> &work)
+    {
+        fleet.clock.after(time, work);
+    }
+
+    void listVersion(const std::string &version)
+    {
+        for (int n = 0; n < kEndpointsOfVersion; ++n) {
+            fleet.list(version + "-" + std::to_string(n), version);
+        }
+    }
+
+    void unlistVersion(const std::string &version)
+    {
+        for (int n = 0; n < kEndpointsOfVersion; ++n) {
+            fleet.unlist(version + "-" + std::to_string(n));
+        }
+    }
+
+    /// A second version joins, sometimes a third one, and the first leaves and returns in some schedules.
+    void scheduleVersions()
+    {
+        const Duration join = between(seconds(1), seconds(10));
+        at(join, [this] {
+            listVersion("v2");
+        });
+        if (fleet.random.below(2) == 0) {
+            at(join + between(seconds(0), seconds(15)), [this] {
+                listVersion("v3");
+            });
+        }
+        if (fleet.random.below(2) == 0) {
+            const Duration leave = join + between(seconds(3), seconds(20));
+            at(leave, [this] {
+                unlistVersion("v1");
+            });
+            at(leave + between(seconds(1), seconds(20)), [this] {
+                listVersion("v1");
+            });
+        }
+    }
+
+    void scheduleGatewayFault()
+    {
+        const std::string name = anyOf(fleet.names);
+        const Duration begin = between(seconds(0), seconds(25));
+        const Duration end = begin + between(milliseconds(500), seconds(8));
+        switch (fleet.random.below(3)) {
+        case 0:
+            at(begin, [this, name] {
+                fleet.freeze(name);
+            });
+            at(end, [this, name] {
+                fleet.wake(name);
+            });
+            break;
+        case 1:
+            at(begin, [this, name] {
+                fleet.kill(name);
+            });
+            at(end, [this, name] {
+                fleet.startGateway(name, false);
+            });
+            break;
+        default:
+            at(begin, [this, name] {
+                fleet.cutOff({name});
+            });
+            at(end, [this] {
+                fleet.cutOff({});
+            });
+            break;
+        }
+    }
+
+    /// Faults that may leave too few records to continue streams: homes that restart, a cut through the fleet, the
+    /// store, and all gateways at once.
+    void scheduleGraveFault()
+    {
+        const Duration begin = between(seconds(0), seconds(25));
+        const Duration end = begin + between(milliseconds(500), seconds(9));
+        switch (fleet.random.below(5)) {
+        case 0:
+            at(begin, [this] {
+                fleet.startHome(anyOf(fleet.homeNames));
+            });
+            break;
+        case 1:
+            at(begin, [this] {
+                fleet.cutOff(someProcesses());
+            });
+            at(end, [this] {
+                fleet.cutOff({});
+            });
+            break;
+        case 2:
+            at(begin, [this] {
+                fleet.setStoreDown(true);
+            });
+            at(end, [this] {
+                fleet.setStoreDown(false);
+            });
+            break;
+        case 3:
+            at(begin, [this] {
+                fleet.store.losesAnswers = true;
+            });
+            at(end, [this] {
+                fleet.store.losesAnswers = false;
+            });
+            break;
+        default:
+            at(begin, [this] {
+                restartAll();
+            });
+            break;
+        }
+    }
+
+    std::set<std::string> someProcesses()
+    {
+        std::set<std::string> some;
+        for (const std::vector<std::string> &names : {fleet.names, fleet.homeNames}) {
+            for (const std::string &name : names) {
+                if (fleet.random.below(2) == 0) {
+                    some.insert(name);
+                }
+            }
+        }
+        return some;
+    }
+
+    void restartAll()
+    {
+        for (const std::string &name : fleet.homeNames) {
+            fleet.startHome(name);
+        }
+        for (const std::string &name : fleet.names) {
+            fleet.startGateway(name, false);
+        }
+    }
+
+    StreamVersionFleet fleet;
+};
+
+// Guards against streams with events of two versions, whatever befalls gateways, homes, network and store.
+TEST_P(StreamVersionScheduleTest, faultsOfAllKinds_noStreamIsOfTwoVersions)
+{
+    scheduleVersions();
+    for (int n = 0; n < 4; ++n) {
+        scheduleGatewayFault();
+        scheduleGraveFault();
+    }
+    fleet.clock.advance(kEnd);
+    EXPECT_EQ(fleet.tally.mixed, 0);
+    EXPECT_GT(fleet.tally.begun, 0);
+    EXPECT_GT(fleet.tally.continued, 0);
+}
+
+// Guards against streams that nobody continues since the gateway that began them is frozen, cut off or dead.
+TEST_P(StreamVersionScheduleTest, faultsOfGateways_streamsContinueAsNewOnesBegin)
+{
+    scheduleVersions();
+    for (int n = 0; n < 3; ++n) {
+        scheduleGatewayFault();
+    }
+    fleet.clock.advance(kEnd);
+    const StreamVersionFleet::Tally &it = fleet.tally;
+    EXPECT_EQ(it.mixed, 0);
+    ASSERT_GE(it.continued + it.refused, kLeastStreams);
+    const double continued = static_cast<double>(it.continued) / (it.continued + it.refused);
+    const double begun = static_cast<double>(it.begun) / (it.begun + it.notBegun);
+    EXPECT_GE(continued, begun / 2) << it.continued << " continued, " << it.refused << " refused, " << it.begun
+                                    << " begun, " << it.notBegun << " not begun";
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, StreamVersionScheduleTest, testing::Range(0, 40));
