Start of gateways: announcements up to date only after the fleet's first start; refusals say how many holders kept their records

Whoever writes an announcement itself counts from its last confirmation instead of the one before, which a gateway that started a moment ago does not have (StreamVersionsTest.secondVersionAppears_afterLossOfTheGateway failed so once the first list was relaxed). New line: stream may begin at the established version only.

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -313,11 +313,23 @@
         co_return registered;
     }
     m_beginsOnlyAt = m_services.gate.registry().versions().established(m_pool->name);
+    logNotRegistered(*placement, registered);
     placement = co_await placeOnce();
     const bool isNowhere = failureCode(placement.status()) == FailureCode::StreamVersionGone;
     co_return isNowhere ? registered : placement;
 }
 
+void Call::logNotRegistered(const Placement &placement, const absl::Status &status) const
+{
+    if (m_services.failureSampler.shouldLog(m_request.id, m_services.timers.now())) {
+        kLog.info("stream may begin at the established version only",
+                  {field("call", m_request.id.value()), field("pool", m_pool->name.value()),
+                   field("established_version", m_beginsOnlyAt.value_or(SoftwareVersion()).value()),
+                   field("software_version", placement.softwareVersion.value()),
+                   field("reason", std::string(status.message()))});
+    }
+}
+
 bool Call::mustRegisterStream(const Placement &placement) const
 {
     const bool mayBegin = m_route->isStreamed && m_route->repetition == Repetition::ByResuming && !m_streamOrigin;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -75,6 +75,7 @@
     boost::asio::awaitable<absl::StatusOr<Placement>> placeOnce();
     bool mustRegisterStream(const Placement &placement) const;
     boost::asio::awaitable<absl::Status> registerStream();
+    void logNotRegistered(const Placement &placement, const absl::Status &status) const;
     OrganisationId organisation() const;
     FurtherAttempt checkFurtherAttempt(AttemptEnd end);
     bool grantRetry(AttemptEnd end);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -126,7 +126,8 @@
                          followerSettings(m_settings))
     , m_cordonFollower(m_relayedStore, m_timers, m_random, m_adapter.catalogue->cordonPrefix(), m_cordons,
                        followerSettings(m_settings))
-    , m_reportFollower(m_relayedStore, m_timers, m_random, kReportPrefix, m_reportRouter, reportFollowerSettings())
+    , m_reportFollower(m_relayedStore, m_timers, m_random, kReportPrefix, m_reportRouter,
+                       reportFollowerSettings(m_settings))
     , m_peerServer(m_workers, transportSettings(m_settings))
     , m_server(m_workers, callerServerSettings(m_settings, m_intake, m_traffic),
                [this](HttpExchange &exchange) {
@@ -238,7 +239,10 @@
     inputs.isResumable = [this](const PoolId &pool) {
         return m_configuration.table() && m_configuration.table()->hasResumableStreams(pool);
     };
-    inputs.knownBefore = [this] {
+    inputs.confirmedAt = [this] {
+        return m_reportFollower.confirmedAt();
+    };
+    inputs.previouslyConfirmedAt = [this] {
         return m_reportFollower.previouslyConfirmedAt();
     };
     return inputs;
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -43,13 +43,14 @@
     return follower;
 }
 
-ObjectFollowerSettings reportFollowerSettings()
+ObjectFollowerSettings reportFollowerSettings(const GatewaySettings &settings)
 {
     ObjectFollowerSettings follower;
     // Each gateway writes one object about a crash, and all of them do so within this time.
     follower.changePause = std::chrono::milliseconds(50);
-    // A gateway that did not know the latest announcements of software versions could continue streams wrongly.
-    follower.isFirstListRelaxed = false;
+    // A restarted gateway that did not know the latest announcements of software versions could continue streams
+    // wrongly. At the fleet's first start nothing was announced before.
+    follower.isFirstListRelaxed = settings.isFirstStart;
     return follower;
 }
 
--- a/src/gateway/partsettings.h
+++ b/src/gateway/partsettings.h
@@ -19,7 +19,7 @@
 
 FleetStoreSettings storeSettings(const GatewaySettings &settings);
 ObjectFollowerSettings followerSettings(const GatewaySettings &settings);
-ObjectFollowerSettings reportFollowerSettings();
+ObjectFollowerSettings reportFollowerSettings(const GatewaySettings &settings);
 
 /// Time without a message after which the gateway that watches the store for others is considered lost.
 Duration relayTimeout(const GatewaySettings &settings);
--- a/src/gateway/versionreports.cpp
+++ b/src/gateway/versionreports.cpp
@@ -48,6 +48,11 @@
     return PoolId(key.substr(std::char_traits<char>::length(prefix)));
 }
 
+std::optional<Instant> asOptional(Instant at)
+{
+    return at == Instant::min() ? std::nullopt : std::optional(at);
+}
+
 absl::StatusOr<SoftwareVersion> readEstablished(const std::string &value)
 {
     const nlohmann::json object = nlohmann::json::parse(value, nullptr, false);
@@ -116,7 +121,7 @@
             }
             kLog.info("several software versions announced", {field("pool", pool.value()), field("versions", value)});
             m_announced[pool] = *at;
-            m_versions.noteAnnounced(pool, false, m_timers.now(), unannouncedAt());
+            m_versions.noteAnnounced(pool, false, m_timers.now(), asOptional(m_inputs.confirmedAt()));
         });
 }
 
@@ -249,7 +254,7 @@
 {
     const PoolId pool = poolOf(object.key);
     m_announced[pool] = object.version;
-    m_versions.noteAnnounced(pool, wasBeforeStart, m_timers.now(), unannouncedAt());
+    m_versions.noteAnnounced(pool, wasBeforeStart, m_timers.now(), asOptional(m_inputs.previouslyConfirmedAt()));
 }
 
 void VersionReports::applyEstablished(const StoredObject &object)
@@ -265,12 +270,6 @@
     m_versions.noteEstablished(pool, *version);
 }
 
-std::optional<Instant> VersionReports::unannouncedAt() const
-{
-    const Instant at = m_inputs.knownBefore();
-    return at == Instant::min() ? std::nullopt : std::optional(at);
-}
-
 void VersionReports::forgetAnnouncement(const PoolId &pool)
 {
     if (m_announced.erase(pool) > 0) {
--- a/src/gateway/versionreports.h
+++ b/src/gateway/versionreports.h
@@ -35,9 +35,10 @@
         bool isFirstStart = false;
         /// Whether streams of the pool can be continued.
         std::function<bool(const PoolId &pool)> isResumable;
-        /// As of when the store was known before the change that is being applied, by the clock that counts
-        /// suspensions; Instant::min() if it was not.
-        std::function<Instant()> knownBefore;
+        /// As of when the announcements are known, and were known before the change that is being applied; both by the
+        /// clock that counts suspensions, Instant::min() if they were not.
+        std::function<Instant()> confirmedAt;
+        std::function<Instant()> previouslyConfirmedAt;
     };
 
     VersionReports(ObjectStore &store, TimerService &timers, RandomSource &random, PoolVersions &versions,
@@ -66,7 +67,6 @@
     void forgetAnnouncement(const PoolId &pool);
     void forgetEstablished(const PoolId &pool);
     void forgetUnlisted(const std::vector<StoredObject> &objects);
-    std::optional<Instant> unannouncedAt() const;
 
     ObjectStore &m_store;
     TimerService &m_timers;
--- a/src/libradishswitch/serving/streamorigins.cpp
+++ b/src/libradishswitch/serving/streamorigins.cpp
@@ -243,17 +243,22 @@
     if (search.hasUnnamedRecord) {
         return false;
     }
-    const Instant now = m_timers.now();
-    if (search.soleVersionUntil && now - *search.soleVersionUntil <= m_settings.maximumAge) {
+    if (search.soleVersionUntil && m_timers.now() - *search.soleVersionUntil <= m_settings.maximumAge) {
         return true;
     }
-    const Instant longAgo = now - m_table.retention();
+    const std::size_t holders = search.holders.size();
+    return !search.query.call.isEmpty() && countKept(search) >= holders - holders / 2;
+}
+
+// The holders that have every record which the stream could have.
+std::size_t StreamOrigins::countKept(const Search &search) const
+{
+    const Instant longAgo = m_timers.now() - m_table.retention();
     const Instant mustBeKeptSince = std::max(search.soleVersionUntil.value_or(longAgo), longAgo);
     const auto kept = std::ranges::count_if(search.keptSince, [&](Instant since) {
         return since <= mustBeKeptSince;
     });
-    const std::size_t holders = search.holders.size();
-    return !search.query.call.isEmpty() && static_cast<std::size_t>(kept) >= holders - holders / 2;
+    return static_cast<std::size_t>(kept);
 }
 
 // Among several pools it is not known in which one an unregistered stream began.
@@ -288,7 +293,8 @@
                            m_settings.retryAfter);
     }
     const std::string answers = std::to_string(search.answered) + " of " + std::to_string(search.asked)
-        + " processes answered, none has a record";
+        + " processes answered, none has a record; " + std::to_string(countKept(search)) + " of "
+        + std::to_string(search.holders.size()) + " holders have kept theirs for long enough";
     if (search.answered < search.asked) {
         return makeFailure(FailureCode::StreamOriginUnknown,
                            "the processes that know at which version the stream began can't be reached: " + answers,
--- a/src/libradishswitch/serving/streamorigins.h
+++ b/src/libradishswitch/serving/streamorigins.h
@@ -120,6 +120,7 @@
     void noteAnswer(Search &search, const std::string &peer, const StreamOriginAnswer &answer) const;
     void finish(const SearchPointer &search, const absl::StatusOr<FoundStreamOrigin> &origin);
     std::optional<Duration> soleVersionAge(const std::vector<PoolId> &pools) const;
+    std::size_t countKept(const Search &search) const;
     bool isWithoutRecord(const Search &search) const;
     bool canTellWithoutRecord(const Search &search) const;
     absl::StatusOr<FoundStreamOrigin> originWithoutRecord(const Search &search) const;
