Lines of calls say what told the end of their answer

The lines could not tell a stream whose end was its last chunk from one that ended with its connection, nor what its last event was, so that the hypotheses of the incident looked alike. No decision changes.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -44,8 +44,8 @@
         bool isSilenceLogged = false;
         /// The connection was established, but the gateway decided not to send the call.
         bool isWithdrawn = false;
-        /// The answer has no length of its own and ends with its connection.
-        bool endsWithConnection = false;
+        /// What tells where the answer ends; empty before its head has been read.
+        std::optional<AnswerFraming> framing;
         /// The endpoint answered with a server error, which is relayed to the caller.
         bool hasFailed = false;
         /// When the first part of the answer's body arrived.
@@ -122,6 +122,8 @@
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
     bool hasEndedBeforeFirstEvent() const;
+    static bool endsWithConnection(const Attempt &attempt);
+    static std::string_view framingName(const Attempt &attempt);
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
     void noteFirstEvents();
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -276,7 +276,7 @@
     if (result || !m_services.poison.hasSuspects()) {
         return;
     }
-    if (attempt.endsWithConnection) {
+    if (endsWithConnection(attempt)) {
         m_services.poison.noteAnsweredUnlessCrashed(crashedRun(attempt), attempt.placement.address);
     } else {
         m_services.poison.noteAnswered(fingerprint(), sharedPrompt());
@@ -333,9 +333,9 @@
                field("endpoint", attempt.placement.endpoint.value()), field("address", attempt.placement.address),
                field("software_version", attempt.placement.softwareVersion.value()), field("end", attemptEndName(end)),
                field("reason", std::string(attempt.failure.message())), field("sent", m_history.sent),
-               field("events", m_eventSplitter.count()), field("may_have_run", m_history.mayHaveRun),
-               field("silent_for", silenceDuration(attempt)), field("noticed_late", wait.late),
-               field("unread", wait.unread), field("time_left", timeLeft())});
+               field("framing", framingName(attempt)), field("events", m_eventSplitter.count()),
+               field("may_have_run", m_history.mayHaveRun), field("silent_for", silenceDuration(attempt)),
+               field("noticed_late", wait.late), field("unread", wait.unread), field("time_left", timeLeft())});
 }
 
 Duration Call::silenceDuration(const Attempt &attempt) const
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -29,7 +29,7 @@
         co_return AttemptEnd::Broken;
     }
     m_attempt.hasFailed = isServerError(head->status);
-    m_attempt.endsWithConnection = m_attempt.connection->endsWithConnection();
+    m_attempt.framing = m_attempt.connection->framing();
     const bool isStream = m_route->isStreamed && isSuccess(head->status);
     const AttemptResult result = isStream ? co_await relayStream(*head) : co_await relayWhole(*head);
     if (!result) {
@@ -121,7 +121,17 @@
 // it had nothing to say.
 bool Call::hasEndedBeforeFirstEvent() const
 {
-    return m_attempt.endsWithConnection && !m_hasStreamStarted && !m_eventSplitter.lastEvent();
+    return endsWithConnection(m_attempt) && !m_hasStreamStarted && !m_eventSplitter.lastEvent();
+}
+
+bool Call::endsWithConnection(const Attempt &attempt)
+{
+    return attempt.framing == AnswerFraming::Connection;
+}
+
+std::string_view Call::framingName(const Attempt &attempt)
+{
+    return attempt.framing ? answerFramingName(*attempt.framing) : std::string_view();
 }
 
 net::awaitable<absl::StatusOr<std::string>> Call::awaitEvents()
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -448,9 +448,12 @@
     return m_parser && m_parser->is_done() && m_parser->keep_alive();
 }
 
-bool HttpConnection::endsWithConnection() const
+AnswerFraming HttpConnection::framing() const
 {
-    return m_parser && m_parser->need_eof();
+    if (m_parser->chunked()) {
+        return AnswerFraming::Chunks;
+    }
+    return m_parser->need_eof() ? AnswerFraming::Connection : AnswerFraming::Length;
 }
 
 bool HttpConnection::wasIdle() const
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "acknowledgementwatch.h"
+#include "answerframing.h"
 #include "httpclient.h"
 #include "limits/linktraffic.h"
 #include "watchdog.h"
@@ -128,9 +129,8 @@
     /// Whether the answer was read whole and the other side keeps the connection open.
     bool isKeptAlive() const;
 
-    /// Whether the answer has neither a length nor chunks, so that the end of the connection is its end. To be called
-    /// once its head is there.
-    bool endsWithConnection() const;
+    /// What tells where the body of the answer ends. To be called once its head is there.
+    AnswerFraming framing() const;
 
     /// Whether the connection was taken from among the idle ones.
     bool wasIdle() const;
