Streams that end with their connections are whole only if the process that wrote them still runs

What callers saw: a stream without length or chunks whose endpoint was killed between two events reached them as complete (200, last chunk) before its last event: ORDER. Cause: the end of a connection was taken for the end of an answer. A process that is killed ends its connections too: its kernel closes them in good order. Mend: at the end of such a stream the gateway asks the endpoint for its report on a new connection. Only the start of the same incarnation shows that the process ended the connection itself, and the stream is complete. The question is asked after the end, so that a process that was killed at any moment before can't answer it. The detection of poison asked on its own whether such an endpoint had crashed; that question is no longer needed.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -46,6 +46,8 @@
         bool isWithdrawn = false;
         /// What tells where the answer ends; empty before its head has been read.
         std::optional<AnswerFraming> framing;
+        /// What became of the process that wrote the answer, where the answer ended with its connection.
+        std::optional<WriterState> writer;
         /// The endpoint answered with a server error, which is relayed to the caller.
         bool hasFailed = false;
         /// When the first part of the answer's body arrived.
@@ -121,6 +123,7 @@
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> awaitHead();
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
+    boost::asio::awaitable<absl::Status> checkEnd();
     bool hasEndedBeforeFirstEvent() const;
     static bool endsWithConnection(const Attempt &attempt);
     static std::string_view framingName(const Attempt &attempt);
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -276,11 +276,7 @@
     if (result || !m_services.poison.hasSuspects()) {
         return;
     }
-    if (endsWithConnection(attempt)) {
-        m_services.poison.noteAnsweredUnlessCrashed(crashedRun(attempt), attempt.placement.address);
-    } else {
-        m_services.poison.noteAnswered(fingerprint(), sharedPrompt());
-    }
+    m_services.poison.noteAnswered(fingerprint(), sharedPrompt());
 }
 
 CrashedRun Call::crashedRun(const Attempt &attempt) const
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -135,6 +135,15 @@
         .add();
 }
 
+void CallMetrics::noteEndedWithConnection(WriterState writer)
+{
+    m_metrics
+        .counter("radishswitch_answers_ended_with_connection_total",
+                 "Answers that ended with their connections, by what became of the process that wrote them",
+                 {{"writer", std::string(writerStateName(writer))}})
+        .add();
+}
+
 void CallMetrics::noteHeldUp()
 {
     m_heldUp.add();
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -4,6 +4,7 @@
 #include "metrics.h"
 #include "serving/attemptrules.h"
 #include "serving/streamorigin.h"
+#include "writerprobe.h"
 
 #include <absl/status/status.h>
 
@@ -62,6 +63,9 @@
     /// A caller continues a stream; nullopt if it is not known where it began.
     void noteOriginSought(std::optional<OriginEvidence> evidence);
 
+    /// Counts an answer that ended with its connection, by what became of the process that wrote it.
+    void noteEndedWithConnection(WriterState writer);
+
     /// Counts a request that was dropped because its endpoint acknowledged none of its bytes.
     void noteHeldUp();
 
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -1,5 +1,6 @@
 #include "call.h"
 
+#include "asyncresult.h"
 #include "base/failure.h"
 #include "log.h"
 
@@ -109,6 +110,10 @@
         m_attempt.failure = makeFailure(FailureCode::ConnectionLost, "the stream ended before or inside an event");
         co_return AttemptEnd::Broken;
     }
+    const absl::Status ended = co_await checkEnd();
+    if (!ended.ok()) {
+        co_return endUnanswered(m_attempt, ended);
+    }
     if (!m_hasStreamStarted) {
         noteDelivery(co_await forwardToCaller(head, std::string()));
     }
@@ -117,6 +122,26 @@
     co_return std::nullopt;
 }
 
+// An answer without length or chunks is whole if the process that wrote it ended the connection. The kernel of a
+// process that was killed ends it in the same way.
+net::awaitable<absl::Status> Call::checkEnd()
+{
+    if (!endsWithConnection(m_attempt)) {
+        co_return absl::OkStatus();
+    }
+    const Placement &placement = m_attempt.placement;
+    const EndpointIncarnation incarnation{placement.endpoint, placement.startedAtMilliseconds};
+    const auto start = [this, &incarnation, &placement](auto done) {
+        m_services.writers.probe(incarnation, placement.address, std::move(done));
+    };
+    m_attempt.writer = co_await awaitCallback<WriterState>(start);
+    m_services.metrics.noteEndedWithConnection(*m_attempt.writer);
+    if (m_attempt.writer == WriterState::Runs) {
+        co_return absl::OkStatus();
+    }
+    co_return makeFailure(FailureCode::ConnectionLost, "the answer ended with its endpoint's process");
+}
+
 // Where the end of the connection is the end of the answer, an endpoint that crashes as it begins to write looks as if
 // it had nothing to say.
 bool Call::hasEndedBeforeFirstEvent() const
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -12,6 +12,7 @@
 #include "serving/servingtable.h"
 #include "serving/sharedbudgets.h"
 #include "serving/streamorigins.h"
+#include "writerprobe.h"
 
 #include <map>
 
@@ -80,6 +81,7 @@
     PoisonGuard &poison;
     LimitReports &limits;
     StreamOrigins &streamOrigins;
+    WriterProbe &writers;
 
     RetryBudget &retryBudget(const PoolId &pool)
     {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,6 +65,7 @@
                    m_connections.closeIdle(incarnation.endpoint);
                })
     , m_limits(m_store, m_timers, m_random, m_gate)
+    , m_writers(m_workers)
     , m_versionReports(m_store, m_timers, m_random, m_gate.registry().versions(), versionReportInputs())
     , m_originHolders(m_settings.instance)
     , m_originPeers(m_clients, m_originHolders, m_timers)
@@ -94,7 +95,8 @@
                  m_link,
                  m_poison,
                  m_limits,
-                 m_streamOrigins}
+                 m_streamOrigins,
+                 m_writers}
     , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, m_link, m_intakeBudget,
                shedderSettings(m_settings),
                [this] {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -128,6 +128,7 @@
     IntakeBudget m_intakeBudget;
     PoisonGuard m_poison;
     LimitReports m_limits;
+    WriterProbe m_writers;
     VersionReports m_versionReports;
     /// The processes that keep origins of streams. Apart from `m_homes`, so that what becomes of origins does not
     /// decide where budgets are reserved.
--- a/src/gateway/poisonguard.cpp
+++ b/src/gateway/poisonguard.cpp
@@ -91,17 +91,6 @@
     noteAnswering(prompt);
 }
 
-void PoisonGuard::noteAnsweredUnlessCrashed(CrashedRun run, const std::string &address)
-{
-    if (!m_parts.hasOpenCrashes(run.prompt) && m_detector.crashes(run.request) == 0) {
-        return;
-    }
-    const EndpointIncarnation incarnation = run.incarnation;
-    m_probe.probe(incarnation, address, [this, run = std::move(run)](bool hasCrashed) {
-        hasCrashed ? m_reports.addCrashed(run) : noteAnswered(run.request, run.prompt);
-    });
-}
-
 void PoisonGuard::noteAnswering(const SharedPrompt &prompt)
 {
     m_parts.noteAnswered(prompt);
--- a/src/gateway/poisonguard.h
+++ b/src/gateway/poisonguard.h
@@ -44,9 +44,6 @@
     /// An endpoint has answered the request completely, without crashing.
     void noteAnswered(const RequestFingerprint &request, const SharedPrompt &prompt);
 
-    /// As `noteAnswered`, for an answer that ended with its connection, as it also does if the endpoint has crashed.
-    void noteAnsweredUnlessCrashed(CrashedRun run, const std::string &address);
-
     /// An endpoint has been writing an answer to the prompt for longer than a crash at its beginning would take.
     void noteAnswering(const SharedPrompt &prompt);
 
--- a/src/libradishswitch/serving/poisonpartdetector.cpp
+++ b/src/libradishswitch/serving/poisonpartdetector.cpp
@@ -228,13 +228,6 @@
     return next;
 }
 
-bool PoisonPartDetector::hasOpenCrashes(const SharedPrompt &prompt) const
-{
-    return std::ranges::any_of(prompt.parts, [this](std::uint64_t part) {
-        return crashes(part) > 0;
-    });
-}
-
 std::vector<std::uint64_t> PoisonPartDetector::update(Instant now)
 {
     std::vector<std::uint64_t> barred;
--- a/src/libradishswitch/serving/poisonpartdetector.h
+++ b/src/libradishswitch/serving/poisonpartdetector.h
@@ -83,9 +83,6 @@
     /// When `update` has to be called; nullopt if no part is suspect.
     std::optional<Instant> nextUpdate() const;
 
-    /// Whether a part of the prompt has crashes of which it is not exonerated.
-    bool hasOpenCrashes(const SharedPrompt &prompt) const;
-
     /// Another gateway has barred the part, perhaps because of crashes that are not known here.
     void setAnnounced(std::uint64_t part, SharedPrompt pattern);
 
