Whole answers that end with their connections are whole only if the process that wrote them still runs

What callers saw: a whole answer without length or chunks whose endpoint was killed in its body reached them as a complete success (MIXED). Evidence: StreamEndsTest.wholeAnswers_endpointKilledInBody_noneIsComplete, 24 of 24 orders and 24 of 24 safe calls before, none now; with endpoints that live 48 of 48 are whole.

--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -69,6 +69,10 @@
     if (!body.ok()) {
         co_return endUnanswered(m_attempt, body.status());
     }
+    const absl::Status ended = co_await checkEnd();
+    if (!ended.ok()) {
+        co_return endUnanswered(m_attempt, ended);
+    }
     noteFirstAnswer();
     m_isAnswered = true;
     m_answeredStatus = head.status;
