Answers of endpoints without a report, and of busy ones, are not held for broken off

Now a connection that is refused, or a start that differs from the entry's, shows that the process has ended; an answer of any kind shows that it runs, since the platform gives the address of an ended process to another one after two seconds at the earliest. A connection that is accepted and lost may be one of a process that is just being killed or of an endpoint with too many connections: the address is asked again, twice at most, 20 ms apart. Calls that come while a question is on its way get the next one.

--- a/src/gateway/writerprobe.cpp
+++ b/src/gateway/writerprobe.cpp
@@ -1,30 +1,32 @@
 #include "writerprobe.h"
 
+#include "asyncresult.h"
 #include "base/failure.h"
 #include "endpointreportreader.h"
 #include "log.h"
 
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace RadishSwitch
 {
 
+namespace net = boost::asio;
+
 namespace
 {
 
 const Log kLog("call");
 
-/// The end of the answer waits for this long at most.
-constexpr Duration kTimeout = std::chrono::milliseconds(500);
-
-WriterState stateOf(const EndpointIncarnation &incarnation, const absl::StatusOr<EndpointReport> &report)
-{
-    if (report.ok()) {
-        const bool isSame = report->startedAtMilliseconds == incarnation.startedAtMilliseconds;
-        return isSame ? WriterState::Runs : WriterState::Ended;
-    }
-    return failureCode(report.status()) == FailureCode::ConnectionLost ? WriterState::Ended : WriterState::Unknown;
-}
+/// Bounds each question. The end of the answer waits for it.
+constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
+/// A process that is being killed may lose a connection that its kernel has already accepted, and an endpoint with too
+/// many connections resets new ones. After a pause the first refuses connections, the second does not.
+constexpr int kQuestions = 3;
+constexpr Duration kPause = std::chrono::milliseconds(20);
 
 }
 
@@ -41,52 +43,94 @@
     return "unknown";
 }
 
-WriterProbe::WriterProbe(WorkerPool &workers)
+WriterProbe::WriterProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections)
     : m_workers(workers)
+    , m_timers(timers)
+    , m_connections(connections)
 {
 }
 
 void WriterProbe::probe(const EndpointIncarnation &incarnation, const std::string &address, Callback callback)
 {
-    Waiters &waiters = m_waiters[incarnation];
-    waiters.next.push_back(std::move(callback));
-    if (waiters.asked.empty()) {
-        ask(incarnation, address);
+    const auto [it, isFirst] = m_waiters.try_emplace(incarnation);
+    it->second.push_back(std::move(callback));
+    if (isFirst) {
+        net::co_spawn(m_workers.context(), ask(incarnation, address), net::detached);
     }
 }
 
-void WriterProbe::ask(const EndpointIncarnation &incarnation, const std::string &address)
+// Those that come while a question is on its way wait for the next one.
+net::awaitable<void> WriterProbe::ask(EndpointIncarnation incarnation, std::string address)
 {
-    Waiters &waiters = m_waiters[incarnation];
-    waiters.asked = std::exchange(waiters.next, {});
     const std::weak_ptr<int> alive = m_alive;
-    makeEndpointReportReader(m_workers, address)
-        ->read(kTimeout, [this, alive, incarnation, address](const absl::StatusOr<EndpointReport> &report) {
-            if (alive.expired()) {
-                return;
-            }
-            const WriterState state = stateOf(incarnation, report);
-            if (state != WriterState::Runs) {
-                kLog.info("endpoint no longer runs as it did when it wrote an answer",
-                          {field("endpoint", incarnation.endpoint.value()), field("address", address),
-                           field("born", incarnation.startedAtMilliseconds), field("writer", writerStateName(state)),
-                           field("reason", std::string(report.status().message()))});
-            }
-            finish(incarnation, address, state);
-        });
+    while (!alive.expired() && !m_waiters[incarnation].empty()) {
+        const std::vector<Callback> asked = std::exchange(m_waiters[incarnation], {});
+        const WriterState state = co_await find(incarnation, address);
+        if (alive.expired()) {
+            co_return;
+        }
+        if (state != WriterState::Runs) {
+            kLog.info("endpoint no longer runs as it did when it wrote an answer",
+                      {field("endpoint", incarnation.endpoint.value()), field("address", address),
+                       field("born", incarnation.startedAtMilliseconds), field("writer", writerStateName(state))});
+        }
+        for (const Callback &callback : asked) {
+            callback(state);
+        }
+    }
+    if (!alive.expired()) {
+        m_waiters.erase(incarnation);
+    }
 }
 
-void WriterProbe::finish(const EndpointIncarnation &incarnation, const std::string &address, WriterState state)
+net::awaitable<WriterState> WriterProbe::find(const EndpointIncarnation &incarnation, const std::string &address)
 {
-    const std::vector<Callback> answered = std::exchange(m_waiters[incarnation].asked, {});
-    if (m_waiters[incarnation].next.empty()) {
-        m_waiters.erase(incarnation);
-    } else {
-        ask(incarnation, address);
+    const std::weak_ptr<int> alive = m_alive;
+    for (int n = 0; n < kQuestions; ++n) {
+        std::optional<WriterState> state = co_await findByReport(incarnation, address);
+        if (!state && !alive.expired()) {
+            state = co_await findByConnecting(address);
+        }
+        if (state || alive.expired()) {
+            co_return state.value_or(WriterState::Unknown);
+        }
+        co_await awaitPause(m_timers, kPause);
+        if (alive.expired()) {
+            co_return WriterState::Unknown;
+        }
+    }
+    co_return WriterState::Runs;
+}
+
+// Nothing if the connection was lost.
+net::awaitable<std::optional<WriterState>> WriterProbe::findByReport(const EndpointIncarnation &incarnation,
+                                                                     const std::string &address)
+{
+    const auto start = [this, &address](auto done) {
+        makeEndpointReportReader(m_workers, address)->read(kReportTimeout, std::move(done));
+    };
+    const auto report = co_await awaitCallback<absl::StatusOr<EndpointReport>>(start);
+    if (!report.ok() && failureCode(report.status()) == FailureCode::ConnectionLost) {
+        co_return std::nullopt;
     }
-    for (const Callback &callback : answered) {
-        callback(state);
+    if (!report.ok() && failureCode(report.status()) == FailureCode::ConnectionSilent) {
+        co_return WriterState::Unknown;
+    }
+    const bool isOther = report.ok() && incarnation.startedAtMilliseconds > 0
+        && report->startedAtMilliseconds != incarnation.startedAtMilliseconds;
+    co_return isOther ? WriterState::Ended : WriterState::Runs;
+}
+
+// Nothing if something listens there.
+net::awaitable<std::optional<WriterState>> WriterProbe::findByConnecting(const std::string &address)
+{
+    const EndpointConnections::ConnectionPointer connection = m_connections.create(address);
+    const absl::Status status = co_await connection->connect(kConnectTimeout);
+    connection->close();
+    if (connection->wasRefused()) {
+        co_return WriterState::Ended;
     }
+    co_return status.ok() ? std::nullopt : std::optional(WriterState::Unknown);
 }
 
 }
--- a/src/gateway/writerprobe.h
+++ b/src/gateway/writerprobe.h
@@ -1,16 +1,20 @@
 #pragma once
 
+#include "base/timerservice.h"
+#include "endpointconnections.h"
 #include "serving/crashreport.h"
-#include "workerpool.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <boost/asio/awaitable.hpp>
+
 namespace RadishSwitch
 {
 
@@ -18,9 +22,9 @@
 enum class WriterState {
     /// The same process still runs, so that it has ended the connection itself.
     Runs,
-    /// Another process has its address, or none.
+    /// Nothing listens at its address, or a process that started at another time does.
     Ended,
-    /// It did not answer in time.
+    /// Nobody answered in time.
     Unknown,
 };
 
@@ -30,32 +34,32 @@
 /// Asks endpoints whether the process that wrote an answer still runs.
 ///
 /// Where the end of the connection is the end of the answer, a process that is killed ends the answer as well: its
-/// kernel closes its connections in good order. A process that answers with the start of the same incarnation after
-/// the end of the connection was not killed before it.
+/// kernel closes its connections in good order. A process that answers after that was not killed. The start in its
+/// report tells it from a new process under the same id; endpoints without a report are told by an answer of any kind,
+/// since the platform does not give the address of an ended process to another one at once.
 class WriterProbe
 {
 public:
     using Callback = std::function<void(WriterState)>;
 
-    explicit WriterProbe(WorkerPool &workers);
+    WriterProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections);
 
     /// Calls back once, never from inside this call, with what was found out after this call. Calls for the same
     /// incarnation share a question, but not one that was asked before them.
     void probe(const EndpointIncarnation &incarnation, const std::string &address, Callback callback);
 
 private:
-    struct Waiters {
-        /// Those whose question is on its way.
-        std::vector<Callback> asked;
-        /// Those that wait for the next question.
-        std::vector<Callback> next;
-    };
-
-    void ask(const EndpointIncarnation &incarnation, const std::string &address);
-    void finish(const EndpointIncarnation &incarnation, const std::string &address, WriterState state);
+    boost::asio::awaitable<void> ask(EndpointIncarnation incarnation, std::string address);
+    boost::asio::awaitable<WriterState> find(const EndpointIncarnation &incarnation, const std::string &address);
+    boost::asio::awaitable<std::optional<WriterState>> findByReport(const EndpointIncarnation &incarnation,
+                                                                    const std::string &address);
+    boost::asio::awaitable<std::optional<WriterState>> findByConnecting(const std::string &address);
 
     WorkerPool &m_workers;
-    absl::flat_hash_map<EndpointIncarnation, Waiters> m_waiters;
+    TimerService &m_timers;
+    EndpointConnections &m_connections;
+    /// Those that wait for the next question, for each incarnation that is being asked.
+    absl::flat_hash_map<EndpointIncarnation, std::vector<Callback>> m_waiters;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/tests/radishswitch-gateway/answersendedbyclosing_test.cpp
+++ b/tests/radishswitch-gateway/answersendedbyclosing_test.cpp
@@ -92,3 +92,34 @@
         EXPECT_EQ(runs(id), 1);
     }
 }
+
+// Guards against whole answers of endpoints without a report that are held for broken off.
+TEST_F(AnswersEndedByClosingTest, answersOfEndpointsWithoutReport_areRelayedWhole)
+{
+    startFleet();
+    onTestServers([this] {
+        first.setReportText("no report");
+        second.setReportText("no report");
+    });
+    const auto order = call(request("/order/1", "order"));
+    ASSERT_TRUE(order.ok()) << order.status();
+    EXPECT_EQ(order->body, ReplicaServer::bodyText("order"));
+    const auto stream = call(streamRequest("/once/1", "stream"));
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_EQ(stream->body, wholeStream("stream", 10));
+}
+
+// Guards against a process that started at another time and is taken for the one that wrote the answer.
+TEST_F(AnswersEndedByClosingTest, orderAnsweredByAnotherStartThanReported_isNoSuccess)
+{
+    startFleet();
+    onTestServers([this] {
+        const std::string report = R"({"born":2000,"queued":0,"active":0,"kv-used":0,"kv-total":1})";
+        first.setReportText(report);
+        second.setReportText(report);
+    });
+    const auto order = call(request("/order/1", "order"));
+    ASSERT_TRUE(order.ok()) << order.status();
+    EXPECT_EQ(order->status, 502) << order->body;
+    EXPECT_EQ(runs("order"), 1);
+}
