Tests of bytes without end, which fail on this code

Endpoints in trouble may send bytes without end, in a head or a body.

Unit tests: parts of chunks without end at HttpConnection and HttpServer, an answer of 20 MiB of the store, ids that repeat or are no numbers. All but headWithoutEnd_isTooLarge fail.

--- a/tests/core/serving/eventsplitter_test.cpp
+++ b/tests/core/serving/eventsplitter_test.cpp
@@ -58,3 +58,47 @@
     EXPECT_EQ(splitter.take(event(13)), event(13));
     EXPECT_EQ(splitter.count(), 1);
 }
+
+// Guards against a resumed run whose events never get beyond what the caller has: its ids must increase like all
+// others.
+TEST_F(EventSplitterTest, take_resumedRunRepeatsItsIds_hasGap)
+{
+    EventSplitter splitter;
+    splitter.take(event(1) + event(2) + event(3));
+    splitter.restart();
+    EXPECT_EQ(splitter.take(event(2) + event(2)), "");
+    EXPECT_TRUE(splitter.hasGap());
+}
+
+TEST_F(EventSplitterTest, take_resumedRunGoesBack_hasGap)
+{
+    EventSplitter splitter;
+    splitter.take(event(1) + event(2) + event(3));
+    splitter.restart();
+    EXPECT_EQ(splitter.take(event(2) + event(1)), "");
+    EXPECT_TRUE(splitter.hasGap());
+}
+
+// Guards against events whose place in the stream can't be told: nothing could be continued behind them.
+TEST_F(EventSplitterTest, take_idIsNoNumber_hasGap)
+{
+    for (const std::string id : {"", "two", "-1", "1.5", "99999999999999999999"}) {
+        EventSplitter splitter;
+        EXPECT_EQ(splitter.take(event(1) + "id: " + id + "\ndata: x\n\n"), event(1));
+        EXPECT_TRUE(splitter.hasGap()) << id;
+    }
+}
+
+// Guards against repeating what stands between two events: of a resumed run, text without an id belongs to the event
+// before it, and the caller may have it.
+TEST_F(EventSplitterTest, take_resumedRunHasEventsWithoutId_passesOnlyThoseBehindNewEvents)
+{
+    const std::string comment = ": comment\n\n";
+    EventSplitter splitter;
+    EXPECT_EQ(splitter.take(comment + event(1) + comment + event(2) + comment),
+              comment + event(1) + comment + event(2) + comment);
+    splitter.restart();
+    EXPECT_EQ(splitter.take(comment + event(1) + comment + event(2) + comment + event(3) + comment),
+              event(3) + comment);
+    EXPECT_FALSE(splitter.hasGap());
+}
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <thread>
 
 using namespace RadishSwitch;
 using boost::asio::ip::tcp;
@@ -63,6 +64,42 @@
         boost::asio::write(m_endpoint, boost::asio::buffer(bytes));
     }
 
+    /// Sends bytes again and again, until the other side closes or this is enough.
+    void sayWithoutEnd(const std::string &bytes)
+    {
+        constexpr std::size_t kEnough = 8 * 1024 * 1024;
+        boost::system::error_code ec;
+        for (std::size_t n = 0; n < kEnough && !ec; n += bytes.size()) {
+            boost::asio::write(m_endpoint, boost::asio::buffer(bytes), ec);
+        }
+    }
+
+    /// What becomes of a whole answer that begins as given and whose end never comes.
+    absl::Status receiveWithoutEnd(const std::string &beginning, const std::string &repeated)
+    {
+        sendRequest();
+        std::thread endpoint([&] {
+            say(beginning);
+            sayWithoutEnd(repeated);
+        });
+        absl::Status status = wait(wholeAnswer());
+        workers.post([this] {
+            connection->close();
+        });
+        endpoint.join();
+        return status;
+    }
+
+    boost::asio::awaitable<absl::Status> wholeAnswer()
+    {
+        connection->expireAfter(std::chrono::seconds(2));
+        absl::Status status = co_await connection->receiveHead(true);
+        if (status.ok()) {
+            status = (co_await connection->receiveAll()).status();
+        }
+        co_return status;
+    }
+
     absl::Status receiveHead(Duration timeout)
     {
         return wait(head(timeout));
@@ -202,3 +239,34 @@
     EXPECT_EQ(traffic.totals().out, 16 + 6 + static_cast<std::int64_t>(connection->address().size()) + 2 + 2);
     EXPECT_EQ(traffic.totals().declaredIn, 0);
 }
+
+// Guards against endpoints in trouble whose bytes never become a part of the answer: what can't be parsed is kept in
+// memory, and without a bound it grows for as long as they send.
+TEST_F(HttpConnectionTest, headWithoutEnd_isTooLarge)
+{
+    EXPECT_EQ(failureCode(receiveWithoutEnd("HTTP/1.1 200 OK\r\nX-Filler: ", std::string(4096, 'a'))),
+              FailureCode::MessageTooLarge);
+}
+
+TEST_F(HttpConnectionTest, chunkSizeWithoutEnd_isTooLarge)
+{
+    EXPECT_EQ(
+        failureCode(receiveWithoutEnd("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", std::string(4096, '0'))),
+        FailureCode::MessageTooLarge);
+}
+
+TEST_F(HttpConnectionTest, chunkExtensionWithoutEnd_isTooLargeWithUnknownOutcome)
+{
+    const absl::Status status =
+        receiveWithoutEnd("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n5;", std::string(4096, 'a'));
+    EXPECT_EQ(failureCode(status), FailureCode::MessageTooLarge);
+    EXPECT_EQ(outcomeOf(status), RunOutcome::Unknown);
+}
+
+TEST_F(HttpConnectionTest, trailerWithoutEnd_isTooLarge)
+{
+    EXPECT_EQ(
+        failureCode(receiveWithoutEnd("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX-Filler: ",
+                                      std::string(4096, 'a'))),
+        FailureCode::MessageTooLarge);
+}
--- a/tests/net/httpobjectstore_test.cpp
+++ b/tests/net/httpobjectstore_test.cpp
@@ -76,6 +76,17 @@
     }
 };
 
+// Guards against a store in trouble whose answer does not end: it is given up, and what the call did is not known.
+TEST_F(HttpObjectStoreTest, answerOfMoreThanAnyObjectHas_isTimeoutWithUnknownOutcome)
+{
+    constexpr std::size_t kMoreThanAnyObject = 20 * 1024 * 1024;
+    const std::string address =
+        answering(HttpResponse{200, {{"X-Object-Version", "1"}}, std::string(kMoreThanAnyObject, 'a')});
+    const absl::StatusOr<StoredObject> object = get(address);
+    EXPECT_EQ(failureCode(object.status()), FailureCode::StoreTimeout);
+    EXPECT_EQ(outcomeOf(object.status()), RunOutcome::Unknown);
+}
+
 TEST_F(HttpObjectStoreTest, put_answerLostAfterTheWrite_isTimeoutAndNeverUnavailable)
 {
     // The platform takes the write, and the answer is lost on its way. Read as "no effect", the writer would write
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -207,6 +207,18 @@
     }
 }
 
+// Guards against a caller that makes the server keep bytes which never become a part of a request: the extension of a
+// chunk counts towards no limit of the body.
+TEST_F(HttpServerTest, chunkExtensionWithoutEnd_isRefused)
+{
+    const std::string address = serve(echo);
+    const std::string answer = exchangeRaw(servers.back()->port(),
+                                           "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;"
+                                               + std::string(1024 * 1024, 'a'));
+    EXPECT_EQ(errorCodeOf(answer.substr(std::min(answer.find("\r\n\r\n"), answer.size() - 4) + 4)), "header_too_large")
+        << answer;
+}
+
 TEST_F(HttpServerTest, handler_throws_callerGetsTypedErrorWithUnknownOutcome)
 {
     const auto response = fetch(serve([](HttpExchange &) -> boost::asio::awaitable<void> {
