Chunk sizes, extensions and trailers without end are given up

Seen: an endpoint whose chunk extension, chunk size or trailer does not end was read until the call's deadline; eight calls at once answered after 3.0 to 3.7 s, the gateway 1.17 to 1.18 GB larger. A caller's was read until its read timeout.

Cause: the parser keeps what it can't parse yet in the buffer and counts it towards no limit: that of the header holds for the head alone, that of the body for the data of chunks.

Now the buffer of bytes that wait for more is bounded: 64 KiB of an answer, of a request the maximum of its head and 64 KiB. The failure is MessageTooLarge with an unknown outcome, to callers 431 header_too_large.

--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -29,6 +29,8 @@
 /// Probes without an answer after which the kernel gives a connection up.
 constexpr int kKeepAliveProbes = 2;
 constexpr std::uint32_t kMaximumHeaderBytes = 64 * 1024;
+/// Bytes of a body that wait for more to be parsed: the size, an extension or the trailer of a chunk.
+constexpr std::size_t kMaximumUnparsedBytes = 64 * 1024;
 constexpr std::uint64_t kMaximumBodyBytes = 256 * 1024 * 1024;
 /// Looks at the acknowledgements of a request within the time that it may be held up.
 constexpr int kAcknowledgementLooks = 4;
@@ -284,6 +286,10 @@
 
 net::awaitable<void> HttpConnection::fillBuffer(std::size_t size, beast::error_code &ec)
 {
+    if (m_buffer.size() >= kMaximumUnparsedBytes) {
+        ec = http::error::header_limit;
+        co_return;
+    }
     const std::size_t n = co_await m_socket.async_read_some(m_buffer.prepare(size), awaitInto(ec));
     m_buffer.commit(n);
     noteRead(n);
--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -251,6 +251,10 @@
 net::awaitable<beast::error_code> HttpSession<Stream>::readSome()
 {
     beast::error_code ec;
+    // What can't be parsed yet is a head, or the size, an extension or the trailer of a chunk.
+    if (m_buffer.size() > widerLimits().maximumHeaderBytes + kReadAtOnce) {
+        co_return http::error::header_limit;
+    }
     const net::mutable_buffer buf = m_buffer.prepare(beast::read_size(m_buffer, kReadAtOnce));
     const std::size_t n = co_await readInto(buf, ec);
     m_buffer.commit(n);
