Whole answers without end are given up, and the memory of all held answers is bounded

Seen: whole answers without end, eight calls at once (in chunks, or ended by closing): 502 or 504 after 3.0 to 3.7 s at a deadline of 3 s, the gateway 1.24 to 1.31 GB larger; its machine has 260 MB. A series of answers to other calls before the answer: nothing to the caller within 6 s.

Now an answer has at most 8 MiB (--longest-answer-mb), and all that are held together 32 MiB (--held-answers-mb); where there is no room, the longest incomplete one is given up, which one without end becomes, so that ordinary ones go on. Bodies that nobody reads are dropped as they come: of at most 8 answers to earlier calls, and 64 KiB of a refusal. A connection with bytes behind a complete answer is closed at once if they have been read with it. The failure is MessageTooLarge with an unknown outcome in `attempt failed`, the caller gets another attempt or 502 endpoint_failed, and radishswitch_answers_too_long_total counts it.

Answers are still held until they are complete and not passed on while they are read: callers get an answer in full or a typed failure, and a call that may run again is sent elsewhere when its answer breaks off.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -41,6 +41,8 @@
         Instant lastActivityAt{};
         /// Whether the connection is delivering the answer to an earlier call, which precedes the answer to this call.
         bool isReadingStrayAnswer = false;
+        /// Number of answers to other calls that came before the answer to this call.
+        int strayAnswers = 0;
         bool isSilenceLogged = false;
         /// The connection was established, but the gateway decided not to send the call.
         bool isWithdrawn = false;
@@ -121,6 +123,7 @@
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> awaitHead();
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
+    HeldAnswer holdAnswer();
     bool hasEndedBeforeFirstEvent() const;
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -15,6 +15,11 @@
 
 const Log kLog("call");
 
+/// A duplicate answer precedes the answer to a call. An endpoint that sends more of them never comes to its answer.
+constexpr int kMaximumStrayAnswers = 8;
+/// Refusals have short bodies, which nobody reads.
+constexpr std::size_t kMaximumRefusalBytes = 64 * 1024;
+
 RunEnd runEndWithoutAnswer(AttemptEnd end)
 {
     switch (end) {
@@ -173,6 +178,10 @@
             co_return head;
         }
         attempt.isReadingStrayAnswer = true;
+        if (++attempt.strayAnswers > kMaximumStrayAnswers) {
+            co_return withUnknownOutcome(
+                makeFailure(FailureCode::MessageTooLarge, "too many answers to other calls came first"));
+        }
     }
 }
 
@@ -218,9 +227,9 @@
     if (!attempt.isReadingStrayAnswer) {
         co_return absl::OkStatus();
     }
-    const absl::StatusOr<std::string> body = co_await attempt.connection->receiveAll();
-    attempt.isReadingStrayAnswer = !body.ok();
-    co_return body.status();
+    const absl::Status status = co_await attempt.connection->skipBody(m_services.answers.maximumAnswerBytes());
+    attempt.isReadingStrayAnswer = !status.ok();
+    co_return status;
 }
 
 AttemptEnd Call::endUnanswered(Attempt &attempt, const absl::Status &status)
@@ -233,6 +242,9 @@
     if (attempt.connection->wasHeldUp()) {
         m_services.metrics.noteHeldUp();
     }
+    if (failureCode(status) == FailureCode::MessageTooLarge) {
+        m_services.metrics.noteTooLong();
+    }
     return failureCode(status) == FailureCode::ConnectionSilent ? AttemptEnd::Silent : AttemptEnd::Broken;
 }
 
@@ -240,10 +252,13 @@
 {
     const ConnectionPointer connection = std::exchange(attempt.connection, nullptr);
     connection->expireAfter(m_services.times.refusalBodyTimeout);
-    const absl::StatusOr<std::string> body = co_await connection->receiveAll();
-    if (!body.ok()) {
+    attempt.failure = co_await connection->skipBody(kMaximumRefusalBytes);
+    if (!attempt.failure.ok()) {
         connection->close();
     }
+    if (failureCode(attempt.failure) == FailureCode::MessageTooLarge) {
+        m_services.metrics.noteTooLong();
+    }
     m_services.connections.release(attempt.placement.endpoint, connection, head.idleTimeout);
     co_return head.isOtherEndpoint ? AttemptEnd::WrongEndpoint : AttemptEnd::RefusedByEndpoint;
 }
--- a/src/gateway/callmetrics.cpp
+++ b/src/gateway/callmetrics.cpp
@@ -70,6 +70,8 @@
           metrics.counter("radishswitch_endpoint_backoffs_total", "Demands of endpoints to be sent nothing for a time"))
     , m_heldUp(metrics.counter("radishswitch_requests_held_up_total",
                                "Requests dropped since nothing of them was acknowledged"))
+    , m_tooLong(metrics.counter("radishswitch_answers_too_long_total",
+                                "Answers of endpoints that were given up since they were too long"))
     , m_total(stage(metrics, "whole"))
     , m_firstAnswer(stage(metrics, "first_answer"))
     , m_reserving(stage(metrics, "reserving"))
@@ -140,6 +142,11 @@
     m_heldUp.add();
 }
 
+void CallMetrics::noteTooLong()
+{
+    m_tooLong.add();
+}
+
 void CallMetrics::noteBackoff()
 {
     m_backoffs.add();
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -62,6 +62,9 @@
     /// A caller continues a stream; nullopt if it is not known where it began.
     void noteOriginSought(std::optional<OriginEvidence> evidence);
 
+    /// Counts an answer that was given up because it was too long.
+    void noteTooLong();
+
     /// Counts a request that was dropped because its endpoint acknowledged none of its bytes.
     void noteHeldUp();
 
@@ -74,6 +77,7 @@
     std::array<Counter *, kRefusalReasons.size()> m_refusedUnread;
     Counter &m_backoffs;
     Counter &m_heldUp;
+    Counter &m_tooLong;
     Histogram &m_total;
     Histogram &m_firstAnswer;
     Histogram &m_reserving;
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -11,6 +11,16 @@
 
 namespace net = boost::asio;
 
+namespace
+{
+
+absl::Status tooLong()
+{
+    return withUnknownOutcome(makeFailure(FailureCode::MessageTooLarge, "the answer is longer than is accepted"));
+}
+
+}
+
 net::awaitable<Call::AttemptResult> Call::relay()
 {
     if (!m_attempt.connection) {
@@ -63,11 +73,13 @@
 net::awaitable<Call::AttemptResult> Call::relayWhole(const AnswerHead &head)
 {
     HttpConnection &connection = *m_attempt.connection;
+    HeldAnswer held = holdAnswer();
     connection.expireAfter(remainingWait());
-    absl::StatusOr<std::string> body = co_await connection.receiveAll();
+    absl::StatusOr<std::string> body = co_await connection.receiveAll(held);
     if (!body.ok()) {
-        co_return endUnanswered(m_attempt, body.status());
+        co_return endUnanswered(m_attempt, held.isGivenUp() ? tooLong() : body.status());
     }
+    held.complete();
     noteFirstAnswer();
     m_isAnswered = true;
     m_answeredStatus = head.status;
@@ -117,6 +129,13 @@
     co_return std::nullopt;
 }
 
+HeldAnswer Call::holdAnswer()
+{
+    return {m_services.answers, [connection = m_attempt.connection] {
+                connection->close();
+            }};
+}
+
 // Where the end of the connection is the end of the answer, an endpoint that crashes as it begins to write looks as if
 // it had nothing to say.
 bool Call::hasEndedBeforeFirstEvent() const
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answermemory.h"
 #include "callmetrics.h"
 #include "callprotocol.h"
 #include "endpointconnections.h"
@@ -80,6 +81,7 @@
     PoisonGuard &poison;
     LimitReports &limits;
     StreamOrigins &streamOrigins;
+    AnswerMemory &answers;
 
     RetryBudget &retryBudget(const PoolId &pool)
     {
--- a/src/gateway/endpointconnections.cpp
+++ b/src/gateway/endpointconnections.cpp
@@ -43,7 +43,8 @@
                                   std::optional<Duration> idleTimeout)
 {
     const Duration kept = idleTimeout ? *idleTimeout - m_settings.idleMargin : m_settings.idleTimeout;
-    if (kept <= Duration::zero() || connection->isSending() || !connection->isKeptAlive()) {
+    const bool isUsable = connection->isKeptAlive() && !connection->hasBytesBehindAnswer();
+    if (kept <= Duration::zero() || connection->isSending() || !isUsable) {
         return connection->close();
     }
     connection->clearDeadline();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,6 +79,7 @@
           [this](const StreamOriginQuery &query) {
               return m_streamOrigins.answer(query);
           })
+    , m_answers(answerMemorySettings(m_settings))
     , m_services{*m_adapter.protocol,
                  m_timers,
                  m_random,
@@ -94,7 +95,8 @@
                  m_link,
                  m_poison,
                  m_limits,
-                 m_streamOrigins}
+                 m_streamOrigins,
+                 m_answers}
     , m_intake(m_workers, m_timers, *m_adapter.protocol, m_callMetrics, m_sampler, m_link, m_intakeBudget,
                shedderSettings(m_settings),
                [this] {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -135,6 +135,7 @@
     StreamOriginPeers m_originPeers;
     StreamOrigins m_streamOrigins;
     StreamOriginService m_originService;
+    AnswerMemory m_answers;
     CallServices m_services;
     CallIntake m_intake;
     GatewayLoads m_gatewayLoads;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -17,6 +17,7 @@
 constexpr double kMaximumRereadFactor = 1000;
 constexpr double kMaximumLateCallSeconds = 60;
 constexpr double kMaximumLimit = 100'000;
+constexpr int kMaximumAnswersMb = 4096;
 constexpr double kMaximumLinkMbps = 100'000;
 constexpr double kMinimumColdOvershoot = 0.01;
 constexpr double kMaximumColdOvershoot = 100;
@@ -101,6 +102,10 @@
                      "bandwidth of the link in each direction, in Mbit/s; 0 if unknown");
     parser.addFlag("intake-budget", settings.hasIntakeBudget,
                    "refuse calls by the counted bytes of the link; only with --link-mbps from above 0 to 50");
+    parser.addNumber("longest-answer-mb", settings.longestAnswerMb, 1, kMaximumAnswersMb,
+                     "maximum size of an unstreamed answer, in MiB");
+    parser.addNumber("held-answers-mb", settings.heldAnswersMb, 1, kMaximumAnswersMb,
+                     "maximum size of all unstreamed answers and events that are held until they are complete, in MiB");
     parser.addFlag("ignore-pressure", settings.ignoresPressure,
                    "send calls to endpoints even if these already answer late");
     parser.addFlag("load-news", settings.receivesLoadNews,
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -58,6 +58,9 @@
     /// Calls are refused unread if the counted bytes of the link leave no room for them. Only for links of at most
     /// `kWidestBudgetedLinkMbps`.
     bool hasIntakeBudget = false;
+    /// Maximum size of an unstreamed answer, and of all that are held at once until they are complete, in MiB.
+    int longestAnswerMb = 8;
+    int heldAnswersMb = 32;
     /// Calls are sent to endpoints even if these already answer late.
     bool ignoresPressure = false;
     /// Load updates of endpoints and other gateways are received from a home of the zone.
--- a/src/gateway/partsettings.cpp
+++ b/src/gateway/partsettings.cpp
@@ -81,6 +81,15 @@
     return times;
 }
 
+AnswerMemorySettings answerMemorySettings(const GatewaySettings &settings)
+{
+    constexpr std::size_t kMegabyte = 1024 * 1024;
+    AnswerMemorySettings answers;
+    answers.maximumAnswerBytes = static_cast<std::size_t>(settings.longestAnswerMb) * kMegabyte;
+    answers.maximumTotalBytes = static_cast<std::size_t>(settings.heldAnswersMb) * kMegabyte;
+    return answers;
+}
+
 CallGateSettings gateSettings(const GatewaySettings &settings)
 {
     CallGateSettings gate;
--- a/src/gateway/partsettings.h
+++ b/src/gateway/partsettings.h
@@ -26,6 +26,7 @@
 
 RetrySettings retrySettings(const GatewaySettings &settings);
 CallTimes callTimes(const GatewaySettings &settings);
+AnswerMemorySettings answerMemorySettings(const GatewaySettings &settings);
 CallGateSettings gateSettings(const GatewaySettings &settings);
 /// Null if the bandwidth of the link is unknown: then no bytes are counted.
 LinkTraffic *countedTraffic(const GatewaySettings &settings, LinkTraffic &traffic);
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -43,6 +43,24 @@
 /// A stream waits inside the read for most of its life, so that this is memory of each open stream.
 constexpr std::size_t kStreamReadBytes = 4 * 1024;
 
+/// A length that is known beforehand.
+class FixedLimit : public BodyLimit
+{
+public:
+    explicit FixedLimit(std::size_t maximumBytes)
+        : m_maximumBytes(maximumBytes)
+    {
+    }
+
+    bool admits(std::size_t bytes) override
+    {
+        return bytes <= m_maximumBytes;
+    }
+
+private:
+    const std::size_t m_maximumBytes;
+};
+
 auto awaitInto(beast::error_code &ec)
 {
     return net::redirect_error(net::use_awaitable, ec);
@@ -317,14 +335,46 @@
                                                                        std::size_t maximumBytes)
 {
     std::string data;
+    FixedLimit limit(maximumBytes);
+    const absl::Status status = co_await readBody([&](std::string_view part) {
+        data.append(part);
+        if (silence > Duration::zero()) {
+            expireAfter(std::min(silence, std::chrono::duration_cast<Duration>(end - Clock::now())));
+        }
+        return limit.admits(data.size());
+    });
+    co_return status.ok() ? absl::StatusOr<std::string>(std::move(data)) : status;
+}
+
+net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveAll(BodyLimit &limit)
+{
+    std::string data;
+    const absl::Status status = co_await readBody([&](std::string_view part) {
+        data.append(part);
+        return limit.admits(data.size());
+    });
+    co_return status.ok() ? absl::StatusOr<std::string>(std::move(data)) : status;
+}
+
+net::awaitable<absl::Status> HttpConnection::skipBody(std::size_t maximumBytes)
+{
+    std::size_t skipped = 0;
+    co_return co_await readBody([&](std::string_view part) {
+        skipped += part.size();
+        return skipped <= maximumBytes;
+    });
+}
+
+template<typename Take>
+net::awaitable<absl::Status> HttpConnection::readBody(Take take)
+{
     std::array<char, kReadBytes> buf;
     beast::error_code ec;
     m_parser->eager(true);
     while (!m_parser->is_done()) {
         const std::size_t n = parseBody(net::buffer(buf), ec);
-        data.append(buf.data(), n);
-        if (data.size() > maximumBytes) {
-            co_return withUnknownOutcome(makeFailure(FailureCode::MessageTooLarge, m_address + " sent too much"));
+        if (n > 0 && !take(std::string_view(buf.data(), n))) {
+            co_return tooLarge();
         }
         if (!ec && n == 0 && !m_parser->is_done()) {
             co_await fillBuffer(kReadBytes, ec);
@@ -332,11 +382,13 @@
         if (ec) {
             co_return withUnknownOutcome(failure("reading", ec));
         }
-        if (n > 0 && silence > Duration::zero()) {
-            expireAfter(std::min(silence, std::chrono::duration_cast<Duration>(end - Clock::now())));
-        }
     }
-    co_return data;
+    co_return absl::OkStatus();
+}
+
+absl::Status HttpConnection::tooLarge() const
+{
+    return withUnknownOutcome(makeFailure(FailureCode::MessageTooLarge, m_address + " sent too much"));
 }
 
 absl::Status HttpConnection::failure(const std::string &step, beast::error_code ec) const
@@ -454,6 +506,11 @@
     return m_parser && m_parser->is_done() && m_parser->keep_alive();
 }
 
+bool HttpConnection::hasBytesBehindAnswer() const
+{
+    return m_buffer.size() > 0 && m_parser && m_parser->is_done();
+}
+
 bool HttpConnection::endsWithConnection() const
 {
     return m_parser && m_parser->need_eof();
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "acknowledgementwatch.h"
+#include "bodylimit.h"
 #include "httpclient.h"
 #include "limits/linktraffic.h"
 #include "watchdog.h"
@@ -95,6 +96,10 @@
     boost::asio::awaitable<absl::StatusOr<std::string>>
     receiveAll(Duration silence = Duration::zero(), Clock::time_point end = Clock::time_point::max(),
                std::size_t maximumBytes = std::numeric_limits<std::size_t>::max());
+    /// The same within the deadline, as long as `limit` admits what there is.
+    boost::asio::awaitable<absl::StatusOr<std::string>> receiveAll(BodyLimit &limit);
+    /// Reads the body and drops it. MessageTooLarge when it is longer than `maximumBytes`.
+    boost::asio::awaitable<absl::Status> skipBody(std::size_t maximumBytes);
     /// The next bytes of the body; empty at its end.
     boost::asio::awaitable<absl::StatusOr<std::string>>
     receiveSome(Duration timeout, AtExpiry atExpiry = AtExpiry::Close, Duration longest = Duration::max());
@@ -128,6 +133,9 @@
     /// Whether the answer was read whole and the other side keeps the connection open.
     bool isKeptAlive() const;
 
+    /// Whether bytes were read that come behind the answer and belong to no request.
+    bool hasBytesBehindAnswer() const;
+
     /// Whether the answer has neither a length nor chunks, so that the end of the connection is its end. To be called
     /// once its head is there.
     bool endsWithConnection() const;
@@ -174,7 +182,11 @@
     void setOption(int level, int name, int value);
     /// Parses what is buffered of the body into `space`, and gives how much that was.
     std::size_t parseBody(boost::asio::mutable_buffer space, boost::beast::error_code &ec);
-    /// Waits for more of the answer, or for its end.
+    /// Reads the body to its end, as long as `take` returns true for each part of it.
+    template<typename Take>
+    boost::asio::awaitable<absl::Status> readBody(Take take);
+    absl::Status tooLarge() const;
+    /// Waits for more of the answer, or for its end. A header_limit for too many bytes that can't be parsed yet.
     boost::asio::awaitable<void> fillBuffer(std::size_t size, boost::beast::error_code &ec);
 
     const Strand m_strand;
