Events without end are given up, streams end at their deadline, and ids must increase

Cause: the incomplete event had no bound, and its end was searched for from its beginning at each read, so that the work grew with the square of its length. Each read renewed the wait, so that the deadline never came where bytes were always there.

Now an incomplete event has at most 1 MiB and counts towards the memory of held answers; the search goes on where it stopped; and a stream is cut 100 ms behind its deadline whatever comes, which leaves a late process the time to pass on what had arrived. Before the first event the caller gets 502 or 504, afterwards the answer is cut; the outcome is unknown.

By the platform's pages the events of a stream have increasing ids. Within a run each id must be greater than the one before, also where they repeat what the caller has, and an id that is no number ends the run. An event without an id, such as a comment, belongs to the event before it: a resumed run passes it on only behind a new event, and where the caller has only events without ids the stream can't be resumed. A run may repeat at most 8 MiB.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -124,6 +124,7 @@
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
     HeldAnswer holdAnswer();
+    absl::Status checkStream(HeldAnswer &held) const;
     bool hasEndedBeforeFirstEvent() const;
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+/// A process that was late passes on what had arrived by the deadline within this.
+constexpr Duration kLateEvents = std::chrono::milliseconds(100);
+
 absl::Status tooLong()
 {
     return withUnknownOutcome(makeFailure(FailureCode::MessageTooLarge, "the answer is longer than is accepted"));
@@ -96,10 +99,11 @@
 net::awaitable<Call::AttemptResult> Call::relayStream(const AnswerHead &head)
 {
     m_eventSplitter.restart();
+    HeldAnswer held = holdAnswer();
     while (true) {
         const absl::StatusOr<std::string> data = co_await awaitEvents();
         if (!data.ok()) {
-            co_return endUnanswered(m_attempt, data.status());
+            co_return endUnanswered(m_attempt, held.isGivenUp() ? tooLong() : data.status());
         }
         if (data->empty()) {
             break;
@@ -116,6 +120,10 @@
         if (m_eventSplitter.hasGap()) {
             co_return AttemptEnd::Broken;
         }
+        const absl::Status status = checkStream(held);
+        if (!status.ok()) {
+            co_return endUnanswered(m_attempt, status);
+        }
     }
     if (!m_eventSplitter.isBetweenEvents() || hasEndedBeforeFirstEvent()) {
         m_attempt.failure = makeFailure(FailureCode::ConnectionLost, "the stream ended before or inside an event");
@@ -136,6 +144,19 @@
             }};
 }
 
+// Waits for events are short when the deadline has passed. An endpoint whose bytes are always there needs no wait.
+absl::Status Call::checkStream(HeldAnswer &held) const
+{
+    if (m_eventSplitter.isTooLong() || !held.admits(m_eventSplitter.heldBytes())) {
+        return tooLong();
+    }
+    if (timeLeft() < -kLateEvents) {
+        return withUnknownOutcome(
+            makeFailure(FailureCode::ConnectionSilent, "the stream did not end before the deadline"));
+    }
+    return absl::OkStatus();
+}
+
 // Where the end of the connection is the end of the answer, an endpoint that crashes as it begins to write looks as if
 // it had nothing to say.
 bool Call::hasEndedBeforeFirstEvent() const
--- a/tests/core/serving/eventsplitter_test.cpp
+++ b/tests/core/serving/eventsplitter_test.cpp
@@ -102,3 +102,56 @@
               event(3) + comment);
     EXPECT_FALSE(splitter.hasGap());
 }
+
+// Guards against an event without end, which would be kept in memory for as long as the endpoint sends.
+TEST_F(EventSplitterTest, take_eventWithoutEnd_isTooLong)
+{
+    EventSplitter splitter;
+    const std::string piece(4096, 'a');
+    EXPECT_EQ(splitter.take(event(1) + "id: 2\ndata: "), event(1));
+    std::size_t taken = 0;
+    while (!splitter.isTooLong() && taken < 2 * EventSplitter::kMaximumEventBytes) {
+        EXPECT_EQ(splitter.take(piece), "");
+        taken += piece.size();
+    }
+    EXPECT_TRUE(splitter.isTooLong());
+    EXPECT_LE(splitter.heldBytes(), EventSplitter::kMaximumEventBytes + piece.size());
+}
+
+TEST_F(EventSplitterTest, take_longEventInSmallPieces_isReturnedWhole)
+{
+    EventSplitter splitter;
+    const std::string text = "id: 1\ndata: " + std::string(EventSplitter::kMaximumEventBytes / 2, 'a') + "\n\n";
+    std::string returned;
+    constexpr std::size_t kPiece = 7;
+    for (std::size_t n = 0; n < text.size(); n += kPiece) {
+        returned += splitter.take(std::string_view(text).substr(n, kPiece));
+    }
+    EXPECT_EQ(returned, text);
+    EXPECT_EQ(splitter.heldBytes(), 0U);
+}
+
+// Guards against a run that repeats without end what the caller has.
+TEST_F(EventSplitterTest, take_resumedRunRepeatsWithoutEnd_isTooLong)
+{
+    EventSplitter splitter;
+    splitter.take(event(1));
+    splitter.restart();
+    const std::string comment = ":" + std::string(4096, 'a') + "\n\n";
+    std::size_t taken = 0;
+    while (!splitter.isTooLong() && taken < 2 * EventSplitter::kMaximumRepeatedBytes) {
+        EXPECT_EQ(splitter.take(comment), "");
+        taken += comment.size();
+    }
+    EXPECT_TRUE(splitter.isTooLong());
+}
+
+// Guards against events without ids that a second run sends again.
+TEST_F(EventSplitterTest, take_streamWithoutIdsRunsAgain_hasGap)
+{
+    EventSplitter splitter;
+    EXPECT_EQ(splitter.take("data: a\n\ndata: b\n\n"), "data: a\n\ndata: b\n\n");
+    splitter.restart();
+    EXPECT_EQ(splitter.take("data: a\n\n"), "");
+    EXPECT_TRUE(splitter.hasGap());
+}
