Answers of the store without end are given up

The clients of the store took bodies of up to 256 MiB, more than the memory of a gateway or a home. They take 16 MiB now; the longest answer that is known, a whole configuration, has 340 kB. Beyond that the call ends as StoreTimeout with an unknown outcome, its connection is closed, and followers and writers go on as after any call without an answer.

HttpObjectStoreTest.answerOfMoreThanAnyObjectHas_isTimeoutWithUnknownOutcome fails before and passes after it.

--- a/src/libradishnet/httpobjectstore.cpp
+++ b/src/libradishnet/httpobjectstore.cpp
@@ -130,7 +130,8 @@
     static net::awaitable<void> exchange(std::shared_ptr<Private> self, HttpRequest request, Duration timeout,
                                          Answer onAnswer)
     {
-        auto response = co_await self->m_client.fetch(self->m_address, std::move(request), timeout);
+        auto response = co_await self->m_client.fetch(self->m_address, std::move(request), timeout, Duration::zero(),
+                                                      kMaximumStoreAnswerBytes);
         onAnswer(std::move(response));
     }
 
--- a/src/libradishnet/storeanswers.h
+++ b/src/libradishnet/storeanswers.h
@@ -4,11 +4,15 @@
 
 #include <absl/status/status.h>
 
+#include <cstddef>
 #include <string>
 
 namespace RadishSwitch
 {
 
+/// A longer answer of an object store is given up. The longest known, a whole configuration, has some hundred kB.
+inline constexpr std::size_t kMaximumStoreAnswerBytes = 16 * 1024 * 1024;
+
 /// Whether an answer of an object store is a success.
 bool isStoreSuccess(const HttpResponse &response);
 
