Idle connections on which bytes come are closed within two seconds

The kernel keeps such bytes up to its own bound for each connection, and that memory counts towards the gateway's.

The maintenance of idle connections, every two seconds, now looks at each whether it could be used; it closes those that the endpoint has ended as well.

Also tests of the flags that bound answers.

--- a/src/gateway/endpointconnections.cpp
+++ b/src/gateway/endpointconnections.cpp
@@ -70,7 +70,7 @@
     const Clock::time_point now = Clock::now();
     for (auto &[endpoint, idle] : m_idle) {
         std::erase_if(idle, [now](const Idle &it) {
-            if (now < it.until) {
+            if (now < it.until && it.connection->isReusable()) {
                 return false;
             }
             it.connection->close();
--- a/src/gateway/endpointconnections.h
+++ b/src/gateway/endpointconnections.h
@@ -55,7 +55,8 @@
     /// endpoint has ended; each of them could delay a call by its whole timeout.
     void closeIdle(const EndpointId &endpoint);
 
-    /// Closes connections whose idle timeout has passed, and removes endpoints without connections.
+    /// Closes connections whose idle timeout has passed, that have ended, or on which bytes came that nobody asked for,
+    /// and removes endpoints without connections.
     void closeExpired();
 
     std::size_t idleCount() const;
--- a/tests/radishswitch-gateway/gatewaysettings_test.cpp
+++ b/tests/radishswitch-gateway/gatewaysettings_test.cpp
@@ -1,6 +1,7 @@
 #include "gatewaysettings.h"
 
 #include "base/failure.h"
+#include "partsettings.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -35,6 +36,21 @@
     EXPECT_TRUE(settings.hasIntakeBudget);
 }
 
+TEST_F(GatewaySettingsTest, answerFlags_given_boundTheMemoryOfAnswers)
+{
+    ASSERT_TRUE(parse({"--longest-answer-mb", "2", "--held-answers-mb", "5"}).ok());
+
+    constexpr std::size_t kMegabyte = 1024 * 1024;
+    EXPECT_EQ(answerMemorySettings(settings).maximumAnswerBytes, 2 * kMegabyte);
+    EXPECT_EQ(answerMemorySettings(settings).maximumTotalBytes, 5 * kMegabyte);
+}
+
+TEST_F(GatewaySettingsTest, answerFlags_outOfRange_areRefused)
+{
+    EXPECT_FALSE(parse({"--longest-answer-mb", "0"}).ok());
+    EXPECT_FALSE(parse({"--held-answers-mb", "-1"}).ok());
+}
+
 TEST_F(GatewaySettingsTest, linkFlags_missing_leaveThePartOff)
 {
     ASSERT_TRUE(parse({}).ok());
