--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -41,6 +41,8 @@
         Instant lastActivityAt{};
         /// Whether the connection is delivering the answer to an earlier call, which precedes the answer to this call.
         bool isReadingStrayAnswer = false;
+        /// Number of answers to other calls that came before the answer to this call.
+        int strayAnswers = 0;
         bool isSilenceLogged = false;
         /// The connection was established, but the gateway decided not to send the call.
         bool isWithdrawn = false;
@@ -124,6 +126,8 @@
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
     boost::asio::awaitable<absl::Status> checkEnd();
+    HeldAnswer holdAnswer();
+    absl::Status checkStream(HeldAnswer &held) const;
     bool hasEndedBeforeFirstEvent() const;
     static bool endsWithConnection(const Attempt &attempt);
     static std::string_view framingName(const Attempt &attempt);
--- a/src/gateway/callmetrics.h
+++ b/src/gateway/callmetrics.h
@@ -66,6 +66,9 @@
     /// Counts an answer that ended with its connection, by what became of the process that wrote it.
     void noteEndedWithConnection(WriterState writer);
 
+    /// Counts an answer that was given up because it was too long.
+    void noteTooLong();
+
     /// Counts a request that was dropped because its endpoint acknowledged none of its bytes.
     void noteHeldUp();
 
@@ -78,6 +81,7 @@
     std::array<Counter *, kRefusalReasons.size()> m_refusedUnread;
     Counter &m_backoffs;
     Counter &m_heldUp;
+    Counter &m_tooLong;
     Histogram &m_total;
     Histogram &m_firstAnswer;
     Histogram &m_reserving;
--- a/src/gateway/callservices.h
+++ b/src/gateway/callservices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answermemory.h"
 #include "callmetrics.h"
 #include "callprotocol.h"
 #include "endpointconnections.h"
@@ -82,6 +83,7 @@
     LimitReports &limits;
     StreamOrigins &streamOrigins;
     WriterProbe &writers;
+    AnswerMemory &answers;
 
     RetryBudget &retryBudget(const PoolId &pool)
     {
--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -29,6 +29,8 @@
 /// Probes without an answer after which the kernel gives a connection up.
 constexpr int kKeepAliveProbes = 2;
 constexpr std::uint32_t kMaximumHeaderBytes = 64 * 1024;
+/// Bytes of a body that wait for more to be parsed: the size, an extension or the trailer of a chunk.
+constexpr std::size_t kMaximumUnparsedBytes = 64 * 1024;
 constexpr std::uint64_t kMaximumBodyBytes = 256 * 1024 * 1024;
 /// Looks at the acknowledgements of a request within the time that it may be held up.
 constexpr int kAcknowledgementLooks = 4;
@@ -41,6 +43,38 @@
 /// A stream waits inside the read for most of its life, so that this is memory of each open stream.
 constexpr std::size_t kStreamReadBytes = 4 * 1024;
 
+/// A length that is known beforehand.
+class FixedLimit : public BodyLimit
+{
+public:
+    explicit FixedLimit(std::size_t maximumBytes)
+        : m_maximumBytes(maximumBytes)
+    {
+    }
+
+    bool admits(std::size_t bytes) override
+    {
+        return bytes <= m_maximumBytes;
+    }
+
+private:
+    const std::size_t m_maximumBytes;
+};
+
+/// Appends to a body. A string doubles its space when it grows; the space of a long body grows by a quarter.
+void appendTo(std::string &data, std::string_view part)
+{
+    constexpr std::size_t kLongBytes = 256 * 1024;
+    const std::size_t size = data.size() + part.size();
+    if (size > kLongBytes && size > data.capacity()) {
+        std::string grown;
+        grown.reserve(size + size / 4);
+        grown.append(data);
+        data = std::move(grown);
+    }
+    data.append(part);
+}
+
 auto awaitInto(beast::error_code &ec)
 {
     return net::redirect_error(net::use_awaitable, ec);
@@ -284,6 +318,10 @@
 
 net::awaitable<void> HttpConnection::fillBuffer(std::size_t size, beast::error_code &ec)
 {
+    if (m_buffer.size() >= kMaximumUnparsedBytes) {
+        ec = http::error::header_limit;
+        co_return;
+    }
     const std::size_t n = co_await m_socket.async_read_some(m_buffer.prepare(size), awaitInto(ec));
     m_buffer.commit(n);
     noteRead(n);
@@ -311,14 +349,46 @@
                                                                        std::size_t maximumBytes)
 {
     std::string data;
+    FixedLimit limit(maximumBytes);
+    const absl::Status status = co_await readBody([&](std::string_view part) {
+        appendTo(data, part);
+        if (silence > Duration::zero()) {
+            expireAfter(std::min(silence, std::chrono::duration_cast<Duration>(end - Clock::now())));
+        }
+        return limit.admits(data.size());
+    });
+    co_return status.ok() ? absl::StatusOr<std::string>(std::move(data)) : status;
+}
+
+net::awaitable<absl::StatusOr<std::string>> HttpConnection::receiveAll(BodyLimit &limit)
+{
+    std::string data;
+    const absl::Status status = co_await readBody([&](std::string_view part) {
+        appendTo(data, part);
+        return limit.admits(data.size());
+    });
+    co_return status.ok() ? absl::StatusOr<std::string>(std::move(data)) : status;
+}
+
+net::awaitable<absl::Status> HttpConnection::skipBody(std::size_t maximumBytes)
+{
+    std::size_t skipped = 0;
+    co_return co_await readBody([&](std::string_view part) {
+        skipped += part.size();
+        return skipped <= maximumBytes;
+    });
+}
+
+template<typename Take>
+net::awaitable<absl::Status> HttpConnection::readBody(Take take)
+{
     std::array<char, kReadBytes> buf;
     beast::error_code ec;
     m_parser->eager(true);
     while (!m_parser->is_done()) {
         const std::size_t n = parseBody(net::buffer(buf), ec);
-        data.append(buf.data(), n);
-        if (data.size() > maximumBytes) {
-            co_return withUnknownOutcome(makeFailure(FailureCode::MessageTooLarge, m_address + " sent too much"));
+        if (n > 0 && !take(std::string_view(buf.data(), n))) {
+            co_return tooLarge();
         }
         if (!ec && n == 0 && !m_parser->is_done()) {
             co_await fillBuffer(kReadBytes, ec);
@@ -326,11 +396,13 @@
         if (ec) {
             co_return withUnknownOutcome(failure("reading", ec));
         }
-        if (n > 0 && silence > Duration::zero()) {
-            expireAfter(std::min(silence, std::chrono::duration_cast<Duration>(end - Clock::now())));
-        }
     }
-    co_return data;
+    co_return absl::OkStatus();
+}
+
+absl::Status HttpConnection::tooLarge() const
+{
+    return withUnknownOutcome(makeFailure(FailureCode::MessageTooLarge, m_address + " sent too much"));
 }
 
 absl::Status HttpConnection::failure(const std::string &step, beast::error_code ec) const
@@ -448,6 +520,11 @@
     return m_parser && m_parser->is_done() && m_parser->keep_alive();
 }
 
+bool HttpConnection::hasBytesBehindAnswer() const
+{
+    return m_buffer.size() > 0 && m_parser && m_parser->is_done();
+}
+
 AnswerFraming HttpConnection::framing() const
 {
     if (m_parser->chunked()) {
