Incarnations of endpoints end where anybody learns of it, not with their entries

While the store is down, endpoints end and start again under their ids with newer software; their entries still name the earlier version, and the entry alone said at which version an endpoint writes.

Neither the refused connection nor the start that the home beside the endpoint reports ended the incarnation: CallGate::noteCrashed only ejected the endpoint, and EndpointLoads dropped the report as one of an incarnation that is not listed.

EndpointRegistry now ends the incarnation at both words, and gives the endpoint a new slot without anything that was known before: load, cached prefixes, limits, backoff, leaving word, runs. Its version is not known until an entry of that start appears. Until then EndpointAdmission lets no stream begin that could go on later, and none go on; whole answers and streams that can't be resumed go there all the same. A stream that is under way at an incarnation that ended, and still gets events, was taken by the next one before anybody knew: its origin is withdrawn, here and at its holders, and nothing is forwarded if it was continued there. A report of the same start, measured a second after the refusal, takes the end back. Nothing is sent or asked that was not before.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -42,6 +42,8 @@
         /// Whether the connection is delivering the answer to an earlier call, which precedes the answer to this call.
         bool isReadingStrayAnswer = false;
         bool isSilenceLogged = false;
+        /// It was sent to continue a stream.
+        bool isContinuation = false;
         /// The connection was established, but the gateway decided not to send the call.
         bool isWithdrawn = false;
         /// The answer has no length of its own and ends with its connection.
@@ -108,6 +110,7 @@
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
     void finish(Attempt &attempt, AttemptResult result);
     void notePoison(const Attempt &attempt, AttemptResult result);
+    static EndpointIncarnation incarnationOf(const Placement &placement);
     CrashedRun crashedRun(const Attempt &attempt) const;
     void noteAnswering();
     RunEnd runEndOf(const Attempt &attempt, AttemptResult result) const;
@@ -125,6 +128,7 @@
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
     void noteFirstEvents();
+    bool checkWriter();
     void noteFirstAnswer();
     Duration firstAnswerWait() const;
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -78,6 +78,9 @@
     absl::Status status =
         co_await attempt.connection->connect(limitToTimeLeft(m_services.connections.connectTimeout()));
     noteConnectTime(placement, m_services.timers.now() - askedAt, status);
+    if (attempt.connection->wasRefused()) {
+        m_services.gate.noteCrashed(incarnationOf(placement));
+    }
     co_return status;
 }
 
@@ -123,6 +126,7 @@
     dispatch.priority = priority();
     dispatch.lastEvent = m_eventSplitter.lastEvent();
     attempt.lastActivityAt = m_services.timers.now();
+    attempt.isContinuation = !m_firstWriter.isEmpty() || continuesStream();
     noteContinued(attempt);
     attempt.connection->startSending(m_services.protocol.endpointCall(m_exchange.request(), dispatch));
 }
@@ -130,7 +134,7 @@
 void Call::noteContinued(const Attempt &attempt) const
 {
     const bool isByGateway = !m_firstWriter.isEmpty();
-    if (!isByGateway && !continuesStream()) {
+    if (!attempt.isContinuation) {
         return;
     }
     const StreamOrigin origin = m_streamOrigin.value_or(StreamOrigin());
@@ -283,9 +287,14 @@
     }
 }
 
+EndpointIncarnation Call::incarnationOf(const Placement &placement)
+{
+    return {placement.endpoint, placement.startedAtMilliseconds};
+}
+
 CrashedRun Call::crashedRun(const Attempt &attempt) const
 {
-    const EndpointIncarnation incarnation{attempt.placement.endpoint, attempt.placement.startedAtMilliseconds};
+    const EndpointIncarnation incarnation = incarnationOf(attempt.placement);
     const bool isSound = answeringTime(attempt) >= m_services.times.soundAnswerTime;
     return {incarnation, fingerprint(), attempt.crashesBefore, isSound ? SharedPrompt() : sharedPrompt()};
 }
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -95,6 +95,9 @@
         noteAnswering();
         const std::string events = m_eventSplitter.take(*data);
         if (!events.empty()) {
+            if (!checkWriter()) {
+                co_return AttemptEnd::Broken;
+            }
             const absl::Status status = co_await forwardToCaller(head, events);
             if (!status.ok()) {
                 m_isCallerDisconnected = true;
@@ -177,6 +180,25 @@
     }
 }
 
+// The connections of an incarnation end with it. What still comes is from a later one, which had taken the call before
+// anybody knew of it, and whose version is not known. Returns whether it may be forwarded.
+bool Call::checkWriter()
+{
+    if (m_services.gate.isAtCurrentIncarnation(m_attempt.placement.id)) {
+        return true;
+    }
+    if (m_attempt.isContinuation) {
+        m_attempt.failure = makeFailure(FailureCode::StreamVersionGone, "the endpoint has started again");
+        return false;
+    }
+    const bool isRecorded = m_streamOrigin && !m_streamOrigin->version.isEmpty();
+    if (isRecorded && m_route->repetition == Repetition::ByResuming) {
+        m_streamOrigin->version = SoftwareVersion();
+        m_services.streamOrigins.note({m_request.id, *m_streamOrigin});
+    }
+    return true;
+}
+
 void Call::noteFirstAnswer()
 {
     m_services.gate.noteFirstAnswer(m_attempt.placement.id);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,7 +61,7 @@
     , m_intakeBudget(intakeBudgetSettings(m_settings), m_traffic, m_random)
     , m_poison(m_workers, m_store, m_connections, m_timers, m_random, m_settings.instance,
                [this](const EndpointIncarnation &incarnation) {
-                   m_gate.noteCrashed(incarnation.endpoint);
+                   m_gate.noteCrashed(incarnation);
                    m_connections.closeIdle(incarnation.endpoint);
                })
     , m_limits(m_store, m_timers, m_random, m_gate)
@@ -179,6 +179,10 @@
 
 void Gateway::startOnWorker()
 {
+    m_gate.setIncarnationEndedCallback([this](const EndpointId &endpoint) {
+        kLog.info("endpoint has ended, its next incarnation awaits an entry", {field("endpoint", endpoint.value())});
+        m_connections.closeIdle(endpoint);
+    });
     m_homes.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
     m_collectors.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
     m_originHolders.setOwnPeer(peerOf(m_settings, PeerKind::Gateway));
@@ -519,6 +523,8 @@
         .set(static_cast<double>(m_poison.barredPartCount()));
     m_metrics.gauge("radishswitch_endpoints_limited", "Endpoints that name a limit")
         .set(static_cast<double>(m_gate.registry().countLimited(m_timers.now())));
+    m_metrics.gauge("radishswitch_endpoints_awaiting_entry", "Endpoints that have started again, without an entry yet")
+        .set(static_cast<double>(m_gate.registry().countAwaitingEntry()));
     m_metrics.gauge("radishswitch_endpoints_leaving", "Endpoints that leave, by the list or by their own word")
         .set(static_cast<double>(m_gate.registry().countLeaving(m_timers.now())));
     m_metrics.gauge("radishswitch_endpoints_backed_off", "Endpoints that asked to be sent nothing for a time")
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -19,6 +19,9 @@
     , m_admission(m_registry, m_allowances)
     , m_placement(m_registry, m_admission, random, std::move(ownZone), settings.placement)
 {
+    m_loads.setStartCallback([this](EndpointSlot slot, std::int64_t startedAtMilliseconds, Instant measuredAt) {
+        noteStart(slot, startedAtMilliseconds, measuredAt);
+    });
 }
 
 CallGate::~CallGate()
@@ -260,11 +263,15 @@
     return it != m_placed.end() && m_admission.mayStillBeSent(it->second.slot, m_timers.now());
 }
 
+bool CallGate::isAtCurrentIncarnation(PlacementId placement) const
+{
+    const auto it = m_placed.find(placement);
+    return it != m_placed.end() && !m_registry.at(it->second.slot).isEarlierIncarnation;
+}
+
 SoftwareVersion CallGate::writerVersion(const Placement &placement) const
 {
-    const std::optional<EndpointSlot> slot = m_registry.slotOf(placement.endpoint);
-    const bool isSame = !slot || m_registry.at(*slot).listing.softwareVersion == placement.softwareVersion;
-    return isSame ? placement.softwareVersion : SoftwareVersion();
+    return isAtCurrentIncarnation(placement.id) ? placement.softwareVersion : SoftwareVersion();
 }
 
 bool CallGate::noteAnnouncedLimit(const PlacedCall &placed, std::optional<double> callsPerSecond)
@@ -291,13 +298,44 @@
     }
 }
 
-void CallGate::noteCrashed(const EndpointId &endpoint)
+void CallGate::noteCrashed(const EndpointIncarnation &incarnation)
 {
-    if (const std::optional<EndpointSlot> slot = m_registry.slotOf(endpoint)) {
-        m_placement.noteCrashed(*slot, m_timers.now());
+    const std::optional<EndpointSlot> slot = m_registry.currentSlotOf(incarnation);
+    if (!slot) {
+        return;
+    }
+    const std::optional<EndpointSlot> next = m_registry.noteEnded(*slot, m_timers.now());
+    m_placement.noteCrashed(next.value_or(*slot), m_timers.now());
+    if (next) {
+        handleIncarnationEnded(*next);
+    }
+}
+
+void CallGate::setIncarnationEndedCallback(std::function<void(const EndpointId &)> callback)
+{
+    m_onIncarnationEnded = std::move(callback);
+}
+
+void CallGate::noteStart(EndpointSlot slot, std::int64_t startedAtMilliseconds, Instant measuredAt)
+{
+    const std::optional<EndpointSlot> next =
+        m_registry.noteStart(slot, startedAtMilliseconds, measuredAt, m_timers.now());
+    if (next) {
+        handleIncarnationEnded(*next);
     }
 }
 
+// How long the next incarnation stays cold is known from its entry only.
+void CallGate::handleIncarnationEnded(EndpointSlot next)
+{
+    markCold({next});
+    const EndpointId endpoint = m_registry.at(next).listing.id;
+    if (m_onIncarnationEnded) {
+        m_onIncarnationEnded(endpoint);
+    }
+    noteRegistryChanged();
+}
+
 void CallGate::noteEnded(PlacementId placement, RunEnd end)
 {
     const auto it = m_placed.find(placement);
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -104,12 +104,15 @@
     /// a limit that was reported after the call had been sent.
     NoticeChanges noteNotice(PlacementId placement, const EndpointNotice &notice);
 
+    /// Whether the incarnation that a call was placed at is still the endpoint's current one.
+    bool isAtCurrentIncarnation(PlacementId placement) const;
+
     /// Whether a placed call may still be sent. It may not once its endpoint has asked for backoff, is leaving, or was
     /// closed since.
     bool mayStillBeSent(PlacementId placement) const;
 
     /// The software version that wrote what came from a placement until now; empty if the endpoint has been restarted
-    /// with other software since, so that either may have written it.
+    /// since, so that either incarnation may have written it.
     SoftwareVersion writerVersion(const Placement &placement) const;
 
     /// Time until the first endpoint open to such calls ends its backoff, in milliseconds; nullopt if at least one of
@@ -122,8 +125,11 @@
     /// Another endpoint answered at the address of the endpoint that was chosen.
     void noteWrongEndpoint(PlacementId placement);
 
-    /// The endpoint's process has ended. Its entry in the platform's list may remain for seconds.
-    void noteCrashed(const EndpointId &endpoint);
+    /// The process of this incarnation has ended. Its entry in the platform's list may remain for seconds.
+    void noteCrashed(const EndpointIncarnation &incarnation);
+
+    /// Called for an endpoint whose incarnation has ended before its entry showed it. Connections to it are unusable.
+    void setIncarnationEndedCallback(std::function<void(const EndpointId &)> callback);
 
     /// The attempt is over. Waiting calls may take the room that it leaves.
     void noteEnded(PlacementId placement, RunEnd end);
@@ -157,6 +163,8 @@
 
     absl::Status refusalWithoutOpenEndpoint(const PlacementQuery &query) const;
     absl::Status refusalFor(const PlacementQuery &query, const absl::Status &status) const;
+    void noteStart(EndpointSlot slot, std::int64_t startedAtMilliseconds, Instant measuredAt);
+    void handleIncarnationEnded(EndpointSlot next);
     bool noteAnnouncedLimit(const PlacedCall &placed, std::optional<double> callsPerSecond);
     void refuseWaitingIfAllBackedOff(PoolId pool);
     std::optional<absl::Status> refusalIfAllBackedOff(const PlacementQuery &query) const;
@@ -184,6 +192,7 @@
     absl::flat_hash_map<PlacementId, PlacedCall> m_placed;
     PlacementId m_lastPlacement = 0;
     TimerId m_timer = 0;
+    std::function<void(const EndpointId &)> m_onIncarnationEnded;
 };
 
 }
--- a/src/libradishswitch/serving/callplacement.cpp
+++ b/src/libradishswitch/serving/callplacement.cpp
@@ -313,11 +313,13 @@
 void CallPlacement::ejectUnlessTooMany(EndpointSlot slot, Instant now)
 {
     const std::vector<EndpointSlot> &slots = m_registry.pool(m_registry.at(slot).listing.pool);
+    const auto current = std::ranges::count_if(slots, [&](EndpointSlot other) {
+        return !m_registry.at(other).isEarlierIncarnation;
+    });
     const auto ejected = std::ranges::count_if(slots, [&](EndpointSlot other) {
         return m_registry.at(other).ejection.isEjected(now);
     });
-    if (static_cast<double>(ejected + 1)
-        <= m_settings.ejection.maximumEjectedShare * static_cast<double>(slots.size())) {
+    if (static_cast<double>(ejected + 1) <= m_settings.ejection.maximumEjectedShare * static_cast<double>(current)) {
         m_registry.at(slot).ejection.eject(m_settings.ejection, now);
     }
 }
--- a/src/libradishswitch/serving/crashreport.h
+++ b/src/libradishswitch/serving/crashreport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/endpointincarnation.h"
 #include "serving/requestfingerprint.h"
 #include "serving/sharedprompt.h"
 
@@ -11,22 +12,6 @@
 namespace RadishSwitch
 {
 
-/// One incarnation of an endpoint: an endpoint that restarts may keep its id.
-struct EndpointIncarnation {
-    EndpointId endpoint;
-    /// Start time, as in its listing.
-    std::int64_t startedAtMilliseconds = 0;
-
-    auto operator<=>(const EndpointIncarnation &) const = default;
-    bool operator==(const EndpointIncarnation &) const = default;
-
-    template<typename H>
-    friend H AbslHashValue(H h, const EndpointIncarnation &it)
-    {
-        return H::combine(std::move(h), it.endpoint, it.startedAtMilliseconds);
-    }
-};
-
 /// A run that broke off because its endpoint crashed.
 struct CrashedRun {
     EndpointIncarnation incarnation;
--- a/src/libradishswitch/serving/endpointadmission.cpp
+++ b/src/libradishswitch/serving/endpointadmission.cpp
@@ -30,6 +30,9 @@
     if (!isOfRequiredVersion(it, query)) {
         return Admission::OtherVersion;
     }
+    if (!isVersionKnown(it, query)) {
+        return Admission::VersionUnknown;
+    }
     const EndpointAvailability availability = m_registry.availability(slot, now);
     if (!acceptsCalls(availability)) {
         return Admission::Closed;
@@ -74,7 +77,13 @@
 
 bool EndpointAdmission::isAllowed(const RegisteredEndpoint &endpoint, const PlacementQuery &query)
 {
-    return query.regions.allows(endpoint.region) && isOfRequiredVersion(endpoint, query);
+    return query.regions.allows(endpoint.region) && isOfRequiredVersion(endpoint, query)
+        && isVersionKnown(endpoint, query);
+}
+
+bool EndpointAdmission::isVersionKnown(const RegisteredEndpoint &endpoint, const PlacementQuery &query)
+{
+    return !endpoint.isAwaitingEntry || (!query.beginsStream && !query.requiredVersion);
 }
 
 bool EndpointAdmission::isOfRequiredVersion(const RegisteredEndpoint &endpoint, const PlacementQuery &query)
--- a/src/libradishswitch/serving/endpointadmission.h
+++ b/src/libradishswitch/serving/endpointadmission.h
@@ -28,6 +28,8 @@
     OtherVersion,
     /// Its software version is new in the pool, and no streams begin there yet.
     VersionNotSettled,
+    /// It has started again, and its software version is not known: a stream that began there could not go on.
+    VersionUnknown,
     /// It is leaving, its zone is closed, it was replaced, or it is gone.
     Closed,
 };
@@ -56,6 +58,7 @@
 private:
     /// Whether the call may ever go to the endpoint, by the call's regions and the version of its stream.
     static bool isAllowed(const RegisteredEndpoint &endpoint, const PlacementQuery &query);
+    static bool isVersionKnown(const RegisteredEndpoint &endpoint, const PlacementQuery &query);
     static bool isOfRequiredVersion(const RegisteredEndpoint &endpoint, const PlacementQuery &query);
     bool isVersionSettled(const RegisteredEndpoint &endpoint, const PlacementQuery &query, Instant now) const;
     bool isShareUsedUp(EndpointSlot slot, Instant now) const;
--- a/src/libradishswitch/serving/endpointloads.cpp
+++ b/src/libradishswitch/serving/endpointloads.cpp
@@ -108,6 +108,26 @@
     return absl::OkStatus();
 }
 
+void EndpointLoads::setStartCallback(StartCallback callback)
+{
+    m_onStart = std::move(callback);
+}
+
+// The entry of an endpoint that has started again may lag behind, or fail to be written while the store is down.
+void EndpointLoads::noteStart(const EndpointLoadReport &report, Instant now) const
+{
+    const std::vector<EndpointSlot> &slots = m_registry.slotsAt(report.address);
+    const auto it = std::ranges::find_if(slots, [&](EndpointSlot slot) {
+        const RegisteredEndpoint &endpoint = m_registry.at(slot);
+        const bool isKnown =
+            endpoint.isStartKnown && endpoint.listing.startedAtMilliseconds == report.startedAtMilliseconds;
+        return !endpoint.isReplaced && !isKnown;
+    });
+    if (it != slots.end() && m_onStart) {
+        m_onStart(*it, report.startedAtMilliseconds, now - report.age);
+    }
+}
+
 // A listing without a start time is of a platform that reports none, and matches every incarnation.
 absl::StatusOr<EndpointSlot> EndpointLoads::slotOf(const EndpointLoadReport &report) const
 {
@@ -130,6 +150,7 @@
     if (absl::Status status = check(report); !status.ok()) {
         return status;
     }
+    noteStart(report, now);
     const absl::StatusOr<EndpointSlot> slot = slotOf(report);
     if (!slot.ok()) {
         return slot.status();
--- a/src/libradishswitch/serving/endpointloads.h
+++ b/src/libradishswitch/serving/endpointloads.h
@@ -9,6 +9,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -62,8 +63,14 @@
     /// Reports are discarded at this age, at which an eighth of a speed is left.
     static constexpr Duration kReportTtl = std::chrono::minutes(1);
 
+    /// Called when a report shows that another process serves at the address of an endpoint than the one that is known.
+    using StartCallback =
+        std::function<void(EndpointSlot slot, std::int64_t startedAtMilliseconds, Instant measuredAt)>;
+
     explicit EndpointLoads(const EndpointRegistry &registry);
 
+    void setStartCallback(StartCallback callback);
+
     /// Takes in a report. One that is not newer than the known report is ignored. Failures, which change nothing:
     /// MalformedMessage for values that are impossible, NoEndpoint for an endpoint or incarnation that is not listed.
     ///
@@ -121,6 +128,7 @@
     };
 
     static absl::Status check(const EndpointLoadReport &report);
+    void noteStart(const EndpointLoadReport &report, Instant now) const;
     absl::StatusOr<EndpointSlot> slotOf(const EndpointLoadReport &report) const;
     PoolIndex poolIndex(const PoolId &pool);
     void updatePool(PoolIndex index, Instant now, std::vector<SpeedChange> &changes);
@@ -132,6 +140,7 @@
     const PoolNews *poolOf(EndpointSlot slot) const;
 
     const EndpointRegistry &m_registry;
+    StartCallback m_onStart;
     std::vector<EndpointNews> m_endpoints;
     std::vector<PoolNews> m_pools;
     absl::flat_hash_map<PoolId, PoolIndex> m_poolIndexes;
--- a/src/libradishswitch/serving/endpointregistry.cpp
+++ b/src/libradishswitch/serving/endpointregistry.cpp
@@ -10,6 +10,15 @@
 namespace RadishSwitch
 {
 
+namespace
+{
+
+/// A report counts as measured after an incarnation was seen to end if its age says so by more than this: ages do not
+/// include the time for which reports travel.
+constexpr Duration kEndedReportMargin = std::chrono::seconds(1);
+
+}
+
 EndpointRegistry::EndpointRegistry(EndpointRegistrySettings settings)
     : m_settings(std::move(settings))
 {
@@ -33,6 +42,9 @@
     if (listing.startedAtMilliseconds < known.listing.startedAtMilliseconds) {
         return ListingOutcome::Outdated;
     }
+    if (isAwaited(known, listing)) {
+        takeAwaitedEntry(known, listing, now);
+    }
     // An endpoint that runs other software was restarted, even if its entry does not give a later start time.
     if (listing.startedAtMilliseconds > known.listing.startedAtMilliseconds
         || listing.softwareVersion != known.listing.softwareVersion) {
@@ -58,6 +70,107 @@
     return ListingOutcome::Current;
 }
 
+bool EndpointRegistry::isAwaited(const RegisteredEndpoint &endpoint, const EndpointListing &listing)
+{
+    return endpoint.isAwaitingEntry
+        && (!endpoint.isStartKnown || listing.startedAtMilliseconds == endpoint.listing.startedAtMilliseconds);
+}
+
+// What the incarnation has reported since it started, such as a backoff, remains valid.
+void EndpointRegistry::takeAwaitedEntry(RegisteredEndpoint &endpoint, const EndpointListing &listing, Instant now)
+{
+    revive(endpoint, now);
+    endpoint.listing.startedAtMilliseconds = listing.startedAtMilliseconds;
+    endpoint.listing.softwareVersion = listing.softwareVersion;
+    endpoint.isAwaitingEntry = false;
+    m_versions.noteListed(listing.pool, listing.softwareVersion, now);
+}
+
+// The endpoint was ejected when it ended, and serves again.
+void EndpointRegistry::revive(RegisteredEndpoint &endpoint, Instant now)
+{
+    if (!std::exchange(endpoint.isStartKnown, true) && endpoint.ejection.isEjected(now)) {
+        endpoint.ejection = EndpointEjection();
+    }
+}
+
+std::optional<EndpointSlot> EndpointRegistry::noteEnded(EndpointSlot slot, Instant now)
+{
+    const EndpointListing &listing = at(slot).listing;
+    if (listing.startedAtMilliseconds == 0 || availability(slot, now) == EndpointAvailability::Gone
+        || listing.isLeaving) {
+        return std::nullopt;
+    }
+    const SoftwareVersion version = listing.softwareVersion;
+    const EndpointSlot next = awaitNextIncarnation(slot, listing.startedAtMilliseconds + 1, now);
+    at(next).isStartKnown = false;
+    at(next).endedVersion = version;
+    at(next).endedAt = now;
+    return next;
+}
+
+std::optional<EndpointSlot> EndpointRegistry::noteStart(EndpointSlot slot, std::int64_t startedAtMilliseconds,
+                                                        Instant measuredAt, Instant now)
+{
+    RegisteredEndpoint &it = at(slot);
+    EndpointListing &listing = it.listing;
+    if (listing.startedAtMilliseconds == 0 || it.isEarlierIncarnation) {
+        return std::nullopt;
+    }
+    if (it.isStartKnown) {
+        const bool isLater = startedAtMilliseconds > listing.startedAtMilliseconds;
+        return isLater ? std::optional(awaitNextIncarnation(slot, startedAtMilliseconds, now)) : std::nullopt;
+    }
+    if (startedAtMilliseconds >= listing.startedAtMilliseconds) {
+        listing.startedAtMilliseconds = startedAtMilliseconds;
+        revive(it, now);
+    } else if (startedAtMilliseconds + 1 == listing.startedAtMilliseconds
+               && measuredAt - it.endedAt > kEndedReportMargin) {
+        // The process has not ended: it only refused connections for a moment.
+        listing.startedAtMilliseconds = startedAtMilliseconds;
+        listing.softwareVersion = it.endedVersion;
+        it.isAwaitingEntry = false;
+        revive(it, now);
+        m_versions.noteListed(listing.pool, listing.softwareVersion, now);
+    }
+    return std::nullopt;
+}
+
+// Nothing that the incarnation before was known to be applies to the next one, but for its place.
+EndpointSlot EndpointRegistry::awaitNextIncarnation(EndpointSlot slot, std::int64_t startedAtMilliseconds, Instant now)
+{
+    EndpointListing listing = at(slot).listing;
+    listing.startedAtMilliseconds = startedAtMilliseconds;
+    listing.softwareVersion = SoftwareVersion();
+    listing.isLeaving = false;
+    listing.coldFor = Duration::zero();
+    const std::optional<Instant> suspectUntil = at(slot).suspectUntil;
+    const Instant unlistedAt = at(slot).unlistedAt;
+    endIncarnation(slot);
+    const EndpointSlot next = insert(listing, now);
+    at(next).isAwaitingEntry = true;
+    at(next).suspectUntil = suspectUntil;
+    at(next).unlistedAt = unlistedAt;
+    updateReplaced(listing.address);
+    return next;
+}
+
+std::optional<EndpointSlot> EndpointRegistry::currentSlotOf(const EndpointIncarnation &incarnation) const
+{
+    const std::optional<EndpointSlot> slot = slotOf(incarnation.endpoint);
+    const std::int64_t startedAt = incarnation.startedAtMilliseconds;
+    const bool isCurrent = slot && startedAt >= at(*slot).earliestStartMilliseconds
+        && startedAt <= at(*slot).listing.startedAtMilliseconds;
+    return isCurrent ? slot : std::nullopt;
+}
+
+std::size_t EndpointRegistry::countAwaitingEntry() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [](const auto &endpoint) {
+        return endpoint && endpoint->isAwaitingEntry && !endpoint->isEarlierIncarnation;
+    }));
+}
+
 void EndpointRegistry::noteWrongEndpoint(EndpointSlot slot)
 {
     at(slot).hasLostAddress = true;
@@ -124,6 +237,13 @@
 }
 
 EndpointSlot EndpointRegistry::add(const EndpointListing &listing, Instant now)
+{
+    const EndpointSlot slot = insert(listing, now);
+    m_versions.noteListed(listing.pool, listing.softwareVersion, now);
+    return slot;
+}
+
+EndpointSlot EndpointRegistry::insert(const EndpointListing &listing, Instant now)
 {
     EndpointSlot slot = static_cast<EndpointSlot>(m_endpoints.size());
     if (m_freeSlots.empty()) {
@@ -134,6 +254,7 @@
     }
     auto endpoint = std::make_unique<RegisteredEndpoint>();
     endpoint->listing = listing;
+    endpoint->earliestStartMilliseconds = listing.startedAtMilliseconds;
     endpoint->hash = rendezvousHash(listing.id.value());
     endpoint->inFlightLimit = std::max(listing.slots, 1);
     endpoint->region = regionOf(listing.zone);
@@ -141,7 +262,6 @@
     endpoint->coldUntil = now + listing.coldFor;
     m_endpoints[slot] = std::move(endpoint);
     m_slots.emplace(listing.id, slot);
-    m_versions.noteListed(listing.pool, listing.softwareVersion, now);
     m_pools[listing.pool].push_back(slot);
     ++m_poolsVersion;
     indexAddress(slot);
@@ -348,7 +468,7 @@
     }
     m_versionsNotedAt = now;
     for (const auto &endpoint : m_endpoints) {
-        if (endpoint && !endpoint->isEarlierIncarnation) {
+        if (endpoint && !endpoint->isEarlierIncarnation && !endpoint->isAwaitingEntry) {
             m_versions.noteListed(endpoint->listing.pool, endpoint->listing.softwareVersion, now);
         }
     }
--- a/src/libradishswitch/serving/endpointregistry.h
+++ b/src/libradishswitch/serving/endpointregistry.h
@@ -6,6 +6,7 @@
 #include "limits/slidingwindowcounter.h"
 #include "routing/endpointejection.h"
 #include "routing/endpointstate.h"
+#include "serving/endpointincarnation.h"
 #include "serving/endpointlisting.h"
 #include "serving/poolversions.h"
 #include "serving/zonecordons.h"
@@ -87,6 +88,16 @@
     std::uint64_t hash = 0;
     /// The endpoint has restarted, and its current incarnation has another slot.
     bool isEarlierIncarnation = false;
+    /// The incarnation before was seen to end, or this one to have started, and this one's entry has not appeared yet.
+    /// Its software version is not known. Its listing has the place of the one before.
+    bool isAwaitingEntry = false;
+    /// False while the start time in the listing is only a lower bound.
+    bool isStartKnown = true;
+    /// The lowest start time that the incarnation was listed with here.
+    std::int64_t earliestStartMilliseconds = 0;
+    /// While `isStartKnown` is false: the version of the incarnation before, and when it was seen to end.
+    SoftwareVersion endedVersion;
+    Instant endedAt{};
     /// A call for this endpoint was answered by another endpoint at its address.
     bool hasLostAddress = false;
     /// Another endpoint has its address, either because that endpoint's entry is newer or because `hasLostAddress` is
@@ -147,6 +158,22 @@
         m_storeBackAt = now;
     }
 
+    /// The process of this incarnation has ended, though its entry may remain for seconds. The endpoint gets a new slot
+    /// for its next incarnation, which is returned; nullopt if none is to be expected, or the platform reports no start
+    /// times, so that the next one could not be told from this one.
+    std::optional<EndpointSlot> noteEnded(EndpointSlot slot, Instant now);
+
+    /// A process that started at this time serves at the endpoint's address; measured at `measuredAt`. Returns the new
+    /// slot of the endpoint if that is a later incarnation than the known one.
+    std::optional<EndpointSlot> noteStart(EndpointSlot slot, std::int64_t startedAtMilliseconds, Instant measuredAt,
+                                          Instant now);
+
+    /// The slot of the endpoint if this is its current incarnation.
+    std::optional<EndpointSlot> currentSlotOf(const EndpointIncarnation &incarnation) const;
+
+    /// Number of endpoints whose current incarnation has no entry yet.
+    std::size_t countAwaitingEntry() const;
+
     /// Another endpoint answered at this endpoint's address.
     void noteWrongEndpoint(EndpointSlot slot);
 
@@ -251,6 +278,11 @@
 private:
     std::string regionOf(const std::string &zone) const;
     EndpointSlot add(const EndpointListing &listing, Instant now);
+    EndpointSlot insert(const EndpointListing &listing, Instant now);
+    EndpointSlot awaitNextIncarnation(EndpointSlot slot, std::int64_t startedAtMilliseconds, Instant now);
+    static bool isAwaited(const RegisteredEndpoint &endpoint, const EndpointListing &listing);
+    void takeAwaitedEntry(RegisteredEndpoint &endpoint, const EndpointListing &listing, Instant now);
+    void revive(RegisteredEndpoint &endpoint, Instant now);
     std::vector<EndpointSlot> updateCordons();
     void endIncarnation(EndpointSlot slot);
     void remember(const EndpointListing &listing);
--- a/src/libradishswitch/serving/streamorigins.h
+++ b/src/libradishswitch/serving/streamorigins.h
@@ -63,7 +63,8 @@
     void registerStream(const RequestId &call, const OrganisationId &organisation, const PoolId &pool,
                         RegisteredCallback callback);
 
-    /// The call has brought the first event of a stream to its caller, or has continued that stream.
+    /// The call has brought the first event of a stream to its caller, or has continued that stream. A record without a
+    /// version withdraws an earlier one of the call.
     void note(const StreamOriginRecord &record);
 
     /// A pool has several versions now. Sends the origins of its streams, which no process needed before.
--- a/src/libradishswitch/serving/streamorigintable.cpp
+++ b/src/libradishswitch/serving/streamorigintable.cpp
@@ -16,19 +16,33 @@
     removeExpired(now);
     const auto [it, isNew] = m_origins.try_emplace(record.call, record.origin);
     if (!isNew) {
-        if (it->second.version.isEmpty()) {
-            it->second = record.origin;
-        }
-        return;
+        return correct(record, it->second);
     }
     m_entries.push_back({record.call, now});
     if (m_entries.size() > m_settings.maximumRecords) {
-        m_origins.erase(m_entries.front().call);
+        erase(m_entries.front().call);
         m_entries.pop_front();
         m_completeSince = now;
     }
 }
 
+void StreamOriginTable::correct(const StreamOriginRecord &record, StreamOrigin &known)
+{
+    if (known.version.isEmpty() == record.origin.version.isEmpty() || m_withdrawn.contains(record.call)) {
+        return;
+    }
+    if (record.origin.version.isEmpty()) {
+        m_withdrawn.insert(record.call);
+    }
+    known = record.origin;
+}
+
+void StreamOriginTable::erase(const RequestId &call)
+{
+    m_origins.erase(call);
+    m_withdrawn.erase(call);
+}
+
 StreamOriginAnswer StreamOriginTable::answer(const StreamOriginQuery &query, Instant now) const
 {
     StreamOriginAnswer answer;
@@ -77,7 +91,7 @@
 void StreamOriginTable::removeExpired(Instant now)
 {
     while (!m_entries.empty() && !isRetained(m_entries.front(), now)) {
-        m_origins.erase(m_entries.front().call);
+        erase(m_entries.front().call);
         m_entries.pop_front();
     }
 }
--- a/src/libradishswitch/serving/streamorigintable.h
+++ b/src/libradishswitch/serving/streamorigintable.h
@@ -4,6 +4,7 @@
 #include "serving/streamoriginport.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstddef>
 #include <deque>
@@ -26,7 +27,8 @@
 public:
     explicit StreamOriginTable(Instant createdAt, StreamOriginTableSettings settings = {});
 
-    /// A call has one origin: the first record that names a version counts.
+    /// A call has one origin: the first record that names a version counts. A later one that names none withdraws it
+    /// for good: the version turned out not to be known.
     void note(const StreamOriginRecord &record, Instant now);
 
     /// A record stays valid beyond its retention until a later one removes it.
@@ -60,6 +62,8 @@
         Instant notedAt{};
     };
 
+    void correct(const StreamOriginRecord &record, StreamOrigin &known);
+    void erase(const RequestId &call);
     bool hasPool(const PoolId &pool, Instant now) const;
     bool isRetained(const Entry &entry, Instant now) const;
     void removeExpired(Instant now);
@@ -67,6 +71,8 @@
     const StreamOriginTableSettings m_settings;
     Instant m_completeSince;
     absl::flat_hash_map<RequestId, StreamOrigin> m_origins;
+    /// Calls whose origins were withdrawn.
+    absl::flat_hash_set<RequestId> m_withdrawn;
     /// In the order in which they were noted.
     std::deque<Entry> m_entries;
 };
--- a/tests/core/serving/crashedendpoint_test.cpp
+++ b/tests/core/serving/crashedendpoint_test.cpp
@@ -59,7 +59,7 @@
 {
     EXPECT_GT(placedAtFirst(3), 0);
     for (int n = 0; n < 3; ++n) {
-        gate.noteCrashed(id(n));
+        gate.noteCrashed({id(n), 0});
     }
     EXPECT_EQ(placedAtFirst(3), 0);
 }
@@ -68,7 +68,7 @@
 TEST_F(CrashedEndpointTest, allEndpoints_crashed_someAreStillTried)
 {
     for (int n = 0; n < kEndpoints; ++n) {
-        gate.noteCrashed(id(n));
+        gate.noteCrashed({id(n), 0});
     }
     EXPECT_EQ(placedAtFirst(kEndpoints), 100);
 }
@@ -76,7 +76,7 @@
 // Guards against an endpoint that is never used again.
 TEST_F(CrashedEndpointTest, crashedEndpoint_stillListed_isTriedAgain)
 {
-    gate.noteCrashed(id(0));
+    gate.noteCrashed({id(0), 0});
     timers.advance(std::chrono::seconds(10));
     EXPECT_GT(placedAtFirst(1), 0);
 }
--- a/tests/core/serving/streamorigins_test.cpp
+++ b/tests/core/serving/streamorigins_test.cpp
@@ -270,6 +270,17 @@
     EXPECT_EQ(table.size(), 1U);
 }
 
+// Guards against a stream that goes on at a version that turned out not to be the one that wrote it.
+TEST_F(StreamOriginsTest, table_withdrawnOrigin_staysUnknown)
+{
+    StreamOriginTable table(timers.now());
+    table.note(record("call-0", v1), timers.now());
+    table.note(record("call-0", SoftwareVersion()), timers.now());
+    table.note(record("call-0", v1), timers.now());
+    EXPECT_TRUE(table.find(RequestId("call-0"))->version.isEmpty());
+    EXPECT_TRUE(table.answer(query("call-0"), timers.now()).hasUnnamedRecord);
+}
+
 /// A pool of which "v1" is established, with "v2" beside it, announced a moment ago.
 class EstablishedVersionTest : public StreamOriginsTest
 {
