An endpoint under which several runs break off together is asked when it started

The probe told a crash by a refused connection alone. Now, if at least two runs broke off together and the address takes connections, it reads the endpoint's report once, for all of them. A later start than the listed one ends the incarnation, and counts as a crash for the detection of poison.

--- a/src/gateway/crashprobe.cpp
+++ b/src/gateway/crashprobe.cpp
@@ -1,6 +1,7 @@
 #include "crashprobe.h"
 
 #include "asyncresult.h"
+#include "endpointreportreader.h"
 
 #include <utility>
 
@@ -19,11 +20,14 @@
 constexpr Duration kSettleDelay = std::chrono::milliseconds(20);
 /// Bounds the connection attempt. A refusal arrives within a round trip; TCP repeats a lost packet after one second.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(1300);
+/// Runs that break off together; fewer may be cut by a fault of their own. An endpoint that is asked pays for it.
+constexpr std::size_t kRunsBrokenTogether = 2;
+constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
 
 }
 
 CrashProbe::CrashProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections,
-                       std::function<void(const EndpointIncarnation &)> onCrashed)
+                       CrashCallback onCrashed)
     : m_workers(workers)
     , m_timers(timers)
     , m_connections(connections)
@@ -50,21 +54,42 @@
     }
     const EndpointConnections::ConnectionPointer connection = m_connections.create(address);
     (void)co_await connection->connect(kProbeTimeout);
-    const bool hasCrashed = connection->wasRefused();
+    const bool isRefused = connection->wasRefused();
     connection->close();
     if (alive.expired()) {
         co_return;
     }
+    std::optional<std::int64_t> nextStart;
+    if (!isRefused && m_waiters[incarnation].size() >= kRunsBrokenTogether) {
+        nextStart = co_await askLaterStart(incarnation, address);
+    }
+    if (alive.expired()) {
+        co_return;
+    }
+    const bool hasCrashed = isRefused || nextStart;
     const auto node = m_waiters.extract(incarnation);
     if (node.empty()) {
         co_return;
     }
     if (hasCrashed) {
-        m_onCrashed(incarnation);
+        m_onCrashed(incarnation, nextStart);
     }
     for (const std::function<void(bool)> &callback : node.mapped()) {
         callback(hasCrashed);
     }
 }
 
+net::awaitable<std::optional<std::int64_t>> CrashProbe::askLaterStart(EndpointIncarnation incarnation,
+                                                                      std::string address)
+{
+    const std::unique_ptr<EndpointReportReader> reader = makeEndpointReportReader(m_workers, std::move(address));
+    const auto start = [&reader](auto done) {
+        reader->read(kReportTimeout, std::move(done));
+    };
+    const absl::StatusOr<EndpointReport> report = co_await awaitCallback<absl::StatusOr<EndpointReport>>(start);
+    const bool isLater = report.ok() && incarnation.startedAtMilliseconds > 0
+        && report->startedAtMilliseconds > incarnation.startedAtMilliseconds;
+    co_return isLater ? std::optional(report->startedAtMilliseconds) : std::nullopt;
+}
+
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,8 +60,8 @@
     , m_link(shedderSettings(m_settings))
     , m_intakeBudget(intakeBudgetSettings(m_settings), m_traffic, m_random)
     , m_poison(m_workers, m_store, m_connections, m_timers, m_random, m_settings.instance,
-               [this](const EndpointIncarnation &incarnation) {
-                   m_gate.noteCrashed(incarnation);
+               [this](const EndpointIncarnation &incarnation, std::optional<std::int64_t> nextStartMilliseconds) {
+                   m_gate.noteCrashed(incarnation, nextStartMilliseconds);
                    m_connections.closeIdle(incarnation.endpoint);
                })
     , m_limits(m_store, m_timers, m_random, m_gate)
--- a/src/gateway/poisonguard.cpp
+++ b/src/gateway/poisonguard.cpp
@@ -32,7 +32,7 @@
 
 PoisonGuard::PoisonGuard(WorkerPool &workers, ObjectStore &store, EndpointConnections &connections,
                          TimerService &timers, RandomSource &random, const std::string &instance,
-                         std::function<void(const EndpointIncarnation &)> onCrashed)
+                         CrashProbe::CrashCallback onCrashed)
     : m_timers(timers)
     , m_random(random)
     , m_probe(workers, timers, connections, std::move(onCrashed))
--- a/src/gateway/poisonguard.h
+++ b/src/gateway/poisonguard.h
@@ -16,8 +16,7 @@
 public:
     /// `onCrashed` is called for endpoints that crashed while they ran calls of this gateway.
     PoisonGuard(WorkerPool &workers, ObjectStore &store, EndpointConnections &connections, TimerService &timers,
-                RandomSource &random, const std::string &instance,
-                std::function<void(const EndpointIncarnation &)> onCrashed);
+                RandomSource &random, const std::string &instance, CrashProbe::CrashCallback onCrashed);
     ~PoisonGuard();
 
     /// Whether any crash is known at all. Otherwise the fingerprints of requests need not be computed.
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -298,14 +298,18 @@
     }
 }
 
-void CallGate::noteCrashed(const EndpointIncarnation &incarnation)
+void CallGate::noteCrashed(const EndpointIncarnation &incarnation, std::optional<std::int64_t> nextStartMilliseconds)
 {
     const std::optional<EndpointSlot> slot = m_registry.currentSlotOf(incarnation);
     if (!slot) {
         return;
     }
     const std::optional<EndpointSlot> next = m_registry.noteEnded(*slot, m_timers.now());
-    m_placement.noteCrashed(next.value_or(*slot), m_timers.now());
+    if (next && nextStartMilliseconds) {
+        m_registry.noteStart(*next, *nextStartMilliseconds, m_timers.now(), m_timers.now());
+    } else {
+        m_placement.noteCrashed(next.value_or(*slot), m_timers.now());
+    }
     if (next) {
         handleIncarnationEnded(*next);
     }
--- a/src/libradishswitch/serving/callgate.h
+++ b/src/libradishswitch/serving/callgate.h
@@ -125,8 +125,10 @@
     /// Another endpoint answered at the address of the endpoint that was chosen.
     void noteWrongEndpoint(PlacementId placement);
 
-    /// The process of this incarnation has ended. Its entry in the platform's list may remain for seconds.
-    void noteCrashed(const EndpointIncarnation &incarnation);
+    /// The process of this incarnation has ended. Its entry in the platform's list may remain for seconds. The start of
+    /// the next one is given if that serves already.
+    void noteCrashed(const EndpointIncarnation &incarnation,
+                     std::optional<std::int64_t> nextStartMilliseconds = std::nullopt);
 
     /// Called for an endpoint whose incarnation has ended before its entry showed it. Connections to it are unusable.
     void setIncarnationEndedCallback(std::function<void(const EndpointId &)> callback);
--- a/tests/radishswitch-gateway/restartedendpoints_test.cpp
+++ b/tests/radishswitch-gateway/restartedendpoints_test.cpp
@@ -264,6 +264,30 @@
     EXPECT_EQ(mixedIn(sendStreams()), 0);
 }
 
+// Guards against an endpoint that takes connections again before the gateway finds them refused, and is not asked when
+// it started.
+TEST_F(RestartedEndpointsTest, runsBreakOffTogether_endpointAcceptsAgainAtOnce_noStreamGoesOnThere)
+{
+    startGateway();
+    std::vector<std::thread> callers;
+    for (const std::string id : {"together-1", "together-2", "together-3"}) {
+        callers.emplace_back([this, id] {
+            (void)call(streamRequest("/once/1", id, kManyEvents * 7));
+        });
+        waitUntilRunning(0, id);
+    }
+    crash(0);
+    launch(0, "v2");
+    for (std::thread &it : callers) {
+        it.join();
+    }
+    std::this_thread::sleep_for(kAway);
+    list(1, "v1", kFirstStart);
+    waitUntilServing(0);
+    breakOffAt(1);
+    EXPECT_EQ(mixedIn(sendStreams()), 0);
+}
+
 // Guards against a gateway that sees nothing of the restart itself, and ignores the new start that a home reports.
 TEST_F(RestartedEndpointsTest, homeReportsNewStart_entryUnchanged_noStreamGoesOnThere)
 {
