Search over version schedules: endpoints start again under their ids

The fleet in virtual time has endpoints that end, start again under their ids with any of three versions, and write their entries late or once the store is back; gateways see them refuse connections, and homes report their starts 0.7 to 1.2 s late. EndpointRestartScheduleTest draws eight such starts a schedule, alone and beside faults of gateways, homes, network and store, and checks both rules: no stream of two versions; streams that are taken up continue at least half as often as new ones begin.

--- a/tests/radishswitch-gateway/streamversionfleet.h
+++ b/tests/radishswitch-gateway/streamversionfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "seededrandom.h"
+#include "serving/callgate.h"
 #include "serving/objectfollower.h"
 #include "serving/streamorigins.h"
 #include "simulatedstore.h"
@@ -14,7 +15,8 @@
 #include <vector>
 
 /// A fleet in virtual time: gateways with the classes that decide at which version streams begin and continue, homes
-/// that keep records, the store, and the network between them. Endpoints are only listed.
+/// that keep records and report the starts of endpoints, the store, and the network between them. Endpoints start,
+/// write their entries, and end.
 class StreamVersionFleet
 {
 public:
@@ -99,16 +101,60 @@
         m_storeDisturbedAt = clock.now();
     }
 
+    /// Starts an endpoint, or lists one again that was unlisted. Its entry is written at once.
     void list(const std::string &endpoint, const std::string &version)
     {
-        m_listed[endpoint] = version;
-        store.write("servers/" + endpoint, version);
+        const auto [it, isNew] = m_endpoints.try_emplace(endpoint);
+        const std::int64_t start = isNew ? ++m_starts : it->second.start;
+        it->second = {version, start, true, true};
+        writeEntry(endpoint, start);
     }
 
+    /// Removes an endpoint from the list. It goes on serving those who have not heard of it.
     void unlist(const std::string &endpoint)
     {
-        m_listed.erase(endpoint);
-        store.erase("servers/" + endpoint);
+        m_endpoints[endpoint].isListed = false;
+        store.erase(kEntryPrefix + endpoint);
+    }
+
+    /// Ends an endpoint, and starts it again under its id after `away`. Its entry changes `entryDelay` later, and not
+    /// before the store is up.
+    void restart(const std::string &endpoint, const std::string &version, Duration away, Duration entryDelay)
+    {
+        const auto it = m_endpoints.find(endpoint);
+        if (it == m_endpoints.end() || !it->second.isUp || !it->second.isListed) {
+            return;
+        }
+        it->second.isUp = false;
+        breakStreams(endpoint);
+        clock.after(away, [this, endpoint, version, entryDelay] {
+            const bool isListed = m_endpoints.at(endpoint).isListed;
+            m_endpoints.at(endpoint) = {version, ++m_starts, true, isListed};
+            clock.after(entryDelay, [this, endpoint, start = m_starts] {
+                writeEntry(endpoint, start);
+            });
+        });
+    }
+
+    /// Lets homes report the starts of all endpoints to the gateways from now on.
+    void reportStarts()
+    {
+        clock.every(kReportInterval, [this] {
+            clock.after(kReportDelay, [this, endpoints = m_endpoints] {
+                for (const auto &[name, gateway] : m_gateways) {
+                    deliverStarts(name, *gateway, endpoints);
+                }
+            });
+        });
+    }
+
+    std::vector<std::string> endpointNames() const
+    {
+        std::vector<std::string> found;
+        for (const auto &[name, endpoint] : m_endpoints) {
+            found.push_back(name);
+        }
+        return found;
     }
 
     /// A caller sends a new stream to a gateway, and takes it up at another one later, after it has had events.
@@ -123,13 +169,13 @@
         stream.call = RadishSwitch::RequestId("call-" + std::to_string(m_calls++));
         stream.gateway = gateway;
         stream.process = it->process;
-        it->begin(stream.call, [this, stream, next, after, isCounted](const std::optional<SoftwareVersion> &version) {
+        it->begin(stream.call, [this, stream, next, after, isCounted](const std::optional<Target> &begunAt) {
             if (isCounted) {
-                ++(version ? tally.begun : tally.notBegun);
+                ++(begunAt ? tally.begun : tally.notBegun);
             }
-            if (version) {
-                clock.after(after, [this, stream, next, version = *version] {
-                    takeUp(next, stream, version);
+            if (begunAt) {
+                clock.after(after, [this, stream, next, begunAt = *begunAt] {
+                    takeUp(next, stream, begunAt);
                 });
             }
         });
@@ -151,6 +197,37 @@
     /// After an end of trouble, until a process counts as in touch again.
     static constexpr Duration kStable = std::chrono::seconds(3);
 
+    static constexpr char kEntryPrefix[] = "servers/";
+    /// Time between two reports of homes about the starts of endpoints, and their age when gateways read them.
+    static constexpr Duration kReportInterval = std::chrono::milliseconds(500);
+    static constexpr Duration kReportDelay = std::chrono::milliseconds(700);
+    /// After the end of a connection, until it is known whether the endpoint refuses others.
+    static constexpr Duration kProbe = std::chrono::milliseconds(20);
+    /// An endpoint with an unwritten entry tries again.
+    static constexpr Duration kHeartbeat = std::chrono::milliseconds(1200);
+    /// Time between two events of a stream.
+    static constexpr Duration kEventInterval = std::chrono::milliseconds(100);
+    /// Endpoints that a call is sent to at most.
+    static constexpr int kAttempts = 2;
+
+    struct Endpoint {
+        std::string version;
+        std::int64_t start = 0;
+        bool isUp = false;
+        bool isListed = false;
+    };
+
+    /// An incarnation of an endpoint that a call was sent to: as the gateway knows it, and as it is.
+    struct Target {
+        std::string endpoint;
+        std::int64_t listedStart = 0;
+        SoftwareVersion listedVersion;
+        std::int64_t start = 0;
+        SoftwareVersion version;
+    };
+
+    using TargetCallback = std::function<void(const std::optional<Target> &)>;
+
     struct BegunStream {
         RadishSwitch::RequestId call;
         std::string gateway;
@@ -181,15 +258,23 @@
                           return m_fleet.m_cutOff.contains(m_name);
                       })
             , m_directory(m_name)
+            , m_loads(m_registry)
+            , m_allowances(m_name)
+            , m_admission(m_registry, m_allowances)
             , m_versionReports(m_store, *process, m_random, m_versions, inputs(isFirstStart))
             , m_reports(m_store, *process, m_random, "news/", m_versionReports, reportSettings(isFirstStart))
-            , m_endpoints(m_store, *process, m_random, "servers/", *this)
+            , m_endpoints(m_store, *process, m_random, kEntryPrefix, *this)
             , m_origins(m_directory, *this, m_versions, *process, [this] {
                 const Instant at = m_reports.confirmedAt();
                 return at == Instant::min() ? Duration::max() : process->now() - at;
             })
         {
             m_directory.setPeers(fleet.m_peers);
+            m_loads.setStartCallback([this](RadishSwitch::EndpointSlot slot, std::int64_t start, Instant measuredAt) {
+                if (m_registry.noteStart(slot, start, measuredAt, process->now())) {
+                    scheduleEvents();
+                }
+            });
         }
 
         void start()
@@ -205,38 +290,66 @@
             m_endpoints.start();
             process->every(std::chrono::seconds(1), [this] {
                 noteListed();
+                m_registry.forgetGone(process->now());
                 m_versionReports.removeExpired();
             });
         }
 
-        /// Calls back with the version of the stream's first event, unless the gateway ends before.
-        void begin(const RadishSwitch::RequestId &call,
-                   std::function<void(const std::optional<SoftwareVersion> &)> callback)
+        /// Calls back with the writer of the stream's first event, unless the gateway ends before.
+        void begin(const RadishSwitch::RequestId &call, const TargetCallback &callback, int attempts = kAttempts)
         {
-            const std::optional<SoftwareVersion> version = chooseVersion();
-            if (!version || !m_origins.mustRegister(kPool, *version)) {
-                return bringFirstEvent(call, version, std::move(callback));
+            const std::optional<Target> target = chooseFirst();
+            if (!target || !m_origins.mustRegister(kPool, target->listedVersion)) {
+                return bringFirstEvent(call, target, callback, attempts);
             }
-            m_origins.registerStream(call, kOrganisation, kPool,
-                                     [this, call, version, callback](const absl::Status &registered) {
-                                         const auto established = m_versions.established(kPool);
-                                         const bool isServed = established && lists(*established);
-                                         const auto instead = isServed ? established : std::nullopt;
-                                         bringFirstEvent(call, registered.ok() ? version : instead, callback);
-                                     });
-        }
-
-        /// Calls back with the version at which the stream continues here.
-        void find(const RadishSwitch::RequestId &call,
-                  std::function<void(const std::optional<SoftwareVersion> &)> callback)
+            m_origins.registerStream(
+                call, kOrganisation, kPool, [this, call, target, callback, attempts](const absl::Status &registered) {
+                    const auto established = m_versions.established(kPool);
+                    const auto instead = established ? chooseOf(call, *established, {}) : std::nullopt;
+                    bringFirstEvent(call, registered.ok() ? target : instead, callback, attempts);
+                });
+        }
+
+        /// Calls back with the writer of the event with which the stream continues here.
+        void takeUp(const RadishSwitch::RequestId &call, const TargetCallback &callback)
         {
             m_origins.find({call, kOrganisation, {kPool}},
-                           [this, callback](const absl::StatusOr<RadishSwitch::FoundStreamOrigin> &found) {
-                               const bool isContinued = found.ok() && lists(found->origin.version);
-                               callback(isContinued ? std::optional(found->origin.version) : std::nullopt);
+                           [this, call, callback](const absl::StatusOr<RadishSwitch::FoundStreamOrigin> &found) {
+                               const SoftwareVersion version = found.ok() ? found->origin.version : SoftwareVersion();
+                               continueAt(call, version, {}, callback);
                            });
         }
 
+        /// The connections to an endpoint end.
+        void handleBroken(const std::string &endpoint)
+        {
+            const auto runs = std::ranges::count_if(m_streams, [&](const auto &entry) {
+                return entry.second.endpoint == endpoint;
+            });
+            for (const auto &[call, stream] : std::exchange(m_streams, {})) {
+                if (stream.endpoint != endpoint) {
+                    m_streams.emplace(call, stream);
+                    continue;
+                }
+                const auto origin = m_origins.table().find(call);
+                const SoftwareVersion version = origin ? origin->version : SoftwareVersion();
+                continueAt(call, version, {endpoint}, [this, begunAt = stream](const std::optional<Target> &target) {
+                    m_fleet.tally.mixed += target && target->version != begunAt.version ? 1 : 0;
+                });
+                probe(stream, runs > 1);
+            }
+        }
+
+        void takeStart(const std::string &endpoint, std::int64_t start)
+        {
+            RadishSwitch::EndpointLoadReport report;
+            report.address = endpoint;
+            report.startedAtMilliseconds = start;
+            report.age = kReportDelay;
+            // Fails for endpoints that are not listed here.
+            (void)m_loads.takeIn(report, process->now());
+        }
+
         RadishSwitch::StreamOrigins &origins()
         {
             return m_origins;
@@ -268,46 +381,181 @@
             return inputs;
         }
 
-        std::optional<SoftwareVersion> chooseVersion()
+        std::optional<Target> targetOf(const std::string &key) const
+        {
+            const std::string endpoint = endpointOf(key);
+            const auto slot = m_registry.slotOf(RadishSwitch::EndpointId(endpoint));
+            if (!slot) {
+                return std::nullopt;
+            }
+            const RadishSwitch::EndpointListing &listing = m_registry.at(*slot).listing;
+            const Endpoint &it = m_fleet.m_endpoints.at(endpoint);
+            return Target{endpoint, listing.startedAtMilliseconds, listing.softwareVersion, it.start,
+                          SoftwareVersion(it.version)};
+        }
+
+        bool isOpen(const std::string &endpoint, const RadishSwitch::PlacementQuery &query) const
         {
-            std::vector<SoftwareVersion> open;
-            for (const auto &[endpoint, version] : m_listed) {
-                if (m_versions.mayBegin(kPool, version, process->now())) {
-                    open.push_back(version);
+            const auto slot = m_registry.slotOf(RadishSwitch::EndpointId(endpoint));
+            return slot && m_admission.isOpen(*slot, query, process->now());
+        }
+
+        bool isCurrent(const Target &target) const
+        {
+            return m_registry.currentSlotOf(incarnationOf(target)).has_value();
+        }
+
+        static RadishSwitch::EndpointIncarnation incarnationOf(const Target &target)
+        {
+            return {RadishSwitch::EndpointId(target.endpoint), target.listedStart};
+        }
+
+        std::optional<Target> chooseFirst()
+        {
+            RadishSwitch::PlacementQuery query;
+            query.beginsStream = true;
+            std::vector<Target> open;
+            for (const auto &[key, version] : m_listed) {
+                const std::optional<Target> target = targetOf(key);
+                if (target && isOpen(target->endpoint, query) && m_versions.mayBegin(kPool, version, process->now())) {
+                    open.push_back(*target);
                 }
             }
             return open.empty() ? std::nullopt : std::optional(open[m_random.below(open.size())]);
         }
 
-        bool lists(const SoftwareVersion &version) const
+        std::optional<Target> chooseOf(const RadishSwitch::RequestId &call, const SoftwareVersion &version,
+                                       const std::set<std::string> &tried) const
         {
-            return std::ranges::any_of(m_listed, [&](const auto &entry) {
-                return entry.second == version;
+            RadishSwitch::PlacementQuery query;
+            query.requiredVersion = version;
+            std::vector<Target> open;
+            for (const auto &[key, listed] : m_listed) {
+                const std::optional<Target> target = targetOf(key);
+                if (target && isOpen(target->endpoint, query) && !tried.contains(target->endpoint)) {
+                    open.push_back(*target);
+                }
+            }
+            const std::size_t n = std::hash<std::string>()(call.value());
+            return open.empty() ? std::nullopt : std::optional(open[n % open.size()]);
+        }
+
+        void bringFirstEvent(const RadishSwitch::RequestId &call, const std::optional<Target> &target,
+                             const TargetCallback &callback, int attempts)
+        {
+            if (!target || attempts == 0) {
+                return callback(std::nullopt);
+            }
+            if (!m_fleet.isServing(*target)) {
+                noteRefused(*target);
+                return begin(call, callback, attempts - 1);
+            }
+            process->after(kFirstEvent, [this, call, target, callback, attempts] {
+                if (!m_fleet.isServing(*target)) {
+                    probe(*target);
+                    return begin(call, callback, attempts - 1);
+                }
+                const SoftwareVersion origin = isCurrent(*target) ? target->listedVersion : SoftwareVersion();
+                m_origins.note({call, {kOrganisation, kPool, origin}});
+                m_streams.emplace(call, *target);
+                callback(target);
             });
         }
 
-        void bringFirstEvent(const RadishSwitch::RequestId &call, const std::optional<SoftwareVersion> &version,
-                             std::function<void(const std::optional<SoftwareVersion> &)> callback)
+        void continueAt(const RadishSwitch::RequestId &call, const SoftwareVersion &version,
+                        std::set<std::string> tried, const TargetCallback &callback)
         {
-            if (!version) {
+            const std::optional<Target> target = chooseOf(call, version, tried);
+            if (!target || tried.size() > kAttempts) {
                 return callback(std::nullopt);
             }
-            process->after(kFirstEvent, [this, call, version, callback = std::move(callback)] {
-                m_origins.note({call, {kOrganisation, kPool, *version}});
-                callback(version);
+            tried.insert(target->endpoint);
+            if (!m_fleet.isServing(*target)) {
+                noteRefused(*target);
+                return continueAt(call, version, std::move(tried), callback);
+            }
+            process->after(kFirstEvent, [this, call, version, tried = std::move(tried), target, callback] {
+                if (!m_fleet.isServing(*target)) {
+                    probe(*target);
+                    return continueAt(call, version, tried, callback);
+                }
+                isCurrent(*target) ? callback(target) : continueAt(call, version, tried, callback);
+            });
+        }
+
+        void noteRefused(const Target &target)
+        {
+            const auto slot = m_registry.currentSlotOf(incarnationOf(target));
+            const bool isRefused = !m_fleet.m_endpoints.at(target.endpoint).isUp;
+            if (slot && isRefused && m_registry.noteEnded(*slot, process->now())) {
+                scheduleEvents();
+            }
+        }
+
+        /// An endpoint that takes connections is asked for its start if several runs broke off together.
+        void probe(const Target &target, bool asksStart = false)
+        {
+            process->after(kProbe, [this, target, asksStart] {
+                noteRefused(target);
+                const auto slot = m_registry.currentSlotOf(incarnationOf(target));
+                const Endpoint &it = m_fleet.m_endpoints.at(target.endpoint);
+                if (asksStart && slot && it.isUp && it.start > target.listedStart) {
+                    const auto next = m_registry.noteEnded(*slot, process->now());
+                    m_registry.noteStart(next.value_or(*slot), it.start, process->now(), process->now());
+                    scheduleEvents();
+                }
+            });
+        }
+
+        /// Streams whose incarnation has ended here, and that still get events, were begun by a later one.
+        void scheduleEvents()
+        {
+            process->after(kEventInterval, [this] {
+                for (const auto &[call, stream] : m_streams) {
+                    const auto origin = m_origins.table().find(call);
+                    const bool isNamed = origin && !origin->version.isEmpty();
+                    if (isNamed && !isCurrent(stream) && m_fleet.isServing(stream)) {
+                        m_origins.note({call, {kOrganisation, kPool, SoftwareVersion()}});
+                    }
+                }
             });
         }
 
         void noteListed()
         {
-            for (const auto &[endpoint, version] : m_listed) {
-                m_versions.noteListed(kPool, version, process->now());
+            for (const auto &[key, version] : m_listed) {
+                const auto slot = m_registry.slotOf(RadishSwitch::EndpointId(endpointOf(key)));
+                if (slot && !m_registry.at(*slot).isAwaitingEntry) {
+                    m_versions.noteListed(kPool, version, process->now());
+                }
             }
         }
 
+        static std::string endpointOf(const std::string &key)
+        {
+            return key.substr(std::char_traits<char>::length(kEntryPrefix));
+        }
+
+        /// Reads an entry: a version and a start.
+        static RadishSwitch::EndpointListing listingOf(const RadishSwitch::StoredObject &object)
+        {
+            const std::size_t space = object.value.find(' ');
+            RadishSwitch::EndpointListing listing;
+            listing.id = RadishSwitch::EndpointId(endpointOf(object.key));
+            listing.address = listing.id.value();
+            listing.pool = kPool;
+            listing.softwareVersion = SoftwareVersion(object.value.substr(0, space));
+            listing.startedAtMilliseconds = std::stoll(object.value.substr(space + 1));
+            listing.revision = object.version;
+            return listing;
+        }
+
         void objectsListed(const std::vector<RadishSwitch::StoredObject> &objects) override
         {
             m_listed.clear();
+            std::vector<RadishSwitch::EndpointListing> listings;
+            std::ranges::transform(objects, std::back_inserter(listings), listingOf);
+            m_registry.replaceAll(listings, process->now());
             objectsChanged(objects);
             if (!std::exchange(m_isListed, true)) {
                 m_versions.noteFirstListComplete();
@@ -319,11 +567,16 @@
         {
             for (const RadishSwitch::StoredObject &object : objects) {
                 m_listed.erase(object.key);
-                if (object.version != 0) {
-                    m_listed.emplace(object.key, SoftwareVersion(object.value));
+                if (object.version == 0) {
+                    m_registry.unlist(RadishSwitch::EndpointId(endpointOf(object.key)), process->now());
+                    continue;
                 }
+                const RadishSwitch::EndpointListing listing = listingOf(object);
+                m_listed.emplace(object.key, listing.softwareVersion);
+                m_registry.list(listing, process->now());
             }
             noteListed();
+            scheduleEvents();
         }
 
         void tell(const std::string &peer, const std::vector<RadishSwitch::StreamOriginRecord> &records) override
@@ -369,11 +622,17 @@
         SimulatedStoreLink m_store;
         RadishSwitch::HomeDirectory m_directory;
         RadishSwitch::PoolVersions m_versions;
+        RadishSwitch::EndpointRegistry m_registry;
+        RadishSwitch::EndpointLoads m_loads;
+        RadishSwitch::CallAllowances m_allowances;
+        RadishSwitch::EndpointAdmission m_admission;
         RadishSwitch::VersionReports m_versionReports;
         RadishSwitch::ObjectFollower m_reports;
         RadishSwitch::ObjectFollower m_endpoints;
         std::map<std::string, SoftwareVersion> m_listed;
         bool m_isListed = false;
+        /// The streams that were begun here, by their calls.
+        std::map<RadishSwitch::RequestId, Target> m_streams;
         RadishSwitch::StreamOrigins m_origins;
     };
 
@@ -417,20 +676,70 @@
         return !process || process->isFrozen() || m_cutOff.contains(stream.gateway);
     }
 
-    void takeUp(const std::string &gateway, const BegunStream &stream, const SoftwareVersion &begunAt)
+    /// Whether the incarnation that a call was sent to still serves.
+    bool isServing(const Target &target) const
+    {
+        const Endpoint &it = m_endpoints.at(target.endpoint);
+        return it.isUp && it.start == target.start;
+    }
+
+    void writeEntry(const std::string &endpoint, std::int64_t start)
+    {
+        const Endpoint &it = m_endpoints.at(endpoint);
+        if (it.start != start || !it.isListed || !it.isUp) {
+            return;
+        }
+        if (store.isDown) {
+            clock.after(kHeartbeat, [this, endpoint, start] {
+                writeEntry(endpoint, start);
+            });
+            return;
+        }
+        store.write(kEntryPrefix + endpoint, it.version + " " + std::to_string(start));
+    }
+
+    void breakStreams(const std::string &endpoint)
+    {
+        for (const auto &[name, gateway] : m_gateways) {
+            gateway->process->run([gateway = gateway.get(), endpoint] {
+                gateway->handleBroken(endpoint);
+            });
+        }
+    }
+
+    void deliverStarts(const std::string &name, Gateway &gateway, const std::map<std::string, Endpoint> &endpoints)
     {
+        const bool isReached = std::ranges::any_of(m_homes, [&](const auto &home) {
+            return !home.second->process->isFrozen() && isLinked(home.first, name);
+        });
+        if (!isReached || gateway.process->isFrozen()) {
+            return;
+        }
+        for (const auto &[endpoint, it] : endpoints) {
+            if (it.isUp && it.isListed) {
+                gateway.takeStart(endpoint, it.start);
+            }
+        }
+    }
+
+    void takeUp(const std::string &gateway, const BegunStream &stream, const Target &begunAt)
+    {
+        if (const auto begun = m_gateways.find(stream.gateway); begun != m_gateways.end()) {
+            begun->second->m_streams.erase(stream.call);
+        }
         Gateway *it = awake(gateway);
         if (!it) {
             return;
         }
-        const auto serving = std::ranges::count_if(m_listed, [&](const auto &entry) {
-            return entry.second == begunAt.value();
+        const auto serving = std::ranges::count_if(m_endpoints, [&](const auto &entry) {
+            return entry.second.isUp && entry.second.isListed && entry.second.version == begunAt.version.value();
         });
-        const bool isCounted = isInTouch(gateway) && serving >= 2 && isBroken(stream);
-        it->find(stream.call, [this, begunAt, isCounted](const std::optional<SoftwareVersion> &version) {
-            tally.mixed += version && *version != begunAt ? 1 : 0;
+        const bool isLost = isBroken(stream) || !isServing(begunAt);
+        const bool isCounted = isInTouch(gateway) && serving >= 2 && isLost;
+        it->takeUp(stream.call, [this, begunAt, isCounted](const std::optional<Target> &target) {
+            tally.mixed += target && target->version != begunAt.version ? 1 : 0;
             if (isCounted) {
-                ++(version ? tally.continued : tally.refused);
+                ++(target ? tally.continued : tally.refused);
             }
         });
     }
@@ -485,7 +794,8 @@
     }
 
     std::map<std::string, RadishSwitch::FleetPeer> m_peers;
-    std::map<std::string, std::string> m_listed;
+    std::map<std::string, Endpoint> m_endpoints;
+    std::int64_t m_starts = 0;
     std::set<std::string> m_cutOff;
     /// When the last trouble of a process ended.
     std::map<std::string, Instant> m_disturbedAt;
--- a/tests/radishswitch-gateway/streamversionschedule_test.cpp
+++ b/tests/radishswitch-gateway/streamversionschedule_test.cpp
@@ -236,6 +236,18 @@
         }
     }
 
+    void expectContinuedAsBegun() const
+    {
+        const StreamVersionFleet::Tally &it = fleet.tally;
+        if (it.continued + it.refused < kLeastStreams) {
+            return;
+        }
+        const double continued = static_cast<double>(it.continued) / (it.continued + it.refused);
+        const double begun = static_cast<double>(it.begun) / (it.begun + it.notBegun);
+        EXPECT_GE(continued, begun / 2) << it.continued << " continued, " << it.refused << " refused, " << it.begun
+                                        << " begun, " << it.notBegun << " not begun";
+    }
+
     StreamVersionFleet fleet;
 };
 
@@ -260,15 +272,61 @@
         scheduleGatewayFault();
     }
     fleet.clock.advance(kEnd);
-    const StreamVersionFleet::Tally &it = fleet.tally;
-    EXPECT_EQ(it.mixed, 0);
-    if (it.continued + it.refused < kLeastStreams) {
-        return;
+    EXPECT_EQ(fleet.tally.mixed, 0);
+    expectContinuedAsBegun();
+}
+
+/// Schedules in which endpoints start again under their ids, over the same fleet.
+class EndpointRestartScheduleTest : public StreamVersionScheduleTest
+{
+protected:
+    /// Endpoints start again under their ids, with any version, some of them several times.
+    void scheduleRestarts()
+    {
+        constexpr int kRestarts = 8;
+        fleet.reportStarts();
+        for (int n = 0; n < kRestarts; ++n) {
+            const Duration away = between(milliseconds(30), seconds(5));
+            const Duration entryDelay = fleet.random.below(2) == 0 ? Duration::zero() : between(seconds(0), seconds(8));
+            const std::string version = "v" + std::to_string(1 + fleet.random.below(3));
+            at(between(seconds(0), seconds(30)), [this, version, away, entryDelay] {
+                fleet.restart(anyOf(fleet.endpointNames()), version, away, entryDelay);
+            });
+        }
+        if (fleet.random.below(2) == 0) {
+            const Duration begin = between(seconds(0), seconds(20));
+            at(begin, [this] {
+                fleet.setStoreDown(true);
+            });
+            at(begin + between(seconds(1), seconds(9)), [this] {
+                fleet.setStoreDown(false);
+            });
+        }
+    }
+};
+
+// Guards against streams with events of two versions, and streams that nobody continues, while endpoints start again
+// under their ids before the list shows it.
+TEST_P(EndpointRestartScheduleTest, endpointsStartAgain_streamsContinueAtTheirVersions)
+{
+    scheduleRestarts();
+    fleet.clock.advance(kEnd);
+    EXPECT_EQ(fleet.tally.mixed, 0);
+    EXPECT_GT(fleet.tally.begun, 0);
+    expectContinuedAsBegun();
+}
+
+// Guards against the same beside faults of gateways, homes, network and store.
+TEST_P(EndpointRestartScheduleTest, endpointsStartAgainBesideFaults_noStreamIsOfTwoVersions)
+{
+    scheduleRestarts();
+    for (int n = 0; n < 3; ++n) {
+        scheduleGatewayFault();
+        scheduleGraveFault();
     }
-    const double continued = static_cast<double>(it.continued) / (it.continued + it.refused);
-    const double begun = static_cast<double>(it.begun) / (it.begun + it.notBegun);
-    EXPECT_GE(continued, begun / 2) << it.continued << " continued, " << it.refused << " refused, " << it.begun
-                                    << " begun, " << it.notBegun << " not begun";
+    fleet.clock.advance(kEnd);
+    EXPECT_EQ(fleet.tally.mixed, 0);
+    EXPECT_GT(fleet.tally.begun, 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, StreamVersionScheduleTest, testing::ValuesIn(StreamVersionScheduleTest::seedsBelow(40)),
@@ -279,3 +337,6 @@
 // Both gateways have started again since the second version joined, so that nobody knows since when records are needed.
 INSTANTIATE_TEST_SUITE_P(ThreeHolders, StreamVersionScheduleTest, testing::Values(Schedule{57, 2, 1}),
                          StreamVersionScheduleTest::nameOf);
+INSTANTIATE_TEST_SUITE_P(Seeds, EndpointRestartScheduleTest,
+                         testing::ValuesIn(StreamVersionScheduleTest::seedsBelow(40)),
+                         StreamVersionScheduleTest::nameOf);
