--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -44,6 +44,8 @@
         /// Number of answers to other calls that came before the answer to this call.
         int strayAnswers = 0;
         bool isSilenceLogged = false;
+        /// It was sent to continue a stream.
+        bool isContinuation = false;
         /// The connection was established, but the gateway decided not to send the call.
         bool isWithdrawn = false;
         /// What tells where the answer ends; empty before its head has been read.
@@ -112,6 +114,7 @@
     boost::asio::awaitable<AttemptEnd> endRefused(Attempt &attempt, const AnswerHead &head);
     void finish(Attempt &attempt, AttemptResult result);
     void notePoison(const Attempt &attempt, AttemptResult result);
+    static EndpointIncarnation incarnationOf(const Placement &placement);
     CrashedRun crashedRun(const Attempt &attempt) const;
     void noteAnswering();
     RunEnd runEndOf(const Attempt &attempt, AttemptResult result) const;
@@ -134,6 +137,7 @@
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
     void noteFirstEvents();
+    bool checkWriter();
     void noteFirstAnswer();
     Duration firstAnswerWait() const;
 
