Soak: all readings of ORDER on every try of a caller, each named with gateway, endpoints and framing

Only tries that looked complete were compared with the expected bytes, and all streams had the same number of events. A try that broke off could hold events twice, of another run, or behind a gap, and the sentence named neither gateway nor endpoint.

Events are now read one by one on complete and broken tries: missing, repeated, out of order, of another run, not going on behind Last-Event-Id, of several software versions; and the end of a complete try is held against the stream's own last event. Whole answers are judged in parts, too. Streams end at an event that the caller draws.

--- a/tests/radishswitch-gateway/soakrecord_test.cpp
+++ b/tests/radishswitch-gateway/soakrecord_test.cpp
@@ -13,7 +13,6 @@
     {
         record.promptTokens = 100;
         record.tokensPerEvent = 7;
-        record.eventsOfStream = 2;
         record.paid["o"] = 1'000;
         record.certainlyInTime = 3'000;
     }
@@ -23,6 +22,7 @@
     {
         SoakCall call{"c", kind, "o", 0, ReplicaServer::eventText("c", 1)};
         call.hasBegun = true;
+        call.events = 2;
         call.span = span;
         record.calls.push_back(call);
         record.runs["c"] = SoakRun{1, "o", 1, {2}};
@@ -31,6 +31,7 @@
     void add(SoakKind kind, int status, const std::string &body, int runs, std::int64_t events = 0)
     {
         record.calls.push_back({"c", kind, "o", status, body});
+        record.calls.back().events = 2;
         record.runs["c"] = SoakRun{runs, "o", events};
     }
 
@@ -193,7 +194,197 @@
                     {"d", SoakKind::Resumable, "o", 200, "id: 2\ndata: d-2@v2\n\n"}};
     record.calls[1].resumes = "c";
     record.calls[1].lastEvent = 1;
+    record.calls[1].events = 2;
     EXPECT_EQ(broken(), 1U);
     record.calls[1].body = "id: 2\ndata: d-2@v1\n\n";
     EXPECT_EQ(broken(), 0U);
 }
+
+/// Streams of five events, in the tries by which a caller got them.
+class SoakStreamsTest : public SoakRecordTest
+{
+protected:
+    static constexpr std::int64_t kEvents = 5;
+
+    static std::string events(const std::string &call, std::initializer_list<std::int64_t> ids)
+    {
+        std::string text;
+        for (const std::int64_t id : ids) {
+            text += ReplicaServer::eventText(call, id);
+        }
+        return text;
+    }
+
+    /// A try, complete or broken off.
+    SoakCall &addTry(const std::string &id, const std::string &body, bool isComplete)
+    {
+        SoakCall call{id, SoakKind::Resumable, "o", isComplete ? 200 : 0, body};
+        call.hasBegun = true;
+        call.events = kEvents;
+        call.gateway = 1;
+        call.span = {0, record.certainlyInTime};
+        record.calls.push_back(call);
+        record.runs[id] = SoakRun{1, "o", kEvents, {3}, {"closing"}};
+        return record.calls.back();
+    }
+
+    /// A try that takes up the stream "c" behind an event.
+    void addContinued(const std::string &id, std::int64_t lastEvent, const std::string &body, bool isComplete)
+    {
+        SoakCall &call = addTry(id, body, isComplete);
+        call.resumes = "c";
+        call.lastEvent = lastEvent;
+    }
+
+    /// The only promise that is broken; empty if there isn't just one.
+    std::string brokenSentence() const
+    {
+        const std::vector<std::string> broken = brokenPromises(record);
+        return broken.size() == 1 ? broken.front() : std::string();
+    }
+
+    static constexpr char kName[] = "resumable stream c at gateway-1, replica-3, closing: ";
+    static constexpr char kContinuedName[] =
+        "resumable stream d, which takes up c behind event 2, at gateway-1, replica-3, closing: ";
+};
+
+TEST_F(SoakStreamsTest, wholeStream_inOneTryOrSeveral_breaksNothing)
+{
+    addTry("c", events("c", {1, 2, 3, 4, 5}), true);
+    EXPECT_EQ(broken(), 0U);
+    record.calls.clear();
+    addTry("c", events("c", {1, 2}) + "id: 3\nda", false);
+    addContinued("d", 2, events("d", {3, 4}), false);
+    addContinued("e", 4, events("e", {5}), true);
+    EXPECT_EQ(broken(), 0U);
+    // It had all events and not the end.
+    addContinued("f", 5, "", true);
+    EXPECT_EQ(broken(), 0U);
+}
+
+// Guards against a soak that judges only streams that look complete.
+TEST_F(SoakStreamsTest, missingEvent_isFound)
+{
+    for (const bool isComplete : {true, false}) {
+        record.calls.clear();
+        addTry("c", events("c", {1, 2, 4, 5}), isComplete);
+        EXPECT_EQ(brokenSentence(), kName + std::string("event 3 is missing"));
+    }
+}
+
+TEST_F(SoakStreamsTest, repeatedEvent_isFound)
+{
+    for (const bool isComplete : {true, false}) {
+        record.calls.clear();
+        addTry("c", events("c", {1, 2, 2, 3, 4, 5}), isComplete);
+        EXPECT_EQ(brokenSentence(), kName + std::string("event 2 comes twice"));
+    }
+}
+
+TEST_F(SoakStreamsTest, eventsOutOfOrder_areFound)
+{
+    for (const bool isComplete : {true, false}) {
+        record.calls.clear();
+        addTry("c", events("c", {1, 3, 2, 4, 5}), isComplete);
+        EXPECT_EQ(brokenSentence(), kName + std::string("event 2 comes behind event 3"));
+    }
+}
+
+TEST_F(SoakStreamsTest, eventOfAnotherRun_isFound)
+{
+    for (const bool isComplete : {true, false}) {
+        record.calls.clear();
+        addTry("c", events("c", {1, 2}) + events("x", {3}) + events("c", {4, 5}), isComplete);
+        EXPECT_EQ(brokenSentence(), kName + std::string("event 3 is of another run"));
+    }
+}
+
+TEST_F(SoakStreamsTest, completeBeforeItsLastEvent_isFound)
+{
+    addTry("c", events("c", {1, 2, 3}), true);
+    EXPECT_EQ(brokenSentence(), kName + std::string("ended as complete behind event 3 of 5"));
+    record.calls.clear();
+    addTry("c", "", true);
+    EXPECT_EQ(brokenSentence(), kName + std::string("ended as complete behind event 0 of 5"));
+    record.calls.front().status = 0;
+    EXPECT_EQ(broken(), 0U);
+}
+
+TEST_F(SoakStreamsTest, lastTryCompleteBeforeTheLastEvent_isFound)
+{
+    addTry("c", events("c", {1, 2}), false);
+    addContinued("d", 2, events("d", {3, 4}), true);
+    EXPECT_EQ(brokenSentence(), kContinuedName + std::string("ended as complete behind event 4 of 5"));
+}
+
+TEST_F(SoakStreamsTest, completeInsideAnEvent_isFound)
+{
+    addTry("c", events("c", {1, 2}) + "id: 3\nda", true);
+    record.runs["c"].closedBehind = {2};
+    EXPECT_EQ(brokenSentence(), kName + std::string("ended as complete inside the event behind 2"));
+}
+
+TEST_F(SoakStreamsTest, eventBehindTheLastOne_isFound)
+{
+    addTry("c", events("c", {1, 2, 3, 4, 5, 6}), true);
+    EXPECT_EQ(brokenSentence(), kName + std::string("has event 6 behind its last, 5"));
+}
+
+// An endpoint that lives on and closes its connection has ended an answer that ends so.
+TEST_F(SoakStreamsTest, closedByAnEndpointThatLivesOn_isExcusedAtThatEventAlone)
+{
+    addTry("c", events("c", {1, 2, 3}), true);
+    record.runs["c"].closedBehind = {3};
+    EXPECT_EQ(broken(), 0U);
+    record.runs["c"].closedBehind = {2};
+    EXPECT_EQ(broken(), 1U);
+}
+
+TEST_F(SoakStreamsTest, tryThatDoesNotGoOnAtItsLastEvent_isFound)
+{
+    for (const std::initializer_list<std::int64_t> ids :
+         {std::initializer_list<std::int64_t>{1, 2, 3, 4, 5}, std::initializer_list<std::int64_t>{2, 3, 4, 5},
+          std::initializer_list<std::int64_t>{4, 5}}) {
+        for (const bool isComplete : {true, false}) {
+            record.calls.clear();
+            addTry("c", events("c", {1, 2}), false);
+            addContinued("d", 2, events("d", ids), isComplete);
+            EXPECT_EQ(brokenSentence(), kContinuedName + ("goes on with event " + std::to_string(*ids.begin())));
+        }
+    }
+}
+
+TEST_F(SoakStreamsTest, cutByTheEndpointItself_isNoCutOfTheGateway)
+{
+    addTry("c", events("c", {1, 2}), false);
+    record.calls.front().span = {0, 100};
+    EXPECT_EQ(broken(), 1U);
+    record.runs["c"].wasCut = true;
+    EXPECT_EQ(broken(), 0U);
+}
+
+// Guards against a soak that takes a part of a whole answer for the whole, or the bytes of another one.
+TEST_F(SoakRecordTest, wholeAnswerThatIsNotWhole_isFound)
+{
+    const std::string whole = ReplicaServer::bodyText("c");
+    add(SoakKind::Safe, 200, whole.substr(0, 4), 1);
+    EXPECT_EQ(brokenPromises(record),
+              std::vector<std::string>{"safe call c at gateway-0: ended as complete after 4 of "
+                                       + std::to_string(whole.size()) + " bytes"});
+    record.calls.front().status = 0;
+    record.calls.front().hasBegun = true;
+    record.calls.front().span = {0, record.certainlyInTime};
+    EXPECT_EQ(broken(), 0U);
+}
+
+TEST_F(SoakRecordTest, wholeAnswerWithOtherBytes_isFound)
+{
+    for (const int status : {200, 0}) {
+        record.calls.clear();
+        add(SoakKind::Order, status, ReplicaServer::bodyText("d"), 1);
+        record.calls.front().hasBegun = true;
+        record.calls.front().span = {0, record.certainlyInTime};
+        EXPECT_EQ(brokenPromises(record),
+                  std::vector<std::string>{"order c at gateway-0: holds other bytes than its answer"});
+    }
+}
