A lost question after an answer is asked again before its endpoint counts as ended

What callers saw: 502, or a stream cut behind its last event, in place of a whole answer that ended with its connection, where the live endpoint had reset the question for its report. Cause: a reset counted as the end of the process. Endpoints reset connections beyond their maximum, which is lower while their queues are long, so that whole answers were given up, and safe calls run again, under load of all times. Mend: a lost connection is tried four times, 20 ms apart, within the 0.5 s. The address of a process that ended refuses each of them, and another start ends the question at once. A stream of a killed endpoint goes on some 60 ms later.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,7 +65,7 @@
                    m_connections.closeIdle(incarnation.endpoint);
                })
     , m_limits(m_store, m_timers, m_random, m_gate)
-    , m_writers(m_workers)
+    , m_writers(m_workers, m_timers)
     , m_versionReports(m_store, m_timers, m_random, m_gate.registry().versions(), versionReportInputs())
     , m_originHolders(m_settings.instance)
     , m_originPeers(m_clients, m_originHolders, m_timers)
--- a/src/gateway/writerprobe.cpp
+++ b/src/gateway/writerprobe.cpp
@@ -17,12 +17,22 @@
 /// The end of the answer waits for this long at most.
 constexpr Duration kTimeout = std::chrono::milliseconds(500);
 
+/// An endpoint that runs resets connections beyond its maximum, which looks like the end of its process. A lost
+/// connection counts as that end when it is lost this often.
+constexpr int kQuestions = 4;
+constexpr Duration kQuestionPause = std::chrono::milliseconds(20);
+
+bool isLost(const absl::Status &status)
+{
+    return !status.ok() && failureCode(status) == FailureCode::ConnectionLost;
+}
+
 WriterState stateOf(const EndpointIncarnation &incarnation, const absl::StatusOr<std::int64_t> &start)
 {
     if (start.ok()) {
         return *start == incarnation.startedAtMilliseconds ? WriterState::Runs : WriterState::Ended;
     }
-    return failureCode(start.status()) == FailureCode::ConnectionLost ? WriterState::Ended : WriterState::Unknown;
+    return isLost(start.status()) ? WriterState::Ended : WriterState::Unknown;
 }
 
 }
@@ -40,8 +50,9 @@
     return "unknown";
 }
 
-WriterProbe::WriterProbe(WorkerPool &workers)
+WriterProbe::WriterProbe(WorkerPool &workers, TimerService &timers)
     : m_workers(workers)
+    , m_timers(timers)
 {
 }
 
@@ -50,29 +61,52 @@
     Waiters &waiters = m_waiters[incarnation];
     waiters.next.push_back(std::move(callback));
     if (waiters.asked.empty()) {
-        ask(incarnation, address);
+        askNext(incarnation, address);
     }
 }
 
-void WriterProbe::ask(const EndpointIncarnation &incarnation, const std::string &address)
+void WriterProbe::askNext(const EndpointIncarnation &incarnation, const std::string &address)
 {
     Waiters &waiters = m_waiters[incarnation];
     waiters.asked = std::exchange(waiters.next, {});
+    ask({incarnation, address, kQuestions, m_timers.now() + kTimeout});
+}
+
+void WriterProbe::ask(Question question)
+{
+    --question.left;
+    const Duration timeout = question.end - m_timers.now();
     const std::weak_ptr<int> alive = m_alive;
-    makeEndpointReportReader(m_workers, address)
-        ->readStart(kTimeout, [this, alive, incarnation, address](const absl::StatusOr<std::int64_t> &start) {
-            if (alive.expired()) {
-                return;
+    makeEndpointReportReader(m_workers, question.address)
+        ->readStart(timeout, [this, alive, question](const absl::StatusOr<std::int64_t> &start) {
+            if (!alive.expired()) {
+                handleAnswer(question, start);
             }
-            const WriterState state = stateOf(incarnation, start);
-            if (state != WriterState::Runs) {
-                kLog.info("endpoint no longer runs as it did when it wrote an answer",
-                          {field("endpoint", incarnation.endpoint.value()), field("address", address),
-                           field("born", incarnation.startedAtMilliseconds), field("writer", writerStateName(state)),
-                           field("reason", std::string(start.status().message()))});
+        });
+}
+
+void WriterProbe::handleAnswer(Question question, const absl::StatusOr<std::int64_t> &start)
+{
+    const EndpointIncarnation &incarnation = question.incarnation;
+    const std::string &address = question.address;
+    const bool hasTime = m_timers.now() + kQuestionPause < question.end;
+    if (isLost(start.status()) && question.left > 0 && hasTime) {
+        const std::weak_ptr<int> alive = m_alive;
+        m_timers.after(kQuestionPause, [this, alive, question] {
+            if (!alive.expired()) {
+                ask(question);
             }
-            finish(incarnation, address, state);
         });
+        return;
+    }
+    const WriterState state = stateOf(incarnation, start);
+    if (state != WriterState::Runs) {
+        kLog.info("endpoint no longer runs as it did when it wrote an answer",
+                  {field("endpoint", incarnation.endpoint.value()), field("address", address),
+                   field("born", incarnation.startedAtMilliseconds), field("writer", writerStateName(state)),
+                   field("reason", std::string(start.status().message()))});
+    }
+    finish(incarnation, address, state);
 }
 
 void WriterProbe::finish(const EndpointIncarnation &incarnation, const std::string &address, WriterState state)
@@ -81,7 +115,7 @@
     if (m_waiters[incarnation].next.empty()) {
         m_waiters.erase(incarnation);
     } else {
-        ask(incarnation, address);
+        askNext(incarnation, address);
     }
     for (const Callback &callback : answered) {
         callback(state);
--- a/src/gateway/writerprobe.h
+++ b/src/gateway/writerprobe.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "base/timerservice.h"
 #include "serving/crashreport.h"
 #include "workerpool.h"
 
 #include <absl/container/flat_hash_map.h>
 
+#include <absl/status/statusor.h>
+
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,13 +41,22 @@
 public:
     using Callback = std::function<void(WriterState)>;
 
-    explicit WriterProbe(WorkerPool &workers);
+    WriterProbe(WorkerPool &workers, TimerService &timers);
 
     /// Calls back once, never from inside this call, with what was found out after this call. Calls for the same
     /// incarnation share a question, but not one that was asked before them.
     void probe(const EndpointIncarnation &incarnation, const std::string &address, Callback callback);
 
 private:
+    /// A question, repeated where its connection is lost.
+    struct Question {
+        EndpointIncarnation incarnation;
+        std::string address;
+        /// How often it may still be asked.
+        int left = 0;
+        Instant end;
+    };
+
     struct Waiters {
         /// Those whose question is on its way.
         std::vector<Callback> asked;
@@ -51,10 +64,13 @@
         std::vector<Callback> next;
     };
 
-    void ask(const EndpointIncarnation &incarnation, const std::string &address);
+    void askNext(const EndpointIncarnation &incarnation, const std::string &address);
+    void ask(Question question);
+    void handleAnswer(Question question, const absl::StatusOr<std::int64_t> &start);
     void finish(const EndpointIncarnation &incarnation, const std::string &address, WriterState state);
 
     WorkerPool &m_workers;
+    TimerService &m_timers;
     absl::flat_hash_map<EndpointIncarnation, Waiters> m_waiters;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
