Answers of endpoints whose entries tell no start are whole if their address answers

What callers saw: each whole answer that ended with its connection was given up where the endpoint's entry in the list holds no start, or zero: the report always holds one, so that the two never agreed. Mend: without a start in the entry, whoever answers the question counts as the writer, as for loads. It is asked once and at once then, since a later answer could be that of a new process.

--- a/src/gateway/writerprobe.cpp
+++ b/src/gateway/writerprobe.cpp
@@ -27,8 +27,18 @@
     return !status.ok() && failureCode(status) == FailureCode::ConnectionLost;
 }
 
+bool tellsStart(const EndpointIncarnation &incarnation)
+{
+    return incarnation.startedAtMilliseconds > 0;
+}
+
+// Where the entry of an endpoint tells no start, whoever answers at its address is taken for the writer: the question
+// follows the end of the answer at once, and a new process takes longer to start.
 WriterState stateOf(const EndpointIncarnation &incarnation, const absl::StatusOr<std::int64_t> &start)
 {
+    if (start.ok() && !tellsStart(incarnation)) {
+        return WriterState::Runs;
+    }
     if (start.ok()) {
         return *start == incarnation.startedAtMilliseconds ? WriterState::Runs : WriterState::Ended;
     }
@@ -69,7 +79,9 @@
 {
     Waiters &waiters = m_waiters[incarnation];
     waiters.asked = std::exchange(waiters.next, {});
-    ask({incarnation, address, kQuestions, m_timers.now() + kTimeout});
+    // Without a start a later answer could be that of a new process.
+    const int questions = tellsStart(incarnation) ? kQuestions : 1;
+    ask({incarnation, address, questions, m_timers.now() + kTimeout});
 }
 
 void WriterProbe::ask(Question question)
--- a/tests/programs/streamends_test.cpp
+++ b/tests/programs/streamends_test.cpp
@@ -376,6 +376,27 @@
     EXPECT_EQ(whole(answers, wholeStream), kCalls);
 }
 
+// Guards against the opposite where the entries tell no start: a killed endpoint's stream taken for whole.
+TEST_F(StreamEndsTest, streams_entriesTellNoStartAndEndpointKilled_noneIsCompleteBeforeItsLastEvent)
+{
+    for (int n = 0; n < kReplicas; ++n) {
+        platform.forgetEndpoint(replicaId(n));
+        killReplica(n);
+        startWithoutListedStart(n);
+    }
+    waitUntil([this] {
+        return ask("/safe/", "again").status == 200;
+    });
+    orderAll("order/end-by-closing");
+    const auto answers = answersAcross("/once/", [this] {
+        for (int n = 0; n < kReplicas; ++n) {
+            killReplica(n);
+            startWithoutListedStart(n);
+        }
+    });
+    EXPECT_EQ(falselyComplete(answers, wholeStream), 0);
+}
+
 // Guards against streams that were whole and are given up, or repeated in part, as their endpoint is killed behind
 // their last events.
 TEST_F(StreamEndsTest, resumableStreams_endpointKilledBehindLastEvent_areWhole)
