--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -157,7 +157,10 @@
         co_return absl::OkStatus();
     }
     const Placement &placement = m_attempt.placement;
-    const EndpointIncarnation incarnation{placement.endpoint, placement.startedAtMilliseconds};
+    EndpointIncarnation incarnation = incarnationOf(placement);
+    if (!placement.isStartKnown) {
+        incarnation.startedAtMilliseconds = 0;
+    }
     const auto start = [this, &incarnation, &placement](auto done) {
         m_services.writers.probe(incarnation, placement.address, std::move(done));
     };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,7 +65,10 @@
                    m_connections.closeIdle(incarnation.endpoint);
                })
     , m_limits(m_store, m_timers, m_random, m_gate)
-    , m_writers(m_workers, m_timers, m_connections)
+    , m_writers(m_workers, m_timers, m_connections,
+                [this](const EndpointIncarnation &incarnation, std::optional<std::int64_t> nextStartMilliseconds) {
+                    m_gate.noteCrashed(incarnation, nextStartMilliseconds);
+                })
     , m_versionReports(m_store, m_timers, m_random, m_gate.registry().versions(), versionReportInputs())
     , m_originHolders(m_settings.instance)
     , m_originPeers(m_clients, m_originHolders, m_timers)
--- a/src/gateway/writerprobe.cpp
+++ b/src/gateway/writerprobe.cpp
@@ -21,7 +21,7 @@
 const Log kLog("call");
 
 /// Bounds each question. The end of the answer waits for it.
-constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
+constexpr Duration kStartTimeout = std::chrono::milliseconds(500);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
 /// A process that is being killed may lose a connection that its kernel has already accepted, and an endpoint with too
 /// many connections resets new ones. After a pause the first refuses connections, the second does not.
@@ -43,10 +43,12 @@
     return "unknown";
 }
 
-WriterProbe::WriterProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections)
+WriterProbe::WriterProbe(WorkerPool &workers, TimerService &timers, EndpointConnections &connections,
+                         EndedCallback onEnded)
     : m_workers(workers)
     , m_timers(timers)
     , m_connections(connections)
+    , m_onEnded(std::move(onEnded))
 {
 }
 
@@ -87,7 +89,7 @@
 {
     const std::weak_ptr<int> alive = m_alive;
     for (int n = 0; n < kQuestions; ++n) {
-        std::optional<WriterState> state = co_await findByReport(incarnation, address);
+        std::optional<WriterState> state = co_await findByStart(incarnation, address);
         if (!state && !alive.expired()) {
             state = co_await findByConnecting(address);
         }
@@ -103,21 +105,25 @@
 }
 
 // Nothing if the connection was lost.
-net::awaitable<std::optional<WriterState>> WriterProbe::findByReport(const EndpointIncarnation &incarnation,
-                                                                     const std::string &address)
+net::awaitable<std::optional<WriterState>> WriterProbe::findByStart(const EndpointIncarnation &incarnation,
+                                                                    const std::string &address)
 {
-    const auto start = [this, &address](auto done) {
-        makeEndpointReportReader(m_workers, address)->read(kReportTimeout, std::move(done));
+    const std::weak_ptr<int> alive = m_alive;
+    const auto ask = [this, &address](auto done) {
+        makeEndpointReportReader(m_workers, address)->readStart(kStartTimeout, std::move(done));
     };
-    const auto report = co_await awaitCallback<absl::StatusOr<EndpointReport>>(start);
-    if (!report.ok() && failureCode(report.status()) == FailureCode::ConnectionLost) {
+    const auto start = co_await awaitCallback<absl::StatusOr<std::int64_t>>(ask);
+    if (!start.ok() && failureCode(start.status()) == FailureCode::ConnectionLost) {
         co_return std::nullopt;
     }
-    if (!report.ok() && failureCode(report.status()) == FailureCode::ConnectionSilent) {
+    if (!start.ok() && failureCode(start.status()) == FailureCode::ConnectionSilent) {
         co_return WriterState::Unknown;
     }
-    const bool isOther = report.ok() && incarnation.startedAtMilliseconds > 0
-        && report->startedAtMilliseconds != incarnation.startedAtMilliseconds;
+    const bool isOther =
+        start.ok() && incarnation.startedAtMilliseconds > 0 && *start != incarnation.startedAtMilliseconds;
+    if (isOther && *start > incarnation.startedAtMilliseconds && !alive.expired()) {
+        m_onEnded(incarnation, *start);
+    }
     co_return isOther ? WriterState::Ended : WriterState::Runs;
 }
 
--- a/src/libradishswitch/serving/callgate.cpp
+++ b/src/libradishswitch/serving/callgate.cpp
@@ -130,6 +130,7 @@
                               listing.zone,
                               m_placement.expectedFirstAnswer(*slot, query, now),
                               listing.startedAtMilliseconds,
+                              m_registry.at(*slot).isStartKnown,
                               listing.softwareVersion};
     const std::int64_t prefillTokens = m_placement.noteSent(*slot, query, now);
     m_placed.insert_or_assign(placement.id, PlacedCall{*slot, query.pool, prefillTokens, now, query.lateAfter});
--- a/src/libradishswitch/serving/placementquery.h
+++ b/src/libradishswitch/serving/placementquery.h
@@ -54,6 +54,8 @@
     Duration expectedFirstAnswer{};
     /// Start time of the endpoint's incarnation that was chosen, as in its listing.
     std::int64_t startedAtMilliseconds = 0;
+    /// False while the start is only a lower bound, since the incarnation before was seen to end.
+    bool isStartKnown = true;
     /// The software that this incarnation runs, as in its listing.
     SoftwareVersion softwareVersion;
 
