--- a/tests/radishswitch-gateway/gatewayfixture.h
+++ b/tests/radishswitch-gateway/gatewayfixture.h
@@ -29,6 +29,8 @@
 
     static constexpr Duration kTestTimeout = std::chrono::seconds(20);
     static constexpr char kKey[] = "key-of-magnolia";
+    /// Start of the endpoints, in their entries and their reports.
+    static constexpr std::int64_t kStartedAtMilliseconds = 1'000;
 
     GatewayFixture()
         : testServers(1)
@@ -59,6 +61,7 @@
     {
         RadishSwitch::ReplicaSettings settings;
         settings.id = id;
+        settings.startedAtMilliseconds = kStartedAtMilliseconds;
         return settings;
     }
 
@@ -88,7 +91,8 @@
         }
     }
 
-    static Json endpointEntry(std::uint16_t port, const std::string &state, std::int64_t startedAtMilliseconds = 1'000,
+    static Json endpointEntry(std::uint16_t port, const std::string &state,
+                              std::int64_t startedAtMilliseconds = kStartedAtMilliseconds,
                               const std::string &softwareVersion = "v1")
     {
         return {{"service", "llm"},
--- a/tests/radishswitch-gateway/poisonparts_test.cpp
+++ b/tests/radishswitch-gateway/poisonparts_test.cpp
@@ -56,8 +56,7 @@
     /// On the worker of the test servers, or before it is in use.
     void startEndpoint(int n)
     {
-        ReplicaSettings settings;
-        settings.id = "engine-" + std::to_string(n) + "-" + std::to_string(++m_starts);
+        ReplicaSettings settings = serverSettings("engine-" + std::to_string(n) + "-" + std::to_string(++m_starts));
         settings.crashingParts = {kPoison, kOtherPoison};
         Endpoint &it = endpoints.emplace_back(n, testServers, settings);
         EXPECT_TRUE(it.server.listen(ownAddress(n), 0).ok());
--- a/tests/radishswitch-gateway/poisonrequests_test.cpp
+++ b/tests/radishswitch-gateway/poisonrequests_test.cpp
@@ -23,8 +23,7 @@
     PoisonRequestsTest()
     {
         for (int n = 0; n < kEndpoints; ++n) {
-            ReplicaSettings settings;
-            settings.id = "engine-" + std::to_string(n);
+            ReplicaSettings settings = serverSettings("engine-" + std::to_string(n));
             settings.crashingBody = kPoison;
             endpoints.emplace_back(testServers, settings);
             EXPECT_TRUE(endpoints.back().listen(ownAddress(n), 0).ok());
--- a/tests/radishswitch-gateway/restartedendpoints_test.cpp
+++ b/tests/radishswitch-gateway/restartedendpoints_test.cpp
@@ -22,9 +22,8 @@
 
     static constexpr int kEndpoints = 2;
     static constexpr int kStreams = 16;
-    static constexpr std::int64_t kFirstStart = 1'000;
+    static constexpr std::int64_t kFirstStart = kStartedAtMilliseconds;
     static constexpr std::int64_t kSecondStart = 2'000;
-    static constexpr std::int64_t kThirdStart = 3'000;
     /// Longer than a gateway takes to see that an address refuses connections.
     static constexpr Duration kAway = 300ms;
     /// Events of a stream that is to be under way for four seconds.
@@ -35,7 +34,7 @@
         , home(homeWorkers, transportSettings(FleetSettings()))
     {
         for (int n = 0; n < kEndpoints; ++n) {
-            launch(n, "v1");
+            launch(n, "v1", kFirstStart);
             reportedStarts[n] = kFirstStart;
         }
     }
@@ -70,10 +69,10 @@
 
     /// Starts an incarnation of the endpoint, without an entry of its own. An address is free some moments after its
     /// last incarnation has crashed.
-    void launch(int n, const std::string &version)
+    void launch(int n, const std::string &version, std::int64_t startedAt = kSecondStart)
     {
-        ReplicaSettings settings;
-        settings.id = idOf(n);
+        ReplicaSettings settings = serverSettings(idOf(n));
+        settings.startedAtMilliseconds = startedAt;
         settings.softwareVersion = version;
         onTestServers([&] {
             servers.emplace_back(testServers, settings);
