An address that accepts connections and answers nothing does not show that the writer of an answer runs

The relay goes on taking connections for an endpoint that was killed; after three lost questions the probe took that for an endpoint with too many connections. Four lost questions now leave the state unknown, so that the answer counts as broken off.

--- a/src/gateway/writerprobe.cpp
+++ b/src/gateway/writerprobe.cpp
@@ -23,9 +23,9 @@
 /// Bounds each question. The end of the answer waits for it.
 constexpr Duration kStartTimeout = std::chrono::milliseconds(500);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
-/// A process that is being killed may lose a connection that its kernel has already accepted, and an endpoint with too
-/// many connections resets new ones. After a pause the first refuses connections, the second does not.
-constexpr int kQuestions = 3;
+/// An endpoint with too many connections resets new ones, as does something before an ended one that goes on accepting
+/// for it. The first answers one of these questions.
+constexpr int kQuestions = 4;
 constexpr Duration kPause = std::chrono::milliseconds(20);
 
 }
@@ -101,7 +101,7 @@
             co_return WriterState::Unknown;
         }
     }
-    co_return WriterState::Runs;
+    co_return WriterState::Unknown;
 }
 
 // Nothing if the connection was lost.
