Events of an endpoint that has started again don't count as passed on when they are dropped

What callers saw: a stream that went on elsewhere lacked an event (ORDER). Cause: bytes were given to the splitter before it was asked whether their writer is still the current incarnation; the events they completed were dropped, and the stream went on behind them. The question now comes first.

Soak: an endpoint that starts again while the store is away is in trouble until 3 s after the store is back, the time in which gateways have to know its entry (stable window).

--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -114,11 +114,11 @@
             break;
         }
         noteAnswering();
+        if (!checkWriter()) {
+            co_return AttemptEnd::Broken;
+        }
         const std::string events = m_eventSplitter.take(*data);
         if (!events.empty()) {
-            if (!checkWriter()) {
-                co_return AttemptEnd::Broken;
-            }
             const absl::Status status = co_await forwardToCaller(head, events);
             if (!status.ok()) {
                 m_isCallerDisconnected = true;
