Answers whose endpoint stands still after their end wait for it where no other endpoint may take the call

A call that another endpoint may take goes there after 0.5 s as before; any other asks again until its time is over. An address that loses four connections counts as ended, so that such a call does not wait for a relay before a dead one.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -129,6 +129,7 @@
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
     boost::asio::awaitable<absl::Status> checkEnd();
+    bool mustAwaitWriter() const;
     HeldAnswer holdAnswer();
     absl::Status checkStream(HeldAnswer &held) const;
     bool hasEndedBeforeFirstEvent() const;
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -164,7 +164,9 @@
     const auto start = [this, &incarnation, &placement](auto done) {
         m_services.writers.probe(incarnation, placement.address, std::move(done));
     };
-    m_attempt.writer = co_await awaitCallback<WriterState>(start);
+    do {
+        m_attempt.writer = co_await awaitCallback<WriterState>(start);
+    } while (m_attempt.writer == WriterState::Unknown && mustAwaitWriter());
     m_services.metrics.noteEndedWithConnection(*m_attempt.writer);
     if (m_attempt.writer == WriterState::Runs) {
         co_return absl::OkStatus();
@@ -192,6 +194,14 @@
     return absl::OkStatus();
 }
 
+// An endpoint that stands still may have ended its answer before. A call that no other endpoint can take over waits for
+// it.
+bool Call::mustAwaitWriter() const
+{
+    const bool mayBeReplaced = mayRunAgain() && m_history.sent < m_history.maximumAttempts;
+    return !mayBeReplaced && !m_isCallerDisconnected && timeLeft() > Duration::zero();
+}
+
 // Where the end of the connection is the end of the answer, an endpoint that crashes as it begins to write looks as if
 // it had nothing to say.
 bool Call::hasEndedBeforeFirstEvent() const
--- a/src/gateway/writerprobe.cpp
+++ b/src/gateway/writerprobe.cpp
@@ -101,7 +101,7 @@
             co_return WriterState::Unknown;
         }
     }
-    co_return WriterState::Unknown;
+    co_return WriterState::Ended;
 }
 
 // Nothing if the connection was lost.
--- a/src/gateway/writerprobe.h
+++ b/src/gateway/writerprobe.h
@@ -22,7 +22,7 @@
 enum class WriterState {
     /// The same process still runs, so that it has ended the connection itself.
     Runs,
-    /// Nothing listens at its address, or a process that started at another time does.
+    /// Nothing answers at its address, or a process that started at another time does.
     Ended,
     /// Nobody answered in time.
     Unknown,
