A failing test of streams that go on by an entry that lags behind a restart

What callers saw: ORDER. Streams that break off at one endpoint go on at another one that has started again with other software. The gateway has no runs there and no home to tell it, so that it knows nothing but the entry, which still names the earlier incarnation.

--- a/tests/radishswitch-gateway/restartedendpoints_test.cpp
+++ b/tests/radishswitch-gateway/restartedendpoints_test.cpp
@@ -303,6 +303,18 @@
     EXPECT_EQ(mixedIn(sendStreams()), 0);
 }
 
+// Guards against a gateway without runs at the endpoint and without a home, which knows nothing but the entry.
+TEST_F(RestartedEndpointsTest, nobodyReportsRestart_entryUnchanged_noStreamGoesOnThere)
+{
+    startGateway();
+    crash(0);
+    launch(0, "v2");
+    list(1, "v1", kFirstStart);
+    waitUntilServing(1);
+    breakOffAt(1);
+    EXPECT_EQ(mixedIn(sendStreams()), 0);
+}
+
 // Guards against streams that begin at an endpoint before its restart is known, and go on at the version of its entry.
 TEST_F(RestartedEndpointsTest, streamBegunBeforeRestartIsKnown_breaksOff_isNotContinuedByTheEntry)
 {
