Events that continue a stream are forwarded only after their endpoint has told its start

What callers saw: ORDER. A resumable stream holds events of two software versions, where an endpoint has started again under its id, its entry lags behind, and the gateway that continues the stream there has neither runs at it nor a report of a home: gateways that have just started, are cut off from homes, or have no home.

Cause: the entry alone said at which version the stream goes on. All else that a gateway learns of a restart needs a connection that ends, or somebody who reports it.

Change: at the first event of a continuation the gateway asks the endpoint for its start, with the question that answers which end with their connections have (WriterProbe). A later start ends the incarnation in the registry, and nothing is forwarded. The process that wrote on the connection can't be later than the one that answers afterwards, so that the listed start in the answer shows the listed software. Streams that nobody continues ask nothing.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -48,6 +48,8 @@
         bool isContinuation = false;
         /// The connection was established, but the gateway decided not to send the call.
         bool isWithdrawn = false;
+        /// Whether the endpoint was asked for its start after the first event of a continuation.
+        bool isStartAsked = false;
         /// What tells where the answer ends; empty before its head has been read.
         std::optional<AnswerFraming> framing;
         /// What became of the process that wrote the answer, where the answer ended with its connection.
@@ -129,6 +131,7 @@
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
     boost::asio::awaitable<absl::Status> checkEnd();
+    boost::asio::awaitable<WriterState> askWriter();
     bool mustAwaitWriter() const;
     HeldAnswer holdAnswer();
     absl::Status checkStream(HeldAnswer &held) const;
@@ -138,6 +141,7 @@
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
     void noteFirstEvents();
+    boost::asio::awaitable<bool> checkContinued();
     bool checkWriter();
     void noteFirstAnswer();
     Duration firstAnswerWait() const;
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -114,7 +114,8 @@
             break;
         }
         noteAnswering();
-        if (!checkWriter()) {
+        const bool isCurrentWriter = co_await checkContinued();
+        if (!isCurrentWriter) {
             co_return AttemptEnd::Broken;
         }
         const std::string events = m_eventSplitter.take(*data);
@@ -156,6 +157,18 @@
     if (!endsWithConnection(m_attempt)) {
         co_return absl::OkStatus();
     }
+    do {
+        m_attempt.writer = co_await askWriter();
+    } while (m_attempt.writer == WriterState::Unknown && mustAwaitWriter());
+    m_services.metrics.noteEndedWithConnection(*m_attempt.writer);
+    if (m_attempt.writer == WriterState::Runs) {
+        co_return absl::OkStatus();
+    }
+    co_return makeFailure(FailureCode::ConnectionLost, "the answer ended with its endpoint's process");
+}
+
+net::awaitable<WriterState> Call::askWriter()
+{
     const Placement &placement = m_attempt.placement;
     EndpointIncarnation incarnation = incarnationOf(placement);
     if (!placement.isStartKnown) {
@@ -164,14 +177,7 @@
     const auto start = [this, &incarnation, &placement](auto done) {
         m_services.writers.probe(incarnation, placement.address, std::move(done));
     };
-    do {
-        m_attempt.writer = co_await awaitCallback<WriterState>(start);
-    } while (m_attempt.writer == WriterState::Unknown && mustAwaitWriter());
-    m_services.metrics.noteEndedWithConnection(*m_attempt.writer);
-    if (m_attempt.writer == WriterState::Runs) {
-        co_return absl::OkStatus();
-    }
-    co_return makeFailure(FailureCode::ConnectionLost, "the answer ended with its endpoint's process");
+    co_return co_await awaitCallback<WriterState>(start);
 }
 
 HeldAnswer Call::holdAnswer()
@@ -272,6 +278,18 @@
     }
 }
 
+// The endpoint's entry may lag behind a restart that nobody has reported yet. An endpoint that answers with a later
+// start ends the incarnation in the registry.
+net::awaitable<bool> Call::checkContinued()
+{
+    const Placement &placement = m_attempt.placement;
+    const bool hasStart = placement.isStartKnown && placement.startedAtMilliseconds > 0;
+    if (m_attempt.isContinuation && hasStart && !std::exchange(m_attempt.isStartAsked, true)) {
+        (void)co_await askWriter();
+    }
+    co_return checkWriter();
+}
+
 // The connections of an incarnation end with it. What still comes is from a later one, which had taken the call before
 // anybody knew of it, and whose version is not known. Returns whether it may be forwarded.
 bool Call::checkWriter()
--- a/src/gateway/writerprobe.h
+++ b/src/gateway/writerprobe.h
@@ -18,9 +18,9 @@
 namespace RadishSwitch
 {
 
-/// What is known of the process that wrote an answer, after the connection of that answer has ended.
+/// What is known of the process that wrote an answer, some time after it wrote.
 enum class WriterState {
-    /// The same process still runs, so that it has ended the connection itself.
+    /// The same process still runs. If the connection of the answer has ended, it has ended that itself.
     Runs,
     /// Nothing answers at its address, or a process that started at another time does.
     Ended,
@@ -31,7 +31,7 @@
 /// The name of a state in logs and metrics, such as "runs". Stable.
 std::string_view writerStateName(WriterState state);
 
-/// Asks endpoints whether the process that wrote an answer still runs.
+/// Asks endpoints whether the process that wrote an answer still runs, and is of the listed incarnation.
 ///
 /// Where the end of the connection is the end of the answer, a process that is killed ends the answer as well: its
 /// kernel closes its connections in good order. A process that answers after that was not killed. The start that it
--- a/tests/radishswitch-gateway/streamversionfleet.h
+++ b/tests/radishswitch-gateway/streamversionfleet.h
@@ -479,10 +479,23 @@
                     probe(*target);
                     return continueAt(call, version, tried, callback);
                 }
+                askStart(*target);
                 isCurrent(*target) ? callback(target) : continueAt(call, version, tried, callback);
             });
         }
 
+        /// An endpoint that continues a stream is asked for its start.
+        void askStart(const Target &target)
+        {
+            const auto slot = m_registry.currentSlotOf(incarnationOf(target));
+            const Endpoint &it = m_fleet.m_endpoints.at(target.endpoint);
+            if (slot && it.isUp && it.start > target.listedStart) {
+                const auto next = m_registry.noteEnded(*slot, process->now());
+                m_registry.noteStart(next.value_or(*slot), it.start, process->now(), process->now());
+                scheduleEvents();
+            }
+        }
+
         void noteRefused(const Target &target)
         {
             const auto slot = m_registry.currentSlotOf(incarnationOf(target));
@@ -497,12 +510,8 @@
         {
             process->after(kProbe, [this, target, asksStart] {
                 noteRefused(target);
-                const auto slot = m_registry.currentSlotOf(incarnationOf(target));
-                const Endpoint &it = m_fleet.m_endpoints.at(target.endpoint);
-                if (asksStart && slot && it.isUp && it.start > target.listedStart) {
-                    const auto next = m_registry.noteEnded(*slot, process->now());
-                    m_registry.noteStart(next.value_or(*slot), it.start, process->now(), process->now());
-                    scheduleEvents();
+                if (asksStart) {
+                    askStart(target);
                 }
             });
         }
