Refusals that name no call promise nothing on connections that carried another one

An endpoint's late bytes behind an earlier answer, Not-Executed without an Attempt-Id, were taken for the answer to the call: an order was answered 503, not run, and had run; with a further attempt it ran at two endpoints.

Cause: an answer without an id counted as the call's own unless it was a success.

On a new connection nothing can come before the call's own answer; there it is believed as before.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -110,6 +110,7 @@
     void send(Attempt &attempt);
     void noteContinued(const Attempt &attempt) const;
     boost::asio::awaitable<absl::StatusOr<AnswerHead>> readHead(Attempt &attempt);
+    static bool mayBeginWithOtherAnswers(const Attempt &attempt);
     void applyNotice(const Attempt &attempt, const AnswerHead &head) const;
     boost::asio::awaitable<absl::Status> skipStrayAnswer(Attempt &attempt);
     AttemptEnd endUnanswered(Attempt &attempt, const absl::Status &status);
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -175,7 +175,11 @@
             co_return status;
         }
         attempt.lastActivityAt = m_services.timers.now();
-        const AnswerHead head = m_services.protocol.readAnswer(connection.status(), connection.headers());
+        AnswerHead head = m_services.protocol.readAnswer(connection.status(), connection.headers());
+        if (!head.call && mayBeginWithOtherAnswers(attempt)) {
+            head.isRefusal = false;
+            head.isOtherEndpoint = false;
+        }
         const bool isOurs = head.call ? *head.call == m_request.id : !isSuccess(head.status);
         if (isOurs) {
             applyNotice(attempt, head);
@@ -189,6 +193,13 @@
     }
 }
 
+// Bytes behind an earlier answer may come late, in place of the answer to this call. An answer there that names no call
+// promises nothing about this one, which may have run.
+bool Call::mayBeginWithOtherAnswers(const Attempt &attempt)
+{
+    return attempt.connection->wasIdle() || attempt.strayAnswers > 0;
+}
+
 void Call::applyNotice(const Attempt &attempt, const AnswerHead &head) const
 {
     // If the address now belongs to another endpoint, its notice does not apply to the expected one.
--- a/tests/radishswitch-gateway/gatewaycalls_test.cpp
+++ b/tests/radishswitch-gateway/gatewaycalls_test.cpp
@@ -230,6 +230,20 @@
     EXPECT_EQ(response->body, ReplicaServer::bodyText("call-1"));
 }
 
+// Guards against an unsafe call that runs twice. Late bytes behind an earlier answer look like a refusal of this call,
+// which has run.
+TEST_F(GatewayCallsTest, refusalWithoutCallOnReusedConnection_outcomeIsUnknownAndRunsOnce)
+{
+    start();
+    ASSERT_EQ(call(request("/order/1", "earlier"))->status, 200);
+    addSecond();
+    addFaults(ReplicaServer::Fault::StrayRefusalFirst, 1);
+    const auto response = call(request("/order/1", "call-1"));
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 502);
+    EXPECT_EQ(runs("call-1"), 1);
+}
+
 TEST_F(GatewayCallsTest, unsignedSuccess_isRejected)
 {
     addFaults(ReplicaServer::Fault::Unsigned, 1);
