--- a/src/fleet/peerentry.cpp
+++ b/src/fleet/peerentry.cpp
@@ -1,5 +1,6 @@
 #include "peerentry.h"
 
+#include "base/boundedtext.h"
 #include "base/failure.h"
 
 #include <nlohmann/json.hpp>
@@ -38,12 +39,12 @@
         peer.zone = json.value(kZoneField, peer.zone);
         const std::string kind = json.value(kKindField, std::string(kGatewayKind));
         if (kind != kGatewayKind && kind != kHomeKind) {
-            return makeFailure(FailureCode::ObjectMalformed, "unknown kind of process: " + kind);
+            return makeFailure(FailureCode::ObjectMalformed, "unknown kind of process: " + boundedText(kind));
         }
         peer.kind = kind == kHomeKind ? PeerKind::Home : PeerKind::Gateway;
         return peer;
     } catch (const nlohmann::json::exception &e) {
-        return makeFailure(FailureCode::ObjectMalformed, e.what());
+        return makeFailure(FailureCode::ObjectMalformed, boundedText(e.what()));
     }
 }
 
--- a/src/gateway/limitreports.cpp
+++ b/src/gateway/limitreports.cpp
@@ -1,5 +1,6 @@
 #include "limitreports.h"
 
+#include "base/boundedtext.h"
 #include "base/failure.h"
 #include "log.h"
 
@@ -47,9 +48,10 @@
         if (std::isfinite(limit) && limit >= 0) {
             return limit;
         }
-        return makeFailure(FailureCode::ObjectMalformed, "limit is not a finite non-negative number: " + value);
+        return makeFailure(FailureCode::ObjectMalformed,
+                           "limit is not a finite non-negative number: " + boundedText(value));
     } catch (const nlohmann::json::exception &e) {
-        return makeFailure(FailureCode::ObjectMalformed, e.what());
+        return makeFailure(FailureCode::ObjectMalformed, boundedText(e.what()));
     }
 }
 
--- a/src/gateway/partbars.cpp
+++ b/src/gateway/partbars.cpp
@@ -1,5 +1,6 @@
 #include "partbars.h"
 
+#include "base/boundedtext.h"
 #include "base/failure.h"
 #include "log.h"
 #include "serving/sharedpromptformat.h"
@@ -60,7 +61,7 @@
         }
         return PartBar{std::move(*pattern), std::max(json.at(kTrialsField).get<int>(), 0)};
     } catch (const nlohmann::json::exception &e) {
-        return makeFailure(FailureCode::ObjectMalformed, e.what());
+        return makeFailure(FailureCode::ObjectMalformed, boundedText(e.what()));
     }
 }
 
--- a/src/libradishswitch/serving/crashreportformat.cpp
+++ b/src/libradishswitch/serving/crashreportformat.cpp
@@ -1,5 +1,6 @@
 #include "serving/crashreportformat.h"
 
+#include "base/boundedtext.h"
 #include "base/failure.h"
 #include "serving/sharedpromptformat.h"
 
@@ -27,7 +28,7 @@
     const auto text = json.get<std::string>();
     const std::optional<RequestFingerprint> request = RequestFingerprint::parse(text);
     if (!request) {
-        return makeFailure(FailureCode::ObjectMalformed, "invalid request fingerprint: " + text);
+        return makeFailure(FailureCode::ObjectMalformed, "invalid request fingerprint: " + boundedText(text));
     }
     return *request;
 }
@@ -85,7 +86,7 @@
     const auto text = json.at(kPartField).get<std::string>();
     const std::optional<std::uint64_t> part = parsePartId(text);
     if (!part) {
-        return makeFailure(FailureCode::ObjectMalformed, "invalid part of a prompt: " + text);
+        return makeFailure(FailureCode::ObjectMalformed, "invalid part of a prompt: " + boundedText(text));
     }
     ExoneratedPart exonerated{*part, {}};
     for (const nlohmann::json &it : json.at(kCrashesField)) {
@@ -148,7 +149,7 @@
     try {
         return readReport(nlohmann::json::parse(text));
     } catch (const nlohmann::json::exception &e) {
-        return makeFailure(FailureCode::ObjectMalformed, e.what());
+        return makeFailure(FailureCode::ObjectMalformed, boundedText(e.what()));
     }
 }
 
