A continuation is not forwarded if the question shows that its writer is another process

Events of another version went out although the gateway had been told.

Change: what the question finds decides. Four lost connections are a state of their own (lost), since an endpoint with too many connections loses questions as well: there the registry decides as before. A question ends with the call's time, or after 0.5 s at a continuation; until now lost questions could hold an event for over 2 s. A writer that can't be reached is asked again after 20 ms and not at once.

The leaving process and the one that ended again have no test of their own: by reading only.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -132,7 +132,7 @@
     boost::asio::awaitable<AttemptResult> relayWhole(const AnswerHead &head);
     boost::asio::awaitable<AttemptResult> relayStream(const AnswerHead &head);
     boost::asio::awaitable<absl::Status> checkEnd();
-    boost::asio::awaitable<WriterState> askWriter();
+    boost::asio::awaitable<WriterState> askWriter(Duration longest);
     bool mustAwaitWriter() const;
     HeldAnswer holdAnswer();
     absl::Status checkStream(HeldAnswer &held) const;
@@ -142,7 +142,7 @@
     boost::asio::awaitable<absl::StatusOr<std::string>> awaitEvents();
     boost::asio::awaitable<absl::Status> forwardToCaller(const AnswerHead &head, const std::string &events);
     void noteFirstEvents();
-    boost::asio::awaitable<bool> checkContinued();
+    boost::asio::awaitable<bool> mayForwardEvents();
     bool checkWriter();
     void noteFirstAnswer();
     Duration firstAnswerWait() const;
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -15,6 +15,10 @@
 namespace
 {
 
+/// An endpoint that is asked for its start at a continuation and does not answer is taken at its entry's word then.
+constexpr Duration kContinuationWait = std::chrono::milliseconds(500);
+/// Before the process that wrote an answer is asked again.
+constexpr Duration kQuestionPause = std::chrono::milliseconds(20);
 /// A process that was late passes on what had arrived by the deadline within this.
 constexpr Duration kLateEvents = std::chrono::milliseconds(100);
 
@@ -114,8 +118,8 @@
             break;
         }
         noteAnswering();
-        const bool isCurrentWriter = co_await checkContinued();
-        if (!isCurrentWriter) {
+        const bool mayForward = co_await mayForwardEvents();
+        if (!mayForward) {
             co_return AttemptEnd::Broken;
         }
         const std::string events = m_eventSplitter.take(*data);
@@ -157,9 +161,11 @@
     if (!endsWithConnection(m_attempt)) {
         co_return absl::OkStatus();
     }
-    do {
-        m_attempt.writer = co_await askWriter();
-    } while (m_attempt.writer == WriterState::Unknown && mustAwaitWriter());
+    m_attempt.writer = co_await askWriter(remainingWait());
+    while (m_attempt.writer == WriterState::Unknown && mustAwaitWriter()) {
+        co_await awaitPause(m_services.timers, kQuestionPause);
+        m_attempt.writer = co_await askWriter(remainingWait());
+    }
     m_services.metrics.noteEndedWithConnection(*m_attempt.writer);
     if (m_attempt.writer == WriterState::Runs) {
         co_return absl::OkStatus();
@@ -167,15 +173,29 @@
     co_return makeFailure(FailureCode::ConnectionLost, "the answer ended with its endpoint's process");
 }
 
-net::awaitable<WriterState> Call::askWriter()
+// Unknown if there is no answer after the longest wait.
+net::awaitable<WriterState> Call::askWriter(Duration longest)
 {
     const Placement &placement = m_attempt.placement;
     EndpointIncarnation incarnation = incarnationOf(placement);
     if (!placement.isStartKnown) {
         incarnation.startedAtMilliseconds = 0;
     }
-    const auto start = [this, &incarnation, &placement](auto done) {
-        m_services.writers.probe(incarnation, placement.address, std::move(done));
+    const auto start = [this, &incarnation, &placement, longest](WriterProbe::Callback done) {
+        const auto waiting = std::make_shared<WriterProbe::Callback>(std::move(done));
+        const auto answer = [waiting](WriterState state) {
+            if (const WriterProbe::Callback callback = std::exchange(*waiting, nullptr)) {
+                callback(state);
+            }
+        };
+        TimerService &timers = m_services.timers;
+        const TimerId timer = timers.after(longest, [answer] {
+            answer(WriterState::Unknown);
+        });
+        m_services.writers.probe(incarnation, placement.address, [answer, timer, &timers](WriterState state) {
+            timers.cancel(timer);
+            answer(state);
+        });
     };
     co_return co_await awaitCallback<WriterState>(start);
 }
@@ -278,14 +298,18 @@
     }
 }
 
-// The endpoint's entry may lag behind a restart that nobody has reported yet. An endpoint that answers with a later
-// start ends the incarnation in the registry.
-net::awaitable<bool> Call::checkContinued()
+// Asks the endpoint for its start at the first event of a continuation: its entry may lag behind a restart that nobody
+// has reported yet, and the events would be of another version.
+net::awaitable<bool> Call::mayForwardEvents()
 {
     const Placement &placement = m_attempt.placement;
     const bool hasStart = placement.isStartKnown && placement.startedAtMilliseconds > 0;
     if (m_attempt.isContinuation && hasStart && !std::exchange(m_attempt.isStartAsked, true)) {
-        (void)co_await askWriter();
+        const WriterState writer = co_await askWriter(limitToTimeLeft(kContinuationWait));
+        if (writer == WriterState::Ended) {
+            m_attempt.failure = makeFailure(FailureCode::StreamVersionGone, "the endpoint has started again");
+            co_return false;
+        }
     }
     co_return checkWriter();
 }
--- a/src/gateway/writerprobe.cpp
+++ b/src/gateway/writerprobe.cpp
@@ -20,7 +20,7 @@
 
 const Log kLog("call");
 
-/// Bounds each question. The end of the answer waits for it.
+/// Bounds each question.
 constexpr Duration kStartTimeout = std::chrono::milliseconds(500);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
 /// An endpoint with too many connections resets new ones, as does something before an ended one that goes on accepting
@@ -37,6 +37,8 @@
         return "runs";
     case WriterState::Ended:
         return "ended";
+    case WriterState::Lost:
+        return "lost";
     case WriterState::Unknown:
         break;
     }
@@ -101,7 +103,7 @@
             co_return WriterState::Unknown;
         }
     }
-    co_return WriterState::Ended;
+    co_return WriterState::Lost;
 }
 
 // Nothing if the connection was lost.
--- a/src/gateway/writerprobe.h
+++ b/src/gateway/writerprobe.h
@@ -22,8 +22,10 @@
 enum class WriterState {
     /// The same process still runs. If the connection of the answer has ended, it has ended that itself.
     Runs,
-    /// Nothing answers at its address, or a process that started at another time does.
+    /// Its address refuses connections, or a process that started at another time answers there.
     Ended,
+    /// Its address takes connections, and each question was lost: the process has ended, or has too many connections.
+    Lost,
     /// Nobody answered in time.
     Unknown,
 };
--- a/tests/radishswitch-gateway/restartedendpoints_test.cpp
+++ b/tests/radishswitch-gateway/restartedendpoints_test.cpp
@@ -315,6 +315,18 @@
     EXPECT_EQ(mixedIn(sendStreams()), 0);
 }
 
+// Guards against the same where the clock of the endpoint's machine was set back.
+TEST_F(RestartedEndpointsTest, nobodyReportsRestart_newStartIsEarlier_noStreamGoesOnThere)
+{
+    startGateway();
+    crash(0);
+    launch(0, "v2", kFirstStart - 1);
+    list(1, "v1", kFirstStart);
+    waitUntilServing(1);
+    breakOffAt(1);
+    EXPECT_EQ(mixedIn(sendStreams()), 0);
+}
+
 // Guards against streams that begin at an endpoint before its restart is known, and go on at the version of its entry.
 TEST_F(RestartedEndpointsTest, streamBegunBeforeRestartIsKnown_breaksOff_isNotContinuedByTheEntry)
 {
