--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -175,12 +175,12 @@
             co_return status;
         }
         attempt.lastActivityAt = m_services.timers.now();
-        AnswerHead head = m_services.protocol.readAnswer(connection.status(), connection.headers());
-        if (!head.call && mayBeginWithOtherAnswers(attempt)) {
-            head.isRefusal = false;
-            head.isOtherEndpoint = false;
-        }
+        const AnswerHead head = m_services.protocol.readAnswer(connection.status(), connection.headers());
         const bool isOurs = head.call ? *head.call == m_request.id : !isSuccess(head.status);
+        if (isOurs && !head.call && mayBeginWithOtherAnswers(attempt)) {
+            co_return withUnknownOutcome(makeFailure(
+                FailureCode::MalformedMessage, "an answer that names no call came on a connection of earlier calls"));
+        }
         if (isOurs) {
             applyNotice(attempt, head);
             co_return head;
@@ -193,8 +193,8 @@
     }
 }
 
-// Bytes behind an earlier answer may come late, in place of the answer to this call. An answer there that names no call
-// promises nothing about this one, which may have run.
+// Bytes behind an earlier answer may come late, in place of the answer to this call. If they name no call, they tell
+// nothing about this one, which may have run.
 bool Call::mayBeginWithOtherAnswers(const Attempt &attempt)
 {
     return attempt.connection->wasIdle() || attempt.strayAnswers > 0;
--- a/tests/radishswitch-gateway/gatewaycalls_test.cpp
+++ b/tests/radishswitch-gateway/gatewaycalls_test.cpp
@@ -244,6 +244,19 @@
     EXPECT_EQ(runs("call-1"), 1);
 }
 
+// Guards against a caller that receives the failure of another call.
+TEST_F(GatewayCallsTest, failureWithoutCallOnReusedConnection_outcomeIsUnknownAndRunsOnce)
+{
+    start();
+    ASSERT_EQ(call(request("/order/1", "earlier"))->status, 200);
+    addSecond();
+    addFaults(ReplicaServer::Fault::StrayFailureFirst, 1);
+    const auto response = call(request("/order/1", "call-1"));
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->status, 502);
+    EXPECT_EQ(runs("call-1"), 1);
+}
+
 TEST_F(GatewayCallsTest, unsignedSuccess_isRejected)
 {
     addFaults(ReplicaServer::Fault::Unsigned, 1);
