Foreign metadata costs no object, and no write its outcome

Such an object vanished though its value was sound; the answer to a write of it counted as unknown, so that it was written again.

--- a/tests/radishswitch-gateway/storeanswerreader_test.cpp
+++ b/tests/radishswitch-gateway/storeanswerreader_test.cpp
@@ -106,11 +106,27 @@
 {
     for (const char *foreign :
          {"null", "7", "[]", "{}", R"({"metadata":{}})", R"({"metadata":{"name":7,"revision":1}})",
-          R"({"metadata":{"name":"x"}})", R"({"metadata":{"name":"x","revision":"y"},"spec":{}})", R"({"spec":{}})"}) {
+          R"({"metadata":{"name":"x"}})", R"({"metadata":{"name":"\ud800","revision":7},"spec":{}})",
+          R"({"metadata":{"name":"x","revision":"y"},"spec":{}})", R"({"spec":{}})"}) {
         expectOthersHold(foreign);
     }
 }
 
+// Guards against a sound entry that is lost for what another writer has added to its metadata.
+TEST_F(StoreAnswerReaderTest, unreadableMembersOfMetadata_leaveTheObject)
+{
+    const auto object = StoreAnswerReader::readObject(
+        kPrefix,
+        R"({"metadata":{"finalizers":["\ud800",1e400],"name":"i-1","revision":7},"spec":)" + soundSpec() + "}");
+    ASSERT_TRUE(object.ok()) << object.status();
+    EXPECT_EQ(object->version, 7U);
+    EXPECT_TRUE(catalogue.readEndpoint(*object).ok());
+    const auto revision = StoreAnswerReader::readRevision(
+        "news/x", R"({"metadata":{"finalizers":["\ud800"],"name":"x","revision":8},"spec":{"a":1e400}})");
+    ASSERT_TRUE(revision.ok()) << revision.status();
+    EXPECT_EQ(*revision, 8U);
+}
+
 // Guards against an endpoint that is used by its last readable entry after another writer has overwritten it.
 TEST_F(StoreAnswerReaderTest, unreadableValue_hasItsKeyAndNoValue)
 {
