--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,8 +2,9 @@
 # Soaks real gateways before stand-ins: every seed that ever failed, then fresh ones.
 # Usage: scripts/soak.sh [--seconds N] [--fresh N] [--at-once N] [--keep DIRECTORY]
 # A line of scripts/soak-seeds.txt is a seed, options of radishswitch-soak that it needs, and behind a # its cause.
-# Ends with 0 if every promise held in every run; logs of a run that failed stay in DIRECTORY/SEED. Seeds that an entry
-# of KNOWN-RED.txt names as `radishswitch-soak ... --seed N` are played and printed, and do not decide.
+# Ends with 0 if every promise held in every run; logs of a run that failed stay in DIRECTORY/SEED. A seed that an
+# entry of KNOWN-RED.txt names with its options (`radishswitch-soak --seed 7 --direct, ...`) is played and printed, and
+# does not decide.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -37,13 +38,12 @@
     seeds+=("$((RANDOM * 32768 + RANDOM))$direct")
 done
 
-mapfile -t known_red < <(grep '^radishswitch-soak,' KNOWN-RED.txt 2>/dev/null | grep -oE -- '--seed [0-9]+' \
-    | cut -d' ' -f2)
+mapfile -t known_red < <(sed -nE 's/^radishswitch-soak --seed ([^,]*),.*/\1/p' KNOWN-RED.txt)
 
 is_known_red() {
     local seed
     for seed in "${known_red[@]}"; do
-        if [ "$seed" = "${1%% *}" ]; then
+        if [ "$seed" = "$1" ]; then
             return 0
         fi
     done
