--- /dev/null
+++ b/review/standins-2/engines.h
@@ -0,0 +1,155 @@
+#pragma once
+
+// Engines in the process of a case: streams of numbered events, and crashes under a part of a prompt.
+
+#include "world.h"
+
+namespace review
+{
+
+struct PromptRequest {
+    std::string id;
+    std::string organisation;
+    std::vector<std::string> parts;
+};
+
+inline std::vector<std::string> partsOf(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::istringstream items(text);
+    std::string item;
+    while (std::getline(items, item, ',')) {
+        parts.push_back(item.substr(0, item.find(':')));
+    }
+    return parts;
+}
+
+class Engine
+{
+public:
+    // Called for each request that reaches the engine; returns whether the engine crashes as it begins to answer.
+    using Arrival = std::function<bool(Engine &engine, const PromptRequest &request)>;
+
+    Engine(const Fleet &fleet, int n, double downSeconds, Arrival onArrival)
+        : m_fleet(fleet)
+        , m_n(n)
+        , m_id("i-" + std::to_string(n) + "f3a91c2")
+        , m_downSeconds(downSeconds)
+        , m_onArrival(std::move(onArrival))
+        , m_born(wallMilliseconds())
+    {
+        m_server = std::make_unique<Server>(fleet.replicaIp(n), [this](int fd, const Message &request) {
+            return answer(fd, request);
+        });
+        m_thread = std::thread([this] {
+            live();
+        });
+    }
+
+    ~Engine()
+    {
+        m_isRunning = false;
+        m_thread.join();
+    }
+
+    std::string address() const
+    {
+        return m_server->address();
+    }
+
+    std::int64_t born() const
+    {
+        return m_born;
+    }
+
+    int number() const
+    {
+        return m_n;
+    }
+
+private:
+    bool answer(int fd, const Message &request)
+    {
+        const std::string id = request.header("Attempt-Id");
+        if (request.target() == "/api/report") {
+            return writeAll(fd, responseText(200, {{"Content-Type", "application/json"}},
+                                             engineReport(m_born, m_active).dump()));
+        }
+        if (request.target() == "/healthz") {
+            return writeAll(fd, responseText(200, {{"Instance-Id", m_id}}, ""));
+        }
+        if (request.header("Expect-Instance") != m_id) {
+            return writeAll(fd, responseText(421, {{"Attempt-Id", id}, {"Not-Executed", "1"}}, ""));
+        }
+        ++m_active;
+        const bool isOpen = run(fd, {id, request.header("Tenant"), partsOf(request.header("Prefix-Hash"))});
+        --m_active;
+        return isOpen;
+    }
+
+    bool run(int fd, const PromptRequest &request)
+    {
+        if (m_onArrival(*this, request)) {
+            sleepFor(0.02);
+            m_isCrashing = true;
+            // The connections end with the process.
+            while (m_isCrashing) {
+                sleepFor(0.01);
+            }
+            return false;
+        }
+        sleepFor(0.03);
+        bool isOpen = writeAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.id
+                                       + "\r\nServer-Signature: s.1\r\nContent-Type: text/event-stream\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n");
+        for (int n = 1; n <= 10 && isOpen && m_server->isOpen(); ++n) {
+            const std::string event = "id: " + std::to_string(n) + "\ndata: token " + std::to_string(n) + "\n\n";
+            char size[16];
+            std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+            isOpen = writeAll(fd, size + event + "\r\n");
+            sleepFor(0.02);
+        }
+        return isOpen && writeAll(fd, "0\r\n\r\n");
+    }
+
+    void list()
+    {
+        m_lastBeat = now();
+        m_fleet.put("servers", m_id, entry("llm", address(), 64, "ready", m_born, ++m_sequence));
+    }
+
+    void live()
+    {
+        while (m_isRunning) {
+            if (m_isCrashing) {
+                m_server->shut(true);
+                m_isCrashing = false;
+                sleepFor(m_downSeconds);
+                m_born = wallMilliseconds();
+                m_sequence = 0;
+                m_server->open();
+                list();
+            }
+            if (now() - m_lastBeat >= 1.2) {
+                list();
+            }
+            sleepFor(0.005);
+        }
+    }
+
+    const Fleet &m_fleet;
+    const int m_n;
+    const std::string m_id;
+    const double m_downSeconds;
+    const Arrival m_onArrival;
+    std::atomic<std::int64_t> m_born;
+    std::atomic<int> m_active{0};
+    std::atomic<bool> m_isCrashing{false};
+    std::atomic<bool> m_isRunning{true};
+    int m_sequence = 0;
+    double m_lastBeat = -100;
+    std::unique_ptr<Server> m_server;
+    std::thread m_thread;
+};
+
+}
