--- a/review/standins-2/engines.h
+++ b/review/standins-2/engines.h
@@ -9,6 +9,7 @@
 
 struct PromptRequest {
     std::string id;
+    std::string target;
     std::string organisation;
     std::vector<std::string> parts;
 };
@@ -30,9 +31,11 @@
     // Called for each request that reaches the engine; returns whether the engine crashes as it begins to answer.
     using Arrival = std::function<bool(Engine &engine, const PromptRequest &request)>;
 
-    Engine(const Fleet &fleet, int n, double downSeconds, Arrival onArrival)
+    // A plain service answers whole.
+    Engine(const Fleet &fleet, int n, double downSeconds, Arrival onArrival, const std::string &service = "llm")
         : m_fleet(fleet)
         , m_n(n)
+        , m_service(service)
         , m_id("i-" + std::to_string(n) + "f3a91c2")
         , m_downSeconds(downSeconds)
         , m_onArrival(std::move(onArrival))
@@ -82,7 +85,7 @@
             return writeAll(fd, responseText(421, {{"Attempt-Id", id}, {"Not-Executed", "1"}}, ""));
         }
         ++m_active;
-        const bool isOpen = run(fd, {id, request.header("Tenant"), partsOf(request.header("Prefix-Hash"))});
+        const bool isOpen = run(fd, {id, request.target(), request.header("Tenant"), partsOf(request.header("Prefix-Hash"))});
         --m_active;
         return isOpen;
     }
@@ -98,7 +101,12 @@
             }
             return false;
         }
-        sleepFor(0.03);
+        sleepFor(m_service == "llm" ? 0.03 : 0.06);
+        if (m_service != "llm") {
+            return m_server->isOpen()
+                && writeAll(fd, responseText(200, {{"Attempt-Id", request.id}, {"Server-Signature", "s.1"}},
+                                             std::string(800, 'x')));
+        }
         bool isOpen = writeAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.id
                                        + "\r\nServer-Signature: s.1\r\nContent-Type: text/event-stream\r\n"
                                          "Transfer-Encoding: chunked\r\n\r\n");
@@ -115,7 +123,7 @@
     void list()
     {
         m_lastBeat = now();
-        m_fleet.put("servers", m_id, entry("llm", address(), 64, "ready", m_born, ++m_sequence));
+        m_fleet.put("servers", m_id, entry(m_service, address(), m_service == "llm" ? 64 : 6, "ready", m_born, ++m_sequence));
     }
 
     void live()
@@ -139,6 +147,7 @@
 
     const Fleet &m_fleet;
     const int m_n;
+    const std::string m_service;
     const std::string m_id;
     const double m_downSeconds;
     const Arrival m_onArrival;
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -508,6 +508,15 @@
         }
     }
 
+    // New connections are reset, open ones go on.
+    void closeListener()
+    {
+        const int listener = m_listener.exchange(-1);
+        if (listener >= 0) {
+            ::shutdown(listener, SHUT_RDWR);
+        }
+    }
+
     bool isOpen() const
     {
         return m_isOpen;
