--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -383,6 +384,8 @@
     {
         m_pid = fork();
         if (m_pid == 0) {
+            // It ends with the thread that started it, also where that is killed.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, 1);
             dup2(fd, 2);
