--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -216,7 +216,8 @@
     }
 
     // A body in chunks is handed over as it comes, if asked for.
-    ReadEnd read(Message &message, double until, bool isAnswer, const std::function<void(const std::string &)> &onPart = {})
+    ReadEnd read(Message &message, double until, bool isAnswer,
+                 const std::function<void(const std::string &)> &onPart = {})
     {
         message = Message();
         std::size_t end;
@@ -244,8 +245,7 @@
             return ReadEnd::Whole;
         }
         ReadEnd more;
-        while ((more = fill(until)) == ReadEnd::Whole) {
-        }
+        while ((more = fill(until)) == ReadEnd::Whole) { }
         message.body = std::exchange(m_buffer, {});
         return more == ReadEnd::Closed ? ReadEnd::Whole : more;
     }
@@ -558,8 +558,7 @@
     {
         Reader reader(fd);
         Message request;
-        while (reader.read(request, now() + 3600, false) == ReadEnd::Whole && m_handler(fd, request)) {
-        }
+        while (reader.read(request, now() + 3600, false) == ReadEnd::Whole && m_handler(fd, request)) { }
         const std::lock_guard lock(m_mutex);
         m_connections.erase(fd);
         m_toReset.erase(fd);
@@ -621,9 +620,9 @@
         const std::string body = Json{{"metadata", {{"name", name}}}, {"spec", spec}}.dump();
         const std::string path = "/api/objects/" + kind;
         const auto call = [&](const std::string &method, const std::string &target) {
-            return exchange(m_storeIp, m_storePort,
-                            requestText(method, target, {{"Host", "store"}, {"Content-Type", "application/json"}}, body),
-                            3)
+            return exchange(
+                       m_storeIp, m_storePort,
+                       requestText(method, target, {{"Host", "store"}, {"Content-Type", "application/json"}}, body), 3)
                 .message.status();
         };
         if (call("PUT", path + "/" + name) / 100 != 2) {
@@ -642,25 +641,41 @@
     {
         const std::string ip = gatewayIp(n);
         return {m_programs + "radishswitch-gateway",
-                "--instance", "edge-hall-a-" + std::to_string(n + 1),
-                "--region", "south-central",
-                "--zone", "hall-a",
-                "--weight", "0.19",
-                "--listen", ip + ":" + std::to_string(m_peerPort + 1),
-                "--peer-listen", ip + ":" + std::to_string(m_peerPort),
-                "--admin-listen", ip + ":" + std::to_string(m_peerPort + 2),
-                "--metrics-listen", ip + ":9464",
-                "--platform", store.empty() ? storeAddress() : store,
+                "--instance",
+                "edge-hall-a-" + std::to_string(n + 1),
+                "--region",
+                "south-central",
+                "--zone",
+                "hall-a",
+                "--weight",
+                "0.19",
+                "--listen",
+                ip + ":" + std::to_string(m_peerPort + 1),
+                "--peer-listen",
+                ip + ":" + std::to_string(m_peerPort),
+                "--admin-listen",
+                ip + ":" + std::to_string(m_peerPort + 2),
+                "--metrics-listen",
+                ip + ":9464",
+                "--platform",
+                store.empty() ? storeAddress() : store,
                 std::string("--first-start=") + (isFirst ? "true" : "false"),
-                "--retry-bound", "0.2",
-                "--change-bound", "2000ms",
-                "--cordon-bound", "0ms",
-                "--cold-overshoot", "1",
-                "--drain-timeout", "8s",
+                "--retry-bound",
+                "0.2",
+                "--change-bound",
+                "2000ms",
+                "--cordon-bound",
+                "0ms",
+                "--cold-overshoot",
+                "1",
+                "--drain-timeout",
+                "8s",
                 "--load-news",
-                "--misplaced-prompt-seconds", "0",
+                "--misplaced-prompt-seconds",
+                "0",
                 "--rotation-by-load",
-                "--link-mbps", "1000.0"};
+                "--link-mbps",
+                "1000.0"};
     }
 
     std::vector<std::string> homeCommand(int n, bool isFirst, const std::string &endpoint,
@@ -668,16 +683,25 @@
     {
         const std::string ip = homeIp(n);
         std::vector<std::string> command{m_programs + "radishswitch-home",
-                                         "--instance", "side-hall-a-" + std::to_string(n + 1),
-                                         "--region", "south-central",
-                                         "--zone", "hall-a",
-                                         "--weight", "0.2",
-                                         "--homes-of-zone", "16",
-                                         "--peer-listen", ip + ":" + std::to_string(m_peerPort),
-                                         "--admin-listen", ip + ":9465",
-                                         "--platform", store.empty() ? storeAddress() : store,
+                                         "--instance",
+                                         "side-hall-a-" + std::to_string(n + 1),
+                                         "--region",
+                                         "south-central",
+                                         "--zone",
+                                         "hall-a",
+                                         "--weight",
+                                         "0.2",
+                                         "--homes-of-zone",
+                                         "16",
+                                         "--peer-listen",
+                                         ip + ":" + std::to_string(m_peerPort),
+                                         "--admin-listen",
+                                         ip + ":9465",
+                                         "--platform",
+                                         store.empty() ? storeAddress() : store,
                                          std::string("--first-start=") + (isFirst ? "true" : "false"),
-                                         "--drain-timeout", "8s"};
+                                         "--drain-timeout",
+                                         "8s"};
         if (!endpoint.empty()) {
             command.insert(command.begin() + 11, "--endpoint=" + endpoint);
         }
@@ -686,9 +710,9 @@
 
     Process &startGateway(int n, bool isFirst = true, const std::string &store = {})
     {
-        m_gateways[n] = std::make_unique<Process>(gatewayCommand(n, isFirst, store),
-                                                  m_logs + "/gateway-" + std::to_string(n) + ".log",
-                                                  std::vector<std::string>{"RADISHSWITCH_ZONE_REGIONS=hall-a=south-central"});
+        m_gateways[n] = std::make_unique<Process>(
+            gatewayCommand(n, isFirst, store), m_logs + "/gateway-" + std::to_string(n) + ".log",
+            std::vector<std::string>{"RADISHSWITCH_ZONE_REGIONS=hall-a=south-central"});
         // Later starts are no first ones.
         m_gateways[n]->setCommand(gatewayCommand(n, false, store));
         return *m_gateways[n];
@@ -790,9 +814,10 @@
 inline Json route(const std::string &prefix, const std::string &kind, const std::string &service, int timeout,
                   int target, int attempts, bool isResumable = false)
 {
-    Json json{{"name", "r" + prefix}, {"host", "ficu95.example"}, {"path-prefix", prefix}, {"kind", kind},
-              {"timeout-ms", timeout}, {"target-latency-ms", target}, {"priority", 0}, {"service", service},
-              {"max-attempts", attempts}, {"public", false}};
+    Json json{{"name", "r" + prefix}, {"host", "ficu95.example"}, {"path-prefix", prefix},
+              {"kind", kind},         {"timeout-ms", timeout},    {"target-latency-ms", target},
+              {"priority", 0},        {"service", service},       {"max-attempts", attempts},
+              {"public", false}};
     if (kind == "streaming") {
         json["sticky"] = true;
         json["resumable"] = isResumable;
@@ -834,16 +859,20 @@
 
 inline Json configuration(int version, const Json &routes, const Json &tenants)
 {
-    Json llm{{"name", "llm"}, {"health-path", "/healthz"}, {"max-connections", 360}, {"protocol", "h1"}, {"tls", false}};
-    llm["inference-engine"] = Json{{"slots", 64},   {"kv-capacity", 722345}, {"kv-bytes", 327680},
-                                   {"stride", 7},   {"most", 12},            {"handle-ttl-s", 5.0}};
+    Json llm{
+        {"name", "llm"}, {"health-path", "/healthz"}, {"max-connections", 360}, {"protocol", "h1"}, {"tls", false}};
+    llm["inference-engine"] = Json{{"slots", 64}, {"kv-capacity", 722345}, {"kv-bytes", 327680}, {"stride", 7},
+                                   {"most", 12},  {"handle-ttl-s", 5.0}};
     llm["inference-engine"]["models"] = Json::array({Json{{"name", "m"}}});
-    const Json shop{{"name", "shop"}, {"health-path", "/healthz"}, {"max-connections", 100}, {"protocol", "h1"}, {"tls", false}};
+    const Json shop{
+        {"name", "shop"}, {"health-path", "/healthz"}, {"max-connections", 100}, {"protocol", "h1"}, {"tls", false}};
     Json json;
     json["version"] = version;
     json["routes"] = routes;
     json["services"] = Json::array({llm, shop});
-    json["limits"] = Json{{"max-header-bytes", 16384}, {"max-body-bytes", 4194304}, {"header-timeout-ms", 3000},
+    json["limits"] = Json{{"max-header-bytes", 16384},
+                          {"max-body-bytes", 4194304},
+                          {"header-timeout-ms", 3000},
                           {"idle-timeout-ms", 15000}};
     json["tenants"] = tenants;
     return json;
