--- a/review/standins-2/engines.h
+++ b/review/standins-2/engines.h
@@ -140,7 +140,7 @@
         m_lastBeat = now();
         m_fleet.put(
             "servers", m_id,
-            entry(m_service, address(), m_service == "llm" ? 64 : 6, "ready", m_born, ++m_sequence, m_kind.version));
+            entry(m_service, address(), m_service == "llm" ? 64 : 6, "ready", m_born, m_sequence, m_kind.version));
     }
 
     void live()
@@ -151,12 +151,10 @@
                 ++m_life;
                 sleepFor(m_downSeconds);
                 m_born = wallMilliseconds();
-                m_sequence = 0;
                 m_server->open();
                 list();
             }
-            // A heartbeat that would change nothing but the sequence leaves the entry as it is.
-            if (m_lastBeat < 0) {
+            if (now() - m_lastBeat >= 1.2) {
                 list();
             }
             sleepFor(0.005);
@@ -175,7 +173,8 @@
     std::atomic<int> m_life{0};
     std::atomic<int> m_crashingLife{-1};
     std::atomic<bool> m_isRunning{true};
-    int m_sequence = 0;
+    // Heartbeats write the same entry: it changes when more than the sequence does.
+    const int m_sequence = 1;
     double m_lastBeat = -100;
     std::unique_ptr<Server> m_server;
     std::thread m_thread;
