--- a/tests/fakes/rawendpoint.cpp
+++ b/tests/fakes/rawendpoint.cpp
@@ -77,22 +77,53 @@
 
 void RawEndpoint::serve(const std::shared_ptr<Socket> &socket)
 {
-    boost::system::error_code ec;
     std::string buf;
-    bool isOpen = true;
-    while (isOpen) {
-        const std::size_t size = net::read_until(*socket, net::dynamic_buffer(buf), kHeadEnd, ec);
-        const std::string head = buf.substr(0, size);
-        buf.erase(0, size);
-        std::string body(ec ? 0 : bodyLength(head), '\0');
-        const std::size_t buffered = buf.copy(body.data(), body.size());
+    while (serveOne(*socket, buf)) { }
+    ::shutdown(socket->native_handle(), SHUT_RDWR);
+}
+
+bool RawEndpoint::serveOne(Socket &socket, std::string &buf)
+{
+    boost::system::error_code ec;
+    const std::size_t size = net::read_until(socket, net::dynamic_buffer(buf), kHeadEnd, ec);
+    if (ec) {
+        return false;
+    }
+    const std::string head = buf.substr(0, size);
+    buf.erase(0, size);
+    std::size_t left = bodyLength(head);
+    const auto read = [&](std::size_t n) {
+        std::string body(n, '\0');
+        const std::size_t buffered = buf.copy(body.data(), n);
         buf.erase(0, buffered);
-        if (!ec) {
-            net::read(*socket, net::buffer(body.data() + buffered, body.size() - buffered), ec);
-        }
-        isOpen = !ec && answer(*socket, m_answers(head));
+        left -= n;
+        net::read(socket, net::buffer(body.data() + buffered, n - buffered), ec);
+    };
+    const RawAnswer given = m_answers(head);
+    if (given.read != RawRead::Head) {
+        read(given.read == RawRead::Half ? left / 2 : left);
     }
-    ::shutdown(socket->native_handle(), SHUT_RDWR);
+    std::this_thread::sleep_for(given.work);
+    if (ec || !answer(socket, given)) {
+        return false;
+    }
+    if (given.end != RawEnd::Reset) {
+        read(left);
+    }
+    return !ec && end(socket, given);
+}
+
+bool RawEndpoint::end(Socket &socket, const RawAnswer &answer)
+{
+    std::this_thread::sleep_for(answer.pauseBeforeEnd);
+    if (answer.end == RawEnd::Reset) {
+        // Closed later, by its destructor, it would be reset too late.
+        const linger abort{1, 0};
+        ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+        boost::system::error_code ec;
+        socket.close(ec);
+    }
+    return answer.end == RawEnd::KeepOpen;
 }
 
 bool RawEndpoint::answer(Socket &socket, const RawAnswer &answer)
--- a/tests/fakes/rawendpoint.h
+++ b/tests/fakes/rawendpoint.h
@@ -14,6 +14,24 @@
 namespace RadishSwitch
 {
 
+/// What becomes of the connection behind an answer.
+enum class RawEnd {
+    /// It waits for the next request.
+    KeepOpen,
+    /// Both ways end in order.
+    Close,
+    Reset,
+};
+
+/// How much of a request is read before it is answered. What is left is read behind the answer, unless that ends the
+/// connection.
+enum class RawRead {
+    All,
+    Head,
+    /// The head, and about half of the body.
+    Half,
+};
+
 /// The bytes with which an endpoint answers a request.
 struct RawAnswer {
     /// Sent once, first.
@@ -22,6 +40,12 @@
     std::string repeated;
     /// Pause after each repetition.
     std::chrono::milliseconds pause{};
+    RawRead read = RawRead::All;
+    /// How long the endpoint works before it answers.
+    std::chrono::milliseconds work{};
+    RawEnd end = RawEnd::KeepOpen;
+    /// Between the answer and the end.
+    std::chrono::milliseconds pauseBeforeEnd{};
 };
 
 /// An endpoint that answers with bytes as they are, which an HTTP server would not write. Each connection has a thread.
@@ -50,7 +74,10 @@
 
     void accept();
     void serve(const std::shared_ptr<Socket> &socket);
+    /// Whether the connection may have another request.
+    bool serveOne(Socket &socket, std::string &buf);
     bool answer(Socket &socket, const RawAnswer &answer);
+    static bool end(Socket &socket, const RawAnswer &answer);
 
     const Answers m_answers;
     boost::asio::io_context m_context;
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -9,7 +9,9 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <string>
 #include <thread>
+#include <vector>
 
 using namespace RadishSwitch;
 using boost::asio::ip::tcp;
@@ -21,6 +23,7 @@
     /// For what is meant to time out, and longer than anything takes that is meant to end.
     static constexpr Duration kShort = std::chrono::milliseconds(40);
     static constexpr Duration kLong = std::chrono::seconds(30);
+    static constexpr std::size_t kMoreThanFitsOnTheWay = 16 * 1024 * 1024;
 
     HttpConnectionTest()
         : m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0})
@@ -44,6 +47,7 @@
 
     void accept()
     {
+        m_endpoint = tcp::socket(m_context);
         m_acceptor.accept(m_endpoint);
     }
 
@@ -54,16 +58,60 @@
         workers.post([this] {
             connection->startSending(HttpRequest());
         });
-        m_acceptor.accept(m_endpoint);
+        accept();
         boost::asio::streambuf request;
         boost::asio::read_until(m_endpoint, request, "\r\n\r\n");
     }
 
+    /// Sends a request that is larger than what fits on the way. The endpoint reads nothing of it.
+    void sendLongRequest()
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.body = std::string(kMoreThanFitsOnTheWay, 'x');
+        ASSERT_TRUE(wait(connection->connect(kLong)).ok());
+        workers.post([this, request] {
+            connection->startSending(request);
+        });
+        accept();
+    }
+
     void say(const std::string &bytes)
     {
         boost::asio::write(m_endpoint, boost::asio::buffer(bytes));
     }
 
+    /// The endpoint resets the connection.
+    void reset()
+    {
+        m_endpoint.set_option(boost::asio::socket_base::linger(true, 0));
+        m_endpoint.close();
+    }
+
+    /// The endpoint ends its own way in good order, and reads on.
+    void endOwnWay()
+    {
+        m_endpoint.shutdown(tcp::socket::shutdown_send);
+    }
+
+    /// Returns once the worker has done all that was begun before.
+    void settle()
+    {
+        std::promise<void> done;
+        workers.post([&done] {
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    /// The failure of an answer to a request that was read whole.
+    absl::Status statusOfAnswer(const std::string &bytes)
+    {
+        sendRequest();
+        say(bytes);
+        return wait(wholeAnswer());
+    }
+
     /// Sends bytes again and again, until the other side closes or this is enough.
     void sayWithoutEnd(const std::string &bytes)
     {
@@ -123,10 +171,16 @@
         co_return co_await connection->receiveHead(true);
     }
 
+    template<typename T>
+    std::future<T> begin(boost::asio::awaitable<T> work)
+    {
+        return boost::asio::co_spawn(workers.context(), std::move(work), boost::asio::use_future);
+    }
+
     template<typename T>
     T wait(boost::asio::awaitable<T> work)
     {
-        return boost::asio::co_spawn(workers.context(), std::move(work), boost::asio::use_future).get();
+        return begin(std::move(work)).get();
     }
 
 private:
@@ -169,7 +223,7 @@
     sendRequest();
     std::promise<void> deadlinePassed;
     std::promise<void> arrived;
-    std::future<absl::Status> answer = boost::asio::co_spawn(workers.context(), head(kShort), boost::asio::use_future);
+    std::future<absl::Status> answer = begin(head(kShort));
     // Two tasks, so that the worker notices the deadline between them, and the answer comes behind that.
     workers.post([&] {
         const auto end = std::chrono::steady_clock::now() + 2 * kShort;
@@ -202,18 +256,10 @@
 TEST_F(HttpConnectionTest, endpointThatReadsLate_keepsItsConnection)
 {
     constexpr Duration kPatience = 10 * kShort;
-    constexpr std::size_t kMoreThanFitsOnTheWay = 16 * 1024 * 1024;
     SilenceLimits limits;
     limits.heldUpRequest = kShort;
-    HttpRequest request;
-    request.method = "POST";
-    request.body = std::string(kMoreThanFitsOnTheWay, 'x');
     connection = connectionWith(limits);
-    ASSERT_TRUE(wait(connection->connect(kLong)).ok());
-    workers.post([this, request] {
-        connection->startSending(request);
-    });
-    accept();
+    sendLongRequest();
 
     const auto askedAt = HttpConnection::Clock::now();
     EXPECT_FALSE(wait(headWithin(kPatience)).ok());
@@ -248,6 +294,11 @@
               FailureCode::MessageTooLarge);
 }
 
+TEST_F(HttpConnectionTest, fieldsWithoutEnd_areTooLarge)
+{
+    EXPECT_EQ(failureCode(receiveWithoutEnd("HTTP/1.1 200 OK\r\n", "X-Filler: a\r\n")), FailureCode::MessageTooLarge);
+}
+
 TEST_F(HttpConnectionTest, chunkSizeWithoutEnd_isTooLarge)
 {
     EXPECT_EQ(
@@ -270,3 +321,42 @@
                                       std::string(4096, 'a'))),
         FailureCode::MessageTooLarge);
 }
+
+// Guards against lines that are no fields, passed on, or left out so that the body ends elsewhere.
+TEST_F(HttpConnectionTest, head_lineIsNoField_isMalformed)
+{
+    using namespace std::string_literals;
+    const std::vector<std::string> lines{
+        "X Odd: a",
+        "X-Odd : a",
+        "X-Odd\t: a",
+        " X-Odd: a",
+        "X-\001Odd: a",
+        "X\177: a",
+        "X-Odd\0: a"s,
+        "X\rOdd: a",
+        ": a",
+        "X-Odd",
+        "X-Odd: \0"s,
+        "X-Odd: a\001b",
+        "X-Odd: a\rb",
+        "X-Odd: a\nX-Other: b",
+        "Content-Length : 5",
+        "Content Length: 5",
+        "Transfer-Encoding : chunked",
+    };
+    for (const std::string &line : lines) {
+        connection = connectionWith(SilenceLimits());
+        const absl::Status status = statusOfAnswer("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_EQ(failureCode(status), FailureCode::MalformedMessage) << line;
+    }
+}
+
+// Guards against the opposite: an answer that ended in order before its endpoint had read the whole request.
+TEST_F(HttpConnectionTest, answerEndedByConnection_endedInOrderWhileRequestIsWritten_isWhole)
+{
+    sendLongRequest();
+    say("HTTP/1.1 200 OK\r\n\r\nwhole");
+    endOwnWay();
+    EXPECT_TRUE(wait(wholeAnswer()).ok());
+}
--- /dev/null
+++ b/tests/programs/brokenanswers_test.cpp
@@ -0,0 +1,176 @@
+#include "names.h"
+#include "rawendpointfixture.h"
+
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace RadishSwitch;
+
+namespace
+{
+
+/// An event of a stream, which is also the body of the routes without streams.
+constexpr char kPart[] = "id: 1\ndata: a\n\n";
+constexpr char kRest[] = "id: 2\ndata: b\n\n";
+/// More than the kernel keeps of a request that nobody reads, and less than callers may send.
+constexpr std::size_t kLongBytes = 7 * 1024 * 1024;
+
+/// Calls that are answered properly behind each that is not.
+constexpr int kSoundCalls = 3;
+
+enum class Framing {
+    Length,
+    Chunks,
+    Connection,
+};
+
+struct Place {
+    std::string name;
+    std::string target;
+    Framing framing;
+
+    friend void PrintTo(const Place &place, std::ostream *out)
+    {
+        *out << place.name;
+    }
+};
+
+std::vector<Place> places()
+{
+    const std::map<std::string, Framing> framings{
+        {"WithLength", Framing::Length}, {"InChunks", Framing::Chunks}, {"EndedByConnection", Framing::Connection}};
+    const std::map<std::string, std::string> routes{
+        {"safe", "/safe/"}, {"unsafe", "/order/"}, {"stream", "/once/"}, {"resumableStream", "/resumable/"}};
+    std::vector<Place> places;
+    for (const auto &[route, target] : routes) {
+        for (const auto &[framing, value] : framings) {
+            places.push_back({route + framing, target, value});
+        }
+    }
+    return places;
+}
+
+std::string chunk(const std::string &data)
+{
+    constexpr char kDigits[] = "0123456789abcdef";
+    std::string size;
+    for (std::size_t n = data.size(); n > 0; n /= 16) {
+        size.insert(size.begin(), kDigits[n % 16]);
+    }
+    return size + "\r\n" + data + "\r\n";
+}
+
+}
+
+/// Endpoints whose answers to a route have one of the framings.
+class BrokenAnswersTest : public RawEndpointFixture, public testing::WithParamInterface<Place>
+{
+protected:
+    BrokenAnswersTest()
+        : RawEndpointFixture("broken-" + GetParam().name)
+    {
+    }
+
+    /// An answer with these first lines and the framing of the test, whole or its first part.
+    static RawAnswer answerWith(const std::string &lines, bool isWhole)
+    {
+        const std::string whole = std::string(kPart) + kRest;
+        const std::string body = isWhole ? whole : kPart;
+        RawAnswer answer;
+        answer.beginning = lines + "Content-Type: text/event-stream\r\n";
+        switch (GetParam().framing) {
+        case Framing::Length:
+            answer.beginning += "Content-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + body;
+            break;
+        case Framing::Chunks:
+            answer.beginning += "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + (isWhole ? "0\r\n\r\n" : "");
+            break;
+        case Framing::Connection:
+            answer.beginning += "\r\n" + body;
+            answer.end = RawEnd::Close;
+            break;
+        }
+        return answer;
+    }
+
+    SeenAnswer callAnswered(const std::string &id, const RawAnswer &answer, const CallerOptions &options)
+    {
+        setAnswer(id, answer);
+        return call(GetParam().target, id, options);
+    }
+
+    void expectNoAnswer(const std::string &id, const RawAnswer &answer, const CallerOptions &options = {})
+    {
+        const SeenAnswer seen = callAnswered(id, answer, options);
+        const bool isBrokenStream = seen.status == 200 && !seen.isComplete;
+        EXPECT_TRUE(seen.status == 502 || isBrokenStream) << id << ": " << seen.text;
+        EXPECT_GT(asked(id), 0) << id;
+        // An endpoint that is in trouble now and then stays in use.
+        for (int n = 0; n < kSoundCalls; ++n) {
+            EXPECT_EQ(call("/safe/", "sound-" + id + std::to_string(n)).body(), "ok") << id;
+        }
+    }
+
+    /// Answers that are sound but for one line in the head.
+    void expectNoAnswers(const std::string &name, const std::vector<std::string> &lines)
+    {
+        for (std::size_t n = 0; n < lines.size(); ++n) {
+            const std::string id = name + std::to_string(n);
+            expectNoAnswer(id, answerWith(firstLines("200 OK", id) + lines[n] + "\r\n", true));
+        }
+    }
+
+    void expectWhole(const std::string &id, const RawAnswer &answer, const CallerOptions &options = {})
+    {
+        const SeenAnswer seen = callAnswered(id, answer, options);
+        EXPECT_TRUE(seen.isSuccess()) << id << ": " << seen.text;
+        EXPECT_NE(seen.text.find(kPart), std::string::npos) << id << ": " << seen.text;
+        EXPECT_NE(seen.text.find(kRest), std::string::npos) << id << ": " << seen.text;
+        EXPECT_EQ(asked(id), 1) << id;
+    }
+
+    /// The answer comes before the endpoint has read this much of a long request, and its connection is reset so long
+    /// after it.
+    static RawAnswer reset(RawAnswer answer, RawRead read, std::chrono::milliseconds pause)
+    {
+        answer.read = read;
+        answer.end = RawEnd::Reset;
+        answer.pauseBeforeEnd = pause;
+        return answer;
+    }
+
+    static CallerOptions longRequest()
+    {
+        CallerOptions options;
+        options.body = std::string(kLongBytes, 'x');
+        return options;
+    }
+};
+
+// Guards against the opposite: answers that are whole though they came before the request had been read.
+TEST_P(BrokenAnswersTest, answerBeforeLongRequestIsRead_isWhole)
+{
+    for (const RawRead read : {RawRead::Head, RawRead::Half}) {
+        const std::string id = read == RawRead::Head ? "early-head" : "early-half";
+        RawAnswer answer = answerWith(firstLines("200 OK", id), true);
+        answer.read = read;
+        expectWhole(id, answer, longRequest());
+    }
+}
+
+// Guards against heads with lines that are no fields: passed on, or left out so that the body ends elsewhere.
+TEST_P(BrokenAnswersTest, headWithLineThatIsNoField_isNotPassedOn)
+{
+    using namespace std::string_literals;
+    expectNoAnswers("line-",
+                    {"X Odd: a", "X-Odd : a", "X-Odd\t: a", "X-\001Odd: a", "X-Odd\177: a", "X\0Odd: a"s, "X\rOdd: a",
+                     ": a", "X-Odd", "X-Odd: a\001b", "X-Odd: a\rb", "X-Odd: a\nX-Two: b", "Content-Length : 3",
+                     "Content Length: 3"});
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, BrokenAnswersTest, testing::ValuesIn(places()),
+                         [](const testing::TestParamInfo<Place> &info) {
+                             return info.param.name;
+                         });
--- a/tests/radishswitch-gateway/streamversions_test.cpp
+++ b/tests/radishswitch-gateway/streamversions_test.cpp
@@ -415,6 +415,33 @@
     takeUp(gateway->port(), begun);
 }
 
+// Guards against the same where the first version has left by then, so that the second looks like the only one.
+TEST_F(StreamVersionsTest, allGatewaysRestarted_afterFirstVersionHasLeft_itsStreamsAreNotContinuedAtTheSecond)
+{
+    startFirstTime();
+    const auto begun = beginAll(gateway->port());
+    addSecondVersion(gateway->port());
+    unlist("replica-1");
+    unlist("replica-3");
+    gateway.reset();
+    otherGateway.reset();
+    start();
+    EXPECT_EQ(takeUp(gateway->port(), begun), 0);
+}
+
+TEST_F(StreamVersionsTest, versionReplacedWhileNoGatewayRan_streamsOfTheFirstAreNotContinuedAtTheSecond)
+{
+    startFirstTime();
+    const auto begun = beginAll(gateway->port());
+    gateway.reset();
+    otherGateway.reset();
+    unlist("replica-1");
+    unlist("replica-3");
+    list("replica-2", second, "v2");
+    start();
+    EXPECT_EQ(takeUp(gateway->port(), begun), 0);
+}
+
 // Guards against streams at a version that other gateways don't know of, which would continue them at any endpoint.
 TEST_F(StreamVersionsTest, secondVersionAppears_isAnnouncedBeforeItBeginsStreams)
 {
