--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -197,6 +197,7 @@
         self->noteWritten(n);
         self->m_outgoing.reset();
         if (ec) {
+            self->m_hasBrokenOff = true;
             self->close();
         }
     });
@@ -326,6 +327,17 @@
     m_buffer.commit(n);
     noteRead(n);
     if (ec == net::error::eof) {
+        takeEnd(ec);
+    }
+}
+
+// Whoever notices a reset first, the writing of the request or a look for unread bytes, is told of it by the kernel.
+// Whoever reads then sees an end as if the other side had closed in order.
+void HttpConnection::takeEnd(beast::error_code &ec)
+{
+    if (m_hasBrokenOff) {
+        ec = net::error::connection_reset;
+    } else {
         ec = {};
         m_parser->put_eof(ec);
     }
@@ -555,7 +567,11 @@
     if (n > 0) {
         return Peeked::Bytes;
     }
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Peeked::Nothing : Peeked::End;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        return Peeked::Nothing;
+    }
+    m_hasBrokenOff = m_hasBrokenOff || n < 0;
+    return Peeked::End;
 }
 
 void HttpConnection::setIdleSince(Clock::time_point moment)
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -175,6 +175,8 @@
 
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
+    /// The other side sends no more: the end of an answer that ends with its connection, and nothing else's.
+    void takeEnd(boost::beast::error_code &ec);
     void applySilenceLimits();
     void noteRead(std::size_t n);
     void noteWritten(std::size_t n);
@@ -207,6 +209,8 @@
     bool m_isPaused = false;
     /// Whether a deadline was put off for bytes that had arrived.
     bool m_isPutOff = false;
+    /// Whether an error ended the connection that the reading need not notice: the kernel tells of it once only.
+    bool m_hasBrokenOff = false;
     bool m_isReadingHead = false;
     std::optional<ExpiredWait> m_expiredWait;
     boost::beast::flat_buffer m_buffer;
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -188,6 +188,22 @@
     EXPECT_EQ(response->body, "abc");
 }
 
+// Guards against a part of an answer that is taken for a whole one, since its connection was reset before the request
+// had been read.
+TEST_F(HttpClientTest, answerEndedByConnection_resetBeforeLongRequestIsRead_isLostWithUnknownOutcome)
+{
+    const auto answerPartAndReset = [](tcp::socket &socket) {
+        write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+    };
+    HttpRequest request = requestOf("POST");
+    request.body = std::string(16 * 1024 * 1024, 'x');
+    const auto response = fetch(acceptEach({answerPartAndReset}), request);
+    EXPECT_EQ(failureCode(response.status()), FailureCode::ConnectionLost);
+    EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
+}
+
 class IdleConnectionTest : public HttpClientTest
 {
 protected:
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -352,6 +352,44 @@
     }
 }
 
+// Guards against an answer without a length that is taken for whole though its connection was reset while the request
+// was being written: the writing notices the reset, and the reading sees an end.
+TEST_F(HttpConnectionTest, answerEndedByConnection_resetWhileRequestIsWritten_isLost)
+{
+    sendLongRequest();
+    say("HTTP/1.1 200 OK\r\n\r\nfirst half");
+    std::future<absl::Status> answer = begin(wholeAnswer());
+    settle();
+    reset();
+    const absl::Status status = answer.get();
+    EXPECT_EQ(failureCode(status), FailureCode::ConnectionLost) << status;
+    EXPECT_EQ(outcomeOf(status), RunOutcome::Unknown);
+}
+
+TEST_F(HttpConnectionTest, streamEndedByConnection_resetWhileRequestIsWritten_isLost)
+{
+    sendLongRequest();
+    say("HTTP/1.1 200 OK\r\n\r\nfirst half");
+    ASSERT_TRUE(receiveHead(kLong).ok());
+    EXPECT_EQ(receiveSome(kLong).value_or("nothing"), "first half");
+    auto rest = begin(connection->receiveSome(kLong));
+    settle();
+    reset();
+    EXPECT_EQ(failureCode(rest.get().status()), FailureCode::ConnectionLost);
+}
+
+// Guards against the same where a look for unread bytes notices the reset.
+TEST_F(HttpConnectionTest, streamEndedByConnection_resetSeenByLookForBytes_isLost)
+{
+    sendRequest();
+    say("HTTP/1.1 200 OK\r\n\r\nfirst half");
+    ASSERT_TRUE(receiveHead(kLong).ok());
+    EXPECT_EQ(receiveSome(kLong).value_or("nothing"), "first half");
+    reset();
+    EXPECT_FALSE(connection->hasUnread());
+    EXPECT_EQ(failureCode(receiveSome(kLong).status()), FailureCode::ConnectionLost);
+}
+
 // Guards against the opposite: an answer that ended in order before its endpoint had read the whole request.
 TEST_F(HttpConnectionTest, answerEndedByConnection_endedInOrderWhileRequestIsWritten_isWhole)
 {
--- a/tests/programs/brokenanswers_test.cpp
+++ b/tests/programs/brokenanswers_test.cpp
@@ -52,6 +52,20 @@
     return places;
 }
 
+std::vector<Place> placesWith(Framing framing)
+{
+    std::vector<Place> found = places();
+    std::erase_if(found, [framing](const Place &place) {
+        return place.framing != framing;
+    });
+    return found;
+}
+
+std::string nameOf(const testing::TestParamInfo<Place> &info)
+{
+    return info.param.name;
+}
+
 std::string chunk(const std::string &data)
 {
     constexpr char kDigits[] = "0123456789abcdef";
@@ -97,7 +111,7 @@
 
     SeenAnswer callAnswered(const std::string &id, const RawAnswer &answer, const CallerOptions &options)
     {
-        setAnswer(id, answer);
+        setAnswers(id, {answer});
         return call(GetParam().target, id, options);
     }
 
@@ -149,6 +163,41 @@
     }
 };
 
+/// Those whose answers end with their connections.
+class SilentAnswersTest : public BrokenAnswersTest
+{
+};
+
+// Guards against a part of an answer that callers get as a whole one, since its connection was reset while the request
+// was still being written.
+TEST_P(BrokenAnswersTest, answerCutByResetAroundLongRequest_isNotWhole)
+{
+    const std::map<std::string, RawRead> reads{{"head", RawRead::Head}, {"half", RawRead::Half}, {"all", RawRead::All}};
+    for (const auto &[name, read] : reads) {
+        for (const int pause : {0, 2, 60}) {
+            const std::string id = "reset-" + name + "-" + std::to_string(pause);
+            const RawAnswer part = answerWith(firstLines("200 OK", id), false);
+            expectNoAnswer(id, reset(part, read, std::chrono::milliseconds(pause)), longRequest());
+        }
+    }
+}
+
+// Guards against the same where the look for bytes of a silent stream notices the reset, while another endpoint that is
+// to take the stream over works on it and then refuses.
+TEST_P(SilentAnswersTest, silentAnswerCutByReset_otherEndpointRefuses_isNotWhole)
+{
+    const std::string id = "silent";
+    RawAnswer refusal;
+    refusal.beginning = firstLines("503 Full", id) + PlatformNames::kNotRun + ": 1\r\nContent-Length: 0\r\n\r\n";
+    refusal.work = std::chrono::milliseconds(1600);
+    RawAnswer part = answerWith(firstLines("200 OK", id), false);
+    part.end = RawEnd::Reset;
+    part.pauseBeforeEnd = std::chrono::milliseconds(1400);
+    setAnswers(id, {part, refusal});
+    const SeenAnswer seen = call(GetParam().target, id);
+    EXPECT_FALSE(seen.isSuccess()) << seen.text;
+}
+
 // Guards against the opposite: answers that are whole though they came before the request had been read.
 TEST_P(BrokenAnswersTest, answerBeforeLongRequestIsRead_isWhole)
 {
@@ -170,7 +219,5 @@
                      "Content Length: 3"});
 }
 
-INSTANTIATE_TEST_SUITE_P(Answers, BrokenAnswersTest, testing::ValuesIn(places()),
-                         [](const testing::TestParamInfo<Place> &info) {
-                             return info.param.name;
-                         });
+INSTANTIATE_TEST_SUITE_P(Answers, BrokenAnswersTest, testing::ValuesIn(places()), nameOf);
+INSTANTIATE_TEST_SUITE_P(Answers, SilentAnswersTest, testing::ValuesIn(placesWith(Framing::Connection)), nameOf);
--- a/tests/programs/rawendpointfixture.cpp
+++ b/tests/programs/rawendpointfixture.cpp
@@ -154,10 +154,10 @@
     }
 }
 
-void RawEndpointFixture::setAnswer(const std::string &call, const RawAnswer &answer)
+void RawEndpointFixture::setAnswers(const std::string &call, std::vector<RawAnswer> answers)
 {
     const std::lock_guard lock(m_mutex);
-    m_answers[call] = answer;
+    m_answers[call] = std::move(answers);
 }
 
 int RawEndpointFixture::asked(const std::string &call)
@@ -169,9 +169,9 @@
 RawAnswer RawEndpointFixture::answerTo(const std::string &call)
 {
     const std::lock_guard lock(m_mutex);
-    ++m_asked[call];
+    const auto n = static_cast<std::size_t>(m_asked[call]++);
     const auto it = m_answers.find(call);
-    return it == m_answers.end() ? m_answerToCall(call) : it->second;
+    return it == m_answers.end() ? m_answerToCall(call) : it->second[std::min(n, it->second.size() - 1)];
 }
 
 std::string RawEndpointFixture::firstLines(const std::string &statusLine, const std::string &call)
--- a/tests/programs/rawendpointfixture.h
+++ b/tests/programs/rawendpointfixture.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace RadishSwitch
 {
@@ -93,8 +94,8 @@
         return true;
     }
 
-    /// How endpoints answer a call.
-    void setAnswer(const std::string &call, const RawAnswer &answer);
+    /// How endpoints answer a call: one answer for each time that they are asked, the last one also from then on.
+    void setAnswers(const std::string &call, std::vector<RawAnswer> answers);
     /// How many times endpoints were asked for a call.
     int asked(const std::string &call);
 
@@ -113,7 +114,7 @@
 
     const AnswerToCall m_answerToCall;
     std::mutex m_mutex;
-    std::map<std::string, RawAnswer> m_answers;
+    std::map<std::string, std::vector<RawAnswer>> m_answers;
     std::map<std::string, int> m_asked;
 
 protected:
