--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "base/failure.h"
 #include "log.h"
+#include "responsehead.h"
 #include "socketaddress.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -271,7 +272,17 @@
     const std::size_t parsed = co_await http::async_read_header(m_socket, m_buffer, *m_parser, awaitInto(ec));
     noteRead(parsed + m_buffer.size() - buffered);
     m_isReadingHead = ec == net::error::operation_aborted;
-    co_return ec ? withUnknownOutcome(failure("reading", ec)) : absl::OkStatus();
+    co_return ec ? withUnknownOutcome(failure("reading", ec)) : checkHead();
+}
+
+absl::Status HttpConnection::checkHead() const
+{
+    const absl::Status status = checkResponseHead(m_parser->get().base());
+    if (status.ok()) {
+        return status;
+    }
+    return withUnknownOutcome(
+        makeFailure(FailureCode::MalformedMessage, m_address + ": " + std::string(status.message())));
 }
 
 // Parses what is there before it waits for more. Beast's own reading makes a task of each step, and the reactor polls
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -90,7 +90,7 @@
         return m_outgoing != nullptr;
     }
 
-    /// After a pause it goes on where it was.
+    /// After a pause it goes on where it was. MalformedMessage for bytes that are no answer (`checkResponseHead`).
     boost::asio::awaitable<absl::Status> receiveHead(bool hasBody);
     /// The whole body. With a `silence` other than zero it may take until `end` as long as no pause is longer than
     /// that. MessageTooLarge when it is longer than `maximumBytes`.
@@ -175,6 +175,7 @@
 
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
+    absl::Status checkHead() const;
     /// The other side sends no more: the end of an answer that ends with its connection, and nothing else's.
     void takeEnd(boost::beast::error_code &ec);
     void applySilenceLimits();
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -188,6 +188,15 @@
     EXPECT_EQ(response->body, "abc");
 }
 
+// Guards against bytes whose status no answer can have, taken for an answer of the store or of a probe.
+TEST_F(HttpClientTest, server_answersWithStatusOfNoAnswer_isMalformedWithUnknownOutcome)
+{
+    const auto response = fetch(acceptEach({send("HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\n{}")}));
+
+    EXPECT_EQ(failureCode(response.status()), FailureCode::MalformedMessage);
+    EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
+}
+
 // Guards against a part of an answer that is taken for a whole one, since its connection was reset before the request
 // had been read.
 TEST_F(HttpClientTest, answerEndedByConnection_resetBeforeLongRequestIsRead_isLostWithUnknownOutcome)
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -322,6 +322,17 @@
         FailureCode::MessageTooLarge);
 }
 
+// Guards against bytes whose status no answer can have, passed on as an answer.
+TEST_F(HttpConnectionTest, answer_statusIsOfNoAnswer_isMalformedWithUnknownOutcome)
+{
+    for (const std::string code : {"000", "001", "099", "101", "600", "999"}) {
+        connection = connectionWith(SilenceLimits());
+        const absl::Status status = statusOfAnswer("HTTP/1.1 " + code + " Odd\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_EQ(failureCode(status), FailureCode::MalformedMessage) << code;
+        EXPECT_EQ(outcomeOf(status), RunOutcome::Unknown) << code;
+    }
+}
+
 // Guards against lines that are no fields, passed on, or left out so that the body ends elsewhere.
 TEST_F(HttpConnectionTest, head_lineIsNoField_isMalformed)
 {
--- a/tests/programs/brokenanswers_test.cpp
+++ b/tests/programs/brokenanswers_test.cpp
@@ -168,6 +168,15 @@
 {
 };
 
+// Guards against bytes whose status no answer can have, which callers get as an answer.
+TEST_P(BrokenAnswersTest, statusOfNoAnswer_isNotPassedOn)
+{
+    for (const std::string code : {"000", "001", "099", "101", "600", "999"}) {
+        const std::string id = "status-" + code;
+        expectNoAnswer(id, answerWith(firstLines(code + " Odd", id), true));
+    }
+}
+
 // Guards against a part of an answer that callers get as a whole one, since its connection was reset while the request
 // was still being written.
 TEST_P(BrokenAnswersTest, answerCutByResetAroundLongRequest_isNotWhole)
