--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -30,6 +30,7 @@
 /// Probes without an answer after which the kernel gives a connection up.
 constexpr int kKeepAliveProbes = 2;
 constexpr std::uint32_t kMaximumHeaderBytes = 64 * 1024;
+constexpr int kMaximumInterimHeads = 16;
 /// Bytes of a body that wait for more to be parsed: the size, an extension or the trailer of a chunk.
 constexpr std::size_t kMaximumUnparsedBytes = 64 * 1024;
 constexpr std::uint64_t kMaximumBodyBytes = 256 * 1024 * 1024;
@@ -188,8 +189,7 @@
     m_outgoing = std::make_unique<Message>(messageOf(request, m_address));
     // Until the kernel says that it took nothing, some of it may have left.
     m_hasSent = true;
-    m_parser.reset();
-    m_isReadingHead = false;
+    forgetAnswer();
     if (wasIdle() && m_silenceLimits.heldUpRequest > Duration::zero()) {
         setUserTimeout(userTimeoutOfRequests());
     }
@@ -205,6 +205,13 @@
     watchAcknowledgements();
 }
 
+void HttpConnection::forgetAnswer()
+{
+    m_parser.reset();
+    m_isReadingHead = false;
+    m_interimHeads = 0;
+}
+
 void HttpConnection::watchAcknowledgements()
 {
     if (m_silenceLimits.heldUpRequest > Duration::zero()) {
@@ -245,10 +252,9 @@
 net::awaitable<absl::Status> HttpConnection::send(const HttpRequest &request)
 {
     m_hasSent = true;
-    m_isReadingHead = false;
+    forgetAnswer();
     beast::error_code ec;
     const auto message = messageOf(request, m_address);
-    m_parser.reset();
     const std::size_t n = co_await http::async_write(m_socket, message, awaitInto(ec));
     noteWritten(n);
     if (!ec) {
@@ -261,18 +267,33 @@
 
 net::awaitable<absl::Status> HttpConnection::receiveHead(bool hasBody)
 {
-    beast::error_code ec;
     if (!std::exchange(m_isReadingHead, true)) {
-        m_parser.emplace();
-        m_parser->header_limit(kMaximumHeaderBytes);
-        m_parser->body_limit(kMaximumBodyBytes);
-        m_parser->skip(!hasBody);
+        beginHead(hasBody);
+    }
+    while (true) {
+        beast::error_code ec;
+        const std::size_t buffered = m_buffer.size();
+        const std::size_t parsed = co_await http::async_read_header(m_socket, m_buffer, *m_parser, awaitInto(ec));
+        noteRead(parsed + m_buffer.size() - buffered);
+        m_isReadingHead = ec == net::error::operation_aborted;
+        const absl::Status checked = ec ? withUnknownOutcome(failure("reading", ec)) : checkHead();
+        if (!checked.ok() || !isInterimStatus(status())) {
+            co_return checked;
+        }
+        if (++m_interimHeads > kMaximumInterimHeads) {
+            co_return tooLarge();
+        }
+        m_isReadingHead = true;
+        beginHead(hasBody);
     }
-    const std::size_t buffered = m_buffer.size();
-    const std::size_t parsed = co_await http::async_read_header(m_socket, m_buffer, *m_parser, awaitInto(ec));
-    noteRead(parsed + m_buffer.size() - buffered);
-    m_isReadingHead = ec == net::error::operation_aborted;
-    co_return ec ? withUnknownOutcome(failure("reading", ec)) : checkHead();
+}
+
+void HttpConnection::beginHead(bool hasBody)
+{
+    m_parser.emplace();
+    m_parser->header_limit(kMaximumHeaderBytes);
+    m_parser->body_limit(kMaximumBodyBytes);
+    m_parser->skip(!hasBody);
 }
 
 absl::Status HttpConnection::checkHead() const
@@ -535,7 +556,7 @@
 
 bool HttpConnection::hasHeard() const
 {
-    return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+    return m_buffer.size() > 0 || m_interimHeads > 0 || (m_parser && m_parser->got_some());
 }
 
 bool HttpConnection::isKeptAlive() const
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -90,7 +90,8 @@
         return m_outgoing != nullptr;
     }
 
-    /// After a pause it goes on where it was. MalformedMessage for bytes that are no answer (`checkResponseHead`).
+    /// Reads the head of the answer; interim ones before it are dropped. After a pause it goes on where it was.
+    /// MalformedMessage for bytes that are no answer (`checkResponseHead`), MessageTooLarge for too many of them.
     boost::asio::awaitable<absl::Status> receiveHead(bool hasBody);
     /// The whole body. With a `silence` other than zero it may take until `end` as long as no pause is longer than
     /// that. MessageTooLarge when it is longer than `maximumBytes`.
@@ -175,6 +176,9 @@
 
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
+    /// Forgets the answer before, as a request goes out.
+    void forgetAnswer();
+    void beginHead(bool hasBody);
     absl::Status checkHead() const;
     /// The other side sends no more: the end of an answer that ends with its connection, and nothing else's.
     void takeEnd(boost::beast::error_code &ec);
@@ -213,6 +217,7 @@
     /// Whether an error ended the connection that the reading need not notice: the kernel tells of it once only.
     bool m_hasBrokenOff = false;
     bool m_isReadingHead = false;
+    int m_interimHeads = 0;
     std::optional<ExpiredWait> m_expiredWait;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
--- a/src/libradishnet/responsehead.h
+++ b/src/libradishnet/responsehead.h
@@ -7,6 +7,14 @@
 namespace RadishSwitch
 {
 
+/// Whether a status announces the answer that follows it (RFC 9110, section 15.2). A switch of protocols does not: an
+/// answer of another protocol would follow.
+constexpr bool isInterimStatus(int status)
+{
+    constexpr int kSwitchingProtocols = 101;
+    return status >= 100 && status < 200 && status != kSwitchingProtocols;
+}
+
 /// Whether a parsed head is that of an answer to a request that asked for no other protocol. Else MalformedMessage: the
 /// status is none.
 absl::Status checkResponseHead(const boost::beast::http::response_header<> &head);
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -197,6 +197,25 @@
     EXPECT_EQ(outcomeOf(response.status()), RunOutcome::Unknown);
 }
 
+// Guards against the head that announces an answer, taken in its place, and the answer then for that of the next
+// request.
+TEST_F(HttpClientTest, interimHeadBeforeAnswer_eachRequestGetsItsOwnAnswer)
+{
+    const auto answerTwice = [](tcp::socket &socket) {
+        write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+        write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+        readRequest(socket);
+        write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+    };
+    const std::string address = acceptEach({answerTwice});
+    for (const std::string body : {"first", "second"}) {
+        const auto response = fetch(address);
+        ASSERT_TRUE(response.ok()) << response.status();
+        EXPECT_EQ(response->status, 200);
+        EXPECT_EQ(response->body, body);
+    }
+}
+
 // Guards against a part of an answer that is taken for a whole one, since its connection was reset before the request
 // had been read.
 TEST_F(HttpClientTest, answerEndedByConnection_resetBeforeLongRequestIsRead_isLostWithUnknownOutcome)
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -333,6 +333,26 @@
     }
 }
 
+// Guards against heads that announce an answer, passed on in its place.
+TEST_F(HttpConnectionTest, answer_interimHeadsComeFirst_isTheFinalOne)
+{
+    sendRequest();
+    say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 2");
+    EXPECT_EQ(failureCode(receiveHead(kShort)), FailureCode::ConnectionSilent);
+    EXPECT_TRUE(connection->hasHeard());
+    say("00 OK\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(receiveHead(kLong).ok());
+    EXPECT_EQ(connection->status(), 200);
+    EXPECT_EQ(receiveSome(kLong).value_or("nothing"), "ok");
+    EXPECT_EQ(receiveSome(kLong).value_or("nothing"), "");
+    EXPECT_TRUE(connection->isKeptAlive());
+}
+
+TEST_F(HttpConnectionTest, interimHeadsWithoutEnd_areTooMany)
+{
+    EXPECT_EQ(failureCode(receiveWithoutEnd("", "HTTP/1.1 100 Continue\r\n\r\n")), FailureCode::MessageTooLarge);
+}
+
 // Guards against lines that are no fields, passed on, or left out so that the body ends elsewhere.
 TEST_F(HttpConnectionTest, head_lineIsNoField_isMalformed)
 {
--- a/tests/programs/brokenanswers_test.cpp
+++ b/tests/programs/brokenanswers_test.cpp
@@ -177,6 +177,19 @@
     }
 }
 
+// Guards against the head that announces an answer, which callers get in its place.
+TEST_P(BrokenAnswersTest, interimHeadsBeforeAnswer_areNotTheAnswer)
+{
+    RawAnswer answer = answerWith(firstLines("200 OK", "interim"), true);
+    answer.beginning =
+        "HTTP/1.1 100 Continue\r\n\r\n" + firstLines("103 Early Hints", "interim") + "\r\n" + answer.beginning;
+    expectWhole("interim", answer);
+    answer = answerWith(firstLines("200 OK", "interim-early"), true);
+    answer.beginning = "HTTP/1.1 100 Continue\r\n\r\n" + answer.beginning;
+    answer.read = RawRead::Head;
+    expectWhole("interim-early", answer, longRequest());
+}
+
 // Guards against a part of an answer that callers get as a whole one, since its connection was reset while the request
 // was still being written.
 TEST_P(BrokenAnswersTest, answerCutByResetAroundLongRequest_isNotWhole)
