--- a/src/libradishnet/responsehead.h
+++ b/src/libradishnet/responsehead.h
@@ -21,8 +21,8 @@
 /// field whose name begins with a blank looks the same.
 bool hasContinuedLine(std::string_view head);
 
-/// Whether a parsed head is that of an answer to a request that asked for no other protocol. Else MalformedMessage: the
-/// status is none.
+/// Whether a parsed head is that of an answer to a request that asked for no other protocol and no transfer coding.
+/// Else MalformedMessage: the status is none, or the body comes in a coding that nobody here undoes.
 absl::Status checkResponseHead(const boost::beast::http::response_header<> &head);
 
 }
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -394,6 +394,27 @@
     }
 }
 
+// Guards against a body that is passed on in a transfer coding that nobody undoes.
+TEST_F(HttpConnectionTest, head_transferCodingIsNotChunkedAlone_isMalformed)
+{
+    const std::vector<std::string> heads{
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: \r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+    };
+    for (const std::string &it : heads) {
+        connection = connectionWith(SilenceLimits());
+        EXPECT_EQ(failureCode(statusOfAnswer(it + "\r\n2\r\nok\r\n0\r\n\r\n")), FailureCode::MalformedMessage) << it;
+    }
+}
+
 // Guards against an answer without a length that is taken for whole though its connection was reset while the request
 // was being written: the writing notices the reset, and the reading sees an end.
 TEST_F(HttpConnectionTest, answerEndedByConnection_resetWhileRequestIsWritten_isLost)
--- a/tests/programs/brokenanswers_test.cpp
+++ b/tests/programs/brokenanswers_test.cpp
@@ -247,5 +247,13 @@
     expectNoAnswers("blank-", {" X-Odd: a", "\tX-Odd: a", " Content-Length: 3"});
 }
 
+// Guards against bodies that callers get in a transfer coding that nobody undoes.
+TEST_P(BrokenAnswersTest, bodyInUnknownTransferCoding_isNotPassedOn)
+{
+    expectNoAnswers("coding-",
+                    {"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip",
+                     "Transfer-Encoding: "});
+}
+
 INSTANTIATE_TEST_SUITE_P(Answers, BrokenAnswersTest, testing::ValuesIn(places()), nameOf);
 INSTANTIATE_TEST_SUITE_P(Answers, SilentAnswersTest, testing::ValuesIn(placesWith(Framing::Connection)), nameOf);
--- a/tests/radishswitch-agent/httpendpoint_test.cpp
+++ b/tests/radishswitch-agent/httpendpoint_test.cpp
@@ -3,6 +3,7 @@
 #include "asyncresult.h"
 #include "base/failure.h"
 #include "httpserver.h"
+#include "rawendpoint.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -209,6 +210,28 @@
     m_release(false);
 }
 
+// Guards against bytes that are no answer, and parts of answers, which the caller gets as a whole answer.
+TEST_F(HttpEndpointTest, call_endpointSendsBrokenAnswer_failsWithUnknownOutcome)
+{
+    std::vector<RawAnswer> answers(4);
+    answers[0].beginning = "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok";
+    answers[1].beginning = "HTTP/1.1 200 OK\r\nX Odd: a\r\nContent-Length: 2\r\n\r\nok";
+    answers[2].beginning = "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok";
+    answers[2].end = RawEnd::Close;
+    answers[3].beginning = "HTTP/1.1 200 OK\r\n\r\npart";
+    answers[3].end = RawEnd::Reset;
+    for (const RawAnswer &answer : answers) {
+        RawEndpoint endpoint([&answer](const std::string & /*head*/) {
+            return answer;
+        });
+        m_recorder.end.reset();
+        call("127.0.0.1:" + std::to_string(endpoint.port()));
+        const absl::Status status = m_recorder.waitForEnd();
+        EXPECT_FALSE(status.ok()) << answer.beginning;
+        EXPECT_EQ(outcomeOf(status), RunOutcome::Unknown) << answer.beginning;
+    }
+}
+
 // A completion that is not streamed sends nothing until all of it is made. Its caller is gone: the engine must learn of
 // it now and not when its work is done.
 TEST_F(HttpEndpointTest, cancel_beforeTheHead_endsTheCallAtOnce)
