--- a/src/libradishnet/httpconnection.cpp
+++ b/src/libradishnet/httpconnection.cpp
@@ -276,7 +276,11 @@
         co_await readHead(ec);
         m_isReadingHead = ec == net::error::operation_aborted;
         const absl::Status checked = ec ? withUnknownOutcome(failure("reading", ec)) : checkHead();
-        if (!checked.ok() || !isInterimStatus(status())) {
+        if (!checked.ok()) {
+            co_return checked;
+        }
+        if (!isInterimStatus(status())) {
+            m_headers = parsedFields();
             co_return checked;
         }
         if (++m_interimHeads > kMaximumInterimHeads) {
@@ -324,6 +328,16 @@
     }
 }
 
+// Those that follow a body in chunks are added to them later.
+HttpHeaders HttpConnection::parsedFields() const
+{
+    HttpHeaders headers;
+    for (const auto &field : m_parser->get()) {
+        headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
 absl::Status HttpConnection::checkHead() const
 {
     const absl::Status status = checkResponseHead(m_parser->get().base());
@@ -575,15 +589,6 @@
     return static_cast<int>(m_parser->get().result_int());
 }
 
-HttpHeaders HttpConnection::headers() const
-{
-    HttpHeaders headers;
-    for (const auto &field : m_parser->get()) {
-        headers.add(std::string(field.name_string()), std::string(field.value()));
-    }
-    return headers;
-}
-
 bool HttpConnection::hasHeard() const
 {
     return m_buffer.size() > 0 || m_interimHeads > 0 || (m_parser && m_parser->got_some());
--- a/src/libradishnet/httpconnection.h
+++ b/src/libradishnet/httpconnection.h
@@ -118,7 +118,11 @@
 
     bool isOpen() const;
     int status() const;
-    HttpHeaders headers() const;
+    /// The fields of the head, without those of a trailer.
+    const HttpHeaders &headers() const
+    {
+        return m_headers;
+    }
 
     /// The last deadline that passed on this connection, if any did.
     const std::optional<ExpiredWait> &expiredWait() const
@@ -182,6 +186,7 @@
     boost::asio::awaitable<void> readHead(boost::beast::error_code &ec);
     /// Parses what is buffered of a head.
     void parseHead(boost::beast::error_code &ec);
+    HttpHeaders parsedFields() const;
     absl::Status checkHead() const;
     /// The other side sends no more: the end of an answer that ends with its connection, and nothing else's.
     void takeEnd(boost::beast::error_code &ec);
@@ -221,6 +226,7 @@
     bool m_hasBrokenOff = false;
     bool m_isReadingHead = false;
     int m_interimHeads = 0;
+    HttpHeaders m_headers;
     std::optional<ExpiredWait> m_expiredWait;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
--- a/tests/net/httpconnection_test.cpp
+++ b/tests/net/httpconnection_test.cpp
@@ -415,6 +415,17 @@
     }
 }
 
+// Guards against what comes behind a body in chunks, taken for a part of the head.
+TEST_F(HttpConnectionTest, trailer_isNoPartOfTheHead)
+{
+    sendRequest();
+    say("HTTP/1.1 200 OK\r\nX-Place: head\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nok\r\n0\r\nX-Place: trailer\r\nX-Late: 1\r\n\r\n");
+    ASSERT_TRUE(wait(wholeAnswer()).ok());
+    const HttpHeaders headers{{"X-Place", "head"}, {"Transfer-Encoding", "chunked"}};
+    EXPECT_EQ(connection->headers(), headers);
+}
+
 // Guards against an answer without a length that is taken for whole though its connection was reset while the request
 // was being written: the writing notices the reset, and the reading sees an end.
 TEST_F(HttpConnectionTest, answerEndedByConnection_resetWhileRequestIsWritten_isLost)
--- a/tests/programs/brokenanswers_test.cpp
+++ b/tests/programs/brokenanswers_test.cpp
@@ -163,6 +163,11 @@
     }
 };
 
+/// Those whose answers are in chunks.
+class TrailersTest : public BrokenAnswersTest
+{
+};
+
 /// Those whose answers end with their connections.
 class SilentAnswersTest : public BrokenAnswersTest
 {
@@ -255,5 +260,17 @@
                      "Transfer-Encoding: "});
 }
 
+// Guards against fields behind a body, which callers get as fields of the head.
+TEST_P(TrailersTest, fieldsBehindBody_areNotPassedOn)
+{
+    RawAnswer answer = answerWith(firstLines("200 OK", "trailer"), true);
+    answer.beginning.insert(answer.beginning.size() - 2, PlatformNames::kSignature + std::string(": other\r\n"));
+    setAnswers("trailer", {answer});
+    const SeenAnswer seen = call(GetParam().target, "trailer");
+    EXPECT_TRUE(seen.isSuccess()) << seen.text;
+    EXPECT_EQ(seen.text.find("other"), std::string::npos) << seen.text;
+}
+
 INSTANTIATE_TEST_SUITE_P(Answers, BrokenAnswersTest, testing::ValuesIn(places()), nameOf);
+INSTANTIATE_TEST_SUITE_P(Answers, TrailersTest, testing::ValuesIn(placesWith(Framing::Chunks)), nameOf);
 INSTANTIATE_TEST_SUITE_P(Answers, SilentAnswersTest, testing::ValuesIn(placesWith(Framing::Connection)), nameOf);
