--- a/src/libradishnet/httpsession.cpp
+++ b/src/libradishnet/httpsession.cpp
@@ -18,6 +18,9 @@
 
 const Log kLog("http");
 
+/// Beast's number for HTTP/1.1.
+constexpr unsigned kVersionWithChunks = 11;
+
 auto awaitInto(beast::error_code &ec)
 {
     return net::redirect_error(net::use_awaitable, ec);
@@ -563,14 +566,19 @@
 {
     m_isClosed = true;
     beast::error_code ec;
-    beast::get_lowest_layer(m_stream).close(ec);
+    ServerSocket &socket = beast::get_lowest_layer(m_stream);
+    if (m_answer == AnswerState::Streaming && m_version < kVersionWithChunks) {
+        // Closed in order, the connection would end the stream as if it were whole.
+        socket.set_option(net::socket_base::linger(true, 0), ec);
+    }
+    socket.close(ec);
 }
 
 template<typename Stream>
 void HttpSession<Stream>::abort()
 {
-    m_answer = AnswerState::Done;
     close();
+    m_answer = AnswerState::Done;
 }
 
 template<typename Stream>
@@ -683,7 +691,7 @@
     beast::error_code ec;
     m_answer = AnswerState::Streaming;
     // HTTP/1.0 has no chunks: there the end of the connection ends the body.
-    m_isChunked = m_version >= 11 && !m_context->endsAnswersByClosing;
+    m_isChunked = m_version >= kVersionWithChunks && !m_context->endsAnswersByClosing;
     m_isKeptAlive = m_isKeptAlive && m_isChunked;
     http::response<http::empty_body> message;
     prepare(message, status, headers);
--- a/tests/programs/brokenanswers_test.cpp
+++ b/tests/programs/brokenanswers_test.cpp
@@ -271,6 +271,16 @@
     EXPECT_EQ(seen.text.find("other"), std::string::npos) << seen.text;
 }
 
+// Guards against a stream that was cut and that a caller of HTTP/1.0, whose answers end with their connections, takes
+// for whole.
+TEST_P(BrokenAnswersTest, answerCutForCallerOfHttp10_isNotWhole)
+{
+    CallerOptions options;
+    options.version = "1.0";
+    const RawAnswer part = answerWith(firstLines("200 OK", "old-caller"), false);
+    expectNoAnswer("old-caller", reset(part, RawRead::All, std::chrono::milliseconds(20)), options);
+}
+
 INSTANTIATE_TEST_SUITE_P(Answers, BrokenAnswersTest, testing::ValuesIn(places()), nameOf);
 INSTANTIATE_TEST_SUITE_P(Answers, TrailersTest, testing::ValuesIn(placesWith(Framing::Chunks)), nameOf);
 INSTANTIATE_TEST_SUITE_P(Answers, SilentAnswersTest, testing::ValuesIn(placesWith(Framing::Connection)), nameOf);
