--- a/src/fleet/endpointreportreader.h
+++ b/src/fleet/endpointreportreader.h
@@ -25,8 +25,9 @@
     virtual ~EndpointReportReader() = default;
 
     /// Reads one report, and calls `callback` once, never from inside this call. Fails with ConnectionLost or
-    /// ConnectionSilent if the endpoint does not answer within `timeout`, EndpointFailed if it answers with a failure,
-    /// MessageTooLarge if its answer is too large, and MalformedMessage if it is no usable report.
+    /// ConnectionSilent if the endpoint does not answer within `timeout` or sends bytes that are no answer,
+    /// EndpointFailed if it answers with a failure, MessageTooLarge if its answer is too large, and MalformedMessage if
+    /// it is no usable report.
     virtual void read(Duration timeout, Callback callback) = 0;
 
     /// Reads which incarnation answers. As `read`, but a report that holds nothing else is usable, as that of an
--- a/src/gateway/writerprobe.cpp
+++ b/src/gateway/writerprobe.cpp
@@ -28,6 +28,13 @@
 constexpr int kQuestions = 4;
 constexpr Duration kPause = std::chrono::milliseconds(20);
 
+/// Whether a question was lost, or got bytes that are no answer.
+bool isUnanswered(const absl::Status &status)
+{
+    const FailureCode code = failureCode(status);
+    return code == FailureCode::ConnectionLost || code == FailureCode::MessageTooLarge;
+}
+
 }
 
 std::string_view writerStateName(WriterState state)
@@ -106,7 +113,7 @@
     co_return WriterState::Lost;
 }
 
-// Nothing if the connection was lost.
+// Nothing if the question had no answer.
 net::awaitable<std::optional<WriterState>> WriterProbe::findByStart(const EndpointIncarnation &incarnation,
                                                                     const std::string &address)
 {
@@ -115,10 +122,10 @@
         makeEndpointReportReader(m_workers, address)->readStart(kStartTimeout, std::move(done));
     };
     const auto start = co_await awaitCallback<absl::StatusOr<std::int64_t>>(ask);
-    if (!start.ok() && failureCode(start.status()) == FailureCode::ConnectionLost) {
+    if (isUnanswered(start.status())) {
         co_return std::nullopt;
     }
-    if (!start.ok() && failureCode(start.status()) == FailureCode::ConnectionSilent) {
+    if (failureCode(start.status()) == FailureCode::ConnectionSilent) {
         co_return WriterState::Unknown;
     }
     const bool isOther =
--- a/tests/programs/brokenanswers_test.cpp
+++ b/tests/programs/brokenanswers_test.cpp
@@ -120,7 +120,8 @@
         const SeenAnswer seen = callAnswered(id, answer, options);
         const bool isBrokenStream = seen.status == 200 && !seen.isComplete;
         EXPECT_TRUE(seen.status == 502 || isBrokenStream) << id << ": " << seen.text;
-        EXPECT_GT(asked(id), 0) << id;
+        const bool mayRunAgain = GetParam().target == "/safe/" || GetParam().target == "/resumable/";
+        EXPECT_TRUE(asked(id) == 1 || (mayRunAgain && asked(id) > 1)) << id << ": asked " << asked(id) << " times";
         // An endpoint that is in trouble now and then stays in use.
         for (int n = 0; n < kSoundCalls; ++n) {
             EXPECT_EQ(call("/safe/", "sound-" + id + std::to_string(n)).body(), "ok") << id;
@@ -284,3 +285,39 @@
 INSTANTIATE_TEST_SUITE_P(Answers, BrokenAnswersTest, testing::ValuesIn(places()), nameOf);
 INSTANTIATE_TEST_SUITE_P(Answers, TrailersTest, testing::ValuesIn(placesWith(Framing::Chunks)), nameOf);
 INSTANTIATE_TEST_SUITE_P(Answers, SilentAnswersTest, testing::ValuesIn(placesWith(Framing::Connection)), nameOf);
+
+/// Endpoints whose answers end with their connections.
+class UnansweredQuestionsTest : public RawEndpointFixture
+{
+protected:
+    UnansweredQuestionsTest()
+        : RawEndpointFixture("unanswered-questions", answerTo)
+    {
+    }
+
+    static RawAnswer answerTo(const std::string &call)
+    {
+        RawAnswer answer;
+        answer.beginning = firstLines("200 OK", call) + "\r\npart";
+        answer.end = RawEnd::Close;
+        return answer;
+    }
+};
+
+// Guards against bytes that are no answer to the question whether the process that wrote an answer still runs, taken
+// for a sign that it does.
+TEST_F(UnansweredQuestionsTest, answerEndedByConnection_questionGetsNoAnswer_isNotPassedOn)
+{
+    std::vector<RawAnswer> answers(3);
+    answers[0].beginning = "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\n{}";
+    answers[1].beginning = "HTTP/1.1 200 OK\r\nX Odd: a\r\nContent-Length: 2\r\n\r\n{}";
+    answers[2].beginning = "HTTP/1.1 200 OK\r\n";
+    answers[2].repeated = "X-Filler: a\r\n";
+    for (std::size_t n = 0; n < answers.size(); ++n) {
+        answers[n].end = RawEnd::Close;
+        setAnswers("", {answers[n]});
+        for (const std::string target : {"/order/", "/safe/"}) {
+            EXPECT_EQ(call(target, "call-" + std::to_string(n) + target.substr(1, 4)).status, 502) << n;
+        }
+    }
+}
