Tests of raw answers hold their ports, and say when their gateway does not start

Traced by its logs: the stand-in of the store could not listen, "Address already in use". The fixture asked the kernel for any free port, gave it back, and opened listeners of its own on any port before the process was told; nothing checked that the store was reached.

A start that fails fails the test.

--- a/tests/programs/rawendpointfixture.cpp
+++ b/tests/programs/rawendpointfixture.cpp
@@ -26,14 +26,6 @@
 constexpr char kHeadEnd[] = "\r\n\r\n";
 constexpr char kLastChunk[] = "\r\n0\r\n\r\n";
 
-/// A port that was free a moment ago.
-int freePort()
-{
-    net::io_context context;
-    const net::ip::tcp::acceptor acceptor(context, {net::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
-}
-
 std::string loopback(int port)
 {
     return std::string(kLoopback) + ":" + std::to_string(port);
@@ -87,6 +79,20 @@
     return n == std::string::npos ? std::string() : text.substr(n + std::string_view(kHeadEnd).size());
 }
 
+// Bound and not listening: the kernel gives the port to nobody who asks for any, and a process that shares addresses
+// may listen there.
+ReservedPort::ReservedPort()
+    : m_holder(m_context, net::ip::tcp::v4())
+{
+    m_holder.set_option(net::socket_base::reuse_address(true));
+    m_holder.bind({net::ip::address_v4::loopback(), 0});
+}
+
+int ReservedPort::number() const
+{
+    return m_holder.local_endpoint().port();
+}
+
 CallerConnection::CallerConnection(int port)
     : m_socket(m_context)
 {
@@ -116,9 +122,9 @@
 RawEndpointFixture::RawEndpointFixture(const std::string &name, AnswerToCall answerToCall,
                                        std::chrono::seconds drainTimeout)
     : m_answerToCall(answerToCall)
-    , storePort(freePort())
-    , gatewayPort(freePort())
-    , adminPort(freePort())
+    , storePort(m_storePort.number())
+    , gatewayPort(m_gatewayPort.number())
+    , adminPort(m_adminPort.number())
     , folder(testing::TempDir() + name + "-" + std::to_string(::getpid()))
     , first([this](const std::string &head) {
         return answerTo(fieldOf(head, PlatformNames::kCallId));
@@ -130,9 +136,9 @@
     std::filesystem::create_directories(folder);
     store = ChildProcess({program("standin-store"), "--listen", loopback(storePort)}, folder + "/store.log");
     SoakPlatform platform(storePort);
-    waitUntil([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return platform.isReached();
-    });
+    }));
     platform.putConfiguration({{SoakPlatform::organisation(0), 1'000'000}});
     platform.listEndpoint("endpoint-1", loopback(first.port()), "ready", 1'000, "v1");
     platform.listEndpoint("endpoint-2", loopback(second.port()), "ready", 1'000, "v1");
@@ -141,9 +147,9 @@
                             "--platform", loopback(storePort), "--drain-timeout",
                             std::to_string(drainTimeout.count()) + "s", "--first-start=true"},
                            folder + "/gateway.log");
-    waitUntil([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return requestLoopback("GET", adminPort, "/readyz", "");
-    });
+    }));
 }
 
 RawEndpointFixture::~RawEndpointFixture()
--- a/tests/programs/rawendpointfixture.h
+++ b/tests/programs/rawendpointfixture.h
@@ -49,6 +49,19 @@
     bool keepsConnection = false;
 };
 
+/// A port on loopback that nobody else gets while this stands, but for a process that is told to listen there.
+class ReservedPort
+{
+public:
+    ReservedPort();
+
+    int number() const;
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_holder;
+};
+
 /// A caller's connection, by hand.
 class CallerConnection
 {
@@ -116,6 +129,9 @@
     std::mutex m_mutex;
     std::map<std::string, std::vector<RawAnswer>> m_answers;
     std::map<std::string, int> m_asked;
+    const ReservedPort m_storePort;
+    const ReservedPort m_gatewayPort;
+    const ReservedPort m_adminPort;
 
 protected:
     const int storePort;
