Tests: an answer that is cut by a close with the upload unread

The second form of the report on resets: an endpoint that closes its connection with most of a request of 7 MiB unread, where the kernel resets it.

--- a/tests/fakes/rawendpoint.cpp
+++ b/tests/fakes/rawendpoint.cpp
@@ -107,7 +107,7 @@
     if (ec || !answer(socket, given)) {
         return false;
     }
-    if (given.end != RawEnd::Reset) {
+    if (given.end == RawEnd::KeepOpen || given.end == RawEnd::Close) {
         read(left);
     }
     return !ec && end(socket, given);
@@ -116,11 +116,11 @@
 bool RawEndpoint::end(Socket &socket, const RawAnswer &answer)
 {
     std::this_thread::sleep_for(answer.pauseBeforeEnd);
+    boost::system::error_code ec;
     if (answer.end == RawEnd::Reset) {
-        // Closed later, by its destructor, it would be reset too late.
-        const linger abort{1, 0};
-        ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
-        boost::system::error_code ec;
+        socket.set_option(net::socket_base::linger(true, 0), ec);
+    }
+    if (answer.end == RawEnd::Reset || answer.end == RawEnd::CloseUnread) {
         socket.close(ec);
     }
     return answer.end == RawEnd::KeepOpen;
--- a/tests/fakes/rawendpoint.h
+++ b/tests/fakes/rawendpoint.h
@@ -20,11 +20,13 @@
     KeepOpen,
     /// Both ways end in order.
     Close,
+    /// It is closed with what is left of the request unread, at which the kernel resets it.
+    CloseUnread,
     Reset,
 };
 
-/// How much of a request is read before it is answered. What is left is read behind the answer, unless that ends the
-/// connection.
+/// How much of a request is read before it is answered. What is left is read behind the answer, unless the connection
+/// ends without that.
 enum class RawRead {
     All,
     Head,
--- a/tests/programs/brokenanswers_test.cpp
+++ b/tests/programs/brokenanswers_test.cpp
@@ -210,6 +210,20 @@
     }
 }
 
+// Guards against the same where the endpoint closes its connection with most of the request unread.
+TEST_P(BrokenAnswersTest, answerCutByCloseBeforeLongRequestIsRead_isNotWhole)
+{
+    for (const RawRead read : {RawRead::Head, RawRead::Half}) {
+        for (const int pause : {0, 60}) {
+            const std::string id =
+                std::string(read == RawRead::Head ? "close-head-" : "close-half-") + std::to_string(pause);
+            RawAnswer part = reset(answerWith(firstLines("200 OK", id), false), read, std::chrono::milliseconds(pause));
+            part.end = RawEnd::CloseUnread;
+            expectNoAnswer(id, part, longRequest());
+        }
+    }
+}
+
 // Guards against the same where the look for bytes of a silent stream notices the reset, while another endpoint that is
 // to take the stream over works on it and then refuses.
 TEST_P(SilentAnswersTest, silentAnswerCutByReset_otherEndpointRefuses_isNotWhole)
